--- /dev/null
+++ b/include/persimmon/types.h
@@ -0,0 +1,77 @@
+// Identifiers, time and outcomes used by decisions, messages and programs.
+//
+// Sections
+//   1. time
+//   2. identifiers
+//   3. outcomes
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace persimmon {
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. time. Decisions receive the time as an argument and never read a clock.
+// ---------------------------------------------------------------------------------------------------------------------
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using time_point = std::chrono::steady_clock::time_point;
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. identifiers
+// ---------------------------------------------------------------------------------------------------------------------
+
+// A text identifier with a type of its own, so that an attempt id is never passed as a request id.
+template <class tag>
+struct text_id {
+  std::string value;
+
+  auto operator<=>(const text_id&) const = default;
+  bool empty() const { return value.empty(); }
+
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(value);
+  }
+};
+
+using attempt_id = text_id<struct attempt_tag>;      // one try of a request on one endpoint; never reused
+using request_id = text_id<struct request_tag>;      // one request of a caller, over all its attempts
+using endpoint_name = text_id<struct endpoint_tag>;  // name of an endpoint record
+using router_name = text_id<struct router_tag>;      // name of a router
+using account_name = text_id<struct account_tag>;    // name of an account record
+using idempotency_key = text_id<struct key_tag>;     // account and Idempotency-Key header
+using zone_name = text_id<struct zone_tag>;          // availability zone
+
+using incarnation_number = std::uint64_t;  // grows with every start of a process with the same name
+using revision_number = std::uint64_t;     // revision of the whole configuration; 0 before the first
+using fingerprint_number = std::uint64_t;  // hash of account and request body
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. outcomes
+// ---------------------------------------------------------------------------------------------------------------------
+
+// What a caller may conclude about its request.
+enum class outcome_kind : std::uint8_t {
+  kAnswered,    // the whole answer was delivered
+  kNotRun,      // proved: never sent, or the agent confirmed a tombstone
+  kMayHaveRun,  // no proof either way; a non-idempotent call is not repeated
+};
+
+// "answered", "not_run" or "may_have_run".
+const char* OutcomeName(outcome_kind outcome);
+
+}  // namespace persimmon
+
+template <class tag>
+struct std::hash<persimmon::text_id<tag>> {
+  std::size_t operator()(const persimmon::text_id<tag>& id) const noexcept {
+    return std::hash<std::string>{}(id.value);
+  }
+};
--- /dev/null
+++ b/src/core/kernel.h
@@ -0,0 +1,105 @@
+// Micro-kernel: a registry of named services. Services find each other by name; the kernel starts them in order of
+// registration and stops them in reverse.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <concepts>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <typeindex>
+#include <vector>
+
+#include "core/log.h"
+#include "core/timers.h"
+
+namespace persimmon {
+
+// A service has a Start and a Stop. Start may use services registered before it; Stop must be idempotent.
+template <class type>
+concept service = requires(type& value) {
+  {value.Start()};
+  {value.Stop()};
+};
+
+class kernel {
+ public:
+  kernel() : timers_(context_) {}
+  kernel(const kernel&) = delete;
+  kernel& operator=(const kernel&) = delete;
+  ~kernel() { Stop(); }
+
+  asio::io_context& Context() { return context_; }
+  timer_service& Timers() { return timers_; }
+
+  // Creates a service under a name. A second service of the same name stops the program.
+  template <service type, class... arguments>
+  type& Register(std::string_view name, arguments&&... args) {
+    if (FindEntry(name) != nullptr) {
+      StopProgram(fmt::format("Service '{}' is registered twice.", name));
+    }
+    auto instance = std::make_shared<type>(std::forward<arguments>(args)...);
+    type& reference = *instance;
+    entries_.push_back(entry{std::string(name), std::type_index(typeid(type)), instance,
+                             [&reference] { reference.Start(); }, [&reference] { reference.Stop(); }});
+    return reference;
+  }
+
+  // Returns the service of that name. An absent service or another type stops the program.
+  template <service type>
+  type& Find(std::string_view name) {
+    const entry* found = FindEntry(name);
+    if (found == nullptr) {
+      StopProgram(fmt::format("No service is named '{}'.", name));
+    }
+    if (found->type != std::type_index(typeid(type))) {
+      StopProgram(fmt::format("Service '{}' has another type.", name));
+    }
+    return *static_cast<type*>(found->instance.get());
+  }
+
+  bool Has(std::string_view name) const { return FindEntry(name) != nullptr; }
+
+  void Start() {
+    for (const entry& item : entries_) {
+      item.start();
+    }
+    started_ = true;
+  }
+
+  void Stop() {
+    if (!started_) {
+      return;
+    }
+    started_ = false;
+    for (auto item = entries_.rbegin(); item != entries_.rend(); ++item) {
+      item->stop();
+    }
+  }
+
+ private:
+  struct entry {
+    std::string name;
+    std::type_index type;
+    std::shared_ptr<void> instance;
+    std::function<void()> start;
+    std::function<void()> stop;
+  };
+
+  const entry* FindEntry(std::string_view name) const {
+    for (const entry& item : entries_) {
+      if (item.name == name) {
+        return &item;
+      }
+    }
+    return nullptr;
+  }
+
+  asio::io_context context_{1};
+  timer_service timers_;
+  std::vector<entry> entries_;
+  bool started_ = false;
+};
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/core/log.h
@@ -0,0 +1,68 @@
+// Log lines on standard error: time, level, prefix of the part, request id if any, one short sentence.
+#pragma once
+
+#include <fmt/core.h>
+
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace persimmon {
+
+enum class log_level { kDebug, kInfo, kWarning, kError };
+
+// Lines below this level are dropped. Default: kInfo.
+void SetLogLevel(log_level level);
+
+// Accepts "debug", "info", "warning" and "error"; returns false for any other text.
+bool ParseLogLevel(std::string_view text, log_level& level);
+
+namespace detail {
+bool IsLogged(log_level level);
+void WriteLogLine(log_level level, std::string_view prefix, std::string_view request, std::string_view sentence);
+}  // namespace detail
+
+// Writes log lines of one part. Copies are cheap; ForRequest adds the request id to every line.
+class logger {
+ public:
+  explicit logger(std::string prefix) : prefix_(std::move(prefix)) {}
+
+  logger ForRequest(std::string request) const {
+    logger copy(prefix_);
+    copy.request_ = std::move(request);
+    return copy;
+  }
+
+  template <class... values>
+  void Debug(fmt::format_string<values...> format, values&&... args) const {
+    Write(log_level::kDebug, format, std::forward<values>(args)...);
+  }
+  template <class... values>
+  void Info(fmt::format_string<values...> format, values&&... args) const {
+    Write(log_level::kInfo, format, std::forward<values>(args)...);
+  }
+  template <class... values>
+  void Warning(fmt::format_string<values...> format, values&&... args) const {
+    Write(log_level::kWarning, format, std::forward<values>(args)...);
+  }
+  template <class... values>
+  void Error(fmt::format_string<values...> format, values&&... args) const {
+    Write(log_level::kError, format, std::forward<values>(args)...);
+  }
+
+ private:
+  template <class... values>
+  void Write(log_level level, fmt::format_string<values...> format, values&&... args) const {
+    if (detail::IsLogged(level)) {
+      detail::WriteLogLine(level, prefix_, request_, fmt::format(format, std::forward<values>(args)...));
+    }
+  }
+
+  std::string prefix_;   // part of the program, such as "router.queue"
+  std::string request_;  // request id; empty: none
+};
+
+// Stops the program with the reason. For misuse of an interface, not for bad input.
+[[noreturn]] void StopProgram(std::string_view reason);
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/core/metrics.h
@@ -0,0 +1,81 @@
+// Counters, gauges and latency histograms (Boost.Histogram), rendered in Prometheus' text format.
+//
+//   metrics_registry metrics;
+//   counter& refusals = metrics.AddCounter("persimmon_refusals_total", "Refused requests.", {{"code", "queue_full"}});
+//   refusals.Increment();
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "persimmon/types.h"
+
+namespace persimmon {
+
+using metric_labels = std::vector<std::pair<std::string, std::string>>;
+
+class counter {
+ public:
+  void Increment(std::uint64_t amount = 1) { value_ += amount; }
+  std::uint64_t Value() const { return value_; }
+
+ private:
+  std::uint64_t value_ = 0;
+};
+
+class gauge {
+ public:
+  void Set(double value) { value_ = value; }
+  double Value() const { return value_; }
+
+ private:
+  double value_ = 0;
+};
+
+// Latencies from 0.05 ms to 100 s on a logarithmic axis of 120 bins: a quantile is exact to 13%.
+class latency_histogram {
+ public:
+  latency_histogram();
+  ~latency_histogram();
+  latency_histogram(const latency_histogram&) = delete;
+  latency_histogram& operator=(const latency_histogram&) = delete;
+
+  void Record(microseconds latency);
+  std::uint64_t Count() const;
+  double SumSeconds() const;
+  double Quantile(double share) const;  // seconds; 0 if nothing was recorded
+
+  // Number of recorded latencies up to each bound, in the order of the bounds (seconds).
+  std::vector<std::uint64_t> CountsUpTo(const std::vector<double>& bounds) const;
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+class metrics_registry {
+ public:
+  metrics_registry();
+  ~metrics_registry();
+  metrics_registry(const metrics_registry&) = delete;
+  metrics_registry& operator=(const metrics_registry&) = delete;
+
+  // Return the metric of that name and labels and create it on first use. References stay valid.
+  counter& AddCounter(const std::string& name, const std::string& help, const metric_labels& labels = {});
+  gauge& AddGauge(const std::string& name, const std::string& help, const metric_labels& labels = {});
+  latency_histogram& AddLatency(const std::string& name, const std::string& help, const metric_labels& labels = {});
+
+  std::string RenderText() const;
+
+ private:
+  template <class metric>
+  struct family;
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/core/program.h
@@ -0,0 +1,76 @@
+// Frame of every daemon: command line, settings check, signals, exit codes.
+//
+//   int main(int argc, char** argv) {
+//     return persimmon::RunDaemon<router_settings>(argc, argv, {"persimmon-router", "Routes ..."}, BindSettings, Run);
+//   }
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "core/kernel.h"
+#include "core/settings.h"
+
+namespace persimmon {
+
+inline constexpr int kExitSuccess = 0;
+inline constexpr int kExitFailure = 1;   // could not start, or failed while running
+inline constexpr int kExitSettings = 2;  // findings in settings or command line; nothing was started
+
+inline constexpr const char* kProgramVersion = "0.1.0";
+
+struct program_description {
+  std::string name;     // name of the binary
+  std::string summary;  // one sentence for --help
+
+  bool operator==(const program_description&) const = default;
+};
+
+namespace detail {
+
+// Reads --config FILE, --check, --log_level, --help and --version. Returns false if the program is to exit with the
+// code in exit_code.
+bool ReadCommandLine(int& argc, char**& argv, const program_description& description, std::string& config_path,
+                     bool& check_only, int& exit_code);
+
+// Prints findings to standard error. Returns the exit code.
+int ReportSettings(const std::string& path, const finding_list& findings, bool check_only);
+
+// Runs the kernel until a planned stop has finished. on_stop is called on the first SIGTERM or SIGINT and gets a
+// function to call when the program may end; a second signal ends it at once.
+using stop_function = std::function<void(std::function<void()> finished)>;
+int RunKernel(kernel& services, const stop_function& on_stop);
+
+}  // namespace detail
+
+// Runs a daemon. bind_settings adds the fields of the settings struct to a binder; build registers services in the
+// kernel and returns what a planned stop does, or an error.
+template <class settings>
+int RunDaemon(int argc, char** argv, const program_description& description,
+              const std::function<void(settings_binder&, settings&)>& bind_settings,
+              const std::function<result<detail::stop_function>(kernel&, const settings&)>& build) {
+  std::string path;
+  bool check_only = false;
+  int exit_code = kExitSuccess;
+  if (!detail::ReadCommandLine(argc, argv, description, path, check_only, exit_code)) {
+    return exit_code;
+  }
+  settings values;
+  const settings_file file = ReadSettingsFile(path);
+  settings_binder binder(file);
+  bind_settings(binder, values);
+  // An unreadable file has one finding; its missing keys would only repeat it.
+  const finding_list findings = file.entries.empty() && !file.findings.empty() ? file.findings : binder.Finish();
+  if (check_only || !findings.empty()) {
+    return detail::ReportSettings(path, findings, check_only);
+  }
+  kernel services;
+  auto on_stop = build(services, values);
+  if (!on_stop) {
+    logger("core.program").Error("Cannot start: {}.", on_stop.error().message);
+    return kExitFailure;
+  }
+  return detail::RunKernel(services, on_stop.value());
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/net/channel.cpp
@@ -0,0 +1,382 @@
+// Sections
+//   1. channel
+//   2. listener
+//   3. connector
+#include "net/channel.h"
+
+#include <fmt/format.h>
+#include <openssl/crypto.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <set>
+
+#include "core/log.h"
+
+namespace persimmon {
+namespace {
+
+using tcp = asio::ip::tcp;
+using sys_error = boost::system::error_code;
+
+// A peer that has not proved that it knows the secret cannot make the process buffer more than this.
+constexpr std::uint32_t kMaxHelloBytes = 4096;
+
+const logger& Log() {
+  static const logger log("net.channel");
+  return log;
+}
+
+auto AwaitWith(sys_error& failure) { return asio::redirect_error(asio::use_awaitable, failure); }
+
+}  // namespace
+
+bool EqualSecrets(std::string_view left, std::string_view right) {
+  return left.size() == right.size() && CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. channel
+// ---------------------------------------------------------------------------------------------------------------------
+
+struct channel::state {
+  state(asio::io_context& context, tcp::socket socket, channel_settings settings, channel_handlers handlers)
+      : context(context),
+        timers(context),
+        socket(std::move(socket)),
+        settings(std::move(settings)),
+        handlers(std::move(handlers)) {
+    sys_error ignored;
+    const auto remote = this->socket.remote_endpoint(ignored);
+    if (!ignored) {
+      remote_host = remote.address().to_string();
+      remote_port = remote.port();
+    }
+    this->socket.set_option(tcp::no_delay(true), ignored);
+  }
+
+  asio::io_context& context;
+  timer_service timers;
+  tcp::socket socket;
+  channel_settings settings;
+  channel_handlers handlers;
+  hello peer;
+  std::string remote_host;
+  std::uint16_t remote_port = 0;
+  std::string unsent;  // frames that wait for the write in progress
+  bool writing = false;
+  bool open = false;  // both hellos have been exchanged
+  bool closed = false;
+  std::uint64_t heartbeats = 0;
+  time_point last_received = timer_service::Now();
+  timer_subscription heartbeat_timer;
+
+  task<result<message>> ReadMessage(std::uint32_t limit) {
+    std::array<char, kFrameHeaderBytes> head{};
+    sys_error failure;
+    co_await asio::async_read(socket, asio::buffer(head), AwaitWith(failure));
+    if (failure) {
+      co_return error{error_code::kClosed, failure.message()};
+    }
+    auto header = DecodeFrameHeader(std::string_view(head.data(), head.size()));
+    if (!header) {
+      co_return header.error();
+    }
+    if (header.value().length > limit) {
+      co_return error{error_code::kProtocol, fmt::format("first frame of {} bytes is too long", header.value().length)};
+    }
+    std::string body(header.value().length, '\0');
+    co_await asio::async_read(socket, asio::buffer(body), AwaitWith(failure));
+    if (failure) {
+      co_return error{error_code::kClosed, failure.message()};
+    }
+    last_received = timer_service::Now();
+    co_return DecodeFrameBody(header.value(), body);
+  }
+};
+
+channel::channel(std::unique_ptr<state> state) : state_(std::move(state)) {}
+channel::~channel() = default;
+
+bool channel::IsOpen() const { return state_->open && !state_->closed; }
+const hello& channel::Peer() const { return state_->peer; }
+std::string channel::RemoteHost() const { return state_->remote_host; }
+std::string channel::RemoteAddress() const { return fmt::format("{}:{}", state_->remote_host, state_->remote_port); }
+
+void channel::Send(const message& value) {
+  if (state_->closed) {
+    return;
+  }
+  state_->unsent += EncodeFrame(value);
+  if (state_->unsent.size() > state_->settings.queue_bytes) {
+    Close({error_code::kClosed, "too many unsent bytes"});
+    return;
+  }
+  if (state_->writing) {
+    return;
+  }
+  state_->writing = true;
+  auto write = [](channel_ptr self) -> task<> {
+    while (!self->state_->unsent.empty() && !self->state_->closed) {
+      const std::string data = std::exchange(self->state_->unsent, std::string());
+      sys_error failure;
+      co_await asio::async_write(self->state_->socket, asio::buffer(data), AwaitWith(failure));
+      if (failure) {
+        self->Close({error_code::kClosed, failure.message()});
+      }
+    }
+    self->state_->writing = false;
+  };
+  asio::co_spawn(state_->context, write(shared_from_this()), asio::detached);
+}
+
+void channel::Close(const error& reason) {
+  if (std::exchange(state_->closed, true)) {
+    return;
+  }
+  const channel_ptr self = shared_from_this();
+  sys_error ignored;
+  state_->socket.close(ignored);
+  state_->heartbeat_timer.Cancel();
+  if (reason.code == error_code::kProtocol) {
+    Log().Warning("Closed the channel of {}: {}.", RemoteAddress(), reason.message);
+  }
+  if (state_->open && state_->handlers.on_close) {
+    state_->handlers.on_close(self, reason);
+  }
+}
+
+task<> channel::Run() {
+  const channel_ptr self = shared_from_this();
+  const hello own = state_->handlers.make_hello();
+  Send(own);
+  timer_subscription deadline = state_->timers.SubscribeOnce(state_->settings.connect_timeout, [self] {
+    if (!self->state_->open) {
+      self->Close({error_code::kTimeout, "no hello in time"});
+    }
+  });
+  auto first = co_await state_->ReadMessage(kMaxHelloBytes);
+  if (!first) {
+    Close(first.error());
+    co_return;
+  }
+  const hello* peer = std::get_if<hello>(&first.value());
+  if (peer == nullptr) {
+    Close({error_code::kProtocol, fmt::format("first message is {}, not hello", MessageName(first.value()))});
+    co_return;
+  }
+  if (!EqualSecrets(peer->secret, own.secret)) {
+    Close({error_code::kProtocol, "peer secret is wrong"});
+    co_return;
+  }
+  state_->peer = *peer;
+  state_->peer.secret.clear();
+  if (state_->closed) {
+    co_return;
+  }
+  state_->open = true;
+  state_->handlers.on_open(self);
+  state_->heartbeat_timer = state_->timers.SubscribeEvery(state_->settings.heartbeat_period, 0.1, [this] {
+    if (timer_service::Now() - state_->last_received > state_->settings.silence_limit) {
+      Close({error_code::kTimeout, "no heartbeat in time"});
+      return;
+    }
+    heartbeat beat = state_->handlers.make_heartbeat();
+    beat.sequence = ++state_->heartbeats;
+    Send(beat);
+  });
+  while (!state_->closed) {
+    auto next = co_await state_->ReadMessage(kMaxFrameBytes);
+    if (!next) {
+      Close(next.error());
+      break;
+    }
+    if (!state_->closed) {
+      state_->handlers.on_message(self, next.value());
+    }
+  }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. listener
+// ---------------------------------------------------------------------------------------------------------------------
+
+struct channel_listener::state : std::enable_shared_from_this<channel_listener::state> {
+  state(asio::io_context& context, host_port address, channel_settings settings, channel_handlers handlers)
+      : context(context),
+        address(std::move(address)),
+        settings(std::move(settings)),
+        handlers(std::move(handlers)),
+        acceptor(context) {}
+
+  asio::io_context& context;
+  host_port address;
+  channel_settings settings;
+  channel_handlers handlers;
+  tcp::acceptor acceptor;
+  std::set<channel_ptr> channels;
+
+  bool IsAllowed(const std::string& host) const {
+    return settings.allowed_hosts.empty() || std::find(settings.allowed_hosts.begin(), settings.allowed_hosts.end(),
+                                                       host) != settings.allowed_hosts.end();
+  }
+
+  task<> Accept() {
+    const auto self = shared_from_this();
+    while (acceptor.is_open()) {
+      sys_error failure;
+      tcp::socket socket(context);
+      co_await acceptor.async_accept(socket, AwaitWith(failure));
+      if (failure == asio::error::operation_aborted || !acceptor.is_open()) {
+        break;
+      }
+      if (failure) {
+        continue;
+      }
+      auto next =
+          std::make_shared<channel>(std::make_unique<channel::state>(context, std::move(socket), settings, handlers));
+      if (!IsAllowed(next->RemoteHost())) {
+        Log().Warning("Refused a channel of {}: the address is not listed.", next->RemoteAddress());
+        continue;
+      }
+      asio::co_spawn(context, Serve(next), asio::detached);
+    }
+  }
+
+  task<> Serve(channel_ptr next) {
+    const auto self = shared_from_this();
+    channels.insert(next);
+    co_await next->Run();
+    channels.erase(next);
+  }
+};
+
+channel_listener::channel_listener(asio::io_context& context, host_port address, channel_settings settings,
+                                   channel_handlers handlers)
+    : state_(std::make_shared<state>(context, std::move(address), std::move(settings), std::move(handlers))) {}
+
+channel_listener::~channel_listener() { Stop(); }
+
+result<void> channel_listener::Start() {
+  sys_error failure;
+  const tcp::endpoint endpoint(asio::ip::make_address(state_->address.host), state_->address.port);
+  state_->acceptor.open(endpoint.protocol(), failure);
+  if (!failure) {
+    // Allows a bind while old connections linger, but not a second listener: that keeps a second agent out.
+    state_->acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    state_->acceptor.bind(endpoint, failure);
+  }
+  if (!failure) {
+    state_->acceptor.listen(asio::socket_base::max_listen_connections, failure);
+  }
+  if (failure) {
+    return error{error_code::kUnavailable,
+                 fmt::format("cannot listen on {}: {}", state_->address.Text(), failure.message())};
+  }
+  asio::co_spawn(state_->context, state_->Accept(), asio::detached);
+  return outcome::success();
+}
+
+void channel_listener::Stop() {
+  sys_error ignored;
+  state_->acceptor.close(ignored);
+  const auto channels = state_->channels;
+  for (const channel_ptr& item : channels) {
+    item->Close({error_code::kClosed, "this process stops"});
+  }
+}
+
+std::uint16_t channel_listener::Port() const {
+  sys_error ignored;
+  return state_->acceptor.local_endpoint(ignored).port();
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. connector
+// ---------------------------------------------------------------------------------------------------------------------
+
+struct channel_connector::state : std::enable_shared_from_this<channel_connector::state> {
+  state(asio::io_context& context, host_port address, channel_settings settings, channel_handlers handlers)
+      : context(context),
+        timers(context),
+        address(std::move(address)),
+        settings(std::move(settings)),
+        handlers(std::move(handlers)) {}
+
+  asio::io_context& context;
+  timer_service timers;
+  host_port address;
+  channel_settings settings;
+  channel_handlers handlers;
+  channel_ptr current;
+  bool running = false;
+
+  task<bool> ConnectOnce() {
+    auto socket = std::make_shared<tcp::socket>(context);
+    const auto deadline = timers.SubscribeOnce(settings.connect_timeout, [socket] {
+      sys_error ignored;
+      socket->close(ignored);
+    });
+    sys_error failure;
+    const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
+    co_await socket->async_connect(endpoint, AwaitWith(failure));
+    if (failure || !running) {
+      co_return false;
+    }
+    current =
+        std::make_shared<channel>(std::make_unique<channel::state>(context, std::move(*socket), settings, handlers));
+    const channel_ptr mine = current;
+    const time_point begin = timer_service::Now();
+    co_await mine->Run();
+    current.reset();
+    co_return timer_service::Now() - begin > settings.silence_limit;
+  }
+
+  task<> Loop() {
+    const auto self = shared_from_this();
+    milliseconds pause = settings.reconnect_minimum;
+    while (running) {
+      const bool lasted = co_await ConnectOnce();
+      if (!running) {
+        break;
+      }
+      pause = lasted ? settings.reconnect_minimum : std::min(pause * 2, settings.reconnect_maximum);
+      co_await timers.Sleep(pause);
+    }
+  }
+};
+
+channel_connector::channel_connector(asio::io_context& context, host_port address, channel_settings settings,
+                                     channel_handlers handlers)
+    : state_(std::make_shared<state>(context, std::move(address), std::move(settings), std::move(handlers))) {}
+
+channel_connector::~channel_connector() { Stop(); }
+
+void channel_connector::Start() {
+  if (std::exchange(state_->running, true)) {
+    return;
+  }
+  asio::co_spawn(state_->context, state_->Loop(), asio::detached);
+}
+
+void channel_connector::Stop() {
+  state_->running = false;
+  if (state_->current) {
+    state_->current->Close({error_code::kClosed, "this process stops"});
+  }
+}
+
+channel_ptr channel_connector::Current() const {
+  return state_->current && state_->current->IsOpen() ? state_->current : nullptr;
+}
+
+const host_port& channel_connector::Address() const { return state_->address; }
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/net/http.cpp
@@ -0,0 +1,661 @@
+// Sections
+//   1. messages
+//   2. server connections
+//   3. server
+//   4. client
+#include "net/http.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <deque>
+#include <map>
+#include <set>
+
+#include "core/log.h"
+
+namespace persimmon {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+using sys_error = boost::system::error_code;
+
+constexpr std::size_t kFirstReadBytes = 4096;
+
+const logger& Log() {
+  static const logger log("net.http");
+  return log;
+}
+
+auto AwaitWith(sys_error& failure) { return asio::redirect_error(asio::use_awaitable, failure); }
+
+template <class fields>
+header_list CopyHeaders(const fields& source) {
+  header_list headers;
+  for (const auto& field : source) {
+    headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  return headers;
+}
+
+// Headers that the library sets itself or that belong to one connection only.
+bool IsConnectionHeader(std::string_view name) {
+  return beast::iequals(name, "connection") || beast::iequals(name, "keep-alive") ||
+         beast::iequals(name, "transfer-encoding") || beast::iequals(name, "content-length");
+}
+
+template <class target>
+void SetHeaders(target& message, const header_list& headers) {
+  for (const header_field& field : headers) {
+    if (!IsConnectionHeader(field.name)) {
+      message.insert(field.name, field.value);
+    }
+  }
+}
+
+error MakeError(const sys_error& failure, std::string_view what) {
+  if (failure == beast::error::timeout) {
+    return error{error_code::kTimeout, fmt::format("{} timed out", what)};
+  }
+  return error{error_code::kClosed, fmt::format("{} failed: {}", what, failure.message())};
+}
+
+}  // namespace
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. messages
+// ---------------------------------------------------------------------------------------------------------------------
+
+std::string_view FindHeader(const header_list& headers, std::string_view name) {
+  for (const header_field& field : headers) {
+    if (beast::iequals(field.name, name)) {
+      return field.value;
+    }
+  }
+  return {};
+}
+
+http_response JsonResponse(int status, std::string body) {
+  return http_response{status, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. server connections
+// ---------------------------------------------------------------------------------------------------------------------
+
+struct http_server::state : std::enable_shared_from_this<http_server::state> {
+  state(asio::io_context& context, host_port address, http_limits limits, http_handler handler)
+      : context(context), address(std::move(address)), limits(limits), handler(std::move(handler)), acceptor(context) {}
+
+  asio::io_context& context;
+  host_port address;
+  http_limits limits;
+  http_handler handler;
+  tcp::acceptor acceptor;
+  std::set<std::shared_ptr<detail::http_connection>> connections;
+  std::size_t requests = 0;
+  bool draining = false;
+
+  task<> Accept();
+};
+
+namespace detail {
+
+class http_connection : public std::enable_shared_from_this<http_connection> {
+ public:
+  http_connection(tcp::socket socket, std::shared_ptr<http_server::state> server)
+      : stream_(std::move(socket)), server_(std::move(server)) {
+    sys_error ignored;
+    const auto remote = stream_.socket().remote_endpoint(ignored);
+    if (!ignored) {
+      remote_ = fmt::format("{}:{}", remote.address().to_string(), remote.port());
+    }
+    stream_.socket().set_option(tcp::no_delay(true), ignored);
+  }
+
+  task<> Run() {
+    const auto self = shared_from_this();
+    while (!closed_) {
+      auto request = co_await ReadRequest();
+      if (!request) {
+        break;
+      }
+      co_await Serve(std::move(request.value()));
+      if (!keep_alive_ || server_->draining) {
+        break;
+      }
+    }
+    Close();
+    server_->connections.erase(self);
+  }
+
+  void Close() {
+    closed_ = true;
+    sys_error ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    stream_.socket().close(ignored);
+  }
+
+  bool IsIdle() const { return !serving_; }
+  bool IsDisconnected() const { return disconnected_ || closed_; }
+  void SetDisconnectCallback(std::function<void()> callback) { on_disconnect_ = std::move(callback); }
+
+  task<result<void>> Write(http_response response) {
+    http::response<http::string_body> message;
+    message.version(11);
+    message.result(static_cast<unsigned>(response.status));
+    SetHeaders(message, response.headers);
+    message.keep_alive(keep_alive_ && !server_->draining);
+    message.body() = std::move(response.body);
+    message.prepare_payload();
+    if (head_request_) {
+      // A response to HEAD has the headers of the body but not the body itself.
+      const auto length = message.body().size();
+      message.body().clear();
+      message.content_length(length);
+    }
+    http::response_serializer<http::string_body> serializer(message);
+    sys_error failure;
+    stream_.expires_after(server_->limits.write_timeout);
+    if (head_request_) {
+      co_await http::async_write_header(stream_, serializer, AwaitWith(failure));
+    } else {
+      co_await http::async_write(stream_, serializer, AwaitWith(failure));
+    }
+    stream_.expires_never();
+    co_return Finish(failure);
+  }
+
+  task<result<void>> WriteHead(int status, header_list headers) {
+    http::response<http::empty_body> message;
+    message.version(11);
+    message.result(static_cast<unsigned>(status));
+    SetHeaders(message, headers);
+    message.keep_alive(keep_alive_ && !server_->draining);
+    message.chunked(true);
+    http::response_serializer<http::empty_body> serializer(message);
+    sys_error failure;
+    stream_.expires_after(server_->limits.write_timeout);
+    co_await http::async_write_header(stream_, serializer, AwaitWith(failure));
+    stream_.expires_never();
+    if (failure) {
+      co_return Finish(failure);
+    }
+    co_return outcome::success();
+  }
+
+  task<result<void>> WriteChunk(std::string data, bool last) {
+    std::string frame;
+    if (!data.empty()) {
+      frame = fmt::format("{:x}\r\n", data.size()) + data + "\r\n";
+    }
+    if (last) {
+      frame += "0\r\n\r\n";
+    }
+    sys_error failure;
+    stream_.expires_after(server_->limits.write_timeout);
+    co_await asio::async_write(stream_, asio::buffer(frame), AwaitWith(failure));
+    stream_.expires_never();
+    if (failure || last) {
+      co_return Finish(failure);
+    }
+    co_return outcome::success();
+  }
+
+ private:
+  task<result<http_request>> ReadRequest() {
+    sys_error failure;
+    const http_limits& limits = server_->limits;
+    if (buffer_.size() == 0) {
+      stream_.expires_after(limits.idle_timeout);
+      const auto space = buffer_.prepare(kFirstReadBytes);
+      const std::size_t count = co_await stream_.async_read_some(space, AwaitWith(failure));
+      buffer_.commit(count);
+      if (failure || closed_) {
+        co_return error{error_code::kClosed, "connection closed"};
+      }
+    }
+    http::request_parser<http::string_body> parser;
+    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    parser.body_limit(limits.body_bytes);
+    stream_.expires_after(limits.read_timeout);
+    co_await http::async_read(stream_, buffer_, parser, AwaitWith(failure));
+    stream_.expires_never();
+    if (failure) {
+      co_await RefuseInput(failure);
+      co_return MakeError(failure, "read of a request");
+    }
+    keep_alive_ = parser.get().keep_alive();
+    head_request_ = parser.get().method() == http::verb::head;
+    http_request request;
+    request.method = std::string(parser.get().method_string());
+    request.target = std::string(parser.get().target());
+    request.headers = CopyHeaders(parser.get());
+    request.body = std::move(parser.get().body());
+    request.remote = remote_;
+    co_return request;
+  }
+
+  // Answers input that is not a valid request. A closed or idle connection gets no answer.
+  task<> RefuseInput(sys_error failure) {
+    int status = 0;
+    if (failure == http::error::body_limit) {
+      status = 413;
+    } else if (failure == http::error::header_limit || failure == http::error::buffer_overflow) {
+      status = 431;
+    } else if (failure == beast::error::timeout) {
+      status = 408;
+    } else if (failure.category() == http::make_error_code(http::error::bad_method).category() &&
+               failure != http::error::end_of_stream && failure != http::error::partial_message) {
+      status = 400;
+    }
+    if (status == 0 || closed_) {
+      co_return;
+    }
+    Log().Info("Refused input of {}: {}.", remote_, failure.message());
+    keep_alive_ = false;
+    const char* code = status == 413 ? "body_too_large" : "bad_request";
+    auto body = fmt::format(
+        R"({{"error":{{"code":"{}","outcome":"not_run","message":"The request could not be read."}}}})", code);
+    auto response = JsonResponse(status, std::move(body));
+    // The connection is closed next, so a failed write needs no handling of its own.
+    (void)co_await Write(std::move(response));
+  }
+
+  task<> Serve(http_request request) {
+    serving_ = true;
+    complete_ = false;
+    ++server_->requests;
+    auto exchange = std::make_shared<http_exchange>(shared_from_this(), std::move(request));
+    WatchForDisconnect();
+    co_await server_->handler(exchange);
+    if (!complete_ && !closed_) {
+      // The handler neither answered nor aborted; the caller must not take silence for an answer.
+      Close();
+    }
+    on_disconnect_ = nullptr;
+    serving_ = false;
+    --server_->requests;
+  }
+
+  // Reading while the response is written would disturb the parser, so the socket is only watched for its end.
+  void WatchForDisconnect() {
+    stream_.socket().async_wait(
+        tcp::socket::wait_read, [self = shared_from_this(), serial = ++watch_serial_](sys_error failure) {
+          if (failure || self->complete_ || serial != self->watch_serial_) {
+            return;
+          }
+          char byte = 0;
+          sys_error peek_failure;
+          self->stream_.socket().non_blocking(true, peek_failure);
+          const auto count =
+              self->stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peek_failure);
+          if (count > 0 || peek_failure == asio::error::would_block) {
+            return;  // a pipelined request
+          }
+          self->NoteDisconnect();
+        });
+  }
+
+  void NoteDisconnect() {
+    disconnected_ = true;
+    keep_alive_ = false;
+    if (auto callback = std::exchange(on_disconnect_, nullptr)) {
+      callback();
+    }
+  }
+
+  result<void> Finish(sys_error failure) {
+    complete_ = !failure;
+    if (failure) {
+      NoteDisconnect();
+      Close();
+      return MakeError(failure, "write of a response");
+    }
+    sys_error ignored;
+    stream_.socket().cancel(ignored);
+    return outcome::success();
+  }
+
+  beast::tcp_stream stream_;
+  std::shared_ptr<http_server::state> server_;
+  beast::flat_buffer buffer_;
+  std::string remote_;
+  std::function<void()> on_disconnect_;
+  std::uint64_t watch_serial_ = 0;
+  bool keep_alive_ = true;
+  bool head_request_ = false;
+  bool serving_ = false;
+  bool complete_ = false;
+  bool disconnected_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace detail
+
+http_exchange::http_exchange(std::shared_ptr<detail::http_connection> connection, http_request request)
+    : connection_(std::move(connection)), request_(std::move(request)) {}
+
+task<result<void>> http_exchange::Respond(http_response response) {
+  if (std::exchange(started_, true)) {
+    StopProgram("A response was sent twice on one exchange.");
+  }
+  co_return co_await connection_->Write(std::move(response));
+}
+
+task<result<void>> http_exchange::StartStream(int status, header_list headers) {
+  if (std::exchange(started_, true)) {
+    StopProgram("A response was sent twice on one exchange.");
+  }
+  co_return co_await connection_->WriteHead(status, std::move(headers));
+}
+
+task<result<void>> http_exchange::WriteChunk(std::string data) {
+  if (data.empty()) {
+    co_return outcome::success();
+  }
+  co_return co_await connection_->WriteChunk(std::move(data), false);
+}
+
+task<result<void>> http_exchange::FinishStream() { co_return co_await connection_->WriteChunk({}, true); }
+
+void http_exchange::AbortStream() { connection_->Close(); }
+
+void http_exchange::OnDisconnect(std::function<void()> callback) {
+  if (connection_->IsDisconnected()) {
+    callback();
+    return;
+  }
+  connection_->SetDisconnectCallback(std::move(callback));
+}
+
+bool http_exchange::IsDisconnected() const { return connection_->IsDisconnected(); }
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. server
+// ---------------------------------------------------------------------------------------------------------------------
+
+task<> http_server::state::Accept() {
+  const auto self = shared_from_this();
+  while (acceptor.is_open()) {
+    sys_error failure;
+    tcp::socket socket(context);
+    co_await acceptor.async_accept(socket, AwaitWith(failure));
+    if (failure == asio::error::operation_aborted || !acceptor.is_open()) {
+      break;
+    }
+    if (failure) {
+      Log().Warning("Accept failed: {}.", failure.message());
+      continue;
+    }
+    if (connections.size() >= limits.connections) {
+      Log().Warning("Closed a connection: the limit of {} connections is reached.", limits.connections);
+      continue;
+    }
+    auto connection = std::make_shared<detail::http_connection>(std::move(socket), self);
+    connections.insert(connection);
+    asio::co_spawn(context, connection->Run(), asio::detached);
+  }
+}
+
+http_server::http_server(asio::io_context& context, host_port address, http_limits limits, http_handler handler)
+    : state_(std::make_shared<state>(context, std::move(address), limits, std::move(handler))) {}
+
+http_server::~http_server() { Stop(); }
+
+result<void> http_server::Start() {
+  sys_error failure;
+  const tcp::endpoint endpoint(asio::ip::make_address(state_->address.host), state_->address.port);
+  state_->acceptor.open(endpoint.protocol(), failure);
+  if (!failure) {
+    state_->acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
+    state_->acceptor.bind(endpoint, failure);
+  }
+  if (!failure) {
+    state_->acceptor.listen(asio::socket_base::max_listen_connections, failure);
+  }
+  if (failure) {
+    return error{error_code::kUnavailable,
+                 fmt::format("cannot listen on {}: {}", state_->address.Text(), failure.message())};
+  }
+  asio::co_spawn(state_->context, state_->Accept(), asio::detached);
+  return outcome::success();
+}
+
+void http_server::Drain() {
+  state_->draining = true;
+  sys_error ignored;
+  state_->acceptor.close(ignored);
+  for (const auto& connection : state_->connections) {
+    if (connection->IsIdle()) {
+      connection->Close();
+    }
+  }
+}
+
+void http_server::Stop() {
+  state_->draining = true;
+  sys_error ignored;
+  state_->acceptor.close(ignored);
+  for (const auto& connection : state_->connections) {
+    connection->Close();
+  }
+}
+
+std::size_t http_server::RequestsInProgress() const { return state_->requests; }
+
+std::uint16_t http_server::Port() const {
+  sys_error ignored;
+  return state_->acceptor.local_endpoint(ignored).port();
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. client
+// ---------------------------------------------------------------------------------------------------------------------
+
+namespace {
+
+struct client_connection {
+  explicit client_connection(asio::io_context& context) : stream(context) {}
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+};
+
+using client_connection_ptr = std::unique_ptr<client_connection>;
+
+// True if the other side has neither closed the idle connection nor sent anything on it.
+bool IsUsable(client_connection& connection) {
+  char byte = 0;
+  sys_error failure;
+  connection.stream.socket().non_blocking(true, failure);
+  connection.stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, failure);
+  return failure == asio::error::would_block;
+}
+
+// Splits a growing text into lines.
+class line_splitter {
+ public:
+  // Returns false as soon as the function does.
+  bool Add(std::string_view data, const http_client::line_handler& on_line) {
+    rest_.append(data);
+    std::size_t begin = 0;
+    for (auto end = rest_.find('\n'); end != std::string::npos; end = rest_.find('\n', begin)) {
+      std::string_view line(rest_.data() + begin, end - begin);
+      begin = end + 1;
+      if (!line.empty() && line.back() == '\r') {
+        line.remove_suffix(1);
+      }
+      if (!on_line(line)) {
+        return false;
+      }
+    }
+    rest_.erase(0, begin);
+    return true;
+  }
+
+ private:
+  std::string rest_;
+};
+
+}  // namespace
+
+struct http_client::state {
+  state(asio::io_context& context, http_client_limits limits) : context(context), limits(limits) {}
+
+  asio::io_context& context;
+  http_client_limits limits;
+  std::map<host_port, std::deque<client_connection_ptr>> idle;
+
+  task<result<client_connection_ptr>> Connect(host_port address) {
+    auto& kept = idle[address];
+    while (!kept.empty()) {
+      auto connection = std::move(kept.back());
+      kept.pop_back();
+      if (IsUsable(*connection)) {
+        co_return std::move(connection);
+      }
+    }
+    auto connection = std::make_unique<client_connection>(context);
+    sys_error failure;
+    const auto ip = asio::ip::make_address(address.host, failure);
+    if (!failure) {
+      connection->stream.expires_after(limits.connect_timeout);
+      co_await connection->stream.async_connect(tcp::endpoint(ip, address.port), AwaitWith(failure));
+    }
+    if (failure) {
+      co_return error{error_code::kUnavailable,
+                      fmt::format("cannot connect to {}: {}", address.Text(), failure.message())};
+    }
+    sys_error ignored;
+    connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+    co_return std::move(connection);
+  }
+
+  void Keep(const host_port& address, client_connection_ptr connection) {
+    auto& kept = idle[address];
+    if (kept.size() < limits.idle_connections) {
+      connection->stream.expires_never();
+      kept.push_back(std::move(connection));
+    }
+  }
+
+  task<result<void>> Send(client_connection& connection, const host_port& address, http_request request) {
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    SetHeaders(message, request.headers);
+    if (message.find(http::field::host) == message.end()) {
+      message.set(http::field::host, address.Text());
+    }
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    sys_error failure;
+    co_await http::async_write(connection.stream, message, AwaitWith(failure));
+    if (failure) {
+      co_return MakeError(failure, "write to " + address.Text());
+    }
+    co_return outcome::success();
+  }
+};
+
+http_client::http_client(asio::io_context& context, http_client_limits limits)
+    : state_(std::make_shared<state>(context, limits)) {}
+
+http_client::~http_client() = default;
+
+task<result<http_response>> http_client::Fetch(host_port address, http_request request) {
+  const milliseconds timeout = state_->limits.response_timeout;
+  co_return co_await Fetch(std::move(address), std::move(request), timeout);
+}
+
+task<result<http_response>> http_client::Fetch(host_port address, http_request request, milliseconds response_timeout) {
+  const auto state = state_;
+  const bool head_request = request.method == "HEAD";
+  auto connected = co_await state->Connect(address);
+  if (!connected) {
+    co_return connected.error();
+  }
+  client_connection_ptr connection = std::move(connected.value());
+  connection->stream.expires_after(response_timeout);
+  auto sent = co_await state->Send(*connection, address, std::move(request));
+  if (!sent) {
+    co_return sent.error();
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(state->limits.body_bytes);
+  parser.skip(head_request);
+  sys_error failure;
+  co_await http::async_read(connection->stream, connection->buffer, parser, AwaitWith(failure));
+  if (failure) {
+    co_return MakeError(failure, "answer of " + address.Text());
+  }
+  http_response response;
+  response.status = static_cast<int>(parser.get().result_int());
+  response.headers = CopyHeaders(parser.get());
+  response.body = std::move(parser.get().body());
+  if (parser.get().keep_alive()) {
+    state->Keep(address, std::move(connection));
+  }
+  co_return response;
+}
+
+task<result<http_response>> http_client::FetchLines(host_port address, http_request request, line_handler on_line) {
+  const auto state = state_;
+  auto connected = co_await state->Connect(address);
+  if (!connected) {
+    co_return connected.error();
+  }
+  client_connection_ptr connection = std::move(connected.value());
+  connection->stream.expires_after(state->limits.response_timeout);
+  auto sent = co_await state->Send(*connection, address, std::move(request));
+  if (!sent) {
+    co_return sent.error();
+  }
+  http::response_parser<http::buffer_body> parser;
+  parser.body_limit(boost::none);
+  sys_error failure;
+  co_await http::async_read_header(connection->stream, connection->buffer, parser, AwaitWith(failure));
+  if (failure) {
+    co_return MakeError(failure, "answer of " + address.Text());
+  }
+  http_response response;
+  response.status = static_cast<int>(parser.get().result_int());
+  response.headers = CopyHeaders(parser.get());
+  line_splitter lines;
+  std::array<char, 16384> chunk{};
+  while (!parser.is_done()) {
+    parser.get().body().data = chunk.data();
+    parser.get().body().size = chunk.size();
+    connection->stream.expires_after(state->limits.idle_timeout);
+    co_await http::async_read_some(connection->stream, connection->buffer, parser, AwaitWith(failure));
+    if (failure == http::error::need_buffer) {
+      failure = {};
+    }
+    if (failure) {
+      co_return MakeError(failure, "answer of " + address.Text());
+    }
+    const std::string_view data(chunk.data(), chunk.size() - parser.get().body().size);
+    if (response.status != 200) {
+      response.body.append(data);
+    } else if (!lines.Add(data, on_line)) {
+      co_return error{error_code::kCancelled, "the exchange was ended by this process"};
+    }
+  }
+  if (parser.get().keep_alive()) {
+    state->Keep(address, std::move(connection));
+  }
+  co_return response;
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/net/wire.cpp
@@ -0,0 +1,230 @@
+#include "net/wire.h"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstring>
+#include <sstream>
+#include <type_traits>
+
+namespace persimmon::detail {
+
+// Reads what cereal's portable binary archive writes. cereal allocates a string or vector of the announced size before
+// it reads the elements; this archive first checks the announced size against the bytes that are left, so that a short
+// malformed input cannot make the process allocate gigabytes.
+class frame_reader : public cereal::InputArchive<frame_reader, cereal::AllowEmptyClassElision> {
+ public:
+  explicit frame_reader(std::string_view bytes)
+      : cereal::InputArchive<frame_reader, cereal::AllowEmptyClassElision>(this), rest_(bytes) {
+    std::uint8_t byte_order = 0;
+    ReadBytes(&byte_order, sizeof(byte_order));
+    if (byte_order != kLittleEndian) {
+      throw cereal::Exception("byte order is not supported");
+    }
+  }
+
+  void ReadBytes(void* target, std::size_t size) {
+    if (size > rest_.size()) {
+      throw cereal::Exception("input is cut off");
+    }
+    if (size != 0) {
+      std::memcpy(target, rest_.data(), size);
+    }
+    rest_.remove_prefix(size);
+  }
+
+  // Each element takes at least one byte.
+  void CheckElementCount(std::uint64_t count) const {
+    if (count > rest_.size()) {
+      throw cereal::Exception("announced size is longer than the input");
+    }
+  }
+
+  std::size_t Remaining() const { return rest_.size(); }
+
+ private:
+  static constexpr std::uint8_t kLittleEndian = 1;
+
+  std::string_view rest_;
+};
+
+template <class number>
+std::enable_if_t<std::is_arithmetic_v<number>> CEREAL_LOAD_FUNCTION_NAME(frame_reader& ar, number& value) {
+  if constexpr (std::is_same_v<number, bool>) {
+    std::uint8_t byte = 0;
+    ar.ReadBytes(&byte, sizeof(byte));
+    value = byte != 0;
+  } else {
+    ar.ReadBytes(&value, sizeof(value));
+  }
+}
+
+template <class pair>
+void CEREAL_LOAD_FUNCTION_NAME(frame_reader& ar, cereal::NameValuePair<pair>& value) {
+  ar(value.value);
+}
+
+template <class size>
+void CEREAL_LOAD_FUNCTION_NAME(frame_reader& ar, cereal::SizeTag<size>& tag) {
+  std::uint64_t count = 0;
+  ar.ReadBytes(&count, sizeof(count));
+  ar.CheckElementCount(count);
+  tag.size = static_cast<std::decay_t<size>>(count);
+}
+
+template <class data>
+void CEREAL_LOAD_FUNCTION_NAME(frame_reader& ar, cereal::BinaryData<data>& block) {
+  ar.ReadBytes(block.data, static_cast<std::size_t>(block.size));
+}
+
+}  // namespace persimmon::detail
+
+// Tells cereal which output archive the reader belongs to.
+template <>
+struct cereal::traits::detail::get_output_from_input<persimmon::detail::frame_reader> {
+  using type = cereal::PortableBinaryOutputArchive;
+};
+
+namespace persimmon {
+namespace {
+
+void PutNumber(std::string& out, std::uint64_t number, int bytes) {
+  for (int i = bytes - 1; i >= 0; --i) {
+    out.push_back(static_cast<char>((number >> (8 * i)) & 0xffU));
+  }
+}
+
+std::uint64_t GetNumber(std::string_view bytes, std::size_t at, int count) {
+  std::uint64_t number = 0;
+  for (int i = 0; i < count; ++i) {
+    number = (number << 8U) | static_cast<unsigned char>(bytes[at + static_cast<std::size_t>(i)]);
+  }
+  return number;
+}
+
+template <std::size_t index = 0>
+message MakeMessage(std::size_t type) {
+  if constexpr (index + 1 < std::variant_size_v<message>) {
+    if (type != index) {
+      return MakeMessage<index + 1>(type);
+    }
+  }
+  return message(std::in_place_index<index>);
+}
+
+constexpr std::array<const char*, std::variant_size_v<message>> kMessageNames = {
+    "hello",           "heartbeat",        "slot_open",      "reserve_slot",  "slot_granted",  "slot_refused",
+    "start_prefill",   "prefill_progress", "start_decode",   "tokens",        "resume_stream", "call_service",
+    "service_answer",  "cancel",           "attempt_status", "query_attempt", "load_report",   "fetch_config",
+    "config_snapshot", "lend_tokens",      "tokens_lent",    "claim_batch",   "claim_results"};
+
+}  // namespace
+
+const char* RoleName(slot_role role) {
+  switch (role) {
+    case slot_role::kPrefill:
+      return "prefill";
+    case slot_role::kDecode:
+      return "decode";
+    case slot_role::kService:
+      return "service";
+  }
+  return "unknown";
+}
+
+const char* RefusalName(refusal_reason reason) {
+  switch (reason) {
+    case refusal_reason::kBusy:
+      return "busy";
+    case refusal_reason::kLeaving:
+      return "leaving";
+    case refusal_reason::kNotReady:
+      return "not_ready";
+    case refusal_reason::kSuspectRunning:
+      return "suspect_running";
+    case refusal_reason::kWrongRole:
+      return "wrong_role";
+    case refusal_reason::kDuplicate:
+      return "duplicate";
+    case refusal_reason::kUnknownModel:
+      return "unknown_model";
+  }
+  return "unknown";
+}
+
+const char* MessageName(const message& value) { return kMessageNames[value.index()]; }
+
+std::string EncodeFrame(const message& value) {
+  std::ostringstream stream;
+  {
+    cereal::PortableBinaryOutputArchive archive(stream);
+    std::visit([&archive](const auto& content) { archive(content); }, value);
+  }
+  const std::string body = std::move(stream).str();
+  std::string frame;
+  frame.reserve(kFrameHeaderBytes + body.size());
+  PutNumber(frame, kFrameMagic, 4);
+  PutNumber(frame, kProtocolVersion, 2);
+  PutNumber(frame, value.index(), 2);
+  PutNumber(frame, body.size(), 4);
+  frame += body;
+  return frame;
+}
+
+result<frame_header> DecodeFrameHeader(std::string_view bytes) {
+  if (bytes.size() < kFrameHeaderBytes) {
+    return error{error_code::kProtocol, "frame header is cut off"};
+  }
+  if (GetNumber(bytes, 0, 4) != kFrameMagic) {
+    return error{error_code::kProtocol, "frame does not start with the protocol's magic number"};
+  }
+  frame_header header;
+  header.version = static_cast<std::uint16_t>(GetNumber(bytes, 4, 2));
+  header.type = static_cast<std::uint16_t>(GetNumber(bytes, 6, 2));
+  header.length = static_cast<std::uint32_t>(GetNumber(bytes, 8, 4));
+  if (header.version != kProtocolVersion) {
+    return error{error_code::kProtocol, fmt::format("message version {} is not supported", header.version)};
+  }
+  if (header.type >= std::variant_size_v<message>) {
+    return error{error_code::kProtocol, fmt::format("message type {} is unknown", header.type)};
+  }
+  if (header.length > kMaxFrameBytes) {
+    return error{error_code::kProtocol, fmt::format("frame of {} bytes is too long", header.length)};
+  }
+  return header;
+}
+
+result<message> DecodeFrameBody(const frame_header& header, std::string_view body) {
+  if (body.size() != header.length) {
+    return error{error_code::kProtocol, "frame body is cut off"};
+  }
+  if (header.type >= std::variant_size_v<message>) {
+    return error{error_code::kProtocol, fmt::format("message type {} is unknown", header.type)};
+  }
+  message value = MakeMessage(header.type);
+  std::size_t remaining = 0;
+  try {
+    detail::frame_reader archive(body);
+    std::visit([&archive](auto& content) { archive(content); }, value);
+    remaining = archive.Remaining();
+  } catch (const std::exception&) {
+    return error{error_code::kProtocol, fmt::format("body of {} is malformed", kMessageNames[header.type])};
+  }
+  if (remaining != 0) {
+    return error{error_code::kProtocol, fmt::format("body of {} is too long", kMessageNames[header.type])};
+  }
+  return value;
+}
+
+result<message> DecodeDatagram(std::string_view bytes) {
+  auto header = DecodeFrameHeader(bytes);
+  if (!header) {
+    return header.error();
+  }
+  return DecodeFrameBody(header.value(), bytes.substr(kFrameHeaderBytes));
+}
+
+}  // namespace persimmon
