Read, check, convert and compare records of schemas 1 and 2

BuildConfiguration leaves out a record with findings and every record that refers to it. records.h gains RecordVersion, SplitRecords, ReplaceRecord, SetRecordField and CompareRecords for persimmonctl. Rewriting keeps unknown fields; a list with several values is not converted to schema 1, which could hold only one of them.

--- a/include/persimmon/records.h
+++ b/include/persimmon/records.h
@@ -9,6 +9,7 @@
 // this program does not know are kept when a record is rewritten.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -109,6 +110,9 @@
 
 using record = std::variant<pool_record, model_record, adapter_record, endpoint_record, account_record>;
 
+inline constexpr std::size_t kMaxRecordBytes = 64U << 10U;  // longer texts are refused
+inline constexpr int kMaxRecordDepth = 16;                  // deeper nesting is refused
+
 // Reads one record of schema 1 or 2. All problems are added to the findings, with the place "record <kind>/<name>:
 // <field>"; the result is an error if there was any.
 result<record> ParseRecord(std::string_view json, finding_list& findings);
@@ -116,11 +120,37 @@
 // "pool/savetnik-llm": the row key of a record's JSON text. Errors: kInvalid.
 result<std::string> RecordKey(std::string_view json);
 
+// The record's own version: 0 if it was never written. Errors: kInvalid.
+result<std::uint64_t> RecordVersion(std::string_view json);
+
+// Splits a file's text, one record or an array of records, into the JSON texts of its records. Errors: kInvalid.
+result<std::vector<std::string>> SplitRecords(std::string_view json);
+
 // Reads all records and checks the references between them. Findings name records that are left out; a record with
-// findings does not hinder the others.
+// findings does not hinder the others, and neither its fields nor its text are in the configuration.
 configuration BuildConfiguration(revision_number revision, std::vector<std::string> texts, finding_list& findings);
 
-// Rewrites a record's JSON text to another schema. Unknown fields are kept. Errors: kInvalid.
+// Rewrites a record's JSON text to another schema. Unknown fields are kept. Errors: kInvalid, also for a list with more
+// than one value, which schema 1 cannot hold.
 result<std::string> ConvertRecord(std::string_view json, int schema);
 
+// The text to store when `replacement` takes the place of `stored`, which may be empty: the replacement with the given
+// version and with those fields of the stored record that this program does not know. A null in the replacement removes
+// an unknown field. Errors: kInvalid.
+result<std::string> ReplaceRecord(std::string_view stored, std::string_view replacement, std::uint64_t version);
+
+// The record's text with one field set to a text value. Errors: kInvalid.
+result<std::string> SetRecordField(std::string_view json, const std::string& field, const std::string& value);
+
+struct record_difference {
+  std::string field;  // "limits.connections"
+  std::string left;   // JSON text; empty: absent
+  std::string right;
+
+  bool operator==(const record_difference&) const = default;
+};
+
+// Fields in which two JSON texts of a record differ, ordered by name. An empty text is an absent record.
+result<std::vector<record_difference>> CompareRecords(std::string_view left, std::string_view right);
+
 }  // namespace persimmon
