--- /dev/null
+++ b/src/platform/incarnation.cpp
@@ -0,0 +1,82 @@
+#include "platform/incarnation.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+
+#include "core/random.h"
+
+namespace persimmon {
+namespace {
+
+using json = nlohmann::json;
+
+struct counter_row {
+  incarnation_number incarnation = 0;
+  std::string token;  // of the call that wrote the row
+
+  bool operator==(const counter_row&) const = default;
+};
+
+result<counter_row> ReadCounter(const std::optional<table_row>& row) {
+  if (!row) {
+    return counter_row();
+  }
+  const json value = json::parse(row->value, nullptr, false);
+  const bool is_valid = value.is_object() && value.contains("incarnation") &&
+                        value["incarnation"].is_number_unsigned() && value.contains("token") &&
+                        value["token"].is_string();
+  if (!is_valid) {
+    return error{error_code::kProtocol, fmt::format("row {}/{} is not a counter", row->table, row->key)};
+  }
+  return counter_row{value["incarnation"].get<incarnation_number>(), value["token"].get<std::string>()};
+}
+
+table_write MakeWrite(const std::string& name, const std::optional<table_row>& row, const counter_row& next) {
+  table_write write;
+  write.table = kIncarnationTable;
+  write.key = name;
+  write.value = json{{"incarnation", next.incarnation}, {"token", next.token}}.dump();
+  write.condition = row ? row_condition::kVersion : row_condition::kAbsent;
+  write.version = row ? row->version : 0;
+  return write;
+}
+
+}  // namespace
+
+task<result<incarnation_number>> DrawIncarnation(timer_service& timers, table_client table, std::string name,
+                                                 incarnation_settings settings) {
+  // The token stays the same over all tries, so that an earlier write whose reply was lost is recognised.
+  const std::string token = RandomHex(32);
+  const std::string counters = kIncarnationTable;
+  error failure{error_code::kConflict, fmt::format("the counter of {} changed at every try", name)};
+  for (int i = 0; i < settings.attempts; ++i) {
+    auto row = co_await table.ReadRow(counters, name);
+    if (!row) {
+      failure = row.error();
+      co_await timers.Sleep(settings.pause);
+      continue;
+    }
+    const auto counter = ReadCounter(row.value());
+    if (!counter) {
+      co_return counter.error();
+    }
+    if (counter.value().token == token) {
+      co_return counter.value().incarnation;
+    }
+    const counter_row next{counter.value().incarnation + 1, token};
+    std::vector<table_write> writes;
+    writes.push_back(MakeWrite(name, row.value(), next));
+    auto committed = co_await table.Commit(std::move(writes));
+    if (committed && committed.value().committed) {
+      co_return next.incarnation;
+    }
+    if (!committed) {
+      failure = committed.error();
+      co_await timers.Sleep(settings.pause);
+    }
+  }
+  co_return failure;
+}
+
+}  // namespace persimmon
