--- /dev/null
+++ b/src/ctl/explain.h
@@ -0,0 +1,25 @@
+// Explanations of the codes that a refusal or failure carries.
+#pragma once
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace persimmon {
+
+struct code_explanation {
+  std::string_view code;
+  std::string_view meaning;    // what happened
+  std::string_view caller;     // what the caller can do
+  std::string_view operators;  // what an operator can check or change
+
+  bool operator==(const code_explanation&) const = default;
+};
+
+// All known codes, ordered by name.
+std::span<const code_explanation> Explanations();
+
+// Null for an unknown code.
+const code_explanation* FindExplanation(std::string_view code);
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/ctl/fleet.h
@@ -0,0 +1,67 @@
+// Which process holds which revision: one channel to every router and agent.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/timers.h"
+#include "net/channel.h"
+#include "persimmon/records.h"
+#include "platform/vm_list.h"
+
+namespace persimmon {
+
+struct process_target {
+  std::string program;  // "router" or "agent"
+  std::string name;
+  std::string zone;
+  host_port address;
+  vm_phase phase = vm_phase::kLive;
+
+  bool operator==(const process_target&) const = default;
+};
+
+struct process_view {
+  process_target target;
+  bool is_connected = false;
+  bool is_leaving = false;  // by the VM list or by its heartbeat
+  revision_number revision = 0;
+  incarnation_number incarnation = 0;
+  std::string problem;  // why the revision is not known
+
+  bool operator==(const process_view&) const = default;
+};
+
+// Routers of the VM list and agents of the endpoint records, without those that the VM list declares gone.
+std::vector<process_target> ListProcesses(const std::vector<listed_vm>& vms, const configuration& records);
+
+// True if at least one process is known and every live one holds the revision or a higher one. A leaving process that
+// cannot be reached has ended and does not count.
+bool IsEverywhere(const std::vector<process_view>& views, revision_number revision);
+
+class fleet_watch {
+ public:
+  fleet_watch(asio::io_context& context, std::string secret, channel_settings settings);
+  ~fleet_watch();
+
+  // Opens channels to new targets and closes those of targets that are no longer named.
+  void SetTargets(const std::vector<process_target>& targets);
+
+  std::vector<process_view> Views() const;
+
+  // True if every target has either been reached or failed to answer within the connection time-out.
+  bool HasTriedAll() const;
+
+ private:
+  struct entry;
+  asio::io_context& context_;
+  std::string secret_;
+  std::string name_;
+  channel_settings settings_;
+  std::map<std::string, std::shared_ptr<entry>> entries_;  // by address
+};
+
+}  // namespace persimmon
--- a/src/decisions/records.cpp
+++ b/src/decisions/records.cpp
@@ -7,7 +7,6 @@
 #include "persimmon/records.h"
 
 #include <fmt/format.h>
-#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <limits>
@@ -187,11 +186,11 @@
 }
 
 std::string KindNames() {
-  std::vector<std::string> names;
+  std::string names;
   for (const auto& [name, fields] : Kinds()) {
-    names.push_back(name);
+    names += (names.empty() ? "" : ", ") + name;
   }
-  return fmt::format("{}", fmt::join(names, ", "));
+  return names;
 }
 
 const std::string& PathInSchema(const moved_field& field, int schema) {
@@ -370,11 +369,11 @@
     if (found != allowed.end()) {
       return found->second;
     }
-    std::vector<std::string> names;
+    std::string names;
     for (const auto& [name, value] : allowed) {
-      names.push_back(name);
+      names += (names.empty() ? "" : ", ") + name;
     }
-    Add(place, fmt::format("'{}' is not one of {}", text.substr(0, kMaxShownLength), fmt::join(names, ", ")));
+    Add(place, fmt::format("'{}' is not one of {}", text.substr(0, kMaxShownLength), names));
     return fallback;
   }
 
