--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -205,6 +205,9 @@
   }
 };
 
+// Reason of a failure that means that the engine's or service's process was lost, not only this piece of work.
+inline constexpr const char* kReasonEngineLost = "engine_lost";
+
 enum class work_state : std::uint8_t { kRunning, kFinished, kFailed, kCancelled };
 
 struct prefill_progress {
--- /dev/null
+++ b/src/router/model_calls.cpp
@@ -0,0 +1,452 @@
+// Sections
+//   1. requests
+//   2. attempts
+//   3. answers
+#include "router/model_calls.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "core/log.h"
+#include "core/telemetry.h"
+
+namespace persimmon {
+namespace {
+
+const logger& Log() {
+  static const logger log("router.model");
+  return log;
+}
+
+// An agent whose channel stays closed for this long is given up; it drops this router's work after the same time.
+constexpr milliseconds kChannelGrace(1'500);
+constexpr milliseconds kSuspectPause(100);    // before a suspect is checked again while a copy of it runs
+constexpr milliseconds kSuspectWait(10'000);  // a suspect waits this long at most for its running copy
+
+}  // namespace
+
+model_calls::model_calls(kernel& services, const router_settings& settings)
+    : kernel_(services),
+      settings_(settings),
+      retries_(retry_settings{settings.retry_share, 0.5, 20}, timer_service::Now()) {}
+
+void model_calls::Start() {
+  dispatcher_ = &kernel_.Find<dispatcher>("dispatcher");
+  endpoints_ = &kernel_.Find<endpoint_directory>("endpoints");
+  suspects_ = &kernel_.Find<suspect_guard>("suspects");
+  accounts_ = &kernel_.Find<account_guard>("accounts");
+  metrics_ = &kernel_.Find<telemetry>("telemetry").Metrics();
+  tracer_ = &kernel_.Find<telemetry>("telemetry").Tracer();
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. requests
+// ---------------------------------------------------------------------------------------------------------------------
+
+guarded<pool_record> model_calls::FindPool(const model_request& content) const {
+  const auto config = kernel_.Find<config_store>("config").Current();
+  const auto model = config->models.find(content.model);
+  const bool adapter_fits = [&] {
+    if (content.adapter.empty()) {
+      return true;
+    }
+    const auto adapter = config->adapters.find(content.adapter);
+    return adapter != config->adapters.end() &&
+           std::find(adapter->second.models.begin(), adapter->second.models.end(), content.model) !=
+               adapter->second.models.end();
+  }();
+  if (model == config->models.end() || !adapter_fits) {
+    return refusal{refusal_code::kUnknownModel, outcome_kind::kNotRun, "The model or its adapter is not known."};
+  }
+  if (content.prompt_tokens + content.max_tokens > model->second.max_context_tokens) {
+    return refusal{refusal_code::kBadRequest, outcome_kind::kNotRun,
+                   "Prompt and max_tokens exceed the model's context length."};
+  }
+  const auto pool = config->pools.find(model->second.pool);
+  if (pool == config->pools.end()) {
+    return refusal{refusal_code::kNoEndpoint, outcome_kind::kNotRun, "The pool of the model does not exist."};
+  }
+  return pool->second;
+}
+
+model_job_ptr model_calls::MakeJob(const call_context& context, const model_request& content, const pool_record& pool) {
+  auto job = std::make_shared<model_job>(kernel_.Context());
+  job->number = ++next_job_;
+  job->request = context.request;
+  job->account = context.account.record.name;
+  job->account_weight = context.account.record.weight;
+  job->pool = pool.name;
+  job->content = content;
+  job->prefix_hashes = HashPromptBlocks(content.prompt);
+  job->fingerprint = suspect_guard::MakeFingerprint(job->account, context.exchange->Request().body);
+  job->priority = content.priority + context.account.record.priority;
+  job->arrival = context.arrival;
+  job->first_token_target = pool.first_token_target;
+  job->caller_deadline = context.deadline;
+  return job;
+}
+
+std::optional<refusal> model_calls::CheckSuspect(model_job& job) const {
+  const suspect_check check = suspects_->Check(job.fingerprint);
+  job.suspect = check.verdict != suspect_verdict::kClear;
+  if (check.verdict != suspect_verdict::kRefused) {
+    return std::nullopt;
+  }
+  return refusal{refusal_code::kSuspectRequest, outcome_kind::kNotRun,
+                 "Endpoints have crashed while they ran this request.", check.retry_in};
+}
+
+bool model_calls::MayRetry(const call_state& call) {
+  const auto tries = static_cast<std::int64_t>(call.job->tries);
+  return tries <= settings_.max_retries && retries_.AllowRetry(timer_service::Now());
+}
+
+task<std::optional<refusal>> model_calls::Serve(call_context context, model_request content) {
+  call_state call;
+  call.context = context;
+  auto pool = FindPool(content);
+  call.job = MakeJob(context, content, pool ? pool.value() : pool_record{});
+  if (!pool) {
+    co_return co_await SendRefusal(call, pool.error());
+  }
+  const std::uint64_t cost = content.prompt_tokens + content.max_tokens;
+  auto taken = co_await accounts_->TakeTokens(context.account.record, cost);
+  if (!taken) {
+    co_return co_await SendRefusal(call, taken.error());
+  }
+  context.exchange->OnDisconnect([this, job = call.job] {
+    job->events->Push(caller_gone{});
+    dispatcher_->RemoveJob(job);
+  });
+  retries_.NoteFirstTry(timer_service::Now());
+  const time_point suspect_end = timer_service::Now() + kSuspectWait;
+
+  while (true) {
+    if (auto refused = CheckSuspect(*call.job)) {
+      refused->outcome = call.job->tries == 0 ? outcome_kind::kNotRun : outcome_kind::kMayHaveRun;
+      co_return co_await SendRefusal(call, *refused);
+    }
+    if (suspects_->Check(call.job->fingerprint).verdict == suspect_verdict::kWait) {
+      if (timer_service::Now() > suspect_end) {
+        refusal busy{refusal_code::kSuspectRequest, outcome_kind::kNotRun, "A copy of this request is still running.",
+                     milliseconds(2'000)};
+        co_return co_await SendRefusal(call, std::move(busy));
+      }
+      co_await kernel_.Timers().Sleep(kSuspectPause);
+      continue;
+    }
+    span queued = tracer_->StartSpan("queue", context.traceparent);
+    auto slots = co_await dispatcher_->AwaitSlots(call.job);
+    queued.failed = !slots;
+    tracer_->EndSpan(std::move(queued));
+    if (context.exchange->IsDisconnected() && !slots) {
+      co_return std::nullopt;
+    }
+    if (!slots) {
+      if (call.job->tries == 0) {
+        accounts_->ReturnTokens(call.job->account, cost);
+      }
+      co_return co_await SendRefusal(call, slots.error());
+    }
+    const attempt_end end = co_await RunAttempt(call, slots.value());
+    if (end == attempt_end::kCallerGone) {
+      co_return std::nullopt;
+    }
+    if (end == attempt_end::kFinished) {
+      co_await SendEnd(call);
+      co_return std::nullopt;
+    }
+    ++call.job->tries;
+    call.job->resume_tokens = call.assembly.NextOffset();
+    call.assembly.RestartSource();
+    if (!MayRetry(call)) {
+      refusal lost{refusal_code::kEndpointLost, outcome_kind::kMayHaveRun,
+                   fmt::format("The endpoint failed: {}.", call.failure), milliseconds(1'000)};
+      co_return co_await SendRefusal(call, std::move(lost));
+    }
+    Log().ForRequest(call.job->request.value)
+        .Info("Tries again from token {} after: {}.", call.job->resume_tokens, call.failure);
+  }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. attempts
+// ---------------------------------------------------------------------------------------------------------------------
+
+task<model_calls::attempt_end> model_calls::RunAttempt(call_state& call, granted_slots slots) {
+  attempt_state attempt;
+  attempt.slots = slots;
+  attempt.started = timer_service::Now();
+  const endpoint_status* prefill = endpoints_->Find(slots.prefill);
+  const endpoint_status* decode = endpoints_->Find(slots.decode);
+  attempt.prefill_incarnation = prefill == nullptr ? 0 : prefill->incarnation;
+  attempt.decode_incarnation = decode == nullptr ? 0 : decode->incarnation;
+  suspects_->NoteStart(call.job->fingerprint, slots.prefill);
+  if (slots.decode != slots.prefill) {
+    suspects_->NoteStart(call.job->fingerprint, slots.decode);
+  }
+  span work = tracer_->StartSpan("attempt", call.context.traceparent);
+  work.SetAttribute("prefill", slots.prefill.value);
+  work.SetAttribute("decode", slots.decode.value);
+
+  start_prefill start;
+  start.attempt = slots.prefill_attempt;
+  start.request = call.job->request;
+  start.traceparent = work.Traceparent();
+  start.model = call.job->content.model;
+  start.adapter = call.job->content.adapter;
+  start.prompt = call.job->content.prompt;
+  start.resume_tokens = call.job->resume_tokens;
+  start.priority = call.job->priority;
+  endpoints_->Send(slots.prefill, start);
+
+  std::optional<attempt_end> end;
+  time_point last_progress = timer_service::Now();
+  while (!end) {
+    // A prompt of any length is given the time that its prefill was predicted to take.
+    const auto limit = settings_.progress_timeout + (attempt.prefill_finished ? microseconds(0) : slots.predicted_prefill * 2);
+    auto event = co_await call.job->events->Receive(milliseconds(100));
+    if (IsLost(attempt)) {
+      FailAttempt(call, attempt.prefill_lost ? slots.prefill : slots.decode, "the channel to the agent was lost");
+      end = attempt_end::kFailed;
+    } else if (event) {
+      const bool is_progress = !std::holds_alternative<channel_change>(*event);
+      last_progress = is_progress ? timer_service::Now() : last_progress;
+      attempt_event content = std::move(*event);
+      end = co_await HandleEvent(call, attempt, std::move(content));
+    } else if (timer_service::Now() - last_progress > limit) {
+      FailAttempt(call, attempt.prefill_finished ? slots.decode : slots.prefill, "the agent sent nothing in time");
+      end = attempt_end::kFailed;
+    }
+  }
+  work.failed = *end != attempt_end::kFinished;
+  tracer_->EndSpan(std::move(work));
+  EndAttempt(call, attempt, *end);
+  co_return *end;
+}
+
+task<std::optional<model_calls::attempt_end>> model_calls::HandleEvent(call_state& call, attempt_state& attempt,
+                                                                       attempt_event event) {
+  if (std::holds_alternative<caller_gone>(event)) {
+    co_return attempt_end::kCallerGone;
+  }
+  if (const auto* change = std::get_if<channel_change>(&event)) {
+    co_return HandleChannel(call, attempt, *change);
+  }
+  if (const auto* progress = std::get_if<prefill_progress>(&event)) {
+    co_return HandlePrefill(call, attempt, *progress);
+  }
+  if (auto* part = std::get_if<tokens>(&event)) {
+    if (part->attempt == attempt.slots.decode_attempt) {
+      co_return co_await HandleTokens(call, attempt, std::move(*part));
+    }
+  }
+  if (const auto* refused = std::get_if<slot_refused>(&event)) {
+    const bool is_prefill = refused->attempt == attempt.slots.prefill_attempt;
+    FailAttempt(call, is_prefill ? attempt.slots.prefill : attempt.slots.decode,
+                fmt::format("the agent refused: {}", RefusalName(refused->reason)));
+    co_return attempt_end::kFailed;
+  }
+  co_return std::nullopt;
+}
+
+std::optional<model_calls::attempt_end> model_calls::HandlePrefill(call_state& call, attempt_state& attempt,
+                                                                   const prefill_progress& progress) {
+  if (progress.attempt != attempt.slots.prefill_attempt) {
+    return std::nullopt;  // of an earlier attempt of this request
+  }
+  if (progress.state == work_state::kFailed || progress.state == work_state::kCancelled) {
+    if (progress.reason == kReasonEngineLost) {
+      suspects_->NoteCrash(attempt.slots.prefill);
+    }
+    FailAttempt(call, attempt.slots.prefill, fmt::format("prefill failed: {}", progress.reason));
+    return attempt_end::kFailed;
+  }
+  if (!attempt.decode_started && !progress.ticket.id.empty()) {
+    StartDecode(call, attempt, progress.ticket);
+  }
+  if (progress.state == work_state::kFinished && !std::exchange(attempt.prefill_finished, true)) {
+    call.prefill_end = timer_service::Now();
+    const auto duration = std::chrono::duration_cast<microseconds>(call.prefill_end - attempt.started);
+    dispatcher_->NotePrefillFinished(*call.job, attempt.slots, progress.computed_tokens, duration);
+  }
+  return std::nullopt;
+}
+
+void model_calls::StartDecode(call_state& call, attempt_state& attempt, const kv_ticket& ticket) {
+  attempt.decode_started = true;
+  start_decode start;
+  start.attempt = attempt.slots.decode_attempt;
+  start.request = call.job->request;
+  start.traceparent = call.context.traceparent;
+  start.model = call.job->content.model;
+  start.adapter = call.job->content.adapter;
+  start.ticket = ticket;
+  start.max_tokens = call.job->content.max_tokens;
+  start.offset = call.assembly.NextOffset();
+  start.priority = call.job->priority;
+  endpoints_->Send(attempt.slots.decode, start);
+}
+
+task<std::optional<model_calls::attempt_end>> model_calls::HandleTokens(call_state& call, attempt_state& attempt,
+                                                                        tokens part) {
+  if (part.state == work_state::kFailed || part.state == work_state::kCancelled) {
+    if (part.reason == kReasonEngineLost) {
+      suspects_->NoteCrash(attempt.slots.decode);
+    }
+    FailAttempt(call, attempt.slots.decode, fmt::format("decode failed: {}", part.reason));
+    co_return attempt_end::kFailed;
+  }
+  const accepted_tokens accepted = call.assembly.AcceptTokens(part.offset, part.pieces);
+  if (!accepted.ready.empty()) {
+    if (!call.first_token) {
+      call.first_token = timer_service::Now();
+      metrics_->AddLatency("persimmon_first_token_seconds", "Time from arrival to the first token.")
+          .Record(std::chrono::duration_cast<microseconds>(*call.first_token - call.context.arrival));
+      if (attempt.prefill_finished) {
+        dispatcher_->NoteFirstToken(call.job->pool,
+                                    std::chrono::duration_cast<microseconds>(*call.first_token - call.prefill_end));
+      }
+    }
+    const bool delivered = co_await Deliver(call, accepted.ready);
+    if (!delivered) {
+      co_return attempt_end::kCallerGone;
+    }
+  }
+  if (part.state == work_state::kFinished) {
+    call.assembly.NoteEnd(part.offset + static_cast<std::uint32_t>(part.pieces.size()));
+    call.finish_reason = part.reason;
+  }
+  if (call.assembly.IsComplete()) {
+    attempt.decode_finished = true;
+    co_return attempt_end::kFinished;
+  }
+  if (call.assembly.HasGap()) {
+    endpoints_->Send(attempt.slots.decode, resume_stream{attempt.slots.decode_attempt, call.assembly.NextOffset()});
+  }
+  co_return std::nullopt;
+}
+
+std::optional<model_calls::attempt_end> model_calls::HandleChannel(call_state& call, attempt_state& attempt,
+                                                                   const channel_change& change) {
+  const bool is_prefill = change.endpoint == attempt.slots.prefill && !attempt.prefill_finished;
+  const bool is_decode = change.endpoint == attempt.slots.decode;
+  const time_point now = timer_service::Now();
+  if (!change.open) {
+    attempt.prefill_lost = is_prefill ? std::optional(now) : attempt.prefill_lost;
+    attempt.decode_lost = is_decode ? std::optional(now) : attempt.decode_lost;
+    return std::nullopt;
+  }
+  const bool has_restarted = (is_prefill && change.incarnation != attempt.prefill_incarnation) ||
+                             (is_decode && change.incarnation != attempt.decode_incarnation);
+  if (has_restarted) {
+    FailAttempt(call, change.endpoint, "the agent has restarted");
+    return attempt_end::kFailed;
+  }
+  if (is_prefill) {
+    attempt.prefill_lost.reset();
+    endpoints_->Send(change.endpoint, resume_stream{attempt.slots.prefill_attempt, 0});
+  }
+  if (is_decode) {
+    attempt.decode_lost.reset();
+    if (attempt.decode_started) {
+      endpoints_->Send(change.endpoint, resume_stream{attempt.slots.decode_attempt, call.assembly.NextOffset()});
+    }
+  }
+  return std::nullopt;
+}
+
+bool model_calls::IsLost(const attempt_state& attempt) const {
+  const time_point now = timer_service::Now();
+  const bool prefill_lost = attempt.prefill_lost && now - *attempt.prefill_lost > kChannelGrace;
+  const bool decode_lost = attempt.decode_lost && now - *attempt.decode_lost > kChannelGrace;
+  return prefill_lost || decode_lost;
+}
+
+void model_calls::FailAttempt(call_state& call, const endpoint_name& endpoint, const std::string& reason) {
+  call.failure = reason;
+  call.job->avoid = {endpoint};
+  dispatcher_->NoteAttemptFailed(*call.job, endpoint);
+}
+
+void model_calls::EndAttempt(call_state& call, attempt_state& attempt, attempt_end end) {
+  const bool answered = end == attempt_end::kFinished;
+  suspects_->NoteEnd(call.job->fingerprint, attempt.slots.prefill, answered);
+  if (attempt.slots.decode != attempt.slots.prefill) {
+    suspects_->NoteEnd(call.job->fingerprint, attempt.slots.decode, answered);
+  }
+  if (!attempt.prefill_finished) {
+    endpoints_->Send(attempt.slots.prefill, cancel{attempt.slots.prefill_attempt, 0, false});
+  }
+  if (!attempt.decode_finished) {
+    endpoints_->Send(attempt.slots.decode, cancel{attempt.slots.decode_attempt, 0, false});
+  }
+  endpoints_->Unregister(attempt.slots.prefill_attempt);
+  endpoints_->Unregister(attempt.slots.decode_attempt);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. answers
+// ---------------------------------------------------------------------------------------------------------------------
+
+task<bool> model_calls::Deliver(call_state& call, const std::vector<std::string>& pieces) {
+  if (!call.job->content.stream) {
+    for (const std::string& piece : pieces) {
+      call.text += piece;
+    }
+    co_return true;
+  }
+  if (!std::exchange(call.stream_started, true)) {
+    header_list headers = {{"Content-Type", "text/event-stream"},
+                           {"Cache-Control", "no-cache"},
+                           {"X-Request-Id", call.job->request.value}};
+    auto started = co_await call.context.exchange->StartStream(200, std::move(headers));
+    if (!started) {
+      co_return false;
+    }
+  }
+  std::string events;
+  for (const std::string& piece : pieces) {
+    events += FormatStreamEvent(call.job->content, call.job->request, piece, "");
+  }
+  auto written = co_await call.context.exchange->WriteChunk(std::move(events));
+  co_return bool(written);
+}
+
+task<> model_calls::SendEnd(call_state& call) {
+  metrics_->AddCounter("persimmon_answers_total", "Whole answers.", {{"kind", "model"}}).Increment();
+  metrics_->AddCounter("persimmon_output_tokens_total", "Tokens of whole answers.").Increment(call.assembly.NextOffset());
+  if (call.stream_started) {
+    std::string last = FormatStreamEvent(call.job->content, call.job->request, "", call.finish_reason) + kStreamEnd;
+    auto written = co_await call.context.exchange->WriteChunk(std::move(last));
+    if (written) {
+      (void)co_await call.context.exchange->FinishStream();
+    }
+    co_return;
+  }
+  model_answer answer{call.text, call.assembly.NextOffset(), call.finish_reason};
+  http_response response = JsonResponse(200, FormatAnswer(call.job->content, call.job->request, answer));
+  response.headers.push_back({"X-Request-Id", call.job->request.value});
+  (void)co_await call.context.exchange->Respond(std::move(response));
+}
+
+task<std::optional<refusal>> model_calls::SendRefusal(call_state& call, refusal reason) {
+  if (call.job->tries > 0) {
+    reason.outcome = outcome_kind::kMayHaveRun;
+  }
+  if (!call.stream_started) {
+    http_response response = MakeRefusal(reason, call.job->request);
+    (void)co_await call.context.exchange->Respond(std::move(response));
+    co_return reason;
+  }
+  // The status has been sent already, so the event tells the caller that the answer is not whole.
+  std::string event = FormatStreamError(reason, call.job->request);
+  auto written = co_await call.context.exchange->WriteChunk(std::move(event));
+  if (written) {
+    (void)co_await call.context.exchange->FinishStream();
+  }
+  co_return reason;
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/router/model_calls.h
@@ -0,0 +1,97 @@
+// One model request from its admission to its last token: prefill, transfer, decode, resume on another endpoint.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/kernel.h"
+#include "core/metrics.h"
+#include "core/trace.h"
+#include "net/http.h"
+#include "persimmon/retry_budget.h"
+#include "persimmon/stream_assembly.h"
+#include "router/dispatcher.h"
+#include "router/guards.h"
+
+namespace persimmon {
+
+// What the front end knows about a request when it hands it over.
+struct call_context {
+  std::shared_ptr<http_exchange> exchange;
+  request_id request;
+  admitted_account account;
+  std::string traceparent;                     // of the router's own span
+  time_point arrival;
+  std::optional<time_point> deadline;          // of the caller
+};
+
+class model_calls {
+ public:
+  model_calls(kernel& services, const router_settings& settings);
+
+  void Start();
+  void Stop() {}
+
+  // Serves the request and sends its answer or refusal. Returns the refusal, if there was one, for metrics.
+  task<std::optional<refusal>> Serve(call_context context, model_request content);
+
+ private:
+  enum class attempt_end { kFinished, kFailed, kCallerGone };
+
+  // Progress of one request over all its attempts.
+  struct call_state {
+    call_context context;
+    model_job_ptr job;
+    stream_assembly assembly{stream_limits{}};
+    std::string text;                 // of an answer that is not streamed
+    std::string finish_reason;
+    std::string failure;              // reason of the last failed attempt
+    bool stream_started = false;
+    std::optional<time_point> first_token;
+    time_point prefill_end;
+  };
+
+  // Progress of one attempt.
+  struct attempt_state {
+    granted_slots slots;
+    bool decode_started = false;
+    bool prefill_finished = false;
+    bool decode_finished = false;
+    time_point started;
+    std::optional<time_point> prefill_lost;   // since when the channel is closed
+    std::optional<time_point> decode_lost;
+    incarnation_number prefill_incarnation = 0;
+    incarnation_number decode_incarnation = 0;
+  };
+
+  model_job_ptr MakeJob(const call_context& context, const model_request& content, const pool_record& pool);
+  guarded<pool_record> FindPool(const model_request& content) const;
+  std::optional<refusal> CheckSuspect(model_job& job) const;
+  bool MayRetry(const call_state& call);
+  task<attempt_end> RunAttempt(call_state& call, granted_slots slots);
+  task<std::optional<attempt_end>> HandleEvent(call_state& call, attempt_state& attempt, attempt_event event);
+  std::optional<attempt_end> HandlePrefill(call_state& call, attempt_state& attempt, const prefill_progress& progress);
+  task<std::optional<attempt_end>> HandleTokens(call_state& call, attempt_state& attempt, tokens part);
+  std::optional<attempt_end> HandleChannel(call_state& call, attempt_state& attempt, const channel_change& change);
+  bool IsLost(const attempt_state& attempt) const;
+  void StartDecode(call_state& call, attempt_state& attempt, const kv_ticket& ticket);
+  void EndAttempt(call_state& call, attempt_state& attempt, attempt_end end);
+  task<bool> Deliver(call_state& call, const std::vector<std::string>& pieces);
+  task<std::optional<refusal>> SendRefusal(call_state& call, refusal reason);
+  task<> SendEnd(call_state& call);
+  void FailAttempt(call_state& call, const endpoint_name& endpoint, const std::string& reason);
+
+  kernel& kernel_;
+  const router_settings& settings_;
+  dispatcher* dispatcher_ = nullptr;
+  endpoint_directory* endpoints_ = nullptr;
+  suspect_guard* suspects_ = nullptr;
+  account_guard* accounts_ = nullptr;
+  metrics_registry* metrics_ = nullptr;
+  tracer* tracer_ = nullptr;
+  retry_budget retries_;
+  std::uint64_t next_job_ = 0;
+};
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/router/peer_directory.cpp
@@ -0,0 +1,107 @@
+#include "router/peer_directory.h"
+
+#include <algorithm>
+
+#include "core/log.h"
+
+namespace persimmon {
+
+peer_directory::peer_directory(kernel& services, const router_settings& settings, channel_handlers base_handlers)
+    : kernel_(services), settings_(settings), handlers_(std::move(base_handlers)) {
+  handlers_.on_open = [this](const channel_ptr& opened) { HandleOpen(opened); };
+  handlers_.on_close = [this](const channel_ptr& closed, const error&) { HandleClose(closed); };
+  handlers_.on_message = [this](const channel_ptr& from, const message& value) { HandleMessage(from, value); };
+}
+
+void peer_directory::Start() {
+  channel_settings channels;
+  channels.allowed_hosts = settings_.allowed_hosts;
+  listener_ = std::make_unique<channel_listener>(kernel_.Context(), settings_.channel, channels, handlers_);
+  if (auto started = listener_->Start(); !started) {
+    StopProgram(started.error().message);
+  }
+  for (const host_port& address : settings_.routers) {
+    AddRouter(address);
+  }
+}
+
+void peer_directory::Stop() {
+  for (auto& [address, connector] : connectors_) {
+    connector->Stop();
+  }
+  if (listener_) {
+    listener_->Stop();
+  }
+}
+
+void peer_directory::AddRouter(const host_port& address) {
+  if (address == settings_.channel || connectors_.contains(address)) {
+    return;
+  }
+  auto connector = std::make_unique<channel_connector>(kernel_.Context(), address, channel_settings{}, handlers_);
+  connector->Start();
+  connectors_.emplace(address, std::move(connector));
+}
+
+std::vector<std::string> peer_directory::RouterNames() const {
+  std::vector<std::string> names = {settings_.name};
+  for (const auto& [name, channels] : open_) {
+    names.push_back(name);
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+bool peer_directory::Send(const std::string& router, const message& value) {
+  const auto found = open_.find(router);
+  if (found == open_.end()) {
+    return false;
+  }
+  found->second.back()->Send(value);
+  return true;
+}
+
+void peer_directory::HandleOpen(const channel_ptr& opened) {
+  if (opened->Peer().program != "router") {
+    return;  // persimmonctl reads the revision from this router's hello and heartbeats
+  }
+  if (opened->Peer().name == settings_.name) {
+    opened->Close({error_code::kInvalid, "the peer has this router's own name"});
+    return;
+  }
+  open_[opened->Peer().name].push_back(opened);
+  // A peer that starts while the store is out waits for snapshots; an equal revision costs a few bytes.
+  opened->Send(fetch_config{kernel_.Find<config_store>("config").Revision()});
+}
+
+void peer_directory::HandleClose(const channel_ptr& closed) {
+  const auto found = open_.find(closed->Peer().name);
+  if (found == open_.end()) {
+    return;
+  }
+  std::erase(found->second, closed);
+  if (found->second.empty()) {
+    open_.erase(found);
+  }
+}
+
+void peer_directory::HandleMessage(const channel_ptr& from, const message& value) {
+  auto& config = kernel_.Find<config_store>("config");
+  if (const auto* fetch = std::get_if<fetch_config>(&value)) {
+    from->Send(config.MakeSnapshot(fetch->have));
+  } else if (const auto* snapshot = std::get_if<config_snapshot>(&value)) {
+    config.OfferSnapshot(from->Peer().name, *snapshot);
+  } else if (const auto* beat = std::get_if<heartbeat>(&value)) {
+    if (beat->revision > config.Revision()) {
+      from->Send(fetch_config{config.Revision()});
+    }
+  }
+  if (from->Peer().program != "router") {
+    return;
+  }
+  for (const auto& listener : listeners_) {
+    listener(from, value);
+  }
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/router/router_main.cpp
@@ -0,0 +1,77 @@
+// persimmon-router: serves callers and routes their requests to the endpoints' agents.
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <chrono>
+
+#include "core/program.h"
+#include "core/telemetry.h"
+#include "platform/config_store.h"
+#include "platform/table_client.h"
+#include "router/dispatcher.h"
+#include "router/endpoint_directory.h"
+#include "router/front_end.h"
+#include "router/guards.h"
+#include "router/model_calls.h"
+#include "router/peer_directory.h"
+#include "router/router_settings.h"
+#include "router/service_calls.h"
+
+namespace persimmon {
+namespace {
+
+// A router keeps nothing, so the time of its start is enough to tell its incarnations apart.
+incarnation_number MakeIncarnation() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<incarnation_number>(std::chrono::duration_cast<microseconds>(now).count());
+}
+
+channel_handlers MakeBaseHandlers(kernel& services, const router_settings& settings, incarnation_number incarnation) {
+  channel_handlers handlers;
+  handlers.make_hello = [&services, settings, incarnation] {
+    hello own;
+    own.program = "router";
+    own.name = settings.name;
+    own.incarnation = incarnation;
+    own.zone = settings.zone;
+    own.secret = settings.secret;
+    own.revision = services.Find<config_store>("config").Revision();
+    own.datagram_port = settings.datagram.port;
+    return own;
+  };
+  handlers.make_heartbeat = [&services] {
+    heartbeat beat;
+    beat.revision = services.Find<config_store>("config").Revision();
+    beat.suspects = services.Find<suspect_guard>("suspects").OwnReports();
+    return beat;
+  };
+  return handlers;
+}
+
+result<detail::stop_function> BuildRouter(kernel& services, const router_settings& settings) {
+  const channel_handlers handlers = MakeBaseHandlers(services, settings, MakeIncarnation());
+  config_store_settings config;
+  config.poll_period = settings.poll_period;
+  config.peers_needed = static_cast<std::size_t>(settings.config_peers);
+
+  services.Register<telemetry>("telemetry", services, settings.name, settings.trace_file);
+  const auto table = std::make_shared<table_client>(services.Context(), settings.table_servers, settings.table_timeout);
+  services.Register<config_store>("config", services.Timers(), services.Context(), *table, config);
+  services.Register<peer_directory>("peers", services, settings, handlers);
+  services.Register<endpoint_directory>("endpoints", services, settings, handlers);
+  services.Register<suspect_guard>("suspects", services, settings);
+  services.Register<account_guard>("accounts", services, settings);
+  services.Register<dispatcher>("dispatcher", services, settings);
+  services.Register<model_calls>("models", services, settings);
+  services.Register<service_calls>("services", services, settings);
+  auto& front = services.Register<front_end>("front_end", services, settings);
+  return detail::stop_function([&front, table](std::function<void()> finished) { front.Drain(std::move(finished)); });
+}
+
+}  // namespace
+}  // namespace persimmon
+
+int main(int argc, char** argv) {
+  return persimmon::RunDaemon<persimmon::router_settings>(
+      argc, argv, {"persimmon-router", "Serves callers and routes their requests to endpoints."},
+      persimmon::BindRouterSettings, persimmon::BuildRouter);
+}
