Add the decision modules of the router as values and functions

Cause: the router is written on top of the decisions, which had no code. Time, random numbers and the knowledge about a pool are arguments.

--- /dev/null
+++ b/src/decisions/admission.cpp
@@ -0,0 +1,510 @@
+// Sections
+//   1. start times and times to come back
+//   2. rate meter
+//   3. planning of starts
+//   4. queue
+#include "persimmon/admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace persimmon {
+namespace {
+
+// Most jobs that one admission may displace; bounds the time of an admission.
+constexpr std::size_t kMaxDisplaced = 16;
+
+// A measured rate of 0 means "stalled", while 0 stands for "unknown" in results.
+constexpr double kStalledTokensPerS = 1.0;
+
+double Seconds(std::chrono::nanoseconds duration) { return std::chrono::duration<double>(duration).count(); }
+
+microseconds Microseconds(double seconds) {
+  constexpr double kLongestS = 1e9;
+  return microseconds(static_cast<std::int64_t>(std::min(seconds, kLongestS) * 1e6));
+}
+
+double FadeFactor(std::chrono::nanoseconds elapsed, milliseconds window) {
+  return elapsed.count() <= 0 ? 1.0 : std::exp(-Seconds(elapsed) / Seconds(window));
+}
+
+double WorkTokens(const queue_job& job) { return static_cast<double>(job.prompt_tokens) + job.output_tokens; }
+
+}  // namespace
+
+const char* AdmissionName(admission_verdict verdict) {
+  switch (verdict) {
+    case admission_verdict::kAdmitted:
+      return "admitted";
+    case admission_verdict::kOverCapacity:
+      return "over_capacity";
+    case admission_verdict::kQueueFull:
+      return "queue_full";
+    case admission_verdict::kDeadlineUnreachable:
+      return "deadline_unreachable";
+    case admission_verdict::kNoEndpoint:
+      return "no_endpoint";
+    case admission_verdict::kDuplicate:
+      return "duplicate";
+  }
+  return "unknown";
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. start times and times to come back
+// ---------------------------------------------------------------------------------------------------------------------
+
+start_limit LatestStart(time_point arrival, const service_times& times, std::optional<time_point> deadline,
+                        const admission_settings& settings) {
+  const auto first_token = times.prefill + times.transfer;
+  start_limit limit;
+  limit.latest_start = std::max(arrival + settings.first_token_target - first_token, arrival + settings.min_wait);
+  if (deadline && *deadline - first_token - times.decode < limit.latest_start) {
+    limit.latest_start = *deadline - first_token - times.decode;
+    limit.deadline_bound = true;
+  }
+  return limit;
+}
+
+milliseconds SpreadRetryAfter(microseconds drain, double jitter, const admission_settings& settings) {
+  const microseconds shortest = settings.min_retry;
+  const microseconds spread = std::clamp<microseconds>(drain, shortest, settings.max_retry);
+  const auto delay = shortest + Microseconds(Seconds(spread) * std::clamp(jitter, 0.0, 1.0));
+  return std::min(std::chrono::ceil<milliseconds>(delay), settings.max_retry);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. rate meter
+// ---------------------------------------------------------------------------------------------------------------------
+
+rate_meter::totals rate_meter::Faded(time_point now) const {
+  const double factor = FadeFactor(now - updated_, window_);
+  totals faded{totals_.tokens * factor, totals_.busy_s * factor};
+  if (busy_) {
+    faded.busy_s += Seconds(window_) * (1 - factor);
+  }
+  return faded;
+}
+
+void rate_meter::SetBusy(bool busy, time_point now) {
+  totals_ = Faded(now);
+  updated_ = std::max(updated_, now);
+  busy_ = busy;
+}
+
+void rate_meter::NoteStart(double tokens, std::uint32_t endpoints, time_point now) {
+  totals_ = Faded(now);
+  updated_ = std::max(updated_, now);
+  totals_.tokens += tokens / std::max(endpoints, 1U);
+}
+
+double rate_meter::Rate(double prior, milliseconds prior_weight, std::uint32_t endpoints, time_point now) const {
+  const totals measured = Faded(now);
+  const double weight_s = Seconds(prior_weight);
+  if (prior <= 0) {
+    return measured.busy_s < weight_s ? 0 : std::max(measured.tokens * endpoints / measured.busy_s, kStalledTokensPerS);
+  }
+  return std::max((prior * weight_s + measured.tokens * endpoints) / (weight_s + measured.busy_s), kStalledTokensPerS);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. planning of starts
+// ---------------------------------------------------------------------------------------------------------------------
+
+struct admission_queue::start_planner {
+  work_rates rates;
+  double prefill_ahead = 0;  // tokens that find no open slot
+  double decode_ahead = 0;
+
+  // Predicted wait of the next job in order, in seconds; its work is then ahead of the ones after it.
+  double AddJob(const queue_job& job) {
+    const double prefill_wait = AddWork(job.prompt_tokens, rates.prefill, rates.prefill_free, prefill_ahead);
+    const double decode_wait = AddWork(job.output_tokens, rates.decode, rates.decode_free, decode_ahead);
+    return std::max(prefill_wait, decode_wait);
+  }
+
+ private:
+  static double AddWork(double tokens, double rate, double& free, double& ahead) {
+    const double taken = std::min(free, 1.0);
+    const double wait = taken >= 1.0 || rate <= 0 ? 0 : ahead / rate;
+    free -= taken;
+    ahead += tokens * (1 - taken);
+    return wait;
+  }
+};
+
+admission_queue::work_rates admission_queue::Rates(time_point now) const {
+  const double routers = std::max(pool_.routers, 1U);
+  work_rates rates;
+  rates.prefill = PrefillRate(now);
+  rates.decode = pool_.uses_decode ? DecodeRate(now) : 0;
+  rates.prefill_free = pool_.prefill_free / routers;
+  rates.decode_free = pool_.decode_free / routers;
+  return rates;
+}
+
+double admission_queue::PrefillRate(time_point now) const {
+  const double total = pool_.prefill_tokens_per_s;
+  const double rate =
+      prefill_meter_.Rate(total / std::max(pool_.routers, 1U), settings_.prior_weight, pool_.prefill_endpoints, now);
+  return total > 0 ? std::min(rate, total) : rate;
+}
+
+double admission_queue::DecodeRate(time_point now) const {
+  const double total = pool_.decode_tokens_per_s;
+  const double rate =
+      decode_meter_.Rate(total / std::max(pool_.routers, 1U), settings_.prior_weight, pool_.decode_endpoints, now);
+  return total > 0 ? std::min(rate, total) : rate;
+}
+
+admission_queue::start_plan admission_queue::PlanWith(const queue_job& candidate,
+                                                      const std::vector<order_key>& excluded, time_point now) const {
+  start_planner with{Rates(now)};
+  start_planner without = with;
+  for (const auto& [request, picked] : picked_) {
+    with.AddJob(picked.job);
+    without.AddJob(picked.job);
+  }
+  const auto is_late = [&](const queue_job& job, double wait_s) {
+    return now + Microseconds(wait_s) + settings_.margin > job.latest_start;
+  };
+  // Jobs start in two groups: those of accounts within their fair share, then the others.
+  const bool is_fair = settings_.fair_shares && IsShort(now);
+  const double fair_limit = is_fair ? FairLimit(now) : std::numeric_limits<double>::infinity();
+  const auto own = accounts_.find(candidate.account);
+  const bool is_candidate_over = own != accounts_.end() && ShareOf(own->second, now) > fair_limit;
+
+  start_plan plan;
+  const auto add_candidate = [&] {
+    const double wait_s = with.AddJob(candidate);
+    plan.wait = Microseconds(wait_s);
+    // A job with no work ahead of it is never refused, so that an idle pool is always tried.
+    plan.candidate_late = wait_s > 0 && is_late(candidate, wait_s);
+  };
+  for (const bool is_over_group : {false, true}) {
+    bool is_candidate_due = is_over_group == is_candidate_over;
+    for (auto place = waiting_.begin(); place != waiting_.end(); ++place) {
+      const queue_job& job = place->second.job;
+      if (is_candidate_due && candidate.latest_start < job.latest_start) {
+        add_candidate();
+        is_candidate_due = false;
+        if (plan.candidate_late) {
+          return plan;
+        }
+      }
+      const bool is_over = is_fair && ShareOf(*place->second.account, now) > fair_limit;
+      const bool is_excluded = std::find(excluded.begin(), excluded.end(), place->first) != excluded.end();
+      if (is_over != is_over_group || is_excluded) {
+        continue;
+      }
+      plan.up_to_harmed.push_back(place);
+      if (is_late(job, with.AddJob(job)) && !is_late(job, without.AddJob(job))) {
+        plan.harms_other = true;
+        return plan;
+      }
+    }
+    if (is_candidate_due) {
+      add_candidate();
+      if (plan.candidate_late) {
+        return plan;
+      }
+    }
+  }
+  return plan;
+}
+
+// Gives up waiting jobs of accounts that hold clearly more than the candidate's account, the heaviest first, until the
+// candidate fits. Nothing if it cannot be made to fit. `plan` becomes the plan without the displaced jobs.
+std::optional<std::vector<admission_queue::order_key>> admission_queue::FindDisplaced(const queue_job& candidate,
+                                                                                      start_plan& plan,
+                                                                                      time_point now) {
+  std::vector<order_key> displaced;
+  std::unordered_map<const account_share*, double> freed;  // tokens of displaced jobs
+  const auto held = [&](const account_share& account) {
+    const auto found = freed.find(&account);
+    const double waiting = account.waiting - (found == freed.end() ? 0 : found->second);
+    return ShareOf(account, now) + waiting / account.weight;
+  };
+  const auto own = accounts_.find(candidate.account);
+  const double candidate_share =
+      (own == accounts_.end() ? 0 : held(own->second)) + WorkTokens(candidate) / candidate.weight;
+  bool needs_room = waiting_.size() + picked_.size() >= settings_.queue_limit;
+  while (needs_room || plan.candidate_late || plan.harms_other) {
+    if (displaced.size() >= kMaxDisplaced) {
+      return std::nullopt;
+    }
+    waiting_map::const_iterator heaviest = waiting_.end();
+    double most = candidate_share + settings_.share_slack_tokens;
+    for (const auto place : plan.up_to_harmed) {
+      const double share = held(*place->second.account);
+      if (share >= most) {
+        heaviest = place;
+        most = share;
+      }
+    }
+    if (heaviest == waiting_.end()) {
+      return std::nullopt;
+    }
+    freed[heaviest->second.account] += WorkTokens(heaviest->second.job);
+    displaced.push_back(heaviest->first);
+    needs_room = false;
+    plan = PlanWith(candidate, displaced, now);
+  }
+  return displaced;
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. queue
+// ---------------------------------------------------------------------------------------------------------------------
+
+admission_queue::admission_queue(admission_settings settings)
+    : settings_(settings), prefill_meter_(settings.rate_window), decode_meter_(settings.rate_window) {}
+
+void admission_queue::UpdatePool(const pool_state& pool, time_point now) {
+  pool_ = pool;
+  UpdateBusy(now);
+}
+
+admission_result admission_queue::Refuse(const queue_job& job, admission_verdict verdict, double jitter,
+                                         time_point now) {
+  admission_result refused;
+  refused.verdict = verdict;
+  refused.retry_after = RetryAfter(job.prompt_tokens, job.output_tokens, jitter, now);
+  return refused;
+}
+
+admission_result admission_queue::AdmitRequest(const queue_job& job, double jitter, time_point now) {
+  if (places_.contains(job.request) || picked_.contains(job.request)) {
+    return Refuse(job, admission_verdict::kDuplicate, jitter, now);
+  }
+  if (pool_.prefill_endpoints == 0 || (pool_.uses_decode && pool_.decode_endpoints == 0)) {
+    return Refuse(job, admission_verdict::kNoEndpoint, jitter, now);
+  }
+  const auto late = job.deadline_bound ? admission_verdict::kDeadlineUnreachable : admission_verdict::kOverCapacity;
+  if (job.latest_start < now) {
+    return Refuse(job, late, jitter, now);
+  }
+  const bool is_full = waiting_.size() + picked_.size() >= settings_.queue_limit;
+  start_plan plan = PlanWith(job, {}, now);
+  std::vector<order_key> displaced;
+  if (is_full || plan.candidate_late || plan.harms_other) {
+    const start_plan first_plan = plan;
+    auto found = settings_.fair_shares ? FindDisplaced(job, plan, now) : std::nullopt;
+    if (!found) {
+      const bool is_late = first_plan.candidate_late || first_plan.harms_other;
+      admission_result refused = Refuse(job, is_late ? late : admission_verdict::kQueueFull, jitter, now);
+      refused.predicted_wait = first_plan.wait;
+      return refused;
+    }
+    displaced = std::move(*found);
+  }
+  admission_result admitted;
+  admitted.predicted_wait = plan.wait;
+  for (const order_key& key : displaced) {
+    admitted.displaced.push_back(Erase(waiting_.find(key)));
+    ReleaseAccount(admitted.displaced.back().account);
+  }
+  Insert(job, {job.latest_start, next_sequence_++}, now);
+  accounts_[job.account].jobs += 1;
+  UpdateBusy(now);
+  return admitted;
+}
+
+std::optional<queue_job> admission_queue::PickNext(time_point now, const job_filter& accept) {
+  const auto place = FindNext(now, accept);
+  if (place == waiting_.end()) {
+    return std::nullopt;
+  }
+  const order_key key = place->first;
+  queue_job job = Erase(place);
+  waiting_prompt_ += job.prompt_tokens;
+  waiting_output_ += job.output_tokens;
+  ChargeStart(job, 1, now);
+  picked_[job.request] = {job, key};
+  return job;
+}
+
+const queue_job* admission_queue::PeekNext(time_point now, const job_filter& accept) const {
+  const auto place = FindNext(now, accept);
+  return place == waiting_.end() ? nullptr : &place->second.job;
+}
+
+bool admission_queue::Requeue(const request_id& request, time_point now) {
+  const auto found = picked_.find(request);
+  if (found == picked_.end()) {
+    return false;
+  }
+  const picked_job picked = std::move(found->second);
+  picked_.erase(found);
+  waiting_prompt_ -= picked.job.prompt_tokens;
+  waiting_output_ -= picked.job.output_tokens;
+  ChargeStart(picked.job, -1, now);
+  Insert(picked.job, picked.key, now);
+  return true;
+}
+
+bool admission_queue::NoteStarted(const request_id& request, time_point now) {
+  const auto found = picked_.find(request);
+  if (found == picked_.end()) {
+    return false;
+  }
+  const queue_job job = std::move(found->second.job);
+  picked_.erase(found);
+  waiting_prompt_ -= job.prompt_tokens;
+  waiting_output_ -= job.output_tokens;
+  ReleaseAccount(job.account);
+  prefill_meter_.NoteStart(job.prompt_tokens, pool_.prefill_endpoints, now);
+  decode_meter_.NoteStart(job.output_tokens, pool_.decode_endpoints, now);
+  pool_.prefill_free -= pool_.prefill_free > 0 ? 1 : 0;
+  pool_.decode_free -= pool_.decode_free > 0 ? 1 : 0;
+  UpdateBusy(now);
+  return true;
+}
+
+bool admission_queue::RemoveJob(const request_id& request, time_point now) {
+  if (const auto place = places_.find(request); place != places_.end()) {
+    ReleaseAccount(Erase(waiting_.find(place->second)).account);
+    UpdateBusy(now);
+    return true;
+  }
+  const auto found = picked_.find(request);
+  if (found == picked_.end()) {
+    return false;
+  }
+  ChargeStart(found->second.job, -1, now);
+  waiting_prompt_ -= found->second.job.prompt_tokens;
+  waiting_output_ -= found->second.job.output_tokens;
+  ReleaseAccount(found->second.job.account);
+  picked_.erase(found);
+  UpdateBusy(now);
+  return true;
+}
+
+std::vector<queue_job> admission_queue::ExpireOverdue(time_point now) {
+  std::vector<queue_job> overdue;
+  while (!waiting_.empty() && waiting_.begin()->first.latest_start < now) {
+    overdue.push_back(Erase(waiting_.begin()));
+    ReleaseAccount(overdue.back().account);
+  }
+  DropIdleAccounts(now);
+  UpdateBusy(now);
+  return overdue;
+}
+
+std::optional<time_point> admission_queue::NextExpiry() const {
+  return waiting_.empty() ? std::nullopt : std::optional(waiting_.begin()->first.latest_start);
+}
+
+milliseconds admission_queue::RetryAfter(std::uint32_t prompt_tokens, std::uint32_t output_tokens, double jitter,
+                                         time_point now) {
+  const work_rates rates = Rates(now);
+  const double elapsed_s = std::max(0.0, Seconds(now - returning_updated_));
+  const double longest_s = Seconds(settings_.max_retry);
+  const auto add_returning = [&](double& returning, double added, double rate) {
+    returning = std::min(std::max(0.0, returning - rate * elapsed_s) + added, rate * longest_s);
+  };
+  add_returning(returning_prompt_, prompt_tokens, rates.prefill);
+  add_returning(returning_output_, output_tokens, rates.decode);
+  returning_updated_ = now;
+  return SpreadRetryAfter(DrainTime(now), jitter, settings_);
+}
+
+microseconds admission_queue::DrainTime(time_point now) const {
+  const work_rates rates = Rates(now);
+  const double prefill_s = rates.prefill <= 0 ? 0 : (waiting_prompt_ + returning_prompt_) / rates.prefill;
+  const double decode_s = rates.decode <= 0 ? 0 : (waiting_output_ + returning_output_) / rates.decode;
+  return Microseconds(std::max(prefill_s, decode_s));
+}
+
+double admission_queue::ShareOf(const account_share& account, time_point now) const {
+  return account.started * FadeFactor(now - account.updated, settings_.share_window) / account.weight;
+}
+
+// The largest share of started work with which an account is still within its fair share.
+double admission_queue::FairLimit(time_point now) const {
+  double least = std::numeric_limits<double>::infinity();
+  for (const auto& [name, account] : accounts_) {
+    if (account.waiting > 0) {
+      least = std::min(least, ShareOf(account, now));
+    }
+  }
+  return least + settings_.share_slack_tokens;
+}
+
+bool admission_queue::IsShort(time_point now) const {
+  const work_rates rates = Rates(now);
+  const double limit_s = Seconds(settings_.short_drain);
+  return (rates.prefill > 0 && waiting_prompt_ > rates.prefill * limit_s) ||
+         (rates.decode > 0 && pool_.decode_free == 0 && waiting_output_ > rates.decode * limit_s);
+}
+
+admission_queue::waiting_map::const_iterator admission_queue::FindNext(time_point now, const job_filter& accept) const {
+  const bool is_fair = settings_.fair_shares && IsShort(now);
+  const double fair_limit = is_fair ? FairLimit(now) : std::numeric_limits<double>::infinity();
+  auto fallback = waiting_.end();
+  for (auto place = waiting_.begin(); place != waiting_.end(); ++place) {
+    const bool is_overdue = place->second.job.latest_start < now;
+    if (is_overdue || (accept && !accept(place->second.job))) {
+      continue;
+    }
+    if (!is_fair || ShareOf(*place->second.account, now) <= fair_limit) {
+      return place;
+    }
+    if (fallback == waiting_.end()) {
+      fallback = place;
+    }
+  }
+  return fallback;
+}
+
+void admission_queue::Insert(const queue_job& job, const order_key& key, time_point now) {
+  account_share& account = accounts_[job.account];
+  account.weight = job.weight > 0 ? job.weight : 1.0;
+  account.waiting += WorkTokens(job);
+  waiting_prompt_ += job.prompt_tokens;
+  waiting_output_ += job.output_tokens;
+  places_[job.request] = key;
+  waiting_[key] = {job, &account};
+  UpdateBusy(now);
+}
+
+queue_job admission_queue::Erase(waiting_map::const_iterator place) {
+  queue_job job = place->second.job;
+  place->second.account->waiting -= WorkTokens(job);
+  waiting_prompt_ -= job.prompt_tokens;
+  waiting_output_ -= job.output_tokens;
+  places_.erase(job.request);
+  waiting_.erase(place);
+  return job;
+}
+
+void admission_queue::ChargeStart(const queue_job& job, double sign, time_point now) {
+  account_share& account = accounts_[job.account];
+  account.started *= FadeFactor(now - account.updated, settings_.share_window);
+  account.started = std::max(0.0, account.started + sign * WorkTokens(job));
+  account.updated = std::max(account.updated, now);
+}
+
+void admission_queue::ReleaseAccount(const account_name& account) {
+  const auto found = accounts_.find(account);
+  if (found != accounts_.end() && found->second.jobs > 0) {
+    found->second.jobs -= 1;
+  }
+}
+
+void admission_queue::DropIdleAccounts(time_point now) {
+  // Below one token, the started work no longer decides anything.
+  std::erase_if(accounts_,
+                [&](const auto& entry) { return entry.second.jobs == 0 && ShareOf(entry.second, now) < 1.0; });
+}
+
+void admission_queue::UpdateBusy(time_point now) {
+  const bool has_work = !waiting_.empty() || !picked_.empty();
+  const bool is_decode_short = pool_.uses_decode && pool_.decode_endpoints > 0 && pool_.decode_free == 0;
+  prefill_meter_.SetBusy(has_work && !is_decode_short, now);
+  decode_meter_.SetBusy(has_work && is_decode_short, now);
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/decisions/membership.cpp
@@ -0,0 +1,136 @@
+#include "persimmon/membership.h"
+
+#include <algorithm>
+
+namespace persimmon {
+
+const char* WorkName(work_verdict verdict) {
+  switch (verdict) {
+    case work_verdict::kCanReceive:
+      return "can_receive";
+    case work_verdict::kUnknown:
+      return "unknown";
+    case work_verdict::kSilent:
+      return "silent";
+    case work_verdict::kLeaving:
+      return "leaving";
+    case work_verdict::kGone:
+      return "gone";
+  }
+  return "unknown";
+}
+
+heartbeat_verdict membership_table::NoteHeartbeat(const std::string& name, incarnation_number incarnation, bool leaving,
+                                                  time_point now) {
+  member& entry = members_[name];
+  if (incarnation < entry.incarnation) {
+    return heartbeat_verdict::kOldIncarnation;
+  }
+  const bool is_new = incarnation > entry.incarnation;
+  const bool was_never_heard = entry.incarnation == 0;
+  if (entry.state == vm_state::kGone && (!is_new || was_never_heard)) {
+    return heartbeat_verdict::kGone;
+  }
+  if (is_new) {
+    entry.incarnation = incarnation;
+    entry.leaving = false;
+    entry.state = entry.state == vm_state::kGone ? vm_state::kLive : entry.state;
+  }
+  entry.leaving = entry.leaving || leaving;
+  entry.heard = true;
+  entry.last_heard = std::max(entry.last_heard, now);
+  entry.last_sign = std::max(entry.last_sign, now);
+  if (!is_new) {
+    return heartbeat_verdict::kKnown;
+  }
+  return was_never_heard ? heartbeat_verdict::kNewMember : heartbeat_verdict::kNewIncarnation;
+}
+
+void membership_table::NoteClosed(const std::string& name, incarnation_number incarnation) {
+  const auto found = members_.find(name);
+  if (found != members_.end() && found->second.incarnation == incarnation) {
+    found->second.heard = false;
+  }
+}
+
+void membership_table::ApplyState(member& target, vm_state listed) {
+  switch (listed) {
+    case vm_state::kGone:
+      target.state = vm_state::kGone;
+      target.heard = false;
+      break;
+    case vm_state::kLeaving:
+      target.state = target.state == vm_state::kGone ? vm_state::kGone : vm_state::kLeaving;
+      break;
+    case vm_state::kLive:
+      // A member that was gone before it was ever heard may be a new process that the list did not show yet.
+      if (target.state == vm_state::kLeaving || target.incarnation == 0) {
+        target.state = vm_state::kLive;
+      }
+      break;
+  }
+}
+
+std::vector<member_change> membership_table::ApplyVmList(std::span<const vm_entry> list, time_point now) {
+  std::vector<member_change> changes;
+  for (const vm_entry& listed : list) {
+    const auto found = members_.find(listed.name);
+    if (found == members_.end() && listed.state == vm_state::kLive) {
+      continue;
+    }
+    member& entry = found == members_.end() ? members_[listed.name] : found->second;
+    // Only a change in the list counts: a repeated "gone" is about the older incarnation.
+    if (entry.listed == listed.state) {
+      continue;
+    }
+    const vm_state before = entry.state;
+    entry.listed = listed.state;
+    ApplyState(entry, listed.state);
+    if (entry.state != before) {
+      entry.last_sign = std::max(entry.last_sign, now);
+      changes.push_back({listed.name, entry.state});
+    }
+  }
+  return changes;
+}
+
+work_verdict membership_table::CheckWork(const std::string& name, time_point now) const {
+  const auto found = members_.find(name);
+  if (found == members_.end()) {
+    return work_verdict::kUnknown;
+  }
+  const member& entry = found->second;
+  if (entry.state == vm_state::kGone) {
+    return work_verdict::kGone;
+  }
+  if (entry.incarnation == 0) {
+    return work_verdict::kUnknown;
+  }
+  if (entry.leaving || entry.state == vm_state::kLeaving) {
+    return work_verdict::kLeaving;
+  }
+  if (!entry.heard || now - entry.last_heard > settings_.silence) {
+    return work_verdict::kSilent;
+  }
+  return work_verdict::kCanReceive;
+}
+
+std::optional<incarnation_number> membership_table::CurrentIncarnation(const std::string& name) const {
+  const auto found = members_.find(name);
+  const bool is_known = found != members_.end() && found->second.incarnation != 0;
+  return is_known ? std::optional(found->second.incarnation) : std::nullopt;
+}
+
+std::optional<time_point> membership_table::SilentAt(const std::string& name) const {
+  const auto found = members_.find(name);
+  const bool is_heard = found != members_.end() && found->second.heard;
+  return is_heard ? std::optional(found->second.last_heard + settings_.silence) : std::nullopt;
+}
+
+void membership_table::ExpireMembers(time_point now) {
+  std::erase_if(members_, [&](const auto& item) {
+    return item.second.state == vm_state::kGone && now - item.second.last_sign > settings_.gone_retention;
+  });
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/decisions/retry_budget.cpp
@@ -0,0 +1,27 @@
+#include "persimmon/retry_budget.h"
+
+#include <algorithm>
+
+namespace persimmon {
+
+double retry_budget::Available(time_point now) const {
+  const double elapsed_s = std::max(0.0, std::chrono::duration<double>(now - updated_).count());
+  return std::min(settings_.most, available_ + settings_.floor_per_second * elapsed_s);
+}
+
+void retry_budget::NoteFirstTry(time_point now) {
+  available_ = std::min(settings_.most, Available(now) + settings_.share);
+  updated_ = std::max(updated_, now);
+}
+
+bool retry_budget::AllowRetry(time_point now) {
+  available_ = Available(now);
+  updated_ = std::max(updated_, now);
+  if (available_ < 1) {
+    return false;
+  }
+  available_ -= 1;
+  return true;
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/decisions/suspects.cpp
@@ -0,0 +1,182 @@
+#include "persimmon/suspects.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace persimmon {
+namespace {
+
+const std::string kOwnOrigin;
+
+milliseconds AgeOf(time_point noted, time_point now) {
+  return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(now - noted));
+}
+
+}  // namespace
+
+std::uint32_t suspect_table::CrashCount(const suspect_entry& entry) {
+  std::uint32_t sum = 0;
+  for (const auto& [origin, crashes] : entry.crashes) {
+    sum += crashes;
+  }
+  return sum;
+}
+
+std::uint32_t suspect_table::RunningCopies(fingerprint_number fingerprint) const {
+  const auto found = running_.find(fingerprint);
+  if (found == running_.end()) {
+    return 0;
+  }
+  std::uint32_t copies = 0;
+  for (const auto& [endpoint, count] : found->second) {
+    copies += count;
+  }
+  return copies;
+}
+
+suspect_check suspect_table::CheckSuspect(fingerprint_number fingerprint, time_point now) const {
+  const auto found = suspects_.find(fingerprint);
+  if (found == suspects_.end() || now - found->second.last_crash > settings_.retention) {
+    return {};
+  }
+  const std::uint32_t crashes = CrashCount(found->second);
+  if (crashes >= settings_.max_crashes) {
+    const auto left = found->second.last_crash + settings_.retention - now;
+    return {suspect_verdict::kRefused, std::chrono::ceil<milliseconds>(left)};
+  }
+  // Every running copy may cost one more endpoint.
+  const bool may_run = crashes + RunningCopies(fingerprint) < settings_.max_crashes;
+  return {may_run ? suspect_verdict::kSuspect : suspect_verdict::kWait, milliseconds(0)};
+}
+
+void suspect_table::NoteStart(fingerprint_number fingerprint, const endpoint_name& endpoint) {
+  running_[fingerprint][endpoint] += 1;
+}
+
+void suspect_table::NoteEnd(fingerprint_number fingerprint, const endpoint_name& endpoint, bool answered,
+                            time_point now) {
+  const auto found = running_.find(fingerprint);
+  if (found == running_.end()) {
+    return;
+  }
+  const auto copies = found->second.find(endpoint);
+  if (copies == found->second.end()) {
+    return;
+  }
+  copies->second -= 1;
+  if (copies->second == 0) {
+    found->second.erase(copies);
+  }
+  if (found->second.empty()) {
+    running_.erase(found);
+  }
+  if (answered && suspects_.contains(fingerprint)) {
+    Clear(fingerprint, now, true);
+  }
+}
+
+std::vector<fingerprint_number> suspect_table::NoteCrash(const endpoint_name& endpoint, time_point now) {
+  std::vector<fingerprint_number> lost;
+  for (auto entry = running_.begin(); entry != running_.end();) {
+    const bool was_there = entry->second.erase(endpoint) > 0;
+    if (was_there) {
+      lost.push_back(entry->first);
+    }
+    entry = entry->second.empty() ? running_.erase(entry) : std::next(entry);
+  }
+  std::sort(lost.begin(), lost.end());
+  for (const fingerprint_number fingerprint : lost) {
+    const auto found = suspects_.find(fingerprint);
+    std::uint32_t crashes = 1;
+    if (found != suspects_.end()) {
+      const auto own = found->second.crashes.find(kOwnOrigin);
+      crashes += own == found->second.crashes.end() ? 0 : own->second;
+    }
+    NoteCrashes(fingerprint, kOwnOrigin, crashes, now);
+  }
+  EnforceLimits();
+  return lost;
+}
+
+void suspect_table::NoteCrashes(fingerprint_number fingerprint, const std::string& origin, std::uint32_t crashes,
+                                time_point crashed) {
+  suspect_entry& entry = suspects_[fingerprint];
+  std::uint32_t& known = entry.crashes[origin];
+  known = std::max(known, crashes);
+  entry.last_crash = std::max(entry.last_crash, crashed);
+  if (origin == kOwnOrigin) {
+    entry.own_crash = std::max(entry.own_crash, crashed);
+  }
+}
+
+void suspect_table::Clear(fingerprint_number fingerprint, time_point cleared, bool own) {
+  clearing& entry = cleared_[fingerprint];
+  entry.cleared = std::max(entry.cleared, cleared);
+  entry.own = entry.own || own;
+  const auto found = suspects_.find(fingerprint);
+  if (found != suspects_.end() && found->second.last_crash <= cleared) {
+    suspects_.erase(found);
+  }
+}
+
+void suspect_table::MergeSuspects(const std::string& origin, std::span<const suspect_fact> facts, time_point now) {
+  if (origin == kOwnOrigin) {
+    return;
+  }
+  for (const suspect_fact& fact : facts) {
+    const time_point noted = now - std::max(fact.age, milliseconds(0));
+    if (fact.crashes == 0) {
+      Clear(fact.fingerprint, noted, false);
+      continue;
+    }
+    const auto known = cleared_.find(fact.fingerprint);
+    const bool is_cleared = known != cleared_.end() && noted <= known->second.cleared;
+    if (!is_cleared && fact.age <= settings_.retention) {
+      NoteCrashes(fact.fingerprint, origin, fact.crashes, noted);
+    }
+  }
+  EnforceLimits();
+}
+
+std::vector<suspect_fact> suspect_table::OwnFacts(time_point now) const {
+  std::vector<suspect_fact> facts;
+  for (const auto& [fingerprint, entry] : suspects_) {
+    const auto own = entry.crashes.find(kOwnOrigin);
+    if (own != entry.crashes.end() && now - entry.own_crash <= settings_.retention) {
+      facts.push_back({fingerprint, own->second, AgeOf(entry.own_crash, now)});
+    }
+  }
+  for (const auto& [fingerprint, entry] : cleared_) {
+    if (entry.own && now - entry.cleared <= settings_.clear_reports) {
+      facts.push_back({fingerprint, 0, AgeOf(entry.cleared, now)});
+    }
+  }
+  std::sort(facts.begin(), facts.end(), [](const suspect_fact& left, const suspect_fact& right) {
+    return std::pair(left.age, left.fingerprint) < std::pair(right.age, right.fingerprint);
+  });
+  if (facts.size() > settings_.reported) {
+    facts.resize(settings_.reported);
+  }
+  return facts;
+}
+
+void suspect_table::ExpireSuspects(time_point now) {
+  std::erase_if(suspects_, [&](const auto& item) { return now - item.second.last_crash > settings_.retention; });
+  std::erase_if(cleared_, [&](const auto& item) { return now - item.second.cleared > settings_.retention; });
+}
+
+void suspect_table::EnforceLimits() {
+  while (suspects_.size() > settings_.entries) {
+    suspects_.erase(std::min_element(suspects_.begin(), suspects_.end(), [](const auto& left, const auto& right) {
+      return left.second.last_crash < right.second.last_crash;
+    }));
+  }
+  while (cleared_.size() > settings_.entries) {
+    cleared_.erase(std::min_element(cleared_.begin(), cleared_.end(), [](const auto& left, const auto& right) {
+      return left.second.cleared < right.second.cleared;
+    }));
+  }
+}
+
+}  // namespace persimmon
