Add the at-most-once protocol as a state machine

Cause: calls with an idempotency key need one place that decides when a call may be sent, when a claim may be replaced and what the caller is told. Conclusion: the interface that the router and the claim store build on.

--- /dev/null
+++ b/src/decisions/claims_step.h
@@ -0,0 +1,257 @@
+// The rules of the at-most-once protocol, with the safeguards that the state machine itself enforces as a policy.
+// Programs use StepClaim, which has all of them; tests switch one off to show that a violation is then found.
+#pragma once
+
+#include <concepts>
+#include <utility>
+
+#include "persimmon/claims.h"
+
+namespace persimmon::detail {
+
+struct all_safeguards {
+  static constexpr bool kTombstone = true;   // rule 4: a claim is replaced only after its tombstone is confirmed
+  static constexpr bool kClaimOnce = true;   // rule 1: an attempt id is claimed only once
+  static constexpr bool kProof = true;       // rule 5: not_run after sending needs the tombstone
+  static constexpr bool kNoTakeover = true;  // rule 4: the claim of a lost or restarted agent is never replaced
+};
+
+template <class type>
+concept claim_safeguards = requires {
+  { type::kTombstone } -> std::convertible_to<bool>;
+  { type::kClaimOnce } -> std::convertible_to<bool>;
+  { type::kProof } -> std::convertible_to<bool>;
+  { type::kNoTakeover } -> std::convertible_to<bool>;
+};
+
+template <claim_safeguards safeguards>
+class claim_stepper {
+ public:
+  explicit claim_stepper(const claim_state& state) : next_{state, {}} {}
+
+  claim_transition Step(const claim_event& event) {
+    if (next_.state.step != claim_step::kEnded) {
+      std::visit([this](const auto& content) { On(content); }, event);
+    }
+    return std::move(next_);
+  }
+
+ private:
+  void On(const claim_started&) {
+    if (next_.state.step == claim_step::kIdle) {
+      Continue(claim_step::kInserting, insert_claim{next_.state.own});
+    }
+  }
+
+  void On(const store_replied& event) {
+    switch (next_.state.step) {
+      case claim_step::kInserting:
+        return OnInserted(event.result);
+      case claim_step::kReadingInsert:
+        return OnReadBack(event.result);
+      case claim_step::kReplacing:
+        return OnReplaced(event.result);
+      case claim_step::kReadingReplace:
+        return OnReadBack(event.result);
+      default:
+        return;
+    }
+  }
+
+  void OnInserted(const claim_result& result) {
+    switch (result.kind) {
+      case claim_result_kind::kWritten:
+        return Send();
+      case claim_result_kind::kConflict:
+        return IsOwn(result.current) ? Send() : OnOther(result.current);
+      case claim_result_kind::kUnknown:
+        return Continue(claim_step::kReadingInsert, read_claim{next_.state.own.key});
+      default:
+        return End(outcome_kind::kNotRun, claim_code::kStoreUnavailable);
+    }
+  }
+
+  // Rule 2. Without a row of its own this attempt has sent nothing and, being ended, never will: a write that takes
+  // effect later only leaves a claim that a resend can have tombstoned.
+  void OnReadBack(const claim_result& result) {
+    if (result.kind != claim_result_kind::kFound) {
+      return End(outcome_kind::kNotRun, claim_code::kStoreUnavailable);
+    }
+    if (IsOwn(result.current)) {
+      return Send();
+    }
+    if (result.current.phase == claim_phase::kDone) {
+      return OnOther(result.current);
+    }
+    End(outcome_kind::kNotRun, claim_code::kInProgress);
+  }
+
+  void OnReplaced(const claim_result& result) {
+    switch (result.kind) {
+      case claim_result_kind::kWritten:
+        return Send();
+      case claim_result_kind::kConflict:
+        return OnReadBack({claim_result_kind::kFound, result.current});
+      case claim_result_kind::kUnknown:
+        return Continue(claim_step::kReadingReplace, read_claim{next_.state.own.key});
+      default:
+        return End(outcome_kind::kNotRun, claim_code::kStoreUnavailable);
+    }
+  }
+
+  // Rule 4: another attempt of this key is in the row.
+  void OnOther(const claim_row& row) {
+    next_.state.other = row;
+    if (row.phase == claim_phase::kDone) {
+      return Continue(claim_step::kFetchingAnswer, ask_status{row, false});
+    }
+    if constexpr (!safeguards::kTombstone) {
+      return Replace();
+    }
+    Continue(claim_step::kAskingTombstone, ask_tombstone{row});
+  }
+
+  void On(const attempt_reported& event) {
+    const bool is_own = event.attempt == next_.state.own.attempt;
+    switch (next_.state.step) {
+      case claim_step::kAskingTombstone:
+      case claim_step::kWaitingForOther:
+      case claim_step::kFetchingAnswer:
+        return is_own ? void() : OnOtherReported(event.finding);
+      case claim_step::kProvingNotRun:
+      case claim_step::kWaitingForOwn:
+        return is_own ? OnOwnReported(event.finding) : void();
+      default:
+        return;
+    }
+  }
+
+  void OnOtherReported(attempt_finding finding) {
+    const claim_step step = next_.state.step;
+    const bool is_done_row = step == claim_step::kFetchingAnswer;
+    switch (finding) {
+      case attempt_finding::kAnswered:
+        return End(outcome_kind::kAnswered, claim_code::kNone);
+      case attempt_finding::kNotRun:
+        return is_done_row ? End(outcome_kind::kMayHaveRun, claim_code::kAlreadyAnswered) : Replace();
+      case attempt_finding::kRunning:
+        if (step == claim_step::kAskingTombstone && !next_.state.deadline_over) {
+          return Continue(claim_step::kWaitingForOther, ask_status{next_.state.other, true});
+        }
+        return End(outcome_kind::kMayHaveRun, claim_code::kInProgress);
+      case attempt_finding::kDone:
+        return End(outcome_kind::kMayHaveRun, claim_code::kAlreadyAnswered);
+      case attempt_finding::kFailed:
+        return End(outcome_kind::kMayHaveRun, claim_code::kEndpointLost);
+      case attempt_finding::kUnknown:
+      case attempt_finding::kOtherIncarnation:
+      case attempt_finding::kUnreachable:
+        if constexpr (!safeguards::kNoTakeover) {
+          return Replace();
+        }
+        return End(outcome_kind::kMayHaveRun, is_done_row ? claim_code::kAlreadyAnswered : claim_code::kEndpointLost);
+    }
+  }
+
+  void On(const call_replied& event) {
+    const claim_step step = next_.state.step;
+    const bool waits_for_reply =
+        step == claim_step::kSent || step == claim_step::kProvingNotRun || step == claim_step::kWaitingForOwn;
+    if (waits_for_reply && event.reply == call_reply::kAnswered) {
+      return EndAnswered();
+    }
+    if (step != claim_step::kSent) {
+      return;
+    }
+    switch (event.reply) {
+      case call_reply::kNotSent:
+        return End(outcome_kind::kNotRun, claim_code::kEndpointLost);
+      case call_reply::kMayHaveRun:
+        return End(outcome_kind::kMayHaveRun, claim_code::kEndpointLost);
+      default:
+        return Prove();
+    }
+  }
+
+  // Rule 5. Only the tombstone proves that no delayed copy of the call can run.
+  void Prove() {
+    if constexpr (!safeguards::kProof) {
+      return End(outcome_kind::kNotRun, LossCode());
+    }
+    Continue(claim_step::kProvingNotRun, ask_tombstone{next_.state.own});
+  }
+
+  void OnOwnReported(attempt_finding finding) {
+    switch (finding) {
+      case attempt_finding::kAnswered:
+        return EndAnswered();
+      case attempt_finding::kNotRun:
+        if constexpr (!safeguards::kClaimOnce) {
+          return Reclaim();
+        }
+        return End(outcome_kind::kNotRun, LossCode());
+      case attempt_finding::kRunning:
+        if (next_.state.step == claim_step::kProvingNotRun && !next_.state.deadline_over) {
+          return Continue(claim_step::kWaitingForOwn, ask_status{next_.state.own, true});
+        }
+        return End(outcome_kind::kMayHaveRun, claim_code::kTimeout);
+      default:
+        return End(outcome_kind::kMayHaveRun, LossCode());
+    }
+  }
+
+  void On(const deadline_passed&) {
+    const claim_step step = next_.state.step;
+    next_.state.deadline_over = true;
+    switch (step) {
+      case claim_step::kSent:
+        return Prove();
+      case claim_step::kProvingNotRun:
+        return;  // its reply, or the lack of one, decides
+      case claim_step::kWaitingForOwn:
+        return End(outcome_kind::kMayHaveRun, claim_code::kTimeout);
+      case claim_step::kWaitingForOther:
+        return End(outcome_kind::kMayHaveRun, claim_code::kInProgress);
+      case claim_step::kFetchingAnswer:
+        return End(outcome_kind::kMayHaveRun, claim_code::kAlreadyAnswered);
+      case claim_step::kAskingTombstone:
+        // The attempt in the row may be running, and the caller does not care which attempt of the key runs.
+        return End(outcome_kind::kMayHaveRun, claim_code::kTimeout);
+      default:
+        return End(outcome_kind::kNotRun, claim_code::kTimeout);
+    }
+  }
+
+  // A safeguard that is switched off: claims the same attempt id again for another endpoint.
+  void Reclaim() {
+    const attempt_id same = next_.state.own.attempt;
+    next_.state.own.endpoint = safeguards::OtherEndpoint(next_.state.own.endpoint);
+    Continue(claim_step::kReplacing, replace_claim{next_.state.own, same});
+  }
+
+  bool IsOwn(const claim_row& row) const { return row.attempt == next_.state.own.attempt; }
+
+  claim_code LossCode() const { return next_.state.deadline_over ? claim_code::kTimeout : claim_code::kEndpointLost; }
+
+  void Send() { Continue(claim_step::kSent, send_call{next_.state.own}); }
+
+  void Replace() { Continue(claim_step::kReplacing, replace_claim{next_.state.own, next_.state.other.attempt}); }
+
+  void EndAnswered() {
+    claim_row done = next_.state.own;
+    done.phase = claim_phase::kDone;
+    next_.actions.emplace_back(finish_claim{done});
+    End(outcome_kind::kAnswered, claim_code::kNone);
+  }
+
+  void End(outcome_kind outcome, claim_code code) { Continue(claim_step::kEnded, end_claim{outcome, code}); }
+
+  void Continue(claim_step step, claim_action action) {
+    next_.state.step = step;
+    next_.actions.push_back(std::move(action));
+  }
+
+  claim_transition next_;
+};
+
+}  // namespace persimmon::detail
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "core/settings.h"
+#include "persimmon/claims.h"
 #include "persimmon/error.h"
 #include "persimmon/types.h"
 
@@ -446,48 +447,6 @@
   }
 };
 
-enum class claim_operation_kind : std::uint8_t { kInsert, kReplace, kFinish, kRead };
-enum class claim_phase : std::uint8_t { kClaimed, kDone };
-
-struct claim_row {
-  idempotency_key key;
-  attempt_id attempt;
-  endpoint_name endpoint;
-  incarnation_number incarnation = 0;
-  claim_phase phase = claim_phase::kClaimed;
-
-  bool operator==(const claim_row&) const = default;
-  template <class archive>
-  void serialize(archive& ar) {
-    ar(key, attempt, endpoint, incarnation, phase);
-  }
-};
-
-struct claim_operation {
-  claim_operation_kind kind = claim_operation_kind::kInsert;
-  claim_row row;                // wanted content; for kRead only the key counts
-  attempt_id expected_attempt;  // kReplace, kFinish: the write holds only while this attempt holds the claim
-
-  bool operator==(const claim_operation&) const = default;
-  template <class archive>
-  void serialize(archive& ar) {
-    ar(kind, row, expected_attempt);
-  }
-};
-
-enum class claim_result_kind : std::uint8_t { kWritten, kConflict, kFound, kAbsent, kUnknown, kStoreUnavailable };
-
-struct claim_result {
-  claim_result_kind kind = claim_result_kind::kUnknown;  // kUnknown: the reply was lost, the write may have happened
-  claim_row current;                                     // kConflict, kFound: the row in the store
-
-  bool operator==(const claim_result&) const = default;
-  template <class archive>
-  void serialize(archive& ar) {
-    ar(kind, current);
-  }
-};
-
 struct claim_batch {
   std::uint64_t sequence = 0;
   std::vector<claim_operation> operations;
