Keep refusals of a full attempt table

Cause: AcceptAttempt of a full table answered kTombstoned without keeping an entry. After entries expired, a delayed copy of the same start ran although its caller had been told not_run. TombstoneAttempt grew the table without a bound, a tombstone confirmed a second time expired by its first confirmation, and ids of expired answers stayed in the answer queue forever. A false positive refuses an attempt and all its copies, which is truthful. Confirming a tombstone again renews its retention; the answer queue drops expired ids. Conclusion: every verdict but kRun holds for later copies within the retention.

--- a/src/decisions/attempts.cpp
+++ b/src/decisions/attempts.cpp
@@ -1,5 +1,6 @@
 #include "persimmon/attempts.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace persimmon {
@@ -9,14 +10,61 @@
 
 }  // namespace
 
+std::array<std::size_t, refusal_filter::kHashes> refusal_filter::Positions(const attempt_id& attempt) const {
+  // Double hashing: the second hash is odd, so that the positions differ.
+  const std::uint64_t first = std::hash<std::string>{}(attempt.value);
+  const std::uint64_t second = std::hash<std::string>{}(attempt.value + "#") | 1U;
+  std::array<std::size_t, kHashes> positions{};
+  for (std::size_t i = 0; i < kHashes; ++i) {
+    positions[i] = static_cast<std::size_t>((first + i * second) % bits_);
+  }
+  return positions;
+}
+
+void refusal_filter::Add(const attempt_id& attempt, time_point now) {
+  Expire(now);
+  generation& current = generations_.front();
+  current.bits.resize(bits_);
+  current.latest = now;
+  for (const std::size_t position : Positions(attempt)) {
+    current.bits[position] = true;
+  }
+}
+
+bool refusal_filter::Contains(const attempt_id& attempt) const {
+  const auto positions = Positions(attempt);
+  return std::any_of(generations_.begin(), generations_.end(), [&positions](const generation& filter) {
+    return !filter.bits.empty() && std::all_of(positions.begin(), positions.end(),
+                                               [&filter](std::size_t position) { return filter.bits[position]; });
+  });
+}
+
+void refusal_filter::Expire(time_point now) {
+  generation& current = generations_.front();
+  generation& previous = generations_.back();
+  if (!previous.bits.empty() && now - previous.latest > retention_) {
+    previous = {};
+  }
+  if (!current.bits.empty() && previous.bits.empty() && now - rotated_ > retention_) {
+    std::swap(current, previous);
+  }
+  if (current.bits.empty()) {
+    rotated_ = now;
+  }
+}
+
 accept_verdict attempt_table::AcceptAttempt(const attempt_id& attempt, incarnation_number incarnation, time_point now) {
   if (IsOtherIncarnation(incarnation, incarnation_)) {
     return accept_verdict::kWrongIncarnation;
   }
   const auto found = entries_.find(attempt);
   if (found == entries_.end()) {
-    if (entries_.size() >= limits_.entries) {
+    if (refusals_.Contains(attempt)) {
+      return accept_verdict::kTombstoned;
+    }
+    if (IsFull()) {
       // Forgetting an entry could run its attempt twice, so a full table refuses new ones instead.
+      refusals_.Add(attempt, now);
       return accept_verdict::kTombstoned;
     }
     entries_[attempt] = {attempt_record_phase::kRunning, now, std::nullopt};
@@ -38,10 +86,17 @@
   if (IsOtherIncarnation(incarnation, incarnation_)) {
     return tombstone_verdict::kWrongIncarnation;
   }
-  const auto [found, inserted] =
-      entries_.try_emplace(attempt, attempt_entry{attempt_record_phase::kTombstoned, now, std::nullopt});
+  auto found = entries_.find(attempt);
+  if (found == entries_.end()) {
+    if (IsFull()) {
+      refusals_.Add(attempt, now);
+      return tombstone_verdict::kConfirmed;
+    }
+    found = entries_.emplace(attempt, attempt_entry{attempt_record_phase::kTombstoned, now, std::nullopt}).first;
+  }
   switch (found->second.phase) {
     case attempt_record_phase::kTombstoned:
+      found->second.changed = now;  // the retention counts from the latest confirmation
       return tombstone_verdict::kConfirmed;
     case attempt_record_phase::kRunning:
       return tombstone_verdict::kRunning;
@@ -79,6 +134,7 @@
 }
 
 void attempt_table::ExpireEntries(time_point now) {
+  refusals_.Expire(now);
   for (auto entry = entries_.begin(); entry != entries_.end();) {
     const auto age = now - entry->second.changed;
     const bool is_running = entry->second.phase == attempt_record_phase::kRunning;
@@ -91,6 +147,14 @@
       ++entry;
     }
   }
+  while (!answers_.empty() && !HasAnswer(answers_.front())) {
+    answers_.pop_front();
+  }
+}
+
+bool attempt_table::HasAnswer(const attempt_id& attempt) const {
+  const attempt_entry* entry = FindAttempt(attempt);
+  return entry != nullptr && entry->answer.has_value();
 }
 
 void attempt_table::DropAnswer(attempt_entry& entry) {
