--- /dev/null
+++ b/src/agent/agent_settings.h
@@ -0,0 +1,56 @@
+// Settings of persimmon-agent. config/agent.ini shows every key with its meaning.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "core/settings.h"
+#include "persimmon/types.h"
+
+namespace persimmon {
+
+struct agent_settings {
+  // [process]
+  std::string name;  // name of the endpoint record
+  std::string zone;  // availability zone
+
+  // [peers]
+  std::string secret;
+  std::vector<std::string> allowed_hosts;  // IP numbers of routers; empty: any
+
+  // [platform]
+  std::vector<host_port> table_servers;
+  milliseconds table_timeout = milliseconds(1'000);
+
+  // [trace]
+  std::string trace_file;  // empty: no spans are written
+
+  // [listen]
+  host_port channel;
+
+  // [endpoint]
+  std::string kind = "engine";  // "engine" or "service"
+  host_port engine;             // of kind engine
+  host_port service;            // of kind service
+
+  // [slots]
+  milliseconds bid_window = milliseconds(4);
+  milliseconds lookahead = milliseconds(20);
+  std::int64_t transfers_at_once = 4;  // transfers that share the link at one time
+  std::int64_t service_calls = 256;    // calls in progress; more are refused as busy
+
+  // [limits]
+  milliseconds report_period = milliseconds(250);     // load reports
+  milliseconds router_silence = milliseconds(1'500);  // everything of a router silent for this long is dropped
+  milliseconds stream_timeout = milliseconds(3'000);  // an engine stream without a line for this long has failed
+  milliseconds poll_period = milliseconds(250);       // of the engine's state
+  std::int64_t answer_bytes = 8 << 20;                // kept answers of plain calls
+  milliseconds answer_retention = milliseconds(300'000);
+  milliseconds stop_grace = milliseconds(300);  // between the end of the last work and the exit
+
+  bool operator==(const agent_settings&) const = default;
+};
+
+void BindAgentSettings(settings_binder& bind, agent_settings& settings);
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/agent/engine_client.cpp
@@ -0,0 +1,190 @@
+#include "agent/engine_client.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace persimmon {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr milliseconds kControlTimeout(1'000);
+
+http_client_limits ControlLimits() {
+  http_client_limits limits;
+  limits.connect_timeout = kControlTimeout;
+  limits.response_timeout = kControlTimeout;
+  return limits;
+}
+
+http_client_limits StreamLimits(milliseconds stream_timeout) {
+  http_client_limits limits;
+  limits.connect_timeout = kControlTimeout;
+  limits.response_timeout = stream_timeout;
+  limits.idle_timeout = stream_timeout;
+  // An idle connection per stream would keep one descriptor for each decode slot.
+  limits.idle_connections = 4;
+  return limits;
+}
+
+error MakeProtocolError(std::string_view what) {
+  return error{error_code::kProtocol, fmt::format("the engine's {} cannot be read", what)};
+}
+
+std::vector<std::string> ReadSortedList(const json& value, const char* key) {
+  auto list = value.at(key).get<std::vector<std::string>>();
+  std::sort(list.begin(), list.end());
+  return list;
+}
+
+std::optional<fence_number> ReadFence(const json& value, const char* key) {
+  if (!value.contains(key) || value.at(key).is_null()) {
+    return std::nullopt;
+  }
+  const json& fence = value.at(key);
+  return fence_number{fence.at("revision").get<revision_number>(), fence.at("incarnation").get<incarnation_number>()};
+}
+
+result<engine_state> ReadEngineState(const std::string& body) {
+  try {
+    const json value = json::parse(body);
+    engine_state state;
+    state.setup.roles = ReadSortedList(value, "roles");
+    state.setup.models = ReadSortedList(value, "models");
+    state.setup.adapters = ReadSortedList(value, "adapters");
+    state.highest = ReadFence(value, "fence");
+    state.decode_slots = value.at("decode_slots").get<std::uint32_t>();
+    return state;
+  } catch (const json::exception&) {
+    return MakeProtocolError("state");
+  }
+}
+
+result<std::vector<cache_event>> ReadEvents(const std::string& body) {
+  try {
+    std::vector<cache_event> events;
+    const json value = json::parse(body);
+    for (const json& item : value.at("events")) {
+      events.push_back({item.at("sequence").get<std::uint64_t>(), item.at("prefix").get<std::uint64_t>(),
+                        item.at("stored").get<bool>()});
+    }
+    return events;
+  } catch (const json::exception&) {
+    return MakeProtocolError("cache events");
+  }
+}
+
+result<command_reply> ReadCommandReply(const http_response& response) {
+  if (response.status == 200) {
+    return command_reply{true, std::nullopt};
+  }
+  if (response.status != 409) {
+    return error{error_code::kInvalid, fmt::format("the engine answered a command with {}", response.status)};
+  }
+  try {
+    return command_reply{false, ReadFence(json::parse(response.body), "highest")};
+  } catch (const json::exception&) {
+    return MakeProtocolError("refusal of a command");
+  }
+}
+
+// Text that is not valid UTF-8 is replaced rather than refused: the engine decides about prompts.
+std::string Dump(const json& value) { return value.dump(-1, ' ', false, json::error_handler_t::replace); }
+
+http_request MakeRequest(const char* method, std::string target, std::string body = {}) {
+  http_request request;
+  request.method = method;
+  request.target = std::move(target);
+  if (!body.empty()) {
+    request.headers.push_back({"Content-Type", "application/json"});
+  }
+  request.body = std::move(body);
+  return request;
+}
+
+}  // namespace
+
+engine_client::engine_client(asio::io_context& context, host_port address, milliseconds stream_timeout)
+    : address_(std::move(address)),
+      control_(context, ControlLimits()),
+      streams_(context, StreamLimits(stream_timeout)) {}
+
+task<result<engine_state>> engine_client::ReadState() {
+  http_request request = MakeRequest("GET", "/v1/state");
+  auto reply = co_await control_.Fetch(address_, std::move(request));
+  if (!reply) {
+    co_return reply.error();
+  }
+  co_return ReadEngineState(reply.value().body);
+}
+
+task<result<command_reply>> engine_client::SendCommand(fence_number fence, engine_setup setup) {
+  const json body = {{"fence", {{"revision", fence.revision}, {"incarnation", fence.incarnation}}},
+                     {"roles", setup.roles},
+                     {"models", setup.models},
+                     {"adapters", setup.adapters}};
+  http_request request = MakeRequest("POST", "/v1/commands", Dump(body));
+  auto reply = co_await control_.Fetch(address_, std::move(request));
+  if (!reply) {
+    co_return reply.error();
+  }
+  co_return ReadCommandReply(reply.value());
+}
+
+task<result<std::vector<cache_event>>> engine_client::ReadCacheEvents(std::uint64_t after) {
+  http_request request = MakeRequest("GET", fmt::format("/v1/cache-events?after={}", after));
+  auto reply = co_await control_.Fetch(address_, std::move(request));
+  if (!reply) {
+    co_return reply.error();
+  }
+  co_return ReadEvents(reply.value().body);
+}
+
+task<result<bool>> engine_client::CancelWork(std::string id) {
+  const json body = {{"id", id}};
+  http_request request = MakeRequest("POST", "/v1/cancel", Dump(body));
+  auto reply = co_await control_.Fetch(address_, std::move(request));
+  if (!reply) {
+    co_return reply.error();
+  }
+  const json value = json::parse(reply.value().body, nullptr, false);
+  co_return value.is_object() && value.value("cancelled", false);
+}
+
+task<result<void>> engine_client::Prefill(start_prefill work, std::string traceparent,
+                                          http_client::line_handler on_line) {
+  const json body = {{"id", work.attempt.value}, {"model", work.model},       {"adapter", work.adapter},
+                     {"prompt", work.prompt},    {"priority", work.priority}, {"resume_tokens", work.resume_tokens}};
+  std::string text = Dump(body);
+  co_return co_await Stream("/v1/prefill", std::move(text), std::move(traceparent), std::move(on_line));
+}
+
+task<result<void>> engine_client::Decode(start_decode work, std::string traceparent,
+                                         http_client::line_handler on_line) {
+  const json body = {{"id", work.attempt.value},     {"source", work.ticket.engine},  {"kv", work.ticket.id},
+                     {"pieces", work.ticket.pieces}, {"max_tokens", work.max_tokens}, {"offset", work.offset},
+                     {"priority", work.priority}};
+  std::string text = Dump(body);
+  co_return co_await Stream("/v1/decode", std::move(text), std::move(traceparent), std::move(on_line));
+}
+
+task<result<void>> engine_client::Stream(std::string path, std::string body, std::string traceparent,
+                                         http_client::line_handler on_line) {
+  http_request request = MakeRequest("POST", std::move(path), std::move(body));
+  request.headers.push_back({"traceparent", std::move(traceparent)});
+  auto reply = co_await streams_.FetchLines(address_, std::move(request), std::move(on_line));
+  if (!reply) {
+    co_return reply.error();
+  }
+  if (reply.value().status != 200) {
+    const json value = json::parse(reply.value().body, nullptr, false);
+    const std::string reason = value.is_object() ? value.value("error", "") : "";
+    co_return error{error_code::kInvalid,
+                    reason.empty() ? fmt::format("engine_status_{}", reply.value().status) : reason};
+  }
+  co_return outcome::success();
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/agent/identity.cpp
@@ -0,0 +1,99 @@
+#include "agent/identity.h"
+
+#include <algorithm>
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+namespace persimmon {
+namespace {
+
+// Several agents of one name that start at once each need one retry; more than this is a fault.
+constexpr int kDrawAttempts = 8;
+
+}  // namespace
+
+task<result<incarnation_counter::counter_row>> incarnation_counter::ReadCounter() {
+  std::string table = kIncarnationTable;
+  std::string key = key_;
+  auto row = co_await table_.ReadRow(std::move(table), std::move(key));
+  if (!row) {
+    co_return row.error();
+  }
+  counter_row counter;
+  if (row.value()) {
+    const auto value = nlohmann::json::parse(row.value()->value, nullptr, false);
+    if (!value.is_object() || !value.contains("incarnation") || !value["incarnation"].is_number_unsigned()) {
+      co_return error{error_code::kProtocol, "the incarnation row of " + key_ + " cannot be read"};
+    }
+    counter.value = value["incarnation"].get<incarnation_number>();
+    counter.version = row.value()->version;
+  }
+  co_return counter;
+}
+
+task<result<bool>> incarnation_counter::WriteCounter(counter_row seen, incarnation_number value) {
+  table_write write;
+  write.table = kIncarnationTable;
+  write.key = key_;
+  write.value = nlohmann::json{{"incarnation", value}}.dump();
+  write.condition = seen.version == 0 ? row_condition::kAbsent : row_condition::kVersion;
+  write.version = seen.version;
+  std::vector<table_write> writes;
+  writes.push_back(std::move(write));
+  auto written = co_await table_.Commit(std::move(writes));
+  if (!written) {
+    co_return written.error();
+  }
+  co_return written.value().committed;
+}
+
+task<result<incarnation_number>> incarnation_counter::Draw() {
+  error last{error_code::kConflict, "the incarnation row changed during every attempt to draw a number"};
+  for (int attempt = 0; attempt < kDrawAttempts; ++attempt) {
+    auto seen = co_await ReadCounter();
+    if (!seen) {
+      co_return seen.error();
+    }
+    const incarnation_number next = seen.value().value + 1;
+    const counter_row row = seen.value();
+    auto written = co_await WriteCounter(row, next);
+    if (written && written.value()) {
+      co_return next;
+    }
+    // After a lost reply the write may have happened; the next attempt draws a higher number.
+    if (!written && written.error().code == error_code::kUnavailable) {
+      co_return written.error();
+    }
+    if (!written) {
+      last = written.error();
+    }
+  }
+  co_return last;
+}
+
+task<incarnation_check> incarnation_counter::Check(incarnation_number own, bool raise) {
+  for (int attempt = 0; attempt < kDrawAttempts; ++attempt) {
+    auto seen = co_await ReadCounter();
+    if (!seen) {
+      co_return incarnation_check::kUnknown;
+    }
+    if (seen.value().value > own) {
+      co_return incarnation_check::kSuperseded;
+    }
+    if (seen.value().value == own || !raise) {
+      co_return incarnation_check::kCurrent;
+    }
+    const counter_row row = seen.value();
+    // The row is read again after the write, which also resolves a lost reply.
+    (void)co_await WriteCounter(row, own);
+  }
+  co_return incarnation_check::kUnknown;
+}
+
+incarnation_number MakeProvisionalIncarnation(std::optional<incarnation_number> engine_highest) {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  const auto clock = std::chrono::duration_cast<microseconds>(since_epoch).count();
+  return std::max(static_cast<incarnation_number>(clock), engine_highest.value_or(0) + 1);
+}
+
+}  // namespace persimmon
--- a/src/fakes/fake_engine.cpp
+++ b/src/fakes/fake_engine.cpp
@@ -271,8 +271,11 @@
 
   bool HasRole(std::string_view role) const { return std::find(roles.begin(), roles.end(), role) != roles.end(); }
 
+  // A loaded model is "name" or "name@version"; requests name it without the version.
   bool HasModel(const std::string& model) const {
-    return models.empty() || std::find(models.begin(), models.end(), model) != models.end();
+    return models.empty() || std::any_of(models.begin(), models.end(), [&model](const std::string& loaded) {
+             return loaded.substr(0, loaded.find('@')) == model;
+           });
   }
 
   microseconds Delay(double seconds) const {
@@ -636,7 +639,6 @@
             {"models", models},
             {"adapters", adapters},
             {"fence", highest_fence ? highest_fence->ToJson() : json()},
-            {"tells_fence", options.checks_fencing},
             {"decode_slots", options.decode_slots},
             {"decode_running", decodes.size()},
             {"prefill_running", prefills_running},
