Add persimmon-load, an open-loop load generator that checks every answer

Change: src/load has the traffic (arrival times, sizes, prompts, expected tokens), one run, and the report as text, JSON and SVG. Arrivals follow a fixed seed and never wait for answers; times count from the planned arrival. A caller whose connection breaks sends its request once more with the same key; a caller that is refused may come back once at the time it was told. http_client::FetchLines has a form with a limit for the whole exchange, for callers that leave.

--- /dev/null
+++ b/src/load/load_main.cpp
@@ -0,0 +1,184 @@
+// Generates open-loop load for routers, checks every answer and reports what was in time.
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+
+#include "core/program.h"
+#include "core/random.h"
+#include "load/load_run.h"
+
+DEFINE_string(targets, "", "IP:PORT,... of the routers; one is chosen at random per request");
+DEFINE_string(profile, "steady", "steady, or surge: ramp, plateau of three quarters of the time, tail");
+DEFINE_double(rate, 10, "requests/s");
+DEFINE_double(surge_factor, 1.5, "surge: rate of the plateau, as a multiple of --rate");
+DEFINE_double(duration_s, 10, "duration of the arrivals; 80 gives a surge a plateau of a minute");
+DEFINE_uint64(seed, 1, "seed of times, sizes and kinds of requests");
+DEFINE_string(run_id, "", "text that makes keys and prompts of this run unique; random by default");
+DEFINE_string(model, "", "model of the model requests; none if empty");
+DEFINE_string(prompt_tokens, "20-2000", "MIN-MAX, log-uniform, or a mix WEIGHT:MIN-MAX,...");
+DEFINE_string(max_tokens, "16-64", "output tokens, MIN-MAX, log-uniform, or a mix WEIGHT:MIN-MAX,...");
+DEFINE_double(shared_prefix_share, 0, "share of prompts that start with a shared prefix");
+DEFINE_uint32(shared_prefix_tokens, 512, "length of the shared prefixes");
+DEFINE_uint32(shared_prefixes, 8, "number of different shared prefixes");
+DEFINE_double(stream_share, 1, "share of model requests answered as server-sent events");
+DEFINE_string(service_path, "", "path prefix of a plain service; no service requests if empty");
+DEFINE_double(service_share, 0.2, "share of service requests beside model requests");
+DEFINE_double(post_share, 0.5, "share of service requests that are POSTs with an Idempotency-Key");
+DEFINE_string(service_hosts, "", "IP:PORT,... of fake services whose calls are checked after the run");
+DEFINE_double(leave_share, 0, "share of callers that go away before the end of their answer");
+DEFINE_double(leave_after_min_s, 0.05, "earliest moment at which such a caller goes away");
+DEFINE_double(leave_after_max_s, 2, "latest moment at which such a caller goes away");
+DEFINE_double(return_share, 0, "share of refused callers that come back once at the time they were told");
+DEFINE_string(api_key, "", "sent as Authorization: Bearer");
+DEFINE_double(timeout_s, 30, "longest wait for one answer");
+DEFINE_double(first_token_ms, 1300, "target of the time to first token");
+DEFINE_double(token_interval_ms, 58, "target of the mean interval between the tokens of an answer");
+DEFINE_string(json, "", "file for the report as JSON");
+DEFINE_string(plot, "", "file for a plot of the run as SVG");
+DEFINE_bool(progress, true, "a line per second on standard error");
+
+namespace persimmon {
+namespace {
+
+constexpr int kExitFaults = 3;  // lost, doubled or wrong answers
+
+// Collects what is wrong with the command line, so that all of it is reported at once.
+class flag_reader {
+ public:
+  std::vector<host_port> Addresses(const char* name, const std::string& text) {
+    std::vector<host_port> addresses;
+    std::size_t begin = 0;
+    while (begin < text.size()) {
+      const auto end = std::min(text.find(',', begin), text.size());
+      auto address = ParseHostPort(text.substr(begin, end - begin));
+      if (address) {
+        addresses.push_back(address.value());
+      } else {
+        Add(name, address.error().message);
+      }
+      begin = end + 1;
+    }
+    return addresses;
+  }
+
+  size_mix Mix(const char* name, const std::string& text) {
+    auto mix = ParseSizeMix(text);
+    if (!mix) {
+      Add(name, mix.error().message);
+      return {};
+    }
+    return mix.value();
+  }
+
+  void Share(const char* name, double value) { Check(value >= 0 && value <= 1, name, "must be from 0 to 1"); }
+  void Positive(const char* name, double value) { Check(value > 0, name, "must be over 0"); }
+
+  void Check(bool valid, const char* name, const std::string& message) {
+    if (!valid) {
+      Add(name, message);
+    }
+  }
+
+  const finding_list& Findings() const { return findings_; }
+
+ private:
+  void Add(const char* name, const std::string& message) { findings_.push_back({fmt::format("--{}", name), message}); }
+
+  finding_list findings_;
+};
+
+load_run_settings ReadFlags(flag_reader& reader) {
+  load_run_settings settings;
+  traffic_settings& traffic = settings.traffic;
+  settings.targets = reader.Addresses("targets", FLAGS_targets);
+  settings.services = reader.Addresses("service_hosts", FLAGS_service_hosts);
+  settings.api_key = FLAGS_api_key;
+  settings.timeout_s = FLAGS_timeout_s;
+  settings.latency = {FLAGS_first_token_ms / 1e3, FLAGS_token_interval_ms / 1e3};
+  settings.show_progress = FLAGS_progress;
+  traffic.profile = FLAGS_profile == "surge" ? load_profile::kSurge : load_profile::kSteady;
+  traffic.rate = FLAGS_rate;
+  traffic.surge_factor = FLAGS_surge_factor;
+  traffic.duration_s = FLAGS_duration_s;
+  traffic.seed = FLAGS_seed;
+  traffic.run_id = FLAGS_run_id.empty() ? RandomHex(8) : FLAGS_run_id;
+  traffic.model = FLAGS_model;
+  traffic.prompt_tokens = reader.Mix("prompt_tokens", FLAGS_prompt_tokens);
+  traffic.output_tokens = reader.Mix("max_tokens", FLAGS_max_tokens);
+  traffic.shared_prefix_share = FLAGS_shared_prefix_share;
+  traffic.shared_prefix_tokens = FLAGS_shared_prefix_tokens;
+  traffic.shared_prefixes = FLAGS_shared_prefixes;
+  traffic.stream_share = FLAGS_stream_share;
+  traffic.service_path = FLAGS_service_path;
+  traffic.service_share = FLAGS_service_share;
+  traffic.post_share = FLAGS_post_share;
+  traffic.leave_share = FLAGS_leave_share;
+  traffic.leave_after_min_s = FLAGS_leave_after_min_s;
+  traffic.leave_after_max_s = FLAGS_leave_after_max_s;
+  traffic.return_share = FLAGS_return_share;
+  reader.Check(!settings.targets.empty(), "targets", "at least one IP:PORT is required");
+  reader.Check(FLAGS_profile == "surge" || FLAGS_profile == "steady", "profile", "must be steady or surge");
+  reader.Check(!traffic.model.empty() || !traffic.service_path.empty(), "model",
+               "--model or --service_path is required");
+  reader.Check(traffic.service_path.empty() || traffic.service_path.front() == '/', "service_path",
+               "must start with /");
+  reader.Check(traffic.shared_prefixes > 0, "shared_prefixes", "must be over 0");
+  reader.Check(traffic.leave_after_min_s > 0 && traffic.leave_after_max_s >= traffic.leave_after_min_s,
+               "leave_after_min_s", "must be over 0 and not over --leave_after_max_s");
+  reader.Positive("rate", traffic.rate);
+  reader.Positive("surge_factor", traffic.surge_factor);
+  reader.Positive("duration_s", traffic.duration_s);
+  reader.Positive("timeout_s", settings.timeout_s);
+  reader.Share("shared_prefix_share", traffic.shared_prefix_share);
+  reader.Share("stream_share", traffic.stream_share);
+  reader.Share("service_share", traffic.service_share);
+  reader.Share("post_share", traffic.post_share);
+  reader.Share("leave_share", traffic.leave_share);
+  reader.Share("return_share", traffic.return_share);
+  return settings;
+}
+
+// Returns false and says why if the file cannot be written. An empty path is no file.
+bool WriteFile(const std::string& path, const std::string& text) {
+  if (path.empty()) {
+    return true;
+  }
+  std::ofstream file(path);
+  file << text;
+  file.close();
+  if (!file) {
+    fmt::print(stderr, "persimmon-load: cannot write {}\n", path);
+    return false;
+  }
+  return true;
+}
+
+}  // namespace
+}  // namespace persimmon
+
+int main(int argc, char** argv) {
+  using namespace persimmon;
+  gflags::SetVersionString(kProgramVersion);
+  gflags::SetUsageMessage(
+      "Generates open-loop load, checks every answer and reports what was in time.\n"
+      "Usage: persimmon-load --targets IP:PORT,... --model NAME --rate N [--profile surge] [--json FILE]\n"
+      "Exit codes: 0 no faults, 1 a file could not be written, 2 wrong command line, 3 lost, doubled or wrong answers");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  flag_reader reader;
+  const load_run_settings settings = ReadFlags(reader);
+  if (!reader.Findings().empty()) {
+    fmt::print(stderr, "{}", FormatFindings(reader.Findings()));
+    return kExitSettings;
+  }
+  const load_summary summary = RunLoad(settings);
+  fmt::print("{}", FormatText(summary));
+  const bool written = WriteFile(FLAGS_json, FormatJson(summary)) && WriteFile(FLAGS_plot, FormatPlot(summary));
+  fmt::print("{}\n", FormatLastLine(summary));
+  if (!written) {
+    return kExitFailure;
+  }
+  return summary.lost + summary.doubled + summary.wrong == 0 ? kExitSuccess : kExitFaults;
+}
--- /dev/null
+++ b/src/load/load_run.cpp
@@ -0,0 +1,504 @@
+// Sections
+//   1. one caller
+//   2. run
+//   3. check of the services' calls
+#include "load/load_run.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/parse.hpp>
+#include <charconv>
+#include <unordered_map>
+
+#include "net/http.h"
+
+namespace persimmon {
+namespace {
+
+namespace json = boost::json;
+
+constexpr int kConnectTries = 3;          // routers that a balancer tries for one request
+constexpr double kMaxReturnSeconds = 60;  // callers do not wait longer than this
+constexpr std::size_t kIdleConnections = 4096;
+constexpr double kLateDispatchSeconds = 0.02;
+constexpr const char* kUnreachable = "unreachable";
+
+double SecondsSince(time_point begin) { return std::chrono::duration<double>(timer_service::Now() - begin).count(); }
+
+microseconds ToMicroseconds(double seconds) { return microseconds(static_cast<std::int64_t>(seconds * 1e6)); }
+
+milliseconds ToMilliseconds(double seconds) {
+  return milliseconds(std::max<std::int64_t>(1, static_cast<std::int64_t>(seconds * 1e3)));
+}
+
+const json::value* FindField(const json::value& parent, std::string_view name) {
+  const json::object* object = parent.if_object();
+  return object == nullptr ? nullptr : object->if_contains(name);
+}
+
+std::string FindText(const json::value& parent, std::string_view name) {
+  const json::value* found = FindField(parent, name);
+  return found != nullptr && found->is_string() ? std::string(found->get_string()) : std::string();
+}
+
+// Text of a completion, a chat completion or one chunk of either; null if there is none.
+const json::string* FindAnswerText(const json::value& answer) {
+  const json::value* choices = FindField(answer, "choices");
+  if (choices == nullptr || !choices->is_array() || choices->get_array().empty()) {
+    return nullptr;
+  }
+  const json::value& choice = choices->get_array().front();
+  const json::value* text = FindField(choice, "text");
+  for (const char* nested : {"delta", "message"}) {
+    const json::value* holder = FindField(choice, nested);
+    if (text == nullptr && holder != nullptr) {
+      text = FindField(*holder, "content");
+    }
+  }
+  return text == nullptr ? nullptr : text->if_string();
+}
+
+// How one try of a request ended.
+struct try_result {
+  request_end end = request_end::kLost;
+  bool unreachable = false;  // no router accepted the connection
+  bool broken = false;       // the connection ended without a whole answer
+  std::string code;          // of a refusal
+  std::string outcome;       // of a refusal
+  double retry_after_s = 0;  // 0: not told
+  std::string detail;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. one caller
+// ---------------------------------------------------------------------------------------------------------------------
+
+// Reads the server-sent events of one answer.
+class event_reader {
+ public:
+  event_reader(answer_checker& checker, time_point begin) : checker_(checker), begin_(begin) {}
+
+  bool AddLine(std::string_view line) {
+    static constexpr std::string_view kPrefix = "data: ";
+    if (line.substr(0, kPrefix.size()) != kPrefix) {
+      return true;
+    }
+    line.remove_prefix(kPrefix.size());
+    if (line == "[DONE]") {
+      done_ = true;
+      return true;
+    }
+    boost::system::error_code failure;
+    const json::value event = json::parse(line, failure);
+    if (failure) {
+      malformed_ = true;
+      return true;
+    }
+    if (const json::value* problem = FindField(event, "error")) {
+      error_code_ = FindText(*problem, "code");
+      error_outcome_ = FindText(*problem, "outcome");
+      failed_ = true;
+      return true;
+    }
+    if (const json::string* text = FindAnswerText(event)) {
+      const std::uint32_t count = checker_.AddText(std::string_view(text->data(), text->size()));
+      if (count > 0) {
+        last_token_s_ = SecondsSince(begin_);
+        first_token_s_ = tokens_ == 0 ? last_token_s_ : first_token_s_;
+        tokens_ += count;
+      }
+    }
+    return true;
+  }
+
+  bool IsDone() const { return done_; }
+  bool IsMalformed() const { return malformed_; }
+  bool HasFailed() const { return failed_; }
+  const std::string& ErrorCode() const { return error_code_; }
+  const std::string& ErrorOutcome() const { return error_outcome_; }
+  double FirstTokenSeconds() const { return first_token_s_; }
+  double IntervalSeconds() const { return tokens_ < 2 ? 0 : (last_token_s_ - first_token_s_) / (tokens_ - 1); }
+
+ private:
+  answer_checker& checker_;
+  time_point begin_;
+  std::uint32_t tokens_ = 0;
+  double first_token_s_ = 0;
+  double last_token_s_ = 0;
+  bool done_ = false;
+  bool malformed_ = false;
+  bool failed_ = false;
+  std::string error_code_;
+  std::string error_outcome_;
+};
+
+void ReadRefusal(const http_response& response, try_result& outcome) {
+  outcome.end = request_end::kRefused;
+  outcome.code = fmt::format("http_{}", response.status);
+  boost::system::error_code failure;
+  const json::value body = json::parse(response.body, failure);
+  const json::value* problem = failure ? nullptr : FindField(body, "error");
+  if (problem != nullptr && !FindText(*problem, "code").empty()) {
+    outcome.code = FindText(*problem, "code");
+    outcome.outcome = FindText(*problem, "outcome");
+  }
+  const std::string_view fine = FindHeader(response.headers, "X-Retry-After-Ms");
+  const std::string_view coarse = FindHeader(response.headers, "Retry-After");
+  const std::string_view told = fine.empty() ? coarse : fine;
+  double value = 0;
+  const auto parsed = std::from_chars(told.data(), told.data() + told.size(), value);
+  if (!told.empty() && parsed.ec == std::errc()) {
+    outcome.retry_after_s = fine.empty() ? value : value / 1e3;
+  }
+}
+
+void JudgeTokens(const answer_checker& checker, try_result& outcome) {
+  if (checker.IsWhole()) {
+    outcome.end = request_end::kAnswered;
+    return;
+  }
+  outcome.end = checker.Verdict() == token_verdict::kDoubled ? request_end::kDoubled : request_end::kWrong;
+  outcome.detail = fmt::format("only the first {} tokens are right", checker.Received());
+}
+
+// A planned caller who goes away, or an answer that did not come.
+void JudgeFailure(const error& failure, const planned_request& plan, bool in_time_to_leave, try_result& outcome) {
+  outcome.detail = failure.message;
+  if (failure.code == error_code::kUnavailable) {
+    outcome.unreachable = true;
+  } else if (plan.leave_after_s > 0 && in_time_to_leave) {
+    outcome.end = request_end::kLeft;
+  } else {
+    outcome.broken = true;
+  }
+}
+
+// State that every caller of a run shares.
+struct load_run {
+  explicit load_run(const load_run_settings& run_settings)
+      : settings(run_settings),
+        traffic(run_settings.traffic),
+        client(context, MakeLimits(run_settings)),
+        timers(context),
+        target_random(run_settings.traffic.seed + 2) {}
+
+  static http_client_limits MakeLimits(const load_run_settings& run_settings) {
+    http_client_limits limits;
+    limits.response_timeout = ToMilliseconds(run_settings.timeout_s);
+    limits.idle_timeout = ToMilliseconds(run_settings.timeout_s);
+    limits.idle_connections = kIdleConnections;
+    return limits;
+  }
+
+  load_run_settings settings;
+  asio::io_context context{1};
+  traffic_generator traffic;
+  http_client client;
+  timer_service timers;
+  std::mt19937_64 target_random;
+  time_point start;
+  std::vector<request_result> results;
+  std::uint64_t planned = 0;
+  std::uint64_t in_progress = 0;
+  std::uint64_t late_dispatches = 0;
+  std::unordered_map<std::string, std::size_t> posts;          // key to index of its result
+  std::unordered_map<std::string, std::string> post_outcomes;  // key to outcome of its refusal
+  load_summary progress;
+
+  host_port ChooseTarget() { return settings.targets[target_random() % settings.targets.size()]; }
+
+  http_request BuildRequest(const planned_request& plan, const std::string& prompt) const {
+    http_request request;
+    const std::string key = traffic.BuildKey(plan);
+    request.headers.push_back({"X-Request-Id", key});
+    if (!settings.api_key.empty()) {
+      request.headers.push_back({"Authorization", "Bearer " + settings.api_key});
+    }
+    if (plan.kind == request_kind::kModel) {
+      request.method = "POST";
+      request.target = "/v1/completions";
+      request.headers.push_back({"Content-Type", "application/json"});
+      request.body = fmt::format(R"({{"model":"{}","max_tokens":{},"stream":{},"prompt":")", settings.traffic.model,
+                                 plan.output_tokens, plan.stream);
+      request.body += prompt;
+      request.body += "\"}";
+      return request;
+    }
+    request.method = plan.kind == request_kind::kPost ? "POST" : "GET";
+    request.target = traffic.BuildServiceTarget(plan);
+    if (plan.kind == request_kind::kPost) {
+      request.headers.push_back({"Idempotency-Key", key});
+      request.headers.push_back({"Content-Type", "application/json"});
+      request.body = traffic.BuildServiceBody(plan);
+    }
+    return request;
+  }
+
+  task<try_result> TryStream(planned_request plan, std::string prompt, time_point begin, request_result& result) {
+    try_result outcome;
+    answer_checker checker(prompt, plan.output_tokens);
+    event_reader reader(checker, begin);
+    const host_port target = ChooseTarget();
+    http_request request = BuildRequest(plan, prompt);
+    const double limit = plan.leave_after_s > 0 ? plan.leave_after_s : settings.timeout_s;
+    const milliseconds time_limit = ToMilliseconds(limit);
+    http_client::line_handler on_line = [&reader](std::string_view line) { return reader.AddLine(line); };
+    auto answer = co_await client.FetchLines(target, std::move(request), std::move(on_line), time_limit);
+    result.tokens = checker.Received();
+    result.first_token_s = reader.FirstTokenSeconds();
+    result.token_interval_s = reader.IntervalSeconds();
+    if (!answer) {
+      JudgeFailure(answer.error(), plan, answer.error().code == error_code::kTimeout, outcome);
+    } else if (answer.value().status != 200) {
+      ReadRefusal(answer.value(), outcome);
+    } else if (reader.HasFailed()) {
+      outcome.end = request_end::kRefused;
+      outcome.code = reader.ErrorCode();
+      outcome.outcome = reader.ErrorOutcome();
+    } else if (!reader.IsDone()) {
+      outcome.detail = "the stream ended without [DONE]";
+    } else if (reader.IsMalformed()) {
+      outcome.end = request_end::kWrong;
+      outcome.detail = "an event is not JSON";
+    } else {
+      JudgeTokens(checker, outcome);
+    }
+    co_return outcome;
+  }
+
+  task<try_result> TryWhole(planned_request plan, std::string prompt, time_point begin, request_result& result) {
+    try_result outcome;
+    const host_port target = ChooseTarget();
+    http_request request = BuildRequest(plan, prompt);
+    const std::string path = request.target;
+    const std::string body = request.body;
+    const double limit = plan.leave_after_s > 0 ? plan.leave_after_s : settings.timeout_s;
+    const milliseconds time_limit = ToMilliseconds(limit);
+    auto answer = co_await client.Fetch(target, std::move(request), time_limit);
+    result.first_token_s = SecondsSince(begin);
+    if (!answer) {
+      JudgeFailure(answer.error(), plan, answer.error().code == error_code::kTimeout, outcome);
+      co_return outcome;
+    }
+    if (answer.value().status != 200) {
+      ReadRefusal(answer.value(), outcome);
+      co_return outcome;
+    }
+    boost::system::error_code failure;
+    const json::value content = json::parse(answer.value().body, failure);
+    if (failure) {
+      outcome.end = request_end::kWrong;
+      outcome.detail = "the answer is not JSON";
+    } else if (plan.kind == request_kind::kModel) {
+      answer_checker checker(prompt, plan.output_tokens);
+      if (const json::string* text = FindAnswerText(content)) {
+        checker.AddText(std::string_view(text->data(), text->size()));
+      }
+      result.tokens = checker.Received();
+      JudgeTokens(checker, outcome);
+    } else {
+      JudgeService(content, path, body, plan, outcome);
+    }
+    co_return outcome;
+  }
+
+  static void JudgeService(const json::value& content, const std::string& path, const std::string& body,
+                           const planned_request& plan, try_result& outcome) {
+    const json::value* calls = FindField(content, "calls");
+    const std::string hash = FindText(content, "body_hash");
+    outcome.end = request_end::kAnswered;
+    if (FindText(content, "path") != path) {
+      outcome.end = request_end::kWrong;
+      outcome.detail = fmt::format("answer for path '{}' instead of '{}'", FindText(content, "path"), path);
+    } else if (!hash.empty() && plan.kind == request_kind::kPost && hash != HashText(body)) {
+      outcome.end = request_end::kWrong;
+      outcome.detail = "answer for another body";
+    } else if (plan.kind == request_kind::kPost && calls != nullptr && calls->is_int64() && calls->get_int64() > 1) {
+      outcome.end = request_end::kDoubled;
+      outcome.detail = fmt::format("the service counts {} calls", calls->get_int64());
+    }
+  }
+
+  task<try_result> TryOnce(const planned_request& plan, const std::string& prompt, time_point begin,
+                           request_result& result) {
+    for (int tried = 1;; ++tried) {
+      try_result outcome;
+      if (plan.kind == request_kind::kModel && plan.stream) {
+        outcome = co_await TryStream(plan, prompt, begin, result);
+      } else {
+        outcome = co_await TryWhole(plan, prompt, begin, result);
+      }
+      if (!outcome.unreachable) {
+        co_return outcome;
+      }
+      if (tried == kConnectTries) {
+        outcome.end = request_end::kRefused;
+        outcome.code = kUnreachable;
+        co_return outcome;
+      }
+    }
+  }
+
+  task<> RunCaller(planned_request plan) {
+    request_result result;
+    result.plan = plan;
+    const std::string prompt = plan.kind == request_kind::kModel ? traffic.BuildPrompt(plan) : std::string();
+    time_point begin = start + ToMicroseconds(plan.at_s);
+    try_result outcome;
+    while (true) {
+      const time_point sent = timer_service::Now();
+      outcome = co_await TryOnce(plan, prompt, begin, result);
+      if (outcome.broken && !result.resent) {
+        result.resent = true;
+        continue;
+      }
+      if (outcome.end == request_end::kRefused) {
+        result.refusal_s = SecondsSince(sent);
+        if (plan.returns && !result.returned && outcome.retry_after_s > 0 &&
+            outcome.retry_after_s <= kMaxReturnSeconds) {
+          result.returned = true;
+          co_await timers.Sleep(ToMicroseconds(outcome.retry_after_s));
+          begin = timer_service::Now();
+          continue;
+        }
+      }
+      break;
+    }
+    result.end = outcome.end;
+    result.code = outcome.code;
+    result.detail = outcome.detail;
+    result.ended_s = SecondsSince(start);
+    Finish(std::move(result), outcome.outcome);
+  }
+
+  void Finish(request_result result, const std::string& outcome) {
+    --in_progress;
+    progress.answered += result.end == request_end::kAnswered ? 1 : 0;
+    progress.refused += result.end == request_end::kRefused ? 1 : 0;
+    progress.in_time += IsInTime(result, settings.latency) ? 1 : 0;
+    const bool fault =
+        result.end == request_end::kLost || result.end == request_end::kDoubled || result.end == request_end::kWrong;
+    progress.lost += fault ? 1 : 0;
+    if (result.plan.kind == request_kind::kPost) {
+      const std::string key = traffic.BuildKey(result.plan);
+      posts[key] = results.size();
+      post_outcomes[key] = outcome;
+    }
+    results.push_back(std::move(result));
+  }
+
+  // -------------------------------------------------------------------------------------------------------------------
+  // 2. run
+  // -------------------------------------------------------------------------------------------------------------------
+
+  task<> Dispatch() {
+    planned_request plan;
+    asio::steady_timer timer(context);
+    while (traffic.PlanNext(plan)) {
+      const time_point due = start + ToMicroseconds(plan.at_s);
+      if (due > timer_service::Now()) {
+        timer.expires_at(due);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+      }
+      late_dispatches += SecondsSince(due) > kLateDispatchSeconds ? 1 : 0;
+      ++planned;
+      ++in_progress;
+      asio::co_spawn(context, RunCaller(plan), asio::detached);
+    }
+    while (in_progress > 0) {
+      const microseconds pause(5'000);
+      co_await timers.Sleep(pause);
+    }
+    for (const host_port& service : settings.services) {
+      co_await CheckService(service);
+    }
+    JudgeCalls();
+    context.stop();
+  }
+
+  void PrintProgress() const {
+    fmt::print(stderr, "{:6.1f} s  sent {}  answered {}  in time {}  refused {}  faults {}  in progress {}\n",
+               SecondsSince(start), planned, progress.answered, progress.in_time, progress.refused, progress.lost,
+               in_progress);
+  }
+
+  // -------------------------------------------------------------------------------------------------------------------
+  // 3. check of the services' calls
+  // -------------------------------------------------------------------------------------------------------------------
+
+  std::unordered_map<std::string, std::int64_t> calls;  // key of a POST to its calls, over all services
+
+  task<> CheckService(host_port service) {
+    http_request request;
+    request.method = "GET";
+    request.target = "/calls";
+    auto answer = co_await client.Fetch(service, std::move(request));
+    if (!answer) {
+      fmt::print(stderr, "calls of {} are unknown: {}\n", service.Text(), answer.error().message);
+      co_return;
+    }
+    boost::system::error_code failure;
+    const json::value content = json::parse(answer.value().body, failure);
+    const json::value* counts = failure ? nullptr : FindField(content, "calls");
+    if (counts == nullptr || !counts->is_object()) {
+      fmt::print(stderr, "calls of {} are unknown: the answer has no object \"calls\"\n", service.Text());
+      co_return;
+    }
+    static constexpr std::string_view kMark = R"({"submission":")";
+    for (const auto& item : counts->get_object()) {
+      const std::string_view name(item.key().data(), item.key().size());
+      const auto begin = name.find(kMark);
+      if (begin != std::string_view::npos && item.value().is_int64()) {
+        const std::string_view rest = name.substr(begin + kMark.size());
+        calls[std::string(rest.substr(0, rest.find('"')))] += item.value().get_int64();
+      }
+    }
+  }
+
+  void JudgeCalls() {
+    if (settings.services.empty()) {
+      return;
+    }
+    for (const auto& [key, index] : posts) {
+      request_result& result = results[index];
+      const auto found = calls.find(key);
+      const std::int64_t count = found == calls.end() ? 0 : found->second;
+      if (count > 1) {
+        result.end = request_end::kDoubled;
+        result.detail = fmt::format("the services count {} calls", count);
+      } else if (count == 1 && result.end == request_end::kRefused && post_outcomes[key] == "not_run") {
+        result.end = request_end::kWrong;
+        result.detail = "refused as not_run, but the service ran it";
+      } else if (count == 0 && result.end == request_end::kAnswered) {
+        result.end = request_end::kWrong;
+        result.detail = "answered, but no service ran it";
+      }
+    }
+  }
+};
+
+}  // namespace
+
+load_summary RunLoad(const load_run_settings& settings) {
+  load_run run(settings);
+  run.start = timer_service::Now();
+  timer_subscription progress;
+  if (settings.show_progress) {
+    progress = run.timers.SubscribeEvery(milliseconds(1'000), 0, [&run] { run.PrintProgress(); });
+  }
+  asio::co_spawn(run.context, run.Dispatch(), asio::detached);
+  run.context.run();
+  const double duration = SecondsSince(run.start);
+  load_summary summary = SummarizeResults(run.results, settings.latency, run.traffic, duration);
+  summary.late_dispatches = run.late_dispatches;
+  return summary;
+}
+
+}  // namespace persimmon
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -611,13 +611,20 @@
 }
 
 task<result<http_response>> http_client::FetchLines(host_port address, http_request request, line_handler on_line) {
+  co_return co_await FetchLines(std::move(address), std::move(request), std::move(on_line), milliseconds::max());
+}
+
+task<result<http_response>> http_client::FetchLines(host_port address, http_request request, line_handler on_line,
+                                                    milliseconds total_timeout) {
   const auto state = state_;
+  const bool limited = total_timeout != milliseconds::max();
+  const time_point end = limited ? timer_service::Now() + total_timeout : time_point::max();
   auto connected = co_await state->Connect(address);
   if (!connected) {
     co_return connected.error();
   }
   client_connection_ptr connection = std::move(connected.value());
-  connection->stream.expires_after(state->limits.response_timeout);
+  connection->stream.expires_at(std::min(end, timer_service::Now() + state->limits.response_timeout));
   auto sent = co_await state->Send(*connection, address, std::move(request));
   if (!sent) {
     co_return sent.error();
@@ -637,7 +644,7 @@
   while (!parser.is_done()) {
     parser.get().body().data = chunk.data();
     parser.get().body().size = chunk.size();
-    connection->stream.expires_after(state->limits.idle_timeout);
+    connection->stream.expires_at(std::min(end, timer_service::Now() + state->limits.idle_timeout));
     co_await http::async_read_some(connection->stream, connection->buffer, parser, AwaitWith(failure));
     if (failure == http::error::need_buffer) {
       failure = {};
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -158,6 +158,10 @@
   using line_handler = std::function<bool(std::string_view line)>;
   task<result<http_response>> FetchLines(host_port address, http_request request, line_handler on_line);
 
+  // The same with a limit for the whole exchange, beside the other limits. Errors: kTimeout when it is over.
+  task<result<http_response>> FetchLines(host_port address, http_request request, line_handler on_line,
+                                         milliseconds total_timeout);
+
  private:
   struct state;
   std::shared_ptr<state> state_;
