Follow the loan sequence numbers of the limits module in the router

Cause: the limits module now numbers requests to the home router; the guards did not compile against it (4 errors). Change: the guards pass the module's sequence numbers on. Conclusion: interfaces agree again.

--- a/src/router/guards.cpp
+++ b/src/router/guards.cpp
@@ -102,7 +102,7 @@
     const std::size_t routers = peers.RouterNames().size();
     const take_result taken = table_.TakeTokens(account.name, limit, amount, now < end, routers, now);
     if (taken.borrow > 0) {
-      AskHome(account, home, taken.borrow);
+      AskHome(account, home, taken);
     }
     if (taken.verdict == take_verdict::kTaken) {
       co_return outcome::success();
@@ -121,17 +121,18 @@
   }
 }
 
-void account_guard::AskHome(const account_record& account, const router_name& home, std::uint64_t amount) {
+void account_guard::AskHome(const account_record& account, const router_name& home, const take_result& need) {
   const time_point now = timer_service::Now();
   if (home.value == settings_.name) {
-    table_.NoteLoan(account.name, lender_.LendTokens(account.name, LimitOf(account), amount, now), now, now);
+    const loan granted = lender_.LendTokens(account.name, LimitOf(account), need.borrow, now);
+    table_.NoteLoan(account.name, need.sequence, granted, now);
     return;
   }
-  const std::uint64_t sequence = ++next_sequence_;
-  pending_[account.name] = {sequence, now};
-  if (!kernel_.Find<peer_directory>("peers").Send(home.value, lend_tokens{account.name, sequence, amount})) {
+  pending_[account.name] = {need.sequence, now};
+  const lend_tokens question{account.name, need.sequence, need.borrow};
+  if (!kernel_.Find<peer_directory>("peers").Send(home.value, question)) {
     pending_.erase(account.name);
-    table_.NoteLoanFailed(account.name, now);
+    table_.NoteLoanFailed(account.name, need.sequence);
   }
 }
 
@@ -150,9 +151,8 @@
     if (found == pending_.end() || found->second.sequence != lent->sequence) {
       return;
     }
-    const time_point asked_at = found->second.asked;
     pending_.erase(found);
-    table_.NoteLoan(lent->account, loan{lent->amount, milliseconds(lent->retry_in_ms)}, asked_at, now);
+    table_.NoteLoan(lent->account, lent->sequence, loan{lent->amount, milliseconds(lent->retry_in_ms)}, now);
   }
 }
 
@@ -160,7 +160,7 @@
   const time_point now = timer_service::Now();
   for (auto item = pending_.begin(); item != pending_.end();) {
     if (now - item->second.asked > kLoanTimeout) {
-      table_.NoteLoanFailed(item->first, now);
+      table_.NoteLoanFailed(item->first, item->second.sequence);
       item = pending_.erase(item);
     } else {
       ++item;
--- a/src/router/guards.h
+++ b/src/router/guards.h
@@ -73,7 +73,7 @@
   };
 
   void ApplyConfiguration(const configuration& config);
-  void AskHome(const account_record& account, const router_name& home, std::uint64_t amount);
+  void AskHome(const account_record& account, const router_name& home, const take_result& need);
   void HandleMessage(const channel_ptr& from, const message& value);
   void ExpireLoans();
   router_name FindHome(const account_name& account) const;
@@ -86,7 +86,6 @@
   std::unordered_map<account_name, account_record> by_name_;
   std::unordered_map<account_name, std::shared_ptr<std::uint32_t>> in_progress_;
   std::unordered_map<account_name, pending_loan> pending_;
-  std::uint64_t next_sequence_ = 0;
   timer_subscription tick_;
 };
 
