--- /dev/null
+++ b/src/agent/agent_routers.cpp
@@ -0,0 +1,260 @@
+// Sections
+//   1. channels
+//   2. silent routers
+//   3. load reports
+//   4. configuration from routers
+#include <fmt/format.h>
+
+#include <algorithm>
+
+#include "agent/agent_state.h"
+
+namespace persimmon::detail {
+namespace {
+
+// A report with this many cache events stays below kMaxDatagramBytes: 17 bytes each and about 200 for the rest.
+constexpr std::size_t kEventsPerReport = 48;
+
+// While no snapshot arrives, the same router is asked again after this time.
+constexpr milliseconds kFetchPause(1'000);
+
+}  // namespace
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. channels
+// ---------------------------------------------------------------------------------------------------------------------
+
+hello agent_state::MakeHello() const {
+  hello own;
+  own.program = "agent";
+  own.name = settings.name;
+  own.incarnation = incarnation;
+  own.zone = settings.zone;
+  own.secret = settings.secret;
+  own.revision = configs.Revision();
+  return own;
+}
+
+heartbeat agent_state::MakeHeartbeat() const {
+  heartbeat beat;
+  beat.revision = configs.Revision();
+  beat.leaving = leaving;
+  return beat;
+}
+
+router_session* agent_state::FindSession(const channel_ptr& link) {
+  const auto found = sessions.find({router_name{link->Peer().name}, link->Peer().incarnation});
+  return found == sessions.end() ? nullptr : &found->second;
+}
+
+void agent_state::OnOpen(const channel_ptr& link) {
+  const router_identity identity{router_name{link->Peer().name}, link->Peer().incarnation};
+  std::vector<router_identity> older;
+  for (const auto& [other, session] : sessions) {
+    if (other.name == identity.name && other.incarnation < identity.incarnation) {
+      older.push_back(other);
+    }
+  }
+  for (const router_identity& other : older) {
+    DropRouter(other, "a newer incarnation has connected");
+  }
+  router_session& session = sessions[identity];
+  session.identity = identity;
+  const channel_ptr previous = std::exchange(session.channel, link);
+  session.last_heard = timer_service::Now();
+  log.Info("Router {} incarnation {} has connected from {}.", identity.name.value, identity.incarnation,
+           link->RemoteAddress());
+  if (previous && previous != link) {
+    previous->Close({error_code::kClosed, "the router has opened a new channel"});
+  }
+  for (const slot_opening& opening : slots.ListOpenings(timer_service::Now())) {
+    const slot_role role = opening.kind == slot_kind::kPrefill ? slot_role::kPrefill : slot_role::kDecode;
+    link->Send(slot_open{role, ++opening_sequence, static_cast<std::uint32_t>(opening.start_in.count())});
+  }
+  ConsiderFetch(session, link->Peer().revision);
+  UpdatePolling();
+}
+
+void agent_state::OnMessage(const channel_ptr& link, const message& value) {
+  router_session* session = FindSession(link);
+  if (session == nullptr || session->channel != link) {
+    return;
+  }
+  session->last_heard = timer_service::Now();
+  if (const auto* beat = std::get_if<heartbeat>(&value)) {
+    ConsiderFetch(*session, beat->revision);
+  } else if (const auto* reserve = std::get_if<reserve_slot>(&value)) {
+    OnReserve(*session, *reserve);
+  } else if (const auto* prefill = std::get_if<start_prefill>(&value)) {
+    OnStart(*session, *prefill);
+  } else if (const auto* decode = std::get_if<start_decode>(&value)) {
+    OnStart(*session, *decode);
+  } else if (const auto* resume = std::get_if<resume_stream>(&value)) {
+    OnResume(*session, *resume);
+  } else if (const auto* call = std::get_if<call_service>(&value)) {
+    OnCall(*session, *call);
+  } else if (const auto* stop = std::get_if<cancel>(&value)) {
+    OnCancel(*session, *stop);
+  } else if (const auto* query = std::get_if<query_attempt>(&value)) {
+    OnQuery(*session, *query);
+  } else if (const auto* snapshot = std::get_if<config_snapshot>(&value)) {
+    configs.OfferSnapshot(session->identity.name.value, *snapshot);
+  } else if (const auto* fetch = std::get_if<fetch_config>(&value)) {
+    link->Send(configs.MakeSnapshot(fetch->have));
+  } else {
+    log.Warning("Ignored {} of router {}: agents do not handle it.", MessageName(value), session->identity.name.value);
+  }
+}
+
+void agent_state::OnClose(const channel_ptr& link) {
+  for (const auto& [attempt, work] : works) {
+    if (work->channel == link) {
+      work->channel.reset();
+    }
+  }
+  router_session* session = FindSession(link);
+  if (session != nullptr && session->channel == link) {
+    session->channel.reset();
+    log.Info("The channel of router {} was lost.", session->identity.name.value);
+  }
+  UpdatePolling();
+}
+
+void agent_state::SendTo(const router_identity& router, const message& value) {
+  const auto found = sessions.find(router);
+  if (found != sessions.end() && found->second.channel) {
+    found->second.channel->Send(value);
+  }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. silent routers
+// ---------------------------------------------------------------------------------------------------------------------
+
+void agent_state::DropSilentRouters(time_point now) {
+  std::vector<router_identity> silent;
+  for (const auto& [identity, session] : sessions) {
+    if (now - session.last_heard >= settings.router_silence) {
+      silent.push_back(identity);
+    }
+  }
+  for (const router_identity& identity : silent) {
+    DropRouter(identity, "it is silent");
+  }
+}
+
+void agent_state::DropRouter(const router_identity& identity, const char* why) {
+  const auto found = sessions.find(identity);
+  if (found == sessions.end()) {
+    return;
+  }
+  const channel_ptr link = found->second.channel;
+  sessions.erase(found);
+  if (link) {
+    link->Close({error_code::kTimeout, why});
+  }
+  std::size_t cancelled = 0;
+  const auto copy = works;
+  for (const auto& [attempt, work] : copy) {
+    if (work->router != identity) {
+      continue;
+    }
+    if (!work->ended) {
+      ++cancelled;
+      CancelWork(work);
+    }
+  }
+  // Slots of work that the engine has begun stay in use until the engine has let go of it.
+  std::size_t freed = 0;
+  for (const attempt_id& attempt : slots.DropRouter(identity)) {
+    const auto work = works.find(attempt);
+    if (work == works.end()) {
+      ++freed;
+    }
+  }
+  log.Info("Dropped router {} incarnation {}, because {}: {} running, {} reserved.", identity.name.value,
+           identity.incarnation, why, cancelled, freed);
+  UpdatePolling();
+  Pump();
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. load reports
+// ---------------------------------------------------------------------------------------------------------------------
+
+load_report agent_state::MakeReport() const {
+  const time_point now = timer_service::Now();
+  load_report report;
+  report.secret = settings.secret;
+  report.endpoint = endpoint_name{settings.name};
+  report.incarnation = incarnation;
+  report.revision = configs.Revision();
+  report.leaving = leaving;
+  report.ready = IsReady();
+  report.prefill_free = static_cast<std::uint16_t>(slots.CountFree(slot_kind::kPrefill));
+  report.decode_free = static_cast<std::uint16_t>(slots.CountFree(slot_kind::kDecode));
+  report.decode_slots = static_cast<std::uint16_t>(slots.Slots(slot_kind::kDecode));
+  report.queued_tokens = slots.QueuedPromptTokens();
+  report.prefill_tokens_per_s = static_cast<std::uint32_t>(pace.prefill_tokens_per_s);
+  report.token_interval_us = static_cast<std::uint32_t>(pace.token_interval.count());
+  report.decode_free_in_ms = static_cast<std::uint32_t>(slots.PredictFree(slot_kind::kDecode, now).count());
+  return report;
+}
+
+void agent_state::AddCacheEvents(router_session& session, load_report& report) {
+  for (const cache_event& event : cache_events) {
+    if (report.cache_events.size() >= kEventsPerReport) {
+      break;
+    }
+    if (event.sequence > session.event_sent) {
+      report.cache_events.push_back(event);
+      session.event_sent = event.sequence;
+    }
+  }
+}
+
+void agent_state::SendLoadReports() {
+  if (!datagrams) {
+    return;
+  }
+  const load_report common = MakeReport();
+  ++report_sequence;
+  for (auto& [identity, session] : sessions) {
+    if (!session.channel || session.channel->Peer().datagram_port == 0) {
+      continue;
+    }
+    load_report report = common;
+    report.sequence = report_sequence;
+    AddCacheEvents(session, report);
+    datagrams->Send({session.channel->RemoteHost(), session.channel->Peer().datagram_port}, report);
+  }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. configuration from routers
+// ---------------------------------------------------------------------------------------------------------------------
+
+void agent_state::ConsiderFetch(router_session& session, revision_number revision) {
+  const time_point now = timer_service::Now();
+  if (revision <= configs.Revision() || !session.channel || now - session.fetched < kFetchPause) {
+    return;
+  }
+  // Once a configuration is in force one snapshot is enough; before that several routers are asked.
+  if (configs.IsInForce()) {
+    const bool asked = std::any_of(sessions.begin(), sessions.end(),
+                                   [now](const auto& item) { return now - item.second.fetched < kFetchPause; });
+    if (asked) {
+      return;
+    }
+  }
+  session.fetched = now;
+  session.channel->Send(fetch_config{configs.Revision()});
+}
+
+void agent_state::UpdatePolling() {
+  const bool connected =
+      std::any_of(sessions.begin(), sessions.end(), [](const auto& item) { return item.second.channel != nullptr; });
+  configs.SetPolling(!connected);
+}
+
+}  // namespace persimmon::detail
--- /dev/null
+++ b/src/agent/agent_work.cpp
@@ -0,0 +1,531 @@
+// Sections
+//   1. slots
+//   2. starts
+//   3. prefill
+//   4. decode and transfer
+//   5. end, cancel, resume
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+#include "agent/agent_state.h"
+
+namespace persimmon::detail {
+namespace {
+
+using json = nlohmann::json;
+
+// Ended work is kept this long for resume_stream. A channel is replaced within the silence limit of 1.5 s.
+constexpr milliseconds kEndedRetention(5'000);
+
+constexpr milliseconds kCancelPause(50);
+constexpr milliseconds kTransferPoll(2);
+
+// Weight of the newest sample in the measured pace.
+constexpr double kPaceWeight = 0.1;
+
+// Intervals outside of these bounds are no decode steps: a token that arrived with the one before, or a pause.
+constexpr microseconds kShortestInterval(200);
+constexpr microseconds kLongestInterval(2'000'000);
+
+slot_role ToRole(slot_kind kind) { return kind == slot_kind::kPrefill ? slot_role::kPrefill : slot_role::kDecode; }
+
+refusal_reason ToReason(slot_verdict verdict) {
+  switch (verdict) {
+    case slot_verdict::kLeaving:
+      return refusal_reason::kLeaving;
+    case slot_verdict::kWrongRole:
+      return refusal_reason::kWrongRole;
+    case slot_verdict::kSuspectRunning:
+      return refusal_reason::kSuspectRunning;
+    case slot_verdict::kDuplicate:
+      return refusal_reason::kDuplicate;
+    case slot_verdict::kGranted:
+    case slot_verdict::kBusy:
+      break;
+  }
+  return refusal_reason::kBusy;
+}
+
+std::uint32_t ToMilliseconds(std::chrono::nanoseconds duration) {
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(0, std::chrono::ceil<milliseconds>(duration).count()));
+}
+
+double Blend(double old_value, double sample) { return old_value + kPaceWeight * (sample - old_value); }
+
+}  // namespace
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. slots
+// ---------------------------------------------------------------------------------------------------------------------
+
+void agent_state::OnReserve(const router_session& session, const reserve_slot& request) {
+  const time_point now = timer_service::Now();
+  if (request.role == slot_role::kService || !IsReady()) {
+    const bool wrong_role = request.role == slot_role::kService;
+    const auto reason = leaving      ? refusal_reason::kLeaving
+                        : wrong_role ? refusal_reason::kWrongRole
+                                     : refusal_reason::kNotReady;
+    SendTo(session.identity, slot_refused{request.attempt, request.role, reason, ToMilliseconds(kEndedRetention)});
+    return;
+  }
+  slot_request wanted;
+  wanted.attempt = request.attempt;
+  wanted.kind = request.role == slot_role::kPrefill ? slot_kind::kPrefill : slot_kind::kDecode;
+  wanted.router = session.identity;
+  wanted.start = now + milliseconds(request.start_in_ms);
+  wanted.hold = milliseconds(request.hold_ms);
+  wanted.latest_start = now + milliseconds(request.latest_start_ms);
+  wanted.prompt_tokens = request.prompt_tokens;
+  wanted.output_tokens = request.output_tokens;
+  wanted.fingerprint = request.fingerprint;
+  wanted.suspect = request.suspect;
+  const slot_entry* held = slots.FindEntry(request.attempt);
+  if (held != nullptr && held->request.router == session.identity && held->phase == slot_phase::kReserved) {
+    // The grant may have been lost with a channel.
+    SendTo(session.identity, slot_granted{request.attempt, request.role, ToMilliseconds(held->start - now)});
+    return;
+  }
+  if (const auto decision = slots.ReserveSlot(wanted, now)) {
+    SendDecision(*decision);
+  }
+  Pump();
+}
+
+void agent_state::SendDecision(const slot_decision& decision) {
+  const slot_request& request = decision.request;
+  const slot_role role = ToRole(request.kind);
+  if (decision.verdict == slot_verdict::kGranted) {
+    const auto start_in = ToMilliseconds(decision.start - timer_service::Now());
+    SendTo(request.router, slot_granted{request.attempt, role, start_in});
+    return;
+  }
+  const refusal_reason reason = ToReason(decision.verdict);
+  log.Debug("Refused a {} slot to attempt {}: {}.", RoleName(role), request.attempt.value, RefusalName(reason));
+  SendTo(request.router, slot_refused{request.attempt, role, reason, ToMilliseconds(decision.retry)});
+}
+
+// Acts on everything in the slot table that is due. Work that starts or ends here may call it again.
+void agent_state::Pump() {
+  if (pumping) {
+    pump_again = true;
+    return;
+  }
+  pumping = true;
+  do {
+    pump_again = false;
+    PumpOnce();
+  } while (pump_again);
+  pumping = false;
+  const time_point now = timer_service::Now();
+  pump_timer.Cancel();
+  if (const auto due = slots.NextDue(now)) {
+    const auto rest = std::chrono::ceil<microseconds>(std::max(*due, now) - now);
+    pump_timer = timers.SubscribeOnce(rest + microseconds(100), [self = shared_from_this()] { self->Pump(); });
+  }
+}
+
+void agent_state::PumpOnce() {
+  const time_point now = timer_service::Now();
+  for (const attempt_id& attempt : slots.ExpireReservations(now)) {
+    log.Info("The reservation of attempt {} has expired unused.", attempt.value);
+  }
+  for (const slot_decision& decision : slots.DecideBids(now)) {
+    SendDecision(decision);
+  }
+  for (const attempt_id& attempt : slots.TakeDueStarts(now)) {
+    const auto found = works.find(attempt);
+    if (found != works.end()) {
+      BeginWork(found->second);
+    }
+  }
+  const auto openings = slots.TakeOpenings(now);
+  if (openings.empty() || !IsReady()) {
+    return;
+  }
+  for (const slot_opening& opening : openings) {
+    const slot_open news{ToRole(opening.kind), ++opening_sequence, ToMilliseconds(opening.start_in)};
+    for (const auto& [identity, session] : sessions) {
+      SendTo(identity, news);
+    }
+  }
+  SendLoadReports();
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. starts
+// ---------------------------------------------------------------------------------------------------------------------
+
+void agent_state::FailStart(const router_session& session, const attempt_id& attempt, bool is_prefill,
+                            const std::string& reason) {
+  log.Info("Attempt {} was not started: {}.", attempt.value, reason);
+  if (is_prefill) {
+    prefill_progress failed;
+    failed.attempt = attempt;
+    failed.state = work_state::kFailed;
+    failed.reason = reason;
+    SendTo(session.identity, failed);
+    return;
+  }
+  tokens failed;
+  failed.attempt = attempt;
+  failed.state = work_state::kFailed;
+  failed.reason = reason;
+  SendTo(session.identity, failed);
+}
+
+void agent_state::OnStart(const router_session& session, std::variant<start_prefill, start_decode> start) {
+  const time_point now = timer_service::Now();
+  auto work = std::make_shared<model_work>();
+  const bool is_prefill = std::holds_alternative<start_prefill>(start);
+  work->attempt = std::visit([](const auto& value) { return value.attempt; }, start);
+  work->request = std::visit([](const auto& value) { return value.request; }, start);
+  work->start = std::move(start);
+  work->router = session.identity;
+  work->channel = session.channel;
+  work->progress.attempt = work->attempt;
+  const slot_entry* entry = slots.FindEntry(work->attempt);
+  const auto kind = is_prefill ? slot_kind::kPrefill : slot_kind::kDecode;
+  const bool has_slot = entry != nullptr && entry->request.router == session.identity && entry->request.kind == kind;
+  switch (attempts.AcceptAttempt(work->attempt, 0, now)) {
+    case accept_verdict::kRun:
+      break;
+    case accept_verdict::kAlreadyRunning:
+    case accept_verdict::kAlreadyDone:
+      return;  // a repeated message; resume_stream asks for results
+    case accept_verdict::kTombstoned:
+    case accept_verdict::kWrongIncarnation:
+      slots.ReleaseSlot(work->attempt);
+      FailStart(session, work->attempt, is_prefill, "tombstoned");
+      Pump();
+      return;
+  }
+  if (!has_slot) {
+    attempts.FinishAttempt(work->attempt, "", now);
+    FailStart(session, work->attempt, is_prefill, "no_slot");
+    return;
+  }
+  works[work->attempt] = work;
+  if (slots.StartSlot(work->attempt, now) == start_verdict::kStarted) {
+    BeginWork(work);
+  }
+  Pump();
+}
+
+void agent_state::BeginWork(const work_ptr& work) {
+  if (std::exchange(work->begun, true)) {
+    return;
+  }
+  asio::co_spawn(context, work->IsPrefill() ? RunPrefill(work) : RunDecode(work), asio::detached);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. prefill
+// ---------------------------------------------------------------------------------------------------------------------
+
+task<> agent_state::RunPrefill(work_ptr work) {
+  const auto self = shared_from_this();
+  start_prefill start = std::get<start_prefill>(work->start);
+  span trace = traces.StartSpan("agent.prefill", start.traceparent);
+  trace.SetAttribute("endpoint", settings.name);
+  trace.SetAttribute("request", work->request.value);
+  const time_point begin = timer_service::Now();
+  std::string failure;
+  http_client::line_handler on_line = [self, work, &failure](std::string_view line) {
+    return self->OnPrefillLine(work, line, failure);
+  };
+  std::string traceparent = trace.Traceparent();
+  auto done = co_await engine.Prefill(std::move(start), std::move(traceparent), std::move(on_line));
+  if (failure.empty() && !done) {
+    failure = done.error().code == error_code::kInvalid ? done.error().message : "endpoint_lost";
+  }
+  const bool finished_whole = work->progress.state == work_state::kFinished;
+  if (finished_whole && work->progress.computed_tokens > 0) {
+    const std::chrono::duration<double> time = timer_service::Now() - begin;
+    pace.prefill_tokens_per_s = Blend(pace.prefill_tokens_per_s, work->progress.computed_tokens / time.count());
+    slots.SetPace(pace);
+  }
+  trace.failed = !finished_whole;
+  trace.SetAttribute("computed_tokens", std::to_string(work->progress.computed_tokens));
+  traces.EndSpan(std::move(trace));
+  const work_state state = finished_whole    ? work_state::kFinished
+                           : work->cancelled ? work_state::kCancelled
+                                             : work_state::kFailed;
+  EndWork(work, state, finished_whole ? "" : failure.empty() ? "endpoint_lost" : failure);
+}
+
+// Returns false to close the connection, which makes the engine drop the prefill.
+bool agent_state::OnPrefillLine(const work_ptr& work, std::string_view line, std::string& failure) {
+  if (work->cancelled) {
+    failure = "cancelled";
+    return false;
+  }
+  const json value = json::parse(line, nullptr, false);
+  if (!value.is_object()) {
+    failure = "endpoint_lost";
+    return false;
+  }
+  prefill_progress& progress = work->progress;
+  try {
+    if (value.contains("error")) {
+      failure = value.at("error").get<std::string>();
+      return false;
+    }
+    if (value.contains("kv")) {
+      progress.ticket = {engine.Address().Text(), value.at("kv").get<std::string>(),
+                         value.at("pieces").get<std::uint32_t>()};
+    } else if (value.contains("piece")) {
+      ++progress.pieces_done;
+      if (!value.value("cached", false)) {
+        progress.computed_tokens += value.at("tokens").get<std::uint32_t>();
+      }
+    } else if (value.value("done", false)) {
+      progress.computed_tokens = value.at("computed").get<std::uint32_t>();
+      progress.cached_tokens = value.at("cached").get<std::uint32_t>();
+      progress.state = work_state::kFinished;
+      return true;  // EndWork sends it
+    }
+  } catch (const json::exception&) {
+    failure = "endpoint_lost";
+    return false;
+  }
+  slots.NoteProgress(work->attempt, progress.computed_tokens, timer_service::Now());
+  FlushWork(work);
+  Pump();
+  return true;
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. decode and transfer
+// ---------------------------------------------------------------------------------------------------------------------
+
+task<> agent_state::RunDecode(work_ptr work) {
+  const auto self = shared_from_this();
+  const start_decode start = std::get<start_decode>(work->start);
+  span transfer = traces.StartSpan("agent.transfer", start.traceparent);
+  transfer.SetAttribute("endpoint", settings.name);
+  transfer.SetAttribute("request", work->request.value);
+  co_await AwaitTransfer(work);
+  time_point first_token;
+  std::string failure = "cancelled";
+  std::string traceparent = transfer.Traceparent();
+  if (!work->cancelled) {
+    failure = co_await DecodeOnce(work, traceparent, first_token);
+  }
+  if (failure == "transfer_stalled" && !work->cancelled && work->produced.empty()) {
+    log.ForRequest(work->request.value).Warning("A transfer has stalled and is repeated once.");
+    failure = co_await DecodeOnce(work, traceparent, first_token);
+  }
+  EndTransfer(work);
+  const time_point now = timer_service::Now();
+  const bool transferred = first_token != time_point();
+  const auto decode_time = transferred ? now - first_token : std::chrono::nanoseconds(0);
+  transfer.failed = !transferred;
+  span decode = traces.StartSpan("agent.decode", start.traceparent);
+  traces.EndSpan(std::move(transfer));
+  if (transferred) {
+    decode.start_unix_ns -= static_cast<std::uint64_t>(std::chrono::nanoseconds(decode_time).count());
+    decode.SetAttribute("endpoint", settings.name);
+    decode.SetAttribute("request", work->request.value);
+    decode.SetAttribute("tokens", std::to_string(work->produced.size()));
+    decode.failed = !failure.empty();
+    traces.EndSpan(std::move(decode));
+  }
+  const work_state state = failure.empty()   ? work_state::kFinished
+                           : work->cancelled ? work_state::kCancelled
+                                             : work_state::kFailed;
+  EndWork(work, state, failure.empty() ? work->reason : failure);
+}
+
+// Runs one decode on the engine. Returns the reason of a failure, empty after a whole answer.
+task<std::string> agent_state::DecodeOnce(work_ptr work, std::string traceparent, time_point& first_token) {
+  const auto self = shared_from_this();
+  start_decode start = std::get<start_decode>(work->start);
+  std::string failure;
+  bool whole = false;
+  http_client::line_handler on_line = [self, work, &failure, &first_token, &whole](std::string_view line) {
+    const bool go_on = self->OnDecodeLine(work, line, failure, first_token);
+    whole = whole || work->state == work_state::kFinished;
+    return go_on;
+  };
+  auto done = co_await engine.Decode(std::move(start), std::move(traceparent), std::move(on_line));
+  if (whole) {
+    co_return std::string();
+  }
+  if (!failure.empty()) {
+    co_return failure;
+  }
+  if (done || done.error().code != error_code::kTimeout) {
+    const bool refused = !done && done.error().code == error_code::kInvalid;
+    co_return refused ? done.error().message : "endpoint_lost";
+  }
+  // The time-out has closed the connection, which makes the engine drop the decode.
+  co_return work->produced.empty() ? "transfer_stalled" : "endpoint_lost";
+}
+
+bool agent_state::OnDecodeLine(const work_ptr& work, std::string_view line, std::string& failure,
+                               time_point& first_token) {
+  if (work->cancelled) {
+    failure = "cancelled";
+    return false;
+  }
+  const json value = json::parse(line, nullptr, false);
+  const time_point now = timer_service::Now();
+  try {
+    if (value.is_object() && value.contains("token")) {
+      const std::uint32_t first_offset = std::get<start_decode>(work->start).offset;
+      if (value.at("offset").get<std::uint32_t>() != first_offset + work->produced.size()) {
+        failure = "endpoint_lost";  // the engine's stream has a gap or a repetition
+        return false;
+      }
+      work->produced.push_back(value.at("token").get<std::string>());
+    } else if (value.is_object() && value.value("done", false)) {
+      work->state = work_state::kFinished;
+      work->reason = value.value("reason", "stop");
+      return true;  // EndWork sends it
+    } else if (value.is_object() && value.contains("error")) {
+      failure = value.at("error").get<std::string>();
+      return false;
+    } else {
+      failure = "endpoint_lost";
+      return false;
+    }
+  } catch (const json::exception&) {
+    failure = "endpoint_lost";
+    return false;
+  }
+  if (first_token == time_point()) {
+    first_token = now;
+    EndTransfer(work);
+  } else {
+    const auto interval = std::chrono::duration_cast<microseconds>(now - work->last_token);
+    if (interval > kShortestInterval && interval < kLongestInterval) {
+      const double blended =
+          Blend(static_cast<double>(pace.token_interval.count()), static_cast<double>(interval.count()));
+      pace.token_interval = microseconds(static_cast<std::int64_t>(blended));
+      slots.SetPace(pace);
+    }
+  }
+  work->last_token = now;
+  slots.NoteProgress(work->attempt, static_cast<std::uint32_t>(work->produced.size()), now);
+  FlushWork(work);
+  return true;
+}
+
+// Waits for a place on the link, in order of arrival.
+task<> agent_state::AwaitTransfer(work_ptr work) {
+  const auto self = shared_from_this();
+  transfer_queue.push_back(work);
+  while (!work->cancelled && (transfers >= settings.transfers_at_once || transfer_queue.front() != work)) {
+    co_await timers.Sleep(kTransferPoll);
+  }
+  transfer_queue.erase(std::remove(transfer_queue.begin(), transfer_queue.end(), work), transfer_queue.end());
+  if (!work->cancelled) {
+    ++transfers;
+    work->transferring = true;
+  }
+}
+
+void agent_state::EndTransfer(const work_ptr& work) {
+  if (std::exchange(work->transferring, false)) {
+    --transfers;
+  }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 5. end, cancel, resume
+// ---------------------------------------------------------------------------------------------------------------------
+
+void agent_state::EndWork(const work_ptr& work, work_state state, const std::string& reason) {
+  work->ended = true;
+  work->ended_at = timer_service::Now();
+  work->state = state;
+  work->reason = reason;
+  work->progress.state = state;
+  work->progress.reason = reason;
+  attempts.FinishAttempt(work->attempt, "", work->ended_at);
+  slots.ReleaseSlot(work->attempt);
+  if (state == work_state::kFailed) {
+    log.ForRequest(work->request.value).Warning("Attempt {} has failed: {}.", work->attempt.value, reason);
+  }
+  FlushWork(work);
+  UpdateLeaving();
+  Pump();
+}
+
+void agent_state::CancelWork(const work_ptr& work) {
+  if (work->ended || std::exchange(work->cancelled, true)) {
+    return;
+  }
+  if (!work->begun) {
+    EndWork(work, work_state::kCancelled, "cancelled");
+    return;
+  }
+  asio::co_spawn(context, CancelOnEngine(work), asio::detached);
+}
+
+// Repeats the cancel until the engine's stream has ended: a cancel may reach the engine before the start it is meant
+// for.
+task<> agent_state::CancelOnEngine(work_ptr work) {
+  const auto self = shared_from_this();
+  while (!work->ended && !stopped) {
+    std::string id = work->attempt.value;
+    (void)co_await engine.CancelWork(std::move(id));
+    if (!work->ended) {
+      co_await timers.Sleep(kCancelPause);
+    }
+  }
+}
+
+// Sends what the router's present channel has not been sent yet.
+void agent_state::FlushWork(const work_ptr& work) {
+  if (!work->channel || !work->channel->IsOpen()) {
+    return;
+  }
+  if (work->IsPrefill()) {
+    work->channel->Send(work->progress);
+    return;
+  }
+  const bool send_end = work->ended && !work->end_sent;
+  if (work->sent >= work->produced.size() && !send_end) {
+    return;
+  }
+  tokens part;
+  part.attempt = work->attempt;
+  part.offset = std::get<start_decode>(work->start).offset + static_cast<std::uint32_t>(work->sent);
+  part.pieces.assign(work->produced.begin() + static_cast<std::ptrdiff_t>(work->sent), work->produced.end());
+  part.state = work->ended ? work->state : work_state::kRunning;
+  part.reason = work->ended ? work->reason : "";
+  work->sent = work->produced.size();
+  work->end_sent = work->ended;
+  work->channel->Send(part);
+}
+
+void agent_state::OnResume(const router_session& session, const resume_stream& request) {
+  const auto found = works.find(request.attempt);
+  if (found == works.end() || found->second->router != session.identity) {
+    FailStart(session, request.attempt, false, "unknown_attempt");
+    return;
+  }
+  const work_ptr work = found->second;
+  work->channel = session.channel;
+  if (!work->IsPrefill()) {
+    const std::uint32_t first = std::get<start_decode>(work->start).offset;
+    const std::size_t wanted = request.offset > first ? request.offset - first : 0;
+    work->sent = std::min(wanted, work->produced.size());
+    work->end_sent = false;
+  }
+  FlushWork(work);
+}
+
+void agent_state::ForgetEndedWork(time_point now) {
+  for (auto item = works.begin(); item != works.end();) {
+    const bool forget = item->second->ended && now - item->second->ended_at > kEndedRetention;
+    item = forget ? works.erase(item) : std::next(item);
+  }
+}
+
+}  // namespace persimmon::detail
