--- a/src/platform/config_store.cpp
+++ b/src/platform/config_store.cpp
@@ -355,7 +355,7 @@
 
 bool config_store::IsInForce() const { return state_->IsInForce(); }
 
-void config_store::Subscribe(listener on_change) {
+void config_store::Subscribe(const listener& on_change) {
   state_->listeners.push_back(on_change);
   if (state_->IsInForce()) {
     on_change(state_->current);
--- a/src/platform/config_store.h
+++ b/src/platform/config_store.h
@@ -45,7 +45,7 @@
   bool IsInForce() const;  // a configuration has been applied
 
   // Calls the function after every change of the configuration, and at once if one is in force.
-  void Subscribe(listener on_change);
+  void Subscribe(const listener& on_change);
 
   // For peers: the snapshot to send to a process that has the given revision.
   config_snapshot MakeSnapshot(revision_number have) const;
--- a/src/platform/vm_list.cpp
+++ b/src/platform/vm_list.cpp
@@ -208,7 +208,7 @@
 
 bool vm_list::HasBeenRead() const { return state_->has_been_read; }
 
-void vm_list::Subscribe(listener on_change) {
+void vm_list::Subscribe(const listener& on_change) {
   state_->listeners.push_back(on_change);
   if (state_->has_been_read) {
     on_change(state_->entries);
--- a/src/platform/vm_list.h
+++ b/src/platform/vm_list.h
@@ -71,7 +71,7 @@
   bool HasBeenRead() const;
 
   // Calls the function after every change of the list, and at once if it has been read.
-  void Subscribe(listener on_change);
+  void Subscribe(const listener& on_change);
 
   // Registers this process, and repeats that with every poll until it has succeeded.
   void Announce(listed_vm own);
