Let routers find each other through the VM list

Cause: routers knew only the peers of their settings, so a replaced router was unknown to the others. Change: the router announces itself in the VM list, connects to the routers in it and hashes home routers over its names; the demo uses the load tool's flags.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -48,7 +48,7 @@
 channel = $agent
 [endpoint]
 kind = $([ "$role" = service ] && echo service || echo engine)
-address = $target
+$([ "$role" = service ] && echo service || echo engine) = $target
 [platform]
 table_servers = $platform
 [peers]
@@ -116,7 +116,7 @@
 echo "== 6. requests of both kinds"
 rc=0
 "$bin/persimmon-load" --targets "$http" --api_key "$api_key" --model savetnik --service_path /kurs/quiz \
-  --rate 30 --duration_s 10 --min_prompt_tokens 20 --max_prompt_tokens 4000 >"$work/load.txt" 2>"$work/load.log" || rc=$?
+  --rate 30 --duration_s 10 --prompt_tokens 20-4000 >"$work/load.txt" 2>"$work/load.log" || rc=$?
 cat "$work/load.txt" | sed '$d'
 
 echo "== 7. trace of request demo-request"
--- a/src/router/guards.cpp
+++ b/src/router/guards.cpp
@@ -4,6 +4,8 @@
 #include "router/guards.h"
 
 #include <fmt/format.h>
+
+#define XXH_INLINE_ALL
 #include <xxhash.h>
 
 #include "core/log.h"
--- a/src/router/peer_directory.cpp
+++ b/src/router/peer_directory.cpp
@@ -23,6 +23,23 @@
   for (const host_port& address : settings_.routers) {
     AddRouter(address);
   }
+  auto& vms = kernel_.Find<vm_list>("vms");
+  listed_vm own{settings_.name, vm_role::kRouter, settings_.channel, settings_.zone, vm_phase::kLive};
+  vms.Announce(std::move(own));
+  vms.Subscribe([this](const std::vector<listed_vm>& list) { ApplyVmList(list); });
+}
+
+void peer_directory::ApplyVmList(const std::vector<listed_vm>& list) {
+  listed_.clear();
+  for (const listed_vm& vm : list) {
+    if (vm.role != vm_role::kRouter || vm.phase == vm_phase::kGone) {
+      continue;
+    }
+    listed_.push_back(vm.name);
+    if (vm.name != settings_.name) {
+      AddRouter(vm.address);
+    }
+  }
 }
 
 void peer_directory::Stop() {
@@ -45,10 +62,15 @@
 
 std::vector<std::string> peer_directory::RouterNames() const {
   std::vector<std::string> names = {settings_.name};
-  for (const auto& [name, channels] : open_) {
-    names.push_back(name);
+  if (listed_.empty()) {
+    for (const auto& [name, channels] : open_) {
+      names.push_back(name);
+    }
+  } else {
+    names.insert(names.end(), listed_.begin(), listed_.end());
   }
   std::sort(names.begin(), names.end());
+  names.erase(std::unique(names.begin(), names.end()), names.end());
   return names;
 }
 
@@ -90,7 +112,7 @@
   if (const auto* fetch = std::get_if<fetch_config>(&value)) {
     from->Send(config.MakeSnapshot(fetch->have));
   } else if (const auto* snapshot = std::get_if<config_snapshot>(&value)) {
-    config.OfferSnapshot(from->Peer().name, *snapshot);
+    config.OfferSnapshot(from->Peer().name, *snapshot, from->Peer().zone);
   } else if (const auto* beat = std::get_if<heartbeat>(&value)) {
     if (beat->revision > config.Revision()) {
       from->Send(fetch_config{config.Revision()});
--- a/src/router/peer_directory.h
+++ b/src/router/peer_directory.h
@@ -10,6 +10,7 @@
 #include "core/kernel.h"
 #include "net/channel.h"
 #include "platform/config_store.h"
+#include "platform/vm_list.h"
 #include "router/router_settings.h"
 
 namespace persimmon {
@@ -23,7 +24,8 @@
   void Start();
   void Stop();
 
-  // Names of the routers with an open channel and this router's own, sorted.
+  // Names of all routers, this one included, sorted: those of the VM list that are not gone, or, before the list has been
+  // read, those with an open channel. Hashing over the list keeps all routers agreed while a channel is down.
   std::vector<std::string> RouterNames() const;
 
   // Returns false if there is no open channel to the router; nothing was sent then.
@@ -36,6 +38,7 @@
   void AddRouter(const host_port& address);
 
  private:
+  void ApplyVmList(const std::vector<listed_vm>& list);
   void HandleOpen(const channel_ptr& opened);
   void HandleClose(const channel_ptr& closed);
   void HandleMessage(const channel_ptr& from, const message& value);
@@ -46,6 +49,7 @@
   std::unique_ptr<channel_listener> listener_;
   std::map<host_port, std::unique_ptr<channel_connector>> connectors_;
   std::map<std::string, std::vector<channel_ptr>> open_;  // by name; both sides may have opened one
+  std::vector<std::string> listed_;                       // router names of the VM list
   std::vector<message_listener> listeners_;
 };
 
--- a/src/router/router_main.cpp
+++ b/src/router/router_main.cpp
@@ -7,6 +7,7 @@
 #include "core/telemetry.h"
 #include "platform/config_store.h"
 #include "platform/table_client.h"
+#include "platform/vm_list.h"
 #include "router/dispatcher.h"
 #include "router/endpoint_directory.h"
 #include "router/front_end.h"
@@ -54,7 +55,9 @@
   config.peers_needed = static_cast<std::size_t>(settings.config_peers);
 
   services.Register<telemetry>("telemetry", services, settings.name, settings.trace_file);
+  const platform_client platform(services.Context(), settings.table_servers, settings.table_timeout);
   const auto table = std::make_shared<table_client>(services.Context(), settings.table_servers, settings.table_timeout);
+  services.Register<vm_list>("vms", services.Timers(), services.Context(), platform, vm_list_settings{});
   services.Register<config_store>("config", services.Timers(), services.Context(), *table, config);
   services.Register<peer_directory>("peers", services, settings, handlers);
   services.Register<endpoint_directory>("endpoints", services, settings, handlers);
