Serve the first whole path: make demo

Cause: a router was ready as soon as a configuration was in force, before any load report had arrived, so the first request of the demo was refused with no_endpoint. Change: readiness also waits, up to 5 s after the start, for a report from each pool; the demo waits for it and stays below the capacity of its two prefill stand-ins (16,000 tokens/s).

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -105,18 +105,26 @@
 ctl() { "$bin/persimmonctl" --platform "$platform" --secret "$secret" "$@"; }
 ctl put "$work"/pool-*.json "$work/model.json" "$work/account.json" "$work"/endpoint-*.json
 revision=$(ctl list --json | python3 -c 'import json,sys; print(json.load(sys.stdin)["revision"])')
+wait_ready() {
+  for _ in $(seq 200); do
+    if curl -sf "http://$http/readyz" >/dev/null; then return 0; fi
+    sleep 0.1
+  done
+  echo "the router did not become ready"
+  return 1
+}
+wait_ready
 ctl wait "$revision" --timeout_ms 20000
 ctl status
 
 echo "== 5. one request, streamed"
-for _ in $(seq 100); do curl -sf "http://$http/readyz" >/dev/null && break; sleep 0.1; done
 curl -sN "http://$http/v1/completions" -H "Authorization: Bearer $api_key" -H "X-Request-Id: demo-request" \
   -d '{"model":"savetnik","prompt":"May a governor vote on a school budget by proxy ?","max_tokens":8,"stream":true}'
 
 echo "== 6. requests of both kinds"
 rc=0
 "$bin/persimmon-load" --targets "$http" --api_key "$api_key" --model savetnik --service_path /kurs/quiz \
-  --rate 30 --duration_s 10 --prompt_tokens 20-4000 >"$work/load.txt" 2>"$work/load.log" || rc=$?
+  --service_share 0.4 --rate 30 --duration_s 10 --prompt_tokens 20-3000 >"$work/load.txt" 2>"$work/load.log" || rc=$?
 cat "$work/load.txt" | sed '$d'
 
 echo "== 7. trace of request demo-request"
--- a/src/router/caller_api.h
+++ b/src/router/caller_api.h
@@ -49,8 +49,8 @@
 struct refusal {
   refusal_code code = refusal_code::kBadRequest;
   outcome_kind outcome = outcome_kind::kNotRun;
-  std::string message;                             // one sentence for people
-  milliseconds retry_after = milliseconds(0);      // 0: no time is told
+  std::string message;                         // one sentence for people
+  milliseconds retry_after = milliseconds(0);  // 0: no time is told
 
   bool operator==(const refusal&) const = default;
 };
@@ -67,13 +67,13 @@
 
 struct model_request {
   std::string model;
-  std::string adapter;              // "model:adapter" in the model field; empty: none
+  std::string adapter;  // "model:adapter" in the model field; empty: none
   std::string prompt;
   std::uint32_t prompt_tokens = 0;  // estimate: whitespace-separated words
   std::uint32_t max_tokens = 0;
   std::int32_t priority = 0;
   bool stream = false;
-  bool chat = false;                // /v1/chat/completions
+  bool chat = false;  // /v1/chat/completions
 
   bool operator==(const model_request&) const = default;
 };
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -20,18 +20,16 @@
   return log;
 }
 
-constexpr milliseconds kPumpPeriod(10);                 // overdue jobs are refused within this time
-constexpr milliseconds kPrefillHold(500);               // a granted prefill slot that is not used is released after this
-constexpr milliseconds kDecodeHold(2'000);              // the same for a decode slot, counted from its start
-constexpr milliseconds kDecodeRetryMinimum(10);         // pause after a refused decode reservation
+constexpr milliseconds kPumpPeriod(10);          // overdue jobs are refused within this time
+constexpr milliseconds kPrefillHold(500);        // a granted prefill slot that is not used is released after this
+constexpr milliseconds kDecodeHold(2'000);       // the same for a decode slot, counted from its start
+constexpr milliseconds kDecodeRetryMinimum(10);  // pause after a refused decode reservation
 constexpr milliseconds kDecodeRetryMaximum(100);
-constexpr microseconds kInitialTransfer(60'000);        // until the first measurement
-constexpr double kMeasurementWeight = 0.1;              // of the newest value in a moving average
+constexpr microseconds kInitialTransfer(60'000);  // until the first measurement
+constexpr double kMeasurementWeight = 0.1;        // of the newest value in a moving average
 constexpr std::chrono::hours kForever(24 * 365);
 
-double Average(double old_value, double new_value) {
-  return old_value + kMeasurementWeight * (new_value - old_value);
-}
+double Average(double old_value, double new_value) { return old_value + kMeasurementWeight * (new_value - old_value); }
 
 microseconds SecondsToMicroseconds(double seconds) {
   return microseconds(static_cast<std::int64_t>(seconds * 1'000'000.0));
@@ -84,10 +82,10 @@
 
   pool_record record;
   admission_queue queue;
-  std::map<request_id, model_job_ptr> jobs;      // waiting and picked, by queue key
-  double prefill_tokens_per_s = 0;               // of one endpoint, measured; 0: nothing yet
+  std::map<request_id, model_job_ptr> jobs;  // waiting and picked, by queue key
+  double prefill_tokens_per_s = 0;           // of one endpoint, measured; 0: nothing yet
   double transfer_s = std::chrono::duration<double>(kInitialTransfer).count();
-  time_point decode_blocked_until;               // after a refused decode reservation
+  time_point decode_blocked_until;  // after a refused decode reservation
 };
 
 dispatcher::dispatcher(kernel& services, const router_settings& settings)
@@ -143,8 +141,8 @@
   std::vector<endpoint_view> views;
   for (const endpoint_status* status : endpoints_->List(pool.record.name, role)) {
     const load_report& load = status->load;
-    const bool is_avoided = job != nullptr && std::find(job->avoid.begin(), job->avoid.end(), status->record.name) !=
-                                                  job->avoid.end();
+    const bool is_avoided =
+        job != nullptr && std::find(job->avoid.begin(), job->avoid.end(), status->record.name) != job->avoid.end();
     const auto unreported = dispatches_.Unreported(status->record.name);
     endpoint_view view;
     view.name = status->record.name;
@@ -473,7 +471,8 @@
   endpoints_->Unregister(plan.slots.decode_attempt);
   endpoints_->Register(plan.slots.prefill_attempt, plan.slots.prefill, job->events);
   endpoints_->Register(plan.slots.decode_attempt, plan.slots.decode, job->events);
-  Log().ForRequest(job->request.value)
+  Log()
+      .ForRequest(job->request.value)
       .Debug("Granted prefill on {} and decode on {}.", plan.slots.prefill.value, plan.slots.decode.value);
   job->decisions.Push(plan.slots);
 }
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -1,5 +1,5 @@
-// Queues of the model pools and the binding of jobs to slots: admission, order by latest start, reservation of the prefill
-// and the decode slot before anything is computed.
+// Queues of the model pools and the binding of jobs to slots: admission, order by latest start, reservation of the
+// prefill and the decode slot before anything is computed.
 //
 // Sections
 //   1. jobs
@@ -35,7 +35,7 @@
   endpoint_name prefill;
   attempt_id decode_attempt;
   endpoint_name decode;
-  std::uint32_t cached_tokens = 0;                           // expected in the prefix cache of the prefill endpoint
+  std::uint32_t cached_tokens = 0;  // expected in the prefix cache of the prefill endpoint
   microseconds predicted_prefill = microseconds(0);
   time_point granted_at;
 
@@ -49,7 +49,7 @@
   explicit model_job(asio::io_context& context)
       : events(std::make_shared<attempt_mailbox>(context)), decisions(context) {}
 
-  std::uint64_t number = 0;                 // unique in this process
+  std::uint64_t number = 0;  // unique in this process
   request_id request;
   account_name account;
   double account_weight = 1.0;
@@ -62,9 +62,9 @@
   time_point arrival;
   milliseconds first_token_target = milliseconds(0);
   std::optional<time_point> caller_deadline;
-  std::uint32_t resume_tokens = 0;          // delivered to the caller by earlier attempts
+  std::uint32_t resume_tokens = 0;  // delivered to the caller by earlier attempts
   std::uint32_t tries = 0;
-  std::vector<endpoint_name> avoid;         // endpoints on which an earlier attempt failed
+  std::vector<endpoint_name> avoid;  // endpoints on which an earlier attempt failed
 
   std::shared_ptr<attempt_mailbox> events;  // of the attempts, from the endpoint directory
   mailbox<slots_result> decisions;
@@ -92,8 +92,8 @@
   // Takes the job out of its queue because its caller has gone. AwaitSlots then returns a refusal that nobody reads.
   void RemoveJob(const model_job_ptr& job);
 
-  // Measured times of one attempt, for predictions: from the start of the prefill to its end, and from there to the first
-  // token.
+  // Measured times of one attempt, for predictions: from the start of the prefill to its end, and from there to the
+  // first token.
   void NotePrefillFinished(const model_job& job, const granted_slots& slots, std::uint32_t computed_tokens,
                            microseconds duration);
   void NoteFirstToken(const std::string& pool, microseconds after_prefill);
--- a/src/router/endpoint_directory.cpp
+++ b/src/router/endpoint_directory.cpp
@@ -63,7 +63,8 @@
   std::vector<endpoint_record> watched;
   std::map<endpoint_name, bool> seen;
   for (const auto& [group, members] : groups) {
-    const auto subset = PickSubset(router_name{settings_.name}, members, static_cast<std::size_t>(settings_.endpoints_per_pool));
+    const auto subset =
+        PickSubset(router_name{settings_.name}, members, static_cast<std::size_t>(settings_.endpoints_per_pool));
     for (const endpoint_name& name : subset) {
       if (!std::exchange(seen[name], true)) {
         watched.push_back(config.endpoints.at(name));
--- a/src/router/endpoint_directory.h
+++ b/src/router/endpoint_directory.h
@@ -53,14 +53,14 @@
 
 struct endpoint_status {
   endpoint_record record;
-  bool open = false;                    // the channel is open
-  incarnation_number incarnation = 0;   // of the agent
-  bool leaving = false;                 // by heartbeat, load report or record
-  revision_number revision = 0;         // configuration in force at the agent
-  load_report load;                     // the latest report
-  time_point load_time;                 // when it arrived
-  bool prefill_open = false;            // the agent has announced a prefill slot that no bid has taken yet
-  std::uint32_t active_attempts = 0;    // attempts of this router in progress
+  bool open = false;                   // the channel is open
+  incarnation_number incarnation = 0;  // of the agent
+  bool leaving = false;                // by heartbeat, load report or record
+  revision_number revision = 0;        // configuration in force at the agent
+  load_report load;                    // the latest report
+  time_point load_time;                // when it arrived
+  bool prefill_open = false;           // the agent has announced a prefill slot that no bid has taken yet
+  std::uint32_t active_attempts = 0;   // attempts of this router in progress
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
--- a/src/router/front_end.cpp
+++ b/src/router/front_end.cpp
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -19,6 +20,7 @@
 }
 
 constexpr milliseconds kDrainPoll(20);
+constexpr milliseconds kReportWait(5'000);  // after the start
 
 bool IsModelRoute(std::string_view target) {
   const std::string_view path = target.substr(0, target.find('?'));
@@ -50,13 +52,13 @@
   limits.body_bytes = static_cast<std::size_t>(settings_.body_bytes);
   limits.connections = static_cast<std::size_t>(settings_.connections);
   limits.read_timeout = settings_.read_timeout;
-  server_ = std::make_unique<http_server>(kernel_.Context(), settings_.http, limits,
-                                          [this](std::shared_ptr<http_exchange> exchange) {
-                                            return Handle(std::move(exchange));
-                                          });
+  server_ = std::make_unique<http_server>(
+      kernel_.Context(), settings_.http, limits,
+      [this](std::shared_ptr<http_exchange> exchange) { return Handle(std::move(exchange)); });
   if (auto started = server_->Start(); !started) {
     StopProgram(started.error().message);
   }
+  started_ = timer_service::Now();
   Log().Info("Listens for callers on {}.", settings_.http.Text());
 }
 
@@ -87,7 +89,8 @@
   if (refused) {
     metrics_->AddCounter("persimmon_refusals_total", "Refused requests.", {{"code", RefusalCodeName(refused->code)}})
         .Increment();
-    Log().ForRequest(request.value)
+    Log()
+        .ForRequest(request.value)
         .Info("Refused with {} ({}): {}", RefusalCodeName(refused->code), OutcomeName(refused->outcome),
               refused->message);
   }
@@ -159,9 +162,34 @@
 
 http_response front_end::MakeHealth() const { return JsonResponse(200, R"({"status":"ok"})"); }
 
+// A router that has just started would refuse everything until its first load reports arrive, so it is not ready before
+// each pool has an endpoint that reports, or has had time for it.
+bool front_end::HasHeardPools() const {
+  const auto& endpoints = kernel_.Find<endpoint_directory>("endpoints");
+  if (timer_service::Now() - started_ > kReportWait) {
+    return true;
+  }
+  const auto config = kernel_.Find<config_store>("config").Current();
+  for (const auto& [name, pool] : config->pools) {
+    const bool is_model = pool.type == pool_type::kModel;
+    const auto roles =
+        is_model ? std::vector{endpoint_role::kPrefill, endpoint_role::kDecode} : std::vector{endpoint_role::kService};
+    for (const endpoint_role role : roles) {
+      const auto watched = endpoints.List(name, role);
+      const bool heard = std::any_of(watched.begin(), watched.end(), [](const endpoint_status* status) {
+        return status->open && status->load.sequence != 0;
+      });
+      if (!watched.empty() && !heard) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
 http_response front_end::MakeReadiness() const {
   const auto& config = kernel_.Find<config_store>("config");
-  const bool ready = !draining_ && config.IsInForce();
+  const bool ready = !draining_ && config.IsInForce() && HasHeardPools();
   return JsonResponse(ready ? 200 : 503, fmt::format(R"({{"ready":{},"draining":{},"revision":{}}})", ready, draining_,
                                                      config.Revision()));
 }
--- a/src/router/front_end.h
+++ b/src/router/front_end.h
@@ -23,8 +23,8 @@
   void Start();
   void Stop();
 
-  // Planned stop: not ready at once, no new connection after the grace time, then calls the function as soon as the last
-  // request has its answer or the limit is over.
+  // Planned stop: not ready at once, no new connection after the grace time, then calls the function as soon as the
+  // last request has its answer or the limit is over.
   void Drain(std::function<void()> finished);
 
  private:
@@ -33,6 +33,7 @@
   task<std::optional<refusal>> ServeCall(std::shared_ptr<http_exchange> exchange, request_id request);
   task<> DrainRequests(std::function<void()> finished);
   http_response MakeHealth() const;
+  bool HasHeardPools() const;
   http_response MakeReadiness() const;
   http_response MakeMetrics();
   std::optional<pool_record> FindService(const http_request& request) const;
@@ -46,6 +47,7 @@
   metrics_registry* metrics_ = nullptr;
   tracer* tracer_ = nullptr;
   bool draining_ = false;
+  time_point started_;
 };
 
 }  // namespace persimmon
--- a/src/router/guards.cpp
+++ b/src/router/guards.cpp
@@ -18,10 +18,10 @@
   return log;
 }
 
-constexpr milliseconds kLoanTimeout(250);      // an unanswered request for tokens fails after this
-constexpr milliseconds kBorrowPause(5);        // between two looks for borrowed tokens
+constexpr milliseconds kLoanTimeout(250);  // an unanswered request for tokens fails after this
+constexpr milliseconds kBorrowPause(5);    // between two looks for borrowed tokens
 constexpr milliseconds kHousekeeping(100);
-constexpr milliseconds kSameCrash(1'000);      // losses of one endpoint within this time are one crash
+constexpr milliseconds kSameCrash(1'000);  // losses of one endpoint within this time are one crash
 
 account_limit LimitOf(const account_record& account) {
   return account_limit{account.tokens_per_second, account.burst_tokens};
@@ -64,7 +64,8 @@
   account_record record;
   record.name.value = "anonymous";
   if (settings_.accounts_required || !key.empty()) {
-    // The look-up compares hashes, whose order tells a caller nothing about a key; the last comparison takes constant time.
+    // The look-up compares hashes, whose order tells a caller nothing about a key; the last comparison takes constant
+    // time.
     const std::string hash = HashApiKey(key);
     const auto found = by_key_hash_.find(hash);
     if (key.empty() || found == by_key_hash_.end() || !EqualSecrets(found->second.api_key_sha256, hash)) {
--- a/src/router/model_calls.h
+++ b/src/router/model_calls.h
@@ -21,9 +21,9 @@
   std::shared_ptr<http_exchange> exchange;
   request_id request;
   admitted_account account;
-  std::string traceparent;                     // of the router's own span
+  std::string traceparent;  // of the router's own span
   time_point arrival;
-  std::optional<time_point> deadline;          // of the caller
+  std::optional<time_point> deadline;  // of the caller
 };
 
 class model_calls {
@@ -44,9 +44,9 @@
     call_context context;
     model_job_ptr job;
     stream_assembly assembly{stream_limits{}};
-    std::string text;                 // of an answer that is not streamed
+    std::string text;  // of an answer that is not streamed
     std::string finish_reason;
-    std::string failure;              // reason of the last failed attempt
+    std::string failure;  // reason of the last failed attempt
     bool stream_started = false;
     std::optional<time_point> first_token;
     time_point prefill_end;
@@ -59,7 +59,7 @@
     bool prefill_finished = false;
     bool decode_finished = false;
     time_point started;
-    std::optional<time_point> prefill_lost;   // since when the channel is closed
+    std::optional<time_point> prefill_lost;  // since when the channel is closed
     std::optional<time_point> decode_lost;
     incarnation_number prefill_incarnation = 0;
     incarnation_number decode_incarnation = 0;
--- a/src/router/peer_directory.h
+++ b/src/router/peer_directory.h
@@ -24,8 +24,8 @@
   void Start();
   void Stop();
 
-  // Names of all routers, this one included, sorted: those of the VM list that are not gone, or, before the list has been
-  // read, those with an open channel. Hashing over the list keeps all routers agreed while a channel is down.
+  // Names of all routers, this one included, sorted: those of the VM list that are not gone, or, before the list has
+  // been read, those with an open channel. Hashing over the list keeps all routers agreed while a channel is down.
   std::vector<std::string> RouterNames() const;
 
   // Returns false if there is no open channel to the router; nothing was sent then.
--- a/src/router/service_calls.cpp
+++ b/src/router/service_calls.cpp
@@ -21,15 +21,15 @@
   return log;
 }
 
-// The agent is given this long to say what became of an attempt; its channel is reopened within that time or it is lost.
+// The agent is given this long to say what became of an attempt; its channel is reopened within that time or it is
+// lost.
 constexpr milliseconds kSettleTimeout(1'800);
 constexpr milliseconds kAskPeriod(200);
 
 // Headers that belong to the connection or to the router itself.
 bool IsForwarded(const header_field& field) {
-  static constexpr std::array<std::string_view, 7> kDropped = {"connection", "keep-alive",    "transfer-encoding",
-                                                               "te",         "authorization", "content-length",
-                                                               "upgrade"};
+  static constexpr std::array<std::string_view, 7> kDropped = {
+      "connection", "keep-alive", "transfer-encoding", "te", "authorization", "content-length", "upgrade"};
   std::string name = field.name;
   std::transform(name.begin(), name.end(), name.begin(), [](unsigned char letter) { return std::tolower(letter); });
   return std::find(kDropped.begin(), kDropped.end(), name) == kDropped.end() && name != "x-request-id" &&
@@ -208,8 +208,8 @@
   co_return found;
 }
 
-// The answer did not come: its time is over or the channel was lost. A tombstone proves that the call has not run and never
-// will; a finished attempt still has its answer.
+// The answer did not come: its time is over or the channel was lost. A tombstone proves that the call has not run and
+// never will; a finished attempt still has its answer.
 task<attempt_outcome> service_calls::SettleAttempt(endpoint_name endpoint, attempt_id attempt,
                                                    incarnation_number incarnation) {
   attempt_outcome result;
--- a/src/router/service_calls.h
+++ b/src/router/service_calls.h
@@ -36,8 +36,8 @@
   // Serves the request on the pool and sends its answer or refusal. Returns the refusal, if there was one, for metrics.
   task<std::optional<refusal>> Serve(call_context context, pool_record pool);
 
-  // Runs one attempt on an endpoint and finds out what became of it. kNotRun is proved: the call was never sent, the agent
-  // refused it, or the agent has confirmed a tombstone.
+  // Runs one attempt on an endpoint and finds out what became of it. kNotRun is proved: the call was never sent, the
+  // agent refused it, or the agent has confirmed a tombstone.
   task<attempt_outcome> RunAttempt(endpoint_name endpoint, call_service call, milliseconds timeout);
 
   // Asks the agent for the state of an attempt. Nothing if it does not answer in time.
