--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -274,9 +274,12 @@
   if (!is_control) {
     if (faults_.delay.count() > 0) {
       const milliseconds delay = faults_.delay;
+      ++counters_.waiting;
       co_await timers_.Sleep(delay);
+      --counters_.waiting;
     }
     if (faults_.outage) {
+      ++counters_.refused;
       exchange->AbortStream();
       co_return;
     }
@@ -415,7 +418,8 @@
   const json counts = {{"reads", counters_.reads},
                        {"transactions", counters_.transactions},
                        {"conflicts", counters_.conflicts},
-                       {"lost_replies", counters_.lost_replies}};
+                       {"lost_replies", counters_.lost_replies},
+                       {"refused", counters_.refused}};
   return JsonResponse(200, counts.dump());
 }
 
--- a/src/fakes/fake_platform.h
+++ b/src/fakes/fake_platform.h
@@ -109,6 +109,8 @@
   std::uint64_t transactions = 0;  // committed
   std::uint64_t conflicts = 0;     // transactions refused
   std::uint64_t lost_replies = 0;
+  std::uint64_t refused = 0;  // requests that met an outage
+  std::uint64_t waiting = 0;  // requests that wait for the end of their delay
 
   bool operator==(const platform_counters&) const = default;
 };
@@ -125,6 +127,11 @@
   void Stop();
   std::uint16_t Port() const { return server_.Port(); }
 
+  // For tests that run the double in their own process.
+  table_store& Tables() { return tables_; }
+  platform_faults& Faults() { return faults_; }
+  const platform_counters& Counts() const { return counters_; }
+
   // Stores the records of a JSON text as revision 1. Errors: kInvalid.
   result<void> Preload(const std::string& text);
 
--- /dev/null
+++ b/tests/support/platform_in_process.h
@@ -0,0 +1,87 @@
+// The platform's test double on the io_context of the test, so that a test controls its faults between two steps.
+#pragma once
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <chrono>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "core/log.h"
+#include "fakes/fake_platform.h"
+#include "platform/table_client.h"
+
+namespace persimmon::support {
+
+class platform_in_process {
+ public:
+  static constexpr milliseconds kRequestTimeout = milliseconds(100);
+
+  platform_in_process() : platform_(context_, host_port{"127.0.0.1", 0}), timers_(context_) {
+    SetLogLevel(log_level::kError);
+    if (!platform_.Start()) {
+      StopProgram("The platform's test double cannot listen.");
+    }
+  }
+
+  ~platform_in_process() {
+    platform_.Stop();
+    RunFor(milliseconds(1));
+  }
+
+  asio::io_context& Context() { return context_; }
+  timer_service& Timers() { return timers_; }
+  fakes::fake_platform& Platform() { return platform_; }
+  host_port Address() const { return {"127.0.0.1", platform_.Port()}; }
+  table_client Client(milliseconds timeout = kRequestTimeout) { return table_client(context_, {Address()}, timeout); }
+
+  // Runs the io_context until the condition holds. False at the end of the limit.
+  bool RunUntil(const std::function<bool()>& condition, milliseconds limit = milliseconds(20'000)) {
+    const time_point deadline = timer_service::Now() + limit;
+    while (!condition()) {
+      if (timer_service::Now() > deadline) {
+        return false;
+      }
+      context_.restart();
+      context_.run_one_for(milliseconds(5));
+    }
+    return true;
+  }
+
+  void RunFor(milliseconds duration) {
+    context_.restart();
+    context_.run_for(duration);
+  }
+
+  // Starts a coroutine and keeps its result.
+  template <class value>
+  std::shared_ptr<std::optional<value>> Spawn(task<value> work) {
+    auto kept = std::make_shared<std::optional<value>>();
+    asio::co_spawn(context_, Keep(std::move(work), kept), asio::detached);
+    return kept;
+  }
+
+  // Runs a coroutine to its end.
+  template <class value>
+  value Run(task<value> work) {
+    const auto kept = Spawn(std::move(work));
+    if (!RunUntil([&kept] { return kept->has_value(); })) {
+      StopProgram("A coroutine of a test did not end.");
+    }
+    return std::move(**kept);
+  }
+
+ private:
+  template <class value>
+  static task<> Keep(task<value> work, std::shared_ptr<std::optional<value>> kept) {
+    value done = co_await std::move(work);
+    kept->emplace(std::move(done));
+  }
+
+  asio::io_context context_{1};
+  fakes::fake_platform platform_;
+  timer_service timers_;
+};
+
+}  // namespace persimmon::support
