--- a/tests/records_test.cpp
+++ b/tests/records_test.cpp
@@ -5,7 +5,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <fstream>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 namespace persimmon {
 namespace {
@@ -308,6 +310,24 @@
   EXPECT_EQ(built.texts.size(), 6U);
 }
 
+// The samples are what operators copy, so that a change of the checks must not leave them behind.
+TEST(records_test, Samples_OfBothDeployments_HaveNoFindings) {
+  std::vector<std::string> texts;
+  for (const std::string name : {"nastavnik", "waikato"}) {
+    std::ifstream file(std::string(PERSIMMON_TEST_DIR "/../config/records/") + name + ".json");
+    std::stringstream text;
+    text << file.rdbuf();
+    const auto records = SplitRecords(text.str());
+    ASSERT_TRUE(records.has_value()) << name;
+    texts.insert(texts.end(), records.value().begin(), records.value().end());
+  }
+  finding_list findings;
+  const configuration built = BuildConfiguration(1, texts, findings);
+  EXPECT_EQ(FormatFindings(findings), "");
+  EXPECT_EQ(built.pools.size(), 4U);
+  EXPECT_EQ(built.endpoints.size(), 9U);
+}
+
 TEST(records_test, Compare_WhenFieldsDiffer_ListsEachWithBothValues) {
   const json left = {{"a", 1}, {"limits", {{"x", 1}, {"y", 2}}}, {"old", true}};
   const json right = {{"a", 1}, {"limits", {{"x", 1}, {"y", 3}}}, {"new", "n"}};
