--- a/include/persimmon/slots.h
+++ b/include/persimmon/slots.h
@@ -33,6 +33,7 @@
 struct slot_settings {
   std::uint32_t prefill_slots = 1;  // an engine computes one prefill at a time
   std::uint32_t decode_slots = 20;
+  double ample_share = 0.25;  // with this share of the decode slots free, decodes start as early as they can
   milliseconds bid_window = milliseconds(4);        // from the opening of a slot to its grant
   milliseconds lookahead = milliseconds(20);        // a prefill slot opens this long before it is predicted to be free
   milliseconds longest_lead = milliseconds(5'000);  // a decode slot that starts later than this is not reserved
@@ -113,9 +114,10 @@
 struct slot_entry {
   slot_request request;
   slot_phase phase = slot_phase::kReserved;
-  time_point start;               // granted start; of a running entry: the real one
-  time_point progressed;          // of a running entry: last progress
-  std::uint32_t tokens_done = 0;  // computed prompt tokens or produced tokens
+  time_point start;                     // granted start; of a running entry: the real one
+  microseconds lead = microseconds(0);  // of a waiting entry: how long before the start it may run
+  time_point progressed;                // of a running entry: last progress
+  std::uint32_t tokens_done = 0;        // computed prompt tokens or produced tokens
 
   bool operator==(const slot_entry&) const = default;
 };
@@ -142,8 +144,12 @@
   // Decides the bids whose window has ended.
   std::vector<slot_decision> DecideBids(time_point now);
 
-  // Uses a reservation. Never more entries of a kind run than there are slots.
-  start_verdict StartSlot(const attempt_id& attempt, time_point now);
+  // Uses a reservation. Never more entries of a kind run than there are slots. A decode starts before its granted start
+  // by at most the lead, unless many slots are free: while it waits for its KV cache it would keep a slot idle.
+  start_verdict StartSlot(const attempt_id& attempt, microseconds lead, time_point now);
+
+  // Adds work that was never reserved, in order of arrival (kWaiting), and starts it if a slot is free.
+  start_verdict StartUnreserved(const slot_request& request, time_point now);
 
   // Waiting entries that run from now on.
   std::vector<attempt_id> TakeDueStarts(time_point now);
@@ -198,6 +204,7 @@
   bool HasRoom(const slot_request& request, time_point now) const;
   void UpdatePrefillOpening(time_point now);
   std::optional<time_point> WindowEnd(slot_kind kind) const;
+  start_verdict TryStart(slot_entry& entry, time_point now);
   slot_decision Grant(const slot_request& request, time_point now);
   slot_decision Refuse(const slot_request& request, slot_verdict verdict, time_point now);
   bool MayRun(const slot_entry& entry, time_point now) const;
--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -51,7 +51,7 @@
       configs(configs),
       traces(traces),
       timers(context),
-      counter(table, "agent/" + settings.name),
+      counter(timers, table, "agent/" + settings.name),
       engine(context, settings.engine, settings.stream_timeout),
       service(context, http_client_limits()),
       port_holder(context),
--- a/src/agent/agent_calls.cpp
+++ b/src/agent/agent_calls.cpp
@@ -122,7 +122,7 @@
     const error_code code = reply.error().code;
     const bool not_sent = code == error_code::kUnavailable;
     answer.outcome = not_sent ? outcome_kind::kNotRun : outcome_kind::kMayHaveRun;
-    answer.reason = code == error_code::kTimeout ? "timeout" : "endpoint_lost";
+    answer.reason = code == error_code::kTimeout ? "timeout" : not_sent ? "service_unreachable" : kReasonEngineLost;
     log.ForRequest(call.request.value).Warning("A call has failed: {}.", reply.error().message);
     if (not_sent) {
       service_retry = timer_service::Now() + kServicePause;
@@ -200,7 +200,11 @@
       CancelWork(found->second);
     }
   }
-  SendTo(session.identity, MakeStatus(request.attempt, request.incarnation));
+  attempt_status status = MakeStatus(request.attempt, request.incarnation);
+  if (verdict == tombstone_verdict::kConfirmed) {
+    status.phase = attempt_phase::kTombstoned;  // a full table keeps the refusal without an entry
+  }
+  SendTo(session.identity, status);
   Pump();
 }
 
--- a/src/agent/agent_settings.cpp
+++ b/src/agent/agent_settings.cpp
@@ -17,6 +17,8 @@
   bind.Duration("slots", "bid_window_ms", settings.bid_window, milliseconds(0), milliseconds(100));
   bind.Duration("slots", "lookahead_ms", settings.lookahead, milliseconds(0), milliseconds(1'000));
   bind.Number("slots", "transfers_at_once", settings.transfers_at_once, 1, 1'000);
+  bind.Duration("slots", "piece_time_ms", settings.piece_time, milliseconds(0), milliseconds(10'000));
+  bind.Flag("slots", "accept_unreserved", settings.accept_unreserved);
   bind.Number("slots", "service_calls", settings.service_calls, 1, 100'000);
   bind.Duration("limits", "report_period_ms", settings.report_period, milliseconds(20), milliseconds(10'000));
   bind.Duration("limits", "router_silence_ms", settings.router_silence, milliseconds(300), milliseconds(60'000));
--- a/src/agent/agent_settings.h
+++ b/src/agent/agent_settings.h
@@ -36,8 +36,10 @@
   // [slots]
   milliseconds bid_window = milliseconds(4);
   milliseconds lookahead = milliseconds(20);
-  std::int64_t transfers_at_once = 4;  // transfers that share the link at one time
-  std::int64_t service_calls = 256;    // calls in progress; more are refused as busy
+  std::int64_t transfers_at_once = 4;          // transfers that share the link at one time
+  milliseconds piece_time = milliseconds(60);  // transfer of one piece of 2,000 tokens; decodes start so much earlier
+  bool accept_unreserved = false;              // work without a reservation waits for a slot instead of failing
+  std::int64_t service_calls = 256;            // calls in progress; more are refused as busy
 
   // [limits]
   milliseconds report_period = milliseconds(250);     // load reports
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -125,6 +125,8 @@
   void Pump();
   void PumpOnce();
   void OnStart(const router_session& session, std::variant<start_prefill, start_decode> start);
+  microseconds TransferLead(const model_work& work) const;
+  slot_request MakeUnreserved(const model_work& work, time_point now) const;
   void BeginWork(const work_ptr& work);
   task<> RunPrefill(work_ptr work);
   task<> RunDecode(work_ptr work);
--- a/src/agent/agent_work.cpp
+++ b/src/agent/agent_work.cpp
@@ -21,6 +21,8 @@
 // Ended work is kept this long for resume_stream. A channel is replaced within the silence limit of 1.5 s.
 constexpr milliseconds kEndedRetention(5'000);
 
+constexpr const char* kTransferStalled = "transfer_stalled";  // also the engine's reason
+constexpr const char* kInvalidStream = "engine_answer_invalid";
 constexpr milliseconds kCancelPause(50);
 constexpr milliseconds kTransferPoll(2);
 
@@ -54,6 +56,34 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(0, std::chrono::ceil<milliseconds>(duration).count()));
 }
 
+std::uint32_t CountWords(std::string_view text) {
+  std::uint32_t words = 0;
+  bool in_word = false;
+  for (const char letter : text) {
+    const bool is_space = letter == ' ' || letter == '\n' || letter == '\t' || letter == '\r';
+    words += !is_space && !in_word ? 1 : 0;
+    in_word = !is_space;
+  }
+  return words;
+}
+
+// What a failed exchange with the engine means. A closed connection is the sign of a lost process; a refused one shows
+// that it was lost earlier, so this work has no part in it.
+std::string ExplainFailure(const error& failure) {
+  switch (failure.code) {
+    case error_code::kInvalid:
+      return failure.message;  // the engine's own reason
+    case error_code::kClosed:
+      return kReasonEngineLost;
+    case error_code::kTimeout:
+      return "engine_silent";
+    case error_code::kUnavailable:
+      return "engine_unreachable";
+    default:
+      return "engine_answer_invalid";
+  }
+}
+
 double Blend(double old_value, double sample) { return old_value + kPaceWeight * (sample - old_value); }
 
 }  // namespace
@@ -203,18 +233,44 @@
       Pump();
       return;
   }
-  if (!has_slot) {
+  const bool may_wait = settings.accept_unreserved && !leaving && IsReady() && entry == nullptr;
+  if (!has_slot && !may_wait) {
     attempts.FinishAttempt(work->attempt, "", now);
     FailStart(session, work->attempt, is_prefill, "no_slot");
     return;
   }
   works[work->attempt] = work;
-  if (slots.StartSlot(work->attempt, now) == start_verdict::kStarted) {
+  const start_verdict verdict = has_slot ? slots.StartSlot(work->attempt, TransferLead(*work), now)
+                                         : slots.StartUnreserved(MakeUnreserved(*work, now), now);
+  if (verdict == start_verdict::kStarted) {
     BeginWork(work);
   }
   Pump();
 }
 
+microseconds agent_state::TransferLead(const model_work& work) const {
+  const auto* decode = std::get_if<start_decode>(&work.start);
+  // One piece more covers the time between the end of the prefill and its last piece.
+  return decode == nullptr ? microseconds(0) : settings.piece_time * (decode->ticket.pieces + 1);
+}
+
+slot_request agent_state::MakeUnreserved(const model_work& work, time_point now) const {
+  slot_request request;
+  request.attempt = work.attempt;
+  request.router = work.router;
+  request.start = now;
+  request.latest_start = now;
+  if (const auto* prefill = std::get_if<start_prefill>(&work.start)) {
+    request.kind = slot_kind::kPrefill;
+    request.prompt_tokens = CountWords(prefill->prompt) + prefill->resume_tokens;
+  } else {
+    const auto& decode = std::get<start_decode>(work.start);
+    request.kind = slot_kind::kDecode;
+    request.output_tokens = decode.max_tokens - std::min(decode.offset, decode.max_tokens);
+  }
+  return request;
+}
+
 void agent_state::BeginWork(const work_ptr& work) {
   if (std::exchange(work->begun, true)) {
     return;
@@ -240,7 +296,7 @@
   std::string traceparent = trace.Traceparent();
   auto done = co_await engine.Prefill(std::move(start), std::move(traceparent), std::move(on_line));
   if (failure.empty() && !done) {
-    failure = done.error().code == error_code::kInvalid ? done.error().message : "endpoint_lost";
+    failure = ExplainFailure(done.error());
   }
   const bool finished_whole = work->progress.state == work_state::kFinished;
   if (finished_whole && work->progress.computed_tokens > 0) {
@@ -254,7 +310,7 @@
   const work_state state = finished_whole    ? work_state::kFinished
                            : work->cancelled ? work_state::kCancelled
                                              : work_state::kFailed;
-  EndWork(work, state, finished_whole ? "" : failure.empty() ? "endpoint_lost" : failure);
+  EndWork(work, state, finished_whole ? "" : failure.empty() ? kReasonEngineLost : failure);
 }
 
 // Returns false to close the connection, which makes the engine drop the prefill.
@@ -265,7 +321,7 @@
   }
   const json value = json::parse(line, nullptr, false);
   if (!value.is_object()) {
-    failure = "endpoint_lost";
+    failure = kInvalidStream;
     return false;
   }
   prefill_progress& progress = work->progress;
@@ -289,7 +345,7 @@
       return true;  // EndWork sends it
     }
   } catch (const json::exception&) {
-    failure = "endpoint_lost";
+    failure = kInvalidStream;
     return false;
   }
   slots.NoteProgress(work->attempt, progress.computed_tokens, timer_service::Now());
@@ -315,7 +371,7 @@
   if (!work->cancelled) {
     failure = co_await DecodeOnce(work, traceparent, first_token);
   }
-  if (failure == "transfer_stalled" && !work->cancelled && work->produced.empty()) {
+  if (failure == kTransferStalled && !work->cancelled && work->produced.empty()) {
     log.ForRequest(work->request.value).Warning("A transfer has stalled and is repeated once.");
     failure = co_await DecodeOnce(work, traceparent, first_token);
   }
@@ -358,12 +414,12 @@
   if (!failure.empty()) {
     co_return failure;
   }
-  if (done || done.error().code != error_code::kTimeout) {
-    const bool refused = !done && done.error().code == error_code::kInvalid;
-    co_return refused ? done.error().message : "endpoint_lost";
+  if (done) {
+    co_return kReasonEngineLost;  // the stream ended without its last line
   }
-  // The time-out has closed the connection, which makes the engine drop the decode.
-  co_return work->produced.empty() ? "transfer_stalled" : "endpoint_lost";
+  // A time-out has closed the connection, which makes the engine drop the decode.
+  const bool stalled = done.error().code == error_code::kTimeout && work->produced.empty();
+  co_return stalled ? kTransferStalled : ExplainFailure(done.error());
 }
 
 bool agent_state::OnDecodeLine(const work_ptr& work, std::string_view line, std::string& failure,
@@ -378,7 +434,7 @@
     if (value.is_object() && value.contains("token")) {
       const std::uint32_t first_offset = std::get<start_decode>(work->start).offset;
       if (value.at("offset").get<std::uint32_t>() != first_offset + work->produced.size()) {
-        failure = "endpoint_lost";  // the engine's stream has a gap or a repetition
+        failure = kInvalidStream;  // the engine's stream has a gap or a repetition
         return false;
       }
       work->produced.push_back(value.at("token").get<std::string>());
@@ -390,11 +446,11 @@
       failure = value.at("error").get<std::string>();
       return false;
     } else {
-      failure = "endpoint_lost";
+      failure = kInvalidStream;
       return false;
     }
   } catch (const json::exception&) {
-    failure = "endpoint_lost";
+    failure = kInvalidStream;
     return false;
   }
   if (first_token == time_point()) {
--- a/src/agent/identity.cpp
+++ b/src/agent/identity.cpp
@@ -4,11 +4,13 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "core/random.h"
+
 namespace persimmon {
 namespace {
 
-// Several agents of one name that start at once each need one retry; more than this is a fault.
-constexpr int kDrawAttempts = 8;
+// Tries to raise the counter row before the check is left to a later time.
+constexpr int kRaiseAttempts = 4;
 
 }  // namespace
 
@@ -35,7 +37,7 @@
   table_write write;
   write.table = kIncarnationTable;
   write.key = key_;
-  write.value = nlohmann::json{{"incarnation", value}}.dump();
+  write.value = nlohmann::json{{"incarnation", value}, {"token", RandomHex(32)}}.dump();
   write.condition = seen.version == 0 ? row_condition::kAbsent : row_condition::kVersion;
   write.version = seen.version;
   std::vector<table_write> writes;
@@ -48,31 +50,14 @@
 }
 
 task<result<incarnation_number>> incarnation_counter::Draw() {
-  error last{error_code::kConflict, "the incarnation row changed during every attempt to draw a number"};
-  for (int attempt = 0; attempt < kDrawAttempts; ++attempt) {
-    auto seen = co_await ReadCounter();
-    if (!seen) {
-      co_return seen.error();
-    }
-    const incarnation_number next = seen.value().value + 1;
-    const counter_row row = seen.value();
-    auto written = co_await WriteCounter(row, next);
-    if (written && written.value()) {
-      co_return next;
-    }
-    // After a lost reply the write may have happened; the next attempt draws a higher number.
-    if (!written && written.error().code == error_code::kUnavailable) {
-      co_return written.error();
-    }
-    if (!written) {
-      last = written.error();
-    }
-  }
-  co_return last;
+  incarnation_settings settings;
+  std::string key = key_;
+  table_client table = table_;
+  co_return co_await DrawIncarnation(timers_, std::move(table), std::move(key), settings);
 }
 
 task<incarnation_check> incarnation_counter::Check(incarnation_number own, bool raise) {
-  for (int attempt = 0; attempt < kDrawAttempts; ++attempt) {
+  for (int attempt = 0; attempt < kRaiseAttempts; ++attempt) {
     auto seen = co_await ReadCounter();
     if (!seen) {
       co_return incarnation_check::kUnknown;
--- a/src/agent/identity.h
+++ b/src/agent/identity.h
@@ -1,8 +1,7 @@
 // The agent's incarnation, drawn from a counter in the table service.
 //
 // Rules
-//   1. With the store: the incarnation is the counter row's value plus one, written under the condition that the row
-//      has not changed. A lost reply costs a number, never uniqueness.
+//   1. With the store: the next number of the counter row (platform/incarnation.h).
 //   2. While the store is out: a provisional number from the wall clock in microseconds, which is far above any
 //   counter,
 //      and above the engine's highest number if the engine can tell. It serves as identity. Commands need the engine's
@@ -17,19 +16,19 @@
 #include "core/timers.h"
 #include "persimmon/error.h"
 #include "persimmon/types.h"
+#include "platform/incarnation.h"
 #include "platform/table_client.h"
 
 namespace persimmon {
 
-inline constexpr const char* kIncarnationTable = "incarnations";
-
 enum class incarnation_check : std::uint8_t { kCurrent, kSuperseded, kUnknown };
 
 class incarnation_counter {
  public:
-  incarnation_counter(table_client& table, std::string key) : table_(table), key_(std::move(key)) {}
+  incarnation_counter(timer_service& timers, table_client& table, std::string key)
+      : timers_(timers), table_(table), key_(std::move(key)) {}
 
-  // Draws the next number. Errors: those of the table client when the store is out.
+  // Draws the next number. Errors: those of DrawIncarnation.
   task<result<incarnation_number>> Draw();
 
   // Compares the row with an own number; with raise set, a lower row is raised to the number first.
@@ -44,6 +43,7 @@
   task<result<counter_row>> ReadCounter();
   task<result<bool>> WriteCounter(counter_row seen, incarnation_number value);
 
+  timer_service& timers_;
   table_client& table_;
   std::string key_;  // "agent/<endpoint name>"
 };
--- a/src/decisions/slots.cpp
+++ b/src/decisions/slots.cpp
@@ -270,11 +270,26 @@
   if (kind == slot_kind::kPrefill || now >= entry.start) {
     return true;
   }
+  const bool is_ample = CountFree(kind) >= settings_.ample_share * Slots(kind);
+  if (now + entry.lead < entry.start && !is_ample) {
+    return false;
+  }
   // An early start must not take the slot of a reservation that starts before this one.
   return PeakUsage(kind, now, entry.start, now, entry.request.attempt) < Slots(kind);
 }
 
-start_verdict slot_table::StartSlot(const attempt_id& attempt, time_point now) {
+start_verdict slot_table::TryStart(slot_entry& entry, time_point now) {
+  if (!MayRun(entry, now)) {
+    entry.phase = slot_phase::kWaiting;
+    return start_verdict::kWaiting;
+  }
+  entry.phase = slot_phase::kRunning;
+  entry.start = now;
+  entry.progressed = now;
+  return start_verdict::kStarted;
+}
+
+start_verdict slot_table::StartSlot(const attempt_id& attempt, microseconds lead, time_point now) {
   const auto found = entries_.find(attempt);
   if (found == entries_.end()) {
     return start_verdict::kUnknown;
@@ -283,14 +298,17 @@
   if (entry.phase == slot_phase::kRunning) {
     return start_verdict::kStarted;
   }
-  if (!MayRun(entry, now)) {
-    entry.phase = slot_phase::kWaiting;
-    return start_verdict::kWaiting;
+  entry.lead = lead;
+  return TryStart(entry, now);
+}
+
+start_verdict slot_table::StartUnreserved(const slot_request& request, time_point now) {
+  const auto [found, inserted] = entries_.try_emplace(request.attempt);
+  if (inserted) {
+    found->second.request = request;
+    found->second.start = now;
   }
-  entry.phase = slot_phase::kRunning;
-  entry.start = now;
-  entry.progressed = now;
-  return start_verdict::kStarted;
+  return found->second.phase == slot_phase::kRunning ? start_verdict::kStarted : TryStart(found->second, now);
 }
 
 std::vector<attempt_id> slot_table::TakeDueStarts(time_point now) {
@@ -303,7 +321,7 @@
   std::sort(waiting.begin(), waiting.end());
   std::vector<attempt_id> started;
   for (const auto& [start, attempt] : waiting) {
-    if (StartSlot(attempt, now) == start_verdict::kStarted) {
+    if (TryStart(entries_.at(attempt), now) == start_verdict::kStarted) {
       started.push_back(attempt);
     }
   }
@@ -404,7 +422,7 @@
         consider(entry.start + entry.request.hold + milliseconds(1));
         break;
       case slot_phase::kWaiting:
-        consider(entry.start > now ? entry.start : now + kWaitingRetry);
+        consider(std::max(entry.start - entry.lead, now + kWaitingRetry));
         break;
       case slot_phase::kRunning:
         if (entry.request.kind == slot_kind::kPrefill && !prefill_open_since_ &&
