--- a/src/agent/agent_main.cpp
+++ b/src/agent/agent_main.cpp
@@ -29,8 +29,10 @@
 
 result<detail::stop_function> Build(kernel& services, const agent_settings& settings) {
   auto& parts = services.Register<shared_parts>("parts", services.Context(), settings);
-  auto& configs = services.Register<config_store>("configs", services.Timers(), services.Context(), parts.table,
-                                                  config_store_settings());
+  config_store_settings config_settings;
+  config_settings.peers_needed = static_cast<std::size_t>(settings.peers_needed);
+  auto& configs =
+      services.Register<config_store>("configs", services.Timers(), services.Context(), parts.table, config_settings);
   auto& agent =
       services.Register<agent_service>("agent", services.Context(), settings, parts.table, configs, parts.traces);
   auto held = agent.HoldPort();
--- a/src/agent/agent_routers.cpp
+++ b/src/agent/agent_routers.cpp
@@ -98,7 +98,7 @@
   } else if (const auto* query = std::get_if<query_attempt>(&value)) {
     OnQuery(*session, *query);
   } else if (const auto* snapshot = std::get_if<config_snapshot>(&value)) {
-    configs.OfferSnapshot(session->identity.name.value, *snapshot);
+    configs.OfferSnapshot(session->identity.name.value, *snapshot, link->Peer().zone);
   } else if (const auto* fetch = std::get_if<fetch_config>(&value)) {
     link->Send(configs.MakeSnapshot(fetch->have));
   } else {
--- a/src/agent/agent_settings.cpp
+++ b/src/agent/agent_settings.cpp
@@ -9,6 +9,7 @@
   bind.TextList("peers", "allowed_hosts", settings.allowed_hosts);
   bind.AddressList("platform", "table_servers", settings.table_servers, presence::kRequired);
   bind.Duration("platform", "table_timeout_ms", settings.table_timeout, milliseconds(50), milliseconds(30'000));
+  bind.Number("platform", "peers_needed", settings.peers_needed, 1, 100);
   bind.Text("trace", "file", settings.trace_file);
   bind.Address("listen", "channel", settings.channel, presence::kRequired);
   bind.Choice("endpoint", "kind", settings.kind, {"engine", "service"});
--- a/src/agent/agent_settings.h
+++ b/src/agent/agent_settings.h
@@ -21,6 +21,7 @@
   // [platform]
   std::vector<host_port> table_servers;
   milliseconds table_timeout = milliseconds(1'000);
+  std::int64_t peers_needed = 2;  // routers whose snapshots are needed to start while the store is out
 
   // [trace]
   std::string trace_file;  // empty: no spans are written
