--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -19,7 +19,8 @@
 namespace {
 
 constexpr milliseconds kTickPeriod(100);
-constexpr milliseconds kTracePeriod(1'000);
+// How often an agent with a provisional incarnation looks whether the store answers again.
+constexpr milliseconds kRaisePause(1'000);
 
 // A tick that is this late shows that the process was paused: another incarnation may have started meanwhile.
 constexpr milliseconds kPauseLimit(1'000);
@@ -165,6 +166,10 @@
     asio::co_spawn(context, VerifyIncarnation(), asio::detached);
   }
   last_tick = now;
+  if (provisional && now - last_raise >= kRaisePause) {
+    last_raise = now;
+    asio::co_spawn(context, RaiseCounter(), asio::detached);
+  }
   DropSilentRouters(now);
   ForgetEndedWork(now);
   attempts.ExpireEntries(now);
--- a/src/agent/agent_engine.cpp
+++ b/src/agent/agent_engine.cpp
@@ -173,7 +173,8 @@
     co_return;
   }
   const engine_setup wanted = WantedSetup();
-  if (wanted == reported->setup || !IsDrainedFor(wanted)) {
+  // The first command is sent even if nothing changes: the engine learns the incarnation and refuses older ones.
+  if ((wanted == reported->setup && registered) || !IsDrainedFor(wanted)) {
     co_return;
   }
   const time_point checked = timer_service::Now();
@@ -186,6 +187,9 @@
     provisional = false;
   } else if (!reported || !reported->highest || reported->highest->incarnation > incarnation) {
     // The store is out and the engine cannot tell, or knows of a newer agent: serve what is loaded.
+    if (!std::exchange(withheld, true)) {
+      log.Warning("{} sends no commands until the store answers.", settings.name);
+    }
     co_return;
   }
   if (timer_service::Now() - checked > kCheckLimit && verdict == incarnation_check::kCurrent) {
@@ -206,9 +210,23 @@
     }
     co_return;
   }
+  registered = true;
+  withheld = false;
   log.Info("The engine was told to serve {} with revision {}.", fmt::join(wanted.roles, ", "), fence.revision);
 }
 
+// After a start without the store: raises the counter row as soon as the store answers, so that a later start draws a
+// higher number.
+task<> agent_state::RaiseCounter() {
+  const auto self = shared_from_this();
+  const auto verdict = co_await counter.Check(incarnation, true);
+  if (verdict == incarnation_check::kSuperseded) {
+    NoteSuperseded();
+  } else if (verdict == incarnation_check::kCurrent && std::exchange(provisional, false)) {
+    log.Info("The counter row was raised to incarnation {}.", incarnation);
+  }
+}
+
 // After a pause the agent takes no work until it knows that no newer incarnation has started, or that the store cannot
 // tell.
 task<> agent_state::VerifyIncarnation() {
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -160,6 +160,7 @@
   task<> ReadCacheEvents();
   task<> Reconcile();
   task<> VerifyIncarnation();
+  task<> RaiseCounter();
   void UpdateOpenKinds();
   bool IsEngine() const { return settings.kind == "engine"; }
   bool IsReady() const;
@@ -189,6 +190,7 @@
   std::function<void()> finished;  // called when the last work of a planned stop has ended
   time_point idle_since;
   time_point last_tick;
+  time_point last_raise;
   timer_subscription tick;
   timer_subscription reports;
   timer_subscription poll;
@@ -219,6 +221,8 @@
   std::optional<endpoint_record> record;  // of this endpoint, in the configuration in force
   std::optional<engine_state> reported;   // absent: the engine does not answer
   bool polling = false;
+  bool registered = false;               // the engine has obeyed a command of this incarnation
+  bool withheld = false;                 // a command waits for the store
   std::deque<cache_event> cache_events;  // the latest of the engine
   std::uint64_t last_cache_event = 0;
 };
--- a/src/decisions/slots.cpp
+++ b/src/decisions/slots.cpp
@@ -46,8 +46,9 @@
   slot_request rest = entry.request;
   std::uint32_t& total = rest.kind == slot_kind::kPrefill ? rest.prompt_tokens : rest.output_tokens;
   total -= std::min(total, entry.tokens_done);
-  // Prefill reports whole pieces, so the time since the last report counts as progress.
-  const time_point from = rest.kind == slot_kind::kPrefill ? entry.progressed : now;
+  // Prefill reports whole pieces, so the time since the last report counts as progress; decode reports each token.
+  const bool is_prefill = rest.kind == slot_kind::kPrefill;
+  const time_point from = is_prefill ? entry.progressed : std::max(entry.progressed, now - pace_.token_interval);
   return std::max(now + kShortestRest, from + PredictDuration(rest));
 }
 
--- a/src/fakes/fake_engine.cpp
+++ b/src/fakes/fake_engine.cpp
@@ -555,8 +555,14 @@
     job->end = input.at("max_tokens").get<std::uint32_t>();
     decodes[id] = job;
     exchange->OnDisconnect([this, job] { EndDecode(job, "cancelled"); });
-    std::string kv = input.at("kv").get<std::string>();
-    std::string failure = co_await FetchPieces(job, source.value(), std::move(kv), pieces);
+    asio::co_spawn(context, Receive(job, source.value(), input.at("kv").get<std::string>(), pieces), asio::detached);
+    co_await StreamDecode(exchange, job);
+  }
+
+  // Runs beside the stream, so that a cancel ends the stream while a piece is still awaited.
+  task<> Receive(decode_ptr job, host_port source, std::string kv, std::uint32_t pieces) {
+    const auto self = shared_from_this();
+    std::string failure = co_await FetchPieces(job, std::move(source), std::move(kv), pieces);
     if (!failure.empty()) {
       EndDecode(job, failure);
     }
@@ -565,7 +571,6 @@
       job->running = true;
       asio::co_spawn(context, RunDecodes(), asio::detached);
     }
-    co_await StreamDecode(exchange, job);
   }
 
   task<> StreamDecode(exchange_ptr exchange, decode_ptr job) {
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -133,5 +133,481 @@
   EXPECT_EQ(Router().Last<prefill_progress>("p")->computed_tokens, 5'000U);
 }
 
+TEST_F(agent_test, LoadReport_AfterPrefill_CarriesCacheEvents) {
+  StartModelEndpoint({"--event_lag_ms=0"});
+  const std::string prompt = MakePrompt(600);
+  StartPrefill(Router(), "p", prompt);
+  std::vector<std::uint64_t> hashes;
+  ASSERT_TRUE(RunUntil([&] {
+    hashes.clear();
+    for (const load_report& report : Router().reports) {
+      for (const cache_event& event : report.cache_events) {
+        hashes.push_back(event.prefix_hash);
+      }
+    }
+    return hashes.size() >= 2;
+  }));
+  EXPECT_EQ(hashes, HashPromptBlocks(prompt));
+}
+
+TEST_F(agent_test, Work_WithTraceFile_WritesASpanPerStep) {
+  const std::string trace = folder_ / "traces.jsonl";
+  StartModelEndpoint({}, "[trace]\nfile = " + trace);
+  RunDecode(Router(), "d", MakePrompt(100), 4);
+  const auto has_spans = [&trace] {
+    std::ifstream file(trace);
+    const std::string text((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    return text.find("agent.prefill") != std::string::npos && text.find("agent.transfer") != std::string::npos &&
+           text.find("agent.decode") != std::string::npos;
+  };
+  EXPECT_TRUE(RunUntil(has_spans));
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. cancel and lost routers
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST_F(agent_test, Cancel_WhenReserved_FreesTheSlotAndTombstones) {
+  StartModelEndpoint({"--decode_slots=1"});
+  Reserve(Router(), "d1", slot_role::kDecode);
+  Router().Send(MakeReservation("d2", slot_role::kDecode));
+  ASSERT_TRUE(RunUntil([this] { return Router().Last<slot_refused>("d2") != nullptr; }));
+  EXPECT_EQ(Router().Last<slot_refused>("d2")->reason, refusal_reason::kBusy);
+  Router().Send(cancel{attempt_id{"d1"}, 0, false});
+  ASSERT_TRUE(RunUntil([this] { return Router().Last<attempt_status>("d1") != nullptr; }));
+  EXPECT_EQ(Router().Last<attempt_status>("d1")->phase, attempt_phase::kTombstoned);
+  Reserve(Router(), "d3", slot_role::kDecode);
+  start_decode late;
+  late.attempt = attempt_id{"d1"};
+  Router().Send(late);
+  ASSERT_TRUE(RunUntil([this] { return Router().Last<tokens>("d1") != nullptr; }));
+  EXPECT_EQ(Router().Last<tokens>("d1")->state, work_state::kFailed);
+  EXPECT_EQ(Router().Last<tokens>("d1")->reason, "tombstoned");
+}
+
+TEST_F(agent_test, Cancel_DuringPrefill_FreesTheEngine) {
+  // One piece takes 20 s, so that only the cancel can end the prefill.
+  StartModelEndpoint({"--prefill_tokens_per_s=100"});
+  StartPrefill(Router(), "p", MakePrompt(6'000));
+  AwaitTicket(Router(), "p");
+  ASSERT_EQ(EngineState().value("prefill_running", 0), 1);
+  const time_point begin = std::chrono::steady_clock::now();
+  Router().Send(cancel{attempt_id{"p"}, 0, false});
+  ASSERT_TRUE(RunUntil([this] {
+    const json state = EngineState();
+    return state.value("prefill_running", 1) == 0 && state.value("kv_held", 1) == 0;
+  }));
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, kFreeLimit);
+  ASSERT_TRUE(RunUntil([this] { return Router().Last<prefill_progress>("p")->state == work_state::kCancelled; }));
+}
+
+TEST_F(agent_test, Cancel_DuringTransfer_FreesDecodeMemory) {
+  StartModelEndpoint({"--piece_timeout_ms=60000", "--kv_lifetime_ms=60000"});
+  Post(engine_port_, "/faults", {{"stall_transfers", true}});
+  StartPrefill(Router(), "p", MakePrompt(1'000));
+  StartDecode(Router(), "d", AwaitTicket(Router(), "p"), 100);
+  ASSERT_TRUE(RunUntil([this] { return MemoryHeld() > 0; }));
+  Router().Send(cancel{attempt_id{"d"}, 0, false});
+  EXPECT_LT(TimeUntilFree(), kFreeLimit);
+  ASSERT_TRUE(RunUntil([this] { return Router().Last<tokens>("d") != nullptr; }));
+  EXPECT_EQ(Router().Last<tokens>("d")->state, work_state::kCancelled);
+}
+
+TEST_F(agent_test, Cancel_DuringDecode_FreesDecodeMemory) {
+  StartModelEndpoint();
+  RunDecode(Router(), "d", MakePrompt(100), kEndlessTokens);
+  ASSERT_GT(MemoryHeld(), 0);
+  Router().Send(cancel{attempt_id{"d"}, 0, false});
+  EXPECT_LT(TimeUntilFree(), kFreeLimit);
+}
+
+TEST_F(agent_test, RouterKilled_DuringDecode_FreesItsMemoryAndReservations) {
+  StartModelEndpoint({"--decode_slots=2"});
+  RunDecode(Router(), "d", MakePrompt(100), kEndlessTokens);
+  Reserve(Router(), "reserved", slot_role::kDecode);
+  test_router& other = ConnectRouter("router-b");
+  Router().Disconnect();
+  EXPECT_LT(TimeUntilFree(), kFreeLimit);
+  Reserve(other, "b1", slot_role::kDecode);
+  Reserve(other, "b2", slot_role::kDecode);
+}
+
+TEST_F(agent_test, RouterFrozen_DuringDecode_FreesItsMemoryAndReservations) {
+  StartModelEndpoint({"--decode_slots=2"});
+  RunDecode(Router(), "d", MakePrompt(100), kEndlessTokens);
+  Reserve(Router(), "reserved", slot_role::kDecode);
+  test_router& other = ConnectRouter("router-b");
+  Router().frozen = true;
+  EXPECT_LT(TimeUntilFree(), kFreeLimit);
+  Reserve(other, "b1", slot_role::kDecode);
+  Reserve(other, "b2", slot_role::kDecode);
+}
+
+TEST_F(agent_test, RouterKilled_DuringTransfer_FreesItsMemory) {
+  StartModelEndpoint({"--piece_timeout_ms=60000", "--kv_lifetime_ms=60000"});
+  Post(engine_port_, "/faults", {{"stall_transfers", true}});
+  StartPrefill(Router(), "p", MakePrompt(1'000));
+  StartDecode(Router(), "d", AwaitTicket(Router(), "p"), 100);
+  ASSERT_TRUE(RunUntil([this] { return MemoryHeld() > 0; }));
+  Router().Disconnect();
+  EXPECT_LT(TimeUntilFree(), kFreeLimit);
+}
+
+TEST_F(agent_test, RouterRestarted_WithNewerIncarnation_DropsTheOlderAtOnce) {
+  StartModelEndpoint();
+  RunDecode(Router(), "d", MakePrompt(100), kEndlessTokens);
+  ConnectRouter("router-a", 2);
+  EXPECT_LT(TimeUntilFree(), kFreeLimit);
+}
+
+TEST_F(agent_test, ChannelLost_AndResumed_StreamsWithoutGapOrDuplicate) {
+  StartModelEndpoint();
+  constexpr std::uint32_t kTokens = 150;
+  const std::string prompt = MakePrompt(100);
+  RunDecode(Router(), "d", prompt, kTokens);
+  Router().Disconnect();
+  const auto received = static_cast<std::uint32_t>(Router().ReceivedTokens("d").size());
+  ASSERT_LT(received, kTokens);
+  // The decode goes on meanwhile: an agent that sent tokens before it is asked to would leave a gap here.
+  ASSERT_TRUE(
+      RunUntil([this] { return AgentLog().find("The channel of router router-a was lost") != std::string::npos; }));
+  Router().Connect();
+  ASSERT_TRUE(RunUntil([this] { return Router().IsConnected(); }));
+  ASSERT_TRUE(RunUntil([this] { return MemoryHeld() > 0; }));
+  Router().Send(resume_stream{attempt_id{"d"}, received});
+  ASSERT_TRUE(RunUntil([this] {
+    const auto* part = Router().Last<tokens>("d");
+    return part->state != work_state::kRunning;
+  }));
+  EXPECT_EQ(Router().Last<tokens>("d")->state, work_state::kFinished);
+  EXPECT_EQ(Router().ReceivedTokens("d"), ExpectedTokens(prompt, 0, kTokens));
+}
+
+TEST_F(agent_test, Resume_OfUnknownAttempt_IsToldSo) {
+  StartModelEndpoint();
+  Router().Send(resume_stream{attempt_id{"nobody"}, 3});
+  ASSERT_TRUE(
+      RunUntil([this] { return Router().Last<prefill_progress>("nobody") || Router().Last<tokens>("nobody"); }));
+  EXPECT_EQ(Router().Last<tokens>("nobody")->state, work_state::kFailed);
+  EXPECT_EQ(Router().Last<tokens>("nobody")->reason, "unknown_attempt");
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. failures of the engine
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST_F(agent_test, EngineKilled_DuringDecode_FailsTruthfullyAndRecovers) {
+  StartModelEndpoint();
+  const std::string prompt = MakePrompt(100);
+  RunDecode(Router(), "d", prompt, kEndlessTokens);
+  engine_->Signal(SIGKILL);
+  ASSERT_TRUE(RunUntil([this] { return Router().Last<tokens>("d")->state != work_state::kRunning; }));
+  EXPECT_EQ(Router().Last<tokens>("d")->state, work_state::kFailed);
+  EXPECT_EQ(Router().Last<tokens>("d")->reason, kReasonEngineLost);
+  const auto pieces = Router().ReceivedTokens("d");
+  EXPECT_EQ(pieces, ExpectedTokens(prompt, 0, static_cast<std::uint32_t>(pieces.size())));
+  ASSERT_TRUE(RunUntil([this] { return !Router().reports.back().ready; }));
+  Router().Send(MakeReservation("refused", slot_role::kPrefill));
+  ASSERT_TRUE(RunUntil([this] { return Router().Last<slot_refused>("refused") != nullptr; }));
+  EXPECT_EQ(Router().Last<slot_refused>("refused")->reason, refusal_reason::kNotReady);
+  StartEngine();
+  RunDecode(Router(), "again", prompt, 5);
+}
+
+TEST_F(agent_test, Transfer_WhenStalledOnce_IsRepeated) {
+  StartModelEndpoint({"--piece_timeout_ms=200", "--kv_lifetime_ms=60000"});
+  Post(engine_port_, "/faults", {{"stall_transfers", true}});
+  const std::string prompt = MakePrompt(1'000);
+  StartPrefill(Router(), "p", prompt);
+  StartDecode(Router(), "d", AwaitTicket(Router(), "p"), 10);
+  ASSERT_TRUE(RunUntil([this] { return AgentLog().find("A transfer has stalled") != std::string::npos; }));
+  Post(engine_port_, "/faults", {{"stall_transfers", false}});
+  ASSERT_TRUE(RunUntil([this] {
+    const auto* part = Router().Last<tokens>("d");
+    return part != nullptr && part->state != work_state::kRunning;
+  }));
+  EXPECT_EQ(Router().ReceivedTokens("d"), ExpectedTokens(prompt, 0, 10));
+}
+
+TEST_F(agent_test, Transfer_WhenStalledTwice_FailsTruthfully) {
+  StartModelEndpoint({"--piece_timeout_ms=200", "--kv_lifetime_ms=60000"});
+  Post(engine_port_, "/faults", {{"stall_transfers", true}});
+  StartPrefill(Router(), "p", MakePrompt(1'000));
+  StartDecode(Router(), "d", AwaitTicket(Router(), "p"), 10);
+  ASSERT_TRUE(RunUntil([this] { return Router().Last<tokens>("d") != nullptr; }));
+  EXPECT_EQ(Router().Last<tokens>("d")->state, work_state::kFailed);
+  EXPECT_EQ(Router().Last<tokens>("d")->reason, "transfer_stalled");
+  EXPECT_LT(TimeUntilFree(), kFreeLimit);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. configuration, leaving, commands
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST_F(agent_test, Reserve_BeforeAConfigurationIsInForce_IsRefused) {
+  StartPlatform();
+  StartEngine();
+  agent_port_ = FreePort();
+  StartAgent(agent_port_);
+  ConnectRouter();
+  Router().Send(MakeReservation("early", slot_role::kPrefill));
+  ASSERT_TRUE(RunUntil([this] { return Router().Last<slot_refused>("early") != nullptr; }));
+  EXPECT_EQ(Router().Last<slot_refused>("early")->reason, refusal_reason::kNotReady);
+  StoreRecords(1, MakeRecords("endpoint-a", {"prefill", "decode"}, agent_port_));
+  Reserve(Router(), "later", slot_role::kPrefill);
+}
+
+TEST_F(agent_test, Stop_DuringDecode_FinishesItAndRefusesNewSlots) {
+  StartModelEndpoint();
+  constexpr std::uint32_t kTokens = 100;
+  const std::string prompt = MakePrompt(100);
+  RunDecode(Router(), "d", prompt, kTokens);
+  agents_.front()->Signal(SIGTERM);
+  ASSERT_TRUE(RunUntil([this] { return Router().beat.leaving && Router().reports.back().leaving; }));
+  Router().Send(MakeReservation("new", slot_role::kPrefill));
+  ASSERT_TRUE(RunUntil([this] { return Router().Last<slot_refused>("new") != nullptr; }));
+  EXPECT_EQ(Router().Last<slot_refused>("new")->reason, refusal_reason::kLeaving);
+  ASSERT_TRUE(RunUntil([this] { return Router().Last<tokens>("d")->state != work_state::kRunning; }));
+  EXPECT_EQ(Router().Last<tokens>("d")->state, work_state::kFinished);
+  EXPECT_EQ(Router().ReceivedTokens("d"), ExpectedTokens(prompt, 0, kTokens));
+  ASSERT_TRUE(RunUntil([this] { return !agents_.front()->IsRunning(); }));
+  EXPECT_EQ(agents_.front()->WaitForExit(), 0);
+}
+
+TEST_F(agent_test, Draining_InTheRecord_RefusesSlotsUntilItIsActiveAgain) {
+  StartModelEndpoint();
+  const std::string prompt = MakePrompt(100);
+  RunDecode(Router(), "d", prompt, 100);
+  Router().snapshot = MakeRecords("endpoint-a", {"prefill", "decode"}, agent_port_, "draining");
+  Router().revision = 2;
+  ASSERT_TRUE(RunUntil([this] { return Router().beat.leaving && Router().beat.revision == 2; })) << AgentLog();
+  Router().Send(MakeReservation("new", slot_role::kDecode));
+  ASSERT_TRUE(RunUntil([this] { return Router().Last<slot_refused>("new") != nullptr; }));
+  EXPECT_EQ(Router().Last<slot_refused>("new")->reason, refusal_reason::kLeaving);
+  ASSERT_TRUE(RunUntil([this] { return Router().Last<tokens>("d")->state != work_state::kRunning; }));
+  EXPECT_EQ(Router().ReceivedTokens("d"), ExpectedTokens(prompt, 0, 100));
+  Router().snapshot = MakeRecords("endpoint-a", {"prefill", "decode"}, agent_port_);
+  Router().revision = 3;
+  Reserve(Router(), "again", slot_role::kDecode);
+}
+
+TEST_F(agent_test, RoleChange_DuringDecode_WaitsForItsEnd) {
+  StartModelEndpoint();
+  const std::string prompt = MakePrompt(100);
+  RunDecode(Router(), "d", prompt, 100);
+  Router().snapshot = MakeRecords("endpoint-a", {"prefill"}, agent_port_);
+  Router().revision = 2;
+  ASSERT_TRUE(RunUntil([this] { return Router().beat.revision == 2; })) << AgentLog();
+  Router().Send(MakeReservation("new", slot_role::kDecode));
+  ASSERT_TRUE(RunUntil([this] { return Router().Last<slot_refused>("new") != nullptr; }));
+  EXPECT_EQ(Router().Last<slot_refused>("new")->reason, refusal_reason::kWrongRole);
+  const json prefill_only = {"prefill"};
+  ASSERT_TRUE(RunUntil([&] { return EngineState()["roles"] == prefill_only; })) << AgentLog();
+  EXPECT_EQ(Router().Last<tokens>("d")->state, work_state::kFinished);
+  EXPECT_EQ(Router().ReceivedTokens("d"), ExpectedTokens(prompt, 0, 100));
+}
+
+TEST_F(agent_test, SecondAgent_OnTheSamePort_ExitsWithoutOutrankingTheFirst) {
+  StartModelEndpoint();
+  const incarnation_number first = Router().peer->incarnation;
+  child_process& second = StartAgent(agent_port_);
+  EXPECT_EQ(second.WaitForExit(), 1);
+  const json row = FetchJson(platform_port_, "/tables/incarnations/rows/agent%2Fendpoint-a");
+  EXPECT_EQ(json::parse(row.value("value", "{}"))["incarnation"], first);
+}
+
+class former_agent_test : public agent_test {
+ protected:
+  // Agent A is paused while a second agent of the same name, B, starts on another port. Then A goes on and learns of a
+  // higher revision that takes the prefill role from its engine.
+  void ResumeFormerAgent(const std::string& fencing, bool with_store) {
+    StartModelEndpoint({"--fencing=" + fencing});
+    ASSERT_TRUE(RunUntil([this] { return AgentLog().find("The engine was told") != std::string::npos; }));
+    const incarnation_number first = Router().peer->incarnation;
+    agents_.front()->Signal(SIGSTOP);
+    Router().Disconnect();
+    const int second_port = FreePort();
+    child_process& second = StartAgent(second_port);
+    ASSERT_TRUE(second.WaitForText("The engine was told")) << second.Err();
+    if (!with_store) {
+      Post(platform_port_, "/faults", {{"outage", true}});
+    }
+    Router().snapshot = MakeRecords("endpoint-a", {"decode"}, agent_port_);
+    Router().revision = 9;
+    agents_.front()->Signal(SIGCONT);
+    Router().Connect();
+    ASSERT_TRUE(RunUntil([this] { return Router().IsConnected(); }));
+    EXPECT_EQ(Router().peer->incarnation, first);
+    const char* expected = with_store ? "was superseded" : "sends no commands";
+    ASSERT_TRUE(RunUntil([&] { return AgentLog().find(expected) != std::string::npos; })) << AgentLog();
+    EXPECT_TRUE(RunUntil([this] { return Router().beat.revision == 9; })) << AgentLog();
+    json roles = EngineState()["roles"];
+    std::sort(roles.begin(), roles.end());
+    EXPECT_EQ(roles, json({"decode", "prefill"}));
+  }
+};
+
+TEST_F(former_agent_test, Resumed_WithEngineThatChecksFencing_CommandsNothing) {
+  ResumeFormerAgent("check", true);
+  // Whatever an old agent sends, and however late, the engine refuses it.
+  const json late = {{"fence", {{"revision", 99}, {"incarnation", 1}}}, {"roles", {"decode"}}};
+  const auto reply = Fetch(engine_port_, "POST", "/v1/commands", late.dump());
+  ASSERT_TRUE(reply);
+  EXPECT_EQ(reply.value().status, 409);
+}
+
+TEST_F(former_agent_test, Resumed_WithEngineThatIgnoresFencing_CommandsNothing) { ResumeFormerAgent("ignore", true); }
+
+TEST_F(former_agent_test, ResumedWithoutStore_WithEngineThatChecksFencing_CommandsNothing) {
+  ResumeFormerAgent("check", false);
+}
+
+TEST_F(former_agent_test, ResumedWithoutStore_WithEngineThatIgnoresFencing_CommandsNothing) {
+  ResumeFormerAgent("ignore", false);
+}
+
+class outage_start_test : public agent_test {
+ protected:
+  // The agent is started again while the store is out; a router has the records, which take the prefill role away.
+  void RestartDuringOutage(const std::string& fencing) {
+    StartModelEndpoint({"--fencing=" + fencing});
+    ASSERT_TRUE(RunUntil([this] { return AgentLog().find("The engine was told") != std::string::npos; }));
+    first_ = Router().peer->incarnation;
+    agents_.front()->Signal(SIGKILL);
+    agents_.front()->WaitForExit();
+    Post(platform_port_, "/faults", {{"outage", true}});
+    Router().snapshot = MakeRecords("endpoint-a", {"decode"}, agent_port_);
+    Router().revision = 9;
+    agents_.clear();
+    StartAgent(agent_port_);
+    ASSERT_TRUE(RunUntil([this] { return Router().IsConnected() && Router().peer->incarnation > first_; }));
+    ASSERT_TRUE(RunUntil([this] { return Router().beat.revision == 9; })) << AgentLog();
+  }
+
+  bool HasOnlyDecode() { return EngineState()["roles"] == json({"decode"}); }
+
+  incarnation_number CounterRow() {
+    const json row = FetchJson(platform_port_, "/tables/incarnations/rows/agent%2Fendpoint-a");
+    return row.is_object() ? json::parse(row.value("value", "{}")).value("incarnation", 0ULL) : 0;
+  }
+
+  incarnation_number first_ = 0;
+};
+
+TEST_F(outage_start_test, EngineThatTells_IsCommandedWithAHigherNumber) {
+  RestartDuringOutage("check");
+  ASSERT_TRUE(RunUntil([this] { return HasOnlyDecode(); })) << AgentLog();
+  Post(platform_port_, "/faults", {{"outage", false}});
+  EXPECT_TRUE(RunUntil([this] { return CounterRow() == Router().peer->incarnation; })) << AgentLog();
+}
+
+TEST_F(outage_start_test, EngineThatCannotTell_IsServedAsLoadedUntilTheStoreIsBack) {
+  RestartDuringOutage("ignore");
+  ASSERT_TRUE(RunUntil([this] { return AgentLog().find("sends no commands") != std::string::npos; })) << AgentLog();
+  EXPECT_FALSE(HasOnlyDecode());
+  Reserve(Router(), "served", slot_role::kDecode);
+  Router().Send(cancel{attempt_id{"served"}, 0, false});
+  Post(platform_port_, "/faults", {{"outage", false}});
+  EXPECT_TRUE(RunUntil([this] { return HasOnlyDecode(); })) << AgentLog();
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 5. plain calls
+// ---------------------------------------------------------------------------------------------------------------------
+
+class agent_call_test : public agent_test {
+ protected:
+  call_service MakeCall(const std::string& attempt) {
+    call_service call;
+    call.attempt = attempt_id{attempt};
+    call.request = request_id{"request-" + attempt};
+    call.incarnation = Router().peer->incarnation;
+    call.timeout_ms = 10'000;
+    call.method = "POST";
+    call.target = "/app/quiz";
+    call.body = "body-" + attempt;
+    return call;
+  }
+
+  std::uint64_t CountCalls(const std::string& attempt) {
+    const json calls = FetchJson(engine_port_, "/calls")["calls"];
+    return calls.value("POST /app/quiz body-" + attempt, 0ULL);
+  }
+
+  const service_answer* AwaitAnswer(const std::string& attempt, std::size_t number = 1) {
+    const bool answered = RunUntil([&] { return Router().Count<service_answer>(attempt) >= number; });
+    EXPECT_TRUE(answered) << AgentLog();
+    return Router().Last<service_answer>(attempt);
+  }
+};
+
+TEST_F(agent_call_test, Call_WhenRepeated_RunsOnceAndAnswersEach) {
+  StartServiceEndpoint({"--delay_ms=100"});
+  Router().Send(MakeCall("a"));
+  Router().Send(MakeCall("a"));
+  AwaitAnswer("a");
+  Router().Send(MakeCall("a"));
+  const service_answer* repeated = AwaitAnswer("a", 2);
+  ASSERT_NE(repeated, nullptr);
+  EXPECT_EQ(repeated->outcome, outcome_kind::kAnswered);
+  EXPECT_EQ(repeated->status, 200U);
+  EXPECT_EQ(CountCalls("a"), 1U);
+}
+
+TEST_F(agent_call_test, Call_WhenTombstoned_NeverRuns) {
+  StartServiceEndpoint();
+  Router().Send(cancel{attempt_id{"a"}, Router().peer->incarnation, true});
+  Router().Send(MakeCall("a"));
+  EXPECT_EQ(AwaitAnswer("a")->outcome, outcome_kind::kNotRun);
+  EXPECT_EQ(Router().Last<attempt_status>("a")->phase, attempt_phase::kTombstoned);
+  EXPECT_EQ(CountCalls("a"), 0U);
+}
+
+TEST_F(agent_call_test, Call_ForAnotherIncarnation_NeverRunsAndClaimsNoProof) {
+  StartServiceEndpoint();
+  call_service call = MakeCall("a");
+  call.incarnation += 1;
+  Router().Send(call);
+  EXPECT_EQ(AwaitAnswer("a")->outcome, outcome_kind::kMayHaveRun);
+  EXPECT_EQ(CountCalls("a"), 0U);
+}
+
+TEST_F(agent_call_test, Call_WhenServiceDiesBeforeItsAnswer_MayHaveRun) {
+  StartServiceEndpoint();
+  Post(engine_port_, "/faults", {{"crash_before_answer", 1}});
+  Router().Send(MakeCall("a"));
+  const service_answer* answer = AwaitAnswer("a");
+  EXPECT_EQ(answer->outcome, outcome_kind::kMayHaveRun);
+  EXPECT_EQ(answer->reason, kReasonEngineLost);
+  // The service is gone now: a call that cannot be sent has not run.
+  ASSERT_TRUE(engine_->WaitForExit().has_value());
+  Router().Send(MakeCall("b"));
+  EXPECT_EQ(AwaitAnswer("b")->outcome, outcome_kind::kNotRun);
+}
+
+TEST_F(agent_call_test, Query_WithWait_IsAnsweredAtTheEndOfTheCall) {
+  StartServiceEndpoint({"--delay_ms=200"});
+  Router().Send(MakeCall("a"));
+  Router().Send(query_attempt{attempt_id{"a"}, 0, false});
+  Router().Send(query_attempt{attempt_id{"a"}, 0, true});
+  ASSERT_TRUE(RunUntil([this] { return Router().Count<attempt_status>("a") >= 2; }));
+  EXPECT_EQ(Router().Last<attempt_status>("a")->phase, attempt_phase::kDone);
+  EXPECT_TRUE(Router().Last<attempt_status>("a")->has_answer);
+}
+
+TEST_F(agent_call_test, Stop_DuringCall_AnswersItAndRefusesNewCallsWithProof) {
+  StartServiceEndpoint({"--delay_ms=500"});
+  Router().Send(MakeCall("a"));
+  ASSERT_TRUE(RunUntil([this] { return CountCalls("a") == 1; }));
+  agents_.front()->Signal(SIGTERM);
+  ASSERT_TRUE(RunUntil([this] { return Router().beat.leaving; }));
+  Router().Send(MakeCall("b"));
+  EXPECT_EQ(AwaitAnswer("b")->outcome, outcome_kind::kNotRun);
+  EXPECT_EQ(AwaitAnswer("a")->outcome, outcome_kind::kAnswered);
+  ASSERT_TRUE(RunUntil([this] { return !agents_.front()->IsRunning(); }));
+  EXPECT_EQ(agents_.front()->WaitForExit(), 0);
+  EXPECT_EQ(CountCalls("b"), 0U);
+}
+
 }  // namespace
 }  // namespace persimmon
