--- a/src/agent/agent_settings.h
+++ b/src/agent/agent_settings.h
@@ -21,6 +21,7 @@
   // [platform]
   std::vector<host_port> table_servers;
   milliseconds table_timeout = milliseconds(1'000);
+  std::int64_t peers_needed = 2;  // routers whose snapshots are needed to start while the store is out
 
   // [trace]
   std::string trace_file;  // empty: no spans are written
@@ -36,8 +37,10 @@
   // [slots]
   milliseconds bid_window = milliseconds(4);
   milliseconds lookahead = milliseconds(20);
-  std::int64_t transfers_at_once = 4;  // transfers that share the link at one time
-  std::int64_t service_calls = 256;    // calls in progress; more are refused as busy
+  std::int64_t transfers_at_once = 4;          // transfers that share the link at one time
+  milliseconds piece_time = milliseconds(60);  // transfer of one piece of 2,000 tokens; decodes start so much earlier
+  bool accept_unreserved = false;              // work without a reservation waits for a slot instead of failing
+  std::int64_t service_calls = 256;            // calls in progress; more are refused as busy
 
   // [limits]
   milliseconds report_period = milliseconds(250);     // load reports
