Test the at-most-once protocol by search and by random orders

Change: tests/claims_test.cpp drives StepClaim and attempt_table with an in-memory store and two agents through lost, late, repeated and reordered messages, lost replies, a store that is out, agents that restart and routers that die or pause (a pause is a message that is delivered late). A breadth-first search visits every state within bounds; RapidCheck goes deeper with 4 attempts. A policy struct leaves out one safeguard at a time, and the test fails unless a violation is found that the same search with all safeguards does not find.

--- /dev/null
+++ b/tests/claims_test.cpp
@@ -0,0 +1,913 @@
+// Guards against a keyed call that runs twice, and against a caller that is told not_run although its call ran.
+//
+// Sections
+//   1. safeguards that a model can leave out
+//   2. model: routers, store, agents and the messages between them
+//   3. exhaustive search for the shortest violation
+//   4. random orders
+//   5. single rules
+//
+// The model drives the real decision code: the state machine of a claim, the attempt table and the operations that the
+// state machine asks for. Only the network, the store and the faults are stand-ins.
+#include "persimmon/claims.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <map>
+#include <optional>
+#include <sstream>
+#include <unordered_map>
+
+#include "decisions/claims_step.h"
+#include "persimmon/attempts.h"
+
+namespace persimmon {
+namespace {
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. safeguards that a model can leave out
+// ---------------------------------------------------------------------------------------------------------------------
+
+const std::string kEndpoints = "AB";
+
+struct model_safeguards : detail::all_safeguards {
+  static constexpr bool kKeepTombstone = true;  // the agent refuses an attempt whose tombstone it has confirmed
+  static constexpr bool kCondition = true;      // the store checks who holds the claim before it replaces it
+  static constexpr bool kIncarnation = true;    // the agent refuses calls meant for another incarnation
+  static constexpr bool kRunOnce = true;        // the agent runs an attempt id once
+  static endpoint_name OtherEndpoint(const endpoint_name& endpoint) {
+    return endpoint_name{endpoint.value == "A" ? "B" : "A"};
+  }
+};
+struct without_tombstone : model_safeguards {
+  static constexpr bool kTombstone = false;
+};
+// As without_tombstone, but the router asks and the agent confirms without keeping the tombstone.
+struct without_kept_tombstone : model_safeguards {
+  static constexpr bool kKeepTombstone = false;
+};
+struct without_condition : model_safeguards {
+  static constexpr bool kCondition = false;
+};
+struct without_incarnation : model_safeguards {
+  static constexpr bool kIncarnation = false;
+};
+struct without_claim_once : model_safeguards {
+  static constexpr bool kClaimOnce = false;
+};
+struct without_run_once : model_safeguards {
+  static constexpr bool kRunOnce = false;
+};
+struct without_proof : model_safeguards {
+  static constexpr bool kProof = false;
+};
+struct with_takeover : model_safeguards {
+  static constexpr bool kNoTakeover = false;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. model
+// ---------------------------------------------------------------------------------------------------------------------
+
+struct model_bounds {
+  int attempts = 3;  // resends of one key, each through a router of its own
+  int restarts = 1;  // per agent
+  int copies = 1;    // messages that the network repeats, in total
+  int timeouts = 2;  // replies that a router gives up on, in total
+  int outages = 1;   // store operations refused, in total
+  int deaths = 1;    // routers that die, in total
+};
+
+enum class message_kind : std::uint8_t {
+  kOperation,  // router to store
+  kStoreReply,
+  kCall,  // router to agent
+  kCallReply,
+  kTombstone,
+  kQuery,
+  kReport,
+};
+
+struct model_message {
+  message_kind kind = message_kind::kOperation;
+  int attempt = 0;            // whose router sends or receives it
+  int serial = 0;             // of the router's request; a reply to an older request is dropped by the router
+  claim_operation operation;  // kOperation
+  claim_result result;        // kStoreReply
+  claim_row row;              // kCall, kTombstone, kQuery
+  call_reply reply = call_reply::kLost;
+  attempt_finding finding = attempt_finding::kUnreachable;
+};
+
+struct model_agent {
+  explicit model_agent(incarnation_number number) : incarnation(number), table(number, attempt_limits{}) {}
+  incarnation_number incarnation;
+  attempt_table table;
+};
+
+struct model_router {
+  claim_state state;
+  int serial = 0;  // of the latest request
+  bool alive = true;
+};
+
+char Digit(std::size_t number) { return static_cast<char>('0' + static_cast<int>(number)); }
+
+template <class safeguards>
+class model {
+ public:
+  explicit model(const model_bounds& bounds) : left_(bounds) {
+    for (int i = 0; i < bounds.attempts; ++i) {
+      claim_row row;
+      row.key.value = "k";
+      row.attempt.value = std::string(1, static_cast<char>('a' + i));
+      row.endpoint.value = kEndpoints.substr(static_cast<std::size_t>(i) % 2, 1);
+      row.incarnation = 1;
+      routers_.push_back({MakeClaim(row), 0, true});
+    }
+  }
+
+  // One thing that may happen next.
+  struct choice {
+    enum kind_type : std::uint8_t { kStart, kDeliver, kRepeat, kTimeOut, kRefuse, kFinish, kRestart, kDie } kind;
+    int index;  // of the router, the message or the agent
+    int detail = 0;
+  };
+
+  std::vector<choice> Choices() const {
+    std::vector<choice> choices;
+    for (int i = 0; i < Count(routers_); ++i) {
+      const model_router& router = routers_[i];
+      if (!router.alive || router.state.step == claim_step::kEnded) {
+        continue;
+      }
+      if (router.state.step == claim_step::kIdle) {
+        choices.push_back({choice::kStart, i});
+        continue;
+      }
+      if (left_.timeouts > 0) {
+        choices.push_back({choice::kTimeOut, i});
+      }
+      if (left_.deaths > 0) {
+        choices.push_back({choice::kDie, i});
+      }
+    }
+    for (int i = 0; i < Count(network_); ++i) {
+      choices.push_back({choice::kDeliver, i});
+      if (left_.copies > 0) {
+        choices.push_back({choice::kRepeat, i});
+      }
+      if (left_.outages > 0 && network_[i].kind == message_kind::kOperation) {
+        choices.push_back({choice::kRefuse, i});
+      }
+    }
+    for (int i = 0; i < Count(agents_); ++i) {
+      if (agents_[i].incarnation <= static_cast<incarnation_number>(left_.restarts)) {
+        choices.push_back({choice::kRestart, i});
+      }
+      for (int j = 0; j < Count(routers_); ++j) {
+        const attempt_entry* entry = agents_[i].table.FindAttempt(routers_[j].state.own.attempt);
+        if (entry != nullptr && entry->phase == attempt_record_phase::kRunning) {
+          choices.push_back({choice::kFinish, i, j});
+        }
+      }
+    }
+    return choices;
+  }
+
+  void Apply(const choice& next) {
+    switch (next.kind) {
+      case choice::kStart:
+        return StepRouter(next.index, claim_started{});
+      case choice::kDeliver: {
+        const model_message message = network_[next.index];
+        network_.erase(network_.begin() + next.index);
+        return Deliver(message);
+      }
+      case choice::kRepeat: {
+        --left_.copies;
+        const model_message message = network_[next.index];
+        return Deliver(message);
+      }
+      case choice::kTimeOut:
+        --left_.timeouts;
+        return TimeOut(next.index);
+      case choice::kRefuse: {
+        --left_.outages;
+        model_message message = network_[next.index];
+        network_.erase(network_.begin() + next.index);
+        return ReplyFromStore(message, {claim_result_kind::kStoreUnavailable, {}});
+      }
+      case choice::kFinish:
+        return Finish(next.index, next.detail);
+      case choice::kRestart:
+        agents_[next.index] = model_agent(agents_[next.index].incarnation + 1);
+        return;
+      case choice::kDie:
+        --left_.deaths;
+        routers_[next.index].alive = false;
+        return;
+    }
+  }
+
+  std::string Describe(const choice& next) const {
+    const auto name = [this](int router) { return routers_[router].state.own.attempt.value; };
+    switch (next.kind) {
+      case choice::kStart:
+        return "router of " + name(next.index) + " starts";
+      case choice::kDeliver:
+        return "deliver " + DescribeMessage(network_[next.index]);
+      case choice::kRepeat:
+        return "deliver and keep a copy of " + DescribeMessage(network_[next.index]);
+      case choice::kTimeOut:
+        return "router of " + name(next.index) + " gets no reply in time";
+      case choice::kRefuse:
+        return "store is out for " + DescribeMessage(network_[next.index]);
+      case choice::kFinish:
+        return "agent " + kEndpoints.substr(next.index, 1) + " finishes " + name(next.detail);
+      case choice::kRestart:
+        return "agent " + kEndpoints.substr(next.index, 1) + " restarts";
+      case choice::kDie:
+        return "router of " + name(next.index) + " dies";
+    }
+    return "";
+  }
+
+  // What is wrong in this state; empty: nothing.
+  std::string Violation() const {
+    int runs = 0;
+    for (int i = 0; i < Count(routers_); ++i) {
+      runs += runs_[i];
+      const bool was_told_not_run = told_[i] == outcome_kind::kNotRun;
+      if (was_told_not_run && runs_[i] > 0) {
+        return "attempt " + routers_[i].state.own.attempt.value + " was told not_run but ran";
+      }
+    }
+    return runs > 1 ? "the call ran " + std::to_string(runs) + " times" : "";
+  }
+
+  // Equal for states that behave alike: the order of messages in the network does not count.
+  std::string Fingerprint() const {
+    std::string text;
+    for (const int number : {left_.copies, left_.timeouts, left_.outages, left_.deaths}) {
+      text += Digit(number);
+    }
+    AppendRow(text, row_);
+    for (int i = 0; i < Count(routers_); ++i) {
+      const model_router& router = routers_[i];
+      text += Digit(static_cast<std::size_t>(router.state.step));
+      text += router.alive ? '+' : '-';
+      text += Digit(router.serial);
+      text += Digit(runs_[i]);
+      text += told_[i] ? Digit(static_cast<std::size_t>(*told_[i])) : '_';
+      AppendRow(text, router.state.own);
+      AppendRow(text, router.state.other);
+    }
+    for (const model_agent& agent : agents_) {
+      text += Digit(agent.incarnation);
+      for (const model_router& router : routers_) {
+        const attempt_entry* entry = agent.table.FindAttempt(router.state.own.attempt);
+        text += entry == nullptr ? '_' : Digit(static_cast<std::size_t>(entry->phase));
+      }
+    }
+    std::vector<std::string> messages;
+    for (const model_message& message : network_) {
+      std::string line;
+      line += Digit(static_cast<std::size_t>(message.kind));
+      line += Digit(message.attempt);
+      line += Digit(message.serial);
+      line += Digit(static_cast<std::size_t>(message.operation.kind));
+      line += message.operation.expected_attempt.value;
+      AppendRow(line, message.operation.row);
+      line += Digit(static_cast<std::size_t>(message.result.kind));
+      AppendRow(line, message.result.current);
+      AppendRow(line, message.row);
+      line += Digit(static_cast<std::size_t>(message.reply));
+      line += Digit(static_cast<std::size_t>(message.finding));
+      messages.push_back(std::move(line));
+    }
+    std::sort(messages.begin(), messages.end());
+    for (const std::string& line : messages) {
+      text += '/' + line;
+    }
+    return text;
+  }
+
+ private:
+  template <class container>
+  static int Count(const container& items) {
+    return static_cast<int>(items.size());
+  }
+
+  static void AppendRow(std::string& text, const claim_row& row) {
+    text +=
+        row.attempt.value + row.endpoint.value + Digit(row.incarnation) + (row.phase == claim_phase::kDone ? 'd' : 'c');
+  }
+
+  static std::string DescribeMessage(const model_message& message) {
+    static constexpr std::array kNames = {"store operation",   "store reply", "call",          "call reply",
+                                          "tombstone request", "query",       "attempt report"};
+    static constexpr std::array kOperations = {"insert", "replace", "finish", "read"};
+    const std::string router(1, static_cast<char>('a' + message.attempt));
+    std::string text = std::string(kNames[static_cast<std::size_t>(message.kind)]) + " of " + router;
+    if (message.kind == message_kind::kOperation) {
+      text += std::string(" (") + kOperations[static_cast<std::size_t>(message.operation.kind)] + ")";
+    } else if (message.kind == message_kind::kTombstone || message.kind == message_kind::kQuery ||
+               message.kind == message_kind::kCall) {
+      text += " (attempt " + message.row.attempt.value + " to agent " + message.row.endpoint.value + ")";
+    }
+    return text;
+  }
+
+  void StepRouter(int index, const claim_event& event) {
+    model_router& router = routers_[index];
+    if (!router.alive) {
+      return;
+    }
+    claim_transition next = detail::claim_stepper<safeguards>(router.state).Step(event);
+    router.state = std::move(next.state);
+    for (const claim_action& action : next.actions) {
+      Execute(index, action);
+    }
+  }
+
+  void Execute(int index, const claim_action& action) {
+    model_message message;
+    message.attempt = index;
+    if (const auto* end = std::get_if<end_claim>(&action)) {
+      told_[index] = end->outcome;
+      return;
+    }
+    message.serial = ++routers_[index].serial;
+    if (const auto* call = std::get_if<send_call>(&action)) {
+      message.kind = message_kind::kCall;
+      message.row = call->row;
+    } else if (const auto* tombstone = std::get_if<ask_tombstone>(&action)) {
+      message.kind = message_kind::kTombstone;
+      message.row = tombstone->row;
+    } else if (const auto* query = std::get_if<ask_status>(&action)) {
+      message.kind = message_kind::kQuery;
+      message.row = query->row;
+    } else {
+      message.kind = message_kind::kOperation;
+      message.operation = MakeClaimOperation(action);
+    }
+    network_.push_back(std::move(message));
+  }
+
+  void Deliver(const model_message& message) {
+    switch (message.kind) {
+      case message_kind::kOperation:
+        return ReplyFromStore(message, RunOperation(message.operation));
+      case message_kind::kStoreReply:
+        return IsCurrent(message) ? StepRouter(message.attempt, store_replied{message.result}) : void();
+      case message_kind::kCall:
+        return StartCall(message);
+      case message_kind::kCallReply:
+        return StepRouter(message.attempt, call_replied{message.reply});
+      case message_kind::kTombstone:
+        return Report(message, AskForTombstone(message.row));
+      case message_kind::kQuery:
+        return Report(message, AskForStatus(message.row));
+      case message_kind::kReport:
+        return IsCurrent(message) ? StepRouter(message.attempt, attempt_reported{message.row.attempt, message.finding})
+                                  : void();
+    }
+  }
+
+  bool IsCurrent(const model_message& message) const { return message.serial == routers_[message.attempt].serial; }
+
+  // The router gives up on its latest request; the request and its reply may still arrive.
+  void TimeOut(int index) {
+    model_router& router = routers_[index];
+    const claim_step step = router.state.step;
+    if (step == claim_step::kSent) {
+      return StepRouter(index, call_replied{call_reply::kLost});
+    }
+    const bool waits_for_store = step == claim_step::kInserting || step == claim_step::kReadingInsert ||
+                                 step == claim_step::kReplacing || step == claim_step::kReadingReplace;
+    ++router.serial;
+    if (waits_for_store) {
+      return StepRouter(index, store_replied{{claim_result_kind::kUnknown, {}}});
+    }
+    const bool asks_own = step == claim_step::kProvingNotRun || step == claim_step::kWaitingForOwn;
+    const attempt_id asked = asks_own ? router.state.own.attempt : router.state.other.attempt;
+    StepRouter(index, attempt_reported{asked, attempt_finding::kUnreachable});
+  }
+
+  // The store: one row and conditional writes.
+  claim_result RunOperation(const claim_operation& operation) {
+    const bool is_absent = row_.attempt.empty();
+    switch (operation.kind) {
+      case claim_operation_kind::kRead:
+        return is_absent ? claim_result{claim_result_kind::kAbsent, {}} : claim_result{claim_result_kind::kFound, row_};
+      case claim_operation_kind::kInsert:
+        if (!is_absent) {
+          return {claim_result_kind::kConflict, row_};
+        }
+        break;
+      case claim_operation_kind::kReplace:
+        if (safeguards::kCondition && row_.attempt != operation.expected_attempt) {
+          return {claim_result_kind::kConflict, row_};
+        }
+        break;
+      case claim_operation_kind::kFinish:
+        if (row_.attempt != operation.expected_attempt) {
+          return {claim_result_kind::kConflict, row_};
+        }
+        break;
+    }
+    row_ = operation.row;
+    return {claim_result_kind::kWritten, {}};
+  }
+
+  void ReplyFromStore(model_message message, claim_result result) {
+    if (message.operation.kind == claim_operation_kind::kFinish) {
+      return;  // nobody waits for it
+    }
+    message.kind = message_kind::kStoreReply;
+    message.operation = {};
+    message.result = std::move(result);
+    network_.push_back(std::move(message));
+  }
+
+  model_agent& Agent(const claim_row& row) { return agents_[kEndpoints.find(row.endpoint.value)]; }
+
+  incarnation_number Meant(const claim_row& row) const { return safeguards::kIncarnation ? row.incarnation : 0; }
+
+  void StartCall(const model_message& message) {
+    model_agent& agent = Agent(message.row);
+    accept_verdict verdict = agent.table.AcceptAttempt(message.row.attempt, Meant(message.row), time_point{});
+    const bool is_repeat = verdict == accept_verdict::kAlreadyRunning || verdict == accept_verdict::kAlreadyDone;
+    if (!safeguards::kRunOnce && is_repeat) {
+      verdict = accept_verdict::kRun;
+    }
+    if (verdict == accept_verdict::kRun) {
+      ++runs_[message.attempt];
+    } else if (!is_repeat) {
+      ReplyToCall(message.attempt, call_reply::kNotRun);
+    }
+  }
+
+  void Finish(int agent, int attempt) {
+    agents_[agent].table.FinishAttempt(routers_[attempt].state.own.attempt, "answer", time_point{});
+    ReplyToCall(attempt, call_reply::kAnswered);
+  }
+
+  void ReplyToCall(int attempt, call_reply reply) {
+    model_message message;
+    message.kind = message_kind::kCallReply;
+    message.attempt = attempt;
+    message.reply = reply;
+    network_.push_back(std::move(message));
+  }
+
+  attempt_finding AskForTombstone(const claim_row& row) {
+    if (!safeguards::kKeepTombstone && Agent(row).table.FindAttempt(row.attempt) == nullptr) {
+      return attempt_finding::kNotRun;
+    }
+    switch (Agent(row).table.TombstoneAttempt(row.attempt, Meant(row), time_point{})) {
+      case tombstone_verdict::kConfirmed:
+        return attempt_finding::kNotRun;
+      case tombstone_verdict::kRunning:
+        return attempt_finding::kRunning;
+      case tombstone_verdict::kDone:
+        return attempt_finding::kAnswered;
+      case tombstone_verdict::kWrongIncarnation:
+        return attempt_finding::kOtherIncarnation;
+    }
+    return attempt_finding::kUnknown;
+  }
+
+  attempt_finding AskForStatus(const claim_row& row) {
+    const model_agent& agent = Agent(row);
+    if (Meant(row) != 0 && agent.incarnation != row.incarnation) {
+      return attempt_finding::kOtherIncarnation;
+    }
+    const attempt_entry* entry = agent.table.FindAttempt(row.attempt);
+    if (entry == nullptr) {
+      return attempt_finding::kUnknown;
+    }
+    switch (entry->phase) {
+      case attempt_record_phase::kTombstoned:
+        return attempt_finding::kNotRun;
+      case attempt_record_phase::kRunning:
+        return attempt_finding::kRunning;
+      case attempt_record_phase::kDone:
+        return attempt_finding::kAnswered;
+    }
+    return attempt_finding::kUnknown;
+  }
+
+  void Report(model_message message, attempt_finding finding) {
+    message.kind = message_kind::kReport;
+    message.finding = finding;
+    network_.push_back(std::move(message));
+  }
+
+  model_bounds left_;  // faults that may still happen
+  claim_row row_;      // in the store; an empty attempt id: absent
+  std::vector<model_router> routers_;
+  std::vector<model_agent> agents_ = {model_agent(1), model_agent(1)};
+  std::vector<model_message> network_;
+  std::array<int, 8> runs_{};  // per attempt
+  std::array<std::optional<outcome_kind>, 8> told_;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. exhaustive search for the shortest violation
+// ---------------------------------------------------------------------------------------------------------------------
+
+struct search_result {
+  std::string violation;
+  std::vector<std::string> steps;  // that lead to the violation
+  std::size_t states = 0;
+  bool complete = false;  // every state within the bounds was visited
+};
+
+template <class safeguards>
+search_result SearchBreadthFirst(const model_bounds& bounds, std::size_t state_limit) {
+  struct node {
+    std::size_t parent;
+    std::string step;
+  };
+  search_result found;
+  std::vector<node> nodes = {{0, ""}};
+  std::unordered_map<std::string, std::size_t> known;
+  std::deque<std::pair<std::size_t, model<safeguards>>> open;
+  open.emplace_back(0, model<safeguards>(bounds));
+  known.emplace(open.front().second.Fingerprint(), 0);
+  while (!open.empty() && nodes.size() < state_limit) {
+    const auto [index, current] = std::move(open.front());
+    open.pop_front();
+    for (const auto& choice : current.Choices()) {
+      model<safeguards> next = current;
+      next.Apply(choice);
+      if (!known.emplace(next.Fingerprint(), nodes.size()).second) {
+        continue;
+      }
+      nodes.push_back({index, current.Describe(choice)});
+      found.violation = next.Violation();
+      if (!found.violation.empty()) {
+        for (std::size_t at = nodes.size() - 1; at != 0; at = nodes[at].parent) {
+          found.steps.insert(found.steps.begin(), nodes[at].step);
+        }
+        found.states = nodes.size();
+        return found;
+      }
+      open.emplace_back(nodes.size() - 1, std::move(next));
+    }
+  }
+  found.states = nodes.size();
+  found.complete = open.empty();
+  return found;
+}
+
+std::string FormatSteps(const search_result& found) {
+  std::string text = found.violation + " after " + std::to_string(found.steps.size()) + " steps, " +
+                     std::to_string(found.states) + " states searched\n";
+  for (std::size_t i = 0; i < found.steps.size(); ++i) {
+    text += "  " + std::to_string(i + 1) + ". " + found.steps[i] + "\n";
+  }
+  return text;
+}
+
+// Leaving out a safeguard leads to a violation that the same search does not find with all safeguards.
+template <class safeguards>
+void ExpectViolation(const char* name, const model_bounds& bounds) {
+  constexpr std::size_t kStateLimit = 200'000;
+  const search_result found = SearchBreadthFirst<safeguards>(bounds, kStateLimit);
+  std::printf("%s: %s", name, FormatSteps(found).c_str());
+  EXPECT_NE(found.violation, "") << "leaving out a safeguard must be noticed: " << name;
+  const search_result control = SearchBreadthFirst<model_safeguards>(bounds, found.states);
+  EXPECT_EQ(control.violation, "") << FormatSteps(control);
+}
+
+template <class safeguards>
+void ExpectNoViolation(const model_bounds& bounds) {
+  constexpr std::size_t kStateLimit = 1'000'000;
+  const search_result found = SearchBreadthFirst<safeguards>(bounds, kStateLimit);
+  std::printf("all safeguards: %zu states\n", found.states);
+  EXPECT_EQ(found.violation, "") << FormatSteps(found);
+  EXPECT_TRUE(found.complete);
+}
+
+TEST(claims_search, StepClaim_WithTwoAttemptsAndFaults_HasNoViolation) {
+  ExpectNoViolation<model_safeguards>({2, 1, 1, 1, 0, 0});
+}
+
+TEST(claims_search, StepClaim_WithTwoAttemptsAndStoreOutage_HasNoViolation) {
+  ExpectNoViolation<model_safeguards>({2, 0, 0, 2, 2, 1});
+}
+
+TEST(claims_search, StepClaim_WithThreeAttemptsAndRestarts_HasNoViolation) {
+  ExpectNoViolation<model_safeguards>({3, 1, 0, 0, 0, 0});
+}
+
+TEST(claims_search, StepClaim_WithThreeAttemptsAndTimeout_HasNoViolation) {
+  ExpectNoViolation<model_safeguards>({3, 0, 0, 1, 0, 0});
+}
+
+const model_bounds kTombstoneBounds = {2, 0, 0, 0, 0, 0};
+const model_bounds kConditionBounds = {3, 0, 0, 0, 0, 0};
+const model_bounds kIncarnationBounds = {2, 1, 1, 1, 0, 0};
+const model_bounds kClaimOnceBounds = {2, 0, 0, 1, 0, 0};
+const model_bounds kRunOnceBounds = {1, 0, 1, 0, 0, 0};
+const model_bounds kProofBounds = {1, 0, 0, 1, 0, 0};
+const model_bounds kTakeoverBounds = {2, 1, 0, 0, 0, 0};
+
+TEST(claims_search, StepClaim_WithoutTombstone_IsFound) {
+  ExpectViolation<without_tombstone>("without tombstone", kTombstoneBounds);
+}
+
+TEST(claims_search, StepClaim_WithoutKeptTombstone_IsFound) {
+  ExpectViolation<without_kept_tombstone>("without kept tombstone", kTombstoneBounds);
+}
+
+TEST(claims_search, StepClaim_WithoutConditionalReplacement_IsFound) {
+  ExpectViolation<without_condition>("without conditional replacement", kConditionBounds);
+}
+
+TEST(claims_search, StepClaim_WithoutIncarnation_IsFound) {
+  ExpectViolation<without_incarnation>("without incarnation", kIncarnationBounds);
+}
+
+TEST(claims_search, StepClaim_WithoutSingleClaimOfAttempt_IsFound) {
+  ExpectViolation<without_claim_once>("without single claim of an attempt id", kClaimOnceBounds);
+}
+
+TEST(claims_search, StepClaim_WithoutSingleRunOfAttempt_IsFound) {
+  ExpectViolation<without_run_once>("without single run of an attempt id", kRunOnceBounds);
+}
+
+TEST(claims_search, StepClaim_WithoutProofOfNotRun_IsFound) {
+  ExpectViolation<without_proof>("without proof of not_run", kProofBounds);
+}
+
+TEST(claims_search, StepClaim_WithTakeoverOfDeadAgentsClaim_IsFound) {
+  ExpectViolation<with_takeover>("with takeover of a dead agent's claim", kTakeoverBounds);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. random orders, deeper than the search can go
+// ---------------------------------------------------------------------------------------------------------------------
+
+const model_bounds kRandomBounds = {4, 2, 3, 4, 2, 1};
+constexpr int kRandomSteps = 120;  // the longest order; most are over earlier because nothing is left to do
+
+// Each number picks one of the things that may happen next. Shrinking removes steps.
+template <class safeguards>
+std::string RunRandomOrder(const model_bounds& bounds, const std::vector<std::uint16_t>& numbers) {
+  model<safeguards> state(bounds);
+  std::string steps;
+  for (const std::uint16_t number : numbers) {
+    const auto choices = state.Choices();
+    if (choices.empty()) {
+      break;
+    }
+    const auto& next = choices[number % choices.size()];
+    steps += state.Describe(next) + "\n";
+    state.Apply(next);
+    const std::string violation = state.Violation();
+    if (!violation.empty()) {
+      return violation + ":\n" + steps;
+    }
+  }
+  return "";
+}
+
+template <class safeguards>
+rc::detail::TestResult CheckRandomOrders(const model_bounds& bounds, int orders) {
+  rc::detail::TestParams parameters;
+  parameters.seed = 20261203;
+  parameters.maxSuccess = orders;
+  parameters.maxSize = kRandomSteps;
+  // RapidCheck draws small numbers for small sizes, which would pick the first choices only.
+  const auto numbers_of_full_range = rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint16_t>());
+  const auto property = [&] {
+    const auto numbers = *rc::gen::container<std::vector<std::uint16_t>>(numbers_of_full_range);
+    const std::string violation = RunRandomOrder<safeguards>(bounds, numbers);
+    RC_ASSERT(violation == "");
+  };
+  return rc::detail::checkTestable(property, rc::detail::TestMetadata(), parameters);
+}
+
+template <class safeguards>
+void ExpectRandomViolation(const model_bounds& bounds) {
+  constexpr int kOrders = 100'000;  // the rarest violation is met well before
+  const auto checked = CheckRandomOrders<safeguards>(bounds, kOrders);
+  ASSERT_TRUE(checked.template is<rc::detail::FailureResult>());
+  std::printf("violation found after %d orders\n", checked.template get<rc::detail::FailureResult>().numSuccess);
+}
+
+TEST(claims_property, AnyOrder_RunsTheCallAtMostOnceAndTellsNotRunTruthfully) {
+  const auto checked = CheckRandomOrders<model_safeguards>(kRandomBounds, 50'000);
+  std::ostringstream report;
+  rc::detail::printResultMessage(checked, report);
+  EXPECT_TRUE(checked.is<rc::detail::SuccessResult>()) << report.str();
+}
+
+TEST(claims_property, AnyOrder_WithoutTombstone_IsFound) { ExpectRandomViolation<without_tombstone>(kTombstoneBounds); }
+
+TEST(claims_property, AnyOrder_WithoutKeptTombstone_IsFound) {
+  ExpectRandomViolation<without_kept_tombstone>(kTombstoneBounds);
+}
+
+TEST(claims_property, AnyOrder_WithoutConditionalReplacement_IsFound) {
+  ExpectRandomViolation<without_condition>(kConditionBounds);
+}
+
+TEST(claims_property, AnyOrder_WithoutIncarnation_IsFound) {
+  ExpectRandomViolation<without_incarnation>(kIncarnationBounds);
+}
+
+TEST(claims_property, AnyOrder_WithoutSingleClaimOfAttempt_IsFound) {
+  ExpectRandomViolation<without_claim_once>(kClaimOnceBounds);
+}
+
+TEST(claims_property, AnyOrder_WithoutSingleRunOfAttempt_IsFound) {
+  ExpectRandomViolation<without_run_once>(kRunOnceBounds);
+}
+
+TEST(claims_property, AnyOrder_WithoutProofOfNotRun_IsFound) { ExpectRandomViolation<without_proof>(kProofBounds); }
+
+TEST(claims_property, AnyOrder_WithTakeoverOfDeadAgentsClaim_IsFound) {
+  ExpectRandomViolation<with_takeover>(kTakeoverBounds);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 5. single rules
+// ---------------------------------------------------------------------------------------------------------------------
+
+class claim_rules_test : public testing::Test {
+ protected:
+  static claim_row Row(const std::string& attempt) {
+    return {idempotency_key{"k"}, attempt_id{attempt}, endpoint_name{"A"}, 3, claim_phase::kClaimed};
+  }
+  static claim_row DoneRow(const std::string& attempt) {
+    claim_row row = Row(attempt);
+    row.phase = claim_phase::kDone;
+    return row;
+  }
+
+  std::vector<claim_action> Step(const claim_event& event) {
+    claim_transition next = StepClaim(state_, event);
+    state_ = next.state;
+    return next.actions;
+  }
+  std::vector<claim_action> Reply(claim_result_kind kind, const claim_row& current = {}) {
+    return Step(store_replied{{kind, current}});
+  }
+  std::vector<claim_action> Report(const std::string& attempt, attempt_finding finding) {
+    return Step(attempt_reported{attempt_id{attempt}, finding});
+  }
+  void Claim() {
+    Step(claim_started{});
+    Reply(claim_result_kind::kWritten);
+  }
+  void MeetOther(const claim_row& row) {
+    Step(claim_started{});
+    Reply(claim_result_kind::kConflict, row);
+  }
+  static std::vector<claim_action> Only(claim_action action) { return {std::move(action)}; }
+
+  const claim_row own_ = Row("a");
+  claim_state state_ = MakeClaim(own_);
+};
+
+TEST_F(claim_rules_test, Start_WhenStoreIsOut_EndsNotRunWithoutSending) {
+  EXPECT_EQ(Step(claim_started{}), Only(insert_claim{own_}));
+  EXPECT_EQ(Reply(claim_result_kind::kStoreUnavailable),
+            Only(end_claim{outcome_kind::kNotRun, claim_code::kStoreUnavailable}));
+  EXPECT_TRUE(Reply(claim_result_kind::kWritten).empty());
+}
+
+TEST_F(claim_rules_test, Insert_WhenReplyIsLostAndRowIsOwn_SendsTheCall) {
+  Step(claim_started{});
+  EXPECT_EQ(Reply(claim_result_kind::kUnknown), Only(read_claim{own_.key}));
+  EXPECT_EQ(Reply(claim_result_kind::kFound, own_), Only(send_call{own_}));
+}
+
+TEST_F(claim_rules_test, Insert_WhenReplyIsLostAndOtherHoldsRow_EndsNotRun) {
+  Step(claim_started{});
+  Reply(claim_result_kind::kUnknown);
+  EXPECT_EQ(Reply(claim_result_kind::kFound, Row("b")),
+            Only(end_claim{outcome_kind::kNotRun, claim_code::kInProgress}));
+}
+
+TEST_F(claim_rules_test, Call_WhenAnswered_FinishesTheRowAndEnds) {
+  Claim();
+  EXPECT_EQ(
+      Step(call_replied{call_reply::kAnswered}),
+      (std::vector<claim_action>{finish_claim{DoneRow("a")}, end_claim{outcome_kind::kAnswered, claim_code::kNone}}));
+}
+
+// An agent's word that it did not run the call does not rule out that a copy of the call is still on its way.
+TEST_F(claim_rules_test, Call_WhenAgentSaysNotRun_AsksForTombstoneFirst) {
+  Claim();
+  EXPECT_EQ(Step(call_replied{call_reply::kNotRun}), Only(ask_tombstone{own_}));
+  EXPECT_EQ(Report("a", attempt_finding::kNotRun), Only(end_claim{outcome_kind::kNotRun, claim_code::kEndpointLost}));
+}
+
+TEST_F(claim_rules_test, Call_WhenLostAndAgentUnreachable_EndsMayHaveRun) {
+  Claim();
+  EXPECT_EQ(Step(call_replied{call_reply::kLost}), Only(ask_tombstone{own_}));
+  EXPECT_EQ(Report("a", attempt_finding::kUnreachable),
+            Only(end_claim{outcome_kind::kMayHaveRun, claim_code::kEndpointLost}));
+}
+
+TEST_F(claim_rules_test, Call_WhenLostButRunning_WaitsForItsAnswer) {
+  Claim();
+  Step(call_replied{call_reply::kLost});
+  EXPECT_EQ(Report("a", attempt_finding::kRunning), Only(ask_status{own_, true}));
+  const auto actions = Report("a", attempt_finding::kAnswered);
+  ASSERT_EQ(actions.size(), 2U);
+  EXPECT_EQ(actions[1], claim_action(end_claim{outcome_kind::kAnswered, claim_code::kNone}));
+}
+
+TEST_F(claim_rules_test, Call_WhenNeverGivenToAChannel_EndsNotRun) {
+  Claim();
+  EXPECT_EQ(Step(call_replied{call_reply::kNotSent}),
+            Only(end_claim{outcome_kind::kNotRun, claim_code::kEndpointLost}));
+}
+
+TEST_F(claim_rules_test, Resend_WhenOtherIsTombstoned_ReplacesOnItsCondition) {
+  MeetOther(Row("b"));
+  EXPECT_EQ(Report("b", attempt_finding::kNotRun), Only(replace_claim{own_, attempt_id{"b"}}));
+  EXPECT_EQ(Reply(claim_result_kind::kWritten), Only(send_call{own_}));
+}
+
+TEST_F(claim_rules_test, Resend_WhenOtherReplacedFirst_EndsNotRun) {
+  MeetOther(Row("b"));
+  Report("b", attempt_finding::kNotRun);
+  EXPECT_EQ(Reply(claim_result_kind::kConflict, Row("c")),
+            Only(end_claim{outcome_kind::kNotRun, claim_code::kInProgress}));
+}
+
+TEST_F(claim_rules_test, Resend_WhenOtherIsRunning_WaitsThenGivesItsAnswer) {
+  MeetOther(Row("b"));
+  EXPECT_EQ(Report("b", attempt_finding::kRunning), Only(ask_status{Row("b"), true}));
+  EXPECT_EQ(Report("b", attempt_finding::kAnswered), Only(end_claim{outcome_kind::kAnswered, claim_code::kNone}));
+}
+
+TEST_F(claim_rules_test, Resend_WhenOtherAgentHasRestarted_NeverTakesOver) {
+  for (const auto finding : {attempt_finding::kOtherIncarnation, attempt_finding::kUnreachable}) {
+    state_ = MakeClaim(own_);
+    MeetOther(Row("b"));
+    EXPECT_EQ(Report("b", finding), Only(end_claim{outcome_kind::kMayHaveRun, claim_code::kEndpointLost}));
+  }
+}
+
+TEST_F(claim_rules_test, Resend_WhenRowIsDone_GivesKeptAnswerOrAlreadyAnswered) {
+  MeetOther(DoneRow("b"));
+  EXPECT_EQ(Report("b", attempt_finding::kAnswered), Only(end_claim{outcome_kind::kAnswered, claim_code::kNone}));
+  state_ = MakeClaim(own_);
+  MeetOther(DoneRow("b"));
+  EXPECT_EQ(Report("b", attempt_finding::kUnreachable),
+            Only(end_claim{outcome_kind::kMayHaveRun, claim_code::kAlreadyAnswered}));
+}
+
+TEST_F(claim_rules_test, Deadline_BeforeSending_EndsNotRunAndIgnoresTheLateClaim) {
+  Step(claim_started{});
+  EXPECT_EQ(Step(deadline_passed{}), Only(end_claim{outcome_kind::kNotRun, claim_code::kTimeout}));
+  EXPECT_TRUE(Reply(claim_result_kind::kWritten).empty());
+}
+
+TEST_F(claim_rules_test, Deadline_AfterSending_AsksForProof) {
+  Claim();
+  EXPECT_EQ(Step(deadline_passed{}), Only(ask_tombstone{own_}));
+  EXPECT_EQ(Report("a", attempt_finding::kRunning), Only(end_claim{outcome_kind::kMayHaveRun, claim_code::kTimeout}));
+}
+
+TEST(claim_batchers_test, ChooseBatchers_ForManyKeys_UsesFewRoutersInAnyOrderOfTheList) {
+  std::vector<router_name> routers;
+  for (int i = 0; i < 50; ++i) {
+    routers.push_back(router_name{"r" + std::to_string(i)});
+  }
+  const std::vector<router_name> reversed(routers.rbegin(), routers.rend());
+  std::map<router_name, int> first;
+  for (int i = 0; i < 1000; ++i) {
+    const idempotency_key key{"key" + std::to_string(i)};
+    const auto chosen = ChooseBatchers(key, routers);
+    ASSERT_EQ(chosen.size(), kClaimBatchers);
+    EXPECT_EQ(chosen, ChooseBatchers(key, reversed));
+    ++first[chosen.front()];
+  }
+  EXPECT_EQ(first.size(), kClaimBatchers);
+  for (const auto& [router, keys] : first) {
+    EXPECT_GT(keys, 150) << router.value;
+  }
+}
+
+TEST(claim_batchers_test, ChooseBatchers_WhenFewRouters_GivesEachOnce) {
+  const std::vector<router_name> routers = {router_name{"x"}, router_name{"y"}, router_name{"x"}};
+  EXPECT_EQ(ChooseBatchers(idempotency_key{"k"}, routers).size(), 2U);
+  EXPECT_TRUE(ChooseBatchers(idempotency_key{"k"}, {}).empty());
+}
+
+}  // namespace
+}  // namespace persimmon
