Add the claim store: claim operations gathered into few transactions

Cause: one store write per keyed call would exceed the several hundred writes/s of the table service at the target size. A failed condition fails its own operation only: the others are tried again. Rows needed by replacements, finishes and reads come from one transaction whose conditions never hold, because its conflicts carry the current rows; lost replies are read back the same way. Conclusion: store writes depend on the batching routers, not on the daemons.

--- /dev/null
+++ b/src/platform/claim_store.cpp
@@ -0,0 +1,629 @@
+// Sections
+//   1. rows
+//   2. one operation against the current row
+//   3. batches in the table service
+//   4. gathering and forwarding
+//   5. retention
+//   6. store
+#include "platform/claim_store.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <chrono>
+#include <limits>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "core/log.h"
+#include "core/mailbox.h"
+
+namespace persimmon {
+namespace {
+
+using json = nlohmann::json;
+
+// No row ever has this version: a write on this condition always fails and brings back the current row. One such
+// transaction reads the rows of a whole batch.
+constexpr std::uint64_t kNoVersion = std::numeric_limits<std::uint64_t>::max();
+
+// A batch is tried again without the operations whose condition failed. Other routers may move rows in between.
+constexpr int kMaxRounds = 5;
+
+const logger& Log() {
+  static const logger log("platform.claims");
+  return log;
+}
+
+std::int64_t WallClockMs() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<milliseconds>(now).count();
+}
+
+}  // namespace
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. rows
+// ---------------------------------------------------------------------------------------------------------------------
+
+std::uint32_t ClaimShard(const idempotency_key& key) {
+  constexpr std::uint64_t kOffset = 0xcbf29ce484222325ULL;  // FNV-1a: the shard of a key must never change
+  constexpr std::uint64_t kPrime = 0x100000001b3ULL;
+  std::uint64_t hash = kOffset;
+  for (const char byte : key.value) {
+    hash = (hash ^ static_cast<unsigned char>(byte)) * kPrime;
+  }
+  return static_cast<std::uint32_t>((hash ^ (hash >> 32U)) % kClaimShards);
+}
+
+std::string ClaimRowKey(const idempotency_key& key) {
+  // Callers choose their keys: bytes that JSON cannot hold must not make two keys equal.
+  return fmt::format("{:04x}/{}", ClaimShard(key), EncodePercent(key.value));
+}
+
+std::string FormatClaimRow(const claim_row& row, std::int64_t created_ms) {
+  const json text = {{"attempt", row.attempt.value},
+                     {"endpoint", row.endpoint.value},
+                     {"incarnation", row.incarnation},
+                     {"phase", row.phase == claim_phase::kDone ? "done" : "claimed"},
+                     {"created_ms", created_ms}};
+  return text.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+result<stored_claim> ParseClaimRow(const std::string& text) {
+  const json value = json::parse(text, nullptr, false);
+  const auto has_text = [&value](const char* name) { return value.contains(name) && value[name].is_string(); };
+  const bool is_claim = value.is_object() && has_text("attempt") && has_text("endpoint") && has_text("phase") &&
+                        value.contains("incarnation") && value["incarnation"].is_number_unsigned() &&
+                        value.contains("created_ms") && value["created_ms"].is_number_integer();
+  if (!is_claim || (value["phase"] != "done" && value["phase"] != "claimed")) {
+    return error{error_code::kProtocol, "the row is not a claim"};
+  }
+  stored_claim claim;
+  claim.row.attempt.value = value["attempt"].get<std::string>();
+  claim.row.endpoint.value = value["endpoint"].get<std::string>();
+  claim.row.incarnation = value["incarnation"].get<incarnation_number>();
+  claim.row.phase = value["phase"] == "done" ? claim_phase::kDone : claim_phase::kClaimed;
+  claim.created_ms = value["created_ms"].get<std::int64_t>();
+  return claim;
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. one operation against the current row
+// ---------------------------------------------------------------------------------------------------------------------
+
+namespace {
+
+struct pending_operation {
+  claim_operation operation;
+  std::function<void(const claim_result&)> done;
+  std::optional<std::uint64_t> version;  // of the row that a replacement or finish is based on
+};
+
+using operation_list = std::vector<pending_operation>;
+
+// What is known of a row after a lookup or conflict; version 0: absent.
+struct known_row {
+  std::uint64_t version = 0;
+  std::optional<claim_row> row;  // absent, or not readable if the version is not 0
+};
+
+using known_rows = std::map<std::string, known_row>;
+
+known_rows ReadKnownRows(const std::vector<table_row>& rows) {
+  known_rows known;
+  for (const table_row& row : rows) {
+    known_row item;
+    item.version = row.version;
+    if (row.version != 0) {
+      auto claim = ParseClaimRow(row.value);
+      if (claim) {
+        item.row = claim.value().row;
+      } else {
+        Log().Error("Row {} of table {} is not a claim.", row.key, kClaimTable);
+      }
+    }
+    known[row.key] = std::move(item);
+  }
+  return known;
+}
+
+// A row's text does not repeat the key.
+void SetKey(known_row& known, const idempotency_key& key) {
+  if (known.row) {
+    known.row->key = key;
+  }
+}
+
+// The result of the operation if the current row decides it; nothing if the write has to be tried, which is then based
+// on the row's version.
+std::optional<claim_result> DecideOperation(pending_operation& item, known_row known) {
+  const claim_operation& wanted = item.operation;
+  SetKey(known, wanted.row.key);
+  const bool is_absent = known.version == 0;
+  if (!is_absent && !known.row) {
+    return claim_result{claim_result_kind::kStoreUnavailable, {}};  // an unreadable row is never overwritten
+  }
+  if (wanted.kind == claim_operation_kind::kRead) {
+    return is_absent ? claim_result{claim_result_kind::kAbsent, {}}
+                     : claim_result{claim_result_kind::kFound, *known.row};
+  }
+  if (is_absent) {
+    return wanted.kind == claim_operation_kind::kInsert ? std::nullopt
+                                                        : std::optional(claim_result{claim_result_kind::kAbsent, {}});
+  }
+  if (known.row == wanted.row) {
+    return claim_result{claim_result_kind::kWritten, {}};
+  }
+  const bool holds = wanted.kind != claim_operation_kind::kInsert && known.row->phase == claim_phase::kClaimed &&
+                     known.row->attempt == wanted.expected_attempt;
+  if (!holds) {
+    return claim_result{claim_result_kind::kConflict, *known.row};
+  }
+  item.version = known.version;
+  return std::nullopt;
+}
+
+// After a lost reply: the row shows whether the write has taken effect. If it has not, it still may.
+claim_result JudgeLostWrite(const pending_operation& item, known_row known) {
+  SetKey(known, item.operation.row.key);
+  if (known.row == item.operation.row) {
+    return {claim_result_kind::kWritten, {}};
+  }
+  const bool is_insert = item.operation.kind == claim_operation_kind::kInsert;
+  if (is_insert && known.row) {
+    return {claim_result_kind::kConflict, *known.row};  // rows are replaced, not removed: the insert cannot succeed
+  }
+  return {claim_result_kind::kUnknown, {}};
+}
+
+table_write MakeWrite(const pending_operation& item) {
+  const claim_operation& wanted = item.operation;
+  table_write write;
+  write.table = kClaimTable;
+  write.key = ClaimRowKey(wanted.row.key);
+  write.value = FormatClaimRow(wanted.row, WallClockMs());
+  write.condition = wanted.kind == claim_operation_kind::kInsert ? row_condition::kAbsent : row_condition::kVersion;
+  write.version = item.version.value_or(kNoVersion);
+  return write;
+}
+
+void Complete(const operation_list& items, claim_result_kind kind) {
+  for (const pending_operation& item : items) {
+    item.done({kind, {}});
+  }
+}
+
+bool NeedsLookup(const pending_operation& item) {
+  return item.operation.kind != claim_operation_kind::kInsert && !item.version;
+}
+
+}  // namespace
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. batches in the table service
+// ---------------------------------------------------------------------------------------------------------------------
+
+struct claim_store::state : std::enable_shared_from_this<claim_store::state> {
+  state(timer_service& timers, asio::io_context& context, table_client table, claim_store_settings settings,
+        claim_links links)
+      : timers(timers), context(context), table(std::move(table)), settings(settings), links(std::move(links)) {}
+
+  struct forwarded_batch {
+    operation_list items;
+    timer_subscription deadline;
+  };
+
+  struct gathering {
+    operation_list items;
+    timer_subscription timer;
+  };
+
+  // Removes the operations that the rows decide and completes them. Returns the others.
+  operation_list Decide(operation_list items, const known_rows& known) {
+    operation_list rest;
+    for (pending_operation& item : items) {
+      const auto row = known.find(ClaimRowKey(item.operation.row.key));
+      const auto decided = row == known.end() ? std::nullopt : DecideOperation(item, row->second);
+      if (decided) {
+        item.done(*decided);
+      } else {
+        rest.push_back(std::move(item));
+      }
+    }
+    return rest;
+  }
+
+  // Current rows of the operations, from one request. Errors: as table_client.
+  task<result<known_rows>> LookUp(const operation_list& items) {
+    std::set<std::string> keys;
+    for (const pending_operation& item : items) {
+      keys.insert(ClaimRowKey(item.operation.row.key));
+    }
+    std::vector<table_write> writes;
+    for (const std::string& key : keys) {
+      table_write write;
+      write.table = kClaimTable;
+      write.key = key;
+      write.value = "{}";
+      write.condition = row_condition::kVersion;
+      write.version = kNoVersion;
+      writes.push_back(std::move(write));
+    }
+    ++transactions;
+    table_client client = table;
+    auto answer = co_await client.Commit(std::move(writes));
+    if (!answer) {
+      co_return answer.error();
+    }
+    co_return ReadKnownRows(answer.value().conflicts);
+  }
+
+  task<> ResolveLostReply(operation_list items) {
+    auto known = co_await LookUp(items);
+    for (const pending_operation& item : items) {
+      claim_result judged{claim_result_kind::kUnknown, {}};
+      if (known) {
+        const auto row = known.value().find(ClaimRowKey(item.operation.row.key));
+        judged = row == known.value().end() ? judged : JudgeLostWrite(item, row->second);
+      }
+      item.done(judged);
+    }
+  }
+
+  // Takes one operation per key out of the list: a transaction writes a row once.
+  static operation_list TakeDistinct(operation_list& items) {
+    operation_list taken;
+    operation_list rest;
+    std::set<std::string> keys;
+    for (pending_operation& item : items) {
+      const bool is_first = keys.insert(item.operation.row.key.value).second;
+      (is_first ? taken : rest).push_back(std::move(item));
+    }
+    items = std::move(rest);
+    return taken;
+  }
+
+  task<> RunBatch(operation_list items) {
+    const auto self = shared_from_this();
+    while (!items.empty()) {
+      operation_list distinct = TakeDistinct(items);
+      co_await RunDistinct(std::move(distinct));
+    }
+  }
+
+  // Runs operations on different keys. A failed condition fails its own operation only.
+  task<> RunDistinct(operation_list items) {
+    for (int round = 0; round < kMaxRounds && !items.empty(); ++round) {
+      if (std::any_of(items.begin(), items.end(), NeedsLookup)) {
+        auto known = co_await LookUp(items);
+        if (!known) {
+          co_return Complete(items, claim_result_kind::kStoreUnavailable);  // nothing was written
+        }
+        items = Decide(std::move(items), known.value());
+        if (std::any_of(items.begin(), items.end(), NeedsLookup)) {
+          Log().Error("The table service did not report a row whose condition failed.");
+          co_return Complete(items, claim_result_kind::kStoreUnavailable);
+        }
+        if (items.empty()) {
+          co_return;
+        }
+      }
+      std::vector<table_write> writes;
+      for (const pending_operation& item : items) {
+        writes.push_back(MakeWrite(item));
+      }
+      ++transactions;
+      table_client client = table;
+      auto answer = co_await client.Commit(std::move(writes));
+      if (!answer) {
+        const error failure = answer.error();
+        co_return co_await HandleFailure(std::move(items), failure);
+      }
+      if (answer.value().committed) {
+        co_return Complete(items, claim_result_kind::kWritten);
+      }
+      for (pending_operation& item : items) {
+        item.version.reset();
+      }
+      items = Decide(std::move(items), ReadKnownRows(answer.value().conflicts));
+    }
+    Complete(items, claim_result_kind::kStoreUnavailable);  // every round ended in a conflict: nothing was written
+  }
+
+  task<> HandleFailure(operation_list items, error failure) {
+    switch (failure.code) {
+      case error_code::kUnavailable:
+        co_return Complete(items, claim_result_kind::kStoreUnavailable);
+      case error_code::kInvalid:
+        if (items.size() > 1) {
+          // One operation that the service does not accept must not fail the others.
+          const auto middle = items.begin() + static_cast<std::ptrdiff_t>(items.size() / 2);
+          operation_list second(std::make_move_iterator(middle), std::make_move_iterator(items.end()));
+          items.erase(middle, items.end());
+          co_await RunDistinct(std::move(items));
+          co_return co_await RunDistinct(std::move(second));
+        }
+        Log().Error("The table service refused a claim: {}.", failure.message);
+        co_return Complete(items, claim_result_kind::kStoreUnavailable);
+      default:
+        co_return co_await ResolveLostReply(std::move(items));
+    }
+  }
+
+  // -------------------------------------------------------------------------------------------------------------------
+  // 4. gathering and forwarding
+  // -------------------------------------------------------------------------------------------------------------------
+
+  // This router, if it is one of the batching routers of the key; otherwise the best of them.
+  router_name ChooseTarget(const idempotency_key& key) const {
+    const auto batchers = ChooseBatchers(key, links.routers());
+    const bool is_batcher = std::find(batchers.begin(), batchers.end(), links.self) != batchers.end();
+    return is_batcher || batchers.empty() ? links.self : batchers.front();
+  }
+
+  // Counts the operation until it is done. Completes it and returns false if too many are pending.
+  bool Admit(pending_operation& item) {
+    if (pending >= settings.pending_operations) {
+      item.done({claim_result_kind::kStoreUnavailable, {}});
+      return false;
+    }
+    ++pending;
+    item.done = [self = weak_from_this(), done = std::move(item.done)](const claim_result& value) {
+      if (const auto store = self.lock()) {
+        --store->pending;
+      }
+      done(value);
+    };
+    return true;
+  }
+
+  void Submit(pending_operation item) {
+    if (!Admit(item)) {
+      return;
+    }
+    const router_name target = ChooseTarget(item.operation.row.key);
+    if (target == links.self) {
+      return Gather(std::move(item));
+    }
+    gathering& group = forwards[target];
+    group.items.push_back(std::move(item));
+    if (group.items.size() >= settings.batch_operations) {
+      return Forward(target);
+    }
+    if (group.items.size() == 1) {
+      group.timer = timers.SubscribeOnce(settings.forward_gather, [self = weak_from_this(), target] {
+        if (const auto store = self.lock()) {
+          store->Forward(target);
+        }
+      });
+    }
+  }
+
+  // Adds to the next transaction of this router.
+  void Gather(pending_operation item) {
+    local.items.push_back(std::move(item));
+    if (local.items.size() >= settings.batch_operations) {
+      return Flush();
+    }
+    if (local.items.size() == 1) {
+      local.timer = timers.SubscribeOnce(settings.store_gather, [self = weak_from_this()] {
+        if (const auto store = self.lock()) {
+          store->Flush();
+        }
+      });
+    }
+  }
+
+  void Flush() {
+    operation_list items = std::exchange(local.items, {});
+    if (!items.empty()) {
+      asio::co_spawn(context, RunBatch(std::move(items)), asio::detached);
+    }
+  }
+
+  void Forward(const router_name& target) {
+    const auto found = forwards.find(target);
+    if (found == forwards.end() || found->second.items.empty()) {
+      return;
+    }
+    operation_list items = std::move(found->second.items);
+    forwards.erase(found);
+    claim_batch batch;
+    batch.sequence = ++last_sequence;
+    for (const pending_operation& item : items) {
+      batch.operations.push_back(item.operation);
+    }
+    if (!links.send(target, message(batch))) {
+      for (pending_operation& item : items) {
+        Gather(std::move(item));
+      }
+      return;
+    }
+    forwarded_batch& sent = forwarded[batch.sequence];
+    sent.items = std::move(items);
+    const std::uint64_t sequence = batch.sequence;
+    sent.deadline = timers.SubscribeOnce(settings.forward_timeout, [self = weak_from_this(), sequence] {
+      if (const auto store = self.lock()) {
+        store->GiveUp(sequence);
+      }
+    });
+  }
+
+  // The batching router may have written the operations.
+  void GiveUp(std::uint64_t sequence) {
+    const auto found = forwarded.find(sequence);
+    if (found != forwarded.end()) {
+      const operation_list items = std::move(found->second.items);
+      forwarded.erase(found);
+      Complete(items, claim_result_kind::kUnknown);
+    }
+  }
+
+  void OnResults(const claim_results& results) {
+    const auto found = forwarded.find(results.sequence);
+    if (found == forwarded.end() || found->second.items.size() != results.results.size()) {
+      Log().Debug("Ignored results of batch {}.", results.sequence);
+      return;
+    }
+    const operation_list items = std::move(found->second.items);
+    forwarded.erase(found);
+    for (std::size_t i = 0; i < items.size(); ++i) {
+      items[i].done(results.results[i]);
+    }
+  }
+
+  void OnBatch(const claim_batch& batch, const reply_function& reply) {
+    struct collected_results {
+      claim_results results;
+      std::size_t missing = 0;
+    };
+    const auto collected = std::make_shared<collected_results>();
+    collected->results.sequence = batch.sequence;
+    collected->results.results.resize(batch.operations.size());
+    collected->missing = batch.operations.size();
+    for (std::size_t i = 0; i < batch.operations.size(); ++i) {
+      pending_operation item;
+      item.operation = batch.operations[i];
+      item.done = [collected, reply, i](const claim_result& value) {
+        collected->results.results[i] = value;
+        if (--collected->missing == 0) {
+          reply(collected->results);
+        }
+      };
+      if (Admit(item)) {
+        Gather(std::move(item));
+      }
+    }
+    if (batch.operations.empty()) {
+      reply(collected->results);
+    }
+  }
+
+  // -------------------------------------------------------------------------------------------------------------------
+  // 5. retention
+  // -------------------------------------------------------------------------------------------------------------------
+
+  task<result<std::size_t>> Sweep(std::uint32_t shard) {
+    const auto self = shared_from_this();
+    table_client client = table;
+    std::string name = kClaimTable;
+    std::string prefix = fmt::format("{:04x}/", shard);
+    auto rows = co_await client.ReadRows(std::move(name), std::move(prefix));
+    if (!rows) {
+      co_return rows.error();
+    }
+    std::size_t deleted = 0;
+    std::vector<table_write> writes;
+    const std::int64_t oldest = WallClockMs() - settings.retention.count();
+    const std::vector<table_row> found = std::move(rows.value());
+    for (const table_row& row : found) {
+      const auto claim = ParseClaimRow(row.value);
+      if (claim && claim.value().created_ms < oldest) {
+        writes.push_back({kClaimTable, row.key, std::nullopt, row_condition::kVersion, row.version});
+      }
+      if (!writes.empty() && (writes.size() >= settings.sweep_writes || &row == &found.back())) {
+        ++transactions;
+        const std::size_t count = writes.size();
+        std::vector<table_write> sent = std::exchange(writes, {});
+        auto answer = co_await client.Commit(std::move(sent));
+        if (!answer) {
+          co_return answer.error();
+        }
+        deleted += answer.value().committed ? count : 0;  // rows that have changed meanwhile wait for the next sweep
+      }
+    }
+    co_return deleted;
+  }
+
+  // Each shard belongs to one batching router.
+  void SweepNext() {
+    for (std::uint32_t skipped = 0; skipped < kClaimShards; ++skipped) {
+      next_shard = (next_shard + 1) % kClaimShards;
+      const idempotency_key name{fmt::format("{:04x}", next_shard)};
+      const auto batchers = ChooseBatchers(name, links.routers());
+      const bool is_batcher = std::find(batchers.begin(), batchers.end(), links.self) != batchers.end();
+      if (!is_batcher) {
+        return;
+      }
+      if (batchers.front() == links.self) {
+        asio::co_spawn(context, RunSweep(next_shard), asio::detached);
+        return;
+      }
+    }
+  }
+
+  task<> RunSweep(std::uint32_t shard) {
+    const auto swept = co_await Sweep(shard);
+    if (!swept) {
+      Log().Warning("Old claims of shard {:04x} were not deleted: {}.", shard, swept.error().message);
+    }
+  }
+
+  timer_service& timers;
+  asio::io_context& context;
+  table_client table;
+  claim_store_settings settings;
+  claim_links links;
+  gathering local;
+  std::map<router_name, gathering> forwards;
+  std::map<std::uint64_t, forwarded_batch> forwarded;  // by sequence
+  std::uint64_t last_sequence = 0;
+  std::uint64_t transactions = 0;
+  std::size_t pending = 0;
+  std::uint32_t next_shard = 0;
+  timer_subscription sweep;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 6. store
+// ---------------------------------------------------------------------------------------------------------------------
+
+claim_store::claim_store(timer_service& timers, asio::io_context& context, table_client table,
+                         claim_store_settings settings, claim_links links)
+    : state_(std::make_shared<state>(timers, context, std::move(table), settings, std::move(links))) {}
+
+void claim_store::Start() {
+  if (state_->settings.sweep_period.count() == 0) {
+    return;
+  }
+  constexpr double kJitter = 0.25;
+  state_->sweep =
+      state_->timers.SubscribeEvery(state_->settings.sweep_period, kJitter, [self = state_->weak_from_this()] {
+        if (const auto store = self.lock()) {
+          store->SweepNext();
+        }
+      });
+}
+
+void claim_store::Stop() { state_->sweep.Cancel(); }
+
+task<claim_result> claim_store::Execute(claim_operation operation) {
+  const auto self = state_;
+  const auto box = std::make_shared<mailbox<claim_result>>(self->context);
+  pending_operation item;
+  item.operation = std::move(operation);
+  item.done = [box](const claim_result& value) { box->Push(value); };
+  self->Submit(std::move(item));
+  constexpr milliseconds kForever(3'600'000);  // every operation is completed by a deadline of its own
+  auto value = co_await box->Receive(kForever);
+  co_return value.value_or(claim_result{});
+}
+
+void claim_store::OnBatch(const claim_batch& batch, reply_function reply) { state_->OnBatch(batch, reply); }
+
+void claim_store::OnResults(const claim_results& results) { state_->OnResults(results); }
+
+task<result<std::size_t>> claim_store::SweepShard(std::uint32_t shard) {
+  const auto self = state_;
+  auto swept = co_await self->Sweep(shard);
+  co_return swept;
+}
+
+std::uint64_t claim_store::Transactions() const { return state_->transactions; }
+
+}  // namespace persimmon
