--- a/include/persimmon/claims.h
+++ b/include/persimmon/claims.h
@@ -236,6 +236,9 @@
 // State of a new attempt. The attempt id is fresh for every call of this function; the incarnation is not 0.
 claim_state MakeClaim(claim_row own);
 
+// First transition of a call without a key: it is sent without a claim, as its only attempt. The row has no key.
+claim_transition StartWithoutClaim(claim_row own);
+
 // Begins with claim_started and ends with the action end_claim.
 claim_transition StepClaim(const claim_state& state, const claim_event& event);
 
--- a/src/decisions/claims.cpp
+++ b/src/decisions/claims.cpp
@@ -73,6 +73,13 @@
   return state;
 }
 
+claim_transition StartWithoutClaim(claim_row own) {
+  claim_transition next{MakeClaim(std::move(own)), {}};
+  next.state.step = claim_step::kSent;
+  next.actions.emplace_back(send_call{next.state.own});
+  return next;
+}
+
 claim_transition StepClaim(const claim_state& state, const claim_event& event) {
   return detail::claim_stepper<detail::all_safeguards>(state).Step(event);
 }
--- a/src/decisions/claims_step.h
+++ b/src/decisions/claims_step.h
@@ -238,9 +238,11 @@
   void Replace() { Continue(claim_step::kReplacing, replace_claim{next_.state.own, next_.state.other.attempt}); }
 
   void EndAnswered() {
-    claim_row done = next_.state.own;
-    done.phase = claim_phase::kDone;
-    next_.actions.emplace_back(finish_claim{done});
+    if (!next_.state.own.key.empty()) {
+      claim_row done = next_.state.own;
+      done.phase = claim_phase::kDone;
+      next_.actions.emplace_back(finish_claim{std::move(done)});
+    }
     End(outcome_kind::kAnswered, claim_code::kNone);
   }
 
