Test the HTTP server and client and fix what the tests found

A slow caller got no 408, because Beast's time limit closes the connection. A caller that still wrote its body lost the 413 to a reset. A caller that left after it had sent the next request early was not noticed, so its work went on. A handler that threw left its request counted for ever, so a drain could not end. A drain broke requests that were partly read or had arrived unread. Expect: 100-continue was not answered; HTTP/1.0 callers got chunks. The client dropped a last line without line end, kept a line without end up to the time limit, and did not end an answer without pauses at its total limit. A failed accept was repeated at once.

Change: the server reads with a limit of its own, lingers after a refusal, keeps early input for the next request, catches what a handler throws, counts a request from its first byte, pauses after a failed accept. The client checks the length of a line and the total limit after each read.

The pause after a failed accept has no test.

Conclusion: refused callers read the reason, and a drain interrupts no request that has begun to arrive.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -30,7 +30,12 @@
 using tcp = asio::ip::tcp;
 using sys_error = boost::system::error_code;
 
-constexpr std::size_t kFirstReadBytes = 4096;
+constexpr std::size_t kReadBytes = 16'384;
+constexpr std::size_t kMaxEarlyBytes = 65'536;  // of further requests, read while a response is prepared
+constexpr milliseconds kLingerTimeout(1'000);   // a refused caller may go on sending for this long
+constexpr std::size_t kMaxLingerBytes = 64U << 20U;
+constexpr milliseconds kAcceptPause(100);  // after a failed accept, for example without free file descriptors
+constexpr unsigned kHttp10 = 10;           // Beast's number of HTTP/1.0
 
 const logger& Log() {
   static const logger log("net.http");
@@ -95,9 +100,15 @@
 
 struct http_server::state : std::enable_shared_from_this<http_server::state> {
   state(asio::io_context& context, host_port address, http_limits limits, http_handler handler)
-      : context(context), address(std::move(address)), limits(limits), handler(std::move(handler)), acceptor(context) {}
+      : context(context),
+        timers(context),
+        address(std::move(address)),
+        limits(limits),
+        handler(std::move(handler)),
+        acceptor(context) {}
 
   asio::io_context& context;
+  timer_service timers;
   host_port address;
   http_limits limits;
   http_handler handler;
@@ -131,7 +142,7 @@
         break;
       }
       co_await Serve(std::move(request.value()));
-      if (!keep_alive_ || server_->draining) {
+      if (!keep_alive_ || (server_->draining && !HasInput())) {
         break;
       }
     }
@@ -146,7 +157,8 @@
     stream_.socket().close(ignored);
   }
 
-  bool IsIdle() const { return !serving_; }
+  // True if no request is being read or answered.
+  bool IsIdle() { return !serving_ && !reading_ && !HasInput(); }
   bool IsDisconnected() const { return disconnected_ || closed_; }
   void SetDisconnectCallback(std::function<void()> callback) { on_disconnect_ = std::move(callback); }
 
@@ -181,8 +193,10 @@
     message.version(11);
     message.result(static_cast<unsigned>(status));
     SetHeaders(message, headers);
-    message.keep_alive(keep_alive_ && !server_->draining);
-    message.chunked(true);
+    // HTTP/1.0 knows no chunks: the end of the connection is the end of the body.
+    message.keep_alive(keep_alive_ && chunked_ && !server_->draining);
+    keep_alive_ = keep_alive_ && chunked_;
+    message.chunked(chunked_);
     http::response_serializer<http::empty_body> serializer(message);
     sys_error failure;
     stream_.expires_after(server_->limits.write_timeout);
@@ -196,10 +210,12 @@
 
   task<result<void>> WriteChunk(std::string data, bool last) {
     std::string frame;
-    if (!data.empty()) {
+    if (!chunked_) {
+      frame = std::move(data);
+    } else if (!data.empty()) {
       frame = fmt::format("{:x}\r\n", data.size()) + data + "\r\n";
     }
-    if (last) {
+    if (last && chunked_) {
       frame += "0\r\n\r\n";
     }
     sys_error failure;
@@ -218,24 +234,26 @@
     const http_limits& limits = server_->limits;
     if (buffer_.size() == 0) {
       stream_.expires_after(limits.idle_timeout);
-      const auto space = buffer_.prepare(kFirstReadBytes);
-      const std::size_t count = co_await stream_.async_read_some(space, AwaitWith(failure));
-      buffer_.commit(count);
+      co_await ReadSome(failure);
+      stream_.expires_never();
       if (failure || closed_) {
         co_return error{error_code::kClosed, "connection closed"};
       }
     }
+    reading_ = true;
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
-    stream_.expires_after(limits.read_timeout);
-    co_await http::async_read(stream_, buffer_, parser, AwaitWith(failure));
-    stream_.expires_never();
+    parser.eager(true);
+    co_await ReadMessage(parser, failure);
     if (failure) {
       co_await RefuseInput(failure);
+      reading_ = false;
       co_return MakeError(failure, "read of a request");
     }
+    reading_ = false;
     keep_alive_ = parser.get().keep_alive();
+    chunked_ = parser.get().version() > kHttp10;
     head_request_ = parser.get().method() == http::verb::head;
     http_request request;
     request.method = std::string(parser.get().method_string());
@@ -246,6 +264,62 @@
     co_return request;
   }
 
+  task<> ReadSome(sys_error& failure) {
+    const auto space = buffer_.prepare(kReadBytes);
+    const std::size_t count = co_await stream_.async_read_some(space, AwaitWith(failure));
+    buffer_.commit(count);
+  }
+
+  // Reads one whole message within the read limit. Beast's own limit closes the connection, so that the caller could
+  // not be told; this one only interrupts the read.
+  task<> ReadMessage(http::request_parser<http::string_body>& parser, sys_error& failure) {
+    bool timed_out = false;
+    const auto limit = server_->timers.SubscribeOnce(server_->limits.read_timeout, [this, &timed_out] {
+      timed_out = true;
+      sys_error ignored;
+      stream_.socket().cancel(ignored);
+    });
+    bool continued = false;
+    while (!parser.is_done()) {
+      const std::size_t used = buffer_.size() == 0 ? 0 : parser.put(buffer_.data(), failure);
+      buffer_.consume(used);
+      if (failure == http::error::need_more) {
+        failure = {};
+      } else if (failure || parser.is_done() || used > 0) {
+        if (failure) {
+          co_return;
+        }
+        continue;
+      }
+      if (parser.is_header_done() && !std::exchange(continued, true) && ExpectsContinue(parser.get())) {
+        static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+        co_await asio::async_write(stream_, asio::buffer(kContinue), AwaitWith(failure));
+      }
+      if (!failure) {
+        co_await ReadSome(failure);
+      }
+      if (timed_out) {
+        failure = beast::error::timeout;
+      } else if (failure == asio::error::eof) {
+        failure = http::error::partial_message;
+      }
+      if (failure) {
+        co_return;
+      }
+    }
+  }
+
+  template <class message>
+  static bool ExpectsContinue(const message& request) {
+    return beast::iequals(request[http::field::expect], "100-continue");
+  }
+
+  // True if the caller has sent something that has not been read.
+  bool HasInput() {
+    sys_error failure;
+    return !closed_ && (buffer_.size() > 0 || (stream_.socket().available(failure) > 0 && !failure));
+  }
+
   // Answers input that is not a valid request. A closed or idle connection gets no answer.
   task<> RefuseInput(sys_error failure) {
     int status = 0;
@@ -268,8 +342,26 @@
     auto body = fmt::format(
         R"({{"error":{{"code":"{}","outcome":"not_run","message":"The request could not be read."}}}})", code);
     auto response = JsonResponse(status, std::move(body));
-    // The connection is closed next, so a failed write needs no handling of its own.
-    (void)co_await Write(std::move(response));
+    auto sent = co_await Write(std::move(response));
+    if (sent) {
+      co_await Linger();
+    }
+  }
+
+  // Closing a connection with unread input resets it, and a reset destroys the answer that is under way. So the input
+  // is read and dropped until the caller has seen the end of the answer.
+  task<> Linger() {
+    sys_error failure;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, failure);
+    buffer_.consume(buffer_.size());
+    stream_.expires_after(kLingerTimeout);
+    std::size_t dropped = 0;
+    while (!failure && !closed_ && dropped < kMaxLingerBytes) {
+      co_await ReadSome(failure);
+      dropped += buffer_.size();
+      buffer_.consume(buffer_.size());
+    }
+    stream_.expires_never();
   }
 
   task<> Serve(http_request request) {
@@ -277,8 +369,14 @@
     complete_ = false;
     ++server_->requests;
     auto exchange = std::make_shared<http_exchange>(shared_from_this(), std::move(request));
+    ++watch_serial_;
     WatchForDisconnect();
-    co_await server_->handler(exchange);
+    try {
+      co_await server_->handler(exchange);
+    } catch (const std::exception& failure) {
+      Log().Error("A request of {} failed: {}.", remote_, failure.what());
+      complete_ = false;
+    }
     if (!complete_ && !closed_) {
       // The handler neither answered nor aborted; the caller must not take silence for an answer.
       Close();
@@ -288,23 +386,29 @@
     --server_->requests;
   }
 
-  // Reading while the response is written would disturb the parser, so the socket is only watched for its end.
+  // Notices the end of the connection while a response is prepared. Input that arrives early is kept for the next
+  // request: the end of a connection shows only after everything before it has been read.
   void WatchForDisconnect() {
-    stream_.socket().async_wait(
-        tcp::socket::wait_read, [self = shared_from_this(), serial = ++watch_serial_](sys_error failure) {
-          if (failure || self->complete_ || serial != self->watch_serial_) {
-            return;
-          }
-          char byte = 0;
-          sys_error peek_failure;
-          self->stream_.socket().non_blocking(true, peek_failure);
-          const auto count =
-              self->stream_.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peek_failure);
-          if (count > 0 || peek_failure == asio::error::would_block) {
-            return;  // a pipelined request
-          }
-          self->NoteDisconnect();
-        });
+    stream_.socket().async_wait(tcp::socket::wait_read,
+                                [self = shared_from_this(), serial = watch_serial_](sys_error failure) {
+                                  if (failure || self->complete_ || self->closed_ || serial != self->watch_serial_) {
+                                    return;
+                                  }
+                                  self->ReadEarlyInput();
+                                });
+  }
+
+  void ReadEarlyInput() {
+    sys_error failure;
+    stream_.socket().non_blocking(true, failure);
+    const auto space = buffer_.prepare(kReadBytes);
+    const std::size_t count = stream_.socket().read_some(space, failure);
+    buffer_.commit(count);
+    if (failure && failure != asio::error::would_block) {
+      NoteDisconnect();
+    } else if (buffer_.size() < kMaxEarlyBytes) {
+      WatchForDisconnect();
+    }
   }
 
   void NoteDisconnect() {
@@ -334,7 +438,9 @@
   std::function<void()> on_disconnect_;
   std::uint64_t watch_serial_ = 0;
   bool keep_alive_ = true;
+  bool chunked_ = true;  // false: HTTP/1.0
   bool head_request_ = false;
+  bool reading_ = false;
   bool serving_ = false;
   bool complete_ = false;
   bool disconnected_ = false;
@@ -396,6 +502,7 @@
     }
     if (failure) {
       Log().Warning("Accept failed: {}.", failure.message());
+      co_await timers.Sleep(kAcceptPause);
       continue;
     }
     if (connections.size() >= limits.connections) {
@@ -485,6 +592,12 @@
 // Splits a growing text into lines.
 class line_splitter {
  public:
+  // Passes on what follows the last line end. Returns false if the function does.
+  bool Finish(const http_client::line_handler& on_line) { return rest_.empty() || on_line(rest_); }
+
+  // Bytes of the line that has not ended.
+  std::size_t RestBytes() const { return rest_.size(); }
+
   // Returns false as soon as the function does.
   bool Add(std::string_view data, const http_client::line_handler& on_line) {
     rest_.append(data);
@@ -649,6 +762,10 @@
     if (failure == http::error::need_buffer) {
       failure = {};
     }
+    if (!failure && timer_service::Now() >= end) {
+      // The stream's own limit does not end a read whose data has already arrived.
+      failure = beast::error::timeout;
+    }
     if (failure) {
       co_return MakeError(failure, "answer of " + address.Text());
     }
@@ -658,6 +775,12 @@
     } else if (!lines.Add(data, on_line)) {
       co_return error{error_code::kCancelled, "the exchange was ended by this process"};
     }
+    if (std::max(lines.RestBytes(), response.body.size()) > state->limits.body_bytes) {
+      co_return error{error_code::kProtocol, fmt::format("answer of {} has too long a line", address.Text())};
+    }
+  }
+  if (!lines.Finish(on_line)) {
+    co_return error{error_code::kCancelled, "the exchange was ended by this process"};
   }
   if (parser.get().keep_alive()) {
     state->Keep(address, std::move(connection));
--- /dev/null
+++ b/tests/http_test.cpp
@@ -0,0 +1,556 @@
+// link: persimmon_net
+// Guards against callers that break the server with malformed, long, slow or interrupted input, against answers that
+// are lost or cut, and against requests that a drain interrupts.
+#include "net/http.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <stdexcept>
+
+#include "net_support.h"
+
+namespace persimmon {
+namespace {
+
+constexpr const char* kGet = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+std::size_t CountText(std::string_view text, std::string_view part) {
+  std::size_t count = 0;
+  for (auto at = text.find(part); at != std::string_view::npos; at = text.find(part, at + part.size())) {
+    ++count;
+  }
+  return count;
+}
+
+class http_server_test : public testing::Test {
+ protected:
+  void StartServer() {
+    server_ = std::make_unique<http_server>(
+        loop_.Context(), host_port{"127.0.0.1", 0}, limits_,
+        [this](std::shared_ptr<http_exchange> exchange) { return Serve(std::move(exchange)); });
+    ASSERT_TRUE(server_->Start());
+  }
+
+  ~http_server_test() override {
+    if (server_) {
+      server_->Stop();
+      loop_.RunFor(milliseconds(5));
+    }
+  }
+
+  std::unique_ptr<raw_connection> Connect() { return std::make_unique<raw_connection>(loop_, server_->Port()); }
+
+  task<> Serve(std::shared_ptr<http_exchange> exchange) {
+    ++requests_;
+    const std::string target = exchange->Request().target;
+    if (target == "/throw") {
+      throw std::runtime_error("handler failed");
+    }
+    if (target == "/silent") {
+      co_return;
+    }
+    if (target == "/wait") {
+      co_await Wait(*exchange);
+    }
+    if (target.starts_with("/stream")) {
+      co_await Stream(*exchange, target == "/stream" ? 3 : 100'000);
+      co_return;
+    }
+    http_response response{
+        200, {{"Content-Type", "text/plain"}}, fmt::format("{} {}", target, exchange->Request().body)};
+    auto sent = co_await exchange->Respond(std::move(response));
+    responses_ += sent ? 1 : 0;
+  }
+
+  // Holds the response back until the test releases it or the caller leaves.
+  task<> Wait(http_exchange& exchange) {
+    asio::steady_timer timer(loop_.Context(), std::chrono::hours(1));
+    release_ = [&timer] { timer.cancel(); };
+    exchange.OnDisconnect([this, &timer] {
+      ++disconnects_;
+      timer.cancel();
+    });
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    release_ = nullptr;
+  }
+
+  task<> Stream(http_exchange& exchange, int chunks) {
+    header_list headers = {{"Content-Type", "text/plain"}};
+    (void)co_await exchange.StartStream(200, std::move(headers));
+    for (int i = 0; i < chunks; ++i) {
+      std::string chunk = chunks == 3 ? fmt::format("part{} ", i) : std::string(16'384, 'x');
+      auto sent = co_await exchange.WriteChunk(std::move(chunk));
+      if (!sent) {
+        ++failed_writes_;
+        co_return;
+      }
+    }
+    (void)co_await exchange.FinishStream();
+  }
+
+  test_loop loop_;
+  http_limits limits_;
+  std::unique_ptr<http_server> server_;
+  std::function<void()> release_;
+  int requests_ = 0;
+  int responses_ = 0;
+  int disconnects_ = 0;
+  int failed_writes_ = 0;
+};
+
+TEST_F(http_server_test, Serve_WhenConnectionIsKept_AnswersEachRequest) {
+  StartServer();
+  auto caller = Connect();
+  for (std::size_t i = 1; i <= 3; ++i) {
+    caller->Send("POST /echo HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc");
+    ASSERT_TRUE(loop_.RunUntil([&] {
+      caller->Poll();
+      return CountText(caller->Received(), "/echo abc") == i;
+    }));
+  }
+  EXPECT_FALSE(caller->IsClosed());
+}
+
+TEST_F(http_server_test, Serve_WhenCallerAsksForClose_ClosesAfterAnswer) {
+  StartServer();
+  auto caller = Connect();
+  caller->Send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  ASSERT_TRUE(caller->AwaitEnd());
+  EXPECT_EQ(CountText(caller->Received(), "200 OK"), 1U);
+  EXPECT_FALSE(caller->IsReset());
+}
+
+TEST_F(http_server_test, Serve_WhenRequestsArePipelined_AnswersInOrder) {
+  StartServer();
+  auto caller = Connect();
+  caller->Send(
+      "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\nGET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(caller->AwaitText("/3 "));
+  const std::string& text = caller->Received();
+  EXPECT_LT(text.find("/1 "), text.find("/2 "));
+  EXPECT_LT(text.find("/2 "), text.find("/3 "));
+}
+
+TEST_F(http_server_test, Serve_WhenMethodIsHead_SendsHeadersOnly) {
+  StartServer();
+  auto caller = Connect();
+  caller->Send("HEAD /abc HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(caller->AwaitText("\r\n\r\n"));
+  caller->Send("GET /next HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(caller->AwaitText("/next "));
+  EXPECT_NE(caller->Received().find("Content-Length: 5"), std::string::npos);
+  EXPECT_EQ(caller->Received().find("/abc "), std::string::npos);
+}
+
+TEST_F(http_server_test, Serve_WhenHeaderIsTooLong_Answers431) {
+  limits_.header_bytes = 1'024;
+  StartServer();
+  auto caller = Connect();
+  caller->Send("GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(4'000, 'a') + "\r\n\r\n");
+  ASSERT_TRUE(caller->AwaitEnd());
+  EXPECT_NE(caller->Received().find(" 431 "), std::string::npos) << caller->Received();
+  EXPECT_EQ(requests_, 0);
+}
+
+TEST_F(http_server_test, Serve_WhenBodyIsTooLong_CallerReadsWhole413) {
+  limits_.body_bytes = 10'000;
+  StartServer();
+  auto caller = Connect();
+  // Far over the socket buffers: the caller still writes when the answer is sent.
+  caller->Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 12000000\r\n\r\n" + std::string(12'000'000, 'a'));
+  ASSERT_TRUE(caller->AwaitSent());
+  ASSERT_TRUE(caller->AwaitEnd());
+  EXPECT_NE(caller->Received().find(" 413 "), std::string::npos) << caller->Received();
+  EXPECT_NE(caller->Received().find("body_too_large"), std::string::npos);
+  EXPECT_FALSE(caller->IsReset());
+  EXPECT_EQ(requests_, 0);
+}
+
+TEST_F(http_server_test, Serve_WhenChunkedBodyIsTooLong_Answers413) {
+  limits_.body_bytes = 1'000;
+  StartServer();
+  auto caller = Connect();
+  caller->Send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+  for (int i = 0; i < 10; ++i) {
+    caller->Send("c8\r\n" + std::string(200, 'a') + "\r\n");
+  }
+  ASSERT_TRUE(caller->AwaitEnd());
+  EXPECT_NE(caller->Received().find(" 413 "), std::string::npos) << caller->Received();
+}
+
+TEST_F(http_server_test, Serve_WhenCallerIsSlow_Answers408) {
+  limits_.read_timeout = milliseconds(100);
+  StartServer();
+  auto caller = Connect();
+  caller->Send("GET / HTTP/1.1\r\nHost:");
+  ASSERT_TRUE(caller->AwaitEnd());
+  EXPECT_NE(caller->Received().find(" 408 "), std::string::npos) << caller->Received();
+  EXPECT_EQ(requests_, 0);
+}
+
+TEST_F(http_server_test, Serve_WhenCallerSendsByteByByte_LimitsWholeRequest) {
+  limits_.read_timeout = milliseconds(200);
+  limits_.header_bytes = 1 << 20;
+  StartServer();
+  auto caller = Connect();
+  const std::string request = "GET / HTTP/1.1\r\nX: " + std::string(100'000, 'a');
+  std::size_t sent = 0;
+  ASSERT_TRUE(loop_.RunUntil([&] {
+    caller->Send(request.substr(sent++ % request.size(), 1));
+    caller->Poll();
+    return caller->IsClosed();
+  }));
+  EXPECT_NE(caller->Received().find(" 408 "), std::string::npos) << caller->Received();
+}
+
+TEST_F(http_server_test, Serve_WhenConnectionIsIdle_ClosesWithoutAnswer) {
+  limits_.idle_timeout = milliseconds(100);
+  StartServer();
+  auto caller = Connect();
+  ASSERT_TRUE(caller->AwaitEnd());
+  EXPECT_EQ(caller->Received(), "");
+}
+
+TEST_F(http_server_test, Serve_WhenInputIsBroken_Answers400) {
+  StartServer();
+  const std::vector<std::string> inputs = {
+      "\x16\x03\x01\x02garbage\r\n\r\n",
+      "GET\r\n\r\n",
+      "GET / HTTP/9.9\r\n\r\n",
+      "GET / HTTP/1.1\r\nHost h\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+      std::string("GET /\0 HTTP/1.1\r\n\r\n", 20),
+  };
+  for (const std::string& input : inputs) {
+    auto caller = Connect();
+    caller->Send(input);
+    ASSERT_TRUE(caller->AwaitEnd()) << input;
+    EXPECT_NE(caller->Received().find(" 400 "), std::string::npos) << input << " -> " << caller->Received();
+  }
+  EXPECT_EQ(requests_, 0);
+}
+
+TEST_F(http_server_test, Serve_WhenRequestIsCutOff_DoesNotRunIt) {
+  StartServer();
+  auto caller = Connect();
+  caller->Send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nabc");
+  caller->ShutdownSend();
+  ASSERT_TRUE(caller->AwaitEnd());
+  EXPECT_EQ(requests_, 0);
+}
+
+RC_GTEST_FIXTURE_PROP(http_server_test, Serve_WhenInputIsRandom_StillAnswersOthers, ()) {
+  StartServer();
+  std::string input = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nX-A: b\r\n\r\nabcde";
+  const auto edits = *rc::gen::container<std::vector<std::pair<std::size_t, char>>>(
+      rc::gen::pair(rc::gen::inRange<std::size_t>(0, input.size()), rc::gen::arbitrary<char>()));
+  for (const auto& [at, byte] : edits) {
+    input[at] = byte;
+  }
+  auto caller = Connect();
+  caller->Send(input);
+  caller->ShutdownSend();
+  RC_ASSERT(caller->AwaitEnd());
+  auto other = Connect();
+  other->Send("GET /other HTTP/1.1\r\nHost: h\r\n\r\n");
+  RC_ASSERT(other->AwaitText("/other "));
+  RC_ASSERT(loop_.RunUntil([&] { return server_->RequestsInProgress() == 0U; }));
+}
+
+TEST_F(http_server_test, Serve_WhenCallerExpectsContinue_IsToldToSendBody) {
+  StartServer();
+  auto caller = Connect();
+  caller->Send("POST /e HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nExpect: 100-continue\r\n\r\n");
+  ASSERT_TRUE(caller->AwaitText("100 Continue\r\n\r\n"));
+  caller->Send("abc");
+  ASSERT_TRUE(caller->AwaitText("/e abc"));
+}
+
+TEST_F(http_server_test, Serve_WhenCallerLeaves_HandlerIsTold) {
+  StartServer();
+  auto caller = Connect();
+  caller->Send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return requests_ == 1; }));
+  caller->Close();
+  ASSERT_TRUE(loop_.RunUntil([&] { return disconnects_ == 1 && server_->RequestsInProgress() == 0; }));
+}
+
+TEST_F(http_server_test, Serve_WhenCallerLeavesAfterPipelining_HandlerIsTold) {
+  StartServer();
+  auto caller = Connect();
+  caller->Send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return requests_ == 1; }));
+  caller->Send(kGet);
+  loop_.RunFor(milliseconds(20));
+  caller->Close();
+  ASSERT_TRUE(loop_.RunUntil([&] { return disconnects_ == 1; }));
+}
+
+TEST_F(http_server_test, Serve_WhenNextRequestArrivesEarly_IsAnsweredAfterFirst) {
+  StartServer();
+  auto caller = Connect();
+  caller->Send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return requests_ == 1 && release_; }));
+  caller->Send("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+  loop_.RunFor(milliseconds(20));
+  release_();
+  ASSERT_TRUE(caller->AwaitText("/second "));
+  EXPECT_LT(caller->Received().find("/wait "), caller->Received().find("/second "));
+  EXPECT_EQ(disconnects_, 0);
+}
+
+TEST_F(http_server_test, Serve_WhenHandlerThrows_ClosesConnectionAndCountsItDone) {
+  StartServer();
+  auto caller = Connect();
+  caller->Send("GET /throw HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(caller->AwaitEnd());
+  EXPECT_EQ(caller->Received(), "");
+  EXPECT_TRUE(loop_.RunUntil([&] { return server_->RequestsInProgress() == 0U; }));
+}
+
+TEST_F(http_server_test, Serve_WhenHandlerDoesNotAnswer_ClosesConnection) {
+  StartServer();
+  auto caller = Connect();
+  caller->Send("GET /silent HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(caller->AwaitEnd());
+  EXPECT_EQ(caller->Received(), "");
+}
+
+TEST_F(http_server_test, WriteChunk_WhenStreamIsWhole_SendsChunksAndEndMark) {
+  StartServer();
+  auto caller = Connect();
+  caller->Send("GET /stream HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(caller->AwaitText("0\r\n\r\n"));
+  EXPECT_NE(caller->Received().find("6\r\npart0 \r\n6\r\npart1 \r\n6\r\npart2 \r\n0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(http_server_test, WriteChunk_WhenCallerSpeaksHttp10_SendsPlainBody) {
+  StartServer();
+  auto caller = Connect();
+  caller->Send("GET /stream HTTP/1.0\r\n\r\n");
+  ASSERT_TRUE(caller->AwaitEnd());
+  EXPECT_TRUE(caller->Received().ends_with("\r\n\r\npart0 part1 part2 ")) << caller->Received();
+  EXPECT_EQ(caller->Received().find("chunked"), std::string::npos);
+}
+
+TEST_F(http_server_test, WriteChunk_WhenCallerDoesNotRead_FailsAfterWriteLimit) {
+  limits_.write_timeout = milliseconds(200);
+  StartServer();
+  auto caller = Connect();
+  caller->Send("GET /stream/long HTTP/1.1\r\nHost: h\r\n\r\n");
+  // The caller never polls again, so the socket buffers fill up.
+  ASSERT_TRUE(loop_.RunUntil([&] { return failed_writes_ == 1; }));
+  EXPECT_TRUE(loop_.RunUntil([&] { return server_->RequestsInProgress() == 0; }));
+}
+
+TEST_F(http_server_test, Accept_WhenLimitIsReached_ClosesFurtherConnections) {
+  limits_.connections = 2;
+  StartServer();
+  auto first = Connect();
+  auto second = Connect();
+  loop_.RunFor(milliseconds(20));
+  auto third = Connect();
+  ASSERT_TRUE(third->AwaitEnd());
+  second->Send("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_TRUE(second->AwaitText("/second "));
+}
+
+TEST_F(http_server_test, Drain_WhenRequestIsInProgress_AnswersItThenCloses) {
+  StartServer();
+  auto busy = Connect();
+  auto idle = Connect();
+  busy->Send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return requests_ == 1 && release_; }));
+  server_->Drain();
+  ASSERT_TRUE(idle->AwaitEnd());
+  EXPECT_FALSE(busy->IsClosed());
+  release_();
+  ASSERT_TRUE(busy->AwaitEnd());
+  EXPECT_NE(busy->Received().find("/wait "), std::string::npos);
+  EXPECT_NE(busy->Received().find("Connection: close"), std::string::npos);
+}
+
+TEST_F(http_server_test, Drain_WhenRequestIsPartlyRead_AnswersItThenCloses) {
+  StartServer();
+  auto caller = Connect();
+  caller->Send("POST /part HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nabc");
+  loop_.RunFor(milliseconds(20));
+  server_->Drain();
+  caller->Send("def");
+  ASSERT_TRUE(caller->AwaitEnd());
+  EXPECT_NE(caller->Received().find("/part abcdef"), std::string::npos) << caller->Received();
+}
+
+TEST_F(http_server_test, Drain_WhenRequestHasArrivedUnread_AnswersIt) {
+  StartServer();
+  auto caller = Connect();
+  loop_.RunFor(milliseconds(20));
+  caller->Send("GET /late HTTP/1.1\r\nHost: h\r\n\r\n");
+  server_->Drain();
+  ASSERT_TRUE(caller->AwaitEnd());
+  EXPECT_NE(caller->Received().find("/late "), std::string::npos) << caller->Received();
+}
+
+class http_client_test : public testing::Test {
+ protected:
+  result<http_response> Fetch(std::uint16_t port) {
+    loop_.Start(client_->Fetch(host_port{"127.0.0.1", port}, request_), answer_, done_);
+    AwaitDone();
+    return answer_;
+  }
+
+  // Starts an exchange against a raw listener; the answer is written by the test.
+  void StartLines(std::uint16_t port, milliseconds total = milliseconds::max()) {
+    http_client::line_handler on_line = [this](std::string_view line) {
+      lines_.emplace_back(line);
+      return line != "stop";
+    };
+    loop_.Start(client_->FetchLines(host_port{"127.0.0.1", port}, request_, std::move(on_line), total), answer_, done_);
+  }
+
+  bool AwaitDone() {
+    return loop_.RunUntil([&] { return done_; });
+  }
+
+  test_loop loop_;
+  http_client_limits limits_;
+  std::unique_ptr<http_client> client_ = std::make_unique<http_client>(loop_.Context(), limits_);
+  http_request request_{"GET", "/", {}, "", ""};
+  std::vector<std::string> lines_;
+  result<http_response> answer_ = error{error_code::kCancelled, "not run"};
+  bool done_ = false;
+};
+
+TEST_F(http_client_test, Fetch_WhenNobodyListens_NothingWasSent) {
+  std::uint16_t port = 0;
+  {
+    const raw_listener listener(loop_);
+    port = listener.Port();
+  }
+  const auto answer = Fetch(port);
+  ASSERT_FALSE(answer);
+  EXPECT_EQ(answer.error().code, error_code::kUnavailable);
+}
+
+TEST_F(http_client_test, FetchLines_WhenAnswerIsCutOff_IsClosed) {
+  raw_listener listener(loop_);
+  StartLines(listener.Port());
+  auto server = listener.Accept();
+  ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+  server->Send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\none\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return lines_.size() == 1; }));
+  server->Close();
+  ASSERT_TRUE(AwaitDone());
+  ASSERT_FALSE(answer_);
+  EXPECT_EQ(answer_.error().code, error_code::kClosed);
+}
+
+TEST_F(http_client_test, FetchLines_WhenLastLineHasNoEnd_PassesIt) {
+  raw_listener listener(loop_);
+  StartLines(listener.Port());
+  auto server = listener.Accept();
+  ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+  server->Send("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\none\ntwo");
+  ASSERT_TRUE(AwaitDone());
+  EXPECT_TRUE(answer_);
+  EXPECT_EQ(lines_, (std::vector<std::string>{"one", "two"}));
+}
+
+TEST_F(http_client_test, FetchLines_WhenLineNeverEnds_IsRefused) {
+  limits_.body_bytes = 10'000;
+  client_ = std::make_unique<http_client>(loop_.Context(), limits_);
+  raw_listener listener(loop_);
+  StartLines(listener.Port());
+  auto server = listener.Accept();
+  ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+  server->Send("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n" + std::string(100'000, 'a'));
+  ASSERT_TRUE(AwaitDone());
+  ASSERT_FALSE(answer_);
+  EXPECT_EQ(answer_.error().code, error_code::kProtocol);
+}
+
+TEST_F(http_client_test, FetchLines_WhenFunctionEndsIt_ClosesConnection) {
+  raw_listener listener(loop_);
+  StartLines(listener.Port());
+  auto server = listener.Accept();
+  ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+  server->Send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nstop\nmore\n");
+  ASSERT_TRUE(AwaitDone());
+  ASSERT_FALSE(answer_) << lines_.size();
+  EXPECT_EQ(answer_.error().code, error_code::kCancelled);
+  EXPECT_TRUE(server->AwaitEnd());
+}
+
+TEST_F(http_client_test, FetchLines_WhenTotalLimitIsOver_TimesOut) {
+  raw_listener listener(loop_);
+  StartLines(listener.Port(), milliseconds(100));
+  auto server = listener.Accept();
+  ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+  server->Send("HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] {
+    server->Send("line\n");  // an answer that never pauses
+    return done_;
+  }));
+  ASSERT_FALSE(answer_) << lines_.size();
+  EXPECT_EQ(answer_.error().code, error_code::kTimeout);
+  EXPECT_TRUE(server->AwaitEnd());
+}
+
+TEST_F(http_client_test, FetchLines_WhenAnswerPauses_TimesOut) {
+  limits_.idle_timeout = milliseconds(100);
+  client_ = std::make_unique<http_client>(loop_.Context(), limits_);
+  raw_listener listener(loop_);
+  StartLines(listener.Port());
+  auto server = listener.Accept();
+  ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+  server->Send("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nline\n");
+  ASSERT_TRUE(AwaitDone());
+  ASSERT_FALSE(answer_) << lines_.size();
+  EXPECT_EQ(answer_.error().code, error_code::kTimeout);
+}
+
+TEST_F(http_client_test, Fetch_WhenKeptConnectionWasClosed_OpensNewOne) {
+  raw_listener listener(loop_);
+  StartLines(listener.Port());
+  auto first = listener.Accept();
+  ASSERT_TRUE(first->AwaitText("\r\n\r\n"));
+  first->Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(AwaitDone());
+  first->Close();
+  loop_.RunFor(milliseconds(20));
+  done_ = false;
+  StartLines(listener.Port());
+  auto second = listener.Accept();
+  ASSERT_TRUE(second && second->AwaitText("\r\n\r\n"));
+  second->Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  ASSERT_TRUE(AwaitDone());
+  EXPECT_TRUE(answer_);
+}
+
+TEST_F(http_client_test, Fetch_WhenConnectionIsKept_ReusesIt) {
+  raw_listener listener(loop_);
+  StartLines(listener.Port());
+  auto server = listener.Accept();
+  for (int i = 1; i <= 2; ++i) {
+    ASSERT_TRUE(loop_.RunUntil([&] {
+      server->Poll();
+      return CountText(server->Received(), "\r\n\r\n") == static_cast<std::size_t>(i);
+    }));
+    server->Send("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    ASSERT_TRUE(AwaitDone());
+    done_ = false;
+    StartLines(listener.Port());
+  }
+}
+
+}  // namespace
+}  // namespace persimmon
