--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -28,6 +28,11 @@
 
 // A peer that has not proved that it knows the secret cannot make the process buffer more than this.
 constexpr std::uint32_t kMaxHelloBytes = 4096;
+constexpr milliseconds kAcceptPause(100);  // after a failed accept, for example without free file descriptors
+
+// Which side of a connection this process is. The accepting side shows its hello, and with it the secret, only to a
+// peer that has proved that it knows the secret.
+enum class channel_side : std::uint8_t { kConnecting, kAccepting };
 
 const logger& Log() {
   static const logger log("net.channel");
@@ -47,9 +52,11 @@
 // ---------------------------------------------------------------------------------------------------------------------
 
 struct channel::state {
-  state(asio::io_context& context, tcp::socket socket, channel_settings settings, channel_handlers handlers)
+  state(asio::io_context& context, tcp::socket socket, channel_side side, channel_settings settings,
+        channel_handlers handlers)
       : context(context),
         timers(context),
+        side(side),
         socket(std::move(socket)),
         settings(std::move(settings)),
         handlers(std::move(handlers)) {
@@ -64,13 +71,15 @@
 
   asio::io_context& context;
   timer_service timers;
+  channel_side side;
   tcp::socket socket;
   channel_settings settings;
   channel_handlers handlers;
   hello peer;
   std::string remote_host;
   std::uint16_t remote_port = 0;
-  std::string unsent;  // frames that wait for the write in progress
+  std::string unsent;             // frames that wait for the write in progress
+  std::size_t writing_bytes = 0;  // of the write in progress
   bool writing = false;
   bool open = false;  // both hellos have been exchanged
   bool closed = false;
@@ -114,8 +123,15 @@
   if (state_->closed) {
     return;
   }
-  state_->unsent += EncodeFrame(value);
-  if (state_->unsent.size() > state_->settings.queue_bytes) {
+  const std::string frame = EncodeFrame(value);
+  if (frame.size() > kFrameHeaderBytes + kMaxFrameBytes) {
+    // The receiver would close the channel, and with it all other work on it.
+    Log().Error("Dropped {} of {} bytes for {}: too long for a frame.", MessageName(value), frame.size(),
+                RemoteAddress());
+    return;
+  }
+  state_->unsent += frame;
+  if (state_->unsent.size() + state_->writing_bytes > state_->settings.queue_bytes) {
     Close({error_code::kClosed, "too many unsent bytes"});
     return;
   }
@@ -127,7 +143,9 @@
     while (!self->state_->unsent.empty() && !self->state_->closed) {
       const std::string data = std::exchange(self->state_->unsent, std::string());
       sys_error failure;
+      self->state_->writing_bytes = data.size();
       co_await asio::async_write(self->state_->socket, asio::buffer(data), AwaitWith(failure));
+      self->state_->writing_bytes = 0;
       if (failure) {
         self->Close({error_code::kClosed, failure.message()});
       }
@@ -156,7 +174,9 @@
 task<> channel::Run() {
   const channel_ptr self = shared_from_this();
   const hello own = state_->handlers.make_hello();
-  Send(own);
+  if (state_->side == channel_side::kConnecting) {
+    Send(own);
+  }
   timer_subscription deadline = state_->timers.SubscribeOnce(state_->settings.connect_timeout, [self] {
     if (!self->state_->open) {
       self->Close({error_code::kTimeout, "no hello in time"});
@@ -181,6 +201,9 @@
   if (state_->closed) {
     co_return;
   }
+  if (state_->side == channel_side::kAccepting) {
+    Send(own);
+  }
   state_->open = true;
   state_->handlers.on_open(self);
   state_->heartbeat_timer = state_->timers.SubscribeEvery(state_->settings.heartbeat_period, 0.1, [this] {
@@ -211,12 +234,14 @@
 struct channel_listener::state : std::enable_shared_from_this<channel_listener::state> {
   state(asio::io_context& context, host_port address, channel_settings settings, channel_handlers handlers)
       : context(context),
+        timers(context),
         address(std::move(address)),
         settings(std::move(settings)),
         handlers(std::move(handlers)),
         acceptor(context) {}
 
   asio::io_context& context;
+  timer_service timers;
   host_port address;
   channel_settings settings;
   channel_handlers handlers;
@@ -238,10 +263,12 @@
         break;
       }
       if (failure) {
+        Log().Warning("Accept failed: {}.", failure.message());
+        co_await timers.Sleep(kAcceptPause);
         continue;
       }
-      auto next =
-          std::make_shared<channel>(std::make_unique<channel::state>(context, std::move(socket), settings, handlers));
+      auto next = std::make_shared<channel>(
+          std::make_unique<channel::state>(context, std::move(socket), channel_side::kAccepting, settings, handlers));
       if (!IsAllowed(next->RemoteHost())) {
         Log().Warning("Refused a channel of {}: the address is not listed.", next->RemoteAddress());
         continue;
@@ -316,9 +343,12 @@
   channel_settings settings;
   channel_handlers handlers;
   channel_ptr current;
+  std::uint64_t start = 0;  // number of the last start or stop; a loop of an earlier start ends
   bool running = false;
 
-  task<bool> ConnectOnce() {
+  bool IsRunning(std::uint64_t mine) const { return running && mine == start; }
+
+  task<bool> ConnectOnce(std::uint64_t number) {
     auto socket = std::make_shared<tcp::socket>(context);
     const auto deadline = timers.SubscribeOnce(settings.connect_timeout, [socket] {
       sys_error ignored;
@@ -327,24 +357,27 @@
     sys_error failure;
     const tcp::endpoint endpoint(asio::ip::make_address(address.host), address.port);
     co_await socket->async_connect(endpoint, AwaitWith(failure));
-    if (failure || !running) {
+    if (failure || !IsRunning(number)) {
       co_return false;
     }
-    current =
-        std::make_shared<channel>(std::make_unique<channel::state>(context, std::move(*socket), settings, handlers));
+    current = std::make_shared<channel>(
+        std::make_unique<channel::state>(context, std::move(*socket), channel_side::kConnecting, settings, handlers));
     const channel_ptr mine = current;
     const time_point begin = timer_service::Now();
     co_await mine->Run();
-    current.reset();
+    if (current == mine) {
+      current.reset();
+    }
     co_return timer_service::Now() - begin > settings.silence_limit;
   }
 
   task<> Loop() {
     const auto self = shared_from_this();
+    const std::uint64_t mine = start;
     milliseconds pause = settings.reconnect_minimum;
-    while (running) {
-      const bool lasted = co_await ConnectOnce();
-      if (!running) {
+    while (IsRunning(mine)) {
+      const bool lasted = co_await ConnectOnce(mine);
+      if (!IsRunning(mine)) {
         break;
       }
       pause = lasted ? settings.reconnect_minimum : std::min(pause * 2, settings.reconnect_maximum);
@@ -363,11 +396,13 @@
   if (std::exchange(state_->running, true)) {
     return;
   }
+  ++state_->start;
   asio::co_spawn(state_->context, state_->Loop(), asio::detached);
 }
 
 void channel_connector::Stop() {
   state_->running = false;
+  ++state_->start;
   if (state_->current) {
     state_->current->Close({error_code::kClosed, "this process stops"});
   }
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -105,6 +105,44 @@
   return number;
 }
 
+// Last value of each enumeration that a message holds.
+constexpr slot_role LastValue(slot_role) { return slot_role::kService; }
+constexpr refusal_reason LastValue(refusal_reason) { return refusal_reason::kUnknownModel; }
+constexpr work_state LastValue(work_state) { return work_state::kCancelled; }
+constexpr outcome_kind LastValue(outcome_kind) { return outcome_kind::kMayHaveRun; }
+constexpr attempt_phase LastValue(attempt_phase) { return attempt_phase::kWrongIncarnation; }
+constexpr claim_operation_kind LastValue(claim_operation_kind) { return claim_operation_kind::kRead; }
+constexpr claim_phase LastValue(claim_phase) { return claim_phase::kDone; }
+constexpr claim_result_kind LastValue(claim_result_kind) { return claim_result_kind::kStoreUnavailable; }
+
+// Has the form of an archive and finds enumerators that do not exist. Code that is given a message relies on a switch
+// over its enumerations to be complete.
+class enumerator_check {
+ public:
+  template <class... fields>
+  void operator()(fields&... all) {
+    (Check(all), ...);
+  }
+
+  bool IsValid() const { return valid_; }
+
+ private:
+  template <class field>
+  void Check(field& value) {
+    if constexpr (std::is_enum_v<field>) {
+      valid_ = valid_ && value <= LastValue(field{});
+    } else if constexpr (requires { value.serialize(*this); }) {
+      value.serialize(*this);
+    } else if constexpr (requires { value.front().serialize(*this); }) {
+      for (auto& element : value) {
+        element.serialize(*this);
+      }
+    }
+  }
+
+  bool valid_ = true;
+};
+
 template <std::size_t index = 0>
 message MakeMessage(std::size_t type) {
   if constexpr (index + 1 < std::variant_size_v<message>) {
@@ -213,6 +251,12 @@
   } catch (const std::exception&) {
     return error{error_code::kProtocol, fmt::format("body of {} is malformed", kMessageNames[header.type])};
   }
+  enumerator_check check;
+  std::visit([&check](auto& content) { content.serialize(check); }, value);
+  if (!check.IsValid()) {
+    return error{error_code::kProtocol,
+                 fmt::format("body of {} has an unknown enumerator", kMessageNames[header.type])};
+  }
   if (remaining != 0) {
     return error{error_code::kProtocol, fmt::format("body of {} is too long", kMessageNames[header.type])};
   }
