Run calls that may not be repeated over the claim protocol; test the router

Cause: the router settled non-idempotent calls by itself and ignored Idempotency-Key; failures of the whole path were untested.

--- a/src/router/peer_directory.cpp
+++ b/src/router/peer_directory.cpp
@@ -60,15 +60,21 @@
   connectors_.emplace(address, std::move(connector));
 }
 
-std::vector<std::string> peer_directory::RouterNames() const {
+std::vector<std::string> peer_directory::ConnectedRouters() const {
   std::vector<std::string> names = {settings_.name};
+  for (const auto& [name, channels] : open_) {
+    names.push_back(name);
+  }
+  std::sort(names.begin(), names.end());
+  return names;
+}
+
+std::vector<std::string> peer_directory::RouterNames() const {
   if (listed_.empty()) {
-    for (const auto& [name, channels] : open_) {
-      names.push_back(name);
-    }
-  } else {
-    names.insert(names.end(), listed_.begin(), listed_.end());
+    return ConnectedRouters();
   }
+  std::vector<std::string> names = listed_;
+  names.push_back(settings_.name);
   std::sort(names.begin(), names.end());
   names.erase(std::unique(names.begin(), names.end()), names.end());
   return names;
--- a/src/router/peer_directory.h
+++ b/src/router/peer_directory.h
@@ -28,6 +28,9 @@
   // been read, those with an open channel. Hashing over the list keeps all routers agreed while a channel is down.
   std::vector<std::string> RouterNames() const;
 
+  // This router and those with an open channel, sorted.
+  std::vector<std::string> ConnectedRouters() const;
+
   // Returns false if there is no open channel to the router; nothing was sent then.
   bool Send(const std::string& router, const message& value);
 
--- a/src/router/router_main.cpp
+++ b/src/router/router_main.cpp
@@ -5,6 +5,7 @@
 
 #include "core/program.h"
 #include "core/telemetry.h"
+#include "platform/claim_store.h"
 #include "platform/config_store.h"
 #include "platform/table_client.h"
 #include "platform/vm_list.h"
@@ -12,6 +13,7 @@
 #include "router/endpoint_directory.h"
 #include "router/front_end.h"
 #include "router/guards.h"
+#include "router/keyed_calls.h"
 #include "router/model_calls.h"
 #include "router/peer_directory.h"
 #include "router/router_settings.h"
@@ -48,6 +50,33 @@
   return handlers;
 }
 
+claim_links MakeClaimLinks(kernel& services, const router_settings& settings) {
+  claim_links links;
+  links.self = router_name{settings.name};
+  links.routers = [&services] {
+    std::vector<router_name> routers;
+    for (const std::string& name : services.Find<peer_directory>("peers").ConnectedRouters()) {
+      routers.push_back(router_name{name});
+    }
+    return routers;
+  };
+  links.send = [&services](const router_name& router, const message& value) {
+    return services.Find<peer_directory>("peers").Send(router.value, value);
+  };
+  return links;
+}
+
+// Hands the batches of claims of other routers to the claim store.
+void ServeClaimBatches(peer_directory& peers, claim_store& claims) {
+  peers.SubscribeMessages([&claims](const channel_ptr& from, const message& value) {
+    if (const auto* batch = std::get_if<claim_batch>(&value)) {
+      claims.OnBatch(*batch, [from](const claim_results& results) { from->Send(results); });
+    } else if (const auto* results = std::get_if<claim_results>(&value)) {
+      claims.OnResults(*results);
+    }
+  });
+}
+
 result<detail::stop_function> BuildRouter(kernel& services, const router_settings& settings) {
   const channel_handlers handlers = MakeBaseHandlers(services, settings, MakeIncarnation());
   config_store_settings config;
@@ -59,13 +88,19 @@
   const auto table = std::make_shared<table_client>(services.Context(), settings.table_servers, settings.table_timeout);
   services.Register<vm_list>("vms", services.Timers(), services.Context(), platform, vm_list_settings{});
   services.Register<config_store>("config", services.Timers(), services.Context(), *table, config);
-  services.Register<peer_directory>("peers", services, settings, handlers);
+  auto& peers = services.Register<peer_directory>("peers", services, settings, handlers);
+  auto& claims = services.Register<claim_store>("claims", services.Timers(), services.Context(), *table, claim_store_settings{},
+                                 MakeClaimLinks(services, settings));
   services.Register<endpoint_directory>("endpoints", services, settings, handlers);
   services.Register<suspect_guard>("suspects", services, settings);
   services.Register<account_guard>("accounts", services, settings);
   services.Register<dispatcher>("dispatcher", services, settings);
   services.Register<model_calls>("models", services, settings);
-  services.Register<service_calls>("services", services, settings);
+  auto& calls = services.Register<service_calls>("services", services, settings);
+  keyed_call_settings keyed;
+  keyed.pause_before_send = settings.pause_before_send;
+  services.Register<keyed_calls>("keyed", services.Timers(), services.Context(), keyed, calls.MakeLinks());
+  ServeClaimBatches(peers, claims);
   auto& front = services.Register<front_end>("front_end", services, settings);
   return detail::stop_function([&front, table](std::function<void()> finished) { front.Drain(std::move(finished)); });
 }
--- a/src/router/router_settings.cpp
+++ b/src/router/router_settings.cpp
@@ -37,6 +37,8 @@
   bind.Duration("stop", "grace_ms", settings.stop_grace, milliseconds(0), kMinute);
   bind.Duration("stop", "limit_ms", settings.stop_limit, milliseconds(100), 60 * kMinute);
 
+  bind.Duration("test", "pause_before_send_ms", settings.pause_before_send, milliseconds(0), kMinute);
+
   bind.Text("trace", "file", settings.trace_file);
 }
 
--- a/src/router/service_calls.cpp
+++ b/src/router/service_calls.cpp
@@ -7,10 +7,12 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 
 #include "core/log.h"
 #include "core/random.h"
 #include "core/telemetry.h"
+#include "platform/claim_store.h"
 #include "router/dispatcher.h"
 
 namespace persimmon {
@@ -36,6 +38,28 @@
          name != "traceparent";
 }
 
+refusal_code ToRefusalCode(claim_code code) {
+  switch (code) {
+    case claim_code::kStoreUnavailable:
+      return refusal_code::kStoreUnavailable;
+    case claim_code::kAlreadyAnswered:
+      return refusal_code::kAlreadyAnswered;
+    case claim_code::kInProgress:
+      return refusal_code::kInProgress;
+    case claim_code::kTimeout:
+      return refusal_code::kTimeout;
+    case claim_code::kNone:
+    case claim_code::kEndpointLost:
+      return refusal_code::kEndpointLost;
+  }
+  return refusal_code::kEndpointLost;
+}
+
+// A call that was not run may go to another endpoint; a conflict with another attempt or a missing store may not.
+bool MayTryElsewhere(const keyed_call_result& result, bool repeatable) {
+  return result.code == claim_code::kEndpointLost && (repeatable || result.outcome == outcome_kind::kNotRun);
+}
+
 }  // namespace
 
 bool IsRepeatable(const http_request& request, const pool_record& pool) {
@@ -99,21 +123,44 @@
   return call;
 }
 
+task<keyed_call_result> service_calls::RunOnce(const call_context& context, const call_service& call,
+                                               const pool_record& pool, endpoint_name endpoint, bool repeatable) {
+  const std::string_view key = FindHeader(context.exchange->Request().headers, "Idempotency-Key");
+  const endpoint_status* status = endpoints_->Find(endpoint);
+  keyed_call wanted;
+  if (!repeatable && !key.empty()) {
+    wanted.key.value = context.account.record.name.value + "/" + std::string(key);
+  }
+  wanted.endpoint = endpoint;
+  wanted.incarnation = status == nullptr ? 0 : status->incarnation;
+  wanted.call = call;
+  wanted.timeout = pool.call_timeout;
+  if (context.deadline) {
+    const auto left = std::chrono::duration_cast<milliseconds>(*context.deadline - timer_service::Now());
+    wanted.timeout = std::clamp(left, milliseconds(1), pool.call_timeout);
+  }
+  co_return co_await kernel_.Find<keyed_calls>("keyed").RunCall(std::move(wanted));
+}
+
 task<std::optional<refusal>> service_calls::Serve(call_context context, pool_record pool) {
   const bool repeatable = IsRepeatable(context.exchange->Request(), pool);
-  call_service call = MakeCall(context, pool);
+  if (FindHeader(context.exchange->Request().headers, "Idempotency-Key").size() > kMaxKeyLength) {
+    refusal refused{refusal_code::kBadRequest, outcome_kind::kNotRun,
+                    fmt::format("The Idempotency-Key is longer than {} characters.", kMaxKeyLength)};
+    co_return co_await SendRefusal(context, std::move(refused));
+  }
+  const call_service call = MakeCall(context, pool);
   retries_.NoteFirstTry(timer_service::Now());
   std::vector<endpoint_name> avoid;
-  attempt_outcome last;
-  last.reason = "no endpoint of the pool can take work";
+  refusal reason{refusal_code::kNoEndpoint, outcome_kind::kNotRun, "No endpoint of the pool can take work.",
+                 milliseconds(1'000)};
   bool may_have_run = false;
   for (std::int64_t tries = 0; tries <= settings_.max_retries; ++tries) {
     const suspect_check suspect = suspects_->Check(call.fingerprint);
     if (suspect.verdict == suspect_verdict::kRefused) {
-      refusal refused{refusal_code::kSuspectRequest, outcome_kind::kNotRun,
-                      "Endpoints have crashed while they ran this request.", suspect.retry_in};
-      refused.outcome = may_have_run ? outcome_kind::kMayHaveRun : outcome_kind::kNotRun;
-      co_return co_await SendRefusal(context, std::move(refused));
+      reason = refusal{refusal_code::kSuspectRequest, outcome_kind::kNotRun,
+                       "Endpoints have crashed while they ran this request.", suspect.retry_in};
+      break;
     }
     if (tries > 0 && !retries_.AllowRetry(timer_service::Now())) {
       break;
@@ -122,22 +169,19 @@
     if (!endpoint) {
       break;
     }
-    call.attempt = kernel_.Find<dispatcher>("dispatcher").MakeAttemptId();
-    last = co_await RunAttempt(*endpoint, call, pool.call_timeout);
-    if (last.outcome == outcome_kind::kAnswered) {
-      service_answer answer = last.answer;
-      co_return co_await SendAnswer(context, std::move(answer));
+    keyed_call_result result = co_await RunOnce(context, call, pool, *endpoint, repeatable);
+    if (result.outcome == outcome_kind::kAnswered) {
+      co_return co_await SendAnswer(context, std::move(result.answer));
     }
-    Log().ForRequest(context.request.value).Info("Attempt on {} failed: {}.", endpoint->value, last.reason);
-    may_have_run = may_have_run || last.outcome == outcome_kind::kMayHaveRun;
-    if (last.outcome == outcome_kind::kMayHaveRun && !repeatable) {
+    Log().ForRequest(context.request.value).Info("Attempt on {} failed: {}", endpoint->value, result.message);
+    may_have_run = may_have_run || result.outcome == outcome_kind::kMayHaveRun;
+    reason = refusal{ToRefusalCode(result.code), result.outcome, result.message, result.retry_after};
+    if (!MayTryElsewhere(result, repeatable)) {
       break;
     }
     avoid.push_back(*endpoint);
   }
-  refusal reason{last.endpoint_lost ? refusal_code::kEndpointLost : refusal_code::kNoEndpoint, outcome_kind::kNotRun,
-                 fmt::format("The call failed: {}.", last.reason), milliseconds(1'000)};
-  reason.outcome = may_have_run ? outcome_kind::kMayHaveRun : outcome_kind::kNotRun;
+  reason.outcome = may_have_run ? outcome_kind::kMayHaveRun : reason.outcome;
   co_return co_await SendRefusal(context, std::move(reason));
 }
 
@@ -145,46 +189,60 @@
 // 2. attempts
 // ---------------------------------------------------------------------------------------------------------------------
 
-task<attempt_outcome> service_calls::RunAttempt(endpoint_name endpoint, call_service call, milliseconds timeout) {
+keyed_call_links service_calls::MakeLinks() {
+  keyed_call_links links;
+  links.send = [this](claim_row target, call_service call, milliseconds timeout) {
+    return SendOnce(std::move(target), std::move(call), timeout);
+  };
+  links.ask_tombstone = [this](claim_row target, milliseconds timeout) {
+    message question = cancel{target.attempt, target.incarnation, true};
+    return Ask(target.endpoint, std::move(question), target.attempt, timeout);
+  };
+  links.query = [this](claim_row target, bool wait, milliseconds timeout) {
+    message question = query_attempt{target.attempt, target.incarnation, wait};
+    return Ask(target.endpoint, std::move(question), target.attempt, timeout);
+  };
+  links.store = [this](claim_operation operation) {
+    return kernel_.Find<claim_store>("claims").Execute(std::move(operation));
+  };
+  links.make_attempt = [this] { return kernel_.Find<dispatcher>("dispatcher").MakeAttemptId(); };
+  return links;
+}
+
+task<sent_call> service_calls::SendOnce(claim_row target, call_service call, milliseconds timeout) {
   const auto box = std::make_shared<attempt_mailbox>(kernel_.Context());
-  const endpoint_status* status = endpoints_->Find(endpoint);
-  const incarnation_number incarnation = status == nullptr ? 0 : status->incarnation;
-  call.incarnation = call.incarnation == 0 ? incarnation : call.incarnation;
-  attempt_outcome result;
-  endpoints_->Register(call.attempt, endpoint, box);
-  suspects_->NoteStart(call.fingerprint, endpoint);
+  endpoints_->Register(target.attempt, target.endpoint, box);
+  suspects_->NoteStart(call.fingerprint, target.endpoint);
   span work = tracer_->StartSpan("service_call", call.traceparent);
-  work.SetAttribute("endpoint", endpoint.value);
+  work.SetAttribute("endpoint", target.endpoint.value);
   call.traceparent = work.Traceparent();
-  if (!endpoints_->Send(endpoint, call)) {
-    result.reason = "the channel to the agent is closed";
+  call.timeout_ms = static_cast<std::uint32_t>(timeout.count());
+  sent_call sent;
+  if (!endpoints_->Send(target.endpoint, call)) {
+    sent.reply = call_reply::kNotSent;
   } else {
     const time_point end = timer_service::Now() + timeout;
-    bool settled = false;
-    while (!settled) {
+    bool waiting = true;
+    while (waiting) {
       const auto left = std::chrono::duration_cast<microseconds>(end - timer_service::Now());
       const auto event = co_await box->Receive(std::max(left, microseconds(0)));
-      const auto* answer = event ? std::get_if<service_answer>(&*event) : nullptr;
-      if (answer != nullptr) {
-        settled = true;
-        result.outcome = answer->outcome;
-        result.answer = *answer;
-        result.reason = answer->reason;
-        result.endpoint_lost = answer->reason == kReasonEngineLost;
-        if (result.endpoint_lost) {
-          suspects_->NoteCrash(endpoint);
-        }
-      } else if (!event || std::holds_alternative<channel_change>(*event)) {
-        settled = true;
-        result = co_await SettleAttempt(endpoint, call.attempt, incarnation);
+      if (const auto* answer = event ? std::get_if<service_answer>(&*event) : nullptr) {
+        sent.reply = ClassifyAnswer(*answer);
+        sent.answer = *answer;
+        waiting = false;
+      } else {
+        waiting = event && !std::holds_alternative<channel_change>(*event);
       }
     }
   }
-  work.failed = result.outcome != outcome_kind::kAnswered;
+  if (sent.answer.reason == kReasonEngineLost) {
+    suspects_->NoteCrash(target.endpoint);
+  }
+  work.failed = sent.reply != call_reply::kAnswered;
   tracer_->EndSpan(std::move(work));
-  suspects_->NoteEnd(call.fingerprint, endpoint, result.outcome == outcome_kind::kAnswered);
-  endpoints_->Unregister(call.attempt);
-  co_return result;
+  suspects_->NoteEnd(call.fingerprint, target.endpoint, sent.reply == call_reply::kAnswered);
+  endpoints_->Unregister(target.attempt);
+  co_return sent;
 }
 
 task<std::optional<attempt_status>> service_calls::Ask(endpoint_name endpoint, message question, attempt_id attempt,
@@ -208,33 +266,6 @@
   co_return found;
 }
 
-// The answer did not come: its time is over or the channel was lost. A tombstone proves that the call has not run and
-// never will; a finished attempt still has its answer.
-task<attempt_outcome> service_calls::SettleAttempt(endpoint_name endpoint, attempt_id attempt,
-                                                   incarnation_number incarnation) {
-  attempt_outcome result;
-  result.outcome = outcome_kind::kMayHaveRun;
-  message question = cancel{attempt, incarnation, true};
-  const auto status = co_await Ask(endpoint, std::move(question), attempt, kSettleTimeout);
-  if (!status) {
-    result.reason = "the agent was lost";
-    result.endpoint_lost = true;
-  } else if (status->phase == attempt_phase::kTombstoned) {
-    result.outcome = outcome_kind::kNotRun;
-    result.reason = "the call did not start in time";
-  } else if (status->phase == attempt_phase::kDone && status->has_answer) {
-    result.outcome = status->answer.outcome;
-    result.answer = status->answer;
-    result.reason = status->answer.reason;
-  } else if (status->phase == attempt_phase::kWrongIncarnation) {
-    result.reason = "the agent has restarted";
-    result.endpoint_lost = true;
-  } else {
-    result.reason = "the call did not finish in time";
-  }
-  co_return result;
-}
-
 // ---------------------------------------------------------------------------------------------------------------------
 // 3. answers
 // ---------------------------------------------------------------------------------------------------------------------
--- a/src/router/service_calls.h
+++ b/src/router/service_calls.h
@@ -12,20 +12,11 @@
 #include "persimmon/selection.h"
 #include "router/endpoint_directory.h"
 #include "router/guards.h"
+#include "router/keyed_calls.h"
 #include "router/model_calls.h"
 
 namespace persimmon {
 
-// What is known after one attempt.
-struct attempt_outcome {
-  outcome_kind outcome = outcome_kind::kNotRun;
-  service_answer answer;       // of kAnswered
-  std::string reason;          // otherwise
-  bool endpoint_lost = false;  // the agent or its service was lost, so another try elsewhere may succeed
-
-  bool operator==(const attempt_outcome&) const = default;
-};
-
 class service_calls {
  public:
   service_calls(kernel& services, const router_settings& settings);
@@ -36,20 +27,20 @@
   // Serves the request on the pool and sends its answer or refusal. Returns the refusal, if there was one, for metrics.
   task<std::optional<refusal>> Serve(call_context context, pool_record pool);
 
-  // Runs one attempt on an endpoint and finds out what became of it. kNotRun is proved: the call was never sent, the
-  // agent refused it, or the agent has confirmed a tombstone.
-  task<attempt_outcome> RunAttempt(endpoint_name endpoint, call_service call, milliseconds timeout);
-
-  // Asks the agent for the state of an attempt. Nothing if it does not answer in time.
-  task<std::optional<attempt_status>> Ask(endpoint_name endpoint, message question, attempt_id attempt,
-                                          milliseconds timeout);
+  // Links for keyed_calls: the attempts that it runs go through this router's channels and claim store.
+  keyed_call_links MakeLinks();
 
   // An endpoint that can take a call, without those to avoid.
   std::optional<endpoint_name> ChooseEndpoint(const std::string& pool, const std::vector<endpoint_name>& avoid) const;
 
  private:
   call_service MakeCall(const call_context& context, const pool_record& pool) const;
-  task<attempt_outcome> SettleAttempt(endpoint_name endpoint, attempt_id attempt, incarnation_number incarnation);
+  task<keyed_call_result> RunOnce(const call_context& context, const call_service& call, const pool_record& pool,
+                                  endpoint_name endpoint, bool repeatable);
+  task<sent_call> SendOnce(claim_row target, call_service call, milliseconds timeout);
+  // Asks the agent for the state of an attempt. Nothing if it does not answer in time.
+  task<std::optional<attempt_status>> Ask(endpoint_name endpoint, message question, attempt_id attempt,
+                                          milliseconds timeout);
   task<std::optional<refusal>> SendAnswer(call_context context, service_answer answer);
   task<std::optional<refusal>> SendRefusal(call_context context, refusal reason);
 
--- /dev/null
+++ b/tests/router_test.cpp
@@ -0,0 +1,265 @@
+// link: persimmon_platform
+// The router as a process, with real agents and stand-ins on loopback, while parts of the deployment fail.
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+
+#include "support/deployment.h"
+
+namespace persimmon::support {
+namespace {
+
+using std::chrono::steady_clock;
+
+constexpr int kManyTokens = 120;                       // at 20 ms a token: time enough to bring a failure about
+constexpr milliseconds kMemoryBound = milliseconds(2'000);  // G1: decode memory is free within this time
+
+class router_test : public testing::Test {
+ protected:
+  void StartDeployment(int prefills, int decodes, int services, int routers) {
+    for (int i = 1; i <= prefills; ++i) {
+      deployment_.AddEndpoint("prefill-" + std::to_string(i), "prefill");
+    }
+    for (int i = 1; i <= decodes; ++i) {
+      deployment_.AddEndpoint("decode-" + std::to_string(i), "decode", {"--decode_base_ms", "20"});
+    }
+    for (int i = 1; i <= services; ++i) {
+      deployment_.AddEndpoint("service-" + std::to_string(i), "service");
+    }
+    for (int i = 1; i <= routers; ++i) {
+      deployment_.AddRouter("router-" + std::to_string(i));
+    }
+    deployment_.WriteRecords();
+  }
+
+  int HttpPort(std::size_t router = 0) const { return deployment_.routers.at(router)->http_port; }
+
+  test_endpoint* FindBusyDecode() const {
+    for (const auto& endpoint : deployment_.endpoints) {
+      if (endpoint->role == "decode" && deployment::MemoryHeld(*endpoint) > 0) {
+        return endpoint.get();
+      }
+    }
+    return nullptr;
+  }
+
+  bool HoldsNoMemory() const {
+    for (const auto& endpoint : deployment_.endpoints) {
+      if (endpoint->role == "decode" && deployment::MemoryHeld(*endpoint) != 0) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  // Time until no decode engine holds memory.
+  milliseconds MeasureRelease() const {
+    const auto begin = steady_clock::now();
+    EXPECT_TRUE(WaitUntil([this] { return HoldsNoMemory(); }));
+    return std::chrono::duration_cast<milliseconds>(steady_clock::now() - begin);
+  }
+
+  // Starts a long completion in a thread and returns when its first token has arrived.
+  std::thread StartLongCompletion(std::atomic<bool>& started, streamed_answer& answer) {
+    std::thread caller([this, &started, &answer] {
+      answer = Complete(HttpPort(), "a long question", kManyTokens, [&started](const streamed_answer&) {
+        started = true;
+        return true;
+      });
+    });
+    EXPECT_TRUE(WaitUntil([&started] { return started.load(); }));
+    return caller;
+  }
+
+  deployment deployment_;
+};
+
+// Guards against a stream with a gap, a repeated token or a false end after its endpoint was lost (G2, G3).
+TEST_F(router_test, Completion_WhenDecodeVmIsKilled_ContinuesElsewhereWithoutGap) {
+  StartDeployment(2, 2, 0, 1);
+  const streamed_answer expected = Complete(HttpPort(), "a question about the budget", kManyTokens);
+  ASSERT_TRUE(expected.whole) << expected.error_code;
+  bool killed = false;
+  const streamed_answer answer =
+      Complete(HttpPort(), "a question about the budget", kManyTokens, [&](const streamed_answer&) {
+        test_endpoint* busy = killed ? nullptr : FindBusyDecode();
+        if (busy != nullptr) {
+          busy->agent->Signal(SIGKILL);
+          busy->target->Signal(SIGKILL);
+          killed = true;
+        }
+        return true;
+      });
+  EXPECT_TRUE(killed);
+  EXPECT_TRUE(answer.whole) << answer.error_code;
+  EXPECT_EQ(answer.text, expected.text);
+}
+
+// Guards against an agent that reports a cut stream as a whole one when only its engine dies (G3).
+TEST_F(router_test, Completion_WhenDecodeEngineIsKilled_ContinuesElsewhereWithoutGap) {
+  StartDeployment(2, 2, 0, 1);
+  const streamed_answer expected = Complete(HttpPort(), "a question about roofs", kManyTokens);
+  ASSERT_TRUE(expected.whole) << expected.error_code;
+  bool killed = false;
+  const streamed_answer answer = Complete(HttpPort(), "a question about roofs", kManyTokens, [&](const streamed_answer&) {
+    test_endpoint* busy = killed ? nullptr : FindBusyDecode();
+    if (busy != nullptr) {
+      busy->target->Signal(SIGKILL);
+      killed = true;
+    }
+    return true;
+  });
+  EXPECT_TRUE(killed);
+  EXPECT_TRUE(answer.whole) << answer.error_code;
+  EXPECT_EQ(answer.text, expected.text);
+}
+
+// Guards against a stream that ends like a whole answer when no endpoint is left to continue it (G3, G4).
+TEST_F(router_test, Completion_WhenLastDecodeVmIsKilled_EndsWithATruthfulError) {
+  StartDeployment(1, 1, 0, 1);
+  bool killed = false;
+  const streamed_answer answer = Complete(HttpPort(), "a question", kManyTokens, [&](const streamed_answer&) {
+    if (!std::exchange(killed, true)) {
+      deployment_.Endpoint("decode-1").agent->Signal(SIGKILL);
+      deployment_.Endpoint("decode-1").target->Signal(SIGKILL);
+    }
+    return true;
+  });
+  EXPECT_FALSE(answer.whole);
+  EXPECT_NE(answer.error_code, "");
+  EXPECT_EQ(answer.error_outcome, "may_have_run");
+}
+
+// Guards against decode memory that is held for a caller who has gone (G1).
+TEST_F(router_test, Completion_WhenCallerGoes_FreesDecodeMemory) {
+  StartDeployment(1, 2, 0, 1);
+  Complete(HttpPort(), "a question", kManyTokens, [](const streamed_answer&) { return false; });
+  EXPECT_LT(MeasureRelease(), kMemoryBound);
+}
+
+// Guards against memory that only a message of the dead router could free (G1).
+TEST_F(router_test, Completion_WhenRouterIsKilled_FreesDecodeMemory) {
+  StartDeployment(1, 2, 0, 1);
+  std::atomic<bool> started = false;
+  streamed_answer answer;
+  std::thread caller = StartLongCompletion(started, answer);
+  deployment_.routers[0]->process->Signal(SIGKILL);
+  EXPECT_LT(MeasureRelease(), kMemoryBound);
+  caller.join();
+  EXPECT_FALSE(answer.whole);
+}
+
+// Guards against memory that is held while the router's connection stays open but silent (G1).
+TEST_F(router_test, Completion_WhenRouterIsFrozen_FreesDecodeMemoryAndTellsNoFalseEnd) {
+  StartDeployment(1, 2, 0, 1);
+  std::atomic<bool> started = false;
+  streamed_answer answer;
+  std::thread caller = StartLongCompletion(started, answer);
+  deployment_.routers[0]->process->Signal(SIGSTOP);
+  EXPECT_LT(MeasureRelease(), kMemoryBound);
+  deployment_.routers[0]->process->Signal(SIGCONT);
+  caller.join();
+  // The resumed router either computes the rest again or says that the answer is not whole.
+  EXPECT_TRUE(answer.whole || !answer.error_code.empty());
+  if (answer.whole) {
+    EXPECT_EQ(answer.text, Complete(HttpPort(), "a long question", kManyTokens).text);
+  }
+}
+
+// Guards against a planned stop that cuts a request in progress (G7).
+TEST_F(router_test, Stop_WhenARequestIsInProgress_FinishesItFirst) {
+  StartDeployment(1, 1, 0, 1);
+  std::atomic<bool> started = false;
+  streamed_answer answer;
+  std::thread caller = StartLongCompletion(started, answer);
+  deployment_.routers[0]->process->Signal(SIGTERM);
+  EXPECT_TRUE(WaitUntil([this] { return Get(HttpPort(), "/readyz").status != 200; }));
+  caller.join();
+  EXPECT_TRUE(answer.whole) << answer.error_code;
+  EXPECT_EQ(deployment_.routers[0]->process->WaitForExit().value_or(-1), 0);
+}
+
+// Guards against a planned stop of an agent that cuts a running decode, and against new work for it (G6, G7).
+TEST_F(router_test, Stop_WhenAnAgentLeaves_FinishesItsWorkAndGetsNoNewOne) {
+  StartDeployment(1, 2, 0, 1);
+  std::atomic<bool> started = false;
+  streamed_answer answer;
+  std::thread caller = StartLongCompletion(started, answer);
+  test_endpoint* busy = FindBusyDecode();
+  ASSERT_NE(busy, nullptr);
+  busy->agent->Signal(SIGTERM);
+  caller.join();
+  EXPECT_TRUE(answer.whole) << answer.error_code;
+  EXPECT_EQ(busy->agent->WaitForExit().value_or(-1), 0);
+  EXPECT_TRUE(Complete(HttpPort(), "the next question", 4).whole);
+}
+
+// Guards against one request that takes down endpoint after endpoint, and against refusing its neighbours.
+TEST_F(router_test, Completion_WhenItCrashesEachEndpoint_CostsAtMostTwo) {
+  StartDeployment(4, 1, 0, 2);
+  for (int i = 1; i <= 4; ++i) {
+    deployment_.Fault(deployment_.Endpoint("prefill-" + std::to_string(i)).target_port, R"({"crash_on":"poison"})");
+  }
+  std::string last_code;
+  for (int i = 0; i < 6; ++i) {
+    const streamed_answer answer = Complete(HttpPort(static_cast<std::size_t>(i % 2)), "some poison here", 4);
+    EXPECT_FALSE(answer.whole);
+    last_code = answer.error_code;
+  }
+  int lost = 0;
+  for (int i = 1; i <= 4; ++i) {
+    lost += deployment_.Endpoint("prefill-" + std::to_string(i)).target->IsRunning() ? 0 : 1;
+  }
+  EXPECT_LE(lost, 2);
+  EXPECT_EQ(last_code, "suspect_request");
+  EXPECT_TRUE(Complete(HttpPort(0), "a harmless question", 4).whole);
+  EXPECT_TRUE(Complete(HttpPort(1), "a harmless question", 4).whole);
+}
+
+// Guards against a drained endpoint that still receives work (G6), and against a change that is not in force in time (G8).
+TEST_F(router_test, Drain_WhenRecordIsWritten_StopsNewWorkWithinThreeSeconds) {
+  StartDeployment(2, 2, 0, 1);
+  const auto begin = steady_clock::now();
+  const auto drained = RunProgram("persimmonctl", deployment_.ControlArguments({"drain", "decode-1"}));
+  ASSERT_EQ(drained.exit_code, 0) << drained.out << drained.err;
+  auto is_draining = [this] {
+    const auto list = nlohmann::json::parse(Get(HttpPort(), "/readyz").body, nullptr, false);
+    return list.is_object() && list["revision"].get<int>() == 2;
+  };
+  EXPECT_TRUE(WaitUntil(is_draining));
+  EXPECT_LT(steady_clock::now() - begin, milliseconds(3'000));
+  std::atomic<bool> stop = false;
+  bool used = false;
+  std::thread watch([&] {
+    while (!stop) {
+      used = used || deployment::MemoryHeld(deployment_.Endpoint("decode-1")) > 0;
+    }
+  });
+  for (int i = 0; i < 8; ++i) {
+    EXPECT_TRUE(Complete(HttpPort(), "question " + std::to_string(i), 10).whole);
+  }
+  stop = true;
+  watch.join();
+  EXPECT_FALSE(used);
+}
+
+// Guards against a call that another account's or no key can make, and against unclear refusals.
+TEST_F(router_test, Request_WhenItIsNotValid_IsRefusedWithAStableCode) {
+  StartDeployment(1, 1, 1, 1);
+  const std::string body = R"({"model":"test-model","prompt":"x"})";
+  auto code_of = [](const http_response& response) {
+    return nlohmann::json::parse(response.body, nullptr, false)["error"]["code"].get<std::string>();
+  };
+  EXPECT_EQ(code_of(Post(HttpPort(), "/v1/completions", body)), "unauthorized");
+  EXPECT_EQ(code_of(Post(HttpPort(), "/v1/completions", body, {{"Authorization", "Bearer wrong"}})), "unauthorized");
+  EXPECT_EQ(code_of(Post(HttpPort(), "/v1/completions", "{", WithKey())), "bad_request");
+  EXPECT_EQ(code_of(Post(HttpPort(), "/v1/completions", R"({"model":"other","prompt":"x"})", WithKey())),
+            "unknown_model");
+  EXPECT_EQ(code_of(Post(HttpPort(), "/nowhere", "", WithKey())), "unknown_route");
+  EXPECT_EQ(code_of(Post(HttpPort(), "/app/x", "", WithKey({{"X-Deadline-Ms", "soon"}}))), "bad_request");
+  EXPECT_EQ(Post(HttpPort(), "/app/x", "content", WithKey()).status, 200);
+}
+
+}  // namespace
+}  // namespace persimmon::support
