Test the decision modules; keep a readmitted endpoint in the bound of ejections

Cause: no decision had a test. The property of the health table found that a pool could lose more than its bounded share: an endpoint at 50% of its work counted half, and was ejected again after another one had taken the other half (2.5 of 7 endpoints lost, 2.38 allowed). The predicted drain time also did not forget refused work as time passed.

--- a/include/persimmon/admission.h
+++ b/include/persimmon/admission.h
@@ -215,6 +215,7 @@
     double started = 0;      // tokens, fading over the share window
     double waiting = 0;      // tokens in the queue
     std::uint32_t jobs = 0;  // waiting and picked
+    bool is_over = false;    // beyond the fair share; set by MarkOverShare
     time_point updated;
   };
   struct waiting_job {
@@ -245,11 +246,13 @@
   };
 
   work_rates Rates(time_point now) const;
-  start_plan PlanWith(const queue_job& candidate, const std::vector<order_key>& excluded, time_point now) const;
+  start_plan PlanWith(const queue_job& candidate, const std::vector<order_key>& excluded, time_point now);
   std::optional<std::vector<order_key>> FindDisplaced(const queue_job& candidate, start_plan& plan, time_point now);
   double ShareOf(const account_share& account, time_point now) const;
   double FairLimit(time_point now) const;
+  bool MarkOverShare(time_point now);
   bool IsShort(time_point now) const;
+  double Returning(double tokens, double rate, time_point now) const;
   waiting_map::const_iterator FindNext(time_point now, const job_filter& accept) const;
   void Insert(const queue_job& job, const order_key& key, time_point now);
   queue_job Erase(waiting_map::const_iterator place);
--- a/src/decisions/admission.cpp
+++ b/src/decisions/admission.cpp
@@ -160,7 +160,7 @@
 }
 
 admission_queue::start_plan admission_queue::PlanWith(const queue_job& candidate,
-                                                      const std::vector<order_key>& excluded, time_point now) const {
+                                                      const std::vector<order_key>& excluded, time_point now) {
   start_planner with{Rates(now)};
   start_planner without = with;
   for (const auto& [request, picked] : picked_) {
@@ -171,10 +171,9 @@
     return now + Microseconds(wait_s) + settings_.margin > job.latest_start;
   };
   // Jobs start in two groups: those of accounts within their fair share, then the others.
-  const bool is_fair = settings_.fair_shares && IsShort(now);
-  const double fair_limit = is_fair ? FairLimit(now) : std::numeric_limits<double>::infinity();
+  const bool has_over_group = MarkOverShare(now);
   const auto own = accounts_.find(candidate.account);
-  const bool is_candidate_over = own != accounts_.end() && ShareOf(own->second, now) > fair_limit;
+  const bool is_candidate_over = own != accounts_.end() && own->second.is_over;
 
   start_plan plan;
   const auto add_candidate = [&] {
@@ -194,9 +193,8 @@
           return plan;
         }
       }
-      const bool is_over = is_fair && ShareOf(*place->second.account, now) > fair_limit;
-      const bool is_excluded = std::find(excluded.begin(), excluded.end(), place->first) != excluded.end();
-      if (is_over != is_over_group || is_excluded) {
+      const bool is_other_group = place->second.account->is_over != is_over_group;
+      if (is_other_group || std::find(excluded.begin(), excluded.end(), place->first) != excluded.end()) {
         continue;
       }
       plan.up_to_harmed.push_back(place);
@@ -211,10 +209,25 @@
         return plan;
       }
     }
+    if (!has_over_group) {
+      break;
+    }
   }
   return plan;
 }
 
+// Notes which accounts have started more than their fair share. True if there is any.
+bool admission_queue::MarkOverShare(time_point now) {
+  const bool is_fair = settings_.fair_shares && IsShort(now);
+  const double limit = is_fair ? FairLimit(now) : std::numeric_limits<double>::infinity();
+  bool has_any = false;
+  for (auto& [name, account] : accounts_) {
+    account.is_over = is_fair && ShareOf(account, now) > limit;
+    has_any = has_any || account.is_over;
+  }
+  return has_any;
+}
+
 // Gives up waiting jobs of accounts that hold clearly more than the candidate's account, the heaviest first, until the
 // candidate fits. Nothing if it cannot be made to fit. `plan` becomes the plan without the displaced jobs.
 std::optional<std::vector<admission_queue::order_key>> admission_queue::FindDisplaced(const queue_job& candidate,
@@ -400,21 +413,26 @@
 milliseconds admission_queue::RetryAfter(std::uint32_t prompt_tokens, std::uint32_t output_tokens, double jitter,
                                          time_point now) {
   const work_rates rates = Rates(now);
-  const double elapsed_s = std::max(0.0, Seconds(now - returning_updated_));
   const double longest_s = Seconds(settings_.max_retry);
-  const auto add_returning = [&](double& returning, double added, double rate) {
-    returning = std::min(std::max(0.0, returning - rate * elapsed_s) + added, rate * longest_s);
-  };
-  add_returning(returning_prompt_, prompt_tokens, rates.prefill);
-  add_returning(returning_output_, output_tokens, rates.decode);
+  returning_prompt_ =
+      std::min(Returning(returning_prompt_, rates.prefill, now) + prompt_tokens, rates.prefill * longest_s);
+  returning_output_ =
+      std::min(Returning(returning_output_, rates.decode, now) + output_tokens, rates.decode * longest_s);
   returning_updated_ = now;
   return SpreadRetryAfter(DrainTime(now), jitter, settings_);
 }
 
+// The part of the refused work that the pool has not had time for yet.
+double admission_queue::Returning(double tokens, double rate, time_point now) const {
+  return std::max(0.0, tokens - rate * std::max(0.0, Seconds(now - returning_updated_)));
+}
+
 microseconds admission_queue::DrainTime(time_point now) const {
   const work_rates rates = Rates(now);
-  const double prefill_s = rates.prefill <= 0 ? 0 : (waiting_prompt_ + returning_prompt_) / rates.prefill;
-  const double decode_s = rates.decode <= 0 ? 0 : (waiting_output_ + returning_output_) / rates.decode;
+  const double prompt = waiting_prompt_ + Returning(returning_prompt_, rates.prefill, now);
+  const double output = waiting_output_ + Returning(returning_output_, rates.decode, now);
+  const double prefill_s = rates.prefill <= 0 ? 0 : prompt / rates.prefill;
+  const double decode_s = rates.decode <= 0 ? 0 : output / rates.decode;
   return Microseconds(std::max(prefill_s, decode_s));
 }
 
--- a/src/decisions/selection.cpp
+++ b/src/decisions/selection.cpp
@@ -340,13 +340,13 @@
   return 1.0;
 }
 
+// An endpoint that is being readmitted counts as a whole one, because it may be ejected again at any time.
 bool health_table::MayEject() const {
   const auto count = static_cast<double>(entries_.size());
-  double lost = 0;
-  for (const auto& [name, endpoint] : entries_) {
-    lost += 1.0 - Share(endpoint);
-  }
-  return entries_.size() >= 2 && lost + 1.0 <= std::max(1.0, count * settings_.max_ejected_share);
+  const auto unhealthy = std::count_if(entries_.begin(), entries_.end(),
+                                       [](const auto& item) { return item.second.phase != health_phase::kHealthy; });
+  return entries_.size() >= 2 &&
+         static_cast<double>(unhealthy + 1) <= std::max(1.0, count * settings_.max_ejected_share);
 }
 
 milliseconds health_table::EjectionTime(const entry& endpoint) const {
--- /dev/null
+++ b/tests/admission_test.cpp
@@ -0,0 +1,362 @@
+// Guards against late refusals, refusals by an idle pool, lost or doubled jobs, and accounts that take others' share.
+#include "persimmon/admission.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "decision_support.h"
+
+namespace persimmon {
+namespace {
+
+class admission_test : public testing::Test {
+ protected:
+  static queue_job Job(int id, std::int64_t latest_ms, std::uint32_t prompt = 1'000, int account = 0) {
+    queue_job job;
+    job.request = {"request-" + std::to_string(id)};
+    job.account = Account(account);
+    job.arrival = At(0);
+    job.latest_start = At(latest_ms);
+    job.prompt_tokens = prompt;
+    job.output_tokens = 10;
+    return job;
+  }
+
+  // One busy prefill endpoint that computes 10,000 tokens per second, and plenty of decode slots.
+  static pool_state BusyPool() {
+    pool_state pool;
+    pool.prefill_endpoints = 1;
+    pool.decode_endpoints = 1;
+    pool.decode_free = 1'000'000;
+    pool.prefill_tokens_per_s = 10'000;
+    return pool;
+  }
+
+  static admission_queue MakeQueue(const pool_state& pool, admission_settings settings = {}) {
+    admission_queue queue(settings);
+    queue.UpdatePool(pool, At(0));
+    return queue;
+  }
+
+  static admission_verdict Admit(admission_queue& queue, const queue_job& job, std::int64_t now_ms = 0) {
+    return queue.AdmitRequest(job, 0.5, At(now_ms)).verdict;
+  }
+
+  static void StartNext(admission_queue& queue, std::int64_t now_ms) {
+    const auto job = queue.PickNext(At(now_ms));
+    ASSERT_TRUE(job);
+    ASSERT_TRUE(queue.NoteStarted(job->request, At(now_ms)));
+  }
+
+  admission_settings settings_;
+};
+
+// Guards against a latest start that ignores a part of the time to the first token or the caller's deadline.
+TEST_F(admission_test, LatestStart_ForEachBound_TakesTheTightest) {
+  const service_times times{milliseconds(400), milliseconds(100), milliseconds(500)};
+  EXPECT_EQ(LatestStart(At(0), times, std::nullopt, settings_), (start_limit{At(800), false}));
+  EXPECT_EQ(LatestStart(At(0), times, At(1'500), settings_), (start_limit{At(500), true}));
+  EXPECT_EQ(LatestStart(At(0), times, At(9'000), settings_), (start_limit{At(800), false}));
+  const service_times too_long{milliseconds(2'000), milliseconds(0), milliseconds(0)};
+  EXPECT_EQ(LatestStart(At(0), too_long, std::nullopt, settings_), (start_limit{At(50), false}));
+  EXPECT_EQ(LatestStart(At(0), too_long, At(1'000), settings_), (start_limit{At(-1'000), true}));
+}
+
+// Guards against a pool that refuses although nothing is ahead of the request, whatever its rates are.
+RC_GTEST_FIXTURE_PROP(admission_test, AdmitRequest_WhenNothingIsAhead_Admits, ()) {
+  pool_state pool;
+  pool.prefill_endpoints = *rc::gen::inRange(1, 100);
+  pool.decode_endpoints = *rc::gen::inRange(1, 100);
+  pool.prefill_free = *rc::gen::inRange(0, 3);
+  pool.decode_free = *rc::gen::inRange(0, 3);
+  pool.prefill_tokens_per_s = *rc::gen::inRange(0, 100'000);
+  pool.routers = *rc::gen::inRange(1, 400);
+  auto queue = MakeQueue(pool);
+  const auto job = Job(1, *rc::gen::inRange(0, 1'300), *rc::gen::inRange(1, 60'000));
+  RC_ASSERT(Admit(queue, job) == admission_verdict::kAdmitted);
+}
+
+// Guards against a request that waits for its refusal, and against a refusal without a time to come back.
+TEST_F(admission_test, AdmitRequest_WhenWorkAheadMissesTarget_RefusesAtOnce) {
+  auto queue = MakeQueue(BusyPool());
+  EXPECT_EQ(Admit(queue, Job(1, 900, 4'000)), admission_verdict::kAdmitted);
+  EXPECT_EQ(Admit(queue, Job(2, 901, 4'000)), admission_verdict::kAdmitted);  // waits 400 ms
+  const auto refused = queue.AdmitRequest(Job(3, 902, 4'000), 0.5, At(200));  // would wait 800 ms and has 702
+  EXPECT_EQ(refused.verdict, admission_verdict::kOverCapacity);
+  EXPECT_GE(refused.retry_after, settings_.min_retry);
+  EXPECT_EQ(queue.WaitingCount(), 2U);
+}
+
+// Guards against an urgent newcomer that makes a job miss its target after it was admitted.
+TEST_F(admission_test, AdmitRequest_WhenItHarmsAnAdmittedJob_Refuses) {
+  auto queue = MakeQueue(BusyPool());
+  EXPECT_EQ(Admit(queue, Job(1, 300, 4'000)), admission_verdict::kAdmitted);
+  EXPECT_EQ(Admit(queue, Job(2, 500, 1'000)), admission_verdict::kAdmitted);  // waits 400 ms of 500
+  EXPECT_EQ(Admit(queue, Job(3, 200, 2'000)), admission_verdict::kOverCapacity);
+  EXPECT_EQ(Admit(queue, Job(4, 200, 900)), admission_verdict::kAdmitted);
+}
+
+TEST_F(admission_test, AdmitRequest_WhenDeadlineCannotBeMet_SaysSo) {
+  auto queue = MakeQueue(BusyPool());
+  auto job = Job(1, -1);
+  job.deadline_bound = true;
+  EXPECT_EQ(Admit(queue, job), admission_verdict::kDeadlineUnreachable);
+  EXPECT_EQ(Admit(queue, Job(2, 1'000, 9'000)), admission_verdict::kAdmitted);
+  job = Job(3, 1'100);
+  job.deadline_bound = true;
+  EXPECT_EQ(Admit(queue, job, 300), admission_verdict::kDeadlineUnreachable);
+}
+
+TEST_F(admission_test, AdmitRequest_WhenQueueIsFull_Refuses) {
+  settings_.queue_limit = 2;
+  auto queue = MakeQueue(BusyPool(), settings_);
+  EXPECT_EQ(Admit(queue, Job(1, 1'000, 10)), admission_verdict::kAdmitted);
+  EXPECT_EQ(Admit(queue, Job(1, 1'000, 10)), admission_verdict::kDuplicate);
+  EXPECT_EQ(Admit(queue, Job(2, 1'000, 10)), admission_verdict::kAdmitted);
+  ASSERT_TRUE(queue.PickNext(At(0)));  // a job whose bid is out still counts
+  EXPECT_EQ(Admit(queue, Job(3, 1'000, 10)), admission_verdict::kQueueFull);
+}
+
+TEST_F(admission_test, AdmitRequest_WhenNoEndpointIsLeft_Refuses) {
+  auto pool = BusyPool();
+  pool.decode_endpoints = 0;
+  auto queue = MakeQueue(pool);
+  EXPECT_EQ(Admit(queue, Job(1, 1'000)), admission_verdict::kNoEndpoint);
+  pool.uses_decode = false;
+  queue.UpdatePool(pool, At(0));
+  EXPECT_EQ(Admit(queue, Job(1, 1'000)), admission_verdict::kAdmitted);
+}
+
+// Guards against admission by prefill alone when the decode slots are the scarce part.
+TEST_F(admission_test, AdmitRequest_WhenDecodeIsSlower_CountsDecodeSlots) {
+  auto pool = BusyPool();
+  pool.prefill_free = 100;
+  pool.decode_free = 2;
+  pool.decode_tokens_per_s = 20;  // a job of 10 tokens every 500 ms
+  auto queue = MakeQueue(pool);
+  for (int id = 0; id < 4; ++id) {  // two free slots, then waits of 0 and 500 ms
+    EXPECT_EQ(Admit(queue, Job(id, 900, 10)), admission_verdict::kAdmitted) << id;
+  }
+  EXPECT_EQ(Admit(queue, Job(4, 900, 10)), admission_verdict::kOverCapacity);  // 1,000 ms
+}
+
+// Guards against a rate that stays low after a stall, and against one that ignores the stall.
+TEST_F(admission_test, AdmitRequest_AfterCapacityReturns_Recovers) {
+  auto queue = MakeQueue(BusyPool());
+  EXPECT_EQ(Admit(queue, Job(0, 6'000, 2'000)), admission_verdict::kAdmitted);
+  EXPECT_EQ(Admit(queue, Job(1, 6'000, 2'000)), admission_verdict::kAdmitted);
+  EXPECT_LT(queue.PrefillRate(At(5'000)), 2'000);  // nothing has started for 5 s
+  EXPECT_EQ(Admit(queue, Job(2, 6'300, 2'000), 5'000), admission_verdict::kOverCapacity);
+  StartNext(queue, 5'000);
+  StartNext(queue, 5'200);
+  for (int id = 3; id < 12; ++id) {  // work at the old pace: 2,000 tokens each 200 ms
+    const std::int64_t now = 4'800 + id * 200;
+    ASSERT_EQ(Admit(queue, Job(id, now + 1'000, 2'000), now), admission_verdict::kAdmitted) << id;
+    StartNext(queue, now + 199);
+  }
+  EXPECT_GT(queue.PrefillRate(At(7'200)), 7'000);
+}
+
+// Guards against a demand-limited rate: few requests in a quiet pool say nothing about its capacity.
+TEST_F(admission_test, PrefillRate_WhenDemandIsLow_StaysAtCapacity) {
+  auto queue = MakeQueue(BusyPool());
+  for (int id = 0; id < 20; ++id) {
+    const std::int64_t now = id * 500;
+    ASSERT_EQ(Admit(queue, Job(id, now + 1'000, 100), now), admission_verdict::kAdmitted);
+    StartNext(queue, now + 5);  // the bid takes 5 ms
+  }
+  EXPECT_GT(queue.PrefillRate(At(10'000)), 9'000);
+}
+
+TEST_F(admission_test, PrefillRate_WhenHalfTheEndpointsAreLost_HalvesAtOnce) {
+  auto pool = BusyPool();
+  pool.prefill_endpoints = 2;
+  auto queue = MakeQueue(pool);
+  for (int id = 0; id < 40; ++id) {
+    queue.AdmitRequest(Job(id, 90'000, 500), 0.5, At(0));
+  }
+  for (int step = 1; step <= 30; ++step) {  // 5,000 tokens per second of the 10,000 reported: others share the pool
+    StartNext(queue, step * 100);
+  }
+  const double before = queue.PrefillRate(At(3'000));
+  EXPECT_NEAR(before, 5'000, 1'000);
+  pool.prefill_endpoints = 1;
+  pool.prefill_tokens_per_s = 5'000;
+  queue.UpdatePool(pool, At(3'000));
+  EXPECT_NEAR(queue.PrefillRate(At(3'000)), before / 2, 1);
+}
+
+// Guards against any order but latest start first, for any order of arrival and any lost bids.
+RC_GTEST_FIXTURE_PROP(admission_test, PickNext_ForAnyArrivals_FollowsLatestStart, ()) {
+  settings_.fair_shares = *rc::gen::arbitrary<bool>();  // one account: its share never matters
+  auto pool = BusyPool();
+  pool.prefill_tokens_per_s = 0;
+  auto queue = MakeQueue(pool, settings_);
+  const auto starts = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100'000));
+  for (std::size_t i = 0; i < starts.size(); ++i) {
+    RC_ASSERT(Admit(queue, Job(static_cast<int>(i), starts[i])) == admission_verdict::kAdmitted);
+  }
+  const auto lost_bids = *rc::gen::arbitrary<std::vector<bool>>();
+  for (std::size_t i = 0; i < lost_bids.size() && queue.WaitingCount() > 0; ++i) {
+    const auto job = queue.PickNext(At(0));
+    RC_ASSERT(queue.Requeue(job->request, At(0)));
+    RC_ASSERT(queue.PeekNext(At(0))->request == job->request);
+  }
+  time_point last = At(0);
+  while (const auto job = queue.PickNext(At(0))) {
+    RC_ASSERT(job->latest_start >= last);
+    last = job->latest_start;
+  }
+  RC_ASSERT(queue.PickedCount() == starts.size());
+}
+
+// Guards against a job past its latest start that is still handed out or kept.
+TEST_F(admission_test, ExpireOverdue_WhenLatestStartHasPassed_GivesUpExactlyThose) {
+  auto queue = MakeQueue(BusyPool());
+  Admit(queue, Job(1, 100));
+  Admit(queue, Job(2, 300));
+  EXPECT_EQ(queue.NextExpiry(), At(100));
+  EXPECT_EQ(queue.PeekNext(At(101))->request, Job(2, 0).request);
+  EXPECT_TRUE(queue.ExpireOverdue(At(100)).empty());
+  EXPECT_EQ(queue.ExpireOverdue(At(101)), std::vector{Job(1, 100)});
+  EXPECT_EQ(queue.WaitingCount(), 1U);
+}
+
+// Guards against jobs that are lost, doubled or counted on: each leaves the queue by exactly one way.
+RC_GTEST_FIXTURE_PROP(admission_test, Queue_ForAnyOperations_KeepsEveryJobOnce, ()) {
+  settings_.share_slack_tokens = 1'000;
+  settings_.queue_limit = 20;
+  auto queue = MakeQueue(BusyPool(), settings_);
+  std::set<std::string> inside;
+  std::vector<request_id> picked;
+  const auto leave = [&](const request_id& request) { RC_ASSERT(inside.erase(request.value) == 1); };
+  std::int64_t now = 0;
+  const int steps = *rc::gen::inRange(1, 150);
+  for (int id = 0; id < steps; ++id) {
+    now += *rc::gen::inRange(0, 60);
+    switch (*rc::gen::inRange(0, 6)) {
+      case 0:
+        if (const auto job = queue.PickNext(At(now))) {
+          picked.push_back(job->request);
+        }
+        break;
+      case 1:
+        if (!picked.empty()) {
+          const auto end = *rc::gen::inRange(0, 3);
+          const bool is_known = end == 0   ? queue.NoteStarted(picked.back(), At(now))
+                                : end == 1 ? queue.Requeue(picked.back(), At(now))
+                                           : queue.RemoveJob(picked.back(), At(now));
+          RC_ASSERT(is_known);
+          if (end != 1) {
+            leave(picked.back());
+          }
+          picked.pop_back();
+        }
+        break;
+      case 2:
+        for (const auto& job : queue.ExpireOverdue(At(now))) {
+          leave(job.request);
+        }
+        break;
+      default: {
+        const auto job =
+            Job(id, now + *rc::gen::inRange(50, 1'300), *rc::gen::inRange(10, 5'000), *rc::gen::inRange(0, 3));
+        const auto result = queue.AdmitRequest(job, 0.5, At(now));
+        for (const auto& other : result.displaced) {
+          RC_ASSERT(other.account != job.account);
+          leave(other.request);
+        }
+        if (result.verdict == admission_verdict::kAdmitted) {
+          inside.insert(job.request.value);
+        } else {
+          RC_ASSERT(result.displaced.empty());
+        }
+      }
+    }
+    RC_ASSERT(queue.WaitingCount() + queue.PickedCount() == inside.size());
+    RC_ASSERT(inside.size() <= settings_.queue_limit);
+  }
+  for (const auto& request : picked) {
+    RC_ASSERT(queue.RemoveJob(request, At(now)));
+  }
+  queue.ExpireOverdue(At(now + 10'000));
+  RC_ASSERT(queue.WaitingCount() == 0U);
+  RC_ASSERT(queue.DrainTime(At(now + 100'000)) <= microseconds(31'000'000));
+}
+
+// Guards against shares by request count: equal weights get equal tokens although one account's prompts are ten times
+// as long, and a double weight gets double the tokens.
+TEST_F(admission_test, PickNext_WhenPoolIsShort_SharesTokensByWeight) {
+  settings_.share_slack_tokens = 1'000;
+  auto queue = MakeQueue(BusyPool(), settings_);
+  std::map<account_name, double> started;
+  std::map<account_name, int> waiting;
+  int id = 0;
+  const auto refill = [&](std::int64_t now) {
+    for (int account = 0; account < 3; ++account) {
+      while (waiting[Account(account)] < 20) {
+        ++id;
+        auto job = Job(id, now + 1'000'000 + id % 7, account == 1 ? 200 : 2'000, account);
+        job.weight = account == 2 ? 2.0 : 1.0;
+        ASSERT_EQ(queue.AdmitRequest(job, 0.5, At(now)).verdict, admission_verdict::kAdmitted);
+        waiting[job.account] += 1;
+      }
+    }
+  };
+  double total = 0;
+  for (std::int64_t now = 0; now < 20'000; now += 100) {
+    refill(now);
+    for (double budget = 1'000; budget > 0;) {
+      const auto job = queue.PickNext(At(now));
+      ASSERT_TRUE(job);
+      queue.NoteStarted(job->request, At(now));
+      budget -= job->prompt_tokens;
+      started[job->account] += job->prompt_tokens;
+      waiting[job->account] -= 1;
+      total += job->prompt_tokens;
+    }
+  }
+  EXPECT_NEAR(started[Account(0)] / total, 0.25, 0.03);
+  EXPECT_NEAR(started[Account(1)] / total, 0.25, 0.03);
+  EXPECT_NEAR(started[Account(2)] / total, 0.50, 0.03);
+}
+
+// Guards against an account that fills the queue first and so keeps the others out.
+TEST_F(admission_test, AdmitRequest_WhenAnotherAccountHoldsTheQueue_DisplacesItsLastJob) {
+  settings_.share_slack_tokens = 2'000;
+  auto queue = MakeQueue(BusyPool(), settings_);
+  for (int id = 0; id < 5; ++id) {
+    ASSERT_EQ(Admit(queue, Job(id, 850 + id, 2'000, 1)), admission_verdict::kAdmitted);
+  }
+  EXPECT_EQ(Admit(queue, Job(5, 860, 2'000, 1)), admission_verdict::kOverCapacity);
+  const auto result = queue.AdmitRequest(Job(6, 870, 2'000, 2), 0.5, At(0));
+  EXPECT_EQ(result.verdict, admission_verdict::kAdmitted);
+  EXPECT_EQ(result.displaced, std::vector{Job(4, 854, 2'000, 1)});
+}
+
+// Guards against refused callers that all return at once: 400 refusals of 1,000 tokens need 40 s of this pool and are
+// spread over the longest time to come back, 30 s.
+TEST_F(admission_test, RetryAfter_ForManyRefusals_SpreadsThemOverTheDrainTime) {
+  auto queue = MakeQueue(BusyPool());
+  std::map<std::int64_t, int> per_second;
+  for (int i = 0; i < 400; ++i) {
+    const double jitter = (i * 37 % 100) / 100.0;
+    const auto delay = queue.RetryAfter(1'000, 10, jitter, At(i));
+    EXPECT_LE(delay, settings_.max_retry);
+    per_second[delay.count() / 1'000] += 1;
+  }
+  for (const auto& [second, count] : per_second) {
+    EXPECT_LE(count, 50) << second;
+  }
+  // The expected callers are forgotten as the time they need passes.
+  EXPECT_LT(queue.DrainTime(At(20'000)), queue.DrainTime(At(400)));
+  queue.RetryAfter(0, 0, 0, At(60'000));
+  EXPECT_EQ(queue.DrainTime(At(60'000)), microseconds(0));
+}
+
+}  // namespace
+}  // namespace persimmon
--- /dev/null
+++ b/tests/retry_budget_test.cpp
@@ -0,0 +1,57 @@
+// Guards against retries that multiply the load of a failing pool.
+#include "persimmon/retry_budget.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "decision_support.h"
+
+namespace persimmon {
+namespace {
+
+class retry_budget_test : public testing::Test {
+ protected:
+  retry_settings settings_;
+};
+
+TEST_F(retry_budget_test, AllowRetry_WhenQuiet_AllowsTheFloor) {
+  retry_budget budget(settings_, At(0));
+  EXPECT_TRUE(budget.AllowRetry(At(0)));
+  EXPECT_FALSE(budget.AllowRetry(At(0)));
+  EXPECT_FALSE(budget.AllowRetry(At(1'999)));
+  EXPECT_TRUE(budget.AllowRetry(At(2'000)));
+}
+
+TEST_F(retry_budget_test, AllowRetry_AfterTenFirstTries_AllowsOneMore) {
+  settings_.floor_per_second = 0;
+  retry_budget budget(settings_, At(0));
+  EXPECT_TRUE(budget.AllowRetry(At(0)));
+  for (int i = 0; i < 11; ++i) {
+    EXPECT_FALSE(i < 10 && budget.AllowRetry(At(i)));
+    budget.NoteFirstTry(At(i));
+  }
+  EXPECT_TRUE(budget.AllowRetry(At(20)));
+  EXPECT_FALSE(budget.AllowRetry(At(20)));
+}
+
+// Guards against any mix of calls that exceeds the bound stated in the header.
+RC_GTEST_FIXTURE_PROP(retry_budget_test, AllowRetry_ForAnyMix_StaysWithinTheBound, ()) {
+  retry_budget budget(settings_, At(0));
+  const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 400));
+  double tries = 0;
+  double retries = 0;
+  std::int64_t now = 0;
+  for (const int step : steps) {
+    now += step / 4;
+    if (step % 4 == 0) {
+      budget.NoteFirstTry(At(now));
+      tries += 1;
+    } else {
+      retries += budget.AllowRetry(At(now)) ? 1 : 0;
+    }
+    RC_ASSERT(retries <= 1 + settings_.share * tries + settings_.floor_per_second * now / 1e3 + 1e-6);
+  }
+}
+
+}  // namespace
+}  // namespace persimmon
--- /dev/null
+++ b/tests/suspects_test.cpp
@@ -0,0 +1,132 @@
+// Guards against one request that crashes endpoint after endpoint, and against refusing its innocent neighbours.
+#include "persimmon/suspects.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <set>
+
+#include "decision_support.h"
+
+namespace persimmon {
+namespace {
+
+class suspects_test : public testing::Test {
+ protected:
+  static constexpr fingerprint_number kBad = 1;
+  static constexpr fingerprint_number kGood = 2;
+
+  suspect_verdict Check(const suspect_table& table, fingerprint_number fingerprint, std::int64_t now) const {
+    return table.CheckSuspect(fingerprint, At(now)).verdict;
+  }
+
+  suspect_settings settings_;
+  suspect_table table_{settings_};
+  suspect_table peer_{settings_};
+};
+
+// Guards against a third lost endpoint, and against a refusal that never ends.
+TEST_F(suspects_test, CheckSuspect_AfterTwoCrashes_RefusesForTheRetentionTime) {
+  EXPECT_EQ(Check(table_, kBad, 0), suspect_verdict::kClear);
+  table_.NoteStart(kBad, Endpoint(1));
+  EXPECT_EQ(table_.NoteCrash(Endpoint(1), At(0)), std::vector{kBad});
+  EXPECT_EQ(Check(table_, kBad, 10), suspect_verdict::kSuspect);
+  table_.NoteStart(kBad, Endpoint(2));
+  EXPECT_EQ(Check(table_, kBad, 20), suspect_verdict::kWait);  // a second copy could cost a third endpoint
+  table_.NoteCrash(Endpoint(2), At(30));
+  EXPECT_EQ(table_.CheckSuspect(kBad, At(1'030)), (suspect_check{suspect_verdict::kRefused, milliseconds(599'000)}));
+  EXPECT_EQ(Check(table_, kBad, 600'031), suspect_verdict::kClear);
+  table_.ExpireSuspects(At(600'031));
+  EXPECT_EQ(table_.SuspectCount(), 0U);
+}
+
+// Guards against neighbours that stay suspect although they have finished elsewhere.
+TEST_F(suspects_test, NoteEnd_WhenNeighbourFinishesElsewhere_ClearsItEverywhere) {
+  table_.NoteStart(kBad, Endpoint(1));
+  table_.NoteStart(kGood, Endpoint(1));
+  table_.NoteCrash(Endpoint(1), At(0));
+  peer_.MergeSuspects("router-1#1", table_.OwnFacts(At(10)), At(10));
+  EXPECT_EQ(Check(peer_, kGood, 10), suspect_verdict::kSuspect);
+  table_.NoteStart(kGood, Endpoint(2));
+  table_.NoteEnd(kGood, Endpoint(2), false, At(15));  // cancelled: proves nothing
+  EXPECT_EQ(Check(table_, kGood, 15), suspect_verdict::kSuspect);
+  const auto before = table_.OwnFacts(At(15));
+  table_.NoteStart(kGood, Endpoint(2));
+  table_.NoteEnd(kGood, Endpoint(2), true, At(20));
+  EXPECT_EQ(Check(table_, kGood, 20), suspect_verdict::kClear);
+  EXPECT_EQ(Check(table_, kBad, 20), suspect_verdict::kSuspect);
+  peer_.MergeSuspects("router-1#1", table_.OwnFacts(At(30)), At(30));
+  EXPECT_EQ(Check(peer_, kGood, 30), suspect_verdict::kClear);
+  peer_.MergeSuspects("router-2#1", std::vector{suspect_fact{kGood, 1, milliseconds(40)}}, At(40));  // from time 0
+  EXPECT_EQ(Check(peer_, kGood, 40), suspect_verdict::kClear);
+  EXPECT_EQ(before.size(), 2U);
+}
+
+// Guards against reports that are counted twice, and crashes at two routers that are counted once.
+TEST_F(suspects_test, MergeSuspects_FromTwoRouters_AddsTheirCrashesOnce) {
+  const std::vector facts{suspect_fact{kBad, 1, milliseconds(5)}};
+  peer_.MergeSuspects("router-1#1", facts, At(10));
+  peer_.MergeSuspects("router-1#1", facts, At(20));
+  EXPECT_EQ(Check(peer_, kBad, 20), suspect_verdict::kSuspect);
+  peer_.MergeSuspects("router-2#1", facts, At(30));
+  EXPECT_EQ(Check(peer_, kBad, 30), suspect_verdict::kRefused);
+  EXPECT_TRUE(peer_.OwnFacts(At(30)).empty());
+  const std::vector old{suspect_fact{kGood, 2, milliseconds(600'001)}};
+  peer_.MergeSuspects("router-1#1", old, At(700'000));
+  EXPECT_EQ(Check(peer_, kGood, 700'000), suspect_verdict::kClear);
+}
+
+TEST_F(suspects_test, Table_WhenManyCrash_StaysBounded) {
+  settings_.entries = 10;
+  settings_.reported = 4;
+  suspect_table table(settings_);
+  for (fingerprint_number i = 0; i < 50; ++i) {
+    table.NoteStart(i, Endpoint(1));
+    table.NoteCrash(Endpoint(1), At(static_cast<std::int64_t>(i)));
+  }
+  EXPECT_EQ(table.SuspectCount(), 10U);
+  EXPECT_EQ(table.RunningCount(), 0U);
+  const auto facts = table.OwnFacts(At(60));
+  ASSERT_EQ(facts.size(), 4U);
+  EXPECT_EQ(facts.front().fingerprint, 49U);  // the newest
+  EXPECT_EQ(Check(table, 0, 60), suspect_verdict::kClear);
+}
+
+// Guards the bound: however a caller sends a crashing request again, through either router, and whatever runs beside
+// it, at most two endpoints are lost once the routers have told each other. Every innocent request can run in the end.
+RC_GTEST_FIXTURE_PROP(suspects_test, Table_ForAnyResends_LosesAtMostTwoEndpoints, ()) {
+  suspect_table routers[] = {suspect_table(settings_), suspect_table(settings_)};
+  std::set<endpoint_name> lost;
+  std::int64_t now = 0;
+  int next_endpoint = 0;
+  const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 32));
+  for (const int step : steps) {
+    now += 100;
+    suspect_table& router = routers[step % 2];
+    const endpoint_name endpoint = Endpoint(next_endpoint);
+    const fingerprint_number neighbour = 10 + static_cast<fingerprint_number>(step / 4);
+    const bool neighbour_is_suspect = Check(router, neighbour, now) != suspect_verdict::kClear;
+    const auto verdict = Check(router, kBad, now);
+    const bool bad_runs = verdict == suspect_verdict::kClear || verdict == suspect_verdict::kSuspect;
+    // The agent runs one suspect at a time: a suspect neighbour runs alone and finishes.
+    if (step % 4 >= 2 && neighbour_is_suspect) {
+      RC_ASSERT(Check(router, neighbour, now) == suspect_verdict::kSuspect);
+      router.NoteStart(neighbour, endpoint);
+      router.NoteEnd(neighbour, endpoint, true, At(now));
+    } else if (bad_runs) {
+      router.NoteStart(kBad, endpoint);
+      if (!neighbour_is_suspect) {
+        router.NoteStart(neighbour, endpoint);
+      }
+      router.NoteCrash(endpoint, At(now));
+      lost.insert(endpoint);
+      ++next_endpoint;
+    }
+    routers[1].MergeSuspects("a#1", routers[0].OwnFacts(At(now + 1)), At(now + 1));
+    routers[0].MergeSuspects("b#1", routers[1].OwnFacts(At(now + 1)), At(now + 1));
+    RC_ASSERT(lost.size() <= 2U);
+  }
+}
+
+}  // namespace
+}  // namespace persimmon
