--- a/src/fakes/fake_engine.cpp
+++ b/src/fakes/fake_engine.cpp
@@ -22,6 +22,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <thread>
 #include <unordered_map>
 #include <utility>
@@ -181,7 +182,8 @@
   std::uint32_t pieces_done = 0;
   bool started = false;
   bool finished = false;
-  bool ended = false;  // cancelled or evicted
+  bool ended = false;               // cancelled or evicted
+  std::set<std::uint32_t> fetched;  // pieces that a decode has fetched
   notifier changed;
   timer_subscription eviction;
 
@@ -254,6 +256,8 @@
   std::map<std::string, prefill_ptr> prefills;  // by KV id
   std::map<std::string, decode_ptr> decodes;    // by request id
   std::uint64_t last_prefill = 0;
+  std::uint64_t prefill_tokens_total = 0;  // computed, without those from the prefix cache
+  std::uint64_t prefill_tokens_used = 0;   // of KV caches that a decode has fetched whole
   bool prefill_loop_runs = false;
   bool decode_loop_runs = false;
   time_point send_link_free;     // when the outgoing link has sent all that was asked for
@@ -348,6 +352,7 @@
       const std::uint32_t computed = job->PieceEnd(job->pieces_done) - std::max(begin, job->cached);
       const bool is_cached = job->cached >= job->PieceEnd(job->pieces_done);
       co_await timers.Sleep(is_cached ? microseconds(0) : Delay(computed / options.prefill_tokens_per_s));
+      prefill_tokens_total += is_cached ? 0 : computed;
       if (!job->ended) {
         FinishPiece(job);
       }
@@ -450,7 +455,10 @@
       body["prompt"] = job->prompt;  // the decode engine derives its tokens from it
     }
     auto reply = JsonReply(200, body);
-    (void)co_await exchange->Respond(std::move(reply));
+    auto sent = co_await exchange->Respond(std::move(reply));
+    if (sent && job->fetched.insert(piece).second && job->fetched.size() == job->pieces) {
+      prefill_tokens_used += job->tokens - std::min(job->cached, job->tokens);
+    }
   }
 
   // Fetches all pieces of a decode's KV cache. Returns the error of the stream, empty if all arrived.
@@ -643,7 +651,9 @@
             {"decode_running", decodes.size()},
             {"prefill_running", prefills_running},
             {"memory_held", memory},
-            {"kv_held", kv_tokens}};
+            {"kv_held", kv_tokens},
+            {"prefill_tokens_total", prefill_tokens_total},
+            {"prefill_tokens_used", prefill_tokens_used}};
   }
 
   void SampleLoad() {
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json/parse.hpp>
 #include <charconv>
+#include <map>
 #include <unordered_map>
 
 #include "net/http.h"
@@ -27,6 +28,7 @@
 constexpr double kMaxReturnSeconds = 60;  // callers do not wait longer than this
 constexpr std::size_t kIdleConnections = 4096;
 constexpr double kLateDispatchSeconds = 0.02;
+constexpr milliseconds kBalancerCheck(1'000);
 constexpr const char* kUnreachable = "unreachable";
 
 double SecondsSince(time_point begin) { return std::chrono::duration<double>(timer_service::Now() - begin).count(); }
@@ -211,7 +213,26 @@
   std::unordered_map<std::string, std::string> post_outcomes;  // key to outcome of its refusal
   load_summary progress;
 
-  host_port ChooseTarget() { return settings.targets[target_random() % settings.targets.size()]; }
+  std::map<host_port, time_point> unreachable_until;
+
+  // A balancer leaves out a router that has refused a connection until its next check.
+  host_port ChooseTarget() {
+    std::vector<host_port> reachable;
+    for (const host_port& target : settings.targets) {
+      const auto found = unreachable_until.find(target);
+      if (found == unreachable_until.end() || found->second <= timer_service::Now()) {
+        reachable.push_back(target);
+      }
+    }
+    const auto& choice = reachable.empty() ? settings.targets : reachable;
+    return choice[target_random() % choice.size()];
+  }
+
+  void NoteFailure(const host_port& target, const error& failure) {
+    if (failure.code == error_code::kUnavailable) {
+      unreachable_until[target] = timer_service::Now() + kBalancerCheck;
+    }
+  }
 
   http_request BuildRequest(const planned_request& plan, const std::string& prompt) const {
     http_request request;
@@ -254,6 +275,7 @@
     result.first_token_s = reader.FirstTokenSeconds();
     result.token_interval_s = reader.IntervalSeconds();
     if (!answer) {
+      NoteFailure(target, answer.error());
       JudgeFailure(answer.error(), plan, answer.error().code == error_code::kTimeout, outcome);
     } else if (answer.value().status != 200) {
       ReadRefusal(answer.value(), outcome);
@@ -283,6 +305,7 @@
     auto answer = co_await client.Fetch(target, std::move(request), time_limit);
     result.first_token_s = SecondsSince(begin);
     if (!answer) {
+      NoteFailure(target, answer.error());
       JudgeFailure(answer.error(), plan, answer.error().code == error_code::kTimeout, outcome);
       co_return outcome;
     }
--- a/src/load/report.cpp
+++ b/src/load/report.cpp
@@ -118,12 +118,12 @@
   }
 }
 
-void CountSecond(load_summary& summary, double at_s, std::uint64_t second_counts::*field) {
+void CountSecond(load_summary& summary, double at_s, std::uint64_t second_counts::*field, std::uint64_t amount = 1) {
   const auto second = static_cast<std::size_t>(std::max(0.0, at_s));
   if (second >= summary.seconds.size()) {
     summary.seconds.resize(second + 1);
   }
-  ++(summary.seconds[second].*field);
+  summary.seconds[second].*field += amount;
 }
 
 // Share in time of model requests whose prompt has at least the given length.
@@ -223,6 +223,9 @@
     CountSecond(summary, result.plan.at_s, &second_counts::arrivals);
     if (in_time) {
       CountSecond(summary, result.ended_s, &second_counts::in_time);
+      CountSecond(summary, result.plan.at_s, &second_counts::arrivals_in_time);
+      CountSecond(summary, result.plan.at_s, &second_counts::prompt_tokens_in_time, result.plan.prompt_tokens);
+      CountSecond(summary, result.plan.at_s, &second_counts::output_tokens_in_time, result.tokens);
     }
     if (result.end == request_end::kRefused) {
       CountSecond(summary, result.ended_s, &second_counts::refused);
@@ -240,6 +243,7 @@
     if (result.plan.kind != request_kind::kModel) {
       service.Record(result.first_token_s);
     } else if (result.plan.stream) {
+      ++summary.streamed;
       first_token.Record(result.first_token_s);
       interval.Record(result.token_interval_s);
       summary.first_token_in_time += result.first_token_s <= targets.first_token_s ? 1 : 0;
@@ -294,6 +298,7 @@
   out["doubled"] = summary.doubled;
   out["wrong"] = summary.wrong;
   out["in_time"] = summary.in_time;
+  out["streamed"] = summary.streamed;
   out["first_token_in_time"] = summary.first_token_in_time;
   out["interval_in_time"] = summary.interval_in_time;
   out["returned"] = summary.returned;
@@ -315,8 +320,12 @@
   out["refusals"] = std::move(refusals);
   json::array seconds;
   for (const second_counts& second : summary.seconds) {
-    seconds.push_back(
-        json::object{{"arrivals", second.arrivals}, {"in_time", second.in_time}, {"refused", second.refused}});
+    seconds.push_back(json::object{{"arrivals", second.arrivals},
+                                   {"in_time", second.in_time},
+                                   {"refused", second.refused},
+                                   {"arrivals_in_time", second.arrivals_in_time},
+                                   {"prompt_tokens_in_time", second.prompt_tokens_in_time},
+                                   {"output_tokens_in_time", second.output_tokens_in_time}});
   }
   out["seconds"] = std::move(seconds);
   json::array faults;
--- a/src/load/report.h
+++ b/src/load/report.h
@@ -71,6 +71,11 @@
   std::uint64_t in_time = 0;  // answers in time, counted at their end
   std::uint64_t refused = 0;
 
+  // By the second of the arrival.
+  std::uint64_t arrivals_in_time = 0;
+  std::uint64_t prompt_tokens_in_time = 0;
+  std::uint64_t output_tokens_in_time = 0;
+
   bool operator==(const second_counts&) const = default;
 };
 
@@ -96,8 +101,9 @@
   std::uint64_t doubled = 0;
   std::uint64_t wrong = 0;
   std::uint64_t in_time = 0;
-  std::uint64_t first_token_in_time = 0;  // of the answered requests, by the first target alone
-  std::uint64_t interval_in_time = 0;     // of the answered requests, by the second target alone
+  std::uint64_t streamed = 0;             // answered model requests with server-sent events
+  std::uint64_t first_token_in_time = 0;  // of the streamed answers, by the first target alone
+  std::uint64_t interval_in_time = 0;     // of the streamed answers, by the second target alone
   std::uint64_t returned = 0;
   std::uint64_t resent = 0;
   std::uint64_t late_dispatches = 0;  // arrivals that this process started over 20 ms late
