--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -19,7 +19,8 @@
 namespace {
 
 constexpr milliseconds kTickPeriod(100);
-constexpr milliseconds kTracePeriod(1'000);
+// How often an agent with a provisional incarnation looks whether the store answers again.
+constexpr milliseconds kRaisePause(1'000);
 
 // A tick that is this late shows that the process was paused: another incarnation may have started meanwhile.
 constexpr milliseconds kPauseLimit(1'000);
@@ -51,7 +52,7 @@
       configs(configs),
       traces(traces),
       timers(context),
-      counter(table, "agent/" + settings.name),
+      counter(timers, table, "agent/" + settings.name),
       engine(context, settings.engine, settings.stream_timeout),
       service(context, http_client_limits()),
       port_holder(context),
@@ -165,6 +166,10 @@
     asio::co_spawn(context, VerifyIncarnation(), asio::detached);
   }
   last_tick = now;
+  if (provisional && now - last_raise >= kRaisePause) {
+    last_raise = now;
+    asio::co_spawn(context, RaiseCounter(), asio::detached);
+  }
   DropSilentRouters(now);
   ForgetEndedWork(now);
   attempts.ExpireEntries(now);
