Know the end of a router's own attempts without asking their agent

Cause: a second call with a key after one that was never sent found its claim and asked the agent, which may be the reason why the first was not sent; it ended may_have_run although the router knew better. Two requests with one key in one router shared the routing of replies by attempt id, so the second one could take over the first one's replies. A call for an endpoint without a known agent stopped the program. Change: keyed_calls keeps its attempts in progress and the last 10,000 that ended not_run; the first are waited for, the second count as proof. Incarnation 0 ends not_run. Three tests, one for each.

--- a/src/decisions/claims_step.h
+++ b/src/decisions/claims_step.h
@@ -31,7 +31,7 @@
 
   claim_transition Step(const claim_event& event) {
     if (next_.state.step != claim_step::kEnded) {
-      std::visit([this](const auto& content) { On(content); }, event);
+      std::visit([this](const auto& content) { this->On(content); }, event);
     }
     return std::move(next_);
   }
--- a/src/platform/claim_store.cpp
+++ b/src/platform/claim_store.cpp
@@ -614,7 +614,7 @@
   co_return value.value_or(claim_result{});
 }
 
-void claim_store::OnBatch(const claim_batch& batch, reply_function reply) { state_->OnBatch(batch, reply); }
+void claim_store::OnBatch(const claim_batch& batch, const reply_function& reply) { state_->OnBatch(batch, reply); }
 
 void claim_store::OnResults(const claim_results& results) { state_->OnResults(results); }
 
--- a/src/platform/claim_store.h
+++ b/src/platform/claim_store.h
@@ -92,7 +92,7 @@
   task<claim_result> Execute(claim_operation operation);
 
   // From another router. The reply is called once, with as many results as operations.
-  void OnBatch(const claim_batch& batch, reply_function reply);
+  void OnBatch(const claim_batch& batch, const reply_function& reply);
 
   // From a batching router.
   void OnResults(const claim_results& results);
--- a/src/router/keyed_calls.cpp
+++ b/src/router/keyed_calls.cpp
@@ -7,6 +7,9 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <deque>
+#include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 #include "core/log.h"
@@ -103,10 +106,34 @@
   state(timer_service& timers, asio::io_context& context, keyed_call_settings settings, keyed_call_links links)
       : timers(timers), context(context), settings(settings), links(std::move(links)) {}
 
+  using result_box = std::shared_ptr<mailbox<keyed_call_result>>;
+
+  // Notes the end of an attempt and tells those who wait for it.
+  void NoteEnd(const keyed_call_result& result) {
+    const auto found = running.find(result.attempt);
+    if (found != running.end()) {
+      const std::vector<result_box> waiting = std::move(found->second);
+      running.erase(found);
+      for (const result_box& box : waiting) {
+        box->Push(result);
+      }
+    }
+    if (result.outcome == outcome_kind::kNotRun && not_run.insert(result.attempt).second) {
+      not_run_order.push_back(result.attempt);
+    }
+    while (not_run_order.size() > settings.kept_attempts) {
+      not_run.erase(not_run_order.front());
+      not_run_order.pop_front();
+    }
+  }
+
   timer_service& timers;
   asio::io_context& context;
   keyed_call_settings settings;
   keyed_call_links links;
+  std::unordered_map<attempt_id, std::vector<result_box>> running;  // attempts of this router and who waits for them
+  std::unordered_set<attempt_id> not_run;                           // ended ones that will never be sent or run
+  std::deque<attempt_id> not_run_order;                             // oldest first
 };
 
 namespace {
@@ -128,6 +155,11 @@
     own.endpoint = call_.endpoint;
     own.incarnation = call_.incarnation;
     result_.attempt = own.attempt;
+    if (own.incarnation == 0) {
+      End({outcome_kind::kNotRun, claim_code::kEndpointLost});
+      co_return std::move(result_);
+    }
+    shared_->running[own.attempt];
     call_.call.attempt = own.attempt;
     call_.call.incarnation = own.incarnation;
     const bool has_key = !own.key.empty();
@@ -148,6 +180,7 @@
         next = StepClaim(next.state, event.value_or(claim_event(deadline_passed{})));
       }
     }
+    shared_->NoteEnd(result_);
     co_return std::move(result_);
   }
 
@@ -162,8 +195,13 @@
     } else if (const auto* send = std::get_if<send_call>(&action)) {
       event = co_await Send(*send);
     } else if (const auto* tombstone = std::get_if<ask_tombstone>(&action)) {
-      auto status = co_await shared_->links.ask_tombstone(tombstone->row, shared_->settings.settle_timeout);
-      event = Report(tombstone->row, std::move(status));
+      claim_row row = tombstone->row;
+      // A conditional expression around co_await is miscompiled by GCC 12.
+      if (IsLocal(row)) {
+        event = co_await AwaitLocal(std::move(row));
+      } else {
+        event = co_await AskTombstone(std::move(row));
+      }
     } else if (const auto* query = std::get_if<ask_status>(&action)) {
       event = co_await Query(*query);
     } else {
@@ -207,6 +245,41 @@
     co_return event;
   }
 
+  task<claim_event> AskTombstone(claim_row row) {
+    auto status = co_await shared_->links.ask_tombstone(row, shared_->settings.settle_timeout);
+    claim_event event = Report(row, std::move(status));
+    co_return event;
+  }
+
+  // Another attempt of this router, in progress or known not to have run. An attempt in progress must not be tombstoned
+  // through a second conversation with its agent, which would take over the replies to the first one.
+  bool IsLocal(const claim_row& row) const {
+    const bool is_other = row.attempt != result_.attempt;
+    return is_other && (shared_->running.contains(row.attempt) || shared_->not_run.contains(row.attempt));
+  }
+
+  task<claim_event> AwaitLocal(claim_row row) {
+    attempt_finding finding = attempt_finding::kNotRun;
+    const auto found = shared_->running.find(row.attempt);
+    if (found != shared_->running.end()) {
+      const auto box = std::make_shared<mailbox<keyed_call_result>>(shared_->context);
+      found->second.push_back(box);
+      auto ended = co_await box->Receive(TimeLeft());
+      if (!ended) {
+        claim_event late = deadline_passed{};
+        co_return late;
+      }
+      const bool was_answered = ended->outcome == outcome_kind::kAnswered;
+      const bool was_not_run = ended->outcome == outcome_kind::kNotRun;
+      finding = was_answered  ? attempt_finding::kAnswered
+                : was_not_run ? attempt_finding::kNotRun
+                              : attempt_finding::kFailed;
+      result_.answer = std::move(ended->answer);
+    }
+    claim_event event = attempt_reported{row.attempt, finding};
+    co_return event;
+  }
+
   task<claim_event> Query(ask_status action) {
     // A query that does not wait is answered at once, also when the caller's time is nearly over.
     const milliseconds limit = action.wait ? LeftMs() : shared_->settings.settle_timeout;
@@ -269,9 +342,6 @@
     : state_(std::make_shared<state>(timers, context, settings, std::move(links))) {}
 
 task<keyed_call_result> keyed_calls::RunCall(keyed_call call) {
-  if (call.incarnation == 0) {
-    StopProgram("A call that may run only once must name the incarnation of its agent.");
-  }
   call_runner<std::shared_ptr<state>> runner(state_, std::move(call));
   keyed_call_result result = co_await runner.Run();
   co_return result;
--- a/src/router/keyed_calls.h
+++ b/src/router/keyed_calls.h
@@ -25,6 +25,7 @@
   milliseconds settle_timeout = milliseconds(1'800);  // for the agent's word on an attempt, also after the deadline
   milliseconds send_limit = milliseconds(30'000);     // a call is not sent later than this after its claim was begun
   milliseconds retry_after = milliseconds(1'000);     // told to callers whose call was not run
+  std::size_t kept_attempts = 10'000;                 // attempts of this router known not to have run
   milliseconds pause_before_send = milliseconds(0);   // test switch: time between claim and send
 
   bool operator==(const keyed_call_settings&) const = default;
@@ -68,7 +69,7 @@
 struct keyed_call {
   idempotency_key key;                 // account and Idempotency-Key; empty: exactly one attempt, without a claim
   endpoint_name endpoint;              // chosen for a new attempt; a resend may end with the answer of another one
-  incarnation_number incarnation = 0;  // of the endpoint's agent; not 0
+  incarnation_number incarnation = 0;  // of the endpoint's agent; 0 (no agent known): ends kNotRun, nothing is sent
   call_service call;                   // attempt and incarnation are filled in
   milliseconds timeout = milliseconds(10'000);
 
@@ -94,7 +95,8 @@
   void Start() {}
   void Stop() {}
 
-  // Runs one attempt of the call to its end, within the timeout and at most one settle_timeout.
+  // Runs one attempt of the call to its end, within the timeout and at most one settle_timeout. Of attempts of this
+  // router it knows the end itself and asks no agent, so a second call may follow one that ended kNotRun.
   task<keyed_call_result> RunCall(keyed_call call);
 
  private:
--- a/tests/keyed_calls_test.cpp
+++ b/tests/keyed_calls_test.cpp
@@ -298,6 +298,56 @@
   EXPECT_EQ(steps_, "insert ");
 }
 
+// A router that stops here would lose every other request too.
+TEST_F(keyed_calls_test, RunCall_WhenNoAgentIsKnown_EndsNotRun) {
+  keyed_calls calls(timers_, context_, settings_, Links());
+  keyed_call call = MakeCall("k");
+  call.incarnation = 0;
+  std::optional<keyed_call_result> kept;
+  asio::co_spawn(context_, KeepResult(calls.RunCall(call), kept), asio::detached);
+  Settle();
+  ASSERT_TRUE(kept.has_value());
+  EXPECT_EQ(kept->outcome, outcome_kind::kNotRun);
+  EXPECT_EQ(steps_, "");
+}
+
+// The router knows that its own attempt was never sent, even if that attempt's agent can no longer be asked.
+TEST_F(keyed_calls_test, RunCall_AfterOwnAttemptThatWasNotSent_ReplacesItWithoutItsAgent) {
+  keyed_calls calls(timers_, context_, settings_, Links());
+  std::optional<keyed_call_result> first;
+  std::optional<keyed_call_result> second;
+  is_channel_open_ = false;
+  asio::co_spawn(context_, KeepResult(calls.RunCall(MakeCall("k")), first), asio::detached);
+  Settle();
+  ASSERT_TRUE(first.has_value());
+  EXPECT_EQ(first->outcome, outcome_kind::kNotRun);
+  is_channel_open_ = true;
+  is_agent_reachable_ = false;
+  asio::co_spawn(context_, KeepResult(calls.RunCall(MakeCall("k")), second), asio::detached);
+  Settle();
+  ASSERT_TRUE(second.has_value());
+  EXPECT_EQ(second->outcome, outcome_kind::kAnswered);
+  EXPECT_EQ(steps_, "insert send insert replace send finish ");
+}
+
+// Two requests with one key in one router: the second must not take over the first one's replies.
+TEST_F(keyed_calls_test, RunCall_WhileOwnAttemptIsRunning_GivesItsAnswer) {
+  settings_.pause_before_send = milliseconds(10);
+  keyed_calls calls(timers_, context_, settings_, Links());
+  std::optional<keyed_call_result> first;
+  std::optional<keyed_call_result> second;
+  asio::co_spawn(context_, KeepResult(calls.RunCall(MakeCall("k")), first), asio::detached);
+  asio::co_spawn(context_, KeepResult(calls.RunCall(MakeCall("k")), second), asio::detached);
+  const auto end = timer_service::Now() + std::chrono::seconds(20);
+  while (!(first && second) && timer_service::Now() < end) {
+    context_.run_one_for(std::chrono::milliseconds(100));
+  }
+  ASSERT_TRUE(first && second);
+  EXPECT_EQ(first->outcome, outcome_kind::kAnswered);
+  EXPECT_EQ(second->outcome, outcome_kind::kAnswered);
+  EXPECT_EQ(runs_, 1);
+}
+
 TEST_F(keyed_calls_test, ClassifyStatus_ForEndedAttempts_SaysWhatIsProved) {
   attempt_status status;
   status.phase = attempt_phase::kDone;
