--- a/src/fakes/fake_link_main.cpp
+++ b/src/fakes/fake_link_main.cpp
@@ -24,7 +24,8 @@
 persimmon::http_response ApplyFaults(persimmon::fake_link& link, const std::string& body) {
   const json input = json::parse(body, nullptr, false);
   bool valid = input.is_object();
-  for (const auto& [key, value] : (valid ? input : json::object()).items()) {
+  const json fields = valid ? input : json::object();
+  for (const auto& [key, value] : fields.items()) {
     valid = valid && ((key == "delay_ms" && value.is_number_unsigned()) ||
                       ((key == "silent" || key == "cut" || key == "refuse") && value.is_boolean()));
   }
