--- a/src/ctl/commands.cpp
+++ b/src/ctl/commands.cpp
@@ -375,6 +375,7 @@
     co_return vms.error();
   }
   std::vector<std::string> texts;
+  texts.reserve(stored.value().records.size());
   for (const auto& [key, item] : stored.value().records) {
     texts.push_back(item.text);
   }
@@ -486,6 +487,7 @@
   const code_explanation* found = FindExplanation(code);
   if (found == nullptr) {
     std::vector<std::string_view> names;
+    names.reserve(Explanations().size());
     for (const code_explanation& item : Explanations()) {
       names.push_back(item.code);
     }
--- a/src/ctl/record_writer.cpp
+++ b/src/ctl/record_writer.cpp
@@ -105,6 +105,7 @@
                          const std::map<std::string, std::string>& after, const std::set<std::string>& changed) {
   const auto build = [](const std::map<std::string, std::string>& texts) {
     std::vector<std::string> list;
+    list.reserve(texts.size());
     for (const auto& [key, text] : texts) {
       list.push_back(text);
     }
