Keep logs of bench runs on request and refuse a baseline that answers nothing

Cause: mode round_robin answered no model request, because agents refuse work without a granted slot (no_slot), and the comparison then looked met. Conclusion: the baseline modes need agents that start work without a slot.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -106,9 +106,11 @@
 class Fleet:
     """Starts everything in the constructor's order and stops it at the end of a with block."""
 
-    def __init__(self, build, deployment, roles, mode="full", accounts=1, extra_records=0, slow_zone=None):
+    def __init__(self, build, deployment, roles, mode="full", accounts=1, extra_records=0, slow_zone=None,
+                 keep=False):
         self.build, self.deployment, self.mode = build, deployment, mode
         self.accounts, self.extra_records, self.slow_zone = accounts, extra_records, slow_zone
+        self.keep = keep
         self.folder = tempfile.mkdtemp(prefix="persimmon-bench-")
         self.ports = Ports()
         self.processes = []
@@ -129,7 +131,10 @@
         # In reverse order, so that no router notices an agent's end as a fault.
         for process in reversed(self.processes):
             process.stop(1)
-        shutil.rmtree(self.folder, ignore_errors=True)
+        if self.keep:
+            print(f"  logs are in {self.folder}")
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     def run(self, name, program, *arguments):
         command = [os.path.join(self.build, "bin", program), *arguments]
--- a/bench/run.py
+++ b/bench/run.py
@@ -121,7 +121,7 @@
     duration = args.seconds / PLATEAU_SHARE
     ramp = (duration - args.seconds) / 2
     slow_zone = deployment["zones"][1] if fault == "zone" else None
-    with Fleet(args.build, deployment, roles, mode, slow_zone=slow_zone) as fleet:
+    with Fleet(args.build, deployment, roles, mode, slow_zone=slow_zone, keep=args.keep) as fleet:
         report_path = os.path.join(fleet.folder, "load.json")
         plot = os.path.join(args.results, f"{name}-{slower}-{mode}{'-' + fault if fault else ''}.svg")
         services = ",".join(endpoint.target for endpoint in fleet.find("service"))
@@ -215,7 +215,10 @@
     rows = []
     rows.append(check(f"goodput {100 * result['goodput_of_bound']:.1f}% of the bound (target 95%)",
                       result["goodput_of_bound"] >= 0.95))
-    if round_robin:
+    # A baseline that answers nothing in time is broken, and any comparison with it would mean nothing.
+    if round_robin and round_robin["goodput_work_per_s"] < 1:
+        rows.append(check("round robin answered nothing in time: no valid baseline", False))
+    elif round_robin:
         factor = result["goodput_work_per_s"] / max(1, round_robin["goodput_work_per_s"])
         rows.append(check(f"goodput {factor:.2f} times round robin (target 2)", factor >= 2))
         rows.append(check(f"wasted prefill {100 * result['wasted_prefill']:.3f}% against "
@@ -407,6 +410,7 @@
     parser.add_argument("--leave_share", type=float, default=0, help="share of callers that go away")
     parser.add_argument("--return_share", type=float, default=0, help="share of refused callers that come back once")
     parser.add_argument("--seed", type=int, default=20261203)
+    parser.add_argument("--keep", action="store_true", help="keep the logs of surges")
     parser.add_argument("--hop", action="store_true", help="measure only what router and agent add to a plain call")
     parser.add_argument("--rate", type=float, default=200, help="--hop: calls/s")
     parser.add_argument("--slopes", action="store_true", help="measure only the slopes for docs/CAPACITY.md")
