--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # Starts a whole small deployment on loopback, sends model requests and service calls, and prints what happened.
 # Usage: demo.sh [BUILD]. Exit code 0 only if every request was answered or refused, none lost and none doubled.
+# With DEMO_KEEP=1 the deployment goes on running after the demo, for trying out commands, until Ctrl-C.
 set -euo pipefail
 build=${1:-build}
 cd "$(dirname "$0")/.."
@@ -132,4 +133,9 @@
 python3 scripts/print_trace.py "$work/traces.jsonl" demo-request
 tail -1 "$work/load.txt"
 if [ "$rc" -ne 0 ]; then tail -20 "$work"/*.log; fi
+if [ -n "${DEMO_KEEP:-}" ]; then
+  echo "kept running: callers http://$http, API key $api_key, settings and logs in $work"
+  echo "for example: $bin/persimmonctl --platform $platform --secret $secret status"
+  while true; do sleep 3600 & wait $!; done
+fi
 exit "$rc"
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -1,19 +1,21 @@
 #!/usr/bin/env bash
 # Runs clang-tidy over all sources, several at a time. Prints only findings; the exit code is the verdict.
-# A result is kept in .cache/lint per file content, so that an unchanged tree is checked in seconds.
+# A clean result is kept per content of a file and of the project headers it includes, so that an unchanged file is not
+# checked again. LINT_CACHE names the folder, LINT_JOBS the parallel checks.
 set -euo pipefail
 build=${1:-build}
 cd "$(dirname "$0")/.."
-mkdir -p .cache/lint
-headers=$(git ls-files '*.h' .clang-tidy | sort | xargs cat | sha256sum | cut -c1-16)
-export build headers
+cache=${LINT_CACHE:-$HOME/.cache/persimmon-lint}
+mkdir -p "$cache"
+export build cache
 check_file() {
-  local key
-  key=$(cat "$1" | sha256sum | cut -c1-32)
-  [ -e ".cache/lint/$headers-$key" ] && return 0
-  if out=$(clang-tidy --quiet -p "$build" "$1" 2>/dev/null); then touch ".cache/lint/$headers-$key"; return 0; fi
+  local headers key
+  headers=$(g++ -std=c++20 -Iinclude -Isrc -MM "$1" | tr ' \\' '\n\n' | grep -E '^(include|src)/' | sort -u)
+  key=$(cat .clang-tidy $headers | sha256sum | cut -c1-40)
+  [ -e "$cache/$key" ] && return 0
+  if out=$(clang-tidy --quiet -p "$build" "$1" 2>/dev/null); then touch "$cache/$key"; return 0; fi
   printf '%s\n' "$out"
   return 1
 }
 export -f check_file
-git ls-files 'src/*.cpp' | xargs -r -P "${LINT_JOBS:-8}" -I{} bash -c 'check_file {}'
+git ls-files 'src/*.cpp' | xargs -r -P "${LINT_JOBS:-6}" -I{} bash -c 'check_file {}'
--- a/src/agent/agent_work.cpp
+++ b/src/agent/agent_work.cpp
@@ -78,7 +78,7 @@
     case error_code::kTimeout:
       return "engine_silent";
     case error_code::kUnavailable:
-      return "engine_unreachable";
+      return kReasonEngineUnreachable;
     default:
       return "engine_answer_invalid";
   }
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -208,6 +208,8 @@
 
 // Reason of a failure that means that the engine's or service's process was lost, not only this piece of work.
 inline constexpr const char* kReasonEngineLost = "engine_lost";
+// Reason of a failure before anything was sent to the engine or service, because it could not be reached.
+inline constexpr const char* kReasonEngineUnreachable = "engine_unreachable";
 
 enum class work_state : std::uint8_t { kRunning, kFinished, kFailed, kCancelled };
 
--- a/src/router/endpoint_directory.cpp
+++ b/src/router/endpoint_directory.cpp
@@ -16,6 +16,12 @@
 // A channel that stays closed for this long means that the agent is lost; its attempts then become suspects.
 constexpr milliseconds kLossDelay(1'500);
 
+// Messages about requests. The others repeat all the time and say nothing about a session.
+bool IsSessionMessage(const message& value) {
+  return !std::holds_alternative<heartbeat>(value) && !std::holds_alternative<load_report>(value) &&
+         !std::holds_alternative<slot_open>(value) && !std::holds_alternative<fetch_config>(value);
+}
+
 bool HasRole(const endpoint_record& record, endpoint_role role) {
   return std::find(record.roles.begin(), record.roles.end(), role) != record.roles.end();
 }
@@ -177,6 +183,9 @@
   if (item == nullptr) {
     return;
   }
+  if (IsSessionMessage(value)) {
+    Log().Debug("Received {} from {}.", MessageName(value), name.value);
+  }
   endpoint_status& status = item->status;
   if (const auto* beat = std::get_if<heartbeat>(&value)) {
     status.revision = beat->revision;
@@ -321,6 +330,7 @@
     return false;
   }
   current->Send(value);
+  Log().Debug("Sent {} to {}.", MessageName(value), name.value);
   return true;
 }
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -247,6 +247,39 @@
   EXPECT_FALSE(used);
 }
 
+// Guards against a stream that hangs on a connection that was silently lost, while new connections work.
+TEST_F(router_test, Completion_WhenItsConnectionGoesSilent_IsResumedWithinTwoSeconds) {
+  constexpr milliseconds kSilenceBound(2'000);
+  deployment_.AddEndpoint("prefill-1", "prefill");
+  test_endpoint& decode = deployment_.AddEndpoint("decode-1", "decode", {"--decode_base_ms", "20"});
+  const int link_port = FreePort();
+  const int control_port = FreePort();
+  child_process link("fake-link", {"--listen", Loopback(link_port), "--to", Loopback(decode.agent_port), "--control",
+                                   Loopback(control_port)});
+  ASSERT_TRUE(link.WaitForPort(link_port));
+  ASSERT_TRUE(link.WaitForPort(control_port));
+  deployment_.AddRecord("endpoint-decode-1", deployment_.EndpointRecord("decode-1", "decode", link_port));
+  deployment_.AddRouter("router-1");
+  deployment_.WriteRecords();
+  const streamed_answer expected = Complete(HttpPort(), "a question", kManyTokens);
+  ASSERT_TRUE(expected.whole) << expected.error_code;
+  int pieces = 0;
+  auto last = steady_clock::now();
+  auto longest = steady_clock::duration::zero();
+  const streamed_answer answer = Complete(HttpPort(), "a question", kManyTokens, [&](const streamed_answer&) {
+    longest = pieces == 0 ? longest : std::max(longest, steady_clock::now() - last);
+    last = steady_clock::now();
+    if (++pieces == 5) {
+      deployment_.Fault(control_port, R"({"silent":true})");
+    }
+    return true;
+  });
+  EXPECT_TRUE(answer.whole) << answer.error_code;
+  EXPECT_EQ(answer.text, expected.text);
+  EXPECT_LT(longest, kSilenceBound);
+  EXPECT_GT(longest, milliseconds(200));  // otherwise the fault had no effect
+}
+
 // Guards against a call that another account's or no key can make, and against unclear refusals.
 TEST_F(router_test, Request_WhenItIsNotValid_IsRefusedWithAStableCode) {
   StartDeployment(1, 1, 1, 1);
