--- a/src/agent/agent_work.cpp
+++ b/src/agent/agent_work.cpp
@@ -78,7 +78,7 @@
     case error_code::kTimeout:
       return "engine_silent";
     case error_code::kUnavailable:
-      return "engine_unreachable";
+      return kReasonEngineUnreachable;
     default:
       return "engine_answer_invalid";
   }
@@ -438,6 +438,8 @@
         return false;
       }
       work->produced.push_back(value.at("token").get<std::string>());
+    } else if (value.is_object() && value.contains("piece")) {
+      return true;  // a received piece of the KV cache: the transfer has not stalled
     } else if (value.is_object() && value.value("done", false)) {
       work->state = work_state::kFinished;
       work->reason = value.value("reason", "stop");
