--- a/src/router/keyed_calls.cpp
+++ b/src/router/keyed_calls.cpp
@@ -225,7 +225,7 @@
 
   task<claim_event> Send(send_call action) {
     claim_event event = call_replied{call_reply::kNotSent};
-    if (shared_->settings.pause_before_send.count() > 0) {
+    if (!call_.key.empty() && shared_->settings.pause_before_send.count() > 0) {
       co_await shared_->timers.Sleep(shared_->settings.pause_before_send);
     }
     // Agents keep tombstones for a limited time: a router that was paused for long must not send its call any more.
