Count the control traffic of single processes

Cause: the loopback counters hold the traffic of the whole host: 3 to 5 MB/s of other work, against some kB/s. Conclusion: TCP control traffic is measured per process; UDP has no such counters and is not included.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -328,11 +328,3 @@
     with open("/proc/stat") as stat:
         fields = [int(field) for field in stat.readline().split()[1:9]]
     return sum(fields) - fields[3] - fields[4], sum(fields)
-
-
-def loopback_bytes():
-    with open("/proc/net/dev") as dev:
-        for line in dev:
-            if line.strip().startswith("lo:"):
-                return int(line.split(":")[1].split()[0])
-    return 0
--- a/bench/run.py
+++ b/bench/run.py
@@ -20,7 +20,8 @@
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
-from fleet import MODEL, BenchError, Fleet, host_cpu, loopback_bytes  # noqa: E402
+from fleet import MODEL, BenchError, Fleet, host_cpu  # noqa: E402
+from tcp_bytes import tcp_bytes  # noqa: E402
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 
@@ -332,23 +333,23 @@
 def measure_processes(fleet, seconds):
     routers = fleet.routers
     agents = [endpoint.agent for endpoint in fleet.endpoints]
+    pids = [process.pid for process in routers + agents]
     before = [process.cpu_seconds() for process in routers + agents]
-    bytes_before, begin = loopback_bytes(), time.monotonic()
+    bytes_before, begin = tcp_bytes(pids), time.monotonic()
     time.sleep(seconds)
     elapsed = time.monotonic() - begin
-    traffic = (loopback_bytes() - bytes_before) / elapsed
+    bytes_after = tcp_bytes(pids)
+    traffic = [max(0, bytes_after[pid] - bytes_before[pid]) / elapsed for pid in pids]
     cpu = [(process.cpu_seconds() - start) / elapsed for process, start in zip(routers + agents, before)]
     rss = [process.rss_mb() for process in routers + agents]
     count = len(routers)
     return {"router_cpu": sum(cpu[:count]) / count, "router_rss_mb": sum(rss[:count]) / count,
             "agent_cpu": sum(cpu[count:]) / max(1, len(agents)), "agent_rss_mb": sum(rss[count:]) / max(1, len(agents)),
-            "loopback_bytes_per_s": traffic}
+            "router_tcp_bytes_per_s": sum(traffic[:count]) / count,
+            "agent_tcp_bytes_per_s": sum(traffic[count:]) / max(1, len(agents))}
 
 
 def measure_size(args, roles, load_rate=0, **sizes):
-    quiet_begin, begin = loopback_bytes(), time.monotonic()
-    time.sleep(2)
-    noise = (loopback_bytes() - quiet_begin) / (time.monotonic() - begin)
     with Fleet(args.build, DEPLOYMENTS["nastavnik"], roles, **sizes) as fleet:
         time.sleep(3)
         if load_rate:
@@ -357,7 +358,6 @@
                        json_path=os.path.join(fleet.folder, "slope.json"))
             time.sleep(2)
         figures = measure_processes(fleet, args.seconds)
-        figures["loopback_noise_bytes_per_s"] = noise
         figures["processes"] = len(fleet.routers) + len(fleet.endpoints)
     return figures
 
@@ -379,11 +379,12 @@
             points.append({"size": size, **measure()})
             point = points[-1]
             print(f"  {name:<15} {size:>6}  router {100 * point['router_cpu']:.2f}% of a core {point['router_rss_mb']:.1f}"
-                  f" MB, agent {100 * point['agent_cpu']:.2f}% {point['agent_rss_mb']:.1f} MB, loopback "
-                  f"{point['loopback_bytes_per_s'] / 1e3:.1f} kB/s (host without the fleet "
-                  f"{point['loopback_noise_bytes_per_s'] / 1e3:.1f})", flush=True)
+                  f" MB {point['router_tcp_bytes_per_s'] / 1e3:.2f} kB/s, agent {100 * point['agent_cpu']:.2f}% "
+                  f"{point['agent_rss_mb']:.1f} MB {point['agent_tcp_bytes_per_s'] / 1e3:.2f} kB/s (TCP, both "
+                  "directions)", flush=True)
         slopes = {}
-        for field in ("router_cpu", "router_rss_mb", "agent_cpu", "agent_rss_mb", "loopback_bytes_per_s"):
+        for field in ("router_cpu", "router_rss_mb", "agent_cpu", "agent_rss_mb", "router_tcp_bytes_per_s",
+                      "agent_tcp_bytes_per_s"):
             at_zero, slope = fit([(point["size"], point[field]) for point in points])
             slopes[field] = {"at_zero": at_zero, "per_unit": slope}
         out[name] = {"points": points, "slopes": slopes}
