--- a/src/router/front_end.cpp
+++ b/src/router/front_end.cpp
@@ -163,9 +163,9 @@
 
 http_response front_end::MakeHealth() const { return JsonResponse(200, R"({"status":"ok"})"); }
 
-// A router that has just started would refuse everything until its first load reports arrive, and would crowd the work on
-// the endpoints that report first. So it waits for a report of every endpoint, later for one of each pool, and at last not
-// at all, because a pool may be down.
+// A router that has just started would refuse everything until its first load reports arrive, and would crowd the work
+// on the endpoints that report first. So it waits for a report of every endpoint, later for one of each pool, and at
+// last not at all, because a pool may be down.
 bool front_end::HasHeardPools() const {
   const auto elapsed = timer_service::Now() - started_;
   if (elapsed > kPoolReportWait) {
--- a/src/router/model_calls.cpp
+++ b/src/router/model_calls.cpp
@@ -22,8 +22,8 @@
 // An agent whose channel stays closed for this long is given up; it drops this router's work after the same time.
 constexpr milliseconds kChannelGrace(1'500);
 constexpr milliseconds kCrashVerdictWait(500);  // for the prefill agent, after its decode has failed
-constexpr milliseconds kSuspectPause(100);    // before a suspect is checked again while a copy of it runs
-constexpr milliseconds kSuspectWait(10'000);  // a suspect waits this long at most for its running copy
+constexpr milliseconds kSuspectPause(100);      // before a suspect is checked again while a copy of it runs
+constexpr milliseconds kSuspectWait(10'000);    // a suspect waits this long at most for its running copy
 
 }  // namespace
 
@@ -311,8 +311,8 @@
       endpoints_->NoteEngineLost(attempt.slots.decode);
     }
     if (!attempt.prefill_finished && attempt.decode_failure.empty()) {
-      // The transfer also fails when the prefill engine has crashed. Its agent is about to say so, and a crash that is not
-      // counted would let the request take down one more endpoint.
+      // The transfer also fails when the prefill engine has crashed. Its agent is about to say so, and a crash that is
+      // not counted would let the request take down one more endpoint.
       attempt.decode_failure = part.reason;
       attempt.decode_failed_at = timer_service::Now();
       co_return std::nullopt;
--- a/src/router/model_calls.h
+++ b/src/router/model_calls.h
@@ -61,7 +61,7 @@
     time_point started;
     std::optional<time_point> prefill_lost;  // since when the channel is closed
     std::optional<time_point> decode_lost;
-    std::string decode_failure;               // of a decode that failed while its prefill was still running
+    std::string decode_failure;  // of a decode that failed while its prefill was still running
     time_point decode_failed_at;
     incarnation_number prefill_incarnation = 0;
     incarnation_number decode_incarnation = 0;
--- a/src/router/router_main.cpp
+++ b/src/router/router_main.cpp
@@ -89,8 +89,8 @@
   services.Register<vm_list>("vms", services.Timers(), services.Context(), platform, vm_list_settings{});
   services.Register<config_store>("config", services.Timers(), services.Context(), *table, config);
   auto& peers = services.Register<peer_directory>("peers", services, settings, handlers);
-  auto& claims = services.Register<claim_store>("claims", services.Timers(), services.Context(), *table, claim_store_settings{},
-                                 MakeClaimLinks(services, settings));
+  auto& claims = services.Register<claim_store>("claims", services.Timers(), services.Context(), *table,
+                                                claim_store_settings{}, MakeClaimLinks(services, settings));
   services.Register<endpoint_directory>("endpoints", services, settings, handlers);
   services.Register<suspect_guard>("suspects", services, settings);
   services.Register<account_guard>("accounts", services, settings);
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -58,7 +58,7 @@
   milliseconds stop_limit = milliseconds(120'000);  // limit_ms: then requests in progress are given up
 
   // [test]
-  milliseconds pause_before_send = milliseconds(0);          // pause_before_send_ms: between a claim and its call, for tests
+  milliseconds pause_before_send = milliseconds(0);  // pause_before_send_ms: between a claim and its call, for tests
 
   // [trace]
   std::string trace_file;  // file: OTLP JSON lines; empty: none
