Take slow and failing endpoints out and let them back in by steps

Cause: the health table was not used by the router, so a slow endpoint kept its share of the work. Two accounts could share a claim key if a name held a slash. The test of a silent link wrote one record from two files, which persimmonctl refuses. Change: the endpoint directory keeps a health table per pool and role, fed with prefill, decode and call times against their predictions and with failures; views carry the share; claim keys separate account and key by a line end; the deployment fixture lists each file once. Conclusion: health is in the path; its effect under load is measured next.

--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -25,8 +25,9 @@
 constexpr milliseconds kDecodeHold(2'000);       // the same for a decode slot, counted from its start
 constexpr milliseconds kDecodeRetryMinimum(10);  // pause after a refused decode reservation
 constexpr milliseconds kDecodeRetryMaximum(100);
-constexpr microseconds kInitialTransfer(60'000);  // until the first measurement
-constexpr double kMeasurementWeight = 0.1;        // of the newest value in a moving average
+constexpr microseconds kShortestPrediction(20'000);  // below this, fixed costs hide the speed of an endpoint
+constexpr microseconds kInitialTransfer(60'000);     // until the first measurement
+constexpr double kMeasurementWeight = 0.1;           // of the newest value in a moving average
 constexpr std::chrono::hours kForever(24 * 365);
 
 double Average(double old_value, double new_value) { return old_value + kMeasurementWeight * (new_value - old_value); }
@@ -160,6 +161,7 @@
     view.zone = status->record.zone;
     view.can_receive = status->open && !status->leaving && load.ready && load.sequence != 0 &&
                        status->record.state == endpoint_state::kActive;
+    view.health_share = endpoints_->HealthShare(status->record.name, role);
     view.report_age = std::chrono::duration_cast<microseconds>(now - status->load_time);
     view.prefill_free = status->prefill_open ? std::max<std::uint16_t>(load.prefill_free, 1) : load.prefill_free;
     view.decode_free = load.decode_free;
@@ -512,6 +514,8 @@
 void dispatcher::NotePrefillFinished(const model_job& job, const granted_slots& slots, std::uint32_t computed_tokens,
                                      microseconds duration) {
   prefixes_.NoteStored(slots.prefill, job.prefix_hashes);
+  const double predicted = std::max(slots.predicted_prefill, kShortestPrediction).count();
+  endpoints_->NoteAnswer(slots.prefill, endpoint_role::kPrefill, static_cast<double>(duration.count()) / predicted);
   pool_queue* pool = FindPool(job.pool);
   constexpr std::uint32_t kEnoughTokens = 256;  // shorter prefills are dominated by fixed costs
   if (pool == nullptr || computed_tokens < kEnoughTokens || duration.count() <= 0) {
@@ -527,7 +531,8 @@
   }
 }
 
-void dispatcher::NoteAttemptFailed(const model_job& job, const endpoint_name& endpoint) {
+void dispatcher::NoteAttemptFailed(const model_job& job, const endpoint_name& endpoint, endpoint_role role) {
+  endpoints_->NoteFailure(endpoint, role);
   Log().ForRequest(job.request.value).Info("An attempt on {} failed.", endpoint.value);
 }
 
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -97,7 +97,7 @@
   void NotePrefillFinished(const model_job& job, const granted_slots& slots, std::uint32_t computed_tokens,
                            microseconds duration);
   void NoteFirstToken(const std::string& pool, microseconds after_prefill);
-  void NoteAttemptFailed(const model_job& job, const endpoint_name& endpoint);
+  void NoteAttemptFailed(const model_job& job, const endpoint_name& endpoint, endpoint_role role);
 
   attempt_id MakeAttemptId();
 
--- a/src/router/endpoint_directory.cpp
+++ b/src/router/endpoint_directory.cpp
@@ -44,7 +44,10 @@
   }
   kernel_.Find<config_store>("config").Subscribe(
       [this](const std::shared_ptr<const configuration>& config) { ApplyConfiguration(*config); });
-  loss_timer_ = kernel_.Timers().SubscribeEvery(milliseconds(100), 0, [this] { CheckLosses(); });
+  loss_timer_ = kernel_.Timers().SubscribeEvery(milliseconds(100), 0, [this] {
+    CheckLosses();
+    UpdateHealth();
+  });
 }
 
 void endpoint_directory::Stop() {
@@ -99,6 +102,7 @@
     ReportLoss(name);
     item = links_.erase(item);
   }
+  ResetHealth(watched);
   for (const endpoint_record& record : watched) {
     const auto found = links_.find(record.name);
     if (found == links_.end()) {
@@ -280,6 +284,61 @@
   routes_.erase(found);
 }
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Health
+// ---------------------------------------------------------------------------------------------------------------------
+
+void endpoint_directory::ResetHealth(const std::vector<endpoint_record>& watched) {
+  std::map<std::pair<std::string, endpoint_role>, std::vector<endpoint_name>> groups;
+  for (const endpoint_record& record : watched) {
+    for (const endpoint_role role : record.roles) {
+      groups[{record.pool, role}].push_back(record.name);
+    }
+  }
+  for (const auto& [group, names] : groups) {
+    health_.try_emplace(group, health_settings{}).first->second.SetEndpoints(names);
+  }
+}
+
+health_table* endpoint_directory::FindHealth(const endpoint_name& name, endpoint_role role) {
+  const link* item = FindLink(name);
+  const auto found = item == nullptr ? health_.end() : health_.find({item->status.record.pool, role});
+  return found == health_.end() ? nullptr : &found->second;
+}
+
+void endpoint_directory::NoteAnswer(const endpoint_name& name, endpoint_role role, double slowness) {
+  if (health_table* health = FindHealth(name, role)) {
+    health->NoteAnswer(name, slowness, timer_service::Now());
+  }
+}
+
+void endpoint_directory::NoteFailure(const endpoint_name& name, endpoint_role role) {
+  if (health_table* health = FindHealth(name, role)) {
+    health->NoteFailure(name, timer_service::Now());
+  }
+}
+
+double endpoint_directory::HealthShare(const endpoint_name& name, endpoint_role role) const {
+  const auto item = links_.find(name);
+  const auto found = item == links_.end() ? health_.end() : health_.find({item->second.status.record.pool, role});
+  return found == health_.end() ? 1.0 : found->second.HealthShare(name);
+}
+
+void endpoint_directory::UpdateHealth() {
+  for (auto& [group, health] : health_) {
+    for (const health_change& change : health.UpdateHealth(timer_service::Now())) {
+      const int percent = static_cast<int>(change.share * 100);
+      if (change.phase == health_phase::kEjected) {
+        Log().Warning("Endpoint {} of pool {} is slow or failing and gets no work.", change.endpoint.value,
+                      group.first);
+      } else {
+        Log().Info("Endpoint {} of pool {} gets {}% of its work.", change.endpoint.value, group.first, percent);
+      }
+      NotifyChange(change.endpoint);
+    }
+  }
+}
+
 void endpoint_directory::CheckLosses() {
   const time_point now = timer_service::Now();
   for (auto& [name, item] : links_) {
--- a/src/router/endpoint_directory.h
+++ b/src/router/endpoint_directory.h
@@ -19,6 +19,7 @@
 #include "net/channel.h"
 #include "net/datagram.h"
 #include "persimmon/records.h"
+#include "persimmon/selection.h"
 #include "platform/config_store.h"
 #include "router/router_settings.h"
 
@@ -92,6 +93,12 @@
   // Notes a bid for the announced prefill slot, so that the endpoint is not asked again before it announces another.
   void NotePrefillTaken(const endpoint_name& name);
 
+  // Speed and failures decide how much of its normal work an endpoint gets. The slowness is the measured time divided
+  // by the predicted one.
+  void NoteAnswer(const endpoint_name& name, endpoint_role role, double slowness);
+  void NoteFailure(const endpoint_name& name, endpoint_role role);
+  double HealthShare(const endpoint_name& name, endpoint_role role) const;
+
   // Notes that the engine or service of an endpoint was lost: it gets no work until its agent reports it ready again.
   void NoteEngineLost(const endpoint_name& name);
 
@@ -123,6 +130,9 @@
   void RouteEvent(const endpoint_name& from, const attempt_id& attempt, attempt_event event);
   void PushToAttempts(const endpoint_name& name, const attempt_event& event);
   void CheckLosses();
+  void ResetHealth(const std::vector<endpoint_record>& watched);
+  void UpdateHealth();
+  health_table* FindHealth(const endpoint_name& name, endpoint_role role);
   void ReportLoss(const endpoint_name& name);
   void NotifyChange(const endpoint_name& name);
   link* FindLink(const endpoint_name& name);
@@ -131,6 +141,7 @@
   const router_settings& settings_;
   channel_handlers base_handlers_;
   std::map<endpoint_name, link> links_;
+  std::map<std::pair<std::string, endpoint_role>, health_table> health_;  // by pool and role
   std::unordered_map<attempt_id, attempt_route> routes_;
   std::unique_ptr<datagram_socket> reports_;
   timer_subscription loss_timer_;
--- a/src/router/model_calls.cpp
+++ b/src/router/model_calls.cpp
@@ -22,6 +22,7 @@
 // An agent whose channel stays closed for this long is given up; it drops this router's work after the same time.
 constexpr milliseconds kChannelGrace(1'500);
 constexpr milliseconds kCrashVerdictWait(500);  // for the prefill agent, after its decode has failed
+constexpr std::uint32_t kEnoughIntervals = 4;   // shorter answers say little about the pace of an endpoint
 constexpr milliseconds kSuspectPause(100);      // before a suspect is checked again while a copy of it runs
 constexpr milliseconds kSuspectWait(10'000);    // a suspect waits this long at most for its running copy
 
@@ -107,6 +108,7 @@
   call.context = context;
   auto pool = FindPool(content);
   call.job = MakeJob(context, content, pool ? pool.value() : pool_record{});
+  call.token_interval_target = pool ? pool.value().token_interval_target : pool_record{}.token_interval_target;
   if (!pool) {
     co_return co_await SendRefusal(call, pool.error());
   }
@@ -210,10 +212,11 @@
         settings_.progress_timeout + (attempt.prefill_finished ? microseconds(0) : slots.predicted_prefill * 2);
     auto event = co_await call.job->events->Receive(milliseconds(100));
     if (IsLost(attempt)) {
-      FailAttempt(call, attempt.prefill_lost ? slots.prefill : slots.decode, "the channel to the agent was lost");
+      FailAttempt(call, attempt, attempt.prefill_lost ? endpoint_role::kPrefill : endpoint_role::kDecode,
+                  "the channel to the agent was lost");
       end = attempt_end::kFailed;
     } else if (HasUnexplainedFailure(attempt)) {
-      FailAttempt(call, slots.decode, fmt::format("decode failed: {}", attempt.decode_failure));
+      FailAttempt(call, attempt, endpoint_role::kDecode, fmt::format("decode failed: {}", attempt.decode_failure));
       end = attempt_end::kFailed;
     } else if (event) {
       const bool is_progress = !std::holds_alternative<channel_change>(*event);
@@ -221,7 +224,8 @@
       attempt_event content = std::move(*event);
       end = co_await HandleEvent(call, attempt, std::move(content));
     } else if (timer_service::Now() - last_progress > limit) {
-      FailAttempt(call, attempt.prefill_finished ? slots.decode : slots.prefill, "the agent sent nothing in time");
+      FailAttempt(call, attempt, attempt.prefill_finished ? endpoint_role::kDecode : endpoint_role::kPrefill,
+                  "the agent sent nothing in time");
       end = attempt_end::kFailed;
     }
   }
@@ -249,7 +253,7 @@
   }
   if (const auto* refused = std::get_if<slot_refused>(&event)) {
     const bool is_prefill = refused->attempt == attempt.slots.prefill_attempt;
-    FailAttempt(call, is_prefill ? attempt.slots.prefill : attempt.slots.decode,
+    FailAttempt(call, attempt, is_prefill ? endpoint_role::kPrefill : endpoint_role::kDecode,
                 fmt::format("the agent refused: {}", RefusalName(refused->reason)));
     co_return attempt_end::kFailed;
   }
@@ -268,7 +272,7 @@
     if (progress.reason == kReasonEngineUnreachable) {
       endpoints_->NoteEngineLost(attempt.slots.prefill);
     }
-    FailAttempt(call, attempt.slots.prefill, fmt::format("prefill failed: {}", progress.reason));
+    FailAttempt(call, attempt, endpoint_role::kPrefill, fmt::format("prefill failed: {}", progress.reason));
     return attempt_end::kFailed;
   }
   if (!attempt.decode_started && !progress.ticket.id.empty()) {
@@ -279,7 +283,7 @@
     const auto duration = std::chrono::duration_cast<microseconds>(call.prefill_end - attempt.started);
     dispatcher_->NotePrefillFinished(*call.job, attempt.slots, progress.computed_tokens, duration);
     if (!attempt.decode_failure.empty()) {
-      FailAttempt(call, attempt.slots.decode, fmt::format("decode failed: {}", attempt.decode_failure));
+      FailAttempt(call, attempt, endpoint_role::kDecode, fmt::format("decode failed: {}", attempt.decode_failure));
       return attempt_end::kFailed;
     }
   }
@@ -317,7 +321,7 @@
       attempt.decode_failed_at = timer_service::Now();
       co_return std::nullopt;
     }
-    FailAttempt(call, attempt.slots.decode, fmt::format("decode failed: {}", part.reason));
+    FailAttempt(call, attempt, endpoint_role::kDecode, fmt::format("decode failed: {}", part.reason));
     co_return attempt_end::kFailed;
   }
   const accepted_tokens accepted = call.assembly.AcceptTokens(part.offset, part.pieces);
@@ -342,6 +346,7 @@
   }
   if (call.assembly.IsComplete()) {
     attempt.decode_finished = true;
+    NoteDecodeSpeed(call, attempt);
     co_return attempt_end::kFinished;
   }
   if (call.assembly.HasGap()) {
@@ -350,6 +355,19 @@
   co_return std::nullopt;
 }
 
+void model_calls::NoteDecodeSpeed(const call_state& call, const attempt_state& attempt) {
+  const std::uint32_t produced = call.assembly.NextOffset() - call.job->resume_tokens;
+  if (!call.first_token || produced < kEnoughIntervals || call.job->tries > 0) {
+    return;
+  }
+  const auto elapsed = std::chrono::duration<double>(timer_service::Now() - *call.first_token);
+  const double interval = elapsed.count() / (produced - 1);
+  const double target = std::chrono::duration<double>(call.token_interval_target).count();
+  endpoints_->NoteAnswer(attempt.slots.decode, endpoint_role::kDecode, interval / target);
+  metrics_->AddLatency("persimmon_token_interval_seconds", "Mean time between the tokens of an answer.")
+      .Record(microseconds(static_cast<std::int64_t>(interval * 1'000'000)));
+}
+
 std::optional<model_calls::attempt_end> model_calls::HandleChannel(call_state& call, attempt_state& attempt,
                                                                    const channel_change& change) {
   const bool is_prefill = change.endpoint == attempt.slots.prefill && !attempt.prefill_finished;
@@ -363,7 +381,7 @@
   const bool has_restarted = (is_prefill && change.incarnation != attempt.prefill_incarnation) ||
                              (is_decode && change.incarnation != attempt.decode_incarnation);
   if (has_restarted) {
-    FailAttempt(call, change.endpoint, "the agent has restarted");
+    FailAttempt(call, attempt, is_decode ? endpoint_role::kDecode : endpoint_role::kPrefill, "the agent has restarted");
     return attempt_end::kFailed;
   }
   if (is_prefill) {
@@ -390,10 +408,12 @@
   return !attempt.decode_failure.empty() && timer_service::Now() - attempt.decode_failed_at > kCrashVerdictWait;
 }
 
-void model_calls::FailAttempt(call_state& call, const endpoint_name& endpoint, const std::string& reason) {
+void model_calls::FailAttempt(call_state& call, const attempt_state& attempt, endpoint_role role,
+                              const std::string& reason) {
+  const endpoint_name& endpoint = role == endpoint_role::kPrefill ? attempt.slots.prefill : attempt.slots.decode;
   call.failure = reason;
   call.job->avoid.push_back(endpoint);
-  dispatcher_->NoteAttemptFailed(*call.job, endpoint);
+  dispatcher_->NoteAttemptFailed(*call.job, endpoint, role);
 }
 
 void model_calls::EndAttempt(call_state& call, attempt_state& attempt, attempt_end end) {
--- a/src/router/model_calls.h
+++ b/src/router/model_calls.h
@@ -50,6 +50,7 @@
     bool stream_started = false;
     std::optional<time_point> first_token;
     time_point prefill_end;
+    milliseconds token_interval_target = milliseconds(0);  // of the pool
   };
 
   // Progress of one attempt.
@@ -76,6 +77,7 @@
   std::optional<attempt_end> HandlePrefill(call_state& call, attempt_state& attempt, const prefill_progress& progress);
   task<std::optional<attempt_end>> HandleTokens(call_state& call, attempt_state& attempt, tokens part);
   std::optional<attempt_end> HandleChannel(call_state& call, attempt_state& attempt, const channel_change& change);
+  void NoteDecodeSpeed(const call_state& call, const attempt_state& attempt);
   bool IsLost(const attempt_state& attempt) const;
   bool HasUnexplainedFailure(const attempt_state& attempt) const;
   void StartDecode(call_state& call, attempt_state& attempt, const kv_ticket& ticket);
@@ -83,7 +85,7 @@
   task<bool> Deliver(call_state& call, const std::vector<std::string>& pieces);
   task<std::optional<refusal>> SendRefusal(call_state& call, refusal reason);
   task<> SendEnd(call_state& call);
-  void FailAttempt(call_state& call, const endpoint_name& endpoint, const std::string& reason);
+  void FailAttempt(call_state& call, const attempt_state& attempt, endpoint_role role, const std::string& reason);
 
   kernel& kernel_;
   const router_settings& settings_;
--- a/src/router/service_calls.cpp
+++ b/src/router/service_calls.cpp
@@ -23,8 +23,10 @@
   return log;
 }
 
-constexpr milliseconds kAskPeriod(200);     // a question is repeated, in case its channel was lost
-constexpr std::size_t kMaxKeyLength = 256;  // of an Idempotency-Key, in characters
+constexpr double kMeasurementWeight = 0.05;  // of the newest call in a pool's average
+constexpr double kShortestCall = 0.005;      // seconds; below this, scheduling hides the speed of a service
+constexpr milliseconds kAskPeriod(200);      // a question is repeated, in case its channel was lost
+constexpr std::size_t kMaxKeyLength = 256;   // of an Idempotency-Key, in characters
 
 // Headers that belong to the connection or to the router itself.
 bool IsForwarded(const header_field& field) {
@@ -94,6 +96,7 @@
     view.zone = status->record.zone;
     view.can_receive = status->open && !status->leaving && status->load.ready && status->load.sequence != 0 &&
                        !is_avoided && status->record.state == endpoint_state::kActive;
+    view.health_share = endpoints_->HealthShare(status->record.name, endpoint_role::kService);
     view.calls_in_progress = status->active_attempts;
     views.push_back(std::move(view));
   }
@@ -127,7 +130,8 @@
   const endpoint_status* status = endpoints_->Find(endpoint);
   keyed_call wanted;
   if (!repeatable && !key.empty()) {
-    wanted.key.value = context.account.record.name.value + "/" + std::string(key);
+    // Neither an account name nor a header value can hold a line end, so no two accounts share a key.
+    wanted.key.value = context.account.record.name.value + "\n" + std::string(key);
   }
   wanted.endpoint = endpoint;
   wanted.incarnation = status == nullptr ? 0 : status->incarnation;
@@ -215,6 +219,7 @@
   work.SetAttribute("endpoint", target.endpoint.value);
   call.traceparent = work.Traceparent();
   call.timeout_ms = static_cast<std::uint32_t>(timeout.count());
+  const time_point begin = timer_service::Now();
   sent_call sent;
   if (!endpoints_->Send(target.endpoint, call)) {
     sent.reply = call_reply::kNotSent;
@@ -236,6 +241,8 @@
   if (sent.answer.reason == kReasonEngineLost) {
     suspects_->NoteCrash(target.endpoint);
   }
+  NoteCallSpeed(target.endpoint, sent.reply == call_reply::kAnswered,
+                std::chrono::duration<double>(timer_service::Now() - begin).count());
   work.failed = sent.reply != call_reply::kAnswered;
   tracer_->EndSpan(std::move(work));
   suspects_->NoteEnd(call.fingerprint, target.endpoint, sent.reply == call_reply::kAnswered);
@@ -243,6 +250,20 @@
   co_return sent;
 }
 
+void service_calls::NoteCallSpeed(const endpoint_name& endpoint, bool answered, double seconds) {
+  const endpoint_status* status = endpoints_->Find(endpoint);
+  if (status == nullptr) {
+    return;
+  }
+  if (!answered) {
+    endpoints_->NoteFailure(endpoint, endpoint_role::kService);
+    return;
+  }
+  double& average = average_seconds_.try_emplace(status->record.pool, seconds).first->second;
+  average += kMeasurementWeight * (seconds - average);
+  endpoints_->NoteAnswer(endpoint, endpoint_role::kService, seconds / std::max(average, kShortestCall));
+}
+
 task<std::optional<attempt_status>> service_calls::Ask(endpoint_name endpoint, message question, attempt_id attempt,
                                                        milliseconds timeout) {
   const auto box = std::make_shared<attempt_mailbox>(kernel_.Context());
--- a/src/router/service_calls.h
+++ b/src/router/service_calls.h
@@ -1,6 +1,7 @@
 // Calls of plain services: choice of an endpoint, one attempt or several, proof of what ran.
 #pragma once
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -38,6 +39,7 @@
   task<keyed_call_result> RunOnce(const call_context& context, const call_service& call, const pool_record& pool,
                                   endpoint_name endpoint, bool repeatable);
   task<sent_call> SendOnce(claim_row target, call_service call, milliseconds timeout);
+  void NoteCallSpeed(const endpoint_name& endpoint, bool answered, double seconds);
   // Asks the agent for the state of an attempt. Nothing if it does not answer in time.
   task<std::optional<attempt_status>> Ask(endpoint_name endpoint, message question, attempt_id attempt,
                                           milliseconds timeout);
@@ -51,6 +53,7 @@
   metrics_registry* metrics_ = nullptr;
   tracer* tracer_ = nullptr;
   retry_budget retries_;
+  std::map<std::string, double> average_seconds_;  // of answered calls, by pool
 };
 
 // True if the call may be repeated without harm: GET, HEAD, or a path that the record lists as idempotent.
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -263,7 +264,7 @@
 
   void AddRecord(const std::string& file, const nlohmann::json& record) {
     Write(file + ".json", record.dump());
-    files_.push_back((folder_ / (file + ".json")).string());
+    files_.insert((folder_ / (file + ".json")).string());
   }
 
   void Fault(int port, const std::string& json) const { EXPECT_EQ(Post(port, "/faults", json).status, 200); }
@@ -294,7 +295,7 @@
   void Write(const std::string& name, const std::string& text) const { std::ofstream(folder_ / name) << text; }
 
   std::filesystem::path folder_;
-  std::vector<std::string> files_;
+  std::set<std::string> files_;  // written with the next WriteRecords
 };
 
 }  // namespace persimmon::support
