--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -257,6 +257,8 @@
 table_servers = {self.platform}
 [peers]
 secret = {SECRET}
+[slots]
+accept_unreserved = {"false" if self.mode == "full" else "true"}
 """)
         endpoint.agent = self.run(endpoint.name + "-agent", "persimmon-agent", "--config", path)
 
--- a/src/agent/agent_routers.cpp
+++ b/src/agent/agent_routers.cpp
@@ -17,6 +17,7 @@
 
 // While no snapshot arrives, the same router is asked again after this time.
 constexpr milliseconds kFetchPause(1'000);
+constexpr milliseconds kUnchangedReportPeriod(1'000);  // half the age at which routers stop trusting a report
 
 }  // namespace
 
@@ -217,8 +218,14 @@
       continue;
     }
     load_report report = common;
-    report.sequence = report_sequence;
     AddCacheEvents(session, report);
+    const time_point now = timer_service::Now();
+    if (report == session.last_report && now - session.reported < kUnchangedReportPeriod) {
+      continue;
+    }
+    session.last_report = report;
+    session.reported = now;
+    report.sequence = report_sequence;
     datagrams->Send({session.channel->RemoteHost(), session.channel->Peer().datagram_port}, report);
   }
 }
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -42,6 +42,8 @@
   time_point last_heard;         // of any message
   std::uint64_t event_sent = 0;  // sequence number of the last cache event in a load report
   time_point fetched;            // when fetch_config was last sent to it
+  load_report last_report;       // without its sequence number
+  time_point reported;           // when last_report was sent
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -112,7 +112,6 @@
   endpoints_->SubscribeReports([this](const load_report& report) { HandleReport(report); });
   kernel_.Find<config_store>("config").Subscribe(
       [this](const std::shared_ptr<const configuration>& config) { ApplyConfiguration(*config); });
-  tick_ = kernel_.Timers().SubscribeEvery(kPumpPeriod, 0, [this] { PumpAll(); });
 }
 
 void dispatcher::Stop() { tick_.Cancel(); }
@@ -263,6 +262,7 @@
                       admitted.retry_after};
   }
   pool->jobs[entry.request] = job;
+  ScheduleTick();
   Pump(*pool);
   auto decision = co_await job->decisions.Receive(kForever);
   if (!decision) {
@@ -308,6 +308,21 @@
 // 3. binding
 // ---------------------------------------------------------------------------------------------------------------------
 
+// Runs only while jobs wait: a hundred idle wake-ups a second would cost a router most of its share for control.
+void dispatcher::ScheduleTick() {
+  if (tick_is_due_) {
+    return;
+  }
+  tick_is_due_ = true;
+  tick_ = kernel_.Timers().SubscribeOnce(kPumpPeriod, [this] {
+    tick_is_due_ = false;
+    PumpAll();
+    if (QueuedJobs() > 0) {
+      ScheduleTick();
+    }
+  });
+}
+
 void dispatcher::PumpAll() {
   for (auto& [name, pool] : pools_) {
     if (!pool->jobs.empty()) {
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -114,6 +114,7 @@
 
   pool_queue* FindPool(const std::string& name);
   void ApplyConfiguration(const configuration& config);
+  void ScheduleTick();
   void PumpAll();
   void Pump(pool_queue& pool);
   std::optional<bind_plan> PlanBinding(pool_queue& pool, const model_job& job, time_point now);
@@ -140,6 +141,7 @@
   dispatch_log dispatches_;
   selection_settings selection_;
   timer_subscription tick_;
+  bool tick_is_due_ = false;
   std::uint64_t next_attempt_ = 0;
   std::uint64_t round_robin_ = 0;
 };
