--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -529,7 +529,7 @@
 void dispatcher::NotePrefillFinished(const model_job& job, const granted_slots& slots, std::uint32_t computed_tokens,
                                      microseconds duration) {
   prefixes_.NoteStored(slots.prefill, job.prefix_hashes);
-  const double predicted = std::max(slots.predicted_prefill, kShortestPrediction).count();
+  const auto predicted = static_cast<double>(std::max(slots.predicted_prefill, kShortestPrediction).count());
   endpoints_->NoteAnswer(slots.prefill, endpoint_role::kPrefill, static_cast<double>(duration.count()) / predicted);
   pool_queue* pool = FindPool(job.pool);
   constexpr std::uint32_t kEnoughTokens = 256;  // shorter prefills are dominated by fixed costs
