Tolerate small harm to waiting jobs when a long prompt is admitted

Change: a waiting job counts as harmed only when it would start more than 150 ms after its latest start.

--- a/include/persimmon/admission.h
+++ b/include/persimmon/admission.h
@@ -35,6 +35,9 @@
   // does not know, makes starts vary by this much; without it 5.5% instead of 2.4% of the requests expire
   // (docs/policy.md).
   milliseconds margin = milliseconds(50);
+  // A waiting job counts as harmed by a candidate only if it would start this much after its latest start. A long
+  // prompt has little slack and is placed before many short ones; without tolerance it is refused for harming them.
+  milliseconds harm_tolerance = milliseconds(150);
   milliseconds min_wait = milliseconds(50);         // latest start of a prompt too long for the target, after arrival
   milliseconds rate_window = milliseconds(1'000);   // time constant over which measured rates are forgotten
   milliseconds prior_weight = milliseconds(100);    // busy time that the reported rate counts for
--- a/src/decisions/admission.cpp
+++ b/src/decisions/admission.cpp
@@ -198,7 +198,8 @@
         continue;
       }
       plan.up_to_harmed.push_back(place);
-      if (is_late(job, with.AddJob(job)) && !is_late(job, without.AddJob(job))) {
+      const bool is_harmed = is_late(job, with.AddJob(job) - Seconds(settings_.harm_tolerance));
+      if (is_harmed && !is_late(job, without.AddJob(job))) {
         plan.harms_other = true;
         return plan;
       }
