Open listening sockets in one place; state the kill tests once

Cause: the HTTP server and the channel listener bound and listened with the same sixteen lines, two router tests differed only in what they kill, and the linter refused two parameters.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -19,6 +19,7 @@
 #include <set>
 
 #include "core/log.h"
+#include "net/acceptor.h"
 
 namespace persimmon {
 namespace {
@@ -292,20 +293,8 @@
 channel_listener::~channel_listener() { Stop(); }
 
 result<void> channel_listener::Start() {
-  sys_error failure;
-  const tcp::endpoint endpoint(asio::ip::make_address(state_->address.host), state_->address.port);
-  state_->acceptor.open(endpoint.protocol(), failure);
-  if (!failure) {
-    // Allows a bind while old connections linger, but not a second listener: that keeps a second agent out.
-    state_->acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
-    state_->acceptor.bind(endpoint, failure);
-  }
-  if (!failure) {
-    state_->acceptor.listen(asio::socket_base::max_listen_connections, failure);
-  }
-  if (failure) {
-    return error{error_code::kUnavailable,
-                 fmt::format("cannot listen on {}: {}", state_->address.Text(), failure.message())};
+  if (auto opened = OpenAcceptor(state_->acceptor, state_->address); !opened) {
+    return opened.error();
   }
   asio::co_spawn(state_->context, state_->Accept(), asio::detached);
   return outcome::success();
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -21,6 +21,7 @@
 #include <set>
 
 #include "core/log.h"
+#include "net/acceptor.h"
 
 namespace persimmon {
 namespace {
@@ -521,19 +522,8 @@
 http_server::~http_server() { Stop(); }
 
 result<void> http_server::Start() {
-  sys_error failure;
-  const tcp::endpoint endpoint(asio::ip::make_address(state_->address.host), state_->address.port);
-  state_->acceptor.open(endpoint.protocol(), failure);
-  if (!failure) {
-    state_->acceptor.set_option(tcp::acceptor::reuse_address(true), failure);
-    state_->acceptor.bind(endpoint, failure);
-  }
-  if (!failure) {
-    state_->acceptor.listen(asio::socket_base::max_listen_connections, failure);
-  }
-  if (failure) {
-    return error{error_code::kUnavailable,
-                 fmt::format("cannot listen on {}: {}", state_->address.Text(), failure.message())};
+  if (auto opened = OpenAcceptor(state_->acceptor, state_->address); !opened) {
+    return opened.error();
   }
   asio::co_spawn(state_->context, state_->Accept(), asio::detached);
   return outcome::success();
--- a/src/router/service_calls.cpp
+++ b/src/router/service_calls.cpp
@@ -196,11 +196,11 @@
   links.send = [this](claim_row target, call_service call, milliseconds timeout) {
     return SendOnce(std::move(target), std::move(call), timeout);
   };
-  links.ask_tombstone = [this](claim_row target, milliseconds timeout) {
+  links.ask_tombstone = [this](const claim_row& target, milliseconds timeout) {
     message question = cancel{target.attempt, target.incarnation, true};
     return Ask(target.endpoint, std::move(question), target.attempt, timeout);
   };
-  links.query = [this](claim_row target, bool wait, milliseconds timeout) {
+  links.query = [this](const claim_row& target, bool wait, milliseconds timeout) {
     message question = query_attempt{target.attempt, target.incarnation, wait};
     return Ask(target.endpoint, std::move(question), target.attempt, timeout);
   };
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <functional>
 #include <thread>
 
 #include "support/deployment.h"
@@ -72,48 +73,42 @@
     return caller;
   }
 
+  // Brings the failure about on the decode endpoint of a running stream and compares the answer with an undisturbed
+  // one.
+  void ExpectWholeAnswerAfter(const std::function<void(test_endpoint&)>& fail) {
+    const std::string prompt = "a question about the budget";
+    const streamed_answer expected = Complete(HttpPort(), prompt, kManyTokens);
+    ASSERT_TRUE(expected.whole) << expected.error_code;
+    bool failed = false;
+    const streamed_answer answer = Complete(HttpPort(), prompt, kManyTokens, [&](const streamed_answer&) {
+      test_endpoint* busy = failed ? nullptr : FindBusyDecode();
+      if (busy != nullptr) {
+        fail(*busy);
+        failed = true;
+      }
+      return true;
+    });
+    EXPECT_TRUE(failed);
+    EXPECT_TRUE(answer.whole) << answer.error_code;
+    EXPECT_EQ(answer.text, expected.text);
+  }
+
   deployment deployment_;
 };
 
 // Guards against a stream with a gap, a repeated token or a false end after its endpoint was lost (G2, G3).
 TEST_F(router_test, Completion_WhenDecodeVmIsKilled_ContinuesElsewhereWithoutGap) {
   StartDeployment(2, 2, 0, 1);
-  const streamed_answer expected = Complete(HttpPort(), "a question about the budget", kManyTokens);
-  ASSERT_TRUE(expected.whole) << expected.error_code;
-  bool killed = false;
-  const streamed_answer answer =
-      Complete(HttpPort(), "a question about the budget", kManyTokens, [&](const streamed_answer&) {
-        test_endpoint* busy = killed ? nullptr : FindBusyDecode();
-        if (busy != nullptr) {
-          busy->agent->Signal(SIGKILL);
-          busy->target->Signal(SIGKILL);
-          killed = true;
-        }
-        return true;
-      });
-  EXPECT_TRUE(killed);
-  EXPECT_TRUE(answer.whole) << answer.error_code;
-  EXPECT_EQ(answer.text, expected.text);
+  ExpectWholeAnswerAfter([](test_endpoint& busy) {
+    busy.agent->Signal(SIGKILL);
+    busy.target->Signal(SIGKILL);
+  });
 }
 
 // Guards against an agent that reports a cut stream as a whole one when only its engine dies (G3).
 TEST_F(router_test, Completion_WhenDecodeEngineIsKilled_ContinuesElsewhereWithoutGap) {
   StartDeployment(2, 2, 0, 1);
-  const streamed_answer expected = Complete(HttpPort(), "a question about roofs", kManyTokens);
-  ASSERT_TRUE(expected.whole) << expected.error_code;
-  bool killed = false;
-  const streamed_answer answer =
-      Complete(HttpPort(), "a question about roofs", kManyTokens, [&](const streamed_answer&) {
-        test_endpoint* busy = killed ? nullptr : FindBusyDecode();
-        if (busy != nullptr) {
-          busy->target->Signal(SIGKILL);
-          killed = true;
-        }
-        return true;
-      });
-  EXPECT_TRUE(killed);
-  EXPECT_TRUE(answer.whole) << answer.error_code;
-  EXPECT_EQ(answer.text, expected.text);
+  ExpectWholeAnswerAfter([](test_endpoint& busy) { busy.target->Signal(SIGKILL); });
 }
 
 // Guards against a stream that ends like a whole answer when no endpoint is left to continue it (G3, G4).
