--- a/bench/run.py
+++ b/bench/run.py
@@ -349,12 +349,18 @@
             "agent_tcp_bytes_per_s": sum(traffic[count:]) / max(1, len(agents))}
 
 
-def measure_size(args, roles, load_rate=0, **sizes):
+def token_load(tokens):
+    """Flags of model requests with answers of one length; 21 requests/s, so that the answers' length makes the rate."""
+    return ["--rate", "21", "--model", MODEL, "--prompt_tokens", "100-100", "--max_tokens", f"{tokens}-{tokens}"]
+
+
+def measure_size(args, roles, load_rate=0, load_flags=None, **sizes):
     with Fleet(args.build, DEPLOYMENTS["nastavnik"], roles, **sizes) as fleet:
         time.sleep(3)
         if load_rate:
-            fleet.load("--rate", str(load_rate), "--duration_s", str(args.seconds + 4), "--service_path",
-                       DEPLOYMENTS["nastavnik"]["path"], "--post_share", "0",
+            load_flags = ["--rate", str(load_rate), "--service_path", DEPLOYMENTS["nastavnik"]["path"], "--post_share", "0"]
+        if load_flags:
+            fleet.load(*load_flags, "--duration_s", str(args.seconds + 4),
                        json_path=os.path.join(fleet.folder, "slope.json"))
             time.sleep(2)
         figures = measure_processes(fleet, args.seconds)
@@ -371,6 +377,8 @@
         "records": [(count, lambda count=count: measure_size(args, base, extra_records=count))
                     for count in (0, 1000, 4000)],
         "requests_per_s": [(rate, lambda rate=rate: measure_size(args, base, load_rate=rate)) for rate in (0, 100, 200, 400)],
+        "output_tokens_per_s": [(21 * tokens, lambda tokens=tokens: measure_size(
+            args, {"prefill": 4, "decode": 8, "service": 1}, load_flags=token_load(tokens))) for tokens in (10, 40, 80)],
     }
     out = {}
     for name, plan in plans.items():
