--- a/src/net/acceptor.h
+++ b/src/net/acceptor.h
@@ -10,8 +10,8 @@
 
 namespace persimmon {
 
-// Binds the address and listens. The address may be bound while connections of an earlier process linger, but never by a
-// second listener; that keeps a second agent off a VM. Errors: kUnavailable if the address is taken.
+// Binds the address and listens. The address may be bound while connections of an earlier process linger, but never by
+// a second listener; that keeps a second agent off a VM. Errors: kUnavailable if the address is taken.
 inline result<void> OpenAcceptor(boost::asio::ip::tcp::acceptor& acceptor, const host_port& address) {
   boost::system::error_code failure;
   const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address(address.host), address.port);
--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -26,7 +26,6 @@
 constexpr milliseconds kDecodeRetryMinimum(10);  // pause after a refused decode reservation
 constexpr milliseconds kDecodeRetryMaximum(100);
 constexpr microseconds kShortestPrediction(20'000);  // below this, fixed costs hide the speed of an endpoint
-constexpr milliseconds kFirstStep(25);               // half a decode step of a full engine, and the way to the caller
 constexpr microseconds kInitialTransfer(60'000);     // until the first measurement
 constexpr double kMeasurementWeight = 0.1;           // of the newest value in a moving average
 constexpr std::chrono::hours kForever(24 * 365);
@@ -231,7 +230,7 @@
   times.prefill = SecondsToMicroseconds(uncached / rate);
   times.transfer = SecondsToMicroseconds(pool.transfer_s);
   admission_settings targets;
-  targets.first_token_target = job.first_token_target - kFirstStep;
+  targets.first_token_target = job.first_token_target;
   // A request that failed after its admission is urgent, but its own target has often passed already.
   const time_point counted_from = job.tries == 0 ? job.arrival : now - job.first_token_target / 2;
   const start_limit limit = LatestStart(counted_from, times, job.caller_deadline, targets);
