Give the reservation a span of its own

Cause: the trace showed queue and attempt, but not the reservation of the two slots between them. Change: a span "reservation" with both endpoints, failed if either was refused.

--- a/src/router/dispatcher.cpp
+++ b/src/router/dispatcher.cpp
@@ -11,6 +11,7 @@
 
 #include "core/log.h"
 #include "core/random.h"
+#include "core/telemetry.h"
 
 namespace persimmon {
 namespace {
@@ -108,6 +109,7 @@
 void dispatcher::Start() {
   endpoints_ = &kernel_.Find<endpoint_directory>("endpoints");
   peers_ = &kernel_.Find<peer_directory>("peers");
+  tracer_ = &kernel_.Find<telemetry>("telemetry").Tracer();
   endpoints_->SubscribeChanges([this](const endpoint_name&) { PumpAll(); });
   endpoints_->SubscribeReports([this](const load_report& report) { HandleReport(report); });
   kernel_.Find<config_store>("config").Subscribe(
@@ -460,6 +462,9 @@
   endpoints_->Register(plan.slots.decode_attempt, plan.slots.decode, replies);
   const request_id key = QueueKey(job->number);
   time_point latest_start = job->arrival + job->first_token_target - plan.slots.predicted_prefill;
+  span reservation = tracer_->StartSpan("reservation", job->traceparent);
+  reservation.SetAttribute("prefill", plan.slots.prefill.value);
+  reservation.SetAttribute("decode", plan.slots.decode.value);
   SendReservations(*job, plan, latest_start);
 
   reply prefill = reply::kNone;
@@ -483,6 +488,8 @@
     }
   }
 
+  reservation.failed = prefill != reply::kGranted || decode != reply::kGranted;
+  tracer_->EndSpan(std::move(reservation));
   const time_point now = timer_service::Now();
   pool_queue* pool = FindPool(pool_name);
   const bool still_wanted = pool != nullptr && pool->jobs.contains(key);
--- a/src/router/dispatcher.h
+++ b/src/router/dispatcher.h
@@ -14,6 +14,7 @@
 #include "core/kernel.h"
 #include "core/mailbox.h"
 #include "core/metrics.h"
+#include "core/trace.h"
 #include "persimmon/admission.h"
 #include "persimmon/prefix_index.h"
 #include "persimmon/records.h"
@@ -51,6 +52,7 @@
 
   std::uint64_t number = 0;  // unique in this process
   request_id request;
+  std::string traceparent;  // of the router's span of the request
   account_name account;
   double account_weight = 1.0;
   std::string pool;
@@ -136,6 +138,7 @@
   std::string process_id_;  // makes attempt ids unique across restarts of this router
   endpoint_directory* endpoints_ = nullptr;
   peer_directory* peers_ = nullptr;
+  tracer* tracer_ = nullptr;
   std::map<std::string, std::unique_ptr<pool_queue>> pools_;
   prefix_index prefixes_{prefix_limits{}};
   dispatch_log dispatches_;
--- a/src/router/model_calls.cpp
+++ b/src/router/model_calls.cpp
@@ -75,6 +75,7 @@
   auto job = std::make_shared<model_job>(kernel_.Context());
   job->number = ++next_job_;
   job->request = context.request;
+  job->traceparent = context.traceparent;
   job->account = context.account.record.name;
   job->account_weight = context.account.record.weight;
   job->pool = pool.name;
