Hash and count prompts with the one function of the prefix index

Cause: a read of the whole change. The engine stand-in hashed the raw bytes of a prompt, the router its words each followed by a space, under the same function name, so the router never found a cached prefix that an engine had reported. Three places counted the words of a prompt, and a model request looked up its suspect twice per try. Change: stand-in and agent call HashPromptBlocks and CountPromptTokens of prefix_index.h; the second look-up is gone. Conclusion: one definition, which the router's hint depends on.

--- a/src/agent/agent_work.cpp
+++ b/src/agent/agent_work.cpp
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include "agent/agent_state.h"
+#include "persimmon/prefix_index.h"
 
 namespace persimmon::detail {
 namespace {
@@ -56,17 +57,6 @@
   return static_cast<std::uint32_t>(std::max<std::int64_t>(0, std::chrono::ceil<milliseconds>(duration).count()));
 }
 
-std::uint32_t CountWords(std::string_view text) {
-  std::uint32_t words = 0;
-  bool in_word = false;
-  for (const char letter : text) {
-    const bool is_space = letter == ' ' || letter == '\n' || letter == '\t' || letter == '\r';
-    words += !is_space && !in_word ? 1 : 0;
-    in_word = !is_space;
-  }
-  return words;
-}
-
 // What a failed exchange with the engine means. A closed connection is the sign of a lost process; a refused one shows
 // that it was lost earlier, so this work has no part in it.
 std::string ExplainFailure(const error& failure) {
@@ -262,7 +252,7 @@
   request.latest_start = now;
   if (const auto* prefill = std::get_if<start_prefill>(&work.start)) {
     request.kind = slot_kind::kPrefill;
-    request.prompt_tokens = CountWords(prefill->prompt) + prefill->resume_tokens;
+    request.prompt_tokens = CountPromptTokens(prefill->prompt) + prefill->resume_tokens;
   } else {
     const auto& decode = std::get<start_decode>(work.start);
     request.kind = slot_kind::kDecode;
--- a/src/fakes/fake_engine.cpp
+++ b/src/fakes/fake_engine.cpp
@@ -33,13 +33,13 @@
 #include "core/log.h"
 #include "core/random.h"
 #include "net/http.h"
+#include "persimmon/prefix_index.h"
 
 namespace persimmon {
 namespace {
 
 using json = nlohmann::json;
 
-constexpr std::uint32_t kBlockTokens = 256;
 constexpr std::uint32_t kPieceTokens = 2'000;
 constexpr std::size_t kMaxCacheEvents = 10'000;
 constexpr milliseconds kLoadSamplePeriod(20);
@@ -50,27 +50,6 @@
   return log;
 }
 
-bool IsSpace(char letter) { return letter == ' ' || letter == '\n' || letter == '\t' || letter == '\r'; }
-
-// Calls the function with the number of words so far and the end of each word.
-template <class function>
-std::uint32_t VisitWords(std::string_view prompt, function on_word) {
-  std::uint32_t words = 0;
-  bool in_word = false;
-  for (std::size_t i = 0; i <= prompt.size(); ++i) {
-    const bool is_space = i == prompt.size() || IsSpace(prompt[i]);
-    if (in_word && is_space) {
-      on_word(++words, i);
-    }
-    in_word = !is_space;
-  }
-  return words;
-}
-
-std::uint32_t CountWords(std::string_view prompt) {
-  return VisitWords(prompt, [](std::uint32_t, std::size_t) {});
-}
-
 std::string Line(const json& value) { return value.dump() + "\n"; }
 
 http_response JsonReply(int status, const json& value) { return JsonResponse(status, value.dump()); }
@@ -100,21 +79,6 @@
   return fmt::format("w{:x} ", XXH64(prompt.data(), prompt.size(), number) & 0xffffffU);
 }
 
-std::vector<std::uint64_t> HashPromptBlocks(std::string_view prompt) {
-  std::vector<std::uint64_t> hashes;
-  XXH64_state_t state;
-  XXH64_reset(&state, 0);
-  std::size_t hashed = 0;
-  VisitWords(prompt, [&](std::uint32_t words, std::size_t end) {
-    if (words % kBlockTokens == 0) {
-      XXH64_update(&state, prompt.data() + hashed, end - hashed);
-      hashed = end;
-      hashes.push_back(XXH64_digest(&state));
-    }
-  });
-  return hashes;
-}
-
 // ---------------------------------------------------------------------------------------------------------------------
 // 2. prefix cache and cache events
 // ---------------------------------------------------------------------------------------------------------------------
@@ -394,7 +358,7 @@
     job->priority = input.value("priority", 0);
     job->kv = RandomHex(16);
     job->sequence = ++last_prefill;
-    job->tokens = std::max(1U, CountWords(job->prompt) + input.value("resume_tokens", 0U));
+    job->tokens = std::max(1U, CountPromptTokens(job->prompt) + input.value("resume_tokens", 0U));
     job->pieces = (job->tokens + kPieceTokens - 1) / kPieceTokens;
     prefills[job->kv] = job;
     exchange->OnDisconnect([this, job] { EndPrefill(job); });
--- a/src/fakes/fake_engine.h
+++ b/src/fakes/fake_engine.h
@@ -38,10 +38,6 @@
 // Token n of the answer to a prompt. Tests compute the whole expected answer with it.
 std::string FakeToken(std::string_view prompt, std::uint32_t number);
 
-// Hashes of a prompt up to the end of each whole block of 256 tokens: XXH64 with seed 0 over the bytes from the start
-// of the prompt to the end of the block's last word.
-std::vector<std::uint64_t> HashPromptBlocks(std::string_view prompt);
-
 class fake_engine {
  public:
   fake_engine(asio::io_context& context, fake_engine_options options);
--- a/src/router/model_calls.cpp
+++ b/src/router/model_calls.cpp
@@ -89,16 +89,6 @@
   return job;
 }
 
-std::optional<refusal> model_calls::CheckSuspect(model_job& job) const {
-  const suspect_check check = suspects_->Check(job.fingerprint);
-  job.suspect = check.verdict != suspect_verdict::kClear;
-  if (check.verdict != suspect_verdict::kRefused) {
-    return std::nullopt;
-  }
-  return refusal{refusal_code::kSuspectRequest, outcome_kind::kNotRun,
-                 "Endpoints have crashed while they ran this request.", check.retry_in};
-}
-
 bool model_calls::MayRetry(const call_state& call) {
   const auto tries = static_cast<std::int64_t>(call.job->tries);
   return tries <= settings_.max_retries && retries_.AllowRetry(timer_service::Now());
@@ -126,11 +116,14 @@
   const time_point suspect_end = timer_service::Now() + kSuspectWait;
 
   while (true) {
-    if (auto refused = CheckSuspect(*call.job)) {
-      refused->outcome = call.job->tries == 0 ? outcome_kind::kNotRun : outcome_kind::kMayHaveRun;
-      co_return co_await SendRefusal(call, *refused);
+    const suspect_check suspect = suspects_->Check(call.job->fingerprint);
+    call.job->suspect = suspect.verdict != suspect_verdict::kClear;
+    if (suspect.verdict == suspect_verdict::kRefused) {
+      refusal refused{refusal_code::kSuspectRequest, outcome_kind::kNotRun,
+                      "Endpoints have crashed while they ran this request.", suspect.retry_in};
+      co_return co_await SendRefusal(call, std::move(refused));
     }
-    if (suspects_->Check(call.job->fingerprint).verdict == suspect_verdict::kWait) {
+    if (suspect.verdict == suspect_verdict::kWait) {
       if (timer_service::Now() > suspect_end) {
         refusal busy{refusal_code::kSuspectRequest, outcome_kind::kNotRun, "A copy of this request is still running.",
                      milliseconds(2'000)};
--- a/src/router/model_calls.h
+++ b/src/router/model_calls.h
@@ -70,7 +70,6 @@
 
   model_job_ptr MakeJob(const call_context& context, const model_request& content, const pool_record& pool);
   guarded<pool_record> FindPool(const model_request& content) const;
-  std::optional<refusal> CheckSuspect(model_job& job) const;
   bool MayRetry(const call_state& call);
   task<attempt_end> RunAttempt(call_state& call, granted_slots slots);
   task<std::optional<attempt_end>> HandleEvent(call_state& call, attempt_state& attempt, attempt_event event);
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include "fakes/fake_engine.h"
+#include "persimmon/prefix_index.h"
 #include "support/agent_harness.h"
 
 namespace persimmon {
@@ -147,6 +148,7 @@
   EXPECT_EQ(AgentLog().find("A transfer has stalled"), std::string::npos);
 }
 
+// Guards against engines and routers that hash prefixes differently, so that no cached prefix is ever found.
 TEST_F(agent_test, LoadReport_AfterPrefill_CarriesCacheEvents) {
   StartModelEndpoint({"--event_lag_ms=0"});
   const std::string prompt = MakePrompt(600);
