--- a/src/agent/agent.h
+++ b/src/agent/agent.h
@@ -10,8 +10,8 @@
 #include "agent/agent_settings.h"
 #include "core/kernel.h"
 #include "core/trace.h"
-#include "platform/config_store.h"
 #include "platform/table_client.h"
+#include "store/config_store.h"
 
 namespace persimmon {
 
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -27,7 +27,7 @@
 #include "net/http.h"
 #include "persimmon/attempts.h"
 #include "persimmon/slots.h"
-#include "platform/config_store.h"
+#include "store/config_store.h"
 
 namespace persimmon::detail {
 
--- a/src/agent/identity.h
+++ b/src/agent/identity.h
@@ -16,8 +16,8 @@
 #include "core/timers.h"
 #include "persimmon/error.h"
 #include "persimmon/types.h"
-#include "platform/incarnation.h"
 #include "platform/table_client.h"
+#include "store/incarnation.h"
 
 namespace persimmon {
 
--- a/src/ctl/fleet.h
+++ b/src/ctl/fleet.h
@@ -10,7 +10,7 @@
 #include "core/timers.h"
 #include "net/channel.h"
 #include "persimmon/records.h"
-#include "platform/vm_list.h"
+#include "store/vm_list.h"
 
 namespace persimmon {
 
--- a/src/ctl/record_writer.cpp
+++ b/src/ctl/record_writer.cpp
@@ -11,7 +11,7 @@
 #include <set>
 
 #include "core/random.h"
-#include "platform/config_store.h"
+#include "store/config_store.h"
 
 namespace persimmon {
 namespace {
--- /dev/null
+++ b/src/decisions/endpoint_registry.cpp
@@ -0,0 +1,64 @@
+#include "persimmon/endpoint_registry.h"
+
+#include <set>
+
+namespace persimmon {
+
+void endpoint_registry::PutEntry(const endpoint_entry& entry) {
+  entries_.insert_or_assign(entry.name, stored_entry{entry, std::nullopt});
+}
+
+void endpoint_registry::RemoveEntry(const endpoint_name& name, time_point now) {
+  const auto found = entries_.find(name);
+  if (found == entries_.end()) {
+    return;
+  }
+  const bool may_have_lapsed = now < lapses_until_ && !found->second.entry.draining;
+  if (!may_have_lapsed) {
+    entries_.erase(found);
+  } else if (!found->second.lapses_at) {
+    found->second.lapses_at = lapses_until_;
+  }
+}
+
+void endpoint_registry::ReplaceAll(const std::vector<endpoint_entry>& entries, bool after_outage, time_point now) {
+  if (after_outage) {
+    NoteStoreBack(now);
+  }
+  std::set<endpoint_name> present;
+  for (const endpoint_entry& entry : entries) {
+    present.insert(entry.name);
+    PutEntry(entry);
+  }
+  std::vector<endpoint_name> missing;
+  for (const auto& [name, stored] : entries_) {
+    if (!present.contains(name)) {
+      missing.push_back(name);
+    }
+  }
+  for (const endpoint_name& name : missing) {
+    RemoveEntry(name, now);
+  }
+}
+
+bool endpoint_registry::ExpireLapsed(time_point now) {
+  return std::erase_if(entries_,
+                       [now](const auto& item) { return item.second.lapses_at && *item.second.lapses_at <= now; }) > 0;
+}
+
+const endpoint_entry* endpoint_registry::Find(const endpoint_name& name) const {
+  const auto found = entries_.find(name);
+  return found == entries_.end() ? nullptr : &found->second.entry;
+}
+
+std::vector<const endpoint_entry*> endpoint_registry::ListReady(const std::string& service) const {
+  std::vector<const endpoint_entry*> ready;
+  for (const auto& [name, stored] : entries_) {
+    if (stored.entry.service == service && !stored.entry.draining) {
+      ready.push_back(&stored.entry);
+    }
+  }
+  return ready;
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/decisions/kv_placement.cpp
@@ -0,0 +1,93 @@
+#include "persimmon/kv_placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+namespace persimmon {
+namespace {
+
+std::uint32_t RoundUp(std::uint32_t tokens, std::uint32_t block) { return (tokens + block - 1) / block * block; }
+
+std::uint32_t FreeTokens(const engine_view& engine) {
+  return engine.kv_tokens > engine.reserved_tokens ? engine.kv_tokens - engine.reserved_tokens : 0;
+}
+
+bool HasRoom(const engine_view& engine, std::uint32_t tokens, const placement_settings& settings) {
+  const bool was_refused = engine.refused_tokens > 0 && tokens >= engine.refused_tokens;
+  return engine.can_receive && !was_refused && engine.running < engine.slots &&
+         FreeTokens(engine) >= RoundUp(tokens, settings.block_tokens);
+}
+
+// Load of an engine for comparison: an engine in another zone counts as more loaded.
+double ZoneCost(const engine_view& engine, const zone_name& preferred_zone, const placement_settings& settings) {
+  return preferred_zone.empty() || engine.zone == preferred_zone ? 0 : settings.cross_zone_tokens;
+}
+
+}  // namespace
+
+std::optional<std::size_t> ChooseDecodeEngine(std::span<const engine_view> engines, std::uint32_t tokens,
+                                              const zone_name& preferred_zone, std::uint64_t draw,
+                                              const placement_settings& settings) {
+  std::vector<std::size_t> candidates;
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    if (HasRoom(engines[i], tokens, settings)) {
+      candidates.push_back(i);
+    }
+  }
+  if (candidates.empty()) {
+    return std::nullopt;
+  }
+  const auto score = [&](std::size_t index) {
+    return static_cast<double>(FreeTokens(engines[index])) - ZoneCost(engines[index], preferred_zone, settings);
+  };
+  const std::size_t first = candidates[draw % candidates.size()];
+  const std::size_t second = candidates[(draw >> 32U) % candidates.size()];
+  return score(second) > score(first) ? second : first;
+}
+
+std::optional<std::size_t> ChoosePrefillEngine(std::span<const engine_view> engines, const zone_name& preferred_zone,
+                                               std::uint64_t draw, const placement_settings& settings) {
+  std::optional<std::size_t> best;
+  double best_cost = 0;
+  for (std::size_t offset = 0; offset < engines.size(); ++offset) {
+    const std::size_t i = (draw + offset) % engines.size();
+    if (!engines[i].can_receive || engines[i].running >= engines[i].slots) {
+      continue;
+    }
+    const double cost = engines[i].pending_tokens + ZoneCost(engines[i], preferred_zone, settings);
+    if (!best || cost < best_cost) {
+      best = i;
+      best_cost = cost;
+    }
+  }
+  return best;
+}
+
+microseconds PredictPrefill(const engine_view& engine, std::uint32_t prompt_tokens,
+                            const placement_settings& settings) {
+  const double tokens = static_cast<double>(engine.pending_tokens) + prompt_tokens;
+  return microseconds(static_cast<std::int64_t>(tokens / settings.prefill_tokens_per_ms * 1'000));
+}
+
+std::uint32_t PlanPrefillEngines(std::uint32_t engines, std::uint32_t kv_tokens, std::uint32_t slots,
+                                 const workload_profile& profile) {
+  if (engines < 2) {
+    return 0;
+  }
+  const double request_tokens = profile.prompt_tokens + profile.output_tokens;
+  const double by_memory = std::max(1.0, kv_tokens / request_tokens);
+  const double concurrent = slots == 0 ? by_memory : std::min(by_memory, static_cast<double>(slots));
+  const double prefill_ms = profile.prompt_tokens / profile.prefill_tokens_per_ms;
+  const double decode_ms = profile.output_tokens * profile.token_interval_ms / concurrent;
+  const double wanted = std::round(engines * prefill_ms / (prefill_ms + decode_ms));
+  return static_cast<std::uint32_t>(std::clamp(wanted, 1.0, static_cast<double>(engines - 1)));
+}
+
+std::uint32_t EstimateOutput(std::optional<std::uint32_t> hint, std::uint32_t maximum,
+                             const output_estimate_settings& settings) {
+  const double estimate = hint ? *hint * settings.hint_share : maximum * settings.maximum_share;
+  return std::min(maximum, static_cast<std::uint32_t>(std::ceil(estimate)));
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/decisions/routes.cpp
@@ -0,0 +1,90 @@
+#include "persimmon/routes.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace persimmon {
+namespace {
+
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
+  return lower;
+}
+
+std::string_view WithoutPort(std::string_view host) {
+  const auto colon = host.rfind(':');
+  return colon == std::string_view::npos ? host : host.substr(0, colon);
+}
+
+}  // namespace
+
+const char* CallKindName(call_kind kind) {
+  switch (kind) {
+    case call_kind::kIdempotent:
+      return "idempotent";
+    case call_kind::kNonIdempotent:
+      return "non_idempotent";
+    case call_kind::kStreaming:
+      return "streaming";
+  }
+  return "unknown";
+}
+
+routing_table::routing_table(revision_number revision, std::vector<route_record> routes,
+                             std::vector<service_record> services, const caller_limits& limits)
+    : revision_(revision), limits_(limits) {
+  for (route_record& route : routes) {
+    prefix_map& prefixes = hosts_[LowerCase(route.host)];
+    std::string prefix = route.path_prefix;
+    prefixes.insert_or_assign(std::move(prefix), std::move(route));
+  }
+  for (service_record& service : services) {
+    std::string name = service.name;
+    services_.insert_or_assign(std::move(name), std::move(service));
+  }
+}
+
+const route_record* routing_table::FindRoute(std::string_view host, std::string_view target) const {
+  const auto found = hosts_.find(LowerCase(WithoutPort(host)));
+  if (found == hosts_.end()) {
+    return nullptr;
+  }
+  std::string_view path = target.substr(0, target.find('?'));
+  // Prefixes end with a slash, so only the beginnings of the path that do are looked up, the longest first.
+  for (auto slash = path.rfind('/'); slash != std::string_view::npos; slash = path.rfind('/')) {
+    const auto route = found->second.find(path.substr(0, slash + 1));
+    if (route != found->second.end()) {
+      return &route->second;
+    }
+    path = path.substr(0, slash);
+  }
+  return nullptr;
+}
+
+const service_record* routing_table::FindService(const std::string& name) const {
+  const auto found = services_.find(name);
+  return found == services_.end() ? nullptr : &found->second;
+}
+
+std::size_t routing_table::RouteCount() const {
+  return std::accumulate(hosts_.begin(), hosts_.end(), std::size_t{0},
+                         [](std::size_t sum, const auto& host) { return sum + host.second.size(); });
+}
+
+const std::string& PickService(const route_record& route, double draw) {
+  const auto total = std::accumulate(route.services.begin(), route.services.end(), std::uint64_t{0},
+                                     [](std::uint64_t sum, const auto& target) { return sum + target.weight; });
+  double place = draw * static_cast<double>(total);
+  for (const weighted_service& target : route.services) {
+    place -= target.weight;
+    if (place < 0 && target.weight > 0) {
+      return target.service;
+    }
+  }
+  return route.services.back().service;
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/decisions/send_budget.cpp
@@ -0,0 +1,39 @@
+#include "persimmon/send_budget.h"
+
+namespace persimmon {
+
+void send_budget::Expire(time_point now) {
+  const time_point oldest = now - settings_.window;
+  while (!requests_.empty() && requests_.front() < oldest) {
+    requests_.pop_front();
+  }
+  while (!sends_.empty() && sends_.front() < oldest) {
+    sends_.pop_front();
+  }
+}
+
+void send_budget::NoteRequest(time_point now) {
+  Expire(now);
+  requests_.push_back(now);
+}
+
+double send_budget::Available(time_point now) {
+  Expire(now);
+  const double total = settings_.ratio * static_cast<double>(requests_.size()) + settings_.slack / routers_;
+  return settings_.usage * total - static_cast<double>(sends_.size());
+}
+
+bool send_budget::AllowSend(time_point now) {
+  if (Available(now) < 1) {
+    return false;
+  }
+  sends_.push_back(now);
+  return true;
+}
+
+void send_budget::NoteSend(time_point now) {
+  Expire(now);
+  sends_.push_back(now);
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/decisions/stage_plan.cpp
@@ -0,0 +1,83 @@
+#include "persimmon/stage_plan.h"
+
+#include <algorithm>
+
+namespace persimmon {
+
+std::vector<stage_change> stage_planner::Plan(std::span<const staged_engine> engines, std::uint32_t wanted_prefill,
+                                              time_point now) {
+  std::map<endpoint_name, std::uint64_t> present;
+  for (const staged_engine& engine : engines) {
+    present[engine.name] = engine.started_ms;
+  }
+  if (present != known_) {
+    known_ = std::move(present);
+    known_since_ = now;
+  }
+  std::erase_if(pending_, [&](const auto& item) { return now >= item.second.until || !known_.contains(item.first); });
+  const bool is_settled = now - known_since_ >= settings_.settle;
+  const bool is_paused = last_round_ && now - *last_round_ < settings_.round_pause;
+  if (!is_settled || is_paused || engines.size() < 2) {
+    return {};
+  }
+
+  std::uint32_t prefill = 0;
+  std::map<zone_name, std::map<endpoint_role, std::uint32_t>> zones;
+  std::vector<const staged_engine*> changeable;
+  for (const staged_engine& engine : engines) {
+    const auto ordered = pending_.find(engine.name);
+    const endpoint_role role = ordered == pending_.end() ? engine.role : ordered->second.role;
+    prefill += role == endpoint_role::kPrefill ? 1 : 0;
+    ++zones[engine.zone][role];
+    if (ordered == pending_.end()) {
+      changeable.push_back(&engine);
+    }
+  }
+  const endpoint_role from = prefill > wanted_prefill ? endpoint_role::kPrefill : endpoint_role::kDecode;
+  const endpoint_role to = from == endpoint_role::kPrefill ? endpoint_role::kDecode : endpoint_role::kPrefill;
+  std::uint32_t missing = prefill > wanted_prefill ? prefill - wanted_prefill : wanted_prefill - prefill;
+  std::vector<stage_change> changes;
+  while (missing > 0) {
+    const auto better = [&](const staged_engine* left, const staged_engine* right) {
+      const std::uint32_t left_count = zones[left->zone][from];
+      const std::uint32_t right_count = zones[right->zone][from];
+      return left_count != right_count ? left_count > right_count : left->load < right->load;
+    };
+    const staged_engine* best = nullptr;
+    for (const staged_engine* engine : changeable) {
+      if (engine->role == from && (best == nullptr || better(engine, best))) {
+        best = engine;
+      }
+    }
+    if (best == nullptr) {
+      break;
+    }
+    --zones[best->zone][from];
+    ++zones[best->zone][to];
+    std::erase(changeable, best);
+    changes.push_back({best->name, to});
+    --missing;
+  }
+  return changes;
+}
+
+void stage_planner::NoteOrder(const stage_change& change, time_point now) {
+  pending_[change.engine] = {change.role, now + settings_.late_order};
+}
+
+lease_step lease_watch::NoteRow(std::uint64_t version, const std::string& holder, const std::string& self,
+                                time_point now) {
+  if (version != version_) {
+    version_ = version;
+    seen_since_ = now;
+  }
+  if (version == 0) {
+    return lease_step::kCreate;
+  }
+  if (holder == self) {
+    return lease_step::kRenew;
+  }
+  return now - seen_since_ >= 2 * lease_time_ ? lease_step::kTakeOver : lease_step::kWait;
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/direct/direct_call.cpp
@@ -0,0 +1,106 @@
+#include "direct/direct_call.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace persimmon {
+
+const char* CallOutcomeName(call_outcome outcome) {
+  switch (outcome) {
+    case call_outcome::kAnswered:
+      return "answered";
+    case call_outcome::kRefused:
+      return "refused";
+    case call_outcome::kFailed:
+      return "failed";
+    case call_outcome::kCallerGone:
+      return "caller_gone";
+  }
+  return "unknown";
+}
+
+direct_call::direct_call(std::shared_ptr<http_exchange> exchange, platform::request_terms terms,
+                         std::shared_ptr<const routing_table> table, const route_record& route,
+                         const service_record& service, time_point arrival)
+    : exchange_(std::move(exchange)),
+      terms_(std::move(terms)),
+      table_(std::move(table)),
+      route_(route),
+      service_(service),
+      forwarded_(platform::MakeForwarded(exchange_->Request())),
+      arrival_(arrival),
+      end_(arrival + std::min(route.timeout, terms_.time_budget.value_or(route.timeout))) {}
+
+void direct_call::WatchCaller() {
+  exchange_->OnDisconnect([weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->caller_gone_ = true;
+      if (auto cancel = std::exchange(self->cancel_, nullptr)) {
+        cancel();
+      }
+    }
+  });
+}
+
+void direct_call::OnCallerGone(std::function<void()> cancel) {
+  if (caller_gone_) {
+    cancel();
+  } else {
+    cancel_ = std::move(cancel);
+  }
+}
+
+milliseconds direct_call::TimeLeft(time_point now) const {
+  return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(end_ - now));
+}
+
+milliseconds direct_call::Age(time_point now) const { return std::chrono::duration_cast<milliseconds>(now - arrival_); }
+
+task<void> direct_call::RespondOwn(int status, const std::string& code, std::optional<milliseconds> retry_after) {
+  const bool not_run = retry_after.has_value();
+  const nlohmann::json body = {
+      {"error", {{"code", code}, {"outcome", not_run ? "not_run" : "may_have_run"}, {"request_id", terms_.attempt}}}};
+  http_response response = JsonResponse(status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  for (header_field& field : platform::OwnAnswerHeaders(terms_.attempt)) {
+    response.headers.push_back(std::move(field));
+  }
+  if (retry_after) {
+    response.headers.push_back({"Retry-After", fmt::format("{:.3f}", static_cast<double>(retry_after->count()) / 1e3)});
+  }
+  // A failed write means that the caller has gone, which the exchange reports by itself.
+  (void)co_await exchange_->Respond(std::move(response));
+}
+
+task<call_outcome> direct_call::Refuse(std::string code, milliseconds retry_after) {
+  reason = std::move(code);
+  co_await RespondOwn(503, reason, retry_after);
+  co_return call_outcome::kRefused;
+}
+
+task<call_outcome> direct_call::Fail(int status, std::string code) {
+  reason = std::move(code);
+  co_await RespondOwn(status, reason, std::nullopt);
+  co_return call_outcome::kFailed;
+}
+
+call_outcome direct_call::BreakOff(const std::string& code) {
+  reason = code;
+  exchange_->AbortStream();
+  return call_outcome::kFailed;
+}
+
+call_outcome direct_call::NoteGone() {
+  reason = "caller_gone";
+  return call_outcome::kCallerGone;
+}
+
+http_call::head_filter AnswersAttempt(const std::string& attempt) {
+  return [attempt](const http_head& head) {
+    const std::string answered = platform::ReadAnswer(head).attempt;
+    return attempt.empty() || answered.empty() || answered == attempt;
+  };
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/direct/direct_router.cpp
@@ -0,0 +1,43 @@
+#include "direct/direct_router.h"
+
+#include "core/telemetry.h"
+#include "direct/entry.h"
+
+namespace persimmon {
+
+result<detail::stop_function> BuildDirectRouter(kernel& services, const direct_settings& defaults) {
+  const auto path = platform::SettingsPath();
+  if (!path) {
+    return error{error_code::kInvalid, "no settings file of the platform is named"};
+  }
+  auto deployment = platform::ReadDeploymentSettings(*path);
+  if (!deployment) {
+    return deployment.error();
+  }
+  const auto settings = std::make_shared<direct_settings>(defaults);
+  settings->deployment = deployment.value();
+
+  http_client_limits limits;
+  limits.connect_timeout = settings->connect_timeout;
+  limits.idle_connections = static_cast<std::size_t>(settings->idle_connections);
+  limits.reuse_limit = settings->reuse_limit;
+  const auto client = std::make_shared<http_client>(services.Context(), limits);
+  const table_client table(services.Context(), {settings->deployment.store}, settings->store_timeout);
+
+  services.Register<telemetry>("telemetry", services, settings->deployment.name, std::string());
+  auto& group = services.Register<router_group>("group", services, *settings);
+  auto& directory = services.Register<deployment_directory>("directory", services, *settings, table);
+  auto& board = services.Register<endpoint_board>("board", services, *settings);
+  services.Register<send_budgets>("budgets", services, *settings);
+  services.Register<plain_calls>("plain", services, *settings, *client);
+  services.Register<generation_calls>("generations", services, *settings, *client);
+  services.Register<stage_orders>("stages", services, *settings, *client, table);
+  auto& front = services.Register<entry>("entry", services, *settings, *client);
+  group.own_revision = [&directory] { return directory.Routes()->Revision(); };
+  group.own_uses = [&board] { return board.OwnUses(); };
+  // The settings and the client live as long as the stop function, which the program keeps until the kernel has ended.
+  return detail::stop_function(
+      [&front, settings, client](std::function<void()> finished) { front.Drain(std::move(finished)); });
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/direct/direct_settings.cpp
@@ -0,0 +1,33 @@
+#include "direct/direct_settings.h"
+
+namespace persimmon {
+
+void BindDirectSettings(settings_binder& bind, direct_settings& settings) {
+  constexpr milliseconds kMillisecond(1);
+  constexpr milliseconds kMinute(60'000);
+  const auto duration = [&](const char* section, const char* key, milliseconds& target) {
+    bind.Duration(section, key, target, kMillisecond, kMinute);
+  };
+  duration("store", "timeout_ms", settings.store_timeout);
+  duration("store", "feed_wait_ms", settings.feed_wait);
+  duration("endpoints", "connect_timeout_ms", settings.connect_timeout);
+  duration("endpoints", "reuse_limit_ms", settings.reuse_limit);
+  bind.Number("endpoints", "idle_connections", settings.idle_connections, 0, 1'000);
+  duration("endpoints", "down_pause_ms", settings.down_pause);
+  duration("endpoints", "down_pause_limit_ms", settings.down_pause_limit);
+  bind.Real("plain", "second_try_share", settings.second_try_share, 0.05, 10);
+  duration("plain", "retry_after_ms", settings.plain_retry_after);
+  duration("model", "reserve_timeout_ms", settings.reserve_timeout);
+  duration("model", "reservation_time_ms", settings.reservation_time);
+  duration("model", "refused_pause_ms", settings.refused_pause);
+  duration("model", "transfer_time_ms", settings.transfer_time);
+  duration("model", "late_wait_ms", settings.late_wait);
+  duration("model", "stall_limit_ms", settings.stall_limit);
+  bind.Real("model", "output_share", settings.output_share, 0.05, 10);
+  bind.Flag("stages", "order_stages", settings.order_stages);
+  duration("stages", "stage_settle_ms", settings.stage_settle);
+  duration("stop", "announce_ms", settings.stop_announce);
+  duration("stop", "reserve_ms", settings.stop_reserve);
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/direct/directory.h
@@ -0,0 +1,71 @@
+// What the store says: the desired state in force and the registered endpoints. A service of the kernel.
+//
+// Both tables are followed by a feed. A lower revision is never applied. While the store is away, what is known stays
+// in force; a process that starts then takes the state of another router.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/kernel.h"
+#include "direct/direct_settings.h"
+#include "persimmon/endpoint_registry.h"
+#include "persimmon/routes.h"
+#include "platform/table_client.h"
+
+namespace persimmon {
+
+class deployment_directory {
+ public:
+  deployment_directory(kernel& services, const direct_settings& settings, table_client table);
+
+  void Start();
+  void Stop();
+
+  // Never null; revision 0 before the first desired state is in force.
+  std::shared_ptr<const routing_table> Routes() const { return routes_; }
+  bool IsInForce() const { return routes_->Revision() != 0; }
+  bool IsStoreReachable() const { return !feeds_[0].is_away && !feeds_[1].is_away; }
+
+  const endpoint_registry& Endpoints() const { return registry_; }
+
+  // Calls the function after every change of routes or endpoints.
+  void Subscribe(std::function<void()> on_change) { listeners_.push_back(std::move(on_change)); }
+
+  // State for a router that starts while the store is away, as JSON, and its inverse. Errors: kProtocol.
+  std::string ExportState() const;
+  result<void> ImportState(const std::string& text);
+
+ private:
+  struct feed_state {
+    bool is_away = false;
+    time_point away_since;
+    std::uint64_t version = 0;
+  };
+  enum feed_index : std::size_t { kDesiredState, kEndpoints };
+
+  task<> FollowTable(std::string table, feed_index index);
+  void NoteAnswer(const std::string& table, feed_state& feed);
+  void NoteFailure(const std::string& table, feed_state& feed, const error& failure);
+  void ApplyRows(feed_index index, const std::vector<table_row>& rows, bool is_snapshot, bool after_outage);
+  void ApplyDesiredState(const table_row& row);
+  void ApplyEndpointRow(const table_row& row);
+  void ApplyEndpoints(const std::vector<table_row>& rows, bool after_outage);
+  void NotifyListeners();
+
+  kernel& kernel_;
+  const direct_settings& settings_;
+  table_client table_;
+  std::shared_ptr<const routing_table> routes_ = std::make_shared<routing_table>();
+  endpoint_registry registry_{registry_settings{}};
+  std::string desired_text_;                        // as last applied, for other routers
+  std::map<std::string, std::string> entry_texts_;  // by endpoint, for other routers
+  std::array<feed_state, 2> feeds_;
+  std::vector<std::function<void()>> listeners_;
+  timer_subscription lapse_timer_;
+  bool stopped_ = false;
+};
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/direct/endpoint_board.cpp
@@ -0,0 +1,208 @@
+#include "direct/endpoint_board.h"
+
+#include <algorithm>
+
+#include "core/event_log.h"
+#include "core/random.h"
+
+namespace persimmon {
+namespace {
+
+constexpr const char* kPart = "router.board";
+constexpr milliseconds kHealthPeriod(250);
+
+template <class number>
+void AddClamped(number& target, std::int64_t change) {
+  target = static_cast<number>(std::max<std::int64_t>(0, static_cast<std::int64_t>(target) + change));
+}
+
+bool Contains(const std::vector<endpoint_name>& names, const endpoint_name& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+}  // namespace
+
+endpoint_board::endpoint_board(kernel& services, const direct_settings& settings)
+    : kernel_(services), settings_(settings) {}
+
+void endpoint_board::Start() {
+  directory_ = &kernel_.Find<deployment_directory>("directory");
+  group_ = &kernel_.Find<router_group>("group");
+  health_timer_ = kernel_.Timers().SubscribeEvery(kHealthPeriod, 0.1, [this] {
+    UpdateHealth();
+    DropIdleStates();
+  });
+}
+
+void endpoint_board::Stop() { health_timer_.Cancel(); }
+
+endpoint_board::endpoint_state& endpoint_board::State(const endpoint_name& endpoint) {
+  endpoint_state& state = states_[endpoint];
+  state.use.endpoint = EndpointKey(endpoint);
+  return state;
+}
+
+const endpoint_board::endpoint_state* endpoint_board::FindState(const endpoint_name& endpoint) const {
+  const auto found = states_.find(endpoint);
+  return found == states_.end() ? nullptr : &found->second;
+}
+
+void endpoint_board::AddCall(const endpoint_name& endpoint, int calls) { AddClamped(State(endpoint).use.calls, calls); }
+
+void endpoint_board::AddPrefill(const endpoint_name& endpoint, std::int64_t tokens, int prefills) {
+  endpoint_use& use = State(endpoint).use;
+  AddClamped(use.prefill_tokens, tokens);
+  AddClamped(use.prefills, prefills);
+  group_->NoteChange();
+}
+
+void endpoint_board::AddDecode(const endpoint_name& endpoint, std::int64_t tokens, int decodes) {
+  endpoint_use& use = State(endpoint).use;
+  AddClamped(use.decode_tokens, tokens);
+  AddClamped(use.decodes, decodes);
+  group_->NoteChange();
+}
+
+void endpoint_board::NoteRefused(const endpoint_name& endpoint, std::uint32_t tokens) {
+  const time_point now = timer_service::Now();
+  endpoint_state& state = State(endpoint);
+  const bool is_recent = now < state.refused_until;
+  state.refused_tokens = is_recent ? std::min(state.refused_tokens, tokens) : tokens;
+  state.refused_until = now + settings_.refused_pause;
+}
+
+void endpoint_board::NoteAnswer(const chosen_endpoint& endpoint) {
+  State(endpoint.name).down_pause = milliseconds(0);
+  const endpoint_entry* entry = directory_->Endpoints().Find(endpoint.name);
+  if (entry == nullptr) {
+    return;
+  }
+  health_.try_emplace(entry->service, health_settings{})
+      .first->second.NoteAnswer(endpoint.name, 1, timer_service::Now());
+}
+
+void endpoint_board::NoteFailure(const chosen_endpoint& endpoint) {
+  const endpoint_entry* entry = directory_->Endpoints().Find(endpoint.name);
+  if (entry == nullptr) {
+    return;
+  }
+  health_.try_emplace(entry->service, health_settings{}).first->second.NoteFailure(endpoint.name, timer_service::Now());
+}
+
+void endpoint_board::NoteUnreachable(const chosen_endpoint& endpoint) {
+  endpoint_state& state = State(endpoint.name);
+  state.down_pause = std::clamp(state.down_pause * 2, settings_.down_pause, settings_.down_pause_limit);
+  state.down_until = timer_service::Now() + state.down_pause;
+  Events()
+      .Line(kPart, "endpoint_unreachable")
+      .Add("endpoint", endpoint.name.value)
+      .Add("address", endpoint.address.Text())
+      .Add("pause_ms", state.down_pause.count());
+}
+
+std::vector<chosen_endpoint> endpoint_board::List(const std::string& service, std::optional<endpoint_role> role) const {
+  std::vector<chosen_endpoint> endpoints;
+  for (const endpoint_entry* entry : directory_->Endpoints().ListReady(service)) {
+    auto address = ParseHostPort(entry->address);
+    if (address && (!role || entry->role == role)) {
+      endpoints.push_back({entry->name, entry->started_ms, entry->zone, address.value()});
+    }
+  }
+  return endpoints;
+}
+
+bool endpoint_board::CanReceive(const chosen_endpoint& endpoint, time_point now) const {
+  const endpoint_state* state = FindState(endpoint.name);
+  return state == nullptr || now >= state->down_until;
+}
+
+std::vector<endpoint_view> endpoint_board::PlainViews(const std::vector<chosen_endpoint>& endpoints,
+                                                      const std::vector<endpoint_name>& avoid) const {
+  const time_point now = timer_service::Now();
+  std::vector<endpoint_view> views;
+  for (const chosen_endpoint& endpoint : endpoints) {
+    endpoint_view view;
+    view.name = endpoint.name;
+    view.zone = endpoint.zone;
+    view.can_receive = CanReceive(endpoint, now) && !Contains(avoid, endpoint.name);
+    const endpoint_entry* entry = directory_->Endpoints().Find(endpoint.name);
+    const auto health = entry == nullptr ? health_.end() : health_.find(entry->service);
+    view.health_share = health == health_.end() ? 1.0 : health->second.HealthShare(endpoint.name);
+    const endpoint_state* state = FindState(endpoint.name);
+    view.calls_in_progress = (state == nullptr ? 0U : state->use.calls) + group_->PeerUse(endpoint.name).calls;
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+std::vector<engine_view> endpoint_board::EngineViews(const std::vector<chosen_endpoint>& endpoints,
+                                                     const engine_profile& profile,
+                                                     const std::vector<endpoint_name>& avoid) const {
+  const time_point now = timer_service::Now();
+  std::vector<engine_view> views;
+  for (const chosen_endpoint& endpoint : endpoints) {
+    const endpoint_state* state = FindState(endpoint.name);
+    const endpoint_use own = state == nullptr ? endpoint_use{} : state->use;
+    const endpoint_use peers = group_->PeerUse(endpoint.name);
+    const endpoint_entry* entry = directory_->Endpoints().Find(endpoint.name);
+    const auto health = entry == nullptr ? health_.end() : health_.find(entry->service);
+    const double share = health == health_.end() ? 1.0 : health->second.HealthShare(endpoint.name);
+    engine_view view;
+    view.name = endpoint.name;
+    view.zone = endpoint.zone;
+    view.can_receive = CanReceive(endpoint, now) && !Contains(avoid, endpoint.name) && RandomUnit() < share;
+    view.kv_tokens = profile.kv_tokens;
+    view.slots = profile.slots;
+    view.reserved_tokens = own.decode_tokens + peers.decode_tokens;
+    view.running = static_cast<std::uint32_t>(own.decodes) + peers.decodes + own.prefills + peers.prefills;
+    view.pending_tokens = own.prefill_tokens + peers.prefill_tokens;
+    view.refused_tokens = state != nullptr && now < state->refused_until ? state->refused_tokens : 0;
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+bool endpoint_board::IsCurrent(const chosen_endpoint& endpoint) const {
+  const endpoint_entry* entry = directory_->Endpoints().Find(endpoint.name);
+  return entry != nullptr && !entry->draining && entry->started_ms == endpoint.started_ms;
+}
+
+std::vector<endpoint_use> endpoint_board::OwnUses() const {
+  std::vector<endpoint_use> uses;
+  for (const auto& [name, state] : states_) {
+    const endpoint_use& use = state.use;
+    if (use.decode_tokens != 0 || use.decodes != 0 || use.prefill_tokens != 0 || use.prefills != 0 || use.calls != 0) {
+      uses.push_back(use);
+    }
+  }
+  return uses;
+}
+
+void endpoint_board::UpdateHealth() {
+  const time_point now = timer_service::Now();
+  for (auto& [service, table] : health_) {
+    std::vector<endpoint_name> names;
+    for (const endpoint_entry* entry : directory_->Endpoints().ListReady(service)) {
+      names.push_back(entry->name);
+    }
+    table.SetEndpoints(names);
+    for (const health_change& change : table.UpdateHealth(now)) {
+      Events()
+          .Line(kPart, "health_changed")
+          .Add("service", service)
+          .Add("endpoint", change.endpoint.value)
+          .Add("share", change.share);
+    }
+  }
+}
+
+// Endpoints come and go all day; what is known of a gone one is dropped once nothing is in progress there.
+void endpoint_board::DropIdleStates() {
+  std::erase_if(states_, [this](const auto& item) {
+    const endpoint_use& use = item.second.use;
+    const bool is_idle = use.decodes == 0 && use.prefills == 0 && use.calls == 0 && use.decode_tokens == 0;
+    return is_idle && directory_->Endpoints().Find(item.first) == nullptr;
+  });
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/direct/entry.cpp
@@ -0,0 +1,249 @@
+#include "direct/entry.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+#include "core/event_log.h"
+#include "core/log.h"
+#include "core/random.h"
+#include "core/telemetry.h"
+
+namespace persimmon {
+namespace {
+
+constexpr const char* kPart = "router.entry";
+constexpr milliseconds kDrainPoll(20);
+constexpr milliseconds kPeerStatePause(400);    // between two looks for a newer state of another router
+constexpr milliseconds kPeerStateLimit(1'000);  // for the answer of another router
+constexpr milliseconds kNotReadyRetry(500);     // told to callers before a desired state is in force
+constexpr milliseconds kStoppingRetry(20);      // told to callers of long requests; another router takes them at once
+constexpr std::size_t kMaxConnections = 3'000;  // of callers; leaves descriptors for endpoints under a limit of 4,100
+
+}  // namespace
+
+entry::entry(kernel& services, const direct_settings& settings, http_client& client)
+    : kernel_(services), settings_(settings), client_(client) {}
+
+void entry::Start() {
+  directory_ = &kernel_.Find<deployment_directory>("directory");
+  plain_ = &kernel_.Find<plain_calls>("plain");
+  generations_ = &kernel_.Find<generation_calls>("generations");
+  metrics_ = &kernel_.Find<telemetry>("telemetry").Metrics();
+  auto& group = kernel_.Find<router_group>("group");
+  group.on_change = [this] { generations_->PumpAll(); };
+  const auto& deployment = settings_.deployment;
+  const auto make = [this](const host_port& address, auto handler) {
+    http_limits limits;
+    limits.connections = kMaxConnections;
+    auto server = std::make_unique<http_server>(kernel_.Context(), address, limits, handler);
+    if (auto started = server->Start(); !started) {
+      StopProgram(started.error().message);
+    }
+    return server;
+  };
+  callers_ =
+      make(deployment.callers, [this](std::shared_ptr<http_exchange> exchange) { return Handle(std::move(exchange)); });
+  readiness_ = make(deployment.readiness,
+                    [this](std::shared_ptr<http_exchange> exchange) { return HandleReadiness(std::move(exchange)); });
+  if (deployment.control.port != 0) {
+    control_ = make(deployment.control,
+                    [this](std::shared_ptr<http_exchange> exchange) { return HandleControl(std::move(exchange)); });
+  }
+  directory_->Subscribe([this] {
+    ApplyLimits();
+    generations_->PumpAll();
+  });
+  flush_timer_ = kernel_.Timers().SubscribeEvery(Events().FlushPeriod(), 0.1, [] { Events().Flush(); });
+  asio::co_spawn(kernel_.Context(), FetchStateFromPeers(), asio::detached);
+  Events()
+      .Line(kPart, "started")
+      .Add("name", deployment.name)
+      .Add("zone", deployment.zone.value)
+      .Add("callers", deployment.callers.Text())
+      .Add("store", deployment.store.Text());
+}
+
+void entry::Stop() {
+  stopped_ = true;
+  flush_timer_.Cancel();
+  for (const auto& server : {&callers_, &readiness_, &control_}) {
+    if (*server) {
+      (*server)->Stop();
+    }
+  }
+  Events().Line(kPart, "stopped");
+  Events().Flush();
+}
+
+void entry::ApplyLimits() {
+  const caller_limits& wanted = directory_->Routes()->Limits();
+  http_limits limits;
+  limits.header_bytes = wanted.header_bytes;
+  limits.body_bytes = wanted.body_bytes;
+  limits.read_timeout = wanted.header_timeout;
+  limits.idle_timeout = wanted.idle_timeout;
+  limits.connections = kMaxConnections;
+  callers_->SetLimits(limits);
+}
+
+bool entry::IsReady() const { return directory_->IsInForce() && !stopping_; }
+
+task<> entry::HandleReadiness(std::shared_ptr<http_exchange> exchange) {
+  const bool is_ready = IsReady();
+  if (is_ready != was_ready_) {
+    Events()
+        .Line(kPart, is_ready ? "ready" : "not_ready")
+        .Add("revision", directory_->Routes()->Revision())
+        .Add("stopping", stopping_);
+    was_ready_ = is_ready;
+  }
+  auto response = JsonResponse(is_ready ? 200 : 503, fmt::format(R"({{"ready":{}}})", is_ready));
+  (void)co_await exchange->Respond(std::move(response));
+}
+
+task<> entry::HandleControl(std::shared_ptr<http_exchange> exchange) {
+  http_response response = JsonResponse(404, R"({"error":{"code":"unknown_path"}})");
+  if (exchange->Request().target == "/metrics") {
+    metrics_->AddGauge("persimmon_requests_in_progress", "Requests without a complete answer.")
+        .Set(static_cast<double>(callers_->RequestsInProgress()));
+    metrics_->AddGauge("persimmon_waiting_requests", "Model requests that wait for a reservation.")
+        .Set(static_cast<double>(generations_->WaitingCount()));
+    metrics_->AddGauge("persimmon_dropped_log_lines", "Log lines dropped because of the limits.")
+        .Set(static_cast<double>(Events().DroppedLines()));
+    response = {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_->RenderText()};
+  } else if (exchange->Request().target == "/state" && directory_->IsInForce()) {
+    response = JsonResponse(200, directory_->ExportState());
+  }
+  (void)co_await exchange->Respond(std::move(response));
+}
+
+// A router that starts while the store is away, or that alone cannot reach it, takes over the state of another one.
+task<> entry::FetchStateFromPeers() {
+  auto& group = kernel_.Find<router_group>("group");
+  while (!stopped_) {
+    co_await kernel_.Timers().Sleep(kPeerStatePause);
+    if (directory_->IsInForce() && directory_->IsStoreReachable()) {
+      continue;
+    }
+    const revision_number own = directory_->Routes()->Revision();
+    if (group.NewestPeerRevision() <= own) {
+      continue;
+    }
+    for (const host_port& address : group.ControlAddresses()) {
+      http_request request{"GET", "/state", {}, {}, {}};
+      auto answer = co_await client_.Fetch(address, std::move(request), kPeerStateLimit);
+      if (!answer || answer.value().status != 200) {
+        continue;
+      }
+      auto imported = directory_->ImportState(answer.value().body);
+      Events()
+          .Line(kPart, "state_of_peer")
+          .Add("address", address.Text())
+          .Add("revision", directory_->Routes()->Revision())
+          .Add("detail", imported ? "" : imported.error().message);
+      if (imported) {
+        break;
+      }
+    }
+  }
+}
+
+task<> entry::RespondOwn(std::shared_ptr<http_exchange> exchange, int status, std::string code,
+                         std::optional<milliseconds> retry_after) {
+  const auto terms = platform::ReadTerms(exchange->Request().headers);
+  Events()
+      .Line(kPart, "refused")
+      .Request(terms.attempt)
+      .Add("reason", code)
+      .Add("status", status)
+      .Add("host", FindHeader(exchange->Request().headers, "Host"))
+      .Add("target", exchange->Request().target)
+      .Add("revision", directory_->Routes()->Revision());
+  metrics_->AddCounter("persimmon_refusals_total", "Requests refused before routing.", {{"code", code}}).Increment();
+  http_response response =
+      JsonResponse(status, fmt::format(R"({{"error":{{"code":"{}","outcome":"not_run"}}}})", code));
+  for (header_field& field : platform::OwnAnswerHeaders(terms.attempt)) {
+    response.headers.push_back(std::move(field));
+  }
+  if (retry_after) {
+    response.headers.push_back({"Retry-After", fmt::format("{:.3f}", static_cast<double>(retry_after->count()) / 1e3)});
+  }
+  (void)co_await exchange->Respond(std::move(response));
+}
+
+task<> entry::Handle(std::shared_ptr<http_exchange> exchange) {
+  const time_point arrival = timer_service::Now();
+  const http_request& request = exchange->Request();
+  const auto routes = directory_->Routes();
+  if (routes->Revision() == 0) {
+    co_return co_await RespondOwn(exchange, 503, "no_configuration", kNotReadyRetry);
+  }
+  const route_record* route = routes->FindRoute(FindHeader(request.headers, "Host"), request.target);
+  if (route == nullptr) {
+    co_return co_await RespondOwn(exchange, 404, "unknown_route", std::nullopt);
+  }
+  const service_record* service = routes->FindService(PickService(*route, RandomUnit()));
+  if (service == nullptr) {
+    co_return co_await RespondOwn(exchange, 503, "unknown_service", kNotReadyRetry);
+  }
+  auto call =
+      std::make_shared<direct_call>(exchange, platform::ReadTerms(request.headers), routes, *route, *service, arrival);
+  call->WatchCaller();
+  const bool is_generation = service->engine.has_value() && route->kind == call_kind::kStreaming;
+  call_outcome outcome = call_outcome::kRefused;
+  if (is_generation && stopping_) {
+    outcome = co_await call->Refuse("stopping", kStoppingRetry);
+  } else if (is_generation) {
+    outcome = co_await generations_->Serve(call);
+  } else {
+    outcome = co_await plain_->Serve(call);
+  }
+  LogEnd(*call, outcome);
+}
+
+void entry::LogEnd(const direct_call& call, call_outcome outcome) {
+  const time_point now = timer_service::Now();
+  Events()
+      .Line(kPart, "request")
+      .Request(call.Terms().attempt)
+      .Add("route", call.Route().name)
+      .Add("kind", CallKindName(call.Route().kind))
+      .Add("revision", call.Revision())
+      .Add("outcome", CallOutcomeName(outcome))
+      .Add("reason", call.reason)
+      .Add("sends", call.sends)
+      .Add("endpoints", call.endpoints)
+      .Add("took_ms", call.Age(now).count())
+      .Add("left_ms", call.TimeLeft(now).count());
+  const metric_labels labels = {{"kind", CallKindName(call.Route().kind)}, {"outcome", CallOutcomeName(outcome)}};
+  metrics_->AddCounter("persimmon_calls_total", "Calls by kind and outcome.", labels).Increment();
+  metrics_->AddLatency("persimmon_call_seconds", "Time from a request to the end of its answer.", labels)
+      .Record(std::chrono::duration_cast<microseconds>(now - call.Arrival()));
+}
+
+void entry::Drain(std::function<void()> finished) {
+  stopping_ = true;
+  Events().Line(kPart, "stopping").Add("in_progress", callers_->RequestsInProgress());
+  kernel_.Find<router_group>("group").NoteLeaving();
+  kernel_.Find<stage_orders>("stages").NoteLeaving();
+  callers_->AnnounceClose();
+  asio::co_spawn(kernel_.Context(), DrainRequests(std::move(finished)), asio::detached);
+}
+
+task<> entry::DrainRequests(std::function<void()> finished) {
+  const time_point begin = timer_service::Now();
+  co_await kernel_.Timers().Sleep(settings_.stop_announce);
+  callers_->Drain();
+  const time_point end = begin + settings_.deployment.stop_grace - settings_.stop_reserve;
+  while (callers_->RequestsInProgress() > 0 && timer_service::Now() < end) {
+    co_await kernel_.Timers().Sleep(kDrainPoll);
+  }
+  Events().Line(kPart, "drained").Add("given_up", callers_->RequestsInProgress());
+  finished();
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/direct/generation_calls.cpp
@@ -0,0 +1,600 @@
+// Sections
+//   1. queue and placement
+//   2. prefill
+//   3. decode
+//   4. a whole call
+#include "direct/generation_calls.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "core/event_log.h"
+#include "core/random.h"
+
+namespace persimmon {
+namespace {
+
+constexpr const char* kPart = "router.model";
+constexpr milliseconds kTickPeriod(20);        // while requests wait: expiry, and room freed by other routers
+constexpr milliseconds kPrefillLimit(2'500);   // for one prefill with its queue; longer ones are tried elsewhere
+constexpr milliseconds kMinTimeLeft(50);       // a run with less time cannot send its first event
+constexpr milliseconds kNoEngineRetry(1'000);  // told to a caller when no engine is registered
+constexpr milliseconds kControlLimit(1'000);   // for one call that frees memory
+constexpr std::uint32_t kMaxPlacements = 4;    // of one request: reservations whose prefill or decode then failed
+constexpr std::uint32_t kFirstServerError = 500;
+
+std::string Describe(const error& failure) { return fmt::format("{}: {}", ErrorName(failure.code), failure.message); }
+
+}  // namespace
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. queue and placement
+// ---------------------------------------------------------------------------------------------------------------------
+
+struct generation_calls::service_queue {
+  service_queue(const service_record& record, admission_settings admission) : record(record), queue(admission) {}
+
+  service_record record;
+  admission_queue queue;
+  std::map<request_id, waiting_ptr> waiting;
+};
+
+generation_calls::generation_calls(kernel& services, const direct_settings& settings, http_client& client)
+    : kernel_(services), settings_(settings), client_(client) {}
+
+generation_calls::~generation_calls() = default;
+
+void generation_calls::Start() {
+  board_ = &kernel_.Find<endpoint_board>("board");
+  budgets_ = &kernel_.Find<send_budgets>("budgets");
+  group_ = &kernel_.Find<router_group>("group");
+}
+
+void generation_calls::Stop() { tick_.Cancel(); }
+
+std::size_t generation_calls::WaitingCount() const {
+  std::size_t count = 0;
+  for (const auto& [name, queue] : queues_) {
+    count += queue->waiting.size();
+  }
+  return count;
+}
+
+generation_calls::service_queue& generation_calls::QueueFor(const service_record& service) {
+  auto& queue = queues_[service.name];
+  if (!queue) {
+    admission_settings admission;
+    admission.fair_shares = false;  // callers have no accounts here
+    admission.margin = milliseconds(0);
+    queue = std::make_unique<service_queue>(service, admission);
+  }
+  queue->record = service;
+  return *queue;
+}
+
+queue_job generation_calls::MakeJob(const direct_call& call, bool is_resumed, time_point now) {
+  const platform::request_terms& terms = call.Terms();
+  const route_record& route = call.Route();
+  // A caller's later tries have a smaller time budget than its first; the difference is the time it has waited before.
+  const milliseconds budget = terms.time_budget.value_or(route.timeout);
+  milliseconds& largest = largest_budgets_[route.name];
+  largest = std::max(largest, budget);
+  const milliseconds waited_before = largest - budget;
+
+  queue_job job;
+  job.request = request_id{fmt::format("{}", ++next_number_)};
+  job.arrival = call.Arrival() - waited_before;
+  job.prompt_tokens = terms.prompt_tokens;
+  job.output_tokens =
+      EstimateOutput(terms.expected_output_tokens, terms.max_output_tokens, {.hint_share = settings_.output_share});
+  const auto prefill =
+      microseconds(static_cast<std::int64_t>(job.prompt_tokens / placement_settings{}.prefill_tokens_per_ms * 1'000));
+  job.latest_start = job.arrival + route.target_latency - prefill - settings_.transfer_time;
+  const bool is_late = job.latest_start <= now;
+  if (is_late || is_resumed) {
+    job.latest_start = std::min(now + settings_.late_wait, call.End() - kMinTimeLeft);
+    job.deadline_bound = true;
+  }
+  return job;
+}
+
+void generation_calls::UpdatePool(service_queue& queue, time_point now) {
+  const engine_profile profile = queue.record.engine.value_or(engine_profile{});
+  const auto decode = board_->List(queue.record.name, endpoint_role::kDecode);
+  const auto prefill = board_->List(queue.record.name, endpoint_role::kPrefill);
+  pool_state pool;
+  pool.prefill_endpoints = static_cast<std::uint32_t>(prefill.size());
+  pool.decode_endpoints = static_cast<std::uint32_t>(decode.size());
+  pool.prefill_free = pool.prefill_endpoints;
+  const std::uint32_t typical_tokens =
+      static_cast<std::uint32_t>(workload_profile{}.prompt_tokens + workload_profile{}.output_tokens);
+  for (const engine_view& view : board_->EngineViews(decode, profile, {})) {
+    if (view.can_receive && view.refused_tokens == 0 && view.kv_tokens > view.reserved_tokens) {
+      pool.decode_free += (view.kv_tokens - view.reserved_tokens) / typical_tokens;
+    }
+  }
+  pool.routers = group_->RouterCount();
+  queue.queue.UpdatePool(pool, now);
+}
+
+task<generation_calls::placement> generation_calls::AwaitPlace(direct_call_ptr call, std::vector<endpoint_name> avoid,
+                                                               bool is_resumed) {
+  const time_point now = timer_service::Now();
+  service_queue& queue = QueueFor(call->Service());
+  auto waiting = std::make_shared<waiting_request>(kernel_.Context());
+  waiting->call = call;
+  waiting->avoid = std::move(avoid);
+  waiting->job = MakeJob(*call, is_resumed, now);
+  waiting->tokens = waiting->job.prompt_tokens + waiting->job.output_tokens;
+  UpdatePool(queue, now);
+  const admission_result admitted = queue.queue.AdmitRequest(waiting->job, RandomUnit(), now);
+  if (admitted.verdict != admission_verdict::kAdmitted) {
+    const milliseconds retry =
+        admitted.verdict == admission_verdict::kNoEndpoint ? kNoEngineRetry : admitted.retry_after;
+    co_return placement(denial{AdmissionName(admitted.verdict), retry});
+  }
+  queue.waiting[waiting->job.request] = waiting;
+  call->OnCallerGone([this, waiting, service = call->Service().name] {
+    service_queue& own = *queues_[service];
+    own.queue.RemoveJob(waiting->job.request, timer_service::Now());
+    own.waiting.erase(waiting->job.request);
+    waiting->decision.Push(denial{"caller_gone", milliseconds(0)});
+  });
+  Pump(queue);
+  ScheduleTick();
+  auto decided = co_await waiting->decision.Receive(std::chrono::duration_cast<microseconds>(call->End() - now));
+  call->ClearCancel();
+  if (!decided) {
+    queue.queue.RemoveJob(waiting->job.request, timer_service::Now());
+    queue.waiting.erase(waiting->job.request);
+    co_return placement(denial{"time_over", milliseconds(100)});
+  }
+  co_return std::move(*decided);
+}
+
+void generation_calls::PumpAll() {
+  for (auto& [name, queue] : queues_) {
+    Pump(*queue);
+  }
+}
+
+void generation_calls::Pump(service_queue& queue) {
+  const time_point now = timer_service::Now();
+  if (queue.queue.WaitingCount() == 0) {
+    return;
+  }
+  RefuseOverdue(queue, now);
+  const engine_profile profile = queue.record.engine.value_or(engine_profile{});
+  const auto engines = board_->List(queue.record.name, endpoint_role::kDecode);
+  while (queue.queue.WaitingCount() > 0) {
+    // Only the most urgent request is placed: passing it by for smaller ones would starve long prompts.
+    const queue_job* head = queue.queue.PeekNext(now);
+    const auto found = head == nullptr ? queue.waiting.end() : queue.waiting.find(head->request);
+    if (found == queue.waiting.end()) {
+      return;
+    }
+    const waiting_ptr waiting = found->second;
+    const auto views = board_->EngineViews(engines, profile, waiting->avoid);
+    const auto index = ChooseDecodeEngine(views, waiting->tokens, settings_.deployment.zone, RandomNumber(), {});
+    if (!index) {
+      return;
+    }
+    if (!queue.queue.PickNext(now)) {
+      return;
+    }
+    board_->AddDecode(engines[*index].name, waiting->tokens, 1);
+    asio::co_spawn(kernel_.Context(), Reserve(queue.record.name, waiting, engines[*index]), asio::detached);
+  }
+}
+
+task<> generation_calls::Reserve(std::string service, waiting_ptr waiting, chosen_endpoint engine) {
+  auto request = platform::MakeReserve(engine.name, waiting->tokens, settings_.reservation_time);
+  auto answer = co_await client_.Fetch(engine.address, std::move(request), settings_.reserve_timeout);
+  const time_point now = timer_service::Now();
+  service_queue& queue = *queues_[service];
+  auto reservation = answer && answer.value().status == 200 ? platform::ReadReservation(answer.value().body)
+                                                            : result<std::string>(error{error_code::kUnavailable, ""});
+  const bool still_waits = queue.waiting.contains(waiting->job.request);
+  if (reservation) {
+    grant place{engine, reservation.value(), waiting->tokens, now};
+    if (still_waits && !waiting->call->IsCallerGone()) {
+      queue.queue.NoteStarted(waiting->job.request, now);
+      queue.waiting.erase(waiting->job.request);
+      waiting->decision.Push(std::move(place));
+    } else {
+      board_->AddDecode(engine.name, -static_cast<std::int64_t>(waiting->tokens), -1);
+      ReleaseReservation(place);
+    }
+    co_return;
+  }
+  board_->AddDecode(engine.name, -static_cast<std::int64_t>(waiting->tokens), -1);
+  if (!answer) {
+    board_->NoteUnreachable(engine);
+  } else {
+    board_->NoteRefused(engine.name, waiting->tokens);
+  }
+  Events()
+      .Line(kPart, "reservation_refused")
+      .Request(waiting->call->Terms().attempt)
+      .Add("endpoint", engine.name.value)
+      .Add("tokens", waiting->tokens)
+      .Add("status", answer ? answer.value().status : 0)
+      .Add("detail", answer ? "" : Describe(answer.error()));
+  if (still_waits) {
+    queue.queue.Requeue(waiting->job.request, now);
+    Pump(queue);
+    ScheduleTick();
+  }
+}
+
+void generation_calls::RefuseOverdue(service_queue& queue, time_point now) {
+  for (const queue_job& job : queue.queue.ExpireOverdue(now)) {
+    const auto found = queue.waiting.find(job.request);
+    if (found == queue.waiting.end()) {
+      continue;
+    }
+    const milliseconds retry = queue.queue.RetryAfter(job.prompt_tokens, job.output_tokens, RandomUnit(), now);
+    found->second->decision.Push(denial{"overdue", retry});
+    queue.waiting.erase(found);
+  }
+}
+
+void generation_calls::ScheduleTick() {
+  if (tick_is_due_ || WaitingCount() == 0) {
+    return;
+  }
+  tick_is_due_ = true;
+  tick_ = kernel_.Timers().SubscribeOnce(kTickPeriod, [this] {
+    tick_is_due_ = false;
+    PumpAll();
+    ScheduleTick();
+  });
+}
+
+void generation_calls::ReleaseReservation(const grant& place) {
+  asio::co_spawn(
+      kernel_.Context(),
+      SendControl(place.engine.address, platform::MakeReleaseReservation(place.reservation), "release_reservation"),
+      asio::detached);
+}
+
+void generation_calls::DropCache(const platform::kv_source& source) {
+  auto address = ParseHostPort(source.address);
+  if (address) {
+    asio::co_spawn(kernel_.Context(),
+                   SendControl(address.value(), platform::MakeDropCache(source.handle), "drop_cache"), asio::detached);
+  }
+}
+
+task<> generation_calls::SendControl(host_port address, http_request request, const char* purpose) {
+  auto answer = co_await client_.Fetch(address, std::move(request), kControlLimit);
+  if (!answer) {
+    // The engine frees the memory by itself when the reservation or the handle lapses.
+    Events().Line(kPart, "control_failed").Add("purpose", purpose).Add("detail", Describe(answer.error()));
+  }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. prefill
+// ---------------------------------------------------------------------------------------------------------------------
+
+task<std::optional<platform::kv_source>> generation_calls::Prefill(direct_call_ptr call, const grant& place) {
+  const engine_profile profile = call->Service().engine.value_or(engine_profile{});
+  send_budget& budget = budgets_->For(call->Service().name);
+  std::vector<endpoint_name> avoid;
+  while (true) {
+    const time_point begin = timer_service::Now();
+    if (call->IsCallerGone() || call->TimeLeft(begin) < kMinTimeLeft) {
+      co_return std::nullopt;
+    }
+    const auto engines = board_->List(call->Service().name, endpoint_role::kPrefill);
+    const auto views = board_->EngineViews(engines, profile, avoid);
+    const auto index = ChoosePrefillEngine(views, place.engine.zone, RandomNumber(), {});
+    if (!index || (!avoid.empty() && !budget.AllowSend(begin))) {
+      call->reason = index ? "budget_spent" : "no_prefill_engine";
+      co_return std::nullopt;
+    }
+    const chosen_endpoint engine = engines[*index];
+    avoid.push_back(engine.name);
+    board_->AddPrefill(engine.name, call->Terms().prompt_tokens, 1);
+    http_call exchange(client_);
+    call->OnCallerGone([&exchange] { exchange.Cancel(); });
+    const time_point end = std::min(call->End(), begin + kPrefillLimit);
+    auto request = platform::MakePrefill(call->Forwarded(), engine.name, call->TimeLeft(begin));
+    auto head = co_await exchange.Send(engine.address, std::move(request), end, AnswersAttempt(call->Terms().attempt));
+    std::string body;
+    std::optional<error> failure;
+    if (!head) {
+      failure = head.error();
+    }
+    for (bool more = !failure; more;) {
+      auto piece = co_await exchange.Read(end);
+      if (!piece) {
+        failure = piece.error();
+        break;
+      }
+      more = !piece.value().empty();
+      body += piece.value();
+    }
+    call->ClearCancel();
+    board_->AddPrefill(engine.name, -static_cast<std::int64_t>(call->Terms().prompt_tokens), -1);
+    const auto took = std::chrono::duration_cast<milliseconds>(timer_service::Now() - begin);
+    auto handle = !failure && head.value().status == 200 ? platform::ReadPrefillHandle(body)
+                                                         : result<std::string>(error{error_code::kUnavailable, ""});
+    if (handle) {
+      board_->NoteAnswer(engine);
+      Events()
+          .Line(kPart, "prefilled")
+          .Request(call->Terms().attempt)
+          .Add("endpoint", engine.name.value)
+          .Add("tokens", call->Terms().prompt_tokens)
+          .Add("took_ms", took.count());
+      co_return platform::kv_source{engine.address.Text(), handle.value()};
+    }
+    if (call->IsCallerGone()) {
+      co_return std::nullopt;
+    }
+    const bool was_sent = !failure || failure->code != error_code::kUnavailable;
+    if (!was_sent) {
+      board_->NoteUnreachable(engine);
+    } else if (failure) {
+      board_->NoteFailure(engine);
+    }
+    if (was_sent) {
+      budget.NoteSend(timer_service::Now());  // the rejected prefill reached the service beyond the request's own send
+    }
+    call->reason = "prefill_failed";
+    Events()
+        .Line(kPart, "prefill_failed")
+        .Request(call->Terms().attempt)
+        .Add("endpoint", engine.name.value)
+        .Add("status", failure ? 0 : head.value().status)
+        .Add("detail", failure ? Describe(*failure) : "")
+        .Add("took_ms", took.count());
+  }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. decode
+// ---------------------------------------------------------------------------------------------------------------------
+
+task<generation_calls::step_result> generation_calls::Decode(direct_call_ptr call, const grant& place,
+                                                             std::optional<platform::kv_source> source,
+                                                             stream_state& stream) {
+  const time_point begin = timer_service::Now();
+  http_call exchange(client_);
+  call->OnCallerGone([&exchange] { exchange.Cancel(); });
+  platform::decode_terms terms{std::move(source), place.reservation, stream.events.LastId()};
+  auto request = platform::MakeDecode(call->Forwarded(), place.engine.name, call->TimeLeft(begin), terms);
+  ++call->sends;
+  call->endpoints += (call->endpoints.empty() ? "" : ",") + place.engine.name.value;
+  const bool may_resume = call->Route().resumable && call->sends < call->Route().max_attempts;
+  const time_point end = may_resume ? std::min(call->End(), begin + settings_.stall_limit) : call->End();
+  auto head =
+      co_await exchange.Send(place.engine.address, std::move(request), end, AnswersAttempt(call->Terms().attempt));
+  step_result outcome = step_result::kBroken;
+  std::string detail;
+  if (!head) {
+    detail = Describe(head.error());
+    if (head.error().code == error_code::kUnavailable) {
+      board_->NoteUnreachable(place.engine);
+      --call->sends;
+      outcome = step_result::kNotRun;
+    } else {
+      board_->NoteFailure(place.engine);
+    }
+  } else {
+    const auto answer = platform::ReadAnswer(head.value());
+    const bool is_success = head.value().status >= 200 && head.value().status < 300;
+    if (answer.proves_not_run) {
+      detail = fmt::format("status {}", head.value().status);
+      outcome = step_result::kNotRun;
+    } else if (is_success && answer.is_genuine && !answer.is_encoded) {
+      if (!stream.started) {
+        stream.started = true;
+        (void)co_await call->Exchange().StartStream(head.value().status, platform::PassedHeaders(head.value().headers));
+      }
+      outcome = co_await PassStream(call, exchange, place, stream);
+    } else if (answer.is_genuine && !stream.started && head.value().status >= 400 && head.value().status != 429 &&
+               head.value().status != 503 && head.value().status != 408) {
+      // A failure of the engine itself is passed on as it is.
+      http_response failed{head.value().status, platform::PassedHeaders(head.value().headers), {}};
+      bool complete = false;
+      while (!complete) {
+        auto piece = co_await exchange.Read(end);
+        if (!piece) {
+          break;
+        }
+        complete = piece.value().empty();
+        failed.body += piece.value();
+      }
+      detail = fmt::format("status {}", head.value().status);
+      if (complete) {
+        stream.started = true;
+        call->reason = "endpoint_failure";
+        (void)co_await call->Exchange().Respond(std::move(failed));
+        outcome = step_result::kDone;
+      }
+    } else {
+      detail = fmt::format("status {} without seal", head.value().status);
+      board_->NoteFailure(place.engine);
+    }
+  }
+  call->ClearCancel();
+  if (call->IsCallerGone()) {
+    outcome = step_result::kCallerGone;
+  } else if (outcome == step_result::kBroken && timer_service::Now() >= call->End()) {
+    outcome = step_result::kTimeout;
+  }
+  if (outcome != step_result::kDone) {
+    const auto took = std::chrono::duration_cast<milliseconds>(timer_service::Now() - begin);
+    Events()
+        .Line(kPart, "decode_ended")
+        .Request(call->Terms().attempt)
+        .Add("endpoint", place.engine.name.value)
+        .Add("result", static_cast<int>(outcome))
+        .Add("events", stream.events.EventCount())
+        .Add("detail", detail)
+        .Add("took_ms", took.count());
+  }
+  co_return outcome;
+}
+
+task<generation_calls::step_result> generation_calls::PassStream(direct_call_ptr call, http_call& exchange,
+                                                                 const grant& place, stream_state& stream) {
+  const bool resumable = call->Route().resumable;
+  const engine_profile profile = call->Service().engine.value_or(engine_profile{});
+  std::uint32_t accounted = place.tokens;
+  step_result outcome = step_result::kBroken;
+  while (true) {
+    const bool may_resume = resumable && call->sends < call->Route().max_attempts;
+    const time_point now = timer_service::Now();
+    auto piece = co_await exchange.Read(may_resume ? std::min(call->End(), now + settings_.stall_limit) : call->End());
+    if (!piece) {
+      board_->NoteFailure(place.engine);
+      Events()
+          .Line(kPart, "stream_broken")
+          .Request(call->Terms().attempt)
+          .Add("endpoint", place.engine.name.value)
+          .Add("events", stream.events.EventCount())
+          .Add("detail", Describe(piece.error()));
+      break;
+    }
+    std::string whole = stream.events.Add(piece.value());
+    const bool is_end = piece.value().empty();
+    if (is_end && !stream.events.Rest().empty()) {
+      whole += stream.events.Rest();
+      stream.events.DropRest();
+    }
+    if (!resumable && !is_end) {
+      // Nothing can go on elsewhere, so that bytes need not wait for the end of their event.
+      whole += stream.events.Rest();
+      stream.events.DropRest();
+    }
+    if (!whole.empty()) {
+      auto written = co_await call->Exchange().WriteChunk(std::move(whole));
+      if (!written) {
+        outcome = step_result::kCallerGone;
+        break;
+      }
+    }
+    if (is_end) {
+      auto finished = co_await call->Exchange().FinishStream();
+      outcome = finished ? step_result::kDone : step_result::kCallerGone;
+      board_->NoteAnswer(place.engine);
+      break;
+    }
+    // The answer may grow beyond the reservation.
+    const auto used =
+        call->Terms().prompt_tokens + static_cast<std::uint32_t>(stream.events.EventCount()) * profile.tokens_per_event;
+    if (used > accounted) {
+      board_->AddDecode(place.engine.name, used - accounted, 0);
+      accounted = used;
+    }
+  }
+  board_->AddDecode(place.engine.name, -static_cast<std::int64_t>(accounted - place.tokens), 0);
+  co_return outcome;
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. a whole call
+// ---------------------------------------------------------------------------------------------------------------------
+
+task<call_outcome> generation_calls::Serve(direct_call_ptr call) {
+  send_budget& budget = budgets_->For(call->Service().name);
+  budget.NoteRequest(timer_service::Now());
+  stream_state stream;
+  std::vector<endpoint_name> avoid;
+  bool may_have_run = false;
+  step_result result = step_result::kNotRun;
+  for (std::uint32_t round = 0; round < kMaxPlacements; ++round) {
+    placement decided = co_await AwaitPlace(call, avoid, round > 0);
+    if (call->IsCallerGone()) {
+      if (const auto* place = std::get_if<grant>(&decided)) {
+        board_->AddDecode(place->engine.name, -static_cast<std::int64_t>(place->tokens), -1);
+        ReleaseReservation(*place);
+      }
+      result = step_result::kCallerGone;
+      break;
+    }
+    if (const auto* denied = std::get_if<denial>(&decided)) {
+      if (may_have_run) {
+        call->reason = denied->reason;
+        result = step_result::kBroken;
+        break;
+      }
+      co_return co_await call->Refuse(denied->reason, denied->retry_after);
+    }
+    const grant place = std::get<grant>(std::move(decided));
+    const auto release = [&] { board_->AddDecode(place.engine.name, -static_cast<std::int64_t>(place.tokens), -1); };
+    auto source = co_await Prefill(call, place);
+    if (!source) {
+      release();
+      ReleaseReservation(place);
+      PumpAll();
+      result = call->IsCallerGone() ? step_result::kCallerGone : step_result::kNotRun;
+      break;
+    }
+    // The engine may have been told to leave while the prompt was read.
+    const bool is_current = board_->IsCurrent(place.engine);
+    const bool may_send = call->sends == 0 || budget.AllowSend(timer_service::Now());
+    if (call->IsCallerGone() || !is_current || !may_send) {
+      release();
+      ReleaseReservation(place);
+      DropCache(*source);
+      PumpAll();
+      result = call->IsCallerGone() ? step_result::kCallerGone : step_result::kNotRun;
+      if (call->IsCallerGone() || !may_send) {
+        call->reason = "budget_spent";
+        break;
+      }
+      avoid.push_back(place.engine.name);
+      continue;
+    }
+    const platform::kv_source used_source = *source;
+    result = co_await Decode(call, place, std::move(source), stream);
+    release();
+    PumpAll();
+    if (result == step_result::kNotRun) {
+      DropCache(used_source);
+      ReleaseReservation(place);
+    }
+    if (result == step_result::kBroken) {
+      may_have_run = true;
+      stream.events.DropRest();
+    }
+    const bool may_go_on = call->sends < call->Route().max_attempts;
+    const bool goes_on =
+        (result == step_result::kNotRun || (result == step_result::kBroken && call->Route().resumable));
+    if (!goes_on || !may_go_on || call->IsCallerGone()) {
+      break;
+    }
+    avoid.push_back(place.engine.name);
+  }
+  co_return co_await Finish(call, result, stream, may_have_run);
+}
+
+task<call_outcome> generation_calls::Finish(direct_call_ptr call, step_result result, stream_state& stream,
+                                            bool ever_sent) {
+  if (result == step_result::kCallerGone || call->IsCallerGone()) {
+    co_return call->NoteGone();
+  }
+  if (result == step_result::kDone) {
+    call->reason = call->reason.empty() ? "whole_answer" : call->reason;
+    co_return call_outcome::kAnswered;
+  }
+  if (stream.started) {
+    co_return call->BreakOff("stream_broken");
+  }
+  if (result == step_result::kNotRun && !ever_sent) {
+    std::string reason = call->reason.empty() ? "engines_full" : call->reason;
+    co_return co_await call->Refuse(std::move(reason), kNoEngineRetry);
+  }
+  const bool timed_out = result == step_result::kTimeout;
+  co_return co_await call->Fail(timed_out ? 504 : 502, timed_out ? "timeout" : "endpoint_lost");
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/direct/generation_calls.h
@@ -0,0 +1,113 @@
+// Calls of model services: reserve decode memory, prefill, decode, and pass the stream on. A service of the kernel.
+//
+// Requests wait in the admission queue of their service. The head of the queue asks the engine with the most room for a
+// reservation; the engine's grant decides between routers. Nothing is prefilled before decode memory is reserved.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/mailbox.h"
+#include "direct/direct_call.h"
+#include "direct/endpoint_board.h"
+#include "direct/plain_calls.h"
+#include "persimmon/admission.h"
+#include "persimmon/event_stream.h"
+
+namespace persimmon {
+
+class generation_calls {
+ public:
+  generation_calls(kernel& services, const direct_settings& settings, http_client& client);
+  ~generation_calls();
+
+  void Start();
+  void Stop();
+
+  task<call_outcome> Serve(direct_call_ptr call);
+
+  std::size_t WaitingCount() const;
+
+  // Tries to place waiting requests; call it when room may have become free.
+  void PumpAll();
+
+ private:
+  // Memory reserved on a decode engine.
+  struct grant {
+    chosen_endpoint engine;
+    std::string reservation;
+    std::uint32_t tokens = 0;
+    time_point granted;
+  };
+
+  // Why a request gets no reservation.
+  struct denial {
+    std::string reason;
+    milliseconds retry_after{0};
+  };
+
+  using placement = std::variant<grant, denial>;
+
+  struct waiting_request {
+    explicit waiting_request(asio::io_context& context) : decision(context) {}
+    direct_call_ptr call;
+    queue_job job;
+    std::uint32_t tokens = 0;  // to reserve
+    std::vector<endpoint_name> avoid;
+    mailbox<placement> decision;
+  };
+  using waiting_ptr = std::shared_ptr<waiting_request>;
+
+  struct service_queue;
+
+  // State of one stream over all the engines that it runs on.
+  struct stream_state {
+    event_splitter events;
+    bool started = false;  // the head of the answer has been passed on
+    std::size_t passed_events = 0;
+    time_point last_event;
+  };
+
+  enum class step_result : std::uint8_t {
+    kDone,    // the whole stream was passed on, or an answer of the endpoint
+    kNotRun,  // the endpoint proved that it has not run the request
+    kBroken,  // the run was lost
+    kCallerGone,
+    kTimeout,  // the time of the request is over
+  };
+
+  service_queue& QueueFor(const service_record& service);
+  task<placement> AwaitPlace(direct_call_ptr call, std::vector<endpoint_name> avoid, bool is_resumed);
+  queue_job MakeJob(const direct_call& call, bool is_resumed, time_point now);
+  void UpdatePool(service_queue& queue, time_point now);
+  void Pump(service_queue& queue);
+  task<> Reserve(std::string service, waiting_ptr waiting, chosen_endpoint engine);
+  void RefuseOverdue(service_queue& queue, time_point now);
+  void ScheduleTick();
+
+  task<std::optional<platform::kv_source>> Prefill(direct_call_ptr call, const grant& place);
+  task<step_result> Decode(direct_call_ptr call, const grant& place, std::optional<platform::kv_source> source,
+                           stream_state& stream);
+  task<step_result> PassStream(direct_call_ptr call, http_call& exchange, const grant& place, stream_state& stream);
+  task<call_outcome> Finish(direct_call_ptr call, step_result result, stream_state& stream, bool ever_sent);
+
+  void ReleaseReservation(const grant& place);
+  void DropCache(const platform::kv_source& source);
+  task<> SendControl(host_port address, http_request request, const char* purpose);
+
+  kernel& kernel_;
+  const direct_settings& settings_;
+  http_client& client_;
+  endpoint_board* board_ = nullptr;
+  send_budgets* budgets_ = nullptr;
+  router_group* group_ = nullptr;
+  std::map<std::string, std::unique_ptr<service_queue>> queues_;
+  std::map<std::string, milliseconds> largest_budgets_;  // of the callers' time, by route
+  timer_subscription tick_;
+  bool tick_is_due_ = false;
+  std::uint64_t next_number_ = 0;
+};
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/direct/stage_orders.cpp
@@ -0,0 +1,170 @@
+#include "direct/stage_orders.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+#include "core/event_log.h"
+#include "core/random.h"
+#include "platform/requests.h"
+
+namespace persimmon {
+namespace {
+
+using json = nlohmann::json;
+
+constexpr const char* kPart = "router.stages";
+constexpr const char* kTable = "persimmon_leases";
+constexpr milliseconds kPlanPeriod(400);     // spread by a jitter of a quarter
+constexpr milliseconds kStartSpread(1'200);  // routers that start together first plan at different times
+constexpr milliseconds kWaitPause(2'000);    // before the row of another holder is read again
+constexpr milliseconds kOrderLimit(400);     // for the answer of an engine
+// Orders are given at most this long after the row was written: a router that was paused gives none on waking up.
+constexpr milliseconds kFenceLife(1'000);
+
+std::string MakeLeaseValue(const std::string& holder) { return json{{"holder", holder}}.dump(); }
+
+std::string ReadLeaseHolder(const std::string& text) {
+  const json value = json::parse(text, nullptr, false);
+  return value.is_object() && value.contains("holder") && value["holder"].is_string()
+             ? value["holder"].get<std::string>()
+             : std::string();
+}
+
+}  // namespace
+
+stage_orders::stage_orders(kernel& services, const direct_settings& settings, http_client& client, table_client table)
+    : kernel_(services), settings_(settings), client_(client), table_(std::move(table)) {}
+
+void stage_orders::Start() {
+  directory_ = &kernel_.Find<deployment_directory>("directory");
+  board_ = &kernel_.Find<endpoint_board>("board");
+  if (settings_.order_stages) {
+    asio::co_spawn(kernel_.Context(), Run(), asio::detached);
+  }
+}
+
+void stage_orders::Stop() { stopped_ = true; }
+
+task<> stage_orders::Run() {
+  co_await kernel_.Timers().Sleep(std::chrono::duration_cast<microseconds>(kStartSpread * RandomUnit()));
+  while (!stopped_ && !leaving_) {
+    const auto routes = directory_->Routes();
+    for (const auto& [name, service] : routes->Services()) {
+      if (service.engine && directory_->IsStoreReachable() && !leaving_) {
+        co_await Round(service);
+      }
+    }
+    const auto pause = kPlanPeriod * (0.75 + 0.5 * RandomUnit());
+    co_await kernel_.Timers().Sleep(std::chrono::duration_cast<microseconds>(pause));
+  }
+}
+
+task<> stage_orders::Round(service_record service) {
+  const stage_settings settings{.settle = settings_.stage_settle};
+  stage_planner& planner = planners_.try_emplace(service.name, settings).first->second;
+  const auto endpoints = board_->List(service.name, std::nullopt);
+  const auto views = board_->EngineViews(endpoints, *service.engine, {});
+  std::vector<staged_engine> engines;
+  for (std::size_t i = 0; i < endpoints.size(); ++i) {
+    const endpoint_entry* entry = directory_->Endpoints().Find(endpoints[i].name);
+    if (entry != nullptr && entry->role) {
+      const std::uint32_t load = views[i].reserved_tokens + views[i].pending_tokens;
+      engines.push_back({endpoints[i].name, endpoints[i].zone, endpoints[i].started_ms, *entry->role, load});
+    }
+  }
+  const auto wanted = PlanPrefillEngines(static_cast<std::uint32_t>(engines.size()), service.engine->kv_tokens,
+                                         service.engine->slots, workload_profile{});
+  const auto changes = planner.Plan(engines, wanted, timer_service::Now());
+  if (changes.empty()) {
+    co_return;
+  }
+  const time_point begin = timer_service::Now();
+  const auto fence = co_await TakeLease(service.name);
+  if (!fence) {
+    planner.NoteRound(timer_service::Now());
+    co_return;
+  }
+  planner.NoteRound(timer_service::Now());
+  for (const stage_change& change : changes) {
+    if (timer_service::Now() - begin > kFenceLife || leaving_) {
+      Events().Line(kPart, "round_ended_early").Add("service", service.name).Add("fence", *fence);
+      break;
+    }
+    for (const chosen_endpoint& endpoint : endpoints) {
+      if (endpoint.name == change.engine) {
+        planner.NoteOrder(change, timer_service::Now());
+        if (!co_await GiveOrder(service.name, endpoint, change.role, *fence)) {
+          co_return;
+        }
+      }
+    }
+  }
+}
+
+task<std::optional<std::uint64_t>> stage_orders::TakeLease(const std::string& service) {
+  const std::string& self = settings_.deployment.name;
+  lease_watch& lease = leases_.try_emplace(service, settings_.deployment.lease_time).first->second;
+  auto row = co_await table_.ReadRow(kTable, service);
+  if (!row) {
+    Events().Line(kPart, "lease_unreadable").Add("service", service).Add("reason", row.error().message);
+    co_return std::nullopt;
+  }
+  const std::uint64_t version = row.value() ? row.value()->version : 0;
+  const std::string holder = row.value() ? ReadLeaseHolder(row.value()->value) : std::string();
+  const lease_step step = lease.NoteRow(version, holder, self, timer_service::Now());
+  if (step == lease_step::kWait) {
+    Events().Line(kPart, "lease_held_elsewhere").Add("service", service).Add("holder", holder).Add("fence", version);
+    co_return std::nullopt;
+  }
+  std::vector<table_write> writes(1);
+  writes[0].table = kTable;
+  writes[0].key = service;
+  writes[0].value = MakeLeaseValue(self);
+  writes[0].condition = step == lease_step::kCreate ? row_condition::kAbsent : row_condition::kVersion;
+  writes[0].version = version;
+  auto written = co_await table_.Commit(std::move(writes));
+  if (!written || !written.value().committed) {
+    Events()
+        .Line(kPart, "lease_not_taken")
+        .Add("service", service)
+        .Add("fence", version)
+        .Add("reason", written ? "another router was first" : written.error().message);
+    co_return std::nullopt;
+  }
+  Events().Line(kPart, "lease_taken").Add("service", service).Add("fence", written.value().version);
+  co_return written.value().version;
+}
+
+task<bool> stage_orders::GiveOrder(const std::string& service, chosen_endpoint engine, endpoint_role role,
+                                   std::uint64_t fence) {
+  const auto stage =
+      role == endpoint_role::kPrefill ? platform::engine_stage::kPrefill : platform::engine_stage::kDecode;
+  auto reported = co_await client_.Fetch(engine.address, platform::MakeReport(engine.name), kOrderLimit);
+  auto report = reported && reported.value().status == 200
+                    ? platform::ReadReport(reported.value().body)
+                    : result<platform::engine_report>(error{error_code::kUnavailable, "no report"});
+  if (!report || report.value().is_busy) {
+    Events()
+        .Line(kPart, "order_not_sent")
+        .Add("service", service)
+        .Add("endpoint", engine.name.value)
+        .Add("reason", report ? "busy" : report.error().message);
+    co_return true;
+  }
+  auto request =
+      platform::MakeStageOrder(engine.name, stage, settings_.deployment.name, fence, report.value().orders_accepted);
+  auto answer = co_await client_.Fetch(engine.address, std::move(request), kOrderLimit);
+  const int status = answer ? answer.value().status : 0;
+  Events()
+      .Line(kPart, "order_sent")
+      .Add("service", service)
+      .Add("endpoint", engine.name.value)
+      .Add("stage", platform::StageName(stage))
+      .Add("fence", fence)
+      .Add("expected", report.value().orders_accepted)
+      .Add("status", status);
+  co_return status != platform::kOrderOutdatedFence;
+}
+
+}  // namespace persimmon
--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "core/base64.h"
 #include "core/log.h"
 #include "persimmon/records.h"
 
@@ -23,6 +24,11 @@
 constexpr std::size_t kMaxVmHistory = 4096;
 constexpr std::size_t kMaxTransactionBytes = 16U << 20U;
 constexpr std::uint32_t kMaxFaultCount = 3'600'000;
+constexpr std::size_t kMaxEntries = 100;     // of one transaction
+constexpr std::size_t kMaxPageRows = 500;    // of one read
+constexpr std::size_t kMaxHistory = 10'000;  // changes that a feed can continue from
+constexpr milliseconds kMaxFeedWait(30'000);
+constexpr milliseconds kFeedPoll(5);
 
 const logger& Log() {
   static const logger log("fakes.platform");
@@ -40,11 +46,11 @@
   return found == rows_.end() ? std::nullopt : std::optional(found->second);
 }
 
-std::vector<std::pair<row_id, stored_row>> table_store::ReadPrefix(const std::string& table,
-                                                                   const std::string& prefix) const {
+std::vector<std::pair<row_id, stored_row>> table_store::ReadRange(const std::string& table, const std::string& from,
+                                                                  const std::string& to) const {
   std::vector<std::pair<row_id, stored_row>> rows;
-  for (auto row = rows_.lower_bound({table, prefix}); row != rows_.end(); ++row) {
-    if (row->first.table != table || !row->first.key.starts_with(prefix)) {
+  for (auto row = rows_.lower_bound({table, from}); row != rows_.end(); ++row) {
+    if (row->first.table != table || (!to.empty() && row->first.key >= to)) {
       break;
     }
     rows.emplace_back(*row);
@@ -65,16 +71,44 @@
   if (!conflicts.empty()) {
     return conflicts;
   }
+  ++last_version_;
   for (const row_write& write : writes) {
+    if (write.only_checks) {
+      continue;
+    }
     if (write.value) {
-      rows_[write.id] = {*write.value, ++last_version_};
+      rows_[write.id] = {*write.value, last_version_};
     } else {
       rows_.erase(write.id);
     }
+    history_.emplace_back(last_version_, write.id);
+  }
+  while (history_.size() > kMaxHistory) {
+    lost_version_ = history_.front().first;
+    history_.pop_front();
   }
   return {};
 }
 
+std::optional<std::vector<row_id>> table_store::ChangesAfter(const std::string& table, std::uint64_t version) const {
+  if (version < lost_version_) {
+    return std::nullopt;
+  }
+  std::vector<row_id> changed;
+  for (const auto& [changed_at, id] : history_) {
+    if (changed_at > version && id.table == table) {
+      std::erase(changed, id);
+      changed.push_back(id);
+    }
+  }
+  return changed;
+}
+
+void table_store::DropHistory() {
+  lost_version_ = last_version_;
+  history_.clear();
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 2. VM list with lag
 // ---------------------------------------------------------------------------------------------------------------------
@@ -109,60 +143,67 @@
 }
 
 json RowJson(const row_id& id, const std::optional<stored_row>& row) {
-  json value = {{"table", id.table}, {"key", id.key}, {"version", row ? row->version : 0}};
-  value["value"] = row ? json(row->value) : json(nullptr);
+  json value = {{"table", id.table}, {"part", ""}, {"key", id.key}, {"ver", row ? row->version : 0}};
+  if (row) {
+    value["value"] = EncodeBase64(row->value);
+  }
   return value;
 }
 
-// Reads one write of a transaction. An unclear write is refused as a whole: a dropped condition would lose updates.
-result<row_write> ReadWrite(const json& item) {
+// Reads table and key of one entry of a transaction. An unclear entry refuses the whole: a dropped condition would lose
+// updates.
+result<row_id> ReadRowId(const json& item) {
   if (!IsText(item, "table") || !IsText(item, "key")) {
-    return error{error_code::kInvalid, "a write needs the texts table and key"};
-  }
-  row_write write{{item["table"], item["key"]}, std::nullopt, false, std::nullopt};
-  const bool deletes = item.contains("delete") && item["delete"] == json(true);
-  if (deletes == item.contains("value")) {
-    return error{error_code::kInvalid, "a write needs either value or delete: true"};
-  }
-  if (!deletes) {
-    if (!item["value"].is_string() || !json::accept(item["value"].get<std::string>())) {
-      return error{error_code::kInvalid, "value is not a JSON text"};
-    }
-    write.value = item["value"].get<std::string>();
-  }
-  if (!item.contains("if")) {
-    return write;
+    return error{error_code::kInvalid, "an entry needs the texts table and key"};
   }
-  const json& condition = item["if"];
-  if (condition == json{{"absent", true}}) {
-    write.if_absent = true;
-  } else if (condition.is_object() && condition.size() == 1 && condition.contains("version") &&
-             condition["version"].is_number_unsigned()) {
-    write.if_version = condition["version"].get<std::uint64_t>();
-  } else {
-    return error{error_code::kInvalid, "if is neither absent: true nor version: N"};
-  }
-  return write;
+  return row_id{item["table"], item["key"]};
 }
 
 result<std::vector<row_write>> ReadWrites(const json& body) {
-  if (!body.is_object() || !body.contains("writes") || !body["writes"].is_array() || body["writes"].empty()) {
-    return error{error_code::kInvalid, "the body needs a list of writes"};
+  if (!body.is_object()) {
+    return error{error_code::kInvalid, "the body is not a JSON object"};
+  }
+  std::map<row_id, row_write> writes;
+  for (const char* list : {"puts", "remove"}) {
+    for (const json& item : body.value(list, json::array())) {
+      auto id = ReadRowId(item);
+      if (!id) {
+        return id.error();
+      }
+      row_write write{id.value(), std::nullopt, false, std::nullopt};
+      if (list == std::string_view("puts")) {
+        auto value = IsText(item, "value") ? DecodeBase64(item["value"].get<std::string>()) : std::nullopt;
+        if (!value) {
+          return error{error_code::kInvalid, "value is not base64"};
+        }
+        write.value = std::move(*value);
+      }
+      if (!writes.emplace(id.value(), std::move(write)).second) {
+        return error{error_code::kInvalid, fmt::format("row {}/{} stands twice", id.value().table, id.value().key)};
+      }
+    }
   }
-  std::vector<row_write> writes;
-  std::set<row_id> rows;
-  for (const json& item : body["writes"]) {
-    auto write = ReadWrite(item);
-    if (!write) {
-      return write.error();
+  std::vector<row_write> ordered;
+  for (const json& item : body.value("expected", json::array())) {
+    auto id = ReadRowId(item);
+    if (!id || !item.contains("ver") || !item["ver"].is_number_unsigned()) {
+      return error{error_code::kInvalid, "an expected row needs the texts table and key and the number ver"};
     }
-    const row_id& id = write.value().id;
-    if (!rows.insert(id).second) {
-      return error{error_code::kInvalid, fmt::format("row {}/{} stands twice", id.table, id.key)};
+    row_write check{id.value(), std::nullopt, false, item["ver"].get<std::uint64_t>(), true};
+    const auto written = writes.find(id.value());
+    if (written == writes.end()) {
+      ordered.push_back(std::move(check));
+    } else {
+      written->second.if_version = check.if_version;
     }
-    writes.push_back(std::move(write.value()));
   }
-  return writes;
+  for (auto& [id, write] : writes) {
+    ordered.push_back(std::move(write));
+  }
+  if (ordered.empty() || ordered.size() > kMaxEntries) {
+    return error{error_code::kInvalid, fmt::format("a transaction holds 1 to {} entries", kMaxEntries)};
+  }
+  return ordered;
 }
 
 template <class number>
@@ -178,26 +219,38 @@
 }
 
 struct target_parts {
-  std::vector<std::string> path;  // decoded segments
-  std::string prefix;             // value of ?prefix=
+  std::vector<std::string> path;             // decoded segments
+  std::map<std::string, std::string> query;  // decoded values by name
 
   bool operator==(const target_parts&) const = default;
 };
 
+result<std::map<std::string, std::string>> SplitQuery(std::string_view query) {
+  std::map<std::string, std::string> values;
+  while (!query.empty()) {
+    const auto end = query.find('&');
+    const std::string_view item = query.substr(0, end);
+    query = end == std::string_view::npos ? std::string_view() : query.substr(end + 1);
+    const auto equals = item.find('=');
+    auto value = DecodePercent(equals == std::string_view::npos ? std::string_view() : item.substr(equals + 1));
+    if (!value) {
+      return value.error();
+    }
+    values[std::string(item.substr(0, equals))] = std::move(value.value());
+  }
+  return values;
+}
+
 result<target_parts> SplitTarget(std::string_view target) {
   target_parts parts;
   const auto mark = target.find('?');
   std::string_view path = target.substr(0, mark);
   if (mark != std::string_view::npos) {
-    const std::string_view query = target.substr(mark + 1);
-    if (!query.starts_with("prefix=") || query.find('&') != std::string_view::npos) {
-      return error{error_code::kInvalid, "the only query is ?prefix=P"};
-    }
-    auto prefix = DecodePercent(query.substr(7));
-    if (!prefix) {
-      return prefix.error();
+    auto query = SplitQuery(target.substr(mark + 1));
+    if (!query) {
+      return query.error();
     }
-    parts.prefix = prefix.value();
+    parts.query = std::move(query.value());
   }
   while (!path.empty()) {
     path.remove_prefix(1);
@@ -212,6 +265,17 @@
   return parts;
 }
 
+// A whole number of the query; nothing if it is absent or malformed.
+std::optional<std::uint64_t> QueryNumber(const target_parts& target, const std::string& name) {
+  const auto found = target.query.find(name);
+  std::uint64_t number = 0;
+  if (found == target.query.end() ||
+      std::from_chars(found->second.data(), found->second.data() + found->second.size(), number).ec != std::errc{}) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 }  // namespace
 
 result<std::string> DecodePercent(std::string_view text) {
@@ -285,7 +349,7 @@
     }
   }
   const std::uint64_t committed_before = counters_.transactions;
-  http_response response = Answer(request);
+  http_response response = request.target.starts_with("/rows-feed?") ? co_await Feed(request) : Answer(request);
   if (counters_.transactions != committed_before && faults_.lose_replies > 0) {
     --faults_.lose_replies;
     ++counters_.lost_replies;
@@ -303,13 +367,10 @@
   }
   const auto& path = target.value().path;
   const bool is_get = request.method == "GET";
-  if (is_get && path.size() == 4 && path[0] == "tables" && path[2] == "rows") {
-    return ReadRow(path[1], path[3]);
+  if (is_get && path.size() == 1 && path[0] == "rows-get") {
+    return ReadRows(target.value().query);
   }
-  if (is_get && path.size() == 3 && path[0] == "tables" && path[2] == "rows") {
-    return ReadRows(path[1], target.value().prefix);
-  }
-  if (request.method == "POST" && request.target == "/transactions") {
+  if (request.method == "POST" && request.target == "/rows-tx") {
     return Transact(request.body);
   }
   if (is_get && request.target == "/vms") {
@@ -327,23 +388,55 @@
   return JsonResponse(404, json{{"error", "no such path"}}.dump());
 }
 
-http_response fake_platform::ReadRow(const std::string& table, const std::string& key) {
+http_response fake_platform::ReadRows(const std::map<std::string, std::string>& query) {
   ++counters_.reads;
-  const row_id id{table, key};
-  const auto row = tables_.Read(id);
-  if (!row) {
-    return JsonResponse(404, json{{"error", "no such row"}}.dump());
+  const auto value = [&query](const char* name) {
+    const auto found = query.find(name);
+    return found == query.end() ? std::string() : found->second;
+  };
+  json rows = json::array();
+  bool has_more = false;
+  for (const auto& [id, row] : tables_.ReadRange(value("table"), value("from"), value("to"))) {
+    has_more = rows.size() == kMaxPageRows;
+    if (has_more) {
+      break;
+    }
+    rows.push_back(RowJson(id, row));
   }
-  return JsonResponse(200, RowJson(id, row).dump());
+  const json body = {{"rows", std::move(rows)}, {"has_more", has_more}, {"ver", tables_.Version()}, {"now_ms", 0}};
+  return JsonResponse(200, body.dump());
 }
 
-http_response fake_platform::ReadRows(const std::string& table, const std::string& prefix) {
+task<http_response> fake_platform::Feed(const http_request& request) {
+  auto target = SplitTarget(request.target);
+  const auto after = target ? QueryNumber(target.value(), "after") : std::nullopt;
+  const auto wait = target ? QueryNumber(target.value(), "wait_ms") : std::nullopt;
+  if (!after || !wait || !target.value().query.contains("table")) {
+    co_return BadRequest("a feed needs table, after and wait_ms");
+  }
   ++counters_.reads;
-  json rows = json::array();
-  for (const auto& [id, row] : tables_.ReadPrefix(table, prefix)) {
-    rows.push_back(RowJson(id, row));
+  const std::string table = target.value().query.at("table");
+  const time_point end = timer_service::Now() + std::min(milliseconds(*wait), kMaxFeedWait);
+  while (true) {
+    const auto changes = tables_.ChangesAfter(table, *after);
+    if (!changes) {
+      co_return JsonResponse(410, json{{"error", "the history is no longer available"}}.dump());
+    }
+    if (!changes->empty() || timer_service::Now() >= end) {
+      json rows = json::array();
+      for (const row_id& id : *changes) {
+        const auto row = tables_.Read(id);
+        json item = RowJson(id, row);
+        if (!row) {
+          item["deleted"] = true;
+        }
+        rows.push_back(std::move(item));
+      }
+      const json body = {{"rows", std::move(rows)}, {"ver", tables_.Version()}, {"now_ms", 0}};
+      co_return JsonResponse(200, body.dump());
+    }
+    co_await timers_.Sleep(kFeedPoll);
   }
-  return JsonResponse(200, json{{"rows", std::move(rows)}}.dump());
 }
 
 http_response fake_platform::Transact(const std::string& body) {
@@ -354,14 +447,16 @@
   const auto conflicts = tables_.Commit(writes.value());
   if (conflicts.empty()) {
     ++counters_.transactions;
-    return JsonResponse(200, json{{"committed", true}}.dump());
+    return JsonResponse(200, json{{"ver", tables_.Version()}, {"now_ms", 0}}.dump());
   }
   ++counters_.conflicts;
   json rows = json::array();
-  for (const row_id& id : conflicts) {
-    rows.push_back(RowJson(id, tables_.Read(id)));
+  for (const row_write& write : writes.value()) {
+    if (write.if_version) {
+      rows.push_back(RowJson(write.id, tables_.Read(write.id)));
+    }
   }
-  return JsonResponse(409, json{{"committed", false}, {"conflicts", std::move(rows)}}.dump());
+  return JsonResponse(412, json{{"rows", std::move(rows)}, {"ver", tables_.Version()}, {"now_ms", 0}}.dump());
 }
 
 http_response fake_platform::ListVms() const {
--- a/src/fakes/fake_platform.h
+++ b/src/fakes/fake_platform.h
@@ -28,8 +28,8 @@
 // ---------------------------------------------------------------------------------------------------------------------
 
 struct stored_row {
-  std::string value;          // JSON text
-  std::uint64_t version = 0;  // unique over the life of the store, so that a deleted row's version never returns
+  std::string value;
+  std::uint64_t version = 0;  // of the transaction that wrote it; a deleted row's version never returns
 
   bool operator==(const stored_row&) const = default;
 };
@@ -46,6 +46,7 @@
   std::optional<std::string> value;  // absent: delete
   bool if_absent = false;
   std::optional<std::uint64_t> if_version;
+  bool only_checks = false;  // a condition without a write
 
   bool operator==(const row_write&) const = default;
 };
@@ -53,14 +54,24 @@
 class table_store {
  public:
   std::optional<stored_row> Read(const row_id& id) const;
-  std::vector<std::pair<row_id, stored_row>> ReadPrefix(const std::string& table, const std::string& prefix) const;
+  // Rows with keys from `from` to before `to`; an empty `to` means all.
+  std::vector<std::pair<row_id, stored_row>> ReadRange(const std::string& table, const std::string& from,
+                                                       const std::string& to) const;
 
   // Applies all writes, or none and returns the rows whose condition does not hold.
   std::vector<row_id> Commit(const std::vector<row_write>& writes);
 
+  // Rows changed after the version, in the order of their last change. Nothing if that history is gone.
+  std::optional<std::vector<row_id>> ChangesAfter(const std::string& table, std::uint64_t version) const;
+
+  void DropHistory();
+  std::uint64_t Version() const { return last_version_; }  // of the newest transaction
+
  private:
   std::map<row_id, stored_row> rows_;
+  std::deque<std::pair<std::uint64_t, row_id>> history_;
   std::uint64_t last_version_ = 0;
+  std::uint64_t lost_version_ = 0;  // changes up to this one are no longer known
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -138,8 +149,8 @@
  private:
   task<> Handle(std::shared_ptr<http_exchange> exchange);
   http_response Answer(const http_request& request);
-  http_response ReadRow(const std::string& table, const std::string& key);
-  http_response ReadRows(const std::string& table, const std::string& prefix);
+  http_response ReadRows(const std::map<std::string, std::string>& query);
+  task<http_response> Feed(const http_request& request);
   http_response Transact(const std::string& body);
   http_response ListVms() const;
   http_response PutVm(const std::string& name, const std::string& body);
--- a/src/net/datagram.cpp
+++ b/src/net/datagram.cpp
@@ -91,15 +91,19 @@
   return state_->socket.local_endpoint(ignored).port();
 }
 
-void datagram_socket::Send(const host_port& receiver, const message& value) {
+void datagram_socket::Send(const host_port& receiver, const message& value) { SendAll({receiver}, value); }
+
+void datagram_socket::SendAll(const std::vector<host_port>& receivers, const message& value) {
   const std::string bytes = EncodeFrame(value);
   if (bytes.size() > kMaxDatagramBytes) {
     Log().Warning("Dropped {} of {} bytes: too long for a datagram.", MessageName(value), bytes.size());
     return;
   }
-  sys_error ignored;
-  const udp::endpoint endpoint(asio::ip::make_address(receiver.host, ignored), receiver.port);
-  state_->socket.send_to(asio::buffer(bytes), endpoint, 0, ignored);
+  for (const host_port& receiver : receivers) {
+    sys_error ignored;
+    const udp::endpoint endpoint(asio::ip::make_address(receiver.host, ignored), receiver.port);
+    state_->socket.send_to(asio::buffer(bytes), endpoint, 0, ignored);
+  }
 }
 
 }  // namespace persimmon
--- a/src/net/datagram.h
+++ b/src/net/datagram.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "core/settings.h"
 #include "core/timers.h"
@@ -30,6 +31,9 @@
   // Sends at once or drops the message. A message over kMaxDatagramBytes is dropped with a log line.
   void Send(const host_port& receiver, const message& value);
 
+  // The same to several receivers; the message is encoded once.
+  void SendAll(const std::vector<host_port>& receivers, const message& value);
+
  private:
   struct state;
   std::shared_ptr<state> state_;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -3,6 +3,7 @@
 //   2. server connections
 //   3. server
 //   4. client
+//   5. calls whose answer is passed on
 #include "net/http.h"
 
 #include <fmt/format.h>
@@ -16,6 +17,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <deque>
 #include <map>
 #include <set>
@@ -91,6 +93,21 @@
   return {};
 }
 
+bool IsHopHeader(const header_list& headers, std::string_view name) {
+  static constexpr std::array<std::string_view, 8> kNames = {
+      "connection",       "keep-alive", "proxy-authenticate", "proxy-authorization",
+      "proxy-connection", "te",         "transfer-encoding",  "upgrade"};
+  if (std::any_of(kNames.begin(), kNames.end(), [name](auto hop) { return beast::iequals(hop, name); })) {
+    return true;
+  }
+  for (const header_field& field : headers) {
+    if (beast::iequals(field.name, "connection") && http::token_list(field.value).exists(name)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 http_response JsonResponse(int status, std::string body) {
   return http_response{status, {{"Content-Type", "application/json"}}, std::move(body)};
 }
@@ -117,6 +134,7 @@
   std::set<std::shared_ptr<detail::http_connection>> connections;
   std::size_t requests = 0;
   bool draining = false;
+  bool closing = false;  // each response ends its connection
 
   task<> Accept();
 };
@@ -168,6 +186,7 @@
     message.version(11);
     message.result(static_cast<unsigned>(response.status));
     SetHeaders(message, response.headers);
+    keep_alive_ = keep_alive_ && !server_->closing;
     message.keep_alive(keep_alive_ && !server_->draining);
     message.body() = std::move(response.body);
     message.prepare_payload();
@@ -195,8 +214,8 @@
     message.result(static_cast<unsigned>(status));
     SetHeaders(message, headers);
     // HTTP/1.0 knows no chunks: the end of the connection is the end of the body.
-    message.keep_alive(keep_alive_ && chunked_ && !server_->draining);
-    keep_alive_ = keep_alive_ && chunked_;
+    keep_alive_ = keep_alive_ && chunked_ && !server_->closing;
+    message.keep_alive(keep_alive_ && !server_->draining);
     message.chunked(chunked_);
     http::response_serializer<http::empty_body> serializer(message);
     sys_error failure;
@@ -529,6 +548,10 @@
   return outcome::success();
 }
 
+void http_server::SetLimits(const http_limits& limits) { state_->limits = limits; }
+
+void http_server::AnnounceClose() { state_->closing = true; }
+
 void http_server::Drain() {
   state_->draining = true;
   sys_error ignored;
@@ -566,12 +589,19 @@
   explicit client_connection(asio::io_context& context) : stream(context) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  time_point idle_since;
+  microseconds reuse_limit{0};  // of the idle time
+  bool sending = false;         // a request body is still being written
 };
 
-using client_connection_ptr = std::unique_ptr<client_connection>;
+// Shared, because a body may still be written while its call has ended.
+using client_connection_ptr = std::shared_ptr<client_connection>;
 
 // True if the other side has neither closed the idle connection nor sent anything on it.
 bool IsUsable(client_connection& connection) {
+  if (timer_service::Now() - connection.idle_since > connection.reuse_limit) {
+    return false;
+  }
   char byte = 0;
   sys_error failure;
   connection.stream.socket().non_blocking(true, failure);
@@ -579,6 +609,19 @@
   return failure == asio::error::would_block;
 }
 
+// Idle time in a Keep-Alive header, "timeout=5, max=100". The longest time if there is none.
+microseconds AnnouncedIdleTime(std::string_view header) {
+  static constexpr std::string_view kName = "timeout=";
+  const auto place = header.find(kName);
+  std::uint32_t seconds = 0;
+  const char* begin = header.data() + place + kName.size();
+  if (place == std::string_view::npos ||
+      std::from_chars(begin, header.data() + header.size(), seconds).ec != std::errc{}) {
+    return microseconds::max();
+  }
+  return std::chrono::seconds(seconds);
+}
+
 // Splits a growing text into lines.
 class line_splitter {
  public:
@@ -620,15 +663,10 @@
   std::map<host_port, std::deque<client_connection_ptr>> idle;
 
   task<result<client_connection_ptr>> Connect(host_port address) {
-    auto& kept = idle[address];
-    while (!kept.empty()) {
-      auto connection = std::move(kept.back());
-      kept.pop_back();
-      if (IsUsable(*connection)) {
-        co_return std::move(connection);
-      }
+    if (auto kept = TakeKept(address)) {
+      co_return std::move(kept);
     }
-    auto connection = std::make_unique<client_connection>(context);
+    auto connection = std::make_shared<client_connection>(context);
     sys_error failure;
     const auto ip = asio::ip::make_address(address.host, failure);
     if (!failure) {
@@ -644,15 +682,20 @@
     co_return std::move(connection);
   }
 
-  void Keep(const host_port& address, client_connection_ptr connection) {
+  // The latest used connection to the address that is still usable, or null.
+  client_connection_ptr TakeKept(const host_port& address) {
     auto& kept = idle[address];
-    if (kept.size() < limits.idle_connections) {
-      connection->stream.expires_never();
-      kept.push_back(std::move(connection));
+    while (!kept.empty()) {
+      auto connection = std::move(kept.back());
+      kept.pop_back();
+      if (IsUsable(*connection)) {
+        return connection;
+      }
     }
+    return nullptr;
   }
 
-  task<result<void>> Send(client_connection& connection, const host_port& address, http_request request) {
+  static http::request<http::string_body> MakeMessage(const host_port& address, http_request request) {
     http::request<http::string_body> message;
     message.version(11);
     message.method_string(request.method);
@@ -663,6 +706,22 @@
     }
     message.body() = std::move(request.body);
     message.prepare_payload();
+    return message;
+  }
+
+  // Keeps a connection whose answer has been read. Bytes beyond the answer belong to no request.
+  void Keep(const host_port& address, client_connection_ptr connection, std::string_view announced) {
+    auto& kept = idle[address];
+    if (kept.size() < limits.idle_connections && connection->buffer.size() == 0 && !connection->sending) {
+      connection->idle_since = timer_service::Now();
+      connection->reuse_limit = std::min<microseconds>(limits.reuse_limit, AnnouncedIdleTime(announced) / 2);
+      connection->stream.expires_never();
+      kept.push_back(std::move(connection));
+    }
+  }
+
+  task<result<void>> Send(client_connection& connection, const host_port& address, http_request request) {
+    http::request<http::string_body> message = MakeMessage(address, std::move(request));
     sys_error failure;
     co_await http::async_write(connection.stream, message, AwaitWith(failure));
     if (failure) {
@@ -708,7 +767,7 @@
   response.headers = CopyHeaders(parser.get());
   response.body = std::move(parser.get().body());
   if (parser.get().keep_alive()) {
-    state->Keep(address, std::move(connection));
+    state->Keep(address, std::move(connection), FindHeader(response.headers, "Keep-Alive"));
   }
   co_return response;
 }
@@ -773,9 +832,199 @@
     co_return error{error_code::kCancelled, "the exchange was ended by this process"};
   }
   if (parser.get().keep_alive()) {
-    state->Keep(address, std::move(connection));
+    state->Keep(address, std::move(connection), FindHeader(response.headers, "Keep-Alive"));
   }
   co_return response;
 }
 
+// ---------------------------------------------------------------------------------------------------------------------
+// 5. calls whose answer is passed on
+// ---------------------------------------------------------------------------------------------------------------------
+
+namespace {
+
+// A body up to this size fits the buffers of a new connection and is written before the answer is awaited.
+constexpr std::size_t kWrittenFirstBytes = 8'192;
+constexpr std::size_t kMaxForeignAnswers = 4;  // on one connection, before it is given up
+
+using call_message = http::request<http::string_body>;
+
+void WriteInBackground(const client_connection_ptr& connection, std::shared_ptr<call_message> message) {
+  connection->sending = true;
+  http::async_write(connection->stream, *message, [connection, message](sys_error failure, std::size_t) {
+    connection->sending = static_cast<bool>(failure);  // a body that was cut off leaves the connection unusable
+  });
+}
+
+}  // namespace
+
+struct http_call::state {
+  std::shared_ptr<http_client::state> client;
+  host_port address;
+  client_connection_ptr connection;
+  std::optional<http::response_parser<http::buffer_body>> parser;
+  std::string keep_alive;  // header of the answer
+  bool reused = false;
+  bool foreign = false;  // the connection carried an answer that was not ours
+  bool cancelled = false;
+  bool finished = false;
+
+  void Close() {
+    if (connection) {
+      sys_error ignored;
+      connection->stream.socket().close(ignored);
+      connection->stream.cancel();
+    }
+  }
+
+  error Fail(const sys_error& failure, std::string_view what) {
+    if (cancelled) {
+      return error{error_code::kCancelled, "the call was cancelled"};
+    }
+    const bool is_protocol = failure.category() == http::make_error_code(http::error::bad_method).category() &&
+                             failure != http::error::end_of_stream && failure != http::error::partial_message;
+    error described = MakeError(failure, fmt::format("{} {}", what, address.Text()));
+    if (is_protocol) {
+      described.code = error_code::kProtocol;
+    }
+    return described;
+  }
+
+  // Reads the head of the next answer.
+  task<result<http_head>> ReadHead(bool head_request) {
+    sys_error failure;
+    do {
+      parser.emplace();
+      parser->body_limit(boost::none);
+      parser->skip(head_request);
+      co_await http::async_read_header(connection->stream, connection->buffer, *parser, AwaitWith(failure));
+      if (failure || cancelled) {
+        co_return Fail(failure, "answer of");
+      }
+    } while (parser->get().result_int() < 200);  // interim answers
+    http_head head{static_cast<int>(parser->get().result_int()), CopyHeaders(parser->get())};
+    keep_alive = std::string(FindHeader(head.headers, "Keep-Alive"));
+    co_return head;
+  }
+
+  task<result<std::string>> ReadPiece() {
+    std::string piece(kReadBytes, '\0');
+    while (!parser->is_done()) {
+      parser->get().body().data = piece.data();
+      parser->get().body().size = piece.size();
+      parser->get().body().more = true;
+      sys_error failure;
+      co_await http::async_read_some(connection->stream, connection->buffer, *parser, AwaitWith(failure));
+      if (failure == http::error::need_buffer) {
+        failure = {};
+      }
+      if (failure || cancelled) {
+        co_return Fail(failure, "answer of");
+      }
+      const std::size_t count = piece.size() - parser->get().body().size;
+      if (count > 0) {
+        piece.resize(count);
+        co_return piece;
+      }
+    }
+    co_return std::string();
+  }
+
+  void Finish() {
+    finished = true;
+    const bool reusable = parser->get().keep_alive() && !foreign && !cancelled;
+    if (reusable) {
+      client->Keep(address, std::move(connection), keep_alive);
+    }
+    connection.reset();
+  }
+};
+
+http_call::http_call(http_client& client) : state_(std::make_shared<state>()) { state_->client = client.state_; }
+
+http_call::~http_call() {
+  if (!state_->finished) {
+    state_->Close();
+  }
+}
+
+task<result<http_head>> http_call::Send(host_port address, http_request request, time_point end, head_filter is_ours) {
+  const auto state = state_;
+  const auto client = state->client;
+  state->address = address;
+  const bool head_request = request.method == "HEAD";
+  auto message = std::make_shared<call_message>(http_client::state::MakeMessage(address, std::move(request)));
+  sys_error failure;
+  state->connection = client->TakeKept(address);
+  state->reused = state->connection != nullptr;
+  if (!state->reused) {
+    state->connection = std::make_shared<client_connection>(client->context);
+    const auto ip = asio::ip::make_address(address.host, failure);
+    if (!failure) {
+      state->connection->stream.expires_at(std::min(end, timer_service::Now() + client->limits.connect_timeout));
+      co_await state->connection->stream.async_connect(tcp::endpoint(ip, address.port), AwaitWith(failure));
+    }
+    if (failure || state->cancelled) {
+      co_return error{state->cancelled ? error_code::kCancelled : error_code::kUnavailable,
+                      fmt::format("cannot connect to {}: {}", address.Text(), failure.message())};
+    }
+    sys_error ignored;
+    state->connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+  }
+  state->connection->stream.expires_at(end);
+  if (message->body().size() <= kWrittenFirstBytes) {
+    const std::size_t written = co_await http::async_write(state->connection->stream, *message, AwaitWith(failure));
+    if (failure || state->cancelled) {
+      error described = state->Fail(failure, "write to");
+      if (written == 0 && described.code == error_code::kClosed) {
+        described.code = error_code::kUnavailable;
+      }
+      co_return described;
+    }
+  } else {
+    WriteInBackground(state->connection, message);
+  }
+  for (std::size_t answers = 0; answers < kMaxForeignAnswers; ++answers) {
+    auto head = co_await state->ReadHead(head_request);
+    if (!head || is_ours(head.value())) {
+      co_return head;
+    }
+    state->foreign = true;
+    for (bool more = true; more;) {
+      auto piece = co_await state->ReadPiece();
+      if (!piece) {
+        co_return piece.error();
+      }
+      more = !piece.value().empty();
+    }
+    if (!state->parser->get().keep_alive()) {
+      break;
+    }
+  }
+  co_return error{error_code::kClosed, fmt::format("{} sent answers that belong to other requests", address.Text())};
+}
+
+task<result<std::string>> http_call::Read(time_point end) {
+  const auto state = state_;
+  if (state->finished) {
+    co_return std::string();
+  }
+  if (!state->connection || !state->parser) {
+    co_return error{error_code::kCancelled, "the call was not sent"};
+  }
+  state->connection->stream.expires_at(end);
+  auto piece = co_await state->ReadPiece();
+  if (piece && piece.value().empty()) {
+    state->Finish();
+  }
+  co_return piece;
+}
+
+void http_call::Cancel() {
+  state_->cancelled = true;
+  state_->Close();
+}
+
+bool http_call::IsReused() const { return state_->reused; }
+
 }  // namespace persimmon
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -4,10 +4,13 @@
 //   1. messages
 //   2. server
 //   3. client
+//   4. calls whose answer is passed on
 #pragma once
 
+#include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -110,6 +113,13 @@
   // Binds and listens. Errors: kUnavailable if the address is taken.
   result<void> Start();
 
+  // Replaces the limits, for connections that are open as well. A wait that has begun keeps its limit.
+  void SetLimits(const http_limits& limits);
+
+  // From now on each response ends its connection, so that callers move to other servers before Drain. New connections
+  // are still accepted.
+  void AnnounceClose();
+
   // Stops accepting; requests in progress go on and their connections close after the response.
   void Drain();
 
@@ -136,10 +146,18 @@
   milliseconds idle_timeout = milliseconds(5'000);      // between two parts of a body
   std::size_t body_bytes = 64U << 20U;
   std::size_t idle_connections = 16;  // kept per address
+  // A kept connection is not used again after this time without use, or after half the time that the server announces
+  // in Keep-Alive, because the server may close it while a request is on its way.
+  milliseconds reuse_limit = milliseconds(60'000);
 
   bool operator==(const http_client_limits&) const = default;
 };
 
+// Headers that belong to one connection only and are never passed on, and those that the Connection header names.
+bool IsHopHeader(const header_list& headers, std::string_view name);
+
+class http_call;
+
 class http_client {
  public:
   http_client(asio::io_context& context, http_client_limits limits);
@@ -162,6 +180,48 @@
   task<result<http_response>> FetchLines(host_port address, http_request request, line_handler on_line,
                                          milliseconds total_timeout);
 
+ private:
+  friend class http_call;
+  struct state;
+  std::shared_ptr<state> state_;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. calls whose answer is passed on
+// ---------------------------------------------------------------------------------------------------------------------
+
+struct http_head {
+  int status = 0;
+  header_list headers;
+
+  bool operator==(const http_head&) const = default;
+};
+
+// One request to a server and its answer, read piece by piece. Destroying or cancelling the call closes its connection
+// unless the answer has been read to its end.
+class http_call {
+ public:
+  explicit http_call(http_client& client);
+  ~http_call();
+  http_call(const http_call&) = delete;
+  http_call& operator=(const http_call&) = delete;
+
+  // Tells whether an answer belongs to this call. Others, which a server sends late or twice, are read and dropped.
+  using head_filter = std::function<bool(const http_head&)>;
+
+  // Sends the request and returns the head of its answer. The answer may arrive before the body has been sent.
+  // Errors: kUnavailable if nothing was sent; kTimeout and kClosed if the request may have taken effect; kProtocol for
+  // an answer that is not HTTP; kCancelled.
+  task<result<http_head>> Send(host_port address, http_request request, time_point end, head_filter is_ours);
+
+  // The next piece of the body; empty once the body is complete. Errors: kTimeout, kClosed, kProtocol, kCancelled.
+  task<result<std::string>> Read(time_point end);
+
+  // Closes the connection. Operations that wait yield kCancelled.
+  void Cancel();
+
+  bool IsReused() const;  // the request went over a kept connection
+
  private:
   struct state;
   std::shared_ptr<state> state_;
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -157,7 +157,7 @@
     "hello",           "heartbeat",        "slot_open",      "reserve_slot",  "slot_granted",  "slot_refused",
     "start_prefill",   "prefill_progress", "start_decode",   "tokens",        "resume_stream", "call_service",
     "service_answer",  "cancel",           "attempt_status", "query_attempt", "load_report",   "fetch_config",
-    "config_snapshot", "lend_tokens",      "tokens_lent",    "claim_batch",   "claim_results"};
+    "config_snapshot", "lend_tokens",      "tokens_lent",    "claim_batch",   "claim_results", "router_state"};
 
 }  // namespace
 
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -8,7 +8,8 @@
 //   5. attempts: cancel and status
 //   6. load reports (UDP)
 //   7. configuration, account limits, claims
-//   8. frames
+//   8. routers that go straight to endpoints (UDP)
+//   9. frames
 //
 // A frame is a fixed header and a cereal portable binary archive. Decoding never throws and never reads past the input.
 #pragma once
@@ -475,14 +476,53 @@
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
-// 8. frames
+// 8. routers that go straight to endpoints (UDP)
+// ---------------------------------------------------------------------------------------------------------------------
+
+// What one router has in progress on one endpoint.
+struct endpoint_use {
+  std::uint64_t endpoint = 0;        // XXH64 of its name
+  std::uint32_t decode_tokens = 0;   // KV memory reserved
+  std::uint16_t decodes = 0;         // reservations and streams
+  std::uint32_t prefill_tokens = 0;  // of prefills in progress
+  std::uint16_t prefills = 0;
+  std::uint16_t calls = 0;  // plain calls in progress
+
+  bool operator==(const endpoint_use&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(endpoint, decode_tokens, decodes, prefill_tokens, prefills, calls);
+  }
+};
+
+// State of a router, sent to all others when it changes.
+struct router_state {
+  std::string name;
+  std::uint64_t incarnation = 0;   // random; a restarted router has another one
+  std::uint64_t sequence = 0;      // rises with each message of an incarnation; older messages are dropped
+  revision_number revision = 0;    // of the configuration in force
+  bool leaving = false;            // it stops and is no longer counted
+  host_port control;               // where its configuration can be fetched
+  std::vector<host_port> members;  // datagram addresses of the routers that it has heard lately
+  std::vector<endpoint_use> uses;  // endpoints without use are left out
+  std::vector<suspect_report> suspects;
+
+  bool operator==(const router_state&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(name, incarnation, sequence, revision, leaving, control, members, uses, suspects);
+  }
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 9. frames
 // ---------------------------------------------------------------------------------------------------------------------
 
 // The position of a type in this list is its number on the wire: add new messages at the end only.
 using message = std::variant<hello, heartbeat, slot_open, reserve_slot, slot_granted, slot_refused, start_prefill,
                              prefill_progress, start_decode, tokens, resume_stream, call_service, service_answer,
                              cancel, attempt_status, query_attempt, load_report, fetch_config, config_snapshot,
-                             lend_tokens, tokens_lent, claim_batch, claim_results>;
+                             lend_tokens, tokens_lent, claim_batch, claim_results, router_state>;
 
 // Name of a message's type, for logs and golden files.
 const char* MessageName(const message& value);
--- a/src/router/endpoint_directory.h
+++ b/src/router/endpoint_directory.h
@@ -20,8 +20,8 @@
 #include "net/datagram.h"
 #include "persimmon/records.h"
 #include "persimmon/selection.h"
-#include "platform/config_store.h"
 #include "router/router_settings.h"
+#include "store/config_store.h"
 
 namespace persimmon {
 
--- a/src/router/peer_directory.h
+++ b/src/router/peer_directory.h
@@ -9,9 +9,9 @@
 
 #include "core/kernel.h"
 #include "net/channel.h"
-#include "platform/config_store.h"
-#include "platform/vm_list.h"
 #include "router/router_settings.h"
+#include "store/config_store.h"
+#include "store/vm_list.h"
 
 namespace persimmon {
 
--- a/src/router/router_main.cpp
+++ b/src/router/router_main.cpp
@@ -5,10 +5,8 @@
 
 #include "core/program.h"
 #include "core/telemetry.h"
-#include "platform/claim_store.h"
-#include "platform/config_store.h"
+#include "direct/direct_router.h"
 #include "platform/table_client.h"
-#include "platform/vm_list.h"
 #include "router/dispatcher.h"
 #include "router/endpoint_directory.h"
 #include "router/front_end.h"
@@ -18,6 +16,9 @@
 #include "router/peer_directory.h"
 #include "router/router_settings.h"
 #include "router/service_calls.h"
+#include "store/claim_store.h"
+#include "store/config_store.h"
+#include "store/vm_list.h"
 
 namespace persimmon {
 namespace {
@@ -109,6 +110,11 @@
 }  // namespace persimmon
 
 int main(int argc, char** argv) {
+  if (persimmon::platform::SettingsPath()) {
+    return persimmon::RunDaemon<persimmon::direct_settings>(
+        argc, argv, {"persimmon-router", "Serves callers and goes straight to the endpoints."},
+        persimmon::BindDirectSettings, persimmon::BuildDirectRouter);
+  }
   return persimmon::RunDaemon<persimmon::router_settings>(
       argc, argv, {"persimmon-router", "Serves callers and routes their requests to endpoints."},
       persimmon::BindRouterSettings, persimmon::BuildRouter);
--- a/src/router/service_calls.cpp
+++ b/src/router/service_calls.cpp
@@ -12,8 +12,8 @@
 #include "core/log.h"
 #include "core/random.h"
 #include "core/telemetry.h"
-#include "platform/claim_store.h"
 #include "router/dispatcher.h"
+#include "store/claim_store.h"
 
 namespace persimmon {
 namespace {
--- a/src/platform/claim_store.cpp
+++ b/src/store/claim_store.cpp
@@ -5,7 +5,7 @@
 //   4. gathering and forwarding
 //   5. retention
 //   6. store
-#include "platform/claim_store.h"
+#include "store/claim_store.h"
 
 #include <fmt/format.h>
 
--- a/src/platform/config_store.cpp
+++ b/src/store/config_store.cpp
@@ -4,7 +4,7 @@
 //   3. polling the store
 //   4. snapshots of peers
 //   5. service
-#include "platform/config_store.h"
+#include "store/config_store.h"
 
 #include <fmt/format.h>
 
--- a/src/platform/incarnation.cpp
+++ b/src/store/incarnation.cpp
@@ -1,4 +1,4 @@
-#include "platform/incarnation.h"
+#include "store/incarnation.h"
 
 #include <fmt/format.h>
 
--- a/src/platform/vm_list.cpp
+++ b/src/store/vm_list.cpp
@@ -2,7 +2,7 @@
 //   1. values
 //   2. reading and registering once
 //   3. service
-#include "platform/vm_list.h"
+#include "store/vm_list.h"
 
 #include <fmt/format.h>
 
--- a/tests/claim_store_test.cpp
+++ b/tests/claim_store_test.cpp
@@ -1,6 +1,6 @@
 // link: persimmon_platform persimmon_fake_parts
 // Guards against claims that are lost, reported wrongly or held up by another claim of the same transaction.
-#include "platform/claim_store.h"
+#include "store/claim_store.h"
 
 #include <gtest/gtest.h>
 
--- a/tests/config_store_test.cpp
+++ b/tests/config_store_test.cpp
@@ -1,15 +1,15 @@
 // link: persimmon_platform persimmon_fake_parts
 // Guards against a configuration that reverts, that is taken from a lagging peer, or that a bad record takes apart; and
 // against two processes with one incarnation.
-#include "platform/config_store.h"
+#include "store/config_store.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <set>
 
-#include "platform/incarnation.h"
-#include "platform/vm_list.h"
+#include "store/incarnation.h"
+#include "store/vm_list.h"
 #include "support/platform_in_process.h"
 
 namespace persimmon {
