Bind the prefill together with the decode reservation

Cause: a reservation was granted while all prefill engines had long queues, so prompts waited at the engine, held decode memory and could not be passed by more urgent ones (prefill 1,327 ms at the median). Ruled out: too few decode engines (memory was free while prompts waited).

--- a/include/persimmon/kv_placement.h
+++ b/include/persimmon/kv_placement.h
@@ -74,7 +74,7 @@
   double prompt_tokens = 3'200;
   double output_tokens = 900;
   double prefill_tokens_per_ms = 33;
-  double token_interval_ms = 4.5;
+  double token_interval_ms = 3.6;
 
   bool operator==(const workload_profile&) const = default;
 };
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -33,7 +33,9 @@
   milliseconds reservation_time = milliseconds(2'000);  // of a reservation that no request has used yet
   milliseconds refused_pause = milliseconds(40);   // an engine that refused a reservation is not asked again for it
   milliseconds transfer_time = milliseconds(90);   // predicted, from the end of a prefill to the first event
-  milliseconds late_wait = milliseconds(3'000);    // a request that is late already may wait this long for room
+  // A request that is late already may wait this long for room; callers leave after 3.6 s without an event.
+  milliseconds late_wait = milliseconds(2'500);
+  std::int64_t prefill_backlog = 3'500;  // prompt tokens ahead on an engine to which a prompt is bound
   milliseconds stall_limit = milliseconds(2'000);  // a resumable stream that is silent for this long goes on elsewhere
   double output_share = 1.0;                       // of the caller's estimate of the output that memory is reserved for
 
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -169,6 +169,7 @@
   RefuseOverdue(queue, now);
   const engine_profile profile = queue.record.engine.value_or(engine_profile{});
   const auto engines = board_->List(queue.record.name, endpoint_role::kDecode);
+  const auto prefill_engines = board_->List(queue.record.name, endpoint_role::kPrefill);
   while (queue.queue.WaitingCount() > 0) {
     // Only the most urgent request is placed: passing it by for smaller ones would starve long prompts.
     const queue_job* head = queue.queue.PeekNext(now);
@@ -182,15 +183,25 @@
     if (!index) {
       return;
     }
+    // A prompt is bound only to an engine that reads it soon. Bound earlier, it would hold decode memory while it waits,
+    // and more urgent prompts could not pass it.
+    const auto prefill_views = board_->EngineViews(prefill_engines, profile, {});
+    const auto prefill = ChoosePrefillEngine(prefill_views, engines[*index].zone, RandomNumber(), {});
+    if (!prefill || prefill_views[*prefill].pending_tokens > settings_.prefill_backlog) {
+      return;
+    }
     if (!queue.queue.PickNext(now)) {
       return;
     }
     board_->AddDecode(engines[*index].name, waiting->tokens, 1);
-    asio::co_spawn(kernel_.Context(), Reserve(queue.record.name, waiting, engines[*index]), asio::detached);
+    board_->AddPrefill(prefill_engines[*prefill].name, waiting->job.prompt_tokens, 1);
+    asio::co_spawn(kernel_.Context(),
+                   Reserve(queue.record.name, waiting, engines[*index], prefill_engines[*prefill]), asio::detached);
   }
 }
 
-task<> generation_calls::Reserve(std::string service, waiting_ptr waiting, chosen_endpoint engine) {
+task<> generation_calls::Reserve(std::string service, waiting_ptr waiting, chosen_endpoint engine,
+                                 chosen_endpoint prefill) {
   auto request = platform::MakeReserve(engine.name, waiting->tokens, settings_.reservation_time);
   auto answer = co_await client_.Fetch(engine.address, std::move(request), settings_.reserve_timeout);
   const time_point now = timer_service::Now();
@@ -198,19 +209,20 @@
   auto reservation = answer && answer.value().status == 200 ? platform::ReadReservation(answer.value().body)
                                                             : result<std::string>(error{error_code::kUnavailable, ""});
   const bool still_waits = queue.waiting.contains(waiting->job.request);
+  grant place{engine, prefill, {}, waiting->tokens, now};
   if (reservation) {
-    grant place{engine, reservation.value(), waiting->tokens, now};
+    place.reservation = reservation.value();
     if (still_waits && !waiting->call->IsCallerGone()) {
       queue.queue.NoteStarted(waiting->job.request, now);
       queue.waiting.erase(waiting->job.request);
       waiting->decision.Push(std::move(place));
     } else {
-      board_->AddDecode(engine.name, -static_cast<std::int64_t>(waiting->tokens), -1);
+      ReleasePlace(*waiting->call, place);
       ReleaseReservation(place);
     }
     co_return;
   }
-  board_->AddDecode(engine.name, -static_cast<std::int64_t>(waiting->tokens), -1);
+  ReleasePlace(*waiting->call, place);
   if (!answer) {
     board_->NoteUnreachable(engine);
   } else {
@@ -254,6 +266,12 @@
   });
 }
 
+// Takes a place whose prefill has not been sent off the board.
+void generation_calls::ReleasePlace(const direct_call& call, const grant& place) {
+  board_->AddDecode(place.engine.name, -static_cast<std::int64_t>(place.tokens), -1);
+  board_->AddPrefill(place.prefill.name, -static_cast<std::int64_t>(call.Terms().prompt_tokens), -1);
+}
+
 void generation_calls::ReleaseReservation(const grant& place) {
   asio::co_spawn(
       kernel_.Context(),
@@ -285,21 +303,24 @@
   const engine_profile profile = call->Service().engine.value_or(engine_profile{});
   send_budget& budget = budgets_->For(call->Service().name);
   std::vector<endpoint_name> avoid;
+  chosen_endpoint engine = place.prefill;  // on the board already
   while (true) {
     const time_point begin = timer_service::Now();
-    if (call->IsCallerGone() || call->TimeLeft(begin) < kMinTimeLeft) {
-      co_return std::nullopt;
-    }
-    const auto engines = board_->List(call->Service().name, endpoint_role::kPrefill);
-    const auto views = board_->EngineViews(engines, profile, avoid);
-    const auto index = ChoosePrefillEngine(views, place.engine.zone, RandomNumber(), {});
-    if (!index || (!avoid.empty() && !budget.AllowSend(begin))) {
-      call->reason = index ? "budget_spent" : "no_prefill_engine";
-      co_return std::nullopt;
+    if (!avoid.empty()) {
+      if (call->TimeLeft(begin) < kMinTimeLeft) {
+        co_return std::nullopt;
+      }
+      const auto engines = board_->List(call->Service().name, endpoint_role::kPrefill);
+      const auto views = board_->EngineViews(engines, profile, avoid);
+      const auto index = ChoosePrefillEngine(views, place.engine.zone, RandomNumber(), {});
+      if (!index || !budget.AllowSend(begin)) {
+        call->reason = index ? "budget_spent" : "no_prefill_engine";
+        co_return std::nullopt;
+      }
+      engine = engines[*index];
+      board_->AddPrefill(engine.name, call->Terms().prompt_tokens, 1);
     }
-    const chosen_endpoint engine = engines[*index];
     avoid.push_back(engine.name);
-    board_->AddPrefill(engine.name, call->Terms().prompt_tokens, 1);
     http_call exchange(client_);
     call->OnCallerGone([&exchange] { exchange.Cancel(); });
     const time_point end = std::min(call->End(), begin + kPrefillLimit);
@@ -321,6 +342,7 @@
     }
     call->ClearCancel();
     board_->AddPrefill(engine.name, -static_cast<std::int64_t>(call->Terms().prompt_tokens), -1);
+    PumpAll();
     const auto took = std::chrono::duration_cast<milliseconds>(timer_service::Now() - begin);
     auto handle = !failure && head.value().status == 200 ? platform::ReadPrefillHandle(body)
                                                          : result<std::string>(error{error_code::kUnavailable, ""});
@@ -514,7 +536,7 @@
     placement decided = co_await AwaitPlace(call, avoid, round > 0);
     if (call->IsCallerGone()) {
       if (const auto* place = std::get_if<grant>(&decided)) {
-        board_->AddDecode(place->engine.name, -static_cast<std::int64_t>(place->tokens), -1);
+        ReleasePlace(*call, *place);
         ReleaseReservation(*place);
       }
       result = step_result::kCallerGone;
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -34,9 +34,10 @@
   void PumpAll();
 
  private:
-  // Memory reserved on a decode engine.
+  // Memory reserved on a decode engine, and the prefill engine that reads the prompt.
   struct grant {
     chosen_endpoint engine;
+    chosen_endpoint prefill;
     std::string reservation;
     std::uint32_t tokens = 0;
     time_point granted;
@@ -83,7 +84,7 @@
   queue_job MakeJob(const direct_call& call, bool is_resumed, time_point now);
   void UpdatePool(service_queue& queue, time_point now);
   void Pump(service_queue& queue);
-  task<> Reserve(std::string service, waiting_ptr waiting, chosen_endpoint engine);
+  task<> Reserve(std::string service, waiting_ptr waiting, chosen_endpoint engine, chosen_endpoint prefill);
   void RefuseOverdue(service_queue& queue, time_point now);
   void ScheduleTick();
 
@@ -94,6 +95,7 @@
   task<call_outcome> Finish(direct_call_ptr call, step_result result, stream_state& stream, bool ever_sent);
 
   void ReleaseReservation(const grant& place);
+  void ReleasePlace(const direct_call& call, const grant& place);
   void DropCache(const platform::kv_source& source);
   task<> SendControl(host_port address, http_request request, const char* purpose);
 
