Reload the platform's settings on SIGHUP

Change: SIGHUP reads the settings file again and takes over its limits; a file with findings changes nothing.

--- a/src/direct/entry.cpp
+++ b/src/direct/entry.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <csignal>
 #include <nlohmann/json.hpp>
 
 #include "core/event_log.h"
@@ -25,8 +26,8 @@
 
 }  // namespace
 
-entry::entry(kernel& services, const direct_settings& settings, http_client& client)
-    : kernel_(services), settings_(settings), client_(client) {}
+entry::entry(kernel& services, direct_settings& settings, http_client& client)
+    : kernel_(services), settings_(settings), client_(client), reload_signals_(services.Context(), SIGHUP) {}
 
 void entry::Start() {
   directory_ = &kernel_.Find<deployment_directory>("directory");
@@ -59,6 +60,7 @@
   });
   flush_timer_ = kernel_.Timers().SubscribeEvery(Events().FlushPeriod(), 0.1, [] { Events().Flush(); });
   asio::co_spawn(kernel_.Context(), FetchStateFromPeers(), asio::detached);
+  AwaitReload();
   Events()
       .Line(kPart, "started")
       .Add("name", deployment.name)
@@ -69,6 +71,7 @@
 
 void entry::Stop() {
   stopped_ = true;
+  reload_signals_.cancel();
   flush_timer_.Cancel();
   for (const auto& server : {&callers_, &readiness_, &control_}) {
     if (*server) {
@@ -79,6 +82,29 @@
   Events().Flush();
 }
 
+// Limits are taken from the new settings file at once; addresses hold until the process ends. A file with findings
+// changes nothing.
+void entry::AwaitReload() {
+  reload_signals_.async_wait([this](boost::system::error_code failure, int) {
+    if (failure) {
+      return;
+    }
+    const auto path = platform::SettingsPath();
+    auto read = path ? platform::ReadDeploymentSettings(*path)
+                     : result<platform::deployment_settings>(error{error_code::kUnavailable, "no settings file"});
+    if (read) {
+      platform::deployment_settings& current = settings_.deployment;
+      current.stop_grace = read.value().stop_grace;
+      current.lease_time = read.value().lease_time;
+      current.budget_window = read.value().budget_window;
+      current.budget_ratio = read.value().budget_ratio;
+      current.budget_slack = read.value().budget_slack;
+    }
+    Events().Line(kPart, "reloaded").Add("accepted", read.has_value()).Add("detail", read ? "" : read.error().message);
+    AwaitReload();
+  });
+}
+
 void entry::ApplyLimits() {
   const caller_limits& wanted = directory_->Routes()->Limits();
   http_limits limits;
--- a/src/direct/entry.h
+++ b/src/direct/entry.h
@@ -1,6 +1,7 @@
 // Where callers' requests arrive: routing, readiness, control interface and planned stop. A service of the kernel.
 #pragma once
 
+#include <boost/asio/signal_set.hpp>
 #include <functional>
 #include <memory>
 
@@ -17,7 +18,7 @@
 
 class entry {
  public:
-  entry(kernel& services, const direct_settings& settings, http_client& client);
+  entry(kernel& services, direct_settings& settings, http_client& client);
 
   void Start();
   void Stop();
@@ -34,11 +35,12 @@
   task<> DrainRequests(std::function<void()> finished);
   task<> FetchStateFromPeers();
   void ApplyLimits();
+  void AwaitReload();
   bool IsReady() const;
   void LogEnd(const direct_call& call, call_outcome outcome);
 
   kernel& kernel_;
-  const direct_settings& settings_;
+  direct_settings& settings_;  // shared by all services; only a reload changes it
   http_client& client_;
   deployment_directory* directory_ = nullptr;
   plain_calls* plain_ = nullptr;
@@ -47,6 +49,7 @@
   std::unique_ptr<http_server> callers_;
   std::unique_ptr<http_server> readiness_;
   std::unique_ptr<http_server> control_;
+  asio::signal_set reload_signals_;
   timer_subscription flush_timer_;
   bool was_ready_ = false;
   bool stopping_ = false;
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -183,8 +183,8 @@
     if (!index) {
       return;
     }
-    // A prompt is bound only to an engine that reads it soon. Bound earlier, it would hold decode memory while it waits,
-    // and more urgent prompts could not pass it.
+    // A prompt is bound only to an engine that reads it soon. Bound earlier, it would hold decode memory while it
+    // waits, and more urgent prompts could not pass it.
     const auto prefill_views = board_->EngineViews(prefill_engines, profile, {});
     const auto prefill = ChoosePrefillEngine(prefill_views, engines[*index].zone, RandomNumber(), {});
     if (!prefill || prefill_views[*prefill].pending_tokens > settings_.prefill_backlog) {
@@ -195,8 +195,8 @@
     }
     board_->AddDecode(engines[*index].name, waiting->tokens, 1);
     board_->AddPrefill(prefill_engines[*prefill].name, waiting->job.prompt_tokens, 1);
-    asio::co_spawn(kernel_.Context(),
-                   Reserve(queue.record.name, waiting, engines[*index], prefill_engines[*prefill]), asio::detached);
+    asio::co_spawn(kernel_.Context(), Reserve(queue.record.name, waiting, engines[*index], prefill_engines[*prefill]),
+                   asio::detached);
   }
 }
 
