Serve late requests behind those in time; share pauses; keep prefill engines when traffic flows

Change: late requests keep waiting while callers are patient; small differences in stages are tolerated once traffic flows; a rejecting or unreachable endpoint is paused by all routers; decode engines read prompts when no prefill engine can.

--- a/include/persimmon/kv_placement.h
+++ b/include/persimmon/kv_placement.h
@@ -47,6 +47,7 @@
 struct placement_settings {
   std::uint32_t block_tokens = 16;          // engines hand out memory in blocks of this many tokens
   std::uint32_t cross_zone_tokens = 1'500;  // an engine in another zone must be this much less loaded
+  std::uint32_t prefill_backlog = 3'500;    // prompt tokens ahead on an engine to which a prompt is bound
   double prefill_tokens_per_ms = 33;        // pace of an engine, until it is measured
 
   bool operator==(const placement_settings&) const = default;
@@ -62,6 +63,21 @@
 std::optional<std::size_t> ChoosePrefillEngine(std::span<const engine_view> engines, const zone_name& preferred_zone,
                                                std::uint64_t draw, const placement_settings& settings);
 
+// Where a request runs.
+struct engine_pair {
+  std::size_t decode = 0;               // into the decode views
+  std::optional<std::size_t> prefill;   // into the prefill views; absent: the decode engine reads the prompt itself
+
+  bool operator==(const engine_pair&) const = default;
+};
+
+// Chooses both engines of a request, or nothing if it has to wait. A prompt is bound only to an engine that reads it
+// soon: bound earlier, it would hold decode memory while it waits, and more urgent prompts could not pass it. If no
+// prefill engine can receive work at all, the decode engine reads the prompt, at half the pace.
+std::optional<engine_pair> ChooseEngines(std::span<const engine_view> decode, std::span<const engine_view> prefill,
+                                         std::uint32_t tokens, const zone_name& preferred_zone, std::uint64_t draw,
+                                         const placement_settings& settings);
+
 // Predicted time until a prompt sent now has been read.
 microseconds PredictPrefill(const engine_view& engine, std::uint32_t prompt_tokens, const placement_settings& settings);
 
@@ -79,10 +95,10 @@
   bool operator==(const workload_profile&) const = default;
 };
 
-// How many of `engines` are to prefill, so that both stages are full at the same request rate. At least one engine is
-// left to each stage. 0 if there are fewer than two engines.
-std::uint32_t PlanPrefillEngines(std::uint32_t engines, std::uint32_t kv_tokens, std::uint32_t slots,
-                                 const workload_profile& profile);
+// How many of `engines` are to prefill, so that both stages are full at the same request rate; a fraction, because
+// engines are whole. At least one engine is left to each stage. 0 if there are fewer than two engines.
+double PlanPrefillEngines(std::uint32_t engines, std::uint32_t kv_tokens, std::uint32_t slots,
+                          const workload_profile& profile);
 
 // ---------------------------------------------------------------------------------------------------------------------
 // 4. output estimate
--- a/include/persimmon/stage_plan.h
+++ b/include/persimmon/stage_plan.h
@@ -27,6 +27,11 @@
   // An order without an answer may be carried out this much later; until then the engine gets no other order.
   milliseconds late_order = milliseconds(13'000);
   milliseconds round_pause = milliseconds(8'000);  // between two rounds, so that the effect of the first is seen
+  // An engine is away for seconds while it changes, so a small excess of prefill engines is left as it is, and a small
+  // lack as well.
+  double tolerated_excess = 1.25;
+  double tolerated_lack = 0.75;
+  bool first_start = false;  // of the whole system: no traffic is disturbed, and the first round tolerates nothing
 
   bool operator==(const stage_settings&) const = default;
 };
@@ -53,12 +58,15 @@
  public:
   explicit stage_planner(stage_settings settings) : settings_(settings) {}
 
-  // Engines that should change so that `wanted_prefill` of them prefill. Empty while the set of engines changes, right
-  // after a round, and while orders are pending. The least loaded engines of the fullest zone change first.
-  std::vector<stage_change> Plan(std::span<const staged_engine> engines, std::uint32_t wanted_prefill, time_point now);
+  // Engines that should change so that about `wanted_prefill` of them prefill. Empty while the set of engines changes, right
+  // after a round, and while orders are pending; but a service without any prefill engine does not wait. The least loaded engines of the fullest zone change first.
+  std::vector<stage_change> Plan(std::span<const staged_engine> engines, double wanted_prefill, time_point now);
 
   // A round of orders begins.
-  void NoteRound(time_point now) { last_round_ = now; }
+  void NoteRound(time_point now) {
+    last_round_ = now;
+    was_balanced_ = true;
+  }
 
   // An order was sent; it counts as carried out until the engine's entry shows its effect or the time for late orders
   // is over.
@@ -74,6 +82,7 @@
   std::map<endpoint_name, std::uint64_t> known_;  // incarnations
   time_point known_since_;
   std::optional<time_point> last_round_;
+  bool was_balanced_ = false;  // a round has been given, or none was needed
   std::map<endpoint_name, pending_order> pending_;
 };
 
--- a/src/decisions/kv_placement.cpp
+++ b/src/decisions/kv_placement.cpp
@@ -64,14 +64,33 @@
   return best;
 }
 
+std::optional<engine_pair> ChooseEngines(std::span<const engine_view> decode, std::span<const engine_view> prefill,
+                                         std::uint32_t tokens, const zone_name& preferred_zone, std::uint64_t draw,
+                                         const placement_settings& settings) {
+  const auto chosen = ChooseDecodeEngine(decode, tokens, preferred_zone, draw, settings);
+  if (!chosen) {
+    return std::nullopt;
+  }
+  const bool can_prefill =
+      std::any_of(prefill.begin(), prefill.end(), [](const engine_view& engine) { return engine.can_receive; });
+  if (!can_prefill) {
+    return engine_pair{*chosen, std::nullopt};
+  }
+  const auto reader = ChoosePrefillEngine(prefill, decode[*chosen].zone, draw, settings);
+  if (!reader || prefill[*reader].pending_tokens > settings.prefill_backlog) {
+    return std::nullopt;
+  }
+  return engine_pair{*chosen, reader};
+}
+
 microseconds PredictPrefill(const engine_view& engine, std::uint32_t prompt_tokens,
                             const placement_settings& settings) {
   const double tokens = static_cast<double>(engine.pending_tokens) + prompt_tokens;
   return microseconds(static_cast<std::int64_t>(tokens / settings.prefill_tokens_per_ms * 1'000));
 }
 
-std::uint32_t PlanPrefillEngines(std::uint32_t engines, std::uint32_t kv_tokens, std::uint32_t slots,
-                                 const workload_profile& profile) {
+double PlanPrefillEngines(std::uint32_t engines, std::uint32_t kv_tokens, std::uint32_t slots,
+                          const workload_profile& profile) {
   if (engines < 2) {
     return 0;
   }
@@ -80,8 +99,8 @@
   const double concurrent = slots == 0 ? by_memory : std::min(by_memory, static_cast<double>(slots));
   const double prefill_ms = profile.prompt_tokens / profile.prefill_tokens_per_ms;
   const double decode_ms = profile.output_tokens * profile.token_interval_ms / concurrent;
-  const double wanted = std::round(engines * prefill_ms / (prefill_ms + decode_ms));
-  return static_cast<std::uint32_t>(std::clamp(wanted, 1.0, static_cast<double>(engines - 1)));
+  const double wanted = engines * prefill_ms / (prefill_ms + decode_ms);
+  return std::clamp(wanted, 1.0, static_cast<double>(engines - 1));
 }
 
 std::uint32_t EstimateOutput(std::optional<std::uint32_t> hint, std::uint32_t maximum,
--- a/src/decisions/stage_plan.cpp
+++ b/src/decisions/stage_plan.cpp
@@ -1,10 +1,11 @@
 #include "persimmon/stage_plan.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace persimmon {
 
-std::vector<stage_change> stage_planner::Plan(std::span<const staged_engine> engines, std::uint32_t wanted_prefill,
+std::vector<stage_change> stage_planner::Plan(std::span<const staged_engine> engines, double wanted_prefill,
                                               time_point now) {
   std::map<endpoint_name, std::uint64_t> present;
   for (const staged_engine& engine : engines) {
@@ -17,7 +18,7 @@
   std::erase_if(pending_, [&](const auto& item) { return now >= item.second.until || !known_.contains(item.first); });
   const bool is_settled = now - known_since_ >= settings_.settle;
   const bool is_paused = last_round_ && now - *last_round_ < settings_.round_pause;
-  if (!is_settled || is_paused || engines.size() < 2) {
+  if (engines.size() < 2) {
     return {};
   }
 
@@ -33,9 +34,20 @@
       changeable.push_back(&engine);
     }
   }
-  const endpoint_role from = prefill > wanted_prefill ? endpoint_role::kPrefill : endpoint_role::kDecode;
+  if (prefill > 0 && (!is_settled || is_paused)) {
+    return {};
+  }
+  const std::uint32_t target = static_cast<std::uint32_t>(std::max(1.0, std::round(wanted_prefill)));
+  const double excess = prefill - wanted_prefill;
+  const bool is_close = excess <= settings_.tolerated_excess && -excess <= settings_.tolerated_lack;
+  const bool tolerates = was_balanced_ || !settings_.first_start;
+  if (prefill == target || (prefill > 0 && tolerates && is_close)) {
+    was_balanced_ = true;
+    return {};
+  }
+  const endpoint_role from = prefill > target ? endpoint_role::kPrefill : endpoint_role::kDecode;
   const endpoint_role to = from == endpoint_role::kPrefill ? endpoint_role::kDecode : endpoint_role::kPrefill;
-  std::uint32_t missing = prefill > wanted_prefill ? prefill - wanted_prefill : wanted_prefill - prefill;
+  std::uint32_t missing = prefill > target ? prefill - target : target - prefill;
   std::vector<stage_change> changes;
   while (missing > 0) {
     const auto better = [&](const staged_engine* left, const staged_engine* right) {
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -35,6 +35,7 @@
   milliseconds transfer_time = milliseconds(90);  // predicted, from the end of a prefill to the first event
   // A request that is late already may wait this long for room; callers leave after 3.6 s without an event.
   milliseconds late_wait = milliseconds(2'500);
+  milliseconds late_retry = milliseconds(1'500);  // told with a refusal for lack of room; jitter of up to the same is added
   std::int64_t prefill_backlog = 3'500;            // prompt tokens ahead on an engine to which a prompt is bound
   milliseconds stall_limit = milliseconds(2'000);  // a resumable stream that is silent for this long goes on elsewhere
   double output_share = 1.0;                       // of the caller's estimate of the output that memory is reserved for
--- a/src/direct/endpoint_board.cpp
+++ b/src/direct/endpoint_board.cpp
@@ -89,14 +89,25 @@
   health_.try_emplace(entry->service, health_settings{}).first->second.NoteFailure(endpoint.name, timer_service::Now());
 }
 
-void endpoint_board::NoteUnreachable(const chosen_endpoint& endpoint) {
+void endpoint_board::NoteUnreachable(const chosen_endpoint& endpoint) { Pause(endpoint, "unreachable"); }
+
+void endpoint_board::NoteRejected(const chosen_endpoint& endpoint) { Pause(endpoint, "rejected"); }
+
+// Each failure in a row doubles the pause. Requests that failed at the same time count once.
+void endpoint_board::Pause(const chosen_endpoint& endpoint, const char* reason) {
+  const time_point now = timer_service::Now();
   endpoint_state& state = State(endpoint.name);
+  if (now < state.down_until) {
+    return;
+  }
   state.down_pause = std::clamp(state.down_pause * 2, settings_.down_pause, settings_.down_pause_limit);
-  state.down_until = timer_service::Now() + state.down_pause;
+  state.down_until = now + state.down_pause;
+  group_->NoteChange();
   Events()
-      .Line(kPart, "endpoint_unreachable")
+      .Line(kPart, "endpoint_paused")
       .Add("endpoint", endpoint.name.value)
       .Add("address", endpoint.address.Text())
+      .Add("reason", reason)
       .Add("pause_ms", state.down_pause.count());
 }
 
@@ -113,7 +124,7 @@
 
 bool endpoint_board::CanReceive(const chosen_endpoint& endpoint, time_point now) const {
   const endpoint_state* state = FindState(endpoint.name);
-  return state == nullptr || now >= state->down_until;
+  return (state == nullptr || now >= state->down_until) && !group_->IsPausedByPeer(endpoint.name, now);
 }
 
 std::vector<endpoint_view> endpoint_board::PlainViews(const std::vector<chosen_endpoint>& endpoints,
@@ -132,6 +143,12 @@
     view.calls_in_progress = (state == nullptr ? 0U : state->use.calls) + group_->PeerUse(endpoint.name).calls;
     views.push_back(std::move(view));
   }
+  // A paused endpoint is better than none.
+  const bool any_can_receive =
+      std::any_of(views.begin(), views.end(), [](const endpoint_view& view) { return view.can_receive; });
+  for (endpoint_view& view : views) {
+    view.can_receive = view.can_receive || (!any_can_receive && !Contains(avoid, view.name));
+  }
   return views;
 }
 
@@ -168,10 +185,14 @@
 }
 
 std::vector<endpoint_use> endpoint_board::OwnUses() const {
+  const time_point now = timer_service::Now();
   std::vector<endpoint_use> uses;
   for (const auto& [name, state] : states_) {
-    const endpoint_use& use = state.use;
-    if (use.decode_tokens != 0 || use.decodes != 0 || use.prefill_tokens != 0 || use.prefills != 0 || use.calls != 0) {
+    endpoint_use use = state.use;
+    if (now < state.down_until) {
+      use.pause_ms = static_cast<std::uint16_t>(std::chrono::ceil<milliseconds>(state.down_until - now).count());
+    }
+    if (use.pause_ms != 0 || use.decode_tokens != 0 || use.decodes != 0 || use.prefill_tokens != 0 || use.prefills != 0 || use.calls != 0) {
       uses.push_back(use);
     }
   }
@@ -200,7 +221,7 @@
 void endpoint_board::DropIdleStates() {
   std::erase_if(states_, [this](const auto& item) {
     const endpoint_use& use = item.second.use;
-    const bool is_idle = use.decodes == 0 && use.prefills == 0 && use.calls == 0 && use.decode_tokens == 0;
+    const bool is_idle = timer_service::Now() >= item.second.down_until && use.decodes == 0 && use.prefills == 0 && use.calls == 0 && use.decode_tokens == 0;
     return is_idle && directory_->Endpoints().Find(item.first) == nullptr;
   });
 }
--- a/src/direct/endpoint_board.h
+++ b/src/direct/endpoint_board.h
@@ -43,6 +43,7 @@
   void NoteAnswer(const chosen_endpoint& endpoint);
   void NoteFailure(const chosen_endpoint& endpoint);      // no whole answer, or late beyond its limit
   void NoteUnreachable(const chosen_endpoint& endpoint);  // nothing could be sent
+  void NoteRejected(const chosen_endpoint& endpoint);     // it refused work that it should have room for
 
   // Endpoints of a service in the order of the views.
   std::vector<chosen_endpoint> List(const std::string& service, std::optional<endpoint_role> role) const;
@@ -66,6 +67,7 @@
     time_point refused_until;
   };
 
+  void Pause(const chosen_endpoint& endpoint, const char* reason);
   endpoint_state& State(const endpoint_name& endpoint);
   const endpoint_state* FindState(const endpoint_name& endpoint) const;
   bool CanReceive(const chosen_endpoint& endpoint, time_point now) const;
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds kTickPeriod(20);        // while requests wait: expiry, and room freed by other routers
 constexpr milliseconds kPrefillLimit(2'500);   // for one prefill with its queue; longer ones are tried elsewhere
 constexpr milliseconds kMinTimeLeft(50);       // a run with less time cannot send its first event
+constexpr milliseconds kResumeWait(500);         // for a place, of a request that has been placed before
+constexpr std::size_t kMaxLateRequests = 200;    // of one service; further ones are refused at once
 constexpr milliseconds kNoEngineRetry(1'000);  // told to a caller when no engine is registered
 constexpr milliseconds kControlLimit(1'000);   // for one call that frees memory
 constexpr std::uint32_t kMaxPlacements = 4;    // of one request: reservations whose prefill or decode then failed
@@ -38,8 +40,9 @@
   service_queue(const service_record& record, admission_settings admission) : record(record), queue(admission) {}
 
   service_record record;
-  admission_queue queue;
-  std::map<request_id, waiting_ptr> waiting;
+  admission_queue queue;                         // requests that can still meet their target
+  std::multimap<time_point, waiting_ptr> late;   // the others, by the time at which they are given up
+  std::map<request_id, waiting_ptr> waiting;     // all that have no reservation yet
 };
 
 generation_calls::generation_calls(kernel& services, const direct_settings& settings, http_client& client)
@@ -93,10 +96,9 @@
   const auto prefill =
       microseconds(static_cast<std::int64_t>(job.prompt_tokens / placement_settings{}.prefill_tokens_per_ms * 1'000));
   job.latest_start = job.arrival + route.target_latency - prefill - settings_.transfer_time;
-  const bool is_late = job.latest_start <= now;
-  if (is_late || is_resumed) {
-    job.latest_start = std::min(now + settings_.late_wait, call.End() - kMinTimeLeft);
-    job.deadline_bound = true;
+  if (is_resumed) {
+    // A stream that has lost its engine, or a request that was placed before, goes first.
+    job.latest_start = std::max(job.latest_start, now + kResumeWait);
   }
   return job;
 }
@@ -129,18 +131,25 @@
   waiting->avoid = std::move(avoid);
   waiting->job = MakeJob(*call, is_resumed, now);
   waiting->tokens = waiting->job.prompt_tokens + waiting->job.output_tokens;
+  waiting->give_up = std::min(call->Arrival() + settings_.late_wait, call->End() - kMinTimeLeft);
   UpdatePool(queue, now);
-  const admission_result admitted = queue.queue.AdmitRequest(waiting->job, RandomUnit(), now);
-  if (admitted.verdict != admission_verdict::kAdmitted) {
-    const milliseconds retry =
-        admitted.verdict == admission_verdict::kNoEndpoint ? kNoEngineRetry : admitted.retry_after;
-    co_return placement(denial{AdmissionName(admitted.verdict), retry});
+  bool is_admitted = false;
+  if (waiting->job.latest_start > now) {
+    const admission_result admitted = queue.queue.AdmitRequest(waiting->job, RandomUnit(), now);
+    is_admitted = admitted.verdict == admission_verdict::kAdmitted;
+    if (admitted.verdict == admission_verdict::kNoEndpoint) {
+      co_return placement(denial{AdmissionName(admitted.verdict), kNoEngineRetry});
+    }
+  }
+  if (!is_admitted && (waiting->give_up <= now || queue.late.size() >= kMaxLateRequests)) {
+    co_return placement(denial{"over_capacity", LateRetry()});
   }
   queue.waiting[waiting->job.request] = waiting;
+  if (!is_admitted) {
+    MakeLate(queue, waiting);
+  }
   call->OnCallerGone([this, waiting, service = call->Service().name] {
-    service_queue& own = *queues_[service];
-    own.queue.RemoveJob(waiting->job.request, timer_service::Now());
-    own.waiting.erase(waiting->job.request);
+    Forget(*queues_[service], waiting, timer_service::Now());
     waiting->decision.Push(denial{"caller_gone", milliseconds(0)});
   });
   Pump(queue);
@@ -148,9 +157,8 @@
   auto decided = co_await waiting->decision.Receive(std::chrono::duration_cast<microseconds>(call->End() - now));
   call->ClearCancel();
   if (!decided) {
-    queue.queue.RemoveJob(waiting->job.request, timer_service::Now());
-    queue.waiting.erase(waiting->job.request);
-    co_return placement(denial{"time_over", milliseconds(100)});
+    Forget(queue, waiting, timer_service::Now());
+    co_return placement(denial{"time_over", LateRetry()});
   }
   co_return std::move(*decided);
 }
@@ -161,57 +169,72 @@
   }
 }
 
+// The most urgent request that can still be in time; if there is none, the late one that is given up first.
+generation_calls::waiting_ptr generation_calls::FindNext(service_queue& queue, time_point now) {
+  if (const queue_job* head = queue.queue.PeekNext(now)) {
+    const auto found = queue.waiting.find(head->request);
+    return found == queue.waiting.end() ? nullptr : found->second;
+  }
+  return queue.late.empty() ? nullptr : queue.late.begin()->second;
+}
+
+void generation_calls::MakeLate(service_queue& queue, const waiting_ptr& waiting) {
+  waiting->is_late = true;
+  queue.late.emplace(waiting->give_up, waiting);
+}
+
+void generation_calls::Forget(service_queue& queue, const waiting_ptr& waiting, time_point now) {
+  queue.queue.RemoveJob(waiting->job.request, now);
+  std::erase_if(queue.late, [&](const auto& item) { return item.second == waiting; });
+  queue.waiting.erase(waiting->job.request);
+}
+
 void generation_calls::Pump(service_queue& queue) {
   const time_point now = timer_service::Now();
-  if (queue.queue.WaitingCount() == 0) {
+  if (queue.waiting.empty()) {
     return;
   }
   RefuseOverdue(queue, now);
   const engine_profile profile = queue.record.engine.value_or(engine_profile{});
   const auto engines = board_->List(queue.record.name, endpoint_role::kDecode);
   const auto prefill_engines = board_->List(queue.record.name, endpoint_role::kPrefill);
-  while (queue.queue.WaitingCount() > 0) {
-    // Only the most urgent request is placed: passing it by for smaller ones would starve long prompts.
-    const queue_job* head = queue.queue.PeekNext(now);
-    const auto found = head == nullptr ? queue.waiting.end() : queue.waiting.find(head->request);
-    if (found == queue.waiting.end()) {
-      return;
-    }
-    const waiting_ptr waiting = found->second;
+  placement_settings policy;
+  policy.prefill_backlog = static_cast<std::uint32_t>(settings_.prefill_backlog);
+  // Only the most urgent request is placed: passing it by for smaller ones would starve long prompts.
+  while (const waiting_ptr waiting = FindNext(queue, now)) {
     const auto views = board_->EngineViews(engines, profile, waiting->avoid);
-    const auto index = ChooseDecodeEngine(views, waiting->tokens, settings_.deployment.zone, RandomNumber(), {});
-    if (!index) {
-      return;
-    }
-    // A prompt is bound only to an engine that reads it soon. Bound earlier, it would hold decode memory while it
-    // waits, and more urgent prompts could not pass it.
     const auto prefill_views = board_->EngineViews(prefill_engines, profile, {});
-    const auto prefill = ChoosePrefillEngine(prefill_views, engines[*index].zone, RandomNumber(), {});
-    if (!prefill || prefill_views[*prefill].pending_tokens > settings_.prefill_backlog) {
+    const auto pair =
+        ChooseEngines(views, prefill_views, waiting->tokens, settings_.deployment.zone, RandomNumber(), policy);
+    if (!pair) {
       return;
     }
-    if (!queue.queue.PickNext(now)) {
-      return;
+    if (waiting->is_late) {
+      std::erase_if(queue.late, [&](const auto& item) { return item.second == waiting; });
+    } else {
+      queue.queue.PickNext(now);
+    }
+    grant place{engines[pair->decode], std::nullopt, {}, waiting->tokens, now};
+    board_->AddDecode(place.engine.name, waiting->tokens, 1);
+    if (pair->prefill) {
+      place.prefill = prefill_engines[*pair->prefill];
+      board_->AddPrefill(place.prefill->name, waiting->job.prompt_tokens, 1);
     }
-    board_->AddDecode(engines[*index].name, waiting->tokens, 1);
-    board_->AddPrefill(prefill_engines[*prefill].name, waiting->job.prompt_tokens, 1);
-    asio::co_spawn(kernel_.Context(), Reserve(queue.record.name, waiting, engines[*index], prefill_engines[*prefill]),
-                   asio::detached);
+    asio::co_spawn(kernel_.Context(), Reserve(queue.record.name, waiting, std::move(place)), asio::detached);
   }
 }
 
-task<> generation_calls::Reserve(std::string service, waiting_ptr waiting, chosen_endpoint engine,
-                                 chosen_endpoint prefill) {
-  auto request = platform::MakeReserve(engine.name, waiting->tokens, settings_.reservation_time);
-  auto answer = co_await client_.Fetch(engine.address, std::move(request), settings_.reserve_timeout);
+task<> generation_calls::Reserve(std::string service, waiting_ptr waiting, grant place) {
+  auto request = platform::MakeReserve(place.engine.name, waiting->tokens, settings_.reservation_time);
+  auto answer = co_await client_.Fetch(place.engine.address, std::move(request), settings_.reserve_timeout);
   const time_point now = timer_service::Now();
   service_queue& queue = *queues_[service];
   auto reservation = answer && answer.value().status == 200 ? platform::ReadReservation(answer.value().body)
                                                             : result<std::string>(error{error_code::kUnavailable, ""});
   const bool still_waits = queue.waiting.contains(waiting->job.request);
-  grant place{engine, prefill, {}, waiting->tokens, now};
   if (reservation) {
     place.reservation = reservation.value();
+    place.granted = now;
     if (still_waits && !waiting->call->IsCallerGone()) {
       queue.queue.NoteStarted(waiting->job.request, now);
       queue.waiting.erase(waiting->job.request);
@@ -224,36 +247,50 @@
   }
   ReleasePlace(*waiting->call, place);
   if (!answer) {
-    board_->NoteUnreachable(engine);
+    board_->NoteUnreachable(place.engine);
   } else {
-    board_->NoteRefused(engine.name, waiting->tokens);
+    board_->NoteRefused(place.engine.name, waiting->tokens);
   }
   Events()
       .Line(kPart, "reservation_refused")
       .Request(waiting->call->Terms().attempt)
-      .Add("endpoint", engine.name.value)
+      .Add("endpoint", place.engine.name.value)
       .Add("tokens", waiting->tokens)
       .Add("status", answer ? answer.value().status : 0)
       .Add("detail", answer ? "" : Describe(answer.error()));
   if (still_waits) {
-    queue.queue.Requeue(waiting->job.request, now);
+    if (waiting->is_late) {
+      MakeLate(queue, waiting);
+    } else {
+      queue.queue.Requeue(waiting->job.request, now);
+    }
     Pump(queue);
     ScheduleTick();
   }
 }
 
+// A request that can no longer meet its target waits behind those that can. One that has waited as long as a caller is
+// patient is refused.
 void generation_calls::RefuseOverdue(service_queue& queue, time_point now) {
   for (const queue_job& job : queue.queue.ExpireOverdue(now)) {
     const auto found = queue.waiting.find(job.request);
-    if (found == queue.waiting.end()) {
-      continue;
+    if (found != queue.waiting.end()) {
+      MakeLate(queue, found->second);
     }
-    const milliseconds retry = queue.queue.RetryAfter(job.prompt_tokens, job.output_tokens, RandomUnit(), now);
-    found->second->decision.Push(denial{"overdue", retry});
-    queue.waiting.erase(found);
+  }
+  while (!queue.late.empty() && queue.late.begin()->first <= now) {
+    const waiting_ptr waiting = queue.late.begin()->second;
+    queue.late.erase(queue.late.begin());
+    queue.waiting.erase(waiting->job.request);
+    waiting->decision.Push(denial{"overdue", LateRetry()});
   }
 }
 
+// A request that is refused for lack of room comes back when the burst has most likely passed.
+milliseconds generation_calls::LateRetry() const {
+  return std::chrono::duration_cast<milliseconds>(settings_.late_retry * (1 + RandomUnit()));
+}
+
 void generation_calls::ScheduleTick() {
   if (tick_is_due_ || WaitingCount() == 0) {
     return;
@@ -269,7 +306,9 @@
 // Takes a place whose prefill has not been sent off the board.
 void generation_calls::ReleasePlace(const direct_call& call, const grant& place) {
   board_->AddDecode(place.engine.name, -static_cast<std::int64_t>(place.tokens), -1);
-  board_->AddPrefill(place.prefill.name, -static_cast<std::int64_t>(call.Terms().prompt_tokens), -1);
+  if (place.prefill) {
+    board_->AddPrefill(place.prefill->name, -static_cast<std::int64_t>(call.Terms().prompt_tokens), -1);
+  }
 }
 
 void generation_calls::ReleaseReservation(const grant& place) {
@@ -303,7 +342,10 @@
   const engine_profile profile = call->Service().engine.value_or(engine_profile{});
   send_budget& budget = budgets_->For(call->Service().name);
   std::vector<endpoint_name> avoid;
-  chosen_endpoint engine = place.prefill;  // on the board already
+  if (!place.prefill) {
+    co_return platform::kv_source{};
+  }
+  chosen_endpoint engine = *place.prefill;  // on the board already
   while (true) {
     const time_point begin = timer_service::Now();
     if (!avoid.empty()) {
@@ -364,6 +406,8 @@
       board_->NoteUnreachable(engine);
     } else if (failure) {
       board_->NoteFailure(engine);
+    } else {
+      board_->NoteRejected(engine);
     }
     if (was_sent) {
       budget.NoteSend(timer_service::Now());  // the rejected prefill reached the service beyond the request's own send
@@ -566,7 +610,9 @@
     if (call->IsCallerGone() || !is_current || !may_send) {
       release();
       ReleaseReservation(place);
-      DropCache(*source);
+      if (!source->handle.empty()) {
+        DropCache(*source);
+      }
       PumpAll();
       result = call->IsCallerGone() ? step_result::kCallerGone : step_result::kNotRun;
       if (call->IsCallerGone() || !may_send) {
@@ -577,11 +623,16 @@
       continue;
     }
     const platform::kv_source used_source = *source;
+    if (source->handle.empty()) {
+      source.reset();
+    }
     result = co_await Decode(call, place, std::move(source), stream);
     release();
     PumpAll();
     if (result == step_result::kNotRun) {
-      DropCache(used_source);
+      if (!used_source.handle.empty()) {
+        DropCache(used_source);
+      }
       ReleaseReservation(place);
     }
     if (result == step_result::kBroken) {
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -37,7 +37,7 @@
   // Memory reserved on a decode engine, and the prefill engine that reads the prompt.
   struct grant {
     chosen_endpoint engine;
-    chosen_endpoint prefill;
+    std::optional<chosen_endpoint> prefill;  // absent: the decode engine reads the prompt itself
     std::string reservation;
     std::uint32_t tokens = 0;
     time_point granted;
@@ -56,6 +56,8 @@
     direct_call_ptr call;
     queue_job job;
     std::uint32_t tokens = 0;  // to reserve
+    bool is_late = false;      // its target is missed; it is served when nothing else waits
+    time_point give_up;        // of a late one
     std::vector<endpoint_name> avoid;
     mailbox<placement> decision;
   };
@@ -84,10 +86,15 @@
   queue_job MakeJob(const direct_call& call, bool is_resumed, time_point now);
   void UpdatePool(service_queue& queue, time_point now);
   void Pump(service_queue& queue);
-  task<> Reserve(std::string service, waiting_ptr waiting, chosen_endpoint engine, chosen_endpoint prefill);
+  waiting_ptr FindNext(service_queue& queue, time_point now);
+  void MakeLate(service_queue& queue, const waiting_ptr& waiting);
+  void Forget(service_queue& queue, const waiting_ptr& waiting, time_point now);
+  task<> Reserve(std::string service, waiting_ptr waiting, grant place);
   void RefuseOverdue(service_queue& queue, time_point now);
+  milliseconds LateRetry() const;
   void ScheduleTick();
 
+  // Without a prefill engine the result is an empty source.
   task<std::optional<platform::kv_source>> Prefill(direct_call_ptr call, const grant& place);
   task<step_result> Decode(direct_call_ptr call, const grant& place, std::optional<platform::kv_source> source,
                            stream_state& stream);
--- a/src/direct/router_group.cpp
+++ b/src/direct/router_group.cpp
@@ -143,6 +143,7 @@
   if (is_new) {
     ScheduleSend();  // the new router learns this one's state at once
   }
+  NotePauses(state, now);
   if (uses_changed) {
     SumUses();
     if (on_change) {
@@ -154,6 +155,7 @@
 void router_group::ForgetSilent() {
   const time_point now = timer_service::Now();
   bool changed = false;
+  std::erase_if(paused_until_, [now](const auto& item) { return now >= item.second; });
   for (auto& [address, other] : peers_) {
     if (now - other.heard > kSilence && !other.state.uses.empty()) {
       Events().Line(kPart, "router_silent").Add("router", other.state.name);
@@ -189,6 +191,21 @@
   }
 }
 
+// Pauses are remembered apart from the sums: a later message of the same router no longer carries one that has ended.
+void router_group::NotePauses(const router_state& state, time_point now) {
+  for (const endpoint_use& use : state.uses) {
+    if (use.pause_ms != 0) {
+      time_point& until = paused_until_[use.endpoint];
+      until = std::max(until, now + milliseconds(use.pause_ms));
+    }
+  }
+}
+
+bool router_group::IsPausedByPeer(const endpoint_name& endpoint, time_point now) const {
+  const auto found = paused_until_.find(EndpointKey(endpoint));
+  return found != paused_until_.end() && now < found->second;
+}
+
 endpoint_use router_group::PeerUse(const endpoint_name& endpoint) const {
   const auto found = peer_uses_.find(EndpointKey(endpoint));
   return found == peer_uses_.end() ? endpoint_use{} : found->second;
--- a/src/direct/router_group.h
+++ b/src/direct/router_group.h
@@ -45,6 +45,9 @@
   // What the other routers have in progress on the endpoint, as of their last messages.
   endpoint_use PeerUse(const endpoint_name& endpoint) const;
 
+  // Another router could not reach the endpoint, or was rejected by it, a moment ago.
+  bool IsPausedByPeer(const endpoint_name& endpoint, time_point now) const;
+
   // Routers that share limits: this one, those that are heard, and those that were heard a moment ago.
   std::uint32_t RouterCount() const;
 
@@ -64,6 +67,7 @@
   void ScheduleSend();
   void ForgetSilent();
   void SumUses();
+  void NotePauses(const router_state& state, time_point now);
   milliseconds SendPause() const;
 
   kernel& kernel_;
@@ -75,6 +79,7 @@
   std::map<host_port, peer> peers_;
   std::map<host_port, time_point> candidates_;  // named by others, not heard yet: last tried
   std::unordered_map<std::uint64_t, endpoint_use> peer_uses_;
+  std::unordered_map<std::uint64_t, time_point> paused_until_;  // by other routers
   timer_subscription beat_timer_;
   timer_subscription send_timer_;
   time_point last_sent_;
--- a/src/direct/stage_orders.cpp
+++ b/src/direct/stage_orders.cpp
@@ -61,7 +61,7 @@
 }
 
 task<> stage_orders::Round(service_record service) {
-  const stage_settings settings{.settle = settings_.stage_settle};
+  const stage_settings settings{.settle = settings_.stage_settle, .first_start = settings_.deployment.first_start};
   stage_planner& planner = planners_.try_emplace(service.name, settings).first->second;
   const auto endpoints = board_->List(service.name, std::nullopt);
   const auto views = board_->EngineViews(endpoints, *service.engine, {});
