Tell what the queue of model requests waits for

Cause: the logs could not tell whether decode memory or prefill binds in a burst. Change: each request's line carries how long it waited and for what, and when its first event was passed on.

--- a/include/persimmon/kv_placement.h
+++ b/include/persimmon/kv_placement.h
@@ -63,20 +63,31 @@
 std::optional<std::size_t> ChoosePrefillEngine(std::span<const engine_view> engines, const zone_name& preferred_zone,
                                                std::uint64_t draw, const placement_settings& settings);
 
-// Where a request runs.
-struct engine_pair {
-  std::size_t decode = 0;               // into the decode views
-  std::optional<std::size_t> prefill;   // into the prefill views; absent: the decode engine reads the prompt itself
+// Why a request has to wait for its engines.
+enum class wait_reason : std::uint8_t {
+  kNone,
+  kDecodeMemory,  // no decode engine has room for it
+  kPrefillBusy,   // every prefill engine has enough prompts ahead
+};
+
+// "none", "decode_memory" or "prefill_busy".
+const char* WaitReasonName(wait_reason reason);
+
+// Where a request runs, if it need not wait.
+struct engine_choice {
+  wait_reason waits_for = wait_reason::kNone;
+  std::size_t decode = 0;              // into the decode views
+  std::optional<std::size_t> prefill;  // into the prefill views; absent: the decode engine reads the prompt itself
 
-  bool operator==(const engine_pair&) const = default;
+  bool operator==(const engine_choice&) const = default;
 };
 
-// Chooses both engines of a request, or nothing if it has to wait. A prompt is bound only to an engine that reads it
+// Chooses both engines of a request, or tells what it has to wait for. A prompt is bound only to an engine that reads it
 // soon: bound earlier, it would hold decode memory while it waits, and more urgent prompts could not pass it. If no
 // prefill engine can receive work at all, the decode engine reads the prompt, at half the pace.
-std::optional<engine_pair> ChooseEngines(std::span<const engine_view> decode, std::span<const engine_view> prefill,
-                                         std::uint32_t tokens, const zone_name& preferred_zone, std::uint64_t draw,
-                                         const placement_settings& settings);
+engine_choice ChooseEngines(std::span<const engine_view> decode, std::span<const engine_view> prefill,
+                            std::uint32_t tokens, const zone_name& preferred_zone, std::uint64_t draw,
+                            const placement_settings& settings);
 
 // Predicted time until a prompt sent now has been read.
 microseconds PredictPrefill(const engine_view& engine, std::uint32_t prompt_tokens, const placement_settings& settings);
--- a/src/decisions/kv_placement.cpp
+++ b/src/decisions/kv_placement.cpp
@@ -64,23 +64,35 @@
   return best;
 }
 
-std::optional<engine_pair> ChooseEngines(std::span<const engine_view> decode, std::span<const engine_view> prefill,
-                                         std::uint32_t tokens, const zone_name& preferred_zone, std::uint64_t draw,
-                                         const placement_settings& settings) {
+const char* WaitReasonName(wait_reason reason) {
+  switch (reason) {
+    case wait_reason::kNone:
+      return "none";
+    case wait_reason::kDecodeMemory:
+      return "decode_memory";
+    case wait_reason::kPrefillBusy:
+      return "prefill_busy";
+  }
+  return "unknown";
+}
+
+engine_choice ChooseEngines(std::span<const engine_view> decode, std::span<const engine_view> prefill,
+                            std::uint32_t tokens, const zone_name& preferred_zone, std::uint64_t draw,
+                            const placement_settings& settings) {
   const auto chosen = ChooseDecodeEngine(decode, tokens, preferred_zone, draw, settings);
   if (!chosen) {
-    return std::nullopt;
+    return {wait_reason::kDecodeMemory, 0, std::nullopt};
   }
   const bool can_prefill =
       std::any_of(prefill.begin(), prefill.end(), [](const engine_view& engine) { return engine.can_receive; });
   if (!can_prefill) {
-    return engine_pair{*chosen, std::nullopt};
+    return {wait_reason::kNone, *chosen, std::nullopt};
   }
   const auto reader = ChoosePrefillEngine(prefill, decode[*chosen].zone, draw, settings);
   if (!reader || prefill[*reader].pending_tokens > settings.prefill_backlog) {
-    return std::nullopt;
+    return {wait_reason::kPrefillBusy, 0, std::nullopt};
   }
-  return engine_pair{*chosen, reader};
+  return {wait_reason::kNone, *chosen, reader};
 }
 
 microseconds PredictPrefill(const engine_view& engine, std::uint32_t prompt_tokens,
--- a/src/direct/direct_call.h
+++ b/src/direct/direct_call.h
@@ -8,6 +8,7 @@
 
 #include "core/kernel.h"
 #include "net/http.h"
+#include "persimmon/kv_placement.h"
 #include "persimmon/routes.h"
 #include "platform/requests.h"
 
@@ -61,6 +62,9 @@
   std::string reason;     // of the outcome, for the log
   std::string endpoints;  // that it was sent to, in order, for the log
   std::uint32_t sends = 0;
+  milliseconds waited{0};  // in the queue, until engines were reserved
+  wait_reason waited_for = wait_reason::kNone;
+  milliseconds first_event{0};  // from the arrival; 0: none has been passed on
 
  private:
   task<void> RespondOwn(int status, const std::string& code, std::optional<milliseconds> retry_after);
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -38,7 +38,7 @@
   milliseconds late_retry = milliseconds(1'500);  // told with a refusal for lack of room; jitter of up to the same is added
   std::int64_t prefill_backlog = 3'500;            // prompt tokens ahead on an engine to which a prompt is bound
   milliseconds stall_limit = milliseconds(2'000);  // a resumable stream that is silent for this long goes on elsewhere
-  double output_share = 1.0;                       // of the caller's estimate of the output that memory is reserved for
+  double output_share = 0.8;                       // of the caller's estimate of the output that memory is reserved for
 
   // [stages]
   bool order_stages = true;                         // change the stages of engines to suit the traffic
--- a/src/direct/entry.cpp
+++ b/src/direct/entry.cpp
@@ -243,6 +243,9 @@
       .Add("reason", call.reason)
       .Add("sends", call.sends)
       .Add("endpoints", call.endpoints)
+      .Add("waited_ms", call.waited.count())
+      .Add("waited_for", WaitReasonName(call.waited_for))
+      .Add("first_event_ms", call.first_event.count())
       .Add("took_ms", call.Age(now).count())
       .Add("left_ms", call.TimeLeft(now).count());
   const metric_labels labels = {{"kind", CallKindName(call.Route().kind)}, {"outcome", CallOutcomeName(outcome)}};
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -13,6 +13,7 @@
 
 #include "core/event_log.h"
 #include "core/random.h"
+#include "core/telemetry.h"
 
 namespace persimmon {
 namespace {
@@ -43,6 +44,8 @@
   admission_queue queue;                         // requests that can still meet their target
   std::multimap<time_point, waiting_ptr> late;   // the others, by the time at which they are given up
   std::map<request_id, waiting_ptr> waiting;     // all that have no reservation yet
+  time_point last_pump;
+  time_point this_pump;
 };
 
 generation_calls::generation_calls(kernel& services, const direct_settings& settings, http_client& client)
@@ -54,6 +57,7 @@
   board_ = &kernel_.Find<endpoint_board>("board");
   budgets_ = &kernel_.Find<send_budgets>("budgets");
   group_ = &kernel_.Find<router_group>("group");
+  metrics_ = &kernel_.Find<telemetry>("telemetry").Metrics();
 }
 
 void generation_calls::Stop() { tick_.Cancel(); }
@@ -195,6 +199,7 @@
     return;
   }
   RefuseOverdue(queue, now);
+  queue.last_pump = std::exchange(queue.this_pump, now);
   const engine_profile profile = queue.record.engine.value_or(engine_profile{});
   const auto engines = board_->List(queue.record.name, endpoint_role::kDecode);
   const auto prefill_engines = board_->List(queue.record.name, endpoint_role::kPrefill);
@@ -204,9 +209,10 @@
   while (const waiting_ptr waiting = FindNext(queue, now)) {
     const auto views = board_->EngineViews(engines, profile, waiting->avoid);
     const auto prefill_views = board_->EngineViews(prefill_engines, profile, {});
-    const auto pair =
+    const engine_choice choice =
         ChooseEngines(views, prefill_views, waiting->tokens, settings_.deployment.zone, RandomNumber(), policy);
-    if (!pair) {
+    if (choice.waits_for != wait_reason::kNone) {
+      NoteBlocked(queue, choice.waits_for, now);
       return;
     }
     if (waiting->is_late) {
@@ -214,16 +220,29 @@
     } else {
       queue.queue.PickNext(now);
     }
-    grant place{engines[pair->decode], std::nullopt, {}, waiting->tokens, now};
+    grant place{engines[choice.decode], std::nullopt, {}, waiting->tokens, now};
     board_->AddDecode(place.engine.name, waiting->tokens, 1);
-    if (pair->prefill) {
-      place.prefill = prefill_engines[*pair->prefill];
+    if (choice.prefill) {
+      place.prefill = prefill_engines[*choice.prefill];
       board_->AddPrefill(place.prefill->name, waiting->job.prompt_tokens, 1);
     }
     asio::co_spawn(kernel_.Context(), Reserve(queue.record.name, waiting, std::move(place)), asio::detached);
   }
 }
 
+// Notes for every waiting request what the head of the queue waits for.
+void generation_calls::NoteBlocked(service_queue& queue, wait_reason reason, time_point now) {
+  const auto blocked = std::chrono::duration_cast<microseconds>(now - queue.last_pump);
+  if (blocked < kTickPeriod * 3) {
+    const metric_labels labels = {{"service", queue.record.name}, {"reason", WaitReasonName(reason)}};
+    metrics_->AddLatency("persimmon_queue_blocked_seconds", "Steps of time in which the head of a queue waited.", labels)
+        .Record(blocked);
+  }
+  for (const auto& [request, waiting] : queue.waiting) {
+    waiting->call->waited_for = reason;
+  }
+}
+
 task<> generation_calls::Reserve(std::string service, waiting_ptr waiting, grant place) {
   auto request = platform::MakeReserve(place.engine.name, waiting->tokens, settings_.reservation_time);
   auto answer = co_await client_.Fetch(place.engine.address, std::move(request), settings_.reserve_timeout);
@@ -237,6 +256,7 @@
     place.granted = now;
     if (still_waits && !waiting->call->IsCallerGone()) {
       queue.queue.NoteStarted(waiting->job.request, now);
+      waiting->call->waited = waiting->call->Age(now);
       queue.waiting.erase(waiting->job.request);
       waiting->decision.Push(std::move(place));
     } else {
@@ -541,6 +561,9 @@
       stream.events.DropRest();
     }
     if (!whole.empty()) {
+      if (call->first_event == milliseconds(0)) {
+        call->first_event = call->Age(timer_service::Now());
+      }
       auto written = co_await call->Exchange().WriteChunk(std::move(whole));
       if (!written) {
         outcome = step_result::kCallerGone;
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "core/mailbox.h"
+#include "core/metrics.h"
 #include "direct/direct_call.h"
 #include "direct/endpoint_board.h"
 #include "direct/plain_calls.h"
@@ -86,6 +87,7 @@
   queue_job MakeJob(const direct_call& call, bool is_resumed, time_point now);
   void UpdatePool(service_queue& queue, time_point now);
   void Pump(service_queue& queue);
+  void NoteBlocked(service_queue& queue, wait_reason reason, time_point now);
   waiting_ptr FindNext(service_queue& queue, time_point now);
   void MakeLate(service_queue& queue, const waiting_ptr& waiting);
   void Forget(service_queue& queue, const waiting_ptr& waiting, time_point now);
@@ -112,6 +114,7 @@
   endpoint_board* board_ = nullptr;
   send_budgets* budgets_ = nullptr;
   router_group* group_ = nullptr;
+  metrics_registry* metrics_ = nullptr;
   std::map<std::string, std::unique_ptr<service_queue>> queues_;
   std::map<std::string, milliseconds> largest_budgets_;  // of the callers' time, by route
   timer_subscription tick_;
