Keep the prefill engines full

Cause: prompts were bound when an engine had at most 3,500 prompt tokens ahead; with five routers that hear of each other within 30 to 60 ms, engines ran dry between two prompts (2.8 of 4 in use while requests waited). Change: backlog of 7,000 tokens; prefill weight 1.2.

--- a/include/persimmon/kv_placement.h
+++ b/include/persimmon/kv_placement.h
@@ -47,7 +47,7 @@
 struct placement_settings {
   std::uint32_t block_tokens = 16;          // engines hand out memory in blocks of this many tokens
   std::uint32_t cross_zone_tokens = 1'500;  // an engine in another zone must be this much less loaded
-  std::uint32_t prefill_backlog = 3'500;    // prompt tokens ahead on an engine to which a prompt is bound
+  std::uint32_t prefill_backlog = 7'000;    // prompt tokens ahead on an engine to which a prompt is bound
   double prefill_tokens_per_ms = 33;        // pace of an engine, until it is measured
 
   bool operator==(const placement_settings&) const = default;
@@ -82,8 +82,8 @@
   bool operator==(const engine_choice&) const = default;
 };
 
-// Chooses both engines of a request, or tells what it has to wait for. A prompt is bound only to an engine that reads it
-// soon: bound earlier, it would hold decode memory while it waits, and more urgent prompts could not pass it. If no
+// Chooses both engines of a request, or tells what it has to wait for. A prompt is bound only to an engine that reads
+// it soon: bound earlier, it would hold decode memory while it waits, and more urgent prompts could not pass it. If no
 // prefill engine can receive work at all, the decode engine reads the prompt, at half the pace.
 engine_choice ChooseEngines(std::span<const engine_view> decode, std::span<const engine_view> prefill,
                             std::uint32_t tokens, const zone_name& preferred_zone, std::uint64_t draw,
--- a/include/persimmon/stage_plan.h
+++ b/include/persimmon/stage_plan.h
@@ -58,8 +58,9 @@
  public:
   explicit stage_planner(stage_settings settings) : settings_(settings) {}
 
-  // Engines that should change so that about `wanted_prefill` of them prefill. Empty while the set of engines changes, right
-  // after a round, and while orders are pending; but a service without any prefill engine does not wait. The least loaded engines of the fullest zone change first.
+  // Engines that should change so that about `wanted_prefill` of them prefill. Empty while the set of engines changes,
+  // right after a round, and while orders are pending; but a service without any prefill engine does not wait. The
+  // least loaded engines of the fullest zone change first.
   std::vector<stage_change> Plan(std::span<const staged_engine> engines, double wanted_prefill, time_point now);
 
   // A round of orders begins.
--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -27,6 +27,7 @@
   duration("model", "stall_limit_ms", settings.stall_limit);
   bind.Real("model", "output_share", settings.output_share, 0.05, 10);
   bind.Flag("stages", "order_stages", settings.order_stages);
+  bind.Real("stages", "prefill_weight", settings.prefill_weight, 0.1, 10);
   duration("stages", "stage_settle_ms", settings.stage_settle);
   duration("stop", "announce_ms", settings.stop_announce);
   duration("stop", "reserve_ms", settings.stop_reserve);
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -35,13 +35,17 @@
   milliseconds transfer_time = milliseconds(90);  // predicted, from the end of a prefill to the first event
   // A request that is late already may wait this long for room; callers leave after 3.6 s without an event.
   milliseconds late_wait = milliseconds(2'500);
-  milliseconds late_retry = milliseconds(1'500);  // told with a refusal for lack of room; jitter of up to the same is added
-  std::int64_t prefill_backlog = 3'500;            // prompt tokens ahead on an engine to which a prompt is bound
+  milliseconds late_retry =
+      milliseconds(1'500);               // told with a refusal for lack of room; jitter of up to the same is added
+  std::int64_t prefill_backlog = 7'000;  // prompt tokens ahead on an engine to which a prompt is bound
   milliseconds stall_limit = milliseconds(2'000);  // a resumable stream that is silent for this long goes on elsewhere
   double output_share = 0.8;                       // of the caller's estimate of the output that memory is reserved for
 
   // [stages]
-  bool order_stages = true;                         // change the stages of engines to suit the traffic
+  bool order_stages = true;  // change the stages of engines to suit the traffic
+  // Share of prefill engines against that of an even load. A burst meets the prefill engines first: prompts arrive at
+  // once, while decode memory fills over seconds.
+  double prefill_weight = 1.2;
   milliseconds stage_settle = milliseconds(1'500);  // the set of engines must be unchanged this long before an order
 
   // [stop]
--- a/src/direct/endpoint_board.cpp
+++ b/src/direct/endpoint_board.cpp
@@ -192,7 +192,8 @@
     if (now < state.down_until) {
       use.pause_ms = static_cast<std::uint16_t>(std::chrono::ceil<milliseconds>(state.down_until - now).count());
     }
-    if (use.pause_ms != 0 || use.decode_tokens != 0 || use.decodes != 0 || use.prefill_tokens != 0 || use.prefills != 0 || use.calls != 0) {
+    if (use.pause_ms != 0 || use.decode_tokens != 0 || use.decodes != 0 || use.prefill_tokens != 0 ||
+        use.prefills != 0 || use.calls != 0) {
       uses.push_back(use);
     }
   }
@@ -221,7 +222,8 @@
 void endpoint_board::DropIdleStates() {
   std::erase_if(states_, [this](const auto& item) {
     const endpoint_use& use = item.second.use;
-    const bool is_idle = timer_service::Now() >= item.second.down_until && use.decodes == 0 && use.prefills == 0 && use.calls == 0 && use.decode_tokens == 0;
+    const bool is_idle = timer_service::Now() >= item.second.down_until && use.decodes == 0 && use.prefills == 0 &&
+                         use.calls == 0 && use.decode_tokens == 0;
     return is_idle && directory_->Endpoints().Find(item.first) == nullptr;
   });
 }
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -22,8 +22,8 @@
 constexpr milliseconds kTickPeriod(20);        // while requests wait: expiry, and room freed by other routers
 constexpr milliseconds kPrefillLimit(2'500);   // for one prefill with its queue; longer ones are tried elsewhere
 constexpr milliseconds kMinTimeLeft(50);       // a run with less time cannot send its first event
-constexpr milliseconds kResumeWait(500);         // for a place, of a request that has been placed before
-constexpr std::size_t kMaxLateRequests = 200;    // of one service; further ones are refused at once
+constexpr milliseconds kResumeWait(500);       // for a place, of a request that has been placed before
+constexpr std::size_t kMaxLateRequests = 200;  // of one service; further ones are refused at once
 constexpr milliseconds kNoEngineRetry(1'000);  // told to a caller when no engine is registered
 constexpr milliseconds kControlLimit(1'000);   // for one call that frees memory
 constexpr std::uint32_t kMaxPlacements = 4;    // of one request: reservations whose prefill or decode then failed
@@ -41,9 +41,9 @@
   service_queue(const service_record& record, admission_settings admission) : record(record), queue(admission) {}
 
   service_record record;
-  admission_queue queue;                         // requests that can still meet their target
-  std::multimap<time_point, waiting_ptr> late;   // the others, by the time at which they are given up
-  std::map<request_id, waiting_ptr> waiting;     // all that have no reservation yet
+  admission_queue queue;                        // requests that can still meet their target
+  std::multimap<time_point, waiting_ptr> late;  // the others, by the time at which they are given up
+  std::map<request_id, waiting_ptr> waiting;    // all that have no reservation yet
   time_point last_pump;
   time_point this_pump;
 };
@@ -235,7 +235,8 @@
   const auto blocked = std::chrono::duration_cast<microseconds>(now - queue.last_pump);
   if (blocked < kTickPeriod * 3) {
     const metric_labels labels = {{"service", queue.record.name}, {"reason", WaitReasonName(reason)}};
-    metrics_->AddLatency("persimmon_queue_blocked_seconds", "Steps of time in which the head of a queue waited.", labels)
+    metrics_
+        ->AddLatency("persimmon_queue_blocked_seconds", "Steps of time in which the head of a queue waited.", labels)
         .Record(blocked);
   }
   for (const auto& [request, waiting] : queue.waiting) {
--- a/src/direct/stage_orders.cpp
+++ b/src/direct/stage_orders.cpp
@@ -73,8 +73,10 @@
       engines.push_back({endpoints[i].name, endpoints[i].zone, endpoints[i].started_ms, *entry->role, load});
     }
   }
-  const auto wanted = PlanPrefillEngines(static_cast<std::uint32_t>(engines.size()), service.engine->kv_tokens,
-                                         service.engine->slots, workload_profile{});
+  workload_profile profile;
+  profile.prefill_tokens_per_ms /= settings_.prefill_weight;
+  const double wanted = PlanPrefillEngines(static_cast<std::uint32_t>(engines.size()), service.engine->kv_tokens,
+                                           service.engine->slots, profile);
   const auto changes = planner.Plan(engines, wanted, timer_service::Now());
   if (changes.empty()) {
     co_return;
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -486,8 +486,8 @@
   std::uint16_t decodes = 0;         // reservations and streams
   std::uint32_t prefill_tokens = 0;  // of prefills in progress
   std::uint16_t prefills = 0;
-  std::uint16_t calls = 0;           // plain calls in progress
-  std::uint16_t pause_ms = 0;        // it was unreachable or rejected work, and gets none for this long
+  std::uint16_t calls = 0;     // plain calls in progress
+  std::uint16_t pause_ms = 0;  // it was unreachable or rejected work, and gets none for this long
 
   bool operator==(const endpoint_use&) const = default;
   template <class archive>
