--- a/include/persimmon/send_budget.h
+++ b/include/persimmon/send_budget.h
@@ -16,7 +16,7 @@
   double slack = 56;   // extra sends per window, of all routers together
   milliseconds window = milliseconds(10'000);
   // Share of the budget that is used. The rest covers requests that arrive unevenly and routers that have just joined.
-  double usage = 0.6;
+  double usage = 0.8;
 
   bool operator==(const send_budget_settings&) const = default;
 };
--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -75,6 +75,9 @@
 }
 
 void event_log::Append(std::string line) {
+  if (pending_.size() + line.size() > settings_.pending_bytes) {
+    Flush();
+  }
   if (pending_.size() + line.size() > settings_.pending_bytes) {
     ++dropped_;
     return;
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -7,10 +7,13 @@
 #include <cstdio>
 #include <cstdlib>
 
+#include "core/event_log.h"
+
 namespace persimmon {
 namespace {
 
 std::atomic<log_level> minimum_level{log_level::kInfo};
+std::atomic<bool> uses_event_log{false};
 
 const char* LevelName(log_level level) {
   switch (level) {
@@ -40,11 +43,22 @@
   return false;
 }
 
+void UseEventLog() { uses_event_log = true; }
+
 namespace detail {
 
 bool IsLogged(log_level level) { return level >= minimum_level.load(std::memory_order_relaxed); }
 
 void WriteLogLine(log_level level, std::string_view prefix, std::string_view request, std::string_view sentence) {
+  if (uses_event_log) {
+    auto line = Events().Line(prefix, "message");
+    line.Add("level", LevelName(level));
+    if (!request.empty()) {
+      line.Request(request);
+    }
+    line.Add("message", sentence);
+    return;
+  }
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
   std::string line = fmt::format("{:%Y-%m-%dT%H:%M:%S}Z {:<7} {}: ", now, LevelName(level), prefix);
   if (!request.empty()) {
@@ -60,6 +74,7 @@
 
 void StopProgram(std::string_view reason) {
   detail::WriteLogLine(log_level::kError, "core.misuse", "", reason);
+  Events().Flush();
   std::abort();
 }
 
--- a/src/core/log.h
+++ b/src/core/log.h
@@ -1,4 +1,5 @@
-// Log lines on standard error: time, level, prefix of the part, request id if any, one short sentence.
+// Log lines: time, level, prefix of the part, request id if any, one short sentence. Daemons write them into the
+// structured log on standard output (core/event_log.h), other programs to standard error.
 #pragma once
 
 #include <fmt/core.h>
@@ -17,6 +18,9 @@
 // Accepts "debug", "info", "warning" and "error"; returns false for any other text.
 bool ParseLogLevel(std::string_view text, log_level& level);
 
+// From now on lines go into the structured log of this process. Called once by daemons.
+void UseEventLog();
+
 namespace detail {
 bool IsLogged(log_level level);
 void WriteLogLine(log_level level, std::string_view prefix, std::string_view request, std::string_view sentence);
--- a/src/core/program.cpp
+++ b/src/core/program.cpp
@@ -64,8 +64,10 @@
   };
   await_signal();
   services.Start();
+  const auto flush = services.Timers().SubscribeEvery(Events().FlushPeriod(), 0.1, [] { Events().Flush(); });
   context.run();
   services.Stop();
+  Events().Flush();
   return kExitSuccess;
 }
 
--- a/src/core/program.h
+++ b/src/core/program.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <string>
 
+#include "core/event_log.h"
 #include "core/kernel.h"
 #include "core/settings.h"
 
@@ -64,10 +65,12 @@
   if (check_only || !findings.empty()) {
     return detail::ReportSettings(path, findings, check_only);
   }
+  UseEventLog();
   kernel services;
   auto on_stop = build(services, values);
   if (!on_stop) {
     logger("core.program").Error("Cannot start: {}.", on_stop.error().message);
+    Events().Flush();
     return kExitFailure;
   }
   return detail::RunKernel(services, on_stop.value());
--- /dev/null
+++ b/src/direct/crash_guard.cpp
@@ -0,0 +1,94 @@
+#include "direct/crash_guard.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include "core/event_log.h"
+#include "direct/router_group.h"
+
+namespace persimmon {
+namespace {
+
+constexpr const char* kPart = "router.crashes";
+constexpr milliseconds kLookDelay(50);   // a crashing endpoint still accepts connections for a moment
+constexpr milliseconds kLookLimit(400);  // for the answer of an endpoint that lives
+// An innocent request that was running in this many crashes in a row, without an answer in between, is very unlikely.
+constexpr std::uint32_t kMaxCrashes = 3;
+constexpr milliseconds kRetention(60'000);
+
+suspect_settings GuardSettings() {
+  suspect_settings settings;
+  settings.max_crashes = kMaxCrashes;
+  settings.retention = kRetention;
+  settings.reported = 8;  // fits a datagram together with the use of the endpoints
+  return settings;
+}
+
+}  // namespace
+
+crash_guard::crash_guard(kernel& services, http_client& client)
+    : kernel_(services), client_(client), suspects_(GuardSettings()) {}
+
+void crash_guard::Start() {
+  auto& group = kernel_.Find<router_group>("group");
+  group.own_suspects = [this] {
+    std::vector<suspect_report> reports;
+    for (const suspect_fact& fact : suspects_.OwnFacts(timer_service::Now())) {
+      reports.push_back({fact.fingerprint, fact.crashes, static_cast<std::uint32_t>(fact.age.count())});
+    }
+    return reports;
+  };
+  group.on_suspects = [this](const std::string& origin, const std::vector<suspect_report>& reports) {
+    std::vector<suspect_fact> facts;
+    for (const suspect_report& report : reports) {
+      facts.push_back({report.fingerprint, report.crashes, milliseconds(report.age_ms)});
+    }
+    suspects_.MergeSuspects(origin, facts, timer_service::Now());
+  };
+}
+
+fingerprint_number crash_guard::Fingerprint(const http_request& request) {
+  const std::uint64_t head = XXH64(request.target.data(), request.target.size(), request.method.size());
+  return XXH64(request.body.data(), request.body.size(), head);
+}
+
+std::optional<milliseconds> crash_guard::RefusedFor(fingerprint_number fingerprint) const {
+  const suspect_check check = suspects_.CheckSuspect(fingerprint, timer_service::Now());
+  return check.verdict == suspect_verdict::kRefused ? std::optional(check.retry_in) : std::nullopt;
+}
+
+void crash_guard::NoteStart(fingerprint_number fingerprint, const chosen_endpoint& endpoint) {
+  suspects_.NoteStart(fingerprint, endpoint.name);
+}
+
+void crash_guard::NoteEnd(fingerprint_number fingerprint, const chosen_endpoint& endpoint, bool answered) {
+  suspects_.NoteEnd(fingerprint, endpoint.name, answered, timer_service::Now());
+}
+
+void crash_guard::NoteBroken(fingerprint_number fingerprint, const chosen_endpoint& endpoint,
+                             const std::string& health_path) {
+  asio::co_spawn(kernel_.Context(), LookAt(fingerprint, endpoint, health_path), asio::detached);
+}
+
+task<> crash_guard::LookAt(fingerprint_number fingerprint, chosen_endpoint endpoint, std::string health_path) {
+  co_await kernel_.Timers().Sleep(kLookDelay);
+  http_request request{"GET", health_path.empty() ? "/" : health_path, {}, {}, {}};
+  auto answer = co_await client_.Fetch(endpoint.address, std::move(request), kLookLimit);
+  const bool has_crashed = !answer && answer.error().code == error_code::kUnavailable;
+  if (has_crashed) {
+    const auto suspects = suspects_.NoteCrash(endpoint.name, timer_service::Now());
+    Events()
+        .Line(kPart, "endpoint_crashed")
+        .Add("endpoint", endpoint.name.value)
+        .Add("suspects", suspects.size())
+        .Add("fingerprint", fingerprint);
+    kernel_.Find<router_group>("group").NoteChange();
+  } else {
+    suspects_.NoteEnd(fingerprint, endpoint.name, false, timer_service::Now());
+  }
+}
+
+}  // namespace persimmon
--- a/src/direct/direct_call.cpp
+++ b/src/direct/direct_call.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "direct/crash_guard.h"
+
 namespace persimmon {
 
 const char* CallOutcomeName(call_outcome outcome) {
@@ -30,6 +32,7 @@
       route_(route),
       service_(service),
       forwarded_(platform::MakeForwarded(exchange_->Request())),
+      fingerprint_(crash_guard::Fingerprint(forwarded_)),
       arrival_(arrival),
       end_(arrival + std::min(route.timeout, terms_.time_budget.value_or(route.timeout))) {}
 
--- a/src/direct/direct_call.h
+++ b/src/direct/direct_call.h
@@ -40,6 +40,7 @@
   const http_request& Forwarded() const { return forwarded_; }
   time_point Arrival() const { return arrival_; }
   time_point End() const { return end_; }  // the caller's time budget or the route's timeout, whichever ends first
+  fingerprint_number Fingerprint() const { return fingerprint_; }
   revision_number Revision() const { return table_->Revision(); }
   milliseconds TimeLeft(time_point now) const;
   milliseconds Age(time_point now) const;
@@ -75,6 +76,7 @@
   const route_record& route_;
   const service_record& service_;
   http_request forwarded_;
+  fingerprint_number fingerprint_ = 0;
   time_point arrival_;
   time_point end_;
   bool caller_gone_ = false;
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -5,18 +5,8 @@
 
 namespace persimmon {
 
-result<detail::stop_function> BuildDirectRouter(kernel& services, const direct_settings& defaults) {
-  const auto path = platform::SettingsPath();
-  if (!path) {
-    return error{error_code::kInvalid, "no settings file of the platform is named"};
-  }
-  auto deployment = platform::ReadDeploymentSettings(*path);
-  if (!deployment) {
-    return deployment.error();
-  }
-  const auto settings = std::make_shared<direct_settings>(defaults);
-  settings->deployment = deployment.value();
-
+detail::stop_function RegisterDirectRouter(kernel& services, direct_settings initial) {
+  const auto settings = std::make_shared<direct_settings>(std::move(initial));
   http_client_limits limits;
   limits.connect_timeout = settings->connect_timeout;
   limits.idle_connections = static_cast<std::size_t>(settings->idle_connections);
@@ -28,6 +18,7 @@
   auto& group = services.Register<router_group>("group", services, *settings);
   auto& directory = services.Register<deployment_directory>("directory", services, *settings, table);
   auto& board = services.Register<endpoint_board>("board", services, *settings);
+  services.Register<crash_guard>("crashes", services, *client);
   services.Register<send_budgets>("budgets", services, *settings);
   services.Register<plain_calls>("plain", services, *settings, *client);
   services.Register<generation_calls>("generations", services, *settings, *client);
@@ -40,4 +31,18 @@
       [&front, settings, client](std::function<void()> finished) { front.Drain(std::move(finished)); });
 }
 
+result<detail::stop_function> BuildDirectRouter(kernel& services, const direct_settings& defaults) {
+  const auto path = platform::SettingsPath();
+  if (!path) {
+    return error{error_code::kInvalid, "no settings file of the platform is named"};
+  }
+  auto deployment = platform::ReadDeploymentSettings(*path);
+  if (!deployment) {
+    return deployment.error();
+  }
+  direct_settings settings = defaults;
+  settings.deployment = deployment.value();
+  return RegisterDirectRouter(services, std::move(settings));
+}
+
 }  // namespace persimmon
--- a/src/direct/endpoint_board.cpp
+++ b/src/direct/endpoint_board.cpp
@@ -10,6 +10,7 @@
 
 constexpr const char* kPart = "router.board";
 constexpr milliseconds kHealthPeriod(250);
+constexpr milliseconds kEntryLag(1'500);  // until the entry of an engine shows its new stage: one status report
 
 template <class number>
 void AddClamped(number& target, std::int64_t change) {
@@ -93,6 +94,12 @@
 
 void endpoint_board::NoteRejected(const chosen_endpoint& endpoint) { Pause(endpoint, "rejected"); }
 
+void endpoint_board::NoteOrdered(const chosen_endpoint& endpoint, milliseconds switch_time) {
+  endpoint_state& state = State(endpoint.name);
+  state.down_until = std::max(state.down_until, timer_service::Now() + switch_time + kEntryLag);
+  group_->NoteChange();
+}
+
 // Each failure in a row doubles the pause. Requests that failed at the same time count once.
 void endpoint_board::Pause(const chosen_endpoint& endpoint, const char* reason) {
   const time_point now = timer_service::Now();
--- a/src/direct/endpoint_board.h
+++ b/src/direct/endpoint_board.h
@@ -45,6 +45,9 @@
   void NoteUnreachable(const chosen_endpoint& endpoint);  // nothing could be sent
   void NoteRejected(const chosen_endpoint& endpoint);     // it refused work that it should have room for
 
+  // An order changes the engine's stage; it takes no work until that is done.
+  void NoteOrdered(const chosen_endpoint& endpoint, milliseconds switch_time);
+
   // Endpoints of a service in the order of the views.
   std::vector<chosen_endpoint> List(const std::string& service, std::optional<endpoint_role> role) const;
   std::vector<endpoint_view> PlainViews(const std::vector<chosen_endpoint>& endpoints,
--- a/src/direct/entry.cpp
+++ b/src/direct/entry.cpp
@@ -58,7 +58,6 @@
     ApplyLimits();
     generations_->PumpAll();
   });
-  flush_timer_ = kernel_.Timers().SubscribeEvery(Events().FlushPeriod(), 0.1, [] { Events().Flush(); });
   asio::co_spawn(kernel_.Context(), FetchStateFromPeers(), asio::detached);
   AwaitReload();
   Events()
@@ -72,14 +71,12 @@
 void entry::Stop() {
   stopped_ = true;
   reload_signals_.cancel();
-  flush_timer_.Cancel();
   for (const auto& server : {&callers_, &readiness_, &control_}) {
     if (*server) {
       (*server)->Stop();
     }
   }
   Events().Line(kPart, "stopped");
-  Events().Flush();
 }
 
 // Limits are taken from the new settings file at once; addresses hold until the process ends. A file with findings
--- a/src/direct/entry.h
+++ b/src/direct/entry.h
@@ -50,7 +50,6 @@
   std::unique_ptr<http_server> readiness_;
   std::unique_ptr<http_server> control_;
   asio::signal_set reload_signals_;
-  timer_subscription flush_timer_;
   bool was_ready_ = false;
   bool stopping_ = false;
   bool stopped_ = false;
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -58,6 +58,7 @@
   budgets_ = &kernel_.Find<send_budgets>("budgets");
   group_ = &kernel_.Find<router_group>("group");
   metrics_ = &kernel_.Find<telemetry>("telemetry").Metrics();
+  crashes_ = &kernel_.Find<crash_guard>("crashes");
 }
 
 void generation_calls::Stop() { tick_.Cancel(); }
@@ -112,7 +113,8 @@
   const auto decode = board_->List(queue.record.name, endpoint_role::kDecode);
   const auto prefill = board_->List(queue.record.name, endpoint_role::kPrefill);
   pool_state pool;
-  pool.prefill_endpoints = static_cast<std::uint32_t>(prefill.size());
+  // Decode engines read prompts themselves while there is no prefill engine.
+  pool.prefill_endpoints = static_cast<std::uint32_t>(prefill.empty() ? decode.size() : prefill.size());
   pool.decode_endpoints = static_cast<std::uint32_t>(decode.size());
   pool.prefill_free = pool.prefill_endpoints;
   const std::uint32_t typical_tokens =
@@ -596,11 +598,19 @@
 task<call_outcome> generation_calls::Serve(direct_call_ptr call) {
   send_budget& budget = budgets_->For(call->Service().name);
   budget.NoteRequest(timer_service::Now());
+  if (const auto refused = crashes_->RefusedFor(call->Fingerprint())) {
+    co_return co_await call->Refuse("crashes_endpoints", *refused);
+  }
   stream_state stream;
   std::vector<endpoint_name> avoid;
   bool may_have_run = false;
   step_result result = step_result::kNotRun;
   for (std::uint32_t round = 0; round < kMaxPlacements; ++round) {
+    // Asked before anything is reserved or prefilled again, so that neither is done in vain.
+    if (call->sends > 0 && !budget.AllowSend(timer_service::Now())) {
+      call->reason = "budget_spent";
+      break;
+    }
     placement decided = co_await AwaitPlace(call, avoid, round > 0);
     if (call->IsCallerGone()) {
       if (const auto* place = std::get_if<grant>(&decided)) {
@@ -611,6 +621,7 @@
       break;
     }
     if (const auto* denied = std::get_if<denial>(&decided)) {
+      call->waited = call->Age(timer_service::Now());
       if (may_have_run) {
         call->reason = denied->reason;
         result = step_result::kBroken;
@@ -630,8 +641,7 @@
     }
     // The engine may have been told to leave while the prompt was read.
     const bool is_current = board_->IsCurrent(place.engine);
-    const bool may_send = call->sends == 0 || budget.AllowSend(timer_service::Now());
-    if (call->IsCallerGone() || !is_current || !may_send) {
+    if (call->IsCallerGone() || !is_current) {
       release();
       ReleaseReservation(place);
       if (!source->handle.empty()) {
@@ -639,8 +649,7 @@
       }
       PumpAll();
       result = call->IsCallerGone() ? step_result::kCallerGone : step_result::kNotRun;
-      if (call->IsCallerGone() || !may_send) {
-        call->reason = "budget_spent";
+      if (call->IsCallerGone()) {
         break;
       }
       avoid.push_back(place.engine.name);
@@ -650,7 +659,13 @@
     if (source->handle.empty()) {
       source.reset();
     }
+    crashes_->NoteStart(call->Fingerprint(), place.engine);
     result = co_await Decode(call, place, std::move(source), stream);
+    if (result == step_result::kBroken) {
+      crashes_->NoteBroken(call->Fingerprint(), place.engine, call->Service().health_path);
+    } else {
+      crashes_->NoteEnd(call->Fingerprint(), place.engine, result == step_result::kDone);
+    }
     release();
     PumpAll();
     if (result == step_result::kNotRun) {
@@ -684,7 +699,7 @@
     co_return call_outcome::kAnswered;
   }
   if (stream.started) {
-    co_return call->BreakOff("stream_broken");
+    co_return call->BreakOff(call->reason.empty() ? "stream_broken" : call->reason);
   }
   if (result == step_result::kNotRun && !ever_sent) {
     std::string reason = call->reason.empty() ? "engines_full" : call->reason;
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -115,6 +115,7 @@
   send_budgets* budgets_ = nullptr;
   router_group* group_ = nullptr;
   metrics_registry* metrics_ = nullptr;
+  crash_guard* crashes_ = nullptr;
   std::map<std::string, std::unique_ptr<service_queue>> queues_;
   std::map<std::string, milliseconds> largest_budgets_;  // of the callers' time, by route
   timer_subscription tick_;
--- a/src/direct/plain_calls.cpp
+++ b/src/direct/plain_calls.cpp
@@ -36,6 +36,7 @@
 void plain_calls::Start() {
   board_ = &kernel_.Find<endpoint_board>("board");
   budgets_ = &kernel_.Find<send_budgets>("budgets");
+  crashes_ = &kernel_.Find<crash_guard>("crashes");
 }
 
 milliseconds plain_calls::RetryAfter() const {
@@ -56,6 +57,9 @@
   const bool is_idempotent = route.kind == call_kind::kIdempotent;
   send_budget& budget = budgets_->For(call->Service().name);
   budget.NoteRequest(timer_service::Now());
+  if (const auto refused = crashes_->RefusedFor(call->Fingerprint())) {
+    co_return co_await call->Refuse("crashes_endpoints", *refused);
+  }
   std::vector<endpoint_name> avoid;
   std::uint32_t unreachable = 0;
   bool may_have_run = false;
@@ -125,6 +129,7 @@
   http_call exchange(client_);
   call->OnCallerGone([&exchange] { exchange.Cancel(); });
   board_->AddCall(endpoint.name, 1);
+  crashes_->NoteStart(call->Fingerprint(), endpoint);
   const time_point begin = timer_service::Now();
   auto request = platform::MakeCall(call->Forwarded(), endpoint.name, call->TimeLeft(begin));
   auto head = co_await exchange.Send(endpoint.address, std::move(request), end, AnswersAttempt(call->Terms().attempt));
@@ -176,6 +181,11 @@
   if (failure) {
     done.failure = ErrorName(failure->code);
   }
+  if (failure && failure->code == error_code::kClosed) {
+    crashes_->NoteBroken(call->Fingerprint(), endpoint, call->Service().health_path);
+  } else {
+    crashes_->NoteEnd(call->Fingerprint(), endpoint, done.result == try_result::kAnswered);
+  }
   if (call->IsCallerGone()) {
     done.result = try_result::kCallerGone;
   } else if (done.result == try_result::kNotSent) {
--- a/src/direct/plain_calls.h
+++ b/src/direct/plain_calls.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <string>
 
+#include "direct/crash_guard.h"
 #include "direct/direct_call.h"
 #include "direct/endpoint_board.h"
 #include "persimmon/send_budget.h"
@@ -56,6 +57,7 @@
   http_client& client_;
   endpoint_board* board_ = nullptr;
   send_budgets* budgets_ = nullptr;
+  crash_guard* crashes_ = nullptr;
 };
 
 }  // namespace persimmon
--- a/src/direct/stage_orders.cpp
+++ b/src/direct/stage_orders.cpp
@@ -96,7 +96,7 @@
     for (const chosen_endpoint& endpoint : endpoints) {
       if (endpoint.name == change.engine) {
         planner.NoteOrder(change, timer_service::Now());
-        if (!co_await GiveOrder(service.name, endpoint, change.role, *fence)) {
+        if (!co_await GiveOrder(service, endpoint, change.role, *fence)) {
           co_return;
         }
       }
@@ -138,7 +138,7 @@
   co_return written.value().version;
 }
 
-task<bool> stage_orders::GiveOrder(const std::string& service, chosen_endpoint engine, endpoint_role role,
+task<bool> stage_orders::GiveOrder(service_record service, chosen_endpoint engine, endpoint_role role,
                                    std::uint64_t fence) {
   const auto stage =
       role == endpoint_role::kPrefill ? platform::engine_stage::kPrefill : platform::engine_stage::kDecode;
@@ -149,7 +149,7 @@
   if (!report || report.value().is_busy) {
     Events()
         .Line(kPart, "order_not_sent")
-        .Add("service", service)
+        .Add("service", service.name)
         .Add("endpoint", engine.name.value)
         .Add("reason", report ? "busy" : report.error().message);
     co_return true;
@@ -160,12 +160,15 @@
   const int status = answer ? answer.value().status : 0;
   Events()
       .Line(kPart, "order_sent")
-      .Add("service", service)
+      .Add("service", service.name)
       .Add("endpoint", engine.name.value)
       .Add("stage", platform::StageName(stage))
       .Add("fence", fence)
       .Add("expected", report.value().orders_accepted)
       .Add("status", status);
+  if (status == platform::kOrderAccepted && service.engine) {
+    board_->NoteOrdered(engine, service.engine->stage_switch);
+  }
   co_return status != platform::kOrderOutdatedFence;
 }
 
--- a/src/direct/stage_orders.h
+++ b/src/direct/stage_orders.h
@@ -32,7 +32,8 @@
   task<> Round(service_record service);
   // The fence for one round of orders, or nothing if another router holds the row.
   task<std::optional<std::uint64_t>> TakeLease(const std::string& service);
-  task<bool> GiveOrder(const std::string& service, chosen_endpoint engine, endpoint_role role, std::uint64_t fence);
+  // False if a higher fence has been used.
+  task<bool> GiveOrder(service_record service, chosen_endpoint engine, endpoint_role role, std::uint64_t fence);
 
   kernel& kernel_;
   const direct_settings& settings_;
--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -349,7 +349,12 @@
     }
   }
   const std::uint64_t committed_before = counters_.transactions;
-  http_response response = request.target.starts_with("/rows-feed?") ? co_await Feed(request) : Answer(request);
+  http_response response;
+  if (request.target.starts_with("/rows-feed?")) {
+    response = co_await Feed(request);
+  } else {
+    response = Answer(request);
+  }
   if (counters_.transactions != committed_before && faults_.lose_replies > 0) {
     --faults_.lose_replies;
     ++counters_.lost_replies;
--- a/src/store/claim_store.h
+++ b/src/store/claim_store.h
@@ -31,12 +31,12 @@
 struct claim_store_settings {
   milliseconds forward_gather = milliseconds(3);       // operations for one batching router
   milliseconds store_gather = milliseconds(12);        // operations of one transaction
-  std::size_t batch_operations = 50;                   // a full batch is not held back any longer
+  std::size_t batch_operations = 100;                  // a full batch is not held back any longer
   std::size_t pending_operations = 20'000;             // more are refused with kStoreUnavailable
   milliseconds forward_timeout = milliseconds(3'000);  // for the results of a batching router
   milliseconds retention = milliseconds(86'400'000);   // rows older than 24 h are deleted; a key then counts as new
   milliseconds sweep_period = milliseconds(5'000);     // one shard per period; 0: no sweep
-  std::size_t sweep_writes = 50;                       // deletions in one transaction
+  std::size_t sweep_writes = 100;                      // deletions in one transaction
 
   bool operator==(const claim_store_settings&) const = default;
 };
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -14,8 +14,11 @@
 using support::child_process;
 using support::FreePort;
 using support::json;
+using support::OnlyValue;
 using support::test_router;
 
+constexpr const char* kCounterRow = "/rows-get?table=incarnations&part=&from=agent%2Fendpoint-a";
+
 // A decode of this many tokens takes longer than any test.
 constexpr std::uint32_t kEndlessTokens = 100'000;
 
@@ -430,8 +433,7 @@
   const incarnation_number first = Router().peer->incarnation;
   child_process& second = StartAgent(agent_port_);
   EXPECT_EQ(second.WaitForExit(), 1);
-  const json row = FetchJson(platform_port_, "/tables/incarnations/rows/agent%2Fendpoint-a");
-  EXPECT_EQ(json::parse(row.value("value", "{}"))["incarnation"], first);
+  EXPECT_EQ(json::parse(OnlyValue(FetchJson(platform_port_, kCounterRow)))["incarnation"], first);
 }
 
 class former_agent_test : public agent_test {
@@ -505,8 +507,8 @@
   bool HasOnlyDecode() { return EngineState()["roles"] == json({"decode"}); }
 
   incarnation_number CounterRow() {
-    const json row = FetchJson(platform_port_, "/tables/incarnations/rows/agent%2Fendpoint-a");
-    return row.is_object() ? json::parse(row.value("value", "{}")).value("incarnation", 0ULL) : 0;
+    const json row = json::parse(OnlyValue(FetchJson(platform_port_, kCounterRow)), nullptr, false);
+    return row.is_object() ? row.value("incarnation", 0ULL) : 0;
   }
 
   incarnation_number first_ = 0;
--- a/tests/at_most_once_test.cpp
+++ b/tests/at_most_once_test.cpp
@@ -26,6 +26,7 @@
 #include "core/random.h"
 #include "net/http.h"
 #include "support/processes.h"
+#include "support/table_rows.h"
 
 namespace persimmon {
 namespace {
@@ -34,6 +35,8 @@
 using support::child_process;
 using support::FreePort;
 using support::Loopback;
+using support::OnlyValue;
+using support::PutRows;
 
 constexpr const char* kPath = "/app/quiz";
 
@@ -108,11 +111,10 @@
     const json endpoint = {
         {"kind", "endpoint"}, {"name", "app-1"},      {"schema", 2},      {"version", 1},
         {"pool", "app"},      {"roles", {"service"}}, {"zone", "zone-a"}, {"address", Loopback(agent_port_)}};
-    json writes = json::array();
-    writes.push_back({{"table", "config"}, {"key", "head"}, {"value", json{{"revision", 1}}.dump()}});
-    writes.push_back({{"table", "config"}, {"key", "pool/app"}, {"value", pool.dump()}});
-    writes.push_back({{"table", "config"}, {"key", "endpoint/app-1"}, {"value", endpoint.dump()}});
-    Post(platform_port_, "/transactions", {{"writes", writes}});
+    Post(platform_port_, "/rows-tx",
+         PutRows(
+             "config",
+             {{"head", json{{"revision", 1}}.dump()}, {"pool/app", pool.dump()}, {"endpoint/app-1", endpoint.dump()}}));
   }
 
   void StartAgent() {
@@ -255,11 +257,8 @@
 
   // The attempt that holds the claim of the only key; empty: none.
   std::string Holder() {
-    const json rows = Get(platform_port_, "/tables/claims/rows?prefix=");
-    if (!rows.is_object() || rows["rows"].size() != 1) {
-      return "";
-    }
-    return json::parse(rows["rows"][0].value("value", ""), nullptr, false).value("attempt", "");
+    const json row = json::parse(OnlyValue(Get(platform_port_, "/rows-get?table=claims&part=")), nullptr, false);
+    return row.is_object() ? row.value("attempt", "") : "";
   }
 
   bool WaitForRun(const std::string& key) {
--- /dev/null
+++ b/tests/endpoint_registry_test.cpp
@@ -0,0 +1,72 @@
+// Endpoints that register themselves: lapses during an outage of the store, draining, incarnations.
+#include "persimmon/endpoint_registry.h"
+
+#include <gtest/gtest.h>
+
+namespace persimmon {
+namespace {
+
+endpoint_entry MakeEntry(const std::string& name, bool draining = false) {
+  endpoint_entry entry;
+  entry.name = endpoint_name{name};
+  entry.service = "app";
+  entry.address = "10.0.0.1:80";
+  entry.draining = draining;
+  return entry;
+}
+
+class endpoint_registry_test : public testing::Test {
+ protected:
+  std::size_t Ready() const { return registry_.ListReady("app").size(); }
+
+  time_point now_{std::chrono::hours(1)};
+  endpoint_registry registry_{registry_settings{}};
+};
+
+TEST_F(endpoint_registry_test, DrainingEndpoint_IsNotReadyButKnown) {
+  registry_.PutEntry(MakeEntry("a"));
+  registry_.PutEntry(MakeEntry("a", true));
+  EXPECT_EQ(Ready(), 0U);
+  EXPECT_NE(registry_.Find(endpoint_name{"a"}), nullptr);
+}
+
+TEST_F(endpoint_registry_test, RemovedEntry_WhileTheStoreIsStable_IsGoneAtOnce) {
+  registry_.PutEntry(MakeEntry("a"));
+  registry_.RemoveEntry(endpoint_name{"a"}, now_);
+  EXPECT_EQ(Ready(), 0U);
+}
+
+// Entries lapse while the store is away although their endpoints live.
+TEST_F(endpoint_registry_test, MissingEntry_AfterAnOutage_KeepsWorkUntilTheGraceHasPassed) {
+  registry_.PutEntry(MakeEntry("a"));
+  registry_.PutEntry(MakeEntry("b"));
+  registry_.ReplaceAll({MakeEntry("b")}, true, now_);
+  EXPECT_EQ(Ready(), 2U);
+  EXPECT_FALSE(registry_.ExpireLapsed(now_ + milliseconds(2'000)));
+  EXPECT_TRUE(registry_.ExpireLapsed(now_ + milliseconds(2'300)));
+  EXPECT_EQ(Ready(), 1U);
+}
+
+TEST_F(endpoint_registry_test, MissingEntry_ThatComesBack_StaysForGood) {
+  registry_.PutEntry(MakeEntry("a"));
+  registry_.ReplaceAll({}, true, now_);
+  registry_.PutEntry(MakeEntry("a"));
+  registry_.ExpireLapsed(now_ + milliseconds(10'000));
+  EXPECT_EQ(Ready(), 1U);
+}
+
+// An endpoint that was draining before the outage has left; it must get no work again.
+TEST_F(endpoint_registry_test, DrainingEntry_MissingAfterAnOutage_IsGoneAtOnce) {
+  registry_.PutEntry(MakeEntry("a", true));
+  registry_.ReplaceAll({}, true, now_);
+  EXPECT_EQ(registry_.Size(), 0U);
+}
+
+TEST_F(endpoint_registry_test, MissingEntry_WithoutAnOutage_IsGoneAtOnce) {
+  registry_.PutEntry(MakeEntry("a"));
+  registry_.ReplaceAll({}, false, now_);
+  EXPECT_EQ(registry_.Size(), 0U);
+}
+
+}  // namespace
+}  // namespace persimmon
--- /dev/null
+++ b/tests/event_stream_test.cpp
@@ -0,0 +1,50 @@
+// Events of a stream: cut anywhere, they come out whole and once.
+#include "persimmon/event_stream.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace persimmon {
+namespace {
+
+std::string MakeEvents(int count, const std::string& line_end) {
+  std::string text;
+  for (int id = 1; id <= count; ++id) {
+    text += "id: " + std::to_string(id) + line_end + "data: piece" + line_end + line_end;
+  }
+  return text;
+}
+
+// Network pieces end anywhere, also between the two line ends that close an event.
+RC_GTEST_PROP(event_splitter_test, Add_ForAnyPieces_YieldsTheSameWholeEvents, ()) {
+  const std::string line_end = *rc::gen::element<std::string>("\n", "\r\n");
+  const std::string text = MakeEvents(4, line_end) + "id: 5" + line_end + "data: hal";
+  event_splitter events;
+  std::string whole;
+  for (std::size_t begin = 0; begin < text.size();) {
+    const auto count = *rc::gen::inRange<std::size_t>(1, 20);
+    whole += events.Add(std::string_view(text).substr(begin, count));
+    begin += count;
+  }
+  RC_ASSERT(whole == MakeEvents(4, line_end));
+  RC_ASSERT(events.LastId() == "4");
+  RC_ASSERT(events.EventCount() == 4U);
+  RC_ASSERT(whole + events.Rest() == text);
+}
+
+TEST(event_splitter_test, DropRest_AfterALostEndpoint_ForgetsOnlyTheUnfinishedEvent) {
+  event_splitter events;
+  events.Add("id: 1\ndata: a\n\nid: 2\nda");
+  events.DropRest();
+  EXPECT_EQ(events.Add("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+  EXPECT_EQ(events.LastId(), "2");
+}
+
+TEST(event_splitter_test, LastId_WithoutIds_StaysEmpty) {
+  event_splitter events;
+  events.Add("data: a\n\n");
+  EXPECT_EQ(events.LastId(), "");
+}
+
+}  // namespace
+}  // namespace persimmon
--- /dev/null
+++ b/tests/http_call_test.cpp
@@ -0,0 +1,228 @@
+// link: persimmon_net
+// Calls whose answer is passed on: answers that come early, twice, late or in pieces, and servers that break off.
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <optional>
+
+#include "net/http.h"
+#include "net_support.h"
+
+namespace persimmon {
+namespace {
+
+using asio::ip::tcp;
+
+struct call_result {
+  std::optional<result<http_head>> head;
+  std::string body;
+  std::optional<error> failure;
+  bool done = false;
+};
+
+// A server that is a plain socket, so that a test sends any bytes at any moment.
+class http_call_test : public testing::Test {
+ protected:
+  http_call_test()
+      : acceptor_(loop_.Context(), tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0)),
+        client_(loop_.Context(), http_client_limits{.connect_timeout = milliseconds(500)}) {
+    acceptor_.non_blocking(true);
+  }
+
+  host_port Address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+
+  std::unique_ptr<raw_connection> Accept() {
+    std::optional<tcp::socket> accepted;
+    EXPECT_TRUE(loop_.RunUntil([&] {
+      boost::system::error_code failure;
+      tcp::socket socket(loop_.Context());
+      acceptor_.accept(socket, failure);
+      if (!failure) {
+        accepted = std::move(socket);
+      }
+      return accepted.has_value();
+    }));
+    return std::make_unique<raw_connection>(loop_, std::move(*accepted));
+  }
+
+  std::shared_ptr<call_result> Start(http_call& call, const std::string& body = "",
+                                     milliseconds limit = milliseconds(5'000)) {
+    auto kept = std::make_shared<call_result>();
+    http_request request{"POST", "/x", {{"Id", "a1"}}, body, {}};
+    asio::co_spawn(loop_.Context(), Run(call, Address(), std::move(request), limit, kept), asio::detached);
+    return kept;
+  }
+
+  bool Finish(const std::shared_ptr<call_result>& kept) {
+    return loop_.RunUntil([&] { return kept->done; });
+  }
+
+  static task<> Run(http_call& call, host_port address, http_request request, milliseconds limit,
+                    std::shared_ptr<call_result> kept) {
+    const time_point end = timer_service::Now() + limit;
+    kept->head.emplace(co_await call.Send(std::move(address), std::move(request), end, [](const http_head& head) {
+      return FindHeader(head.headers, "Id") == "a1";
+    }));
+    if (!*kept->head) {
+      kept->failure = kept->head->error();
+    } else {
+      for (bool more = true; more;) {
+        auto piece = co_await call.Read(end);
+        if (!piece) {
+          kept->failure = piece.error();
+          break;
+        }
+        more = !piece.value().empty();
+        kept->body += piece.value();
+      }
+    }
+    kept->done = true;
+  }
+
+  test_loop loop_;
+  tcp::acceptor acceptor_;
+  http_client client_;
+};
+
+TEST_F(http_call_test, WholeAnswer_InPieces_IsReadAndTheConnectionUsedAgain) {
+  http_call first(client_);
+  auto kept = Start(first);
+  auto server = Accept();
+  ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+  server->Send("HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 6\r\n\r\nabc");
+  server->AwaitSent();
+  server->Send("def");
+  server->AwaitSent();
+  ASSERT_TRUE(Finish(kept));
+  EXPECT_EQ(kept->body, "abcdef");
+  http_call second(client_);
+  kept = Start(second);
+  ASSERT_TRUE(loop_.RunUntil([&] {
+    server->Poll();
+    return server->Received().find("POST", 10) != std::string::npos;
+  }));
+  EXPECT_TRUE(second.IsReused());
+}
+
+// A late answer to an earlier request must never reach this one's caller.
+TEST_F(http_call_test, AnswerOfAnotherRequest_BeforeTheOwn_IsDropped) {
+  http_call call(client_);
+  const auto kept = Start(call);
+  auto server = Accept();
+  ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+  server->Send(
+      "HTTP/1.1 200 OK\r\nId: a0\r\nContent-Length: 3\r\n\r\noldHTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: "
+      "3\r\n\r\nnew");
+  server->AwaitSent();
+  ASSERT_TRUE(Finish(kept));
+  EXPECT_EQ(kept->body, "new");
+  EXPECT_TRUE(server->AwaitEnd());
+}
+
+TEST_F(http_call_test, BytesAfterTheAnswer_EndTheConnection) {
+  http_call call(client_);
+  const auto kept = Start(call);
+  auto server = Accept();
+  ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+  server->Send("HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 3\r\n\r\nnewHTTP/1.1 200 OK\r\n");
+  server->AwaitSent();
+  ASSERT_TRUE(Finish(kept));
+  EXPECT_EQ(kept->body, "new");
+  EXPECT_TRUE(server->AwaitEnd());
+}
+
+TEST_F(http_call_test, AnswerThatEndsEarly_IsNotWhole) {
+  for (const char* head : {"Content-Length: 10\r\n", "Transfer-Encoding: chunked\r\n"}) {
+    http_call call(client_);
+    const auto kept = Start(call);
+    auto server = Accept();
+    ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+    server->Send(std::string("HTTP/1.1 200 OK\r\nId: a1\r\n") + head + "\r\n3\r\nabc\r\n");
+    server->AwaitSent();
+    server->Close();
+    ASSERT_TRUE(Finish(kept));
+    ASSERT_TRUE(kept->failure);
+    EXPECT_EQ(kept->failure->code, error_code::kClosed) << head;
+  }
+}
+
+TEST_F(http_call_test, BytesThatAreNoAnswer_AreAProtocolError) {
+  http_call call(client_);
+  const auto kept = Start(call);
+  auto server = Accept();
+  ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+  server->Send("certainly not an answer\r\n\r\n");
+  server->AwaitSent();
+  ASSERT_TRUE(Finish(kept));
+  ASSERT_TRUE(kept->failure);
+  EXPECT_EQ(kept->failure->code, error_code::kProtocol);
+}
+
+// A server may answer before it has read a long body; waiting for the write would hang both.
+TEST_F(http_call_test, AnswerBeforeALongBodyIsRead_IsDelivered) {
+  http_call call(client_);
+  const auto kept = Start(call, std::string(16U << 20U, 'b'));
+  auto server = Accept();
+  server->Send("HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 3\r\n\r\nyes");
+  server->AwaitSent();
+  ASSERT_TRUE(Finish(kept));
+  EXPECT_EQ(kept->body, "yes");
+}
+
+TEST_F(http_call_test, UnreachableServer_MeansNothingWasSent) {
+  const host_port address = Address();
+  acceptor_.close();
+  http_call call(client_);
+  auto kept = std::make_shared<call_result>();
+  asio::co_spawn(loop_.Context(), Run(call, address, http_request{"GET", "/", {}, {}, {}}, milliseconds(2'000), kept),
+                 asio::detached);
+  ASSERT_TRUE(Finish(kept));
+  ASSERT_TRUE(kept->failure);
+  EXPECT_EQ(kept->failure->code, error_code::kUnavailable);
+}
+
+TEST_F(http_call_test, SilentServer_EndsTheCallWithATimeout) {
+  http_call call(client_);
+  const auto kept = Start(call, "", milliseconds(100));
+  auto server = Accept();
+  ASSERT_TRUE(Finish(kept));
+  EXPECT_EQ(kept->failure->code, error_code::kTimeout);
+}
+
+TEST_F(http_call_test, CancelledCall_ClosesTheConnectionAtOnce) {
+  http_call call(client_);
+  const auto kept = Start(call);
+  auto server = Accept();
+  ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+  call.Cancel();
+  ASSERT_TRUE(Finish(kept));
+  EXPECT_EQ(kept->failure->code, error_code::kCancelled);
+  EXPECT_TRUE(server->AwaitEnd());
+}
+
+TEST_F(http_call_test, KeptConnection_ThatTheServerHasClosed_IsNotUsed) {
+  http_call first(client_);
+  auto kept = Start(first);
+  auto server = Accept();
+  ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+  server->Send("HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 0\r\n\r\n");
+  server->AwaitSent();
+  ASSERT_TRUE(Finish(kept));
+  server->Close();
+  loop_.RunUntil([end = timer_service::Now() + milliseconds(20)] { return timer_service::Now() > end; });
+  http_call second(client_);
+  kept = Start(second);
+  server = Accept();
+  EXPECT_FALSE(second.IsReused());
+}
+
+TEST(hop_header_test, HeadersNamedByConnection_ArePassedToNobody) {
+  const header_list headers = {{"Connection", "close, X-Own"}, {"X-Own", "1"}, {"X-Kept", "1"}};
+  EXPECT_TRUE(IsHopHeader(headers, "x-own"));
+  EXPECT_TRUE(IsHopHeader(headers, "Transfer-Encoding"));
+  EXPECT_FALSE(IsHopHeader(headers, "X-Kept"));
+}
+
+}  // namespace
+}  // namespace persimmon
--- /dev/null
+++ b/tests/kv_placement_test.cpp
@@ -0,0 +1,217 @@
+// Placement of model requests by KV memory, the number of prefill engines, and when orders are given.
+//
+// Sections
+//   1. choice of engines
+//   2. number of prefill engines
+//   3. stage planner
+//   4. lease
+#include "persimmon/kv_placement.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "persimmon/stage_plan.h"
+
+namespace persimmon {
+namespace {
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. choice of engines
+// ---------------------------------------------------------------------------------------------------------------------
+
+engine_view MakeEngine(const std::string& name, std::uint32_t reserved = 0) {
+  engine_view engine;
+  engine.name = endpoint_name{name};
+  engine.zone = zone_name{"zone-a"};
+  engine.kv_tokens = 10'000;
+  engine.slots = 16;
+  engine.reserved_tokens = reserved;
+  return engine;
+}
+
+class choose_engines_test : public testing::Test {
+ protected:
+  engine_choice Choose(std::uint32_t tokens, std::uint64_t draw = 0) const {
+    return ChooseEngines(decode_, prefill_, tokens, zone_name{"zone-a"}, draw, {});
+  }
+
+  std::vector<engine_view> decode_ = {MakeEngine("d1"), MakeEngine("d2")};
+  std::vector<engine_view> prefill_ = {MakeEngine("p1"), MakeEngine("p2")};
+};
+
+TEST_F(choose_engines_test, Request_LargerThanAnyRoom_WaitsForDecodeMemory) {
+  decode_[0].reserved_tokens = 8'000;
+  decode_[1].reserved_tokens = 9'000;
+  EXPECT_EQ(Choose(3'000).waits_for, wait_reason::kDecodeMemory);
+  EXPECT_EQ(Choose(1'900).decode, 0U);
+}
+
+TEST_F(choose_engines_test, Prompt_WhileAllPrefillEnginesHaveABacklog_WaitsForThem) {
+  prefill_[0].pending_tokens = 20'000;
+  prefill_[1].pending_tokens = 20'000;
+  EXPECT_EQ(Choose(1'000).waits_for, wait_reason::kPrefillBusy);
+  prefill_[1].pending_tokens = 0;
+  EXPECT_EQ(Choose(1'000).prefill, std::optional<std::size_t>(1));
+}
+
+TEST_F(choose_engines_test, Prompt_WithoutUsablePrefillEngine_IsReadByTheDecodeEngine) {
+  prefill_[0].can_receive = false;
+  prefill_[1].can_receive = false;
+  const engine_choice choice = Choose(1'000);
+  EXPECT_EQ(choice.waits_for, wait_reason::kNone);
+  EXPECT_FALSE(choice.prefill);
+}
+
+TEST_F(choose_engines_test, Engine_ThatHasJustRefusedAsMuch_IsNotAskedAgain) {
+  decode_[0].refused_tokens = 2'000;
+  for (std::uint64_t draw = 0; draw < 8; ++draw) {
+    EXPECT_EQ(Choose(2'000, draw).decode, 1U);
+  }
+  decode_[1].can_receive = false;
+  EXPECT_EQ(Choose(1'999).decode, 0U);
+  EXPECT_EQ(Choose(2'000).waits_for, wait_reason::kDecodeMemory);
+}
+
+// A chosen engine has a free slot and room for the whole request, whatever the load.
+RC_GTEST_PROP(choose_engines_property, ChooseEngines_ForAnyLoad_NeverOverfillsAnEngine, ()) {
+  std::vector<engine_view> decode;
+  for (int i = 0; i < 5; ++i) {
+    engine_view engine = MakeEngine("d" + std::to_string(i), *rc::gen::inRange<std::uint32_t>(0, 12'000));
+    engine.running = *rc::gen::inRange<std::uint32_t>(0, 20);
+    engine.can_receive = *rc::gen::arbitrary<bool>();
+    decode.push_back(engine);
+  }
+  const auto tokens = *rc::gen::inRange<std::uint32_t>(1, 11'000);
+  const std::vector<engine_view> prefill = {MakeEngine("p")};
+  const engine_choice choice =
+      ChooseEngines(decode, prefill, tokens, zone_name{"zone-b"}, *rc::gen::arbitrary<std::uint64_t>(), {});
+  if (choice.waits_for == wait_reason::kNone) {
+    const engine_view& chosen = decode[choice.decode];
+    RC_ASSERT(chosen.can_receive);
+    RC_ASSERT(chosen.running < chosen.slots);
+    RC_ASSERT(chosen.reserved_tokens + tokens <= chosen.kv_tokens);
+  }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. number of prefill engines
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST(plan_prefill_test, PlanPrefillEngines_ForTheDeploymentsOfToday_BalancesBothStages) {
+  EXPECT_NEAR(PlanPrefillEngines(18, 34'446, 16, {}), 3.6, 0.3);
+  EXPECT_NEAR(PlanPrefillEngines(12, 36'778, 64, {}), 2.5, 0.3);
+}
+
+RC_GTEST_PROP(plan_prefill_test, PlanPrefillEngines_ForAnySize_LeavesAnEngineToEachStage, ()) {
+  const auto engines = *rc::gen::inRange<std::uint32_t>(2, 2'000);
+  workload_profile profile;
+  profile.prompt_tokens = *rc::gen::inRange(1, 100'000);
+  profile.output_tokens = *rc::gen::inRange(1, 100'000);
+  const double planned = PlanPrefillEngines(engines, *rc::gen::inRange<std::uint32_t>(1, 1'000'000), 32, profile);
+  RC_ASSERT(planned >= 1);
+  RC_ASSERT(planned <= engines - 1);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. stage planner
+// ---------------------------------------------------------------------------------------------------------------------
+
+class stage_planner_test : public testing::Test {
+ protected:
+  stage_planner_test() {
+    for (int i = 0; i < 12; ++i) {
+      const endpoint_role role = i < 4 ? endpoint_role::kPrefill : endpoint_role::kDecode;
+      engines_.push_back({endpoint_name{"e" + std::to_string(i)}, zone_name{"zone-a"}, 1, role, 0});
+    }
+  }
+
+  std::vector<stage_change> Plan(double wanted) { return planner_.Plan(engines_, wanted, now_); }
+  void Settle() {
+    Plan(4);
+    now_ += milliseconds(2'000);
+  }
+
+  time_point now_{std::chrono::hours(1)};
+  std::vector<staged_engine> engines_;
+  stage_planner planner_{stage_settings{.first_start = true}};
+};
+
+TEST_F(stage_planner_test, FirstRound_OnceTheEnginesAreSettled_RoundsToTheNearestNumber) {
+  EXPECT_TRUE(Plan(2.6).empty());
+  now_ += milliseconds(2'000);
+  EXPECT_EQ(Plan(2.6).size(), 1U);
+}
+
+// An engine that changes is away for seconds; in the middle of traffic that costs more than a slight imbalance.
+TEST_F(stage_planner_test, LaterRound_WithASlightExcess_ChangesNothing) {
+  Settle();
+  planner_.NoteRound(now_);
+  now_ += milliseconds(10'000);
+  EXPECT_TRUE(Plan(2.8).empty());
+  EXPECT_EQ(Plan(2.4).size(), 2U);
+}
+
+TEST_F(stage_planner_test, Engines_ThatWereOrdered_CountAsChangedAndGetNoSecondOrder) {
+  Settle();
+  const auto changes = Plan(3);
+  ASSERT_EQ(changes.size(), 1U);
+  planner_.NoteRound(now_);
+  planner_.NoteOrder(changes[0], now_);
+  now_ += milliseconds(9'000);
+  EXPECT_TRUE(Plan(3).empty());
+}
+
+// Without any prefill engine nothing is served well, so nobody waits for the engines to settle.
+TEST_F(stage_planner_test, Service_WithoutPrefillEngines_GetsOneAtOnce) {
+  Settle();
+  planner_.NoteRound(now_);
+  engines_.erase(engines_.begin(), engines_.begin() + 4);
+  EXPECT_EQ(Plan(2).size(), 2U);
+}
+
+TEST_F(stage_planner_test, Changes_TakeEnginesOfTheFullestZoneFirst) {
+  engines_[0].zone = zone_name{"zone-b"};
+  Settle();
+  for (const stage_change& change : Plan(2)) {
+    EXPECT_NE(change.engine.value, "e0");
+  }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. lease
+// ---------------------------------------------------------------------------------------------------------------------
+
+class lease_watch_test : public testing::Test {
+ protected:
+  lease_step Note(std::uint64_t version, const std::string& holder) {
+    return lease_.NoteRow(version, holder, "self", now_);
+  }
+
+  time_point now_{std::chrono::hours(1)};
+  lease_watch lease_{milliseconds(3'000)};
+};
+
+TEST_F(lease_watch_test, AbsentRow_IsCreated_AndTheOwnIsRenewed) {
+  EXPECT_EQ(Note(0, ""), lease_step::kCreate);
+  EXPECT_EQ(Note(5, "self"), lease_step::kRenew);
+}
+
+// Two holders must not give orders within one lease time of each other.
+TEST_F(lease_watch_test, RowOfAnother_IsTakenOverOnlyAfterTwoSilentLeaseTimes) {
+  EXPECT_EQ(Note(5, "other"), lease_step::kWait);
+  now_ += milliseconds(5'900);
+  EXPECT_EQ(Note(5, "other"), lease_step::kWait);
+  now_ += milliseconds(200);
+  EXPECT_EQ(Note(5, "other"), lease_step::kTakeOver);
+}
+
+TEST_F(lease_watch_test, RowOfAnother_ThatChanges_StartsTheWaitAgain) {
+  Note(5, "other");
+  now_ += milliseconds(5'000);
+  EXPECT_EQ(Note(6, "other"), lease_step::kWait);
+  now_ += milliseconds(5'000);
+  EXPECT_EQ(Note(6, "other"), lease_step::kWait);
+}
+
+}  // namespace
+}  // namespace persimmon
--- /dev/null
+++ b/tests/platform_adapter_test.cpp
@@ -0,0 +1,227 @@
+// link: persimmon_adapter
+// Settings, records and headers of the users' platform, decoded into the product's words.
+//
+// Sections
+//   1. settings
+//   2. desired state
+//   3. endpoint entries
+//   4. headers
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <nlohmann/json.hpp>
+
+#include "platform/records.h"
+#include "platform/requests.h"
+#include "platform/settings.h"
+
+namespace persimmon::platform {
+namespace {
+
+using json = nlohmann::json;
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. settings
+// ---------------------------------------------------------------------------------------------------------------------
+
+constexpr const char* kSettings =
+    "node_name=front-1\nrole=router\nzone=zone-a\nlisten.front=10.1.0.35:8144\nlisten.ready=10.1.0.35:8140\n"
+    "listen.control=10.1.0.35:8146\ninternal_ports=7660,7675\nseeds=10.1.0.35:8146,10.2.0.28:8146\nbootstrap=true\n"
+    "bounds.grace_s=8\nbounds.lease_ms=3000\nbounds.retry_budget_ratio=0.2\nbounds.retry_budget_slack=56\n"
+    "bounds.budget_window_s=2.5\nplatform.address=10.200.1.7:8142\nsomething.new=1\n";
+
+TEST(deployment_settings_test, CompleteFile_WithUnknownKeys_IsReadWhole) {
+  finding_list findings;
+  const deployment_settings settings = ParseDeploymentSettings(kSettings, findings);
+  EXPECT_TRUE(findings.empty()) << FormatFindings(findings);
+  EXPECT_EQ(settings.name, "front-1");
+  EXPECT_EQ(settings.callers.Text(), "10.1.0.35:8144");
+  EXPECT_EQ(settings.store.Text(), "10.200.1.7:8142");
+  EXPECT_EQ(settings.seeds.size(), 2U);
+  EXPECT_EQ(settings.first_internal_port, 7660);
+  EXPECT_EQ(settings.budget_window, milliseconds(2'500));
+  EXPECT_TRUE(settings.first_start);
+}
+
+TEST(deployment_settings_test, FaultyFile_ReportsEveryFindingTogether) {
+  finding_list findings;
+  ParseDeploymentSettings("node_name=a\nzone=z\nlisten.front=nowhere\nbounds.grace_s=soon\n", findings);
+  const std::string text = FormatFindings(findings);
+  EXPECT_NE(text.find("line 3: listen.front"), std::string::npos) << text;
+  EXPECT_NE(text.find("line 4: bounds.grace_s"), std::string::npos) << text;
+  EXPECT_NE(text.find("platform.address"), std::string::npos) << text;
+  EXPECT_NE(text.find("internal_ports"), std::string::npos) << text;
+}
+
+RC_GTEST_PROP(deployment_settings_property, ParseDeploymentSettings_ForAnyText_OnlyReportsFindings, ()) {
+  finding_list findings;
+  ParseDeploymentSettings(*rc::gen::arbitrary<std::string>(), findings);
+  RC_ASSERT(!findings.empty());
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. desired state
+// ---------------------------------------------------------------------------------------------------------------------
+
+json MakeState() {
+  return {{"version", 7},
+          {"routes",
+           {{{"name", "r-1"},
+             {"host", "a.example"},
+             {"prefix", "/x/"},
+             {"kind", "streaming"},
+             {"timeout_ms", 14'000},
+             {"target_latency_ms", 900},
+             {"service", "llm"},
+             {"max_attempts", 2},
+             {"resumable", true},
+             {"gap_aim_ms", 300}},
+            {{"name", "r-2"},
+             {"host", "a.example"},
+             {"prefix", "/y/"},
+             {"kind", "idempotent"},
+             {"split", {{{"service", "app"}, {"weight", 90}}, {{"service", "app2"}, {"weight", 10}}}}}}},
+          {"services",
+           {{{"name", "llm"},
+             {"engine",
+              {{"slots", 16},
+               {"kv_capacity_tokens", 34'446},
+               {"handle_ttl_s", 0.5},
+               {"hold_ms", 2'000.0},
+               {"stride", 14}}}},
+            {{"name", "app"}}}},
+          {"limits", {{"max_header_bytes", 16'384}, {"idle_timeout_ms", 15'000}}}};
+}
+
+TEST(desired_state_test, ValidState_BecomesRoutesServicesAndLimits) {
+  finding_list findings;
+  const auto table = ParseDesiredState(MakeState().dump(), findings);
+  ASSERT_TRUE(table);
+  EXPECT_TRUE(findings.empty()) << FormatFindings(findings);
+  EXPECT_EQ(table.value().Revision(), 7U);
+  const route_record* stream = table.value().FindRoute("a.example", "/x/1");
+  ASSERT_NE(stream, nullptr);
+  EXPECT_EQ(stream->kind, call_kind::kStreaming);
+  EXPECT_TRUE(stream->resumable);
+  EXPECT_EQ(stream->target_gap, milliseconds(300));
+  const route_record* split = table.value().FindRoute("a.example", "/y/1");
+  ASSERT_NE(split, nullptr);
+  EXPECT_EQ(split->services.size(), 2U);
+  EXPECT_EQ(split->max_attempts, 1U);
+  const service_record* llm = table.value().FindService("llm");
+  ASSERT_NE(llm, nullptr);
+  ASSERT_TRUE(llm->engine);
+  EXPECT_EQ(llm->engine->handle_lifetime, milliseconds(500));
+  EXPECT_EQ(llm->engine->tokens_per_event, 14U);
+  EXPECT_EQ(table.value().Limits().idle_timeout, milliseconds(15'000));
+}
+
+// One bad route must not take the others out of force.
+TEST(desired_state_test, RouteThatCannotBeRead_IsLeftOutAndNamedWithItsPlace) {
+  json state = MakeState();
+  state["routes"][0]["kind"] = "telepathic";
+  state["routes"].push_back(17);
+  finding_list findings;
+  const auto table = ParseDesiredState(state.dump(), findings);
+  ASSERT_TRUE(table);
+  EXPECT_EQ(table.value().FindRoute("a.example", "/x/1"), nullptr);
+  EXPECT_NE(table.value().FindRoute("a.example", "/y/1"), nullptr);
+  const std::string text = FormatFindings(findings);
+  EXPECT_NE(text.find("route 0: kind"), std::string::npos) << text;
+  EXPECT_NE(text.find("route 2"), std::string::npos) << text;
+}
+
+RC_GTEST_PROP(desired_state_property, ParseDesiredState_ForAnyBytes_NeverStopsTheProcess, ()) {
+  finding_list findings;
+  (void)ParseDesiredState(*rc::gen::arbitrary<std::string>(), findings);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. endpoint entries
+// ---------------------------------------------------------------------------------------------------------------------
+
+json MakeEntry() {
+  return {{"service", "llm"},   {"address", "10.0.0.1:80"},    {"zone", "z"}, {"state", "ready"}, {"slots", 16},
+          {"stage", "prefill"}, {"born", 1'700'000'000'123ULL}};
+}
+
+TEST(endpoint_entry_test, ValidEntry_IsReadWithItsIncarnation) {
+  const auto entry = ParseEndpointEntry("i-1", MakeEntry().dump());
+  ASSERT_TRUE(entry);
+  EXPECT_EQ(entry.value().name.value, "i-1");
+  EXPECT_EQ(entry.value().started_ms, 1'700'000'000'123U);
+  EXPECT_EQ(entry.value().role, endpoint_role::kPrefill);
+  EXPECT_FALSE(entry.value().draining);
+}
+
+TEST(endpoint_entry_test, EntryOfAnotherWriter_NamesNoEndpoint) {
+  for (const auto& [field, value] : std::vector<std::pair<std::string, json>>{{"state", "resting"},
+                                                                              {"state", 3},
+                                                                              {"stage", "both"},
+                                                                              {"address", "nowhere"},
+                                                                              {"service", json::array()},
+                                                                              {"slots", "many"},
+                                                                              {"born", -1}}) {
+    json entry = MakeEntry();
+    entry[field] = value;
+    EXPECT_FALSE(ParseEndpointEntry("i-1", entry.dump())) << field << " = " << value;
+  }
+  for (const char* field : {"service", "address", "state"}) {
+    json entry = MakeEntry();
+    entry.erase(field);
+    EXPECT_FALSE(ParseEndpointEntry("i-1", entry.dump())) << field;
+  }
+}
+
+RC_GTEST_PROP(endpoint_entry_property, ParseEndpointEntry_ForAnyBytes_NeverStopsTheProcess, ()) {
+  (void)ParseEndpointEntry("i-1", *rc::gen::arbitrary<std::string>());
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. headers
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST(request_terms_test, HeadersOfACaller_AreDecodedOnce) {
+  const request_terms terms = ReadTerms({{"persimmonchute-attempt-id", "a1"},
+                                         {"Persimmonchute-Model", "m"},
+                                         {"Persimmonchute-Token-Count", "1460, 80"},
+                                         {"Persimmonchute-Length-Hint", "40"},
+                                         {"Persimmonchute-Deadline-Ms", "2500"},
+                                         {"Last-Event-Id", "7"}});
+  EXPECT_EQ(terms.attempt, "a1");
+  EXPECT_EQ(terms.prompt_tokens, 1460U);
+  EXPECT_EQ(terms.max_output_tokens, 80U);
+  EXPECT_EQ(terms.expected_output_tokens, std::optional<std::uint32_t>(40));
+  EXPECT_EQ(terms.time_budget, std::optional<milliseconds>(2'500));
+  EXPECT_EQ(terms.resume_after, "7");
+}
+
+TEST(request_terms_test, MalformedNumbers_CountAsAbsent) {
+  const request_terms terms =
+      ReadTerms({{"Persimmonchute-Token-Count", "many,x"}, {"Persimmonchute-Deadline-Ms", "-5"}});
+  EXPECT_EQ(terms.prompt_tokens, 0U);
+  EXPECT_FALSE(terms.time_budget);
+}
+
+// A promise that a call has not run is given on only if the endpoint has given it.
+TEST(answer_terms_test, OnlyTheEndpointsOwnStatement_ProvesThatACallHasNotRun) {
+  EXPECT_FALSE(ReadAnswer({503, {}}).proves_not_run);
+  EXPECT_TRUE(ReadAnswer({503, {{"Persimmonchute-Not-Executed", "1"}}}).proves_not_run);
+  EXPECT_TRUE(ReadAnswer({421, {}}).proves_not_run);
+  EXPECT_FALSE(ReadAnswer({200, {}}).is_genuine);
+  EXPECT_TRUE(ReadAnswer({200, {{"Content-Encoding", "gzip"}}}).is_encoded);
+}
+
+TEST(decode_request_test, RequestToADecodeEngine_ReplacesTheCallersOwnPosition) {
+  http_request request;
+  request.headers = {{"Last-Event-Id", "3"}, {"Persimmonchute-Deadline-Ms", "9000"}};
+  const http_request decode = MakeDecode(MakeForwarded(request), endpoint_name{"i-1"}, milliseconds(500),
+                                         {kv_source{"1.2.3.4:5", "h"}, "r", "8"});
+  EXPECT_EQ(FindHeader(decode.headers, "Last-Event-Id"), "8");
+  EXPECT_EQ(FindHeader(decode.headers, "Persimmonchute-Deadline-Ms"), "500");
+  EXPECT_EQ(FindHeader(decode.headers, "Persimmonchute-Kv-Source"), "1.2.3.4:5/h");
+  EXPECT_EQ(FindHeader(decode.headers, "Persimmonchute-Kv-Hold"), "r");
+}
+
+}  // namespace
+}  // namespace persimmon::platform
--- a/tests/record_writer_test.cpp
+++ b/tests/record_writer_test.cpp
@@ -39,7 +39,7 @@
 stored_records Read(platform_in_process& world) { return world.Run(ReadRecords(world.Client())).value(); }
 
 std::size_t OperationRows(platform_in_process& world) {
-  return world.Platform().Tables().ReadPrefix(kOperationTable, "op/").size();
+  return world.Platform().Tables().ReadRange(kOperationTable, "op/", "op0").size();
 }
 
 RC_GTEST_PROP(record_writer_property, SameRecordAtOneMoment_OneSucceedsAndTheOthersSeeTheDifference, ()) {
--- /dev/null
+++ b/tests/routes_test.cpp
@@ -0,0 +1,85 @@
+// Routes: which one a request takes, and which service of a split route.
+#include "persimmon/routes.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+namespace persimmon {
+namespace {
+
+route_record MakeRoute(const std::string& host, const std::string& prefix, const std::string& service = "app") {
+  route_record route;
+  route.name = host + prefix;
+  route.host = host;
+  route.path_prefix = prefix;
+  route.services = {{service, 1}};
+  return route;
+}
+
+class routing_table_test : public testing::Test {
+ protected:
+  std::string Find(std::string_view host, std::string_view target) const {
+    const route_record* route = table_.FindRoute(host, target);
+    return route == nullptr ? "" : route->path_prefix;
+  }
+
+  routing_table table_{
+      1, {MakeRoute("a.example", "/x/"), MakeRoute("a.example", "/x/y/"), MakeRoute("b.example", "/")}, {}, {}};
+};
+
+TEST_F(routing_table_test, FindRoute_WithNestedPrefixes_TakesTheLongest) {
+  EXPECT_EQ(Find("a.example", "/x/y/z"), "/x/y/");
+  EXPECT_EQ(Find("a.example", "/x/yz"), "/x/");
+  EXPECT_EQ(Find("a.example", "/x/y"), "/x/");
+}
+
+TEST_F(routing_table_test, FindRoute_WithoutTheSlashOfThePrefix_FindsNone) {
+  EXPECT_EQ(Find("a.example", "/x"), "");
+  EXPECT_EQ(Find("a.example", "/xy/"), "");
+}
+
+TEST_F(routing_table_test, FindRoute_IgnoresQueryPortAndCaseOfTheHost) {
+  EXPECT_EQ(Find("A.Example:8080", "/x/q?next=/x/y/z"), "/x/");
+  EXPECT_EQ(Find("b.example", "/any?x"), "/");
+  EXPECT_EQ(Find("c.example", "/x/"), "");
+}
+
+RC_GTEST_FIXTURE_PROP(routing_table_test, FindRoute_ForAnyTarget_AgreesWithASearchOfAllPrefixes, ()) {
+  const auto parts =
+      *rc::gen::container<std::vector<std::string>>(rc::gen::element<std::string>("/", "x", "y", "?", "z"));
+  std::string target = "/";
+  for (const std::string& part : parts) {
+    target += part;
+  }
+  const std::string path = target.substr(0, target.find('?'));
+  std::string longest;
+  for (const std::string prefix : {"/x/", "/x/y/"}) {
+    if (path.starts_with(prefix) && prefix.size() > longest.size()) {
+      longest = prefix;
+    }
+  }
+  RC_ASSERT(Find("a.example", target) == longest);
+}
+
+// A service without weight must never get a request.
+RC_GTEST_PROP(pick_service_test, PickService_ForAnyDraw_TakesAServiceWithWeight, ()) {
+  route_record route = MakeRoute("a", "/");
+  route.services = {{"none", 0}, {"some", *rc::gen::inRange<std::uint32_t>(1, 100)}, {"zero", 0}};
+  const double draw = *rc::gen::inRange(0, 1'000) / 1'000.0;
+  RC_ASSERT(PickService(route, draw) == "some");
+}
+
+TEST(pick_service_test, PickService_WithWeights_FollowsThem) {
+  route_record route = MakeRoute("a", "/");
+  route.services = {{"most", 90}, {"few", 10}};
+  int few = 0;
+  for (int i = 0; i < 1'000; ++i) {
+    few += PickService(route, i / 1'000.0) == "few" ? 1 : 0;
+  }
+  EXPECT_EQ(few, 100);
+}
+
+}  // namespace
+}  // namespace persimmon
--- a/tests/session_test.cpp
+++ b/tests/session_test.cpp
@@ -32,8 +32,9 @@
     std::map<std::string, std::string> by_endpoint;
     std::map<std::string, std::string> last;
     std::set<std::string> cancelled;
-    std::istringstream log(deployment_.routers[0]->process->Err());
-    const std::regex pattern(R"(router\.endpoints: (Sent|Received) (\w+) (?:to|from) (\S+)\.)");
+    std::istringstream log(deployment_.routers[0]->process->Out());
+    const std::regex pattern(
+        R"re("part":"router\.endpoints".*"message":"(Sent|Received) (\w+) (?:to|from) (\S+)\.")re");
     for (std::string line; std::getline(log, line);) {
       std::smatch found;
       if (!std::regex_search(line, found, pattern)) {
@@ -73,7 +74,7 @@
     const std::string path = PERSIMMON_TEST_DIR "/golden/" + name + ".txt";
     ASSERT_TRUE(WaitUntil([&] {
       return last_message.empty() || ReadMessages().find(last_message) != std::string::npos;
-    })) << deployment_.routers[0]->process->Err();
+    })) << deployment_.routers[0]->process->Out();
     if (std::getenv("PERSIMMON_UPDATE_GOLDEN") != nullptr) {
       std::ofstream(path) << caller + ReadMessages();
     }
@@ -116,7 +117,7 @@
   const header_list headers = WithKey({{"X-Request-Id", "session-5"}, {"Idempotency-Key", "quiz-1"}});
   const http_response first = Post(Port(), "/app/quiz", "answer B", headers);
   const http_response second = Post(Port(), "/app/quiz", "answer B", headers);
-  Compare("keyed_call_repeated", FormatResponse(first) + FormatResponse(second), "");
+  Compare("keyed_call_repeated", FormatResponse(first) + FormatResponse(second), "< attempt_status");
 }
 
 }  // namespace
--- a/tests/support/agent_harness.h
+++ b/tests/support/agent_harness.h
@@ -25,6 +25,7 @@
 #include "net/datagram.h"
 #include "net/http.h"
 #include "support/processes.h"
+#include "support/table_rows.h"
 
 namespace persimmon::support {
 
@@ -253,14 +254,12 @@
   }
 
   void StoreRecords(revision_number revision, const std::vector<std::string>& records) {
-    json writes = json::array();
-    writes.push_back({{"table", "config"}, {"key", "head"}, {"value", json{{"revision", revision}}.dump()}});
+    std::vector<std::pair<std::string, std::string>> rows = {{"head", json{{"revision", revision}}.dump()}};
     for (const std::string& text : records) {
       const json record = json::parse(text);
-      const std::string key = record["kind"].get<std::string>() + "/" + record["name"].get<std::string>();
-      writes.push_back({{"table", "config"}, {"key", key}, {"value", text}});
+      rows.emplace_back(record["kind"].get<std::string>() + "/" + record["name"].get<std::string>(), text);
     }
-    Post(platform_port_, "/transactions", {{"writes", writes}});
+    Post(platform_port_, "/rows-tx", PutRows("config", rows));
   }
 
   // --- endpoint ---
@@ -328,7 +327,7 @@
   }
 
   test_router& Router() { return *routers_.front(); }
-  std::string AgentLog() const { return agents_.empty() ? "" : agents_.front()->Err(); }
+  std::string AgentLog() const { return agents_.empty() ? "" : agents_.front()->Out() + agents_.front()->Err(); }
 
   json EngineState() { return FetchJson(engine_port_, "/v1/state"); }
   std::int64_t MemoryHeld() { return EngineState().value("memory_held", -1); }
--- /dev/null
+++ b/tests/support/direct_world.h
@@ -0,0 +1,254 @@
+// A router that goes straight to the endpoints, with the platform's and the endpoints' test doubles, in one process and
+// on one io_context, so that a test controls every fault between two steps.
+#pragma once
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/kernel.h"
+#include "direct/direct_router.h"
+#include "direct/directory.h"
+#include "direct/endpoint_board.h"
+#include "fakes/fake_platform.h"
+#include "fakes/fake_replica.h"
+#include "support/processes.h"
+
+namespace persimmon::support {
+
+using json = nlohmann::json;
+
+inline constexpr const char* kHost = "app.example";
+
+// A caller's request and what it has got.
+struct caller_exchange {
+  std::optional<http_head> head;
+  std::string body;
+  std::optional<error> failure;  // the answer did not come, or broke off
+  bool done = false;
+  std::unique_ptr<http_call> call;
+
+  int Status() const { return head ? head->status : 0; }
+  std::string Header(const char* name) const { return head ? std::string(FindHeader(head->headers, name)) : ""; }
+};
+
+using caller_exchange_ptr = std::shared_ptr<caller_exchange>;
+
+// Desired state with a plain service "app" and a model service "llm".
+struct desired_state_options {
+  std::uint64_t version = 1;
+  int timeout_ms = 1'500;
+  int attempts = 2;
+  std::uint32_t memory_tokens = 10'000;
+};
+
+inline std::string MakeDesiredState(const desired_state_options& options) {
+  const auto route = [&](const char* prefix, const char* kind, const char* service, bool resumable, int attempts) {
+    return json{{"name", prefix},
+                {"host", kHost},
+                {"prefix", prefix},
+                {"kind", kind},
+                {"timeout_ms", options.timeout_ms},
+                {"target_latency_ms", 900},
+                {"priority", 1},
+                {"service", service},
+                {"max_attempts", attempts},
+                {"resumable", resumable}};
+  };
+  const json engine = {{"slots", 16},          {"kv_capacity_tokens", options.memory_tokens},
+                       {"stride", 10},         {"handle_ttl_s", 0.5},
+                       {"role_switch_s", 0.1}, {"hold_ms", 2'000}};
+  return json{{"version", options.version},
+              {"routes",
+               {route("/pages/", "idempotent", "app", false, options.attempts),
+                route("/submit/", "non_idempotent", "app", false, 1), route("/chat/", "streaming", "llm", false, 1),
+                route("/digest/", "streaming", "llm", true, options.attempts)}},
+              {"services",
+               {{{"name", "app"}, {"health_path", "/health"}, {"max_conns", 100}},
+                {{"name", "llm"}, {"health_path", "/health"}, {"max_conns", 100}, {"engine", engine}}}},
+              {"limits",
+               {{"max_header_bytes", 8'192},
+                {"max_body_bytes", 100'000},
+                {"header_timeout_ms", 3'000},
+                {"idle_timeout_ms", 15'000}}}}
+      .dump();
+}
+
+class direct_world {
+ public:
+  explicit direct_world(const std::function<void(direct_settings&)>& adjust = nullptr)
+      : platform_(kernel_.Context(), host_port{"127.0.0.1", 0}),
+        client_(kernel_.Context(), http_client_limits{.idle_connections = 0}) {
+    SetLogLevel(log_level::kError);
+    if (!platform_.Start()) {
+      StopProgram("The platform's test double cannot listen.");
+    }
+    settings_.deployment.name = "router-1";
+    settings_.deployment.zone = zone_name{"zone-a"};
+    settings_.deployment.callers = FreeAddress();
+    settings_.deployment.readiness = FreeAddress();
+    settings_.deployment.control = FreeAddress();
+    settings_.deployment.store = {"127.0.0.1", platform_.Port()};
+    settings_.deployment.first_internal_port = FreeAddress().port;
+    settings_.feed_wait = milliseconds(100);
+    settings_.store_timeout = milliseconds(300);
+    settings_.order_stages = false;
+    settings_.stop_announce = milliseconds(50);
+    if (adjust) {
+      adjust(settings_);
+    }
+    stop_ = RegisterDirectRouter(kernel_, settings_);
+  }
+
+  ~direct_world() {
+    kernel_.Stop();
+    platform_.Stop();
+    for (const auto& replica : replicas_) {
+      replica->Stop();
+    }
+    RunFor(milliseconds(2));
+  }
+
+  fakes::fake_replica& AddReplica(fakes::replica_options options) {
+    replicas_.push_back(std::make_unique<fakes::fake_replica>(kernel_.Context(), std::move(options)));
+    if (!replicas_.back()->Start()) {
+      StopProgram("A replica cannot listen.");
+    }
+    replicas_.back()->Register(platform_.Tables());
+    return *replicas_.back();
+  }
+
+  void WriteDesiredState(const desired_state_options& options = {}) {
+    platform_.Tables().Commit({{{"op", "config"}, MakeDesiredState(options), false, std::nullopt}});
+  }
+
+  // Starts the router and waits until it knows the desired state and all replicas.
+  bool Start() {
+    kernel_.Start();
+    return RunUntil([this] {
+      const auto& directory = Directory();
+      return directory.IsInForce() && directory.Endpoints().Size() == replicas_.size();
+    });
+  }
+
+  void StartWithoutWaiting() { kernel_.Start(); }
+
+  deployment_directory& Directory() { return kernel_.Find<deployment_directory>("directory"); }
+  endpoint_board& Board() { return kernel_.Find<endpoint_board>("board"); }
+  fakes::fake_platform& Platform() { return platform_; }
+  const direct_settings& Settings() const { return settings_; }
+  kernel& Kernel() { return kernel_; }
+
+  // Begins a planned stop. The value becomes true when the program would end.
+  std::shared_ptr<bool> BeginStop() {
+    auto finished = std::make_shared<bool>(false);
+    stop_([finished] { *finished = true; });
+    return finished;
+  }
+
+  // Sends a request. `path` is below one of the routes; the attempt id is the request's name in the replicas' counts.
+  caller_exchange_ptr Send(const std::string& method, const std::string& path, const std::string& attempt,
+                           header_list more = {}, const std::string& body = "") {
+    http_request request;
+    request.method = method;
+    request.target = path;
+    request.headers = {{"Host", kHost}, {"Persimmonchute-Attempt-Id", attempt}};
+    request.headers.insert(request.headers.end(), more.begin(), more.end());
+    request.body = body;
+    auto exchange = std::make_shared<caller_exchange>();
+    exchange->call = std::make_unique<http_call>(client_);
+    asio::co_spawn(kernel_.Context(), Exchange(settings_.deployment.callers, std::move(request), exchange),
+                   asio::detached);
+    return exchange;
+  }
+
+  caller_exchange_ptr SendModel(const std::string& path, const std::string& attempt,
+                                std::uint32_t prompt_tokens = 1'000, std::uint32_t output_tokens = 100,
+                                milliseconds budget = milliseconds(14'000)) {
+    return Send("POST", path, attempt,
+                {{"Persimmonchute-Model", "m"},
+                 {"Persimmonchute-Token-Count", std::to_string(prompt_tokens) + "," + std::to_string(output_tokens)},
+                 {"Persimmonchute-Length-Hint", std::to_string(output_tokens)},
+                 {"Persimmonchute-Prompt-Prefix", "5c:200"},
+                 {"Persimmonchute-Deadline-Ms", std::to_string(budget.count())}},
+                "prompt");
+  }
+
+  bool Finish(const caller_exchange_ptr& exchange, milliseconds limit = milliseconds(10'000)) {
+    return RunUntil([&exchange] { return exchange->done; }, limit);
+  }
+
+  // Status of the readiness check.
+  int Readiness() {
+    http_request request{"GET", "/readiness", {}, {}, {}};
+    auto exchange = std::make_shared<caller_exchange>();
+    exchange->call = std::make_unique<http_call>(client_);
+    asio::co_spawn(kernel_.Context(), Exchange(settings_.deployment.readiness, std::move(request), exchange),
+                   asio::detached);
+    Finish(exchange);
+    return exchange->Status();
+  }
+
+  bool RunUntil(const std::function<bool()>& condition, milliseconds limit = milliseconds(10'000)) {
+    const time_point deadline = timer_service::Now() + limit;
+    while (!condition()) {
+      if (timer_service::Now() > deadline) {
+        return false;
+      }
+      kernel_.Context().restart();
+      kernel_.Context().run_one_for(milliseconds(5));
+    }
+    return true;
+  }
+
+  void RunFor(milliseconds duration) {
+    const time_point end = timer_service::Now() + duration;
+    RunUntil([end] { return timer_service::Now() >= end; }, duration + milliseconds(100));
+  }
+
+ private:
+  static host_port FreeAddress() { return {"127.0.0.1", static_cast<std::uint16_t>(FreePort())}; }
+
+  static task<> Exchange(host_port address, http_request request, caller_exchange_ptr exchange) {
+    const time_point end = timer_service::Now() + milliseconds(20'000);
+    auto head = co_await exchange->call->Send(address, std::move(request), end, [](const http_head&) { return true; });
+    if (!head) {
+      exchange->failure = head.error();
+    } else {
+      exchange->head = head.value();
+      for (bool more = true; more;) {
+        auto piece = co_await exchange->call->Read(end);
+        if (!piece) {
+          exchange->failure = piece.error();
+          break;
+        }
+        more = !piece.value().empty();
+        exchange->body += piece.value();
+      }
+    }
+    exchange->done = true;
+  }
+
+  kernel kernel_;
+  direct_settings settings_;
+  fakes::fake_platform platform_;
+  std::vector<std::unique_ptr<fakes::fake_replica>> replicas_;
+  http_client client_;
+  detail::stop_function stop_;
+};
+
+// All events of a stream of `count` events, as the replicas make them.
+inline std::string WholeStream(const std::string& attempt, std::uint32_t count) {
+  std::string text;
+  for (std::uint32_t id = 1; id <= count; ++id) {
+    text += "id: " + std::to_string(id) + "\ndata: piece " + std::to_string(id) + " of " + attempt + "\n\n";
+  }
+  return text;
+}
+
+}  // namespace persimmon::support
