--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -10,7 +10,7 @@
 export build cache
 check_file() {
   local headers key
-  headers=$(g++ -std=c++20 -DBOOST_ASIO_SEPARATE_COMPILATION -Iinclude -Isrc -MM "$1" | tr ' \\' '\n\n' | grep -E '^(include|src)/' | sort -u)
+  headers=$(g++ -std=c++20 -DBOOST_ASIO_SEPARATE_COMPILATION -I. -Iinclude -Isrc -MM "$1" | tr ' \\' '\n\n' | grep -E '^(include|src|platform)/' | sort -u)
   key=$(cat .clang-tidy $headers | sha256sum | cut -c1-40)
   [ -e "$cache/$key" ] && return 0
   if out=$(clang-tidy --quiet -p "$build" "$1" 2>/dev/null); then touch "$cache/$key"; return 0; fi
@@ -18,4 +18,4 @@
   return 1
 }
 export -f check_file
-git ls-files 'src/*.cpp' | xargs -r -P "${LINT_JOBS:-6}" -I{} bash -c 'check_file {}'
+git ls-files 'src/*.cpp' 'platform/*.cpp' | xargs -r -P "${LINT_JOBS:-6}" -I{} bash -c 'check_file {}'
