--- a/src/direct/entry.cpp
+++ b/src/direct/entry.cpp
@@ -22,8 +22,8 @@
 constexpr milliseconds kPeerStateLimit(1'000);  // for the answer of another router
 constexpr milliseconds kNotReadyRetry(500);     // told to callers before a desired state is in force
 constexpr milliseconds kStoppingRetry(20);      // told to callers of long requests; another router takes them at once
-constexpr milliseconds kStreamStart(1'000);       // to the first event of a stream that starts while this router stops
-constexpr milliseconds kTokenInterval(6);         // of a busy engine; 3.4 to 5.4 ms on the engines of today
+constexpr milliseconds kStreamStart(1'000);     // to the first event of a stream that starts while this router stops
+constexpr milliseconds kTokenInterval(6);       // of a busy engine; 3.4 to 5.4 ms on the engines of today
 constexpr std::size_t kMaxConnections = 3'000;  // of callers; leaves descriptors for endpoints under a limit of 4,100
 
 }  // namespace
