--- a/src/direct/stage_orders.cpp
+++ b/src/direct/stage_orders.cpp
@@ -17,7 +17,6 @@
 constexpr const char* kTable = "persimmon_leases";
 constexpr milliseconds kPlanPeriod(400);     // spread by a jitter of a quarter
 constexpr milliseconds kStartSpread(1'200);  // routers that start together first plan at different times
-constexpr milliseconds kWaitPause(2'000);    // before the row of another holder is read again
 constexpr milliseconds kOrderLimit(400);     // for the answer of an engine
 // Orders are given at most this long after the row was written: a router that was paused gives none on waking up.
 constexpr milliseconds kFenceLife(1'000);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -849,7 +849,7 @@
 
 using call_message = http::request<http::string_body>;
 
-void WriteInBackground(const client_connection_ptr& connection, std::shared_ptr<call_message> message) {
+void WriteInBackground(const client_connection_ptr& connection, const std::shared_ptr<call_message>& message) {
   connection->sending = true;
   http::async_write(connection->stream, *message, [connection, message](sys_error failure, std::size_t) {
     connection->sending = static_cast<bool>(failure);  // a body that was cut off leaves the connection unusable
