Build the router's own answers in one place; drop unused pieces

Cause: a second read of the change found the attempt header and Retry-After written twice (direct_call, entry), a prediction that nothing calls and three fields that nothing reads. Change: MakeOwnAnswer serves both; the unused pieces are gone. No behaviour changes.

--- a/include/persimmon/kv_placement.h
+++ b/include/persimmon/kv_placement.h
@@ -89,9 +89,6 @@
                             std::uint32_t tokens, const zone_name& preferred_zone, std::uint64_t draw,
                             const placement_settings& settings);
 
-// Predicted time until a prompt sent now has been read.
-microseconds PredictPrefill(const engine_view& engine, std::uint32_t prompt_tokens, const placement_settings& settings);
-
 // ---------------------------------------------------------------------------------------------------------------------
 // 3. stage plan
 // ---------------------------------------------------------------------------------------------------------------------
--- a/src/decisions/kv_placement.cpp
+++ b/src/decisions/kv_placement.cpp
@@ -95,12 +95,6 @@
   return {wait_reason::kNone, *chosen, reader};
 }
 
-microseconds PredictPrefill(const engine_view& engine, std::uint32_t prompt_tokens,
-                            const placement_settings& settings) {
-  const double tokens = static_cast<double>(engine.pending_tokens) + prompt_tokens;
-  return microseconds(static_cast<std::int64_t>(tokens / settings.prefill_tokens_per_ms * 1'000));
-}
-
 double PlanPrefillEngines(std::uint32_t engines, std::uint32_t kv_tokens, std::uint32_t slots,
                           const workload_profile& profile) {
   if (engines < 2) {
--- a/src/direct/direct_call.cpp
+++ b/src/direct/direct_call.cpp
@@ -23,6 +23,18 @@
   return "unknown";
 }
 
+http_response MakeOwnAnswer(int status, std::string body, const std::string& attempt,
+                            std::optional<milliseconds> retry_after) {
+  http_response response = JsonResponse(status, std::move(body));
+  for (header_field& field : platform::OwnAnswerHeaders(attempt)) {
+    response.headers.push_back(std::move(field));
+  }
+  if (retry_after) {
+    response.headers.push_back({"Retry-After", fmt::format("{:.3f}", static_cast<double>(retry_after->count()) / 1e3)});
+  }
+  return response;
+}
+
 direct_call::direct_call(std::shared_ptr<http_exchange> exchange, platform::request_terms terms,
                          std::shared_ptr<const routing_table> table, const route_record& route,
                          const service_record& service, time_point arrival)
@@ -65,13 +77,8 @@
   const bool not_run = retry_after.has_value();
   const nlohmann::json body = {
       {"error", {{"code", code}, {"outcome", not_run ? "not_run" : "may_have_run"}, {"request_id", terms_.attempt}}}};
-  http_response response = JsonResponse(status, body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
-  for (header_field& field : platform::OwnAnswerHeaders(terms_.attempt)) {
-    response.headers.push_back(std::move(field));
-  }
-  if (retry_after) {
-    response.headers.push_back({"Retry-After", fmt::format("{:.3f}", static_cast<double>(retry_after->count()) / 1e3)});
-  }
+  std::string text = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  http_response response = MakeOwnAnswer(status, std::move(text), terms_.attempt, retry_after);
   // A failed write means that the caller has gone, which the exchange reports by itself.
   (void)co_await exchange_->Respond(std::move(response));
 }
--- a/src/direct/direct_call.h
+++ b/src/direct/direct_call.h
@@ -25,6 +25,10 @@
 // "answered", "refused", "failed" or "caller_gone".
 const char* CallOutcomeName(call_outcome outcome);
 
+// An answer of the router's own, with a JSON body. `retry_after`: when the caller may come back; absent: not told.
+http_response MakeOwnAnswer(int status, std::string body, const std::string& attempt,
+                            std::optional<milliseconds> retry_after);
+
 class direct_call : public std::enable_shared_from_this<direct_call> {
  public:
   direct_call(std::shared_ptr<http_exchange> exchange, platform::request_terms terms,
--- a/src/direct/entry.cpp
+++ b/src/direct/entry.cpp
@@ -189,14 +189,8 @@
       .Add("target", exchange->Request().target)
       .Add("revision", directory_->Routes()->Revision());
   metrics_->AddCounter("persimmon_refusals_total", "Requests refused before routing.", {{"code", code}}).Increment();
-  http_response response =
-      JsonResponse(status, fmt::format(R"({{"error":{{"code":"{}","outcome":"not_run"}}}})", code));
-  for (header_field& field : platform::OwnAnswerHeaders(terms.attempt)) {
-    response.headers.push_back(std::move(field));
-  }
-  if (retry_after) {
-    response.headers.push_back({"Retry-After", fmt::format("{:.3f}", static_cast<double>(retry_after->count()) / 1e3)});
-  }
+  std::string body = fmt::format(R"({{"error":{{"code":"{}","outcome":"not_run"}}}})", code);
+  http_response response = MakeOwnAnswer(status, std::move(body), terms.attempt, retry_after);
   (void)co_await exchange->Respond(std::move(response));
 }
 
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -221,7 +221,7 @@
     } else {
       queue.queue.PickNext(now);
     }
-    grant place{engines[choice.decode], std::nullopt, {}, waiting->tokens, now};
+    grant place{engines[choice.decode], std::nullopt, {}, waiting->tokens};
     board_->AddDecode(place.engine.name, waiting->tokens, 1);
     if (choice.prefill) {
       place.prefill = prefill_engines[*choice.prefill];
@@ -255,7 +255,6 @@
   const bool still_waits = queue.waiting.contains(waiting->job.request);
   if (reservation) {
     place.reservation = reservation.value();
-    place.granted = now;
     if (still_waits && !waiting->call->IsCallerGone()) {
       queue.queue.NoteStarted(waiting->job.request, now);
       waiting->call->waited = waiting->call->Age(now);
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -41,7 +41,6 @@
     std::optional<chosen_endpoint> prefill;  // absent: the decode engine reads the prompt itself
     std::string reservation;
     std::uint32_t tokens = 0;
-    time_point granted;
   };
 
   // Why a request gets no reservation.
@@ -70,8 +69,6 @@
   struct stream_state {
     event_splitter events;
     bool started = false;  // the head of the answer has been passed on
-    std::size_t passed_events = 0;
-    time_point last_event;
   };
 
   enum class step_result : std::uint8_t {
