Let decode engines read short prompts while the prefill engines are busy

Cause: at the start of a burst and after the loss of a prefill engine, requests wait for prefill while the decode engines have room.

Change: while all prefill engines are behind, a prompt of up to 2,400 tokens goes to a decode engine with room that reads no other prompt. A slow engine reads such a prompt within 200 ms, so its streams stay below the pause of 300 ms. A short prompt may pass a long one that waits for a prefill engine; it takes nothing from it. A new line, stream_ended, tells memory used against memory reserved and the longest pause.

--- a/src/decisions/kv_placement.cpp
+++ b/src/decisions/kv_placement.cpp
@@ -24,14 +24,14 @@
   return preferred_zone.empty() || engine.zone == preferred_zone ? 0 : settings.cross_zone_tokens;
 }
 
-}  // namespace
-
-std::optional<std::size_t> ChooseDecodeEngine(std::span<const engine_view> engines, std::uint32_t tokens,
-                                              const zone_name& preferred_zone, std::uint64_t draw,
-                                              const placement_settings& settings) {
+// The roomier of two random engines among those that are suitable.
+template <class predicate>
+std::optional<std::size_t> ChooseRoomier(std::span<const engine_view> engines, const zone_name& preferred_zone,
+                                         std::uint64_t draw, const placement_settings& settings,
+                                         predicate is_suitable) {
   std::vector<std::size_t> candidates;
   for (std::size_t i = 0; i < engines.size(); ++i) {
-    if (HasRoom(engines[i], tokens, settings)) {
+    if (is_suitable(engines[i])) {
       candidates.push_back(i);
     }
   }
@@ -46,6 +46,15 @@
   return score(second) > score(first) ? second : first;
 }
 
+}  // namespace
+
+std::optional<std::size_t> ChooseDecodeEngine(std::span<const engine_view> engines, std::uint32_t tokens,
+                                              const zone_name& preferred_zone, std::uint64_t draw,
+                                              const placement_settings& settings) {
+  return ChooseRoomier(engines, preferred_zone, draw, settings,
+                       [&](const engine_view& engine) { return HasRoom(engine, tokens, settings); });
+}
+
 std::optional<std::size_t> ChoosePrefillEngine(std::span<const engine_view> engines, const zone_name& preferred_zone,
                                                std::uint64_t draw, const placement_settings& settings) {
   std::optional<std::size_t> best;
@@ -77,8 +86,8 @@
 }
 
 engine_choice ChooseEngines(std::span<const engine_view> decode, std::span<const engine_view> prefill,
-                            std::uint32_t tokens, const zone_name& preferred_zone, std::uint64_t draw,
-                            const placement_settings& settings) {
+                            std::uint32_t tokens, std::uint32_t prompt_tokens, const zone_name& preferred_zone,
+                            std::uint64_t draw, const placement_settings& settings) {
   const auto chosen = ChooseDecodeEngine(decode, tokens, preferred_zone, draw, settings);
   if (!chosen) {
     return {wait_reason::kDecodeMemory, 0, std::nullopt};
@@ -90,7 +99,12 @@
   }
   const auto reader = ChoosePrefillEngine(prefill, decode[*chosen].zone, draw, settings);
   if (!reader || prefill[*reader].pending_tokens > settings.prefill_backlog) {
-    return {wait_reason::kPrefillBusy, 0, std::nullopt};
+    const auto own = ChooseRoomier(decode, preferred_zone, draw, settings, [&](const engine_view& engine) {
+      return prompt_tokens <= settings.own_prompt_limit && engine.pending_tokens == 0 &&
+             HasRoom(engine, tokens, settings);
+    });
+    return own ? engine_choice{wait_reason::kNone, *own, std::nullopt}
+               : engine_choice{wait_reason::kPrefillBusy, 0, std::nullopt};
   }
   return {wait_reason::kNone, *chosen, reader};
 }
--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -24,6 +24,7 @@
   duration("model", "late_wait_ms", settings.late_wait);
   duration("model", "late_retry_ms", settings.late_retry);
   bind.Number("model", "prefill_backlog_tokens", settings.prefill_backlog, 0, 1'000'000);
+  bind.Number("model", "own_prompt_limit_tokens", settings.own_prompt_limit, 0, 1'000'000);
   duration("model", "stall_limit_ms", settings.stall_limit);
   bind.Real("model", "output_share", settings.output_share, 0.05, 10);
   bind.Flag("stages", "order_stages", settings.order_stages);
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -40,6 +40,9 @@
   milliseconds late_retry =
       milliseconds(1'500);               // told with a refusal for lack of room; jitter of up to the same is added
   std::int64_t prefill_backlog = 7'000;  // prompt tokens ahead on an engine to which a prompt is bound
+  // Longest prompt that a decode engine reads itself while the prefill engines are busy. A slow engine reads 12 tokens
+  // a millisecond beside its streams; 200 ms of that leave the pause between their events below 300 ms.
+  std::int64_t own_prompt_limit = 2'400;
   milliseconds stall_limit = milliseconds(2'000);  // a resumable stream that is silent for this long goes on elsewhere
   double output_share = 1.0;                       // of the caller's estimate of the output that memory is reserved for
 
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -174,13 +174,20 @@
   }
 }
 
-// The most urgent request that can still be in time; if there is none, the late one that is given up first.
-generation_calls::waiting_ptr generation_calls::FindNext(service_queue& queue, time_point now) {
-  if (const queue_job* head = queue.queue.PeekNext(now)) {
+// The most urgent request that can still be in time; if there is none, the late one that is given up first. With
+// `accept`, only requests for which it is true.
+generation_calls::waiting_ptr generation_calls::FindNext(service_queue& queue, time_point now,
+                                                         const std::function<bool(const queue_job&)>& accept) {
+  if (const queue_job* head = queue.queue.PeekNext(now, accept)) {
     const auto found = queue.waiting.find(head->request);
     return found == queue.waiting.end() ? nullptr : found->second;
   }
-  return queue.late.empty() ? nullptr : queue.late.begin()->second;
+  for (const auto& [give_up, waiting] : queue.late) {
+    if (!accept || accept(waiting->job)) {
+      return waiting;
+    }
+  }
+  return nullptr;
 }
 
 void generation_calls::MakeLate(service_queue& queue, const waiting_ptr& waiting) {
@@ -206,12 +213,26 @@
   const auto prefill_engines = board_->List(queue.record.name, endpoint_role::kPrefill);
   placement_settings policy;
   policy.prefill_backlog = static_cast<std::uint32_t>(settings_.prefill_backlog);
-  // Only the most urgent request is placed: passing it by for smaller ones would starve long prompts.
-  while (const waiting_ptr waiting = FindNext(queue, now)) {
-    const auto views = board_->EngineViews(engines, profile, waiting->avoid);
+  policy.own_prompt_limit = static_cast<std::uint32_t>(settings_.own_prompt_limit);
+  const auto choose = [&](const waiting_request& waiting) {
+    const auto views = board_->EngineViews(engines, profile, waiting.avoid);
     const auto prefill_views = board_->EngineViews(prefill_engines, profile, {});
-    const engine_choice choice =
-        ChooseEngines(views, prefill_views, waiting->tokens, settings_.deployment.zone, RandomNumber(), policy);
+    return ChooseEngines(views, prefill_views, waiting.tokens, waiting.job.prompt_tokens, settings_.deployment.zone,
+                         RandomNumber(), policy);
+  };
+  const auto is_short = [&](const queue_job& job) { return job.prompt_tokens <= policy.own_prompt_limit; };
+  // Only the most urgent request is placed: passing it by for smaller ones would starve long prompts. A short prompt
+  // that a decode engine reads takes nothing from a long one that waits for a prefill engine.
+  while (waiting_ptr waiting = FindNext(queue, now, nullptr)) {
+    engine_choice choice = choose(*waiting);
+    if (choice.waits_for == wait_reason::kPrefillBusy) {
+      NoteBlocked(queue, choice.waits_for, now);
+      waiting = FindNext(queue, now, is_short);
+      if (!waiting) {
+        return;
+      }
+      choice = choose(*waiting);
+    }
     if (choice.waits_for != wait_reason::kNone) {
       NoteBlocked(queue, choice.waits_for, now);
       return;
@@ -219,13 +240,15 @@
     if (waiting->is_late) {
       std::erase_if(queue.late, [&](const auto& item) { return item.second == waiting; });
     } else {
-      queue.queue.PickNext(now);
+      queue.queue.PickNext(now, [&](const queue_job& job) { return job.request == waiting->job.request; });
     }
     grant place{engines[choice.decode], std::nullopt, {}, waiting->tokens};
     board_->AddDecode(place.engine.name, waiting->tokens, 1);
     if (choice.prefill) {
       place.prefill = prefill_engines[*choice.prefill];
       board_->AddPrefill(place.prefill->name, waiting->job.prompt_tokens, 1);
+    } else {
+      board_->AddPrefill(place.engine.name, waiting->job.prompt_tokens, 0);
     }
     asio::co_spawn(kernel_.Context(), Reserve(queue.record.name, waiting, std::move(place)), asio::detached);
   }
@@ -327,9 +350,12 @@
 // Takes a place whose prefill has not been sent off the board.
 void generation_calls::ReleasePlace(const direct_call& call, const grant& place) {
   board_->AddDecode(place.engine.name, -static_cast<std::int64_t>(place.tokens), -1);
-  if (place.prefill) {
-    board_->AddPrefill(place.prefill->name, -static_cast<std::int64_t>(call.Terms().prompt_tokens), -1);
-  }
+  NotePromptRead(call, place, place.prefill ? place.prefill->name : place.engine.name);
+}
+
+// Takes a prompt off the engine that reads it.
+void generation_calls::NotePromptRead(const direct_call& call, const grant& place, const endpoint_name& reader) {
+  board_->AddPrefill(reader, -static_cast<std::int64_t>(call.Terms().prompt_tokens), place.prefill ? -1 : 0);
 }
 
 void generation_calls::ReleaseReservation(const grant& place) {
@@ -404,7 +430,7 @@
       body += piece.value();
     }
     call->ClearCancel();
-    board_->AddPrefill(engine.name, -static_cast<std::int64_t>(call->Terms().prompt_tokens), -1);
+    NotePromptRead(*call, place, engine.name);
     PumpAll();
     const auto took = std::chrono::duration_cast<milliseconds>(timer_service::Now() - begin);
     auto handle = !failure && head.value().status == 200 ? platform::ReadPrefillHandle(body)
@@ -462,6 +488,10 @@
   const time_point end = may_resume ? std::min(call->End(), begin + settings_.stall_limit) : call->End();
   auto head =
       co_await exchange.Send(place.engine.address, std::move(request), end, AnswersAttempt(call->Terms().attempt));
+  if (!place.prefill) {
+    NotePromptRead(*call, place, place.engine.name);
+    PumpAll();
+  }
   step_result outcome = step_result::kBroken;
   std::string detail;
   if (!head) {
@@ -535,6 +565,9 @@
   const bool resumable = call->Route().resumable;
   const engine_profile profile = call->Service().engine.value_or(engine_profile{});
   std::uint32_t accounted = place.tokens;
+  std::uint32_t used = call->Terms().prompt_tokens;
+  time_point last_event = timer_service::Now();
+  microseconds longest_pause(0);
   step_result outcome = step_result::kBroken;
   while (true) {
     const bool may_resume = resumable && call->sends < call->Route().max_attempts;
@@ -562,6 +595,9 @@
       stream.events.DropRest();
     }
     if (!whole.empty()) {
+      const time_point read_at = timer_service::Now();
+      longest_pause = std::max(longest_pause, std::chrono::duration_cast<microseconds>(read_at - last_event));
+      last_event = read_at;
       if (call->first_event == milliseconds(0)) {
         call->first_event = call->Age(timer_service::Now());
       }
@@ -578,7 +614,7 @@
       break;
     }
     // The answer may grow beyond the reservation.
-    const auto used =
+    used =
         call->Terms().prompt_tokens + static_cast<std::uint32_t>(stream.events.EventCount()) * profile.tokens_per_event;
     if (used > accounted) {
       board_->AddDecode(place.engine.name, used - accounted, 0);
@@ -586,6 +622,16 @@
     }
   }
   board_->AddDecode(place.engine.name, -static_cast<std::int64_t>(accounted - place.tokens), 0);
+  Events()
+      .Line(kPart, "stream_ended")
+      .Request(call->Terms().attempt)
+      .Add("endpoint", place.engine.name.value)
+      .Add("whole", outcome == step_result::kDone)
+      .Add("events", stream.events.EventCount())
+      .Add("used_tokens", used)
+      .Add("reserved_tokens", place.tokens)
+      .Add("own_prompt", !place.prefill)
+      .Add("longest_pause_ms", std::chrono::duration_cast<milliseconds>(longest_pause).count());
   co_return outcome;
 }
 
@@ -641,6 +687,9 @@
     const bool is_current = board_->IsCurrent(place.engine);
     if (call->IsCallerGone() || !is_current) {
       release();
+      if (!place.prefill) {
+        NotePromptRead(*call, place, place.engine.name);
+      }
       ReleaseReservation(place);
       if (!source->handle.empty()) {
         DropCache(*source);
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -4,6 +4,7 @@
 // reservation; the engine's grant decides between routers. Nothing is prefilled before decode memory is reserved.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -85,7 +86,7 @@
   void UpdatePool(service_queue& queue, time_point now);
   void Pump(service_queue& queue);
   void NoteBlocked(service_queue& queue, wait_reason reason, time_point now);
-  waiting_ptr FindNext(service_queue& queue, time_point now);
+  waiting_ptr FindNext(service_queue& queue, time_point now, const std::function<bool(const queue_job&)>& accept);
   void MakeLate(service_queue& queue, const waiting_ptr& waiting);
   void Forget(service_queue& queue, const waiting_ptr& waiting, time_point now);
   task<> Reserve(std::string service, waiting_ptr waiting, grant place);
@@ -102,6 +103,7 @@
 
   void ReleaseReservation(const grant& place);
   void ReleasePlace(const direct_call& call, const grant& place);
+  void NotePromptRead(const direct_call& call, const grant& place, const endpoint_name& reader);
   void DropCache(const platform::kv_source& source);
   task<> SendControl(host_port address, http_request request, const char* purpose);
 
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -1,7 +1,8 @@
 // Test double of an endpoint that callers' requests go to directly: a plain service, a prefill engine or a decode
 // engine, with its entry in the table service and switches for faults.
 //
-// It counts what it runs, so that tests can check what reached it. It measures no time and has no queue.
+// It counts what it runs, so that tests can check what reached it. It has no queue, and it takes time only for the
+// events of a stream and, at a set pace, for prompts.
 #pragma once
 
 #include <cstdint>
@@ -26,6 +27,7 @@
   std::uint32_t memory_tokens = 0;  // of a decode engine
   std::uint32_t events = 5;         // of each stream
   milliseconds event_pause = milliseconds(1);
+  std::uint32_t tokens_per_ms = 0;  // of prompts, one after another; decode engines read at half the pace; 0: at once
 
   bool operator==(const replica_options&) const = default;
 };
@@ -64,6 +66,8 @@
   int Runs(const std::string& attempt) const;
   int TotalRuns() const;
   int Prefills() const { return prefills_; }
+  const std::vector<std::uint32_t>& OwnPrompts() const { return own_prompts_; }  // tokens that a decode engine read
+  std::size_t MostPromptsAtOnce() const { return most_prompts_at_once_; }        // that have been sent to it
   int Orders() const { return orders_; }
   const std::vector<http_request>& Requests() const { return requests_; }  // all, runs or not
   int RunningNow() const { return running_now_; }
@@ -76,7 +80,8 @@
   task<> Run(std::shared_ptr<http_exchange> exchange);
   task<> Stream(std::shared_ptr<http_exchange> exchange, std::string attempt);
   http_response Reserve(const http_request& request);
-  http_response Prefill(const http_request& request);
+  task<> Prefill(std::shared_ptr<http_exchange> exchange);
+  task<> ReadPrompt(const http_request& request, double pace);
   http_response Order(const http_request& request);
   http_response NotRun(int status) const;
   header_list AnswerHeaders(const std::string& attempt) const;
@@ -90,6 +95,10 @@
   std::set<std::string> handles_;
   std::vector<http_request> requests_;
   int prefills_ = 0;
+  std::vector<std::uint32_t> own_prompts_;
+  std::size_t prompts_now_ = 0;
+  std::size_t most_prompts_at_once_ = 0;
+  time_point prompts_end_;  // when all prompts that it has got are read
   int orders_ = 0;
   int running_now_ = 0;
   std::uint64_t next_id_ = 0;
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -359,6 +359,78 @@
   EXPECT_TRUE(IsAllFreed());
 }
 
+// The start of a burst: prompts come at once to one prefill engine, while the decode engines have room.
+class prompt_burst_test : public testing::Test {
+ protected:
+  static constexpr milliseconds kTarget{900};  // of the routes, to the first event
+
+  prompt_burst_test() {
+    replica_options prefill = Engine("pre-1", "prefill");
+    prefill.tokens_per_ms = 20;
+    prefill_ = &world_.AddReplica(std::move(prefill));
+    for (const char* name : {"dec-1", "dec-2", "dec-3"}) {
+      replica_options engine = Engine(name, "decode");
+      engine.memory_tokens = 16'000;
+      engine.tokens_per_ms = 20;
+      decode_.push_back(&world_.AddReplica(std::move(engine)));
+    }
+    world_.WriteDesiredState({.timeout_ms = 14'000, .memory_tokens = 16'000});
+  }
+  void SetUp() override { ASSERT_TRUE(world_.Start()); }
+
+  std::vector<caller_exchange_ptr> SendBurst(int count, std::uint32_t prompt_tokens) {
+    std::vector<caller_exchange_ptr> calls;
+    for (int i = 0; i < count; ++i) {
+      calls.push_back(world_.SendModel("/chat/1", "a" + std::to_string(i), prompt_tokens));
+    }
+    return calls;
+  }
+
+  direct_world world_;
+  fake_replica* prefill_ = nullptr;
+  std::vector<fake_replica*> decode_;
+};
+
+// The prefill engine alone takes 1,200 ms for these prompts, so that four of them would be late.
+TEST_F(prompt_burst_test, ShortPrompts_BeyondThePrefillEngine_AreReadByDecodeEnginesInTime) {
+  const auto calls = SendBurst(16, 1'500);
+  EXPECT_TRUE(world_.RunUntil(
+      [&] { return std::all_of(calls.begin(), calls.end(), [](const auto& call) { return call->done; }); }, kTarget));
+  for (const caller_exchange_ptr& call : calls) {
+    EXPECT_EQ(call->Status(), 200);
+    EXPECT_FALSE(call->failure);
+  }
+  EXPECT_GT(prefill_->Prefills(), 0);
+  for (const fake_replica* engine : decode_) {
+    EXPECT_LE(engine->MostPromptsAtOnce(), 1U) << "streams pause for more than one prompt";
+  }
+  EXPECT_TRUE(world_.Board().OwnUses().empty());
+}
+
+// While a decode engine reads a long prompt, its other streams pause longer than their callers allow.
+TEST_F(prompt_burst_test, LongPrompts_BeyondThePrefillEngine_WaitForIt) {
+  const auto calls = SendBurst(5, 4'000);
+  for (const caller_exchange_ptr& call : calls) {
+    ASSERT_TRUE(world_.Finish(call));
+  }
+  for (const fake_replica* engine : decode_) {
+    EXPECT_TRUE(engine->OwnPrompts().empty());
+  }
+}
+
+// A long prompt at the head of the queue must not keep short ones from engines that it cannot use.
+TEST_F(prompt_burst_test, ShortPromptBehindLongOnes_IsReadByADecodeEngine) {
+  const auto calls = SendBurst(5, 4'000);
+  world_.RunFor(milliseconds(20));
+  const auto call = world_.SendModel("/chat/1", "short", 1'000);
+  ASSERT_TRUE(world_.Finish(call));
+  EXPECT_EQ(call->Status(), 200);
+  EXPECT_EQ(calls.back()->Status(), 0) << "the last long prompt waits";
+  for (const caller_exchange_ptr& other : calls) {
+    ASSERT_TRUE(world_.Finish(other));
+  }
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 3. directory and readiness
 // ---------------------------------------------------------------------------------------------------------------------
