Keep the uses of a router that leaves, and the patience of a resumed stream

Cause: every message of a router that stops was taken for that of a new router: peers logged two lines, sent their whole state back and dropped the leaving router's uses, while its streams still filled the engines for up to seven seconds. An answer that was whole after an earlier prefill had failed was logged with the reason prefill_failed.

Ruled out: restarts (the incarnation did not change between the lines), lost datagrams (the lines come in pairs, 30 ms apart).

A placement after a broken run waits as long as a fresh late request. The reason of a whole answer replaces that of an earlier try. Tests: router_group_test (new, also with 24 routers from one seed) and model_resume_test; all but the two of size and silence failed first.

--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -136,7 +136,9 @@
   waiting->avoid = std::move(avoid);
   waiting->job = MakeJob(*call, is_resumed, now);
   waiting->tokens = waiting->job.prompt_tokens + waiting->job.output_tokens;
-  waiting->give_up = std::min(call->Arrival() + settings_.late_wait, call->End() - kMinTimeLeft);
+  // The patience of the caller of a broken stream begins anew with the last event.
+  const time_point patient_since = is_resumed ? now : call->Arrival();
+  waiting->give_up = std::min(patient_since + settings_.late_wait, call->End() - kMinTimeLeft);
   UpdatePool(queue, now);
   bool is_admitted = false;
   if (waiting->job.latest_start > now) {
@@ -610,6 +612,7 @@
     if (is_end) {
       auto finished = co_await call->Exchange().FinishStream();
       outcome = finished ? step_result::kDone : step_result::kCallerGone;
+      call->reason = "whole_answer";  // replaces that of an earlier try
       board_->NoteAnswer(place.engine);
       break;
     }
@@ -742,7 +745,6 @@
     co_return call->NoteGone();
   }
   if (result == step_result::kDone) {
-    call->reason = call->reason.empty() ? "whole_answer" : call->reason;
     co_return call_outcome::kAnswered;
   }
   if (stream.started) {
--- a/src/direct/router_group.cpp
+++ b/src/direct/router_group.cpp
@@ -125,6 +125,10 @@
   if (is_new) {
     Events().Line(kPart, "router_heard").Add("router", state.name).Add("address", sender.Text());
   }
+  if (state.leaving && (is_new || !known->second.state.leaving)) {
+    // It keeps its place until it is silent: its streams use the engines to the end.
+    Events().Line(kPart, "router_leaves").Add("router", state.name);
+  }
   const bool uses_changed = is_new || known->second.state.uses != state.uses;
   peers_.insert_or_assign(sender, peer{state, now});
   candidates_.erase(sender);
@@ -133,10 +137,6 @@
       candidates_.emplace(member, time_point());
     }
   }
-  if (state.leaving) {
-    Events().Line(kPart, "router_leaves").Add("router", state.name);
-    peers_.erase(sender);
-  }
   if (on_suspects && !state.suspects.empty()) {
     on_suspects(state.name + "/" + std::to_string(state.incarnation), state.suspects);
   }
@@ -164,7 +164,8 @@
     }
   }
   for (auto item = peers_.begin(); item != peers_.end();) {
-    if (now - item->second.heard > kCountedAfter) {
+    const milliseconds limit = item->second.state.leaving ? kSilence : kCountedAfter;
+    if (now - item->second.heard > limit) {
       Events().Line(kPart, "router_forgotten").Add("router", item->second.state.name);
       candidates_.emplace(item->first, now);
       item = peers_.erase(item);
@@ -227,7 +228,7 @@
 std::vector<host_port> router_group::ControlAddresses() const {
   std::vector<const peer*> known;
   for (const auto& [address, other] : peers_) {
-    if (other.state.revision != 0 && other.state.control.port != 0) {
+    if (!other.state.leaving && other.state.revision != 0 && other.state.control.port != 0) {
       known.push_back(&other);
     }
   }
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -502,7 +502,7 @@
   std::uint64_t incarnation = 0;   // random; a restarted router has another one
   std::uint64_t sequence = 0;      // rises with each message of an incarnation; older messages are dropped
   revision_number revision = 0;    // of the configuration in force
-  bool leaving = false;            // it stops and is no longer counted
+  bool leaving = false;            // it stops, and is forgotten as soon as it is silent
   host_port control;               // where its configuration can be fetched
   std::vector<host_port> members;  // datagram addresses of the routers that it has heard lately
   std::vector<endpoint_use> uses;  // endpoints without use are left out
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -292,6 +292,27 @@
   EXPECT_EQ(Runs("a1"), 2);
 }
 
+// A caller leaves after some seconds without an event, counted from the last one and not from its request.
+TEST(model_resume_test, Stream_ThatBreaksOffLate_WaitsForRoomAsLongAsAFreshOne) {
+  direct_world world([](direct_settings& settings) { settings.late_wait = milliseconds(1'000); });
+  world.AddReplica(Engine("pre-1", "prefill"));
+  replica_options options = Engine("dec-1", "decode");
+  options.event_pause = milliseconds(300);
+  fake_replica& first = world.AddReplica(options);
+  world.WriteDesiredState({.timeout_ms = 14'000});
+  ASSERT_TRUE(world.Start());
+  first.Faults().break_after = 4;  // after 1,200 ms
+  const auto call = world.SendModel("/digest/1", "a1");
+  ASSERT_TRUE(world.RunUntil([&] { return first.Runs("a1") == 1 && first.RunningNow() == 0; }));
+  fake_replica& second = world.AddReplica(Engine("dec-2", "decode"));
+  second.Faults().full = true;
+  world.RunFor(milliseconds(700));
+  second.Faults().full = false;
+  ASSERT_TRUE(world.Finish(call));
+  EXPECT_FALSE(call->failure) << call->failure->message;
+  EXPECT_EQ(call->body, WholeStream("a1", 5));
+}
+
 TEST_F(model_call_test, Stream_ThatBreaksOffOnAnotherRoute_LooksBrokenToTheCaller) {
   first_.Faults().break_after = 2;
   second_.Faults().break_after = 2;
--- /dev/null
+++ b/tests/router_group_test.cpp
@@ -0,0 +1,154 @@
+// link: persimmon_direct persimmon_fake_parts
+// What routers learn from each other by datagrams: members, their uses of endpoints, and members that leave.
+//
+// Sections
+//   1. a group of routers
+//   2. leaving
+//   3. size
+#include "direct/router_group.h"
+
+#include <gtest/gtest.h>
+
+#include "support/processes.h"
+
+namespace persimmon {
+namespace {
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. a group of routers
+// ---------------------------------------------------------------------------------------------------------------------
+
+// Each router has a loopback address of its own, because all use the same port. The first one is the others' seed.
+class router_group_test : public testing::Test {
+ protected:
+  struct member {
+    kernel services;
+    direct_settings settings;
+    router_group* group = nullptr;
+    std::vector<endpoint_use> uses;
+  };
+
+  void AddRouters(int count) {
+    for (int i = 0; i < count; ++i) {
+      auto added = std::make_unique<member>();
+      const std::string host = "127.0.0." + std::to_string(members_.size() + 1);
+      added->settings.deployment.name = "router-" + std::to_string(members_.size() + 1);
+      added->settings.deployment.callers = {host, 1};
+      added->settings.deployment.control = {host, 2};
+      added->settings.deployment.first_internal_port = port_;
+      added->settings.deployment.seeds = {{"127.0.0.1", 2}};
+      added->group = &added->services.Register<router_group>("group", added->services, added->settings);
+      added->group->own_uses = [uses = &added->uses] { return *uses; };
+      added->group->own_revision = [] { return revision_number(1); };
+      added->services.Start();
+      members_.push_back(std::move(added));
+    }
+  }
+
+  bool RunUntil(const std::function<bool()>& condition, milliseconds limit) {
+    const time_point deadline = timer_service::Now() + limit;
+    while (!condition()) {
+      if (timer_service::Now() > deadline) {
+        return false;
+      }
+      for (const auto& each : members_) {
+        each->services.Context().restart();
+        each->services.Context().poll();
+      }
+      std::this_thread::sleep_for(milliseconds(1));
+    }
+    return true;
+  }
+
+  void RunFor(milliseconds duration) {
+    const time_point end = timer_service::Now() + duration;
+    RunUntil([end] { return timer_service::Now() >= end; }, duration + milliseconds(1'000));
+  }
+
+  bool AllCount(std::uint32_t routers) const {
+    return std::all_of(members_.begin(), members_.end(),
+                       [routers](const auto& each) { return each->group->RouterCount() == routers; });
+  }
+
+  router_group& Group(std::size_t index) { return *members_[index]->group; }
+
+  void SetUse(std::size_t index, std::uint32_t decode_tokens) {
+    endpoint_use use;
+    use.endpoint = EndpointKey(kEngine);
+    use.decode_tokens = decode_tokens;
+    members_[index]->uses = {use};
+    members_[index]->group->NoteChange();
+  }
+
+  const endpoint_name kEngine{"engine-1"};
+  std::uint16_t port_ = static_cast<std::uint16_t>(support::FreePort());
+  std::vector<std::unique_ptr<member>> members_;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. leaving
+// ---------------------------------------------------------------------------------------------------------------------
+
+// A router that stops still passes on streams for seconds. Without their memory in the other routers' books, these ask
+// full engines for reservations.
+TEST_F(router_group_test, LeavingRouter_WithStreamsInProgress_StillCountsForTheEngines) {
+  AddRouters(3);
+  ASSERT_TRUE(RunUntil([this] { return AllCount(3); }, milliseconds(5'000)));
+  SetUse(0, 700);
+  ASSERT_TRUE(RunUntil([this] { return Group(1).PeerUse(kEngine).decode_tokens == 700; }, milliseconds(2'000)));
+  Group(0).NoteLeaving();
+  RunFor(milliseconds(100));
+  EXPECT_EQ(Group(1).PeerUse(kEngine).decode_tokens, 700U);
+  SetUse(0, 300);
+  EXPECT_TRUE(RunUntil([this] { return Group(2).PeerUse(kEngine).decode_tokens == 300; }, milliseconds(2'000)));
+}
+
+// Each message of a leaving router made all others log two lines and send their whole state: 2,000 lines a day of
+// trouble-2 with five routers.
+TEST_F(router_group_test, LeavingRouter_ThatSendsOn_IsNotTakenForANewOne) {
+  AddRouters(2);
+  ASSERT_TRUE(RunUntil([this] { return AllCount(2); }, milliseconds(5'000)));
+  int changes = 0;
+  Group(1).on_change = [&changes] { ++changes; };
+  Group(0).NoteLeaving();
+  for (int i = 0; i < 10; ++i) {
+    Group(0).NoteChange();
+    RunFor(milliseconds(50));
+  }
+  EXPECT_EQ(changes, 0) << "its uses have not changed";
+}
+
+// A router that has left takes no sends any more, so its share of the common limits goes to the others.
+TEST_F(router_group_test, LeavingRouter_OnceItIsSilent_IsNotCounted) {
+  AddRouters(3);
+  ASSERT_TRUE(RunUntil([this] { return AllCount(3); }, milliseconds(5'000)));
+  Group(2).NoteLeaving();
+  RunFor(milliseconds(50));
+  members_[2]->services.Stop();
+  members_.pop_back();
+  EXPECT_TRUE(RunUntil([this] { return AllCount(2); }, milliseconds(4'000)));
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. size
+// ---------------------------------------------------------------------------------------------------------------------
+
+// Shared limits are split by the number of routers, so all of them must be known with any number.
+TEST_F(router_group_test, RoutersAtSize_FromOneSeed_AllKnowEachOtherAndTheirUses) {
+  constexpr std::uint32_t kRouters = 24;
+  AddRouters(kRouters);
+  EXPECT_TRUE(RunUntil([this] { return AllCount(kRouters); }, milliseconds(10'000)));
+  for (std::size_t i = 0; i < kRouters; ++i) {
+    SetUse(i, 100);
+  }
+  EXPECT_TRUE(RunUntil(
+      [this] {
+        return std::all_of(members_.begin(), members_.end(), [this](const auto& each) {
+          return each->group->PeerUse(kEngine).decode_tokens == (kRouters - 1) * 100;
+        });
+      },
+      milliseconds(3'000)));
+}
+
+}  // namespace
+}  // namespace persimmon
