Bound events, reservations and remembered routes; judge stops by measured pace

Found now: a stopping router judged streams by 6 ms a token, while the engines of both sites take 3.4 to 5.4, and refused requests that would have ended two seconds before its end.

Change: an overlong event ends the run as a broken stream; a reservation asks for the smaller of the setting and the service's limit; 4,096 routes are remembered; the interval between tokens is measured over 32 streams and expected durations get a margin of a quarter.

The refused ones are taken at once by another router, so a refusal there costs little.

--- a/src/direct/entry.cpp
+++ b/src/direct/entry.cpp
@@ -22,8 +22,8 @@
 constexpr milliseconds kPeerStateLimit(1'000);  // for the answer of another router
 constexpr milliseconds kNotReadyRetry(500);     // told to callers before a desired state is in force
 constexpr milliseconds kStoppingRetry(20);      // told to callers of long requests; another router takes them at once
-constexpr milliseconds kStreamStart(1'000);     // to the first event of a stream that starts while this router stops
-constexpr milliseconds kTokenInterval(6);       // of a busy engine; 3.4 to 5.4 ms on the engines of today
+constexpr milliseconds kStreamStart(700);       // to the first event of a stream, for nine in ten on a calm day
+constexpr double kStreamMargin = 1.25;          // of its expected duration, for answers longer than estimated
 constexpr std::size_t kMaxConnections = 3'000;  // of callers; leaves descriptors for endpoints under a limit of 4,100
 
 }  // namespace
@@ -228,7 +228,8 @@
 bool entry::EndsBeforeStop(const direct_call& call) const {
   const auto& terms = call.Terms();
   const std::uint32_t output = EstimateOutput(terms.expected_output_tokens, terms.max_output_tokens, {});
-  return timer_service::Now() + kStreamStart + output * kTokenInterval < stop_end_;
+  const auto expected = output * generations_->TokenInterval() * kStreamMargin;
+  return timer_service::Now() + kStreamStart + std::chrono::duration_cast<microseconds>(expected) < stop_end_;
 }
 
 void entry::LogEnd(const direct_call& call, call_outcome outcome) {
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -26,7 +26,9 @@
 constexpr std::size_t kMaxLateRequests = 200;  // of one service; further ones are refused at once
 constexpr milliseconds kNoEngineRetry(1'000);  // told to a caller when no engine is registered
 constexpr milliseconds kControlLimit(1'000);   // for one call that frees memory
-constexpr std::uint32_t kMaxPlacements = 4;    // of one request: reservations whose prefill or decode then failed
+constexpr int kIntervalSamples = 32;           // streams over which the mean interval between tokens is taken
+constexpr std::size_t kMaxRememberedRoutes = 4'096;
+constexpr std::uint32_t kMaxPlacements = 4;  // of one request: reservations whose prefill or decode then failed
 
 std::string Describe(const error& failure) { return fmt::format("{}: {}", ErrorName(failure.code), failure.message); }
 
@@ -87,6 +89,9 @@
   const route_record& route = call.Route();
   // A caller's later tries have a smaller time budget than its first; the difference is the time it has waited before.
   const milliseconds budget = terms.time_budget.value_or(route.timeout);
+  if (largest_budgets_.size() >= kMaxRememberedRoutes && !largest_budgets_.contains(route.name)) {
+    largest_budgets_.clear();  // routes that are gone must not fill the memory; a few requests restore the others
+  }
   milliseconds& largest = largest_budgets_[route.name];
   largest = std::max(largest, budget);
   const milliseconds waited_before = largest - budget;
@@ -271,7 +276,9 @@
 }
 
 task<> generation_calls::Reserve(std::string service, waiting_ptr waiting, grant place) {
-  auto request = platform::MakeReserve(place.engine.name, waiting->tokens, settings_.reservation_time);
+  const engine_profile profile = waiting->call->Service().engine.value_or(engine_profile{});
+  const milliseconds lifetime = std::min(settings_.reservation_time, profile.hold_limit);
+  auto request = platform::MakeReserve(place.engine.name, waiting->tokens, lifetime);
   auto answer = co_await client_.Fetch(place.engine.address, std::move(request), settings_.reserve_timeout);
   const time_point now = timer_service::Now();
   service_queue& queue = *queues_[service];
@@ -562,30 +569,38 @@
   co_return outcome;
 }
 
+void generation_calls::NoteTokenInterval(microseconds streamed, std::size_t tokens) {
+  if (tokens > 0) {
+    token_interval_ += (streamed / static_cast<std::int64_t>(tokens) - token_interval_) / kIntervalSamples;
+  }
+}
+
 task<generation_calls::step_result> generation_calls::PassStream(direct_call_ptr call, http_call& exchange,
                                                                  const grant& place, stream_state& stream) {
   const bool resumable = call->Route().resumable;
   const engine_profile profile = call->Service().engine.value_or(engine_profile{});
   std::uint32_t accounted = place.tokens;
   std::uint32_t used = call->Terms().prompt_tokens;
-  time_point last_event = timer_service::Now();
+  const time_point begin = timer_service::Now();
+  time_point last_event = begin;
+  const std::size_t events_before = stream.events.EventCount();
   microseconds longest_pause(0);
   step_result outcome = step_result::kBroken;
   while (true) {
     const bool may_resume = resumable && call->sends < call->Route().max_attempts;
     const time_point now = timer_service::Now();
     auto piece = co_await exchange.Read(may_resume ? std::min(call->End(), now + settings_.stall_limit) : call->End());
-    if (!piece) {
+    std::string whole = piece ? stream.events.Add(piece.value()) : std::string();
+    if (!piece || stream.events.IsOverlong()) {
       board_->NoteFailure(place.engine);
       Events()
           .Line(kPart, "stream_broken")
           .Request(call->Terms().attempt)
           .Add("endpoint", place.engine.name.value)
           .Add("events", stream.events.EventCount())
-          .Add("detail", Describe(piece.error()));
+          .Add("detail", piece ? "an event is longer than any valid one" : Describe(piece.error()));
       break;
     }
-    std::string whole = stream.events.Add(piece.value());
     const bool is_end = piece.value().empty();
     if (is_end && !stream.events.Rest().empty()) {
       whole += stream.events.Rest();
@@ -614,6 +629,8 @@
       outcome = finished ? step_result::kDone : step_result::kCallerGone;
       call->reason = "whole_answer";  // replaces that of an earlier try
       board_->NoteAnswer(place.engine);
+      NoteTokenInterval(std::chrono::duration_cast<microseconds>(last_event - begin),
+                        (stream.events.EventCount() - events_before) * profile.tokens_per_event);
       break;
     }
     // The answer may grow beyond the reservation.
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -32,10 +32,15 @@
 
   std::size_t WaitingCount() const;
 
+  // From one output token to the next, over the streams of the last seconds; an assumed value before the first one.
+  microseconds TokenInterval() const { return token_interval_; }
+
   // Tries to place waiting requests; call it when room may have become free.
   void PumpAll();
 
  private:
+  static constexpr microseconds kAssumedTokenInterval{5'000};  // of a busy engine
+
   // Memory reserved on a decode engine, and the prefill engine that reads the prompt.
   struct grant {
     chosen_endpoint engine;
@@ -101,6 +106,7 @@
   task<step_result> PassStream(direct_call_ptr call, http_call& exchange, const grant& place, stream_state& stream);
   task<call_outcome> Finish(direct_call_ptr call, step_result result, stream_state& stream, bool ever_sent);
 
+  void NoteTokenInterval(microseconds streamed, std::size_t tokens);
   void ReleaseReservation(const grant& place);
   void ReleasePlace(const direct_call& call, const grant& place);
   void NotePromptRead(const direct_call& call, const grant& place, const endpoint_name& reader);
@@ -119,6 +125,7 @@
   std::map<std::string, milliseconds> largest_budgets_;  // of the callers' time, by route
   timer_subscription tick_;
   bool tick_is_due_ = false;
+  microseconds token_interval_ = kAssumedTokenInterval;
   std::uint64_t next_number_ = 0;
 };
 
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -226,6 +226,10 @@
   header_list headers = AnswerHeaders(attempt);
   headers.push_back({"Content-Type", "text/event-stream"});
   auto sent = co_await exchange->StartStream(200, std::move(headers));
+  while (sent && faults_.endless_event && !exchange->IsDisconnected()) {
+    std::string part(64U << 10U, 'x');
+    sent = co_await exchange->WriteChunk(std::move(part));
+  }
   std::uint32_t made = 0;
   for (std::uint32_t id = first + 1; sent && id <= options_.events; ++id) {
     if (faults_.break_after != 0 && made == faults_.break_after) {
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -39,6 +39,7 @@
   bool fails = false;             // runs requests and answers 500
   bool unsealed = false;          // answers without its seal
   bool loses_answers = false;     // runs requests and closes the connection
+  bool endless_event = false;     // streams never end their first event
   bool handles_lapse = false;     // prefilled prompts are gone at once
   std::string crash_on = {};      // a run with this body ends the endpoint
   std::uint32_t break_after = 0;  // streams break off after so many events; 0: they do not
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -313,6 +313,35 @@
   EXPECT_EQ(call->body, WholeStream("a1", 5));
 }
 
+// The router holds back the bytes of an event until it ends, and must not hold back without limit.
+TEST_F(model_call_test, Stream_WhoseEventNeverEnds_IsBrokenOffAndFreesTheEngine) {
+  first_.Faults().endless_event = true;
+  second_.Faults().endless_event = true;
+  const auto call = world_.SendModel("/digest/1", "a1");
+  ASSERT_TRUE(world_.Finish(call));
+  EXPECT_TRUE(call->failure);
+  EXPECT_TRUE(call->body.empty());
+  EXPECT_TRUE(world_.RunUntil([this] { return IsAllFreed(); }, kGoneLimit));
+}
+
+// An engine refuses a reservation for longer than it allows, and nothing would be served.
+TEST(model_reserve_test, Reservation_OnEnginesWithAShortLimit_AsksForNoMore) {
+  direct_world world;
+  world.AddReplica(Engine("pre-1", "prefill"));
+  fake_replica& engine = world.AddReplica(Engine("dec-1", "decode"));
+  world.WriteDesiredState({.timeout_ms = 14'000, .hold_ms = 400});
+  ASSERT_TRUE(world.Start());
+  ASSERT_TRUE(world.Finish(world.SendModel("/chat/1", "a1")));
+  int reservations = 0;
+  for (const http_request& request : engine.Requests()) {
+    if (request.target == "/hold-take") {
+      ++reservations;
+      EXPECT_EQ(support::json::parse(request.body).value("ttl_ms", 0), 400);
+    }
+  }
+  EXPECT_EQ(reservations, 1);
+}
+
 TEST_F(model_call_test, Stream_ThatBreaksOffOnAnotherRoute_LooksBrokenToTheCaller) {
   first_.Faults().break_after = 2;
   second_.Faults().break_after = 2;
@@ -577,6 +606,18 @@
   EXPECT_TRUE(world_.RunUntil([&] { return *finished; }));
 }
 
+// Refused, a caller comes back late; engines that are faster than assumed end its stream in time.
+TEST_F(model_call_test, PlannedStop_WithALongRequestOnFastEngines_StillServesIt) {
+  for (int i = 0; i < 100; ++i) {
+    ASSERT_TRUE(world_.Finish(world_.SendModel("/chat/1", "a" + std::to_string(i))));
+  }
+  const auto finished = world_.BeginStop();
+  const auto call = world_.SendModel("/chat/1", "long", 1'000, 3'000);
+  ASSERT_TRUE(world_.Finish(call));
+  EXPECT_EQ(call->body, WholeStream("long", 5));
+  EXPECT_TRUE(world_.RunUntil([&] { return *finished; }));
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 5. orders
 // ---------------------------------------------------------------------------------------------------------------------
--- a/tests/support/direct_world.h
+++ b/tests/support/direct_world.h
@@ -45,6 +45,7 @@
   int timeout_ms = 1'500;
   int attempts = 2;
   std::uint32_t memory_tokens = 10'000;
+  int hold_ms = 2'000;
 };
 
 inline std::string MakeDesiredState(const desired_state_options& options) {
@@ -62,7 +63,7 @@
   };
   const json engine = {{"slots", 16},          {"kv_capacity_tokens", options.memory_tokens},
                        {"stride", 10},         {"handle_ttl_s", 0.5},
-                       {"role_switch_s", 0.1}, {"hold_ms", 2'000}};
+                       {"role_switch_s", 0.1}, {"hold_ms", options.hold_ms}};
   return json{{"version", options.version},
               {"routes",
                {route("/pages/", "idempotent", "app", false, options.attempts),
