Serve requests that can be in time before late ones, over all routers

Cause: under sustained overload most streams were served late although enough of them could have been in time. Three faults, each found by splitting the request lines by time budget and by wait: 1. A first try was taken for a caller that comes back. The router takes the largest time budget of a route for that of a first try, and a smaller one as time waited before. First tries have 12 to 14 s on the grown sites, so three of four fresh requests were late on arrival. 2. A request whose wait was predicted too long was made late at once. The prediction counts starts of requests in time only, so late ones that were served made the pool look slower, and fewer were admitted. 3. Each router served its own late requests whenever nothing else waited there, and took the room that fresh requests of other routers waited for.

Ruled out: slow starts (from grant to first event 244 ms at the median, 493 ms for nine in ten), prefill (waits are for decode memory), the clients' retries alone (requests with 12 to 13.5 s are first tries: the same range holds in the first seconds, before any refusal).

Change: a budget within 0.85 of the largest is that of a first try; the queue of the direct router refuses without prediction; routers tell each other how many requests in time wait for a service, and late requests leave them the room. A stream that has begun does not yield.

--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -21,11 +21,12 @@
   services.Register<crash_guard>("crashes", services, *client);
   services.Register<send_budgets>("budgets", services, *settings);
   services.Register<plain_calls>("plain", services, *settings, *client);
-  services.Register<generation_calls>("generations", services, *settings, *client);
+  auto& generations = services.Register<generation_calls>("generations", services, *settings, *client);
   services.Register<stage_orders>("stages", services, *settings, *client, table);
   auto& front = services.Register<entry>("entry", services, *settings, *client);
   group.own_revision = [&directory] { return directory.Routes()->Revision(); };
   group.own_uses = [&board] { return board.OwnUses(); };
+  group.own_waiting = [&generations] { return generations.OwnWaiting(); };
   // The settings and the client live as long as the stop function, which the program keeps until the kernel has ended.
   return detail::stop_function(
       [&front, settings, client](std::function<void()> finished) { front.Drain(std::move(finished)); });
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -10,6 +10,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <limits>
 
 #include "core/event_log.h"
 #include "core/random.h"
@@ -27,6 +28,7 @@
 constexpr milliseconds kNoEngineRetry(1'000);  // told to a caller when no engine is registered
 constexpr milliseconds kControlLimit(1'000);   // for one call that frees memory
 constexpr int kIntervalSamples = 32;           // streams over which the mean interval between tokens is taken
+constexpr double kFirstBudgetShare = 0.85;     // of the largest of a route; first tries have 12 to 14 s on both sites
 constexpr std::size_t kMaxRememberedRoutes = 4'096;
 constexpr std::uint32_t kMaxPlacements = 4;  // of one request: reservations whose prefill or decode then failed
 
@@ -47,6 +49,7 @@
   std::map<request_id, waiting_ptr> waiting;    // all that have no reservation yet
   time_point last_pump;
   time_point this_pump;
+  bool told_waiting = false;  // the other routers know that requests wait that can still be in time
 };
 
 generation_calls::generation_calls(kernel& services, const direct_settings& settings, http_client& client)
@@ -78,6 +81,7 @@
     admission_settings admission;
     admission.fair_shares = false;  // callers have no accounts here
     admission.margin = milliseconds(0);
+    admission.predicts_waits = false;
     queue = std::make_unique<service_queue>(service, admission);
   }
   queue->record = service;
@@ -88,13 +92,15 @@
   const platform::request_terms& terms = call.Terms();
   const route_record& route = call.Route();
   // A caller's later tries have a smaller time budget than its first; the difference is the time it has waited before.
+  // Callers differ in their first budgets too, by far less than a refused one waits before it comes back.
   const milliseconds budget = terms.time_budget.value_or(route.timeout);
   if (largest_budgets_.size() >= kMaxRememberedRoutes && !largest_budgets_.contains(route.name)) {
     largest_budgets_.clear();  // routes that are gone must not fill the memory; a few requests restore the others
   }
   milliseconds& largest = largest_budgets_[route.name];
   largest = std::max(largest, budget);
-  const milliseconds waited_before = largest - budget;
+  const bool is_first_try = budget >= largest * kFirstBudgetShare;
+  const milliseconds waited_before = is_first_try ? milliseconds(0) : largest - budget;
 
   queue_job job;
   job.request = request_id{fmt::format("{}", ++next_number_)};
@@ -139,6 +145,7 @@
   auto waiting = std::make_shared<waiting_request>(kernel_.Context());
   waiting->call = call;
   waiting->avoid = std::move(avoid);
+  waiting->is_resumed = is_resumed;
   waiting->job = MakeJob(*call, is_resumed, now);
   waiting->tokens = waiting->job.prompt_tokens + waiting->job.output_tokens;
   // The patience of the caller of a broken stream begins anew with the last event.
@@ -197,6 +204,23 @@
   return nullptr;
 }
 
+// A late request earns its caller little, so it leaves room to requests of other routers that can still be in time. A
+// stream that has begun does not: its caller has part of the answer.
+bool generation_calls::YieldsToPeers(const service_queue& queue, const waiting_request& waiting) const {
+  return waiting.is_late && !waiting.is_resumed && group_->PeersWaiting(queue.record.name) > 0;
+}
+
+std::vector<waiting_count> generation_calls::OwnWaiting() const {
+  std::vector<waiting_count> counts;
+  for (const auto& [name, queue] : queues_) {
+    if (const std::size_t requests = queue->queue.WaitingCount(); requests > 0) {
+      const auto limit = std::numeric_limits<std::uint16_t>::max();
+      counts.push_back({ServiceKey(name), static_cast<std::uint16_t>(std::min<std::size_t>(requests, limit))});
+    }
+  }
+  return counts;
+}
+
 void generation_calls::MakeLate(service_queue& queue, const waiting_ptr& waiting) {
   waiting->is_late = true;
   queue.late.emplace(waiting->give_up, waiting);
@@ -209,6 +233,15 @@
 }
 
 void generation_calls::Pump(service_queue& queue) {
+  PlaceWaiting(queue);
+  const bool has_waiting = queue.queue.WaitingCount() > 0;
+  if (has_waiting != queue.told_waiting) {
+    queue.told_waiting = has_waiting;
+    group_->NoteChange();
+  }
+}
+
+void generation_calls::PlaceWaiting(service_queue& queue) {
   const time_point now = timer_service::Now();
   if (queue.waiting.empty()) {
     return;
@@ -231,6 +264,9 @@
   // Only the most urgent request is placed: passing it by for smaller ones would starve long prompts. A short prompt
   // that a decode engine reads takes nothing from a long one that waits for a prefill engine.
   while (waiting_ptr waiting = FindNext(queue, now, nullptr)) {
+    if (YieldsToPeers(queue, *waiting)) {
+      break;
+    }
     engine_choice choice = choose(*waiting);
     if (choice.waits_for == wait_reason::kPrefillBusy) {
       NoteBlocked(queue, choice.waits_for, now);
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -32,6 +32,9 @@
 
   std::size_t WaitingCount() const;
 
+  // For other routers.
+  std::vector<waiting_count> OwnWaiting() const;
+
   // From one output token to the next, over the streams of the last seconds; an assumed value before the first one.
   microseconds TokenInterval() const { return token_interval_; }
 
@@ -62,6 +65,7 @@
     direct_call_ptr call;
     queue_job job;
     std::uint32_t tokens = 0;  // to reserve
+    bool is_resumed = false;   // it has been placed before
     bool is_late = false;      // its target is missed; it is served when nothing else waits
     time_point give_up;        // of a late one
     std::vector<endpoint_name> avoid;
@@ -90,8 +94,10 @@
   queue_job MakeJob(const direct_call& call, bool is_resumed, time_point now);
   void UpdatePool(service_queue& queue, time_point now);
   void Pump(service_queue& queue);
+  void PlaceWaiting(service_queue& queue);
   void NoteBlocked(service_queue& queue, wait_reason reason, time_point now);
   waiting_ptr FindNext(service_queue& queue, time_point now, const std::function<bool(const queue_job&)>& accept);
+  bool YieldsToPeers(const service_queue& queue, const waiting_request& waiting) const;
   void MakeLate(service_queue& queue, const waiting_ptr& waiting);
   void Forget(service_queue& queue, const waiting_ptr& waiting, time_point now);
   task<> Reserve(std::string service, waiting_ptr waiting, grant place);
--- a/src/direct/router_group.cpp
+++ b/src/direct/router_group.cpp
@@ -26,6 +26,8 @@
 
 std::uint64_t EndpointKey(const endpoint_name& name) { return XXH64(name.value.data(), name.value.size(), 0); }
 
+std::uint64_t ServiceKey(const std::string& service) { return XXH64(service.data(), service.size(), 0); }
+
 router_group::router_group(kernel& services, const direct_settings& settings)
     : kernel_(services), settings_(settings), incarnation_(RandomNumber()) {}
 
@@ -96,6 +98,7 @@
   state.control = settings_.deployment.control;
   state.uses = own_uses ? own_uses() : std::vector<endpoint_use>();
   state.suspects = own_suspects ? own_suspects() : std::vector<suspect_report>();
+  state.waiting = own_waiting ? own_waiting() : std::vector<waiting_count>();
   std::vector<host_port> receivers;
   for (const auto& [address, other] : peers_) {
     receivers.push_back(address);
@@ -157,9 +160,10 @@
   bool changed = false;
   std::erase_if(paused_until_, [now](const auto& item) { return now >= item.second; });
   for (auto& [address, other] : peers_) {
-    if (now - other.heard > kSilence && !other.state.uses.empty()) {
+    if (now - other.heard > kSilence && !(other.state.uses.empty() && other.state.waiting.empty())) {
       Events().Line(kPart, "router_silent").Add("router", other.state.name);
       other.state.uses.clear();
+      other.state.waiting.clear();
       changed = true;
     }
   }
@@ -212,6 +216,17 @@
   return found == peer_uses_.end() ? endpoint_use{} : found->second;
 }
 
+std::uint32_t router_group::PeersWaiting(const std::string& service) const {
+  const std::uint64_t key = ServiceKey(service);
+  std::uint32_t requests = 0;
+  for (const auto& [address, other] : peers_) {
+    for (const waiting_count& count : other.state.waiting) {
+      requests += count.service == key ? count.requests : 0;
+    }
+  }
+  return requests;
+}
+
 std::uint32_t router_group::RouterCount() const {
   const auto heard = static_cast<std::uint32_t>(peers_.size()) + 1;
   return peers_.empty() ? kAssumedRouters : heard;
--- a/src/direct/router_group.h
+++ b/src/direct/router_group.h
@@ -22,6 +22,9 @@
 // XXH64 of an endpoint's name, as in endpoint_use.
 std::uint64_t EndpointKey(const endpoint_name& name);
 
+// XXH64 of a service's name, as in waiting_count.
+std::uint64_t ServiceKey(const std::string& service);
+
 class router_group {
  public:
   router_group(kernel& services, const direct_settings& settings);
@@ -33,6 +36,7 @@
   std::function<revision_number()> own_revision;
   std::function<std::vector<endpoint_use>()> own_uses;
   std::function<std::vector<suspect_report>()> own_suspects;
+  std::function<std::vector<waiting_count>()> own_waiting;
   // Called with the suspects of another router. `origin` names it and its incarnation.
   std::function<void(const std::string& origin, const std::vector<suspect_report>&)> on_suspects;
   // Called after another router's state has changed.
@@ -45,6 +49,9 @@
   // What the other routers have in progress on the endpoint, as of their last messages.
   endpoint_use PeerUse(const endpoint_name& endpoint) const;
 
+  // Requests of the service that wait at other routers and can still be in time, as of their last messages.
+  std::uint32_t PeersWaiting(const std::string& service) const;
+
   // Another router could not reach the endpoint, or was rejected by it, a moment ago.
   bool IsPausedByPeer(const endpoint_name& endpoint, time_point now) const;
 
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -496,6 +496,18 @@
   }
 };
 
+// Requests of a service that wait at a router and can still be in time.
+struct waiting_count {
+  std::uint64_t service = 0;  // XXH64 of its name
+  std::uint16_t requests = 0;
+
+  bool operator==(const waiting_count&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(service, requests);
+  }
+};
+
 // State of a router, sent to all others when it changes.
 struct router_state {
   std::string name;
@@ -507,11 +519,12 @@
   std::vector<host_port> members;  // datagram addresses of the routers that it has heard lately
   std::vector<endpoint_use> uses;  // endpoints without use are left out
   std::vector<suspect_report> suspects;
+  std::vector<waiting_count> waiting;  // services without waiting requests are left out
 
   bool operator==(const router_state&) const = default;
   template <class archive>
   void serialize(archive& ar) {
-    ar(name, incarnation, sequence, revision, leaving, control, members, uses, suspects);
+    ar(name, incarnation, sequence, revision, leaving, control, members, uses, suspects, waiting);
   }
 };
 
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -409,6 +409,81 @@
   EXPECT_TRUE(IsAllFreed());
 }
 
+// A sustained overload: one engine with room for one request at a time. Its streams take 300 ms.
+class overload_test : public testing::Test {
+ protected:
+  overload_test() {
+    world_.AddReplica(Engine("pre-1", "prefill"));
+    replica_options options = Engine("dec-1", "decode", 1'200);
+    options.event_pause = milliseconds(60);
+    engine_ = &world_.AddReplica(options);
+    world_.WriteDesiredState({.timeout_ms = 14'000, .memory_tokens = 1'200});
+  }
+  void SetUp() override {
+    ASSERT_TRUE(world_.Start());
+    // The largest time budget of the route is learned from its callers.
+    ASSERT_TRUE(world_.Finish(Send("first", milliseconds(14'000))));
+    engine_->Faults().full = true;
+  }
+
+  caller_exchange_ptr Send(const std::string& attempt, milliseconds budget) {
+    const auto call = world_.SendModel("/chat/1", attempt, 1'000, 100, budget);
+    world_.RunFor(milliseconds(20));
+    return call;
+  }
+
+  // Of the two requests, the one that runs first once the engine has room.
+  std::string FirstRun(const std::string& one, const std::string& other) {
+    engine_->Faults().full = false;
+    world_.RunUntil([&] { return engine_->Runs(one) + engine_->Runs(other) > 0; });
+    return engine_->Runs(one) > 0 ? one : other;
+  }
+
+  direct_world world_;
+  fake_replica* engine_ = nullptr;
+};
+
+// Callers of both sites give first tries budgets from 12 to 14 s. Taken for callers that come back, three of four were
+// served behind all others, which cost the grown sites a third of what they earn.
+TEST_F(overload_test, FirstTry_WithASmallerBudgetThanOthers_KeepsItsPlaceInTheQueue) {
+  const auto earlier = Send("earlier", milliseconds(12'000));
+  const auto later = Send("later", milliseconds(14'000));
+  EXPECT_EQ(FirstRun("earlier", "later"), "earlier");
+}
+
+// A caller that comes back after a refusal has missed its target already; one that can still meet it goes first.
+TEST_F(overload_test, CallerThatComesBack_WhileAFreshOneWaits_GoesBehindIt) {
+  const auto returned = Send("returned", milliseconds(9'000));
+  const auto fresh = Send("fresh", milliseconds(14'000));
+  EXPECT_EQ(FirstRun("returned", "fresh"), "fresh");
+}
+
+// With many routers the late requests of some took the room that fresh requests of the others waited for.
+TEST_F(overload_test, LateRequest_WhileAFreshOneWaitsAtAnotherRouter_LeavesItTheRoom) {
+  datagram_socket peer(world_.Kernel().Context(), host_port{"127.0.0.1", 0}, [](const host_port&, const message&) {});
+  ASSERT_TRUE(peer.Start());
+  router_state state;
+  state.name = "router-2";
+  state.incarnation = 7;
+  state.waiting = {{ServiceKey("llm"), 1}};
+  const auto tell = [&] {
+    ++state.sequence;
+    peer.Send({"127.0.0.1", world_.Settings().deployment.first_internal_port}, message(state));
+    world_.RunFor(milliseconds(100));
+  };
+  tell();
+  const auto call = Send("returned", milliseconds(9'000));
+  engine_->Faults().full = false;
+  for (int i = 0; i < 4; ++i) {
+    tell();
+  }
+  EXPECT_EQ(engine_->Runs("returned"), 0);
+  state.waiting.clear();
+  tell();
+  EXPECT_EQ(engine_->Runs("returned"), 1);
+  peer.Stop();
+}
+
 // The start of a burst: prompts come at once to one prefill engine, while the decode engines have room.
 class prompt_burst_test : public testing::Test {
  protected:
--- a/tests/router_group_test.cpp
+++ b/tests/router_group_test.cpp
@@ -4,7 +4,8 @@
 // Sections
 //   1. a group of routers
 //   2. leaving
-//   3. size
+//   3. waiting requests
+//   4. size
 #include "direct/router_group.h"
 
 #include <gtest/gtest.h>
@@ -26,6 +27,7 @@
     direct_settings settings;
     router_group* group = nullptr;
     std::vector<endpoint_use> uses;
+    std::vector<waiting_count> waiting;
   };
 
   void AddRouters(int count) {
@@ -39,6 +41,7 @@
       added->settings.deployment.seeds = {{"127.0.0.1", 2}};
       added->group = &added->services.Register<router_group>("group", added->services, added->settings);
       added->group->own_uses = [uses = &added->uses] { return *uses; };
+      added->group->own_waiting = [waiting = &added->waiting] { return *waiting; };
       added->group->own_revision = [] { return revision_number(1); };
       added->services.Start();
       members_.push_back(std::move(added));
@@ -130,7 +133,27 @@
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
-// 3. size
+// 3. waiting requests
+// ---------------------------------------------------------------------------------------------------------------------
+
+// Late requests leave room to those that others report; a router that has ended must not hold them back.
+TEST_F(router_group_test, WaitingRequests_OfOtherRouters_AreSummedUntilTheyAreSilent) {
+  AddRouters(3);
+  ASSERT_TRUE(RunUntil([this] { return AllCount(3); }, milliseconds(5'000)));
+  members_[1]->waiting = {{ServiceKey("llm"), 2}, {ServiceKey("app"), 1}};
+  members_[2]->waiting = {{ServiceKey("llm"), 3}};
+  Group(1).NoteChange();
+  Group(2).NoteChange();
+  EXPECT_TRUE(RunUntil([this] { return Group(0).PeersWaiting("llm") == 5; }, milliseconds(2'000)));
+  EXPECT_EQ(Group(0).PeersWaiting("app"), 1U);
+  EXPECT_EQ(Group(0).PeersWaiting("other"), 0U);
+  members_[2]->services.Stop();
+  members_.pop_back();
+  EXPECT_TRUE(RunUntil([this] { return Group(0).PeersWaiting("llm") == 2; }, milliseconds(3'000)));
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. size
 // ---------------------------------------------------------------------------------------------------------------------
 
 // Shared limits are split by the number of routers, so all of them must be known with any number.
