Pause a decode engine that grants reservations while it changes its stage

Three decode engines so ordered granted reservations and refused the runs with 503 for up to nine seconds: 201 prompts were read in vain, and 29 requests were refused as engines_full. The pause after an order covered only orders that were answered, and not the time in which the engine ends its running work.

Ruled out: slow transfers (kv_slow ended at 12.6 s, the refusals are from 13 s to 32 s), lapsed handles (the refusals name three decode engines and eight prefill engines), lapsed reservations (refused within 600 ms, they hold 2,000 ms).

Change: a refused run with a reservation makes the router ask the engine for its report. While the report says that an order is being carried out or names the other stage, the engine is paused, which the other routers hear. Test: Engine_ThatCarriesOutAnOrder_GetsNoMoreRequests, which failed before.

--- a/src/direct/endpoint_board.cpp
+++ b/src/direct/endpoint_board.cpp
@@ -95,8 +95,12 @@
 void endpoint_board::NoteRejected(const chosen_endpoint& endpoint) { Pause(endpoint, "rejected"); }
 
 void endpoint_board::NoteOrdered(const chosen_endpoint& endpoint, milliseconds switch_time) {
+  NoteBusy(endpoint, switch_time + kEntryLag);
+}
+
+void endpoint_board::NoteBusy(const chosen_endpoint& endpoint, milliseconds pause) {
   endpoint_state& state = State(endpoint.name);
-  state.down_until = std::max(state.down_until, timer_service::Now() + switch_time + kEntryLag);
+  state.down_until = std::max(state.down_until, timer_service::Now() + pause);
   group_->NoteChange();
 }
 
--- a/src/direct/endpoint_board.h
+++ b/src/direct/endpoint_board.h
@@ -47,6 +47,7 @@
 
   // An order changes the engine's stage; it takes no work until that is done.
   void NoteOrdered(const chosen_endpoint& endpoint, milliseconds switch_time);
+  void NoteBusy(const chosen_endpoint& endpoint, milliseconds pause);  // it is carrying out an order
 
   // Endpoints of a service in the order of the views.
   std::vector<chosen_endpoint> List(const std::string& service, std::optional<endpoint_role> role) const;
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -29,6 +29,8 @@
 constexpr milliseconds kControlLimit(1'000);   // for one call that frees memory
 constexpr int kIntervalSamples = 32;           // streams over which the mean interval between tokens is taken
 constexpr double kFirstBudgetShare = 0.85;     // of the largest of a route; first tries have 12 to 14 s on both sites
+constexpr milliseconds kReportLimit(400);      // for the report of an engine
+constexpr milliseconds kBusyPause(1'000);      // of an engine that carries out an order, until it is asked again
 constexpr std::size_t kMaxRememberedRoutes = 4'096;
 constexpr std::uint32_t kMaxPlacements = 4;  // of one request: reservations whose prefill or decode then failed
 
@@ -558,6 +560,8 @@
     if (answer.proves_not_run) {
       detail = fmt::format("status {}", head.value().status);
       outcome = step_result::kNotRun;
+      // The prompt cannot be fetched, or the engine changes its stage: it grants reservations then, but runs nothing.
+      asio::co_spawn(kernel_.Context(), CheckEngine(place.engine), asio::detached);
     } else if (is_success && answer.is_genuine && !answer.is_encoded) {
       if (!stream.started) {
         stream.started = true;
@@ -609,6 +613,32 @@
   co_return outcome;
 }
 
+// Pauses an engine that has refused a run with a reservation for as long as an order is being carried out there, or
+// its entry does not show its new stage.
+task<> generation_calls::CheckEngine(chosen_endpoint engine) {
+  if (!checked_engines_.insert(engine.name).second) {
+    co_return;
+  }
+  bool is_watched = true;
+  while (is_watched && board_->IsCurrent(engine)) {
+    auto answer = co_await client_.Fetch(engine.address, platform::MakeReport(engine.name), kReportLimit);
+    auto report = answer && answer.value().status == 200
+                      ? platform::ReadReport(answer.value().body)
+                      : result<platform::engine_report>(error{error_code::kUnavailable, "no report"});
+    is_watched = report && (report.value().is_busy || report.value().stage == platform::engine_stage::kPrefill);
+    Events()
+        .Line(kPart, "engine_checked")
+        .Add("endpoint", engine.name.value)
+        .Add("pauses", is_watched)
+        .Add("detail", report ? "" : Describe(report.error()));
+    if (is_watched) {
+      board_->NoteBusy(engine, kBusyPause);
+      co_await kernel_.Timers().Sleep(kBusyPause);
+    }
+  }
+  checked_engines_.erase(engine.name);
+}
+
 void generation_calls::NoteTokenInterval(microseconds streamed, std::size_t tokens) {
   if (tokens > 0) {
     token_interval_ += (streamed / static_cast<std::int64_t>(tokens) - token_interval_) / kIntervalSamples;
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "core/mailbox.h"
@@ -112,6 +113,7 @@
   task<step_result> PassStream(direct_call_ptr call, http_call& exchange, const grant& place, stream_state& stream);
   task<call_outcome> Finish(direct_call_ptr call, step_result result, stream_state& stream, bool ever_sent);
 
+  task<> CheckEngine(chosen_endpoint engine);
   void NoteTokenInterval(microseconds streamed, std::size_t tokens);
   void ReleaseReservation(const grant& place);
   void ReleasePlace(const direct_call& call, const grant& place);
@@ -129,6 +131,7 @@
   crash_guard* crashes_ = nullptr;
   std::map<std::string, std::unique_ptr<service_queue>> queues_;
   std::map<std::string, milliseconds> largest_budgets_;  // of the callers' time, by route
+  std::set<endpoint_name> checked_engines_;              // that CheckEngine watches
   timer_subscription tick_;
   bool tick_is_due_ = false;
   microseconds token_interval_ = kAssumedTokenInterval;
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -98,7 +98,7 @@
   if (!expected.empty() && expected != options_.name) {
     response = NotRun(421);
   } else if (request.target == "/report") {
-    response = JsonResponse(200, json{{"stage", options_.stage}, {"busy", false}, {"seq", orders_}}.dump());
+    response = JsonResponse(200, json{{"stage", options_.stage}, {"busy", faults_.switches}, {"seq", orders_}}.dump());
   } else if (request.target == "/hold-take") {
     response = Reserve(request);
   } else if (request.target.starts_with("/hold-drop/")) {
@@ -184,7 +184,7 @@
 task<> fake_replica::Run(std::shared_ptr<http_exchange> exchange) {
   const std::string attempt = Header(exchange->Request(), "Persimmonchute-Attempt-Id");
   const std::string budget = Header(exchange->Request(), "Persimmonchute-Deadline-Ms");
-  if (options_.stage == "prefill" || !TakeMemory(exchange->Request())) {
+  if (options_.stage == "prefill" || faults_.switches || !TakeMemory(exchange->Request())) {
     auto refused = NotRun(options_.stage == "prefill" ? 421 : 503);
     (void)co_await exchange->Respond(std::move(refused));
     co_return;
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -35,6 +35,7 @@
 // Each switch stays until it is changed.
 struct replica_faults {
   bool full = false;              // refuses, and proves that nothing has run
+  bool switches = false;          // carries out an order: grants reservations and runs nothing
   bool mute = false;              // runs requests and sends nothing
   bool fails = false;             // runs requests and answers 500
   bool unsealed = false;          // answers without its seal
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -362,6 +362,23 @@
   EXPECT_TRUE(world_.RunUntil([this] { return IsAllFreed(); }, kGoneLimit));
 }
 
+// An engine that changes its stage grants reservations and refuses runs. Each prompt that is read for it is read in
+// vain: 201 on one day of nastavnik-grown whose orders were carried out late.
+TEST_F(model_call_test, Engine_ThatCarriesOutAnOrder_GetsNoMoreRequests) {
+  first_.Faults().switches = true;
+  for (int i = 0; i < 30; ++i) {
+    const auto call = world_.SendModel("/digest/1", "a" + std::to_string(i));
+    ASSERT_TRUE(world_.Finish(call));
+    EXPECT_EQ(call->body, WholeStream("a" + std::to_string(i), 5));
+  }
+  EXPECT_LE(prefill_.Prefills(), 32) << "prompts were read in vain";
+  first_.Faults().switches = false;
+  EXPECT_TRUE(world_.RunUntil([this] {
+    static int more = 0;
+    return world_.Finish(world_.SendModel("/digest/1", "b" + std::to_string(++more))) && first_.TotalRuns() > 0;
+  })) << "it is used again afterwards";
+}
+
 TEST_F(model_call_test, CallerThatLeaves_WhileItsStreamRuns_FreesTheEngine) {
   first_.Faults().mute = true;
   second_.Faults().mute = true;
