--- a/include/persimmon/admission.h
+++ b/include/persimmon/admission.h
@@ -47,7 +47,6 @@
   milliseconds min_retry = milliseconds(200);       // shortest time to come back
   milliseconds max_retry = milliseconds(30'000);    // longest time to come back
   bool fair_shares = true;                          // false: order and admission ignore accounts
-  bool predicts_waits = true;                       // false: jobs are refused only when they are late or the queue full
 
   bool operator==(const admission_settings&) const = default;
 };
--- a/src/decisions/admission.cpp
+++ b/src/decisions/admission.cpp
@@ -305,7 +305,7 @@
     return Refuse(job, late, jitter, now);
   }
   const bool is_full = waiting_.size() + picked_.size() >= settings_.queue_limit;
-  start_plan plan = settings_.predicts_waits ? PlanWith(job, {}, now) : start_plan{};
+  start_plan plan = PlanWith(job, {}, now);
   std::vector<order_key> displaced;
   if (is_full || plan.candidate_late || plan.harms_other) {
     const start_plan first_plan = plan;
--- /dev/null
+++ b/src/decisions/placement_queue.cpp
@@ -0,0 +1,83 @@
+#include "persimmon/placement_queue.h"
+
+#include <algorithm>
+
+namespace persimmon {
+
+void placement_queue::Insert(const placement_request& request, time_point now) {
+  const bool is_late = request.latest_start < now;
+  request_map& requests = is_late ? late_ : in_time_;
+  requests.emplace(order_key{is_late ? request.give_up : request.latest_start, next_sequence_++}, request);
+}
+
+bool placement_queue::Add(const placement_request& request, time_point now) {
+  const bool is_late = request.latest_start < now;
+  const bool is_refused = is_late && (request.give_up <= now || late_.size() >= settings_.late_limit);
+  if (is_refused || Size() >= settings_.request_limit) {
+    return false;
+  }
+  Insert(request, now);
+  return true;
+}
+
+void placement_queue::PutBack(const placement_request& request, time_point now) { Insert(request, now); }
+
+bool placement_queue::Remove(const request_id& request) {
+  const auto is_same = [&](const auto& item) { return item.second.request == request; };
+  return std::erase_if(in_time_, is_same) + std::erase_if(late_, is_same) > 0;
+}
+
+std::vector<placement_request> placement_queue::TakeGivenUp(time_point now) {
+  while (!in_time_.empty() && in_time_.begin()->first.time < now) {
+    const placement_request request = in_time_.begin()->second;
+    in_time_.erase(in_time_.begin());
+    Insert(request, now);
+  }
+  std::vector<placement_request> given_up;
+  while (!late_.empty() && late_.begin()->first.time <= now) {
+    given_up.push_back(late_.begin()->second);
+    late_.erase(late_.begin());
+  }
+  return given_up;
+}
+
+const placement_request* placement_queue::FindNext(bool peers_wait, bool only_short) const {
+  const auto is_suitable = [&](const placement_request& request) {
+    return !only_short || request.prompt_tokens <= settings_.own_prompt_limit;
+  };
+  for (const auto& [key, request] : in_time_) {
+    if (is_suitable(request)) {
+      return &request;
+    }
+  }
+  for (const auto& [key, request] : late_) {
+    if (is_suitable(request) && (request.is_resumed || !peers_wait)) {
+      return &request;
+    }
+  }
+  return nullptr;
+}
+
+placement_step placement_queue::TakeNext(const engine_chooser& choose, bool peers_wait) {
+  placement_step step;
+  const placement_request* next = FindNext(peers_wait, false);
+  if (next == nullptr) {
+    return step;
+  }
+  step.engines = choose(*next);
+  step.blocked = step.engines.waits_for;
+  if (step.blocked == wait_reason::kPrefillBusy) {
+    next = FindNext(peers_wait, true);
+    if (next == nullptr) {
+      return step;
+    }
+    step.engines = choose(*next);
+  }
+  if (step.engines.waits_for == wait_reason::kNone) {
+    step.placed = *next;
+    Remove(step.placed->request);
+  }
+  return step;
+}
+
+}  // namespace persimmon
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -24,7 +24,6 @@
 constexpr milliseconds kPrefillLimit(2'500);   // for one prefill with its queue; longer ones are tried elsewhere
 constexpr milliseconds kMinTimeLeft(50);       // a run with less time cannot send its first event
 constexpr milliseconds kResumeWait(500);       // for a place, of a request that has been placed before
-constexpr std::size_t kMaxLateRequests = 200;  // of one service; further ones are refused at once
 constexpr milliseconds kNoEngineRetry(1'000);  // told to a caller when no engine is registered
 constexpr milliseconds kControlLimit(1'000);   // for one call that frees memory
 constexpr int kIntervalSamples = 32;           // streams over which the mean interval between tokens is taken
@@ -43,12 +42,12 @@
 // ---------------------------------------------------------------------------------------------------------------------
 
 struct generation_calls::service_queue {
-  service_queue(const service_record& record, admission_settings admission) : record(record), queue(admission) {}
+  service_queue(const service_record& record, const placement_queue_settings& settings)
+      : record(record), queue(settings) {}
 
   service_record record;
-  admission_queue queue;                        // requests that can still meet their target
-  std::multimap<time_point, waiting_ptr> late;  // the others, by the time at which they are given up
-  std::map<request_id, waiting_ptr> waiting;    // all that have no reservation yet
+  placement_queue queue;
+  std::map<request_id, waiting_ptr> waiting;  // all that have no reservation yet
   output_spread spread;
   time_point last_pump;
   time_point this_pump;
@@ -81,17 +80,15 @@
 generation_calls::service_queue& generation_calls::QueueFor(const service_record& service) {
   auto& queue = queues_[service.name];
   if (!queue) {
-    admission_settings admission;
-    admission.fair_shares = false;  // callers have no accounts here
-    admission.margin = milliseconds(0);
-    admission.predicts_waits = false;
-    queue = std::make_unique<service_queue>(service, admission);
+    placement_queue_settings settings;
+    settings.own_prompt_limit = static_cast<std::uint32_t>(settings_.own_prompt_limit);
+    queue = std::make_unique<service_queue>(service, settings);
   }
   queue->record = service;
   return *queue;
 }
 
-queue_job generation_calls::MakeJob(const direct_call& call, bool is_resumed, time_point now) {
+placement_request generation_calls::MakeRequest(const direct_call& call, bool is_resumed, time_point now) {
   const platform::request_terms& terms = call.Terms();
   const route_record& route = call.Route();
   // A caller's later tries have a smaller time budget than its first; the difference is the time it has waited before.
@@ -105,40 +102,23 @@
   const bool is_first_try = budget >= largest * kFirstBudgetShare;
   const milliseconds waited_before = is_first_try ? milliseconds(0) : largest - budget;
 
-  queue_job job;
-  job.request = request_id{fmt::format("{}", ++next_number_)};
-  job.arrival = call.Arrival() - waited_before;
-  job.prompt_tokens = terms.prompt_tokens;
-  job.output_tokens =
-      EstimateOutput(terms.expected_output_tokens, terms.max_output_tokens, {.hint_share = settings_.output_share});
-  const auto prefill =
-      microseconds(static_cast<std::int64_t>(job.prompt_tokens / placement_settings{}.prefill_tokens_per_ms * 1'000));
-  job.latest_start = job.arrival + route.target_latency - prefill - settings_.transfer_time;
+  placement_request request;
+  request.request = request_id{fmt::format("{}", ++next_number_)};
+  request.prompt_tokens = terms.prompt_tokens;
+  request.tokens = terms.prompt_tokens + EstimateOutput(terms.expected_output_tokens, terms.max_output_tokens,
+                                                        {.hint_share = settings_.output_share});
+  request.is_resumed = is_resumed;
+  const double prefill_ms = request.prompt_tokens / placement_settings{}.prefill_tokens_per_ms;
+  const auto prefill = microseconds(static_cast<std::int64_t>(prefill_ms * 1'000));
+  request.latest_start = call.Arrival() - waited_before + route.target_latency - prefill - settings_.transfer_time;
   if (is_resumed) {
     // A stream that has lost its engine, or a request that was placed before, goes first.
-    job.latest_start = std::max(job.latest_start, now + kResumeWait);
+    request.latest_start = std::max(request.latest_start, now + kResumeWait);
   }
-  return job;
-}
-
-void generation_calls::UpdatePool(service_queue& queue, time_point now) {
-  const engine_profile profile = queue.record.engine.value_or(engine_profile{});
-  const auto decode = board_->List(queue.record.name, endpoint_role::kDecode);
-  const auto prefill = board_->List(queue.record.name, endpoint_role::kPrefill);
-  pool_state pool;
-  // Decode engines read prompts themselves while there is no prefill engine.
-  pool.prefill_endpoints = static_cast<std::uint32_t>(prefill.empty() ? decode.size() : prefill.size());
-  pool.decode_endpoints = static_cast<std::uint32_t>(decode.size());
-  pool.prefill_free = pool.prefill_endpoints;
-  const std::uint32_t typical_tokens =
-      static_cast<std::uint32_t>(workload_profile{}.prompt_tokens + workload_profile{}.output_tokens);
-  for (const engine_view& view : board_->EngineViews(decode, profile, {})) {
-    if (view.can_receive && view.refused_tokens == 0 && view.kv_tokens > view.reserved_tokens) {
-      pool.decode_free += (view.kv_tokens - view.reserved_tokens) / typical_tokens;
-    }
-  }
-  pool.routers = group_->RouterCount();
-  queue.queue.UpdatePool(pool, now);
+  // The patience of the caller of a broken stream begins anew with the last event.
+  const time_point patient_since = is_resumed ? now : call.Arrival();
+  request.give_up = std::min(patient_since + settings_.late_wait, call.End() - kMinTimeLeft);
+  return request;
 }
 
 task<generation_calls::placement> generation_calls::AwaitPlace(direct_call_ptr call, std::vector<endpoint_name> avoid,
@@ -148,30 +128,16 @@
   auto waiting = std::make_shared<waiting_request>(kernel_.Context());
   waiting->call = call;
   waiting->avoid = std::move(avoid);
-  waiting->is_resumed = is_resumed;
-  waiting->job = MakeJob(*call, is_resumed, now);
-  waiting->tokens = waiting->job.prompt_tokens + waiting->job.output_tokens;
-  // The patience of the caller of a broken stream begins anew with the last event.
-  const time_point patient_since = is_resumed ? now : call->Arrival();
-  waiting->give_up = std::min(patient_since + settings_.late_wait, call->End() - kMinTimeLeft);
-  UpdatePool(queue, now);
-  bool is_admitted = false;
-  if (waiting->job.latest_start > now) {
-    const admission_result admitted = queue.queue.AdmitRequest(waiting->job, RandomUnit(), now);
-    is_admitted = admitted.verdict == admission_verdict::kAdmitted;
-    if (admitted.verdict == admission_verdict::kNoEndpoint) {
-      co_return placement(denial{AdmissionName(admitted.verdict), kNoEngineRetry});
-    }
-  }
-  if (!is_admitted && (waiting->give_up <= now || queue.late.size() >= kMaxLateRequests)) {
-    co_return placement(denial{"over_capacity", LateRetry()});
+  waiting->request = MakeRequest(*call, is_resumed, now);
+  if (board_->List(call->Service().name, endpoint_role::kDecode).empty()) {
+    co_return placement(denial{"no_endpoint", kNoEngineRetry});
   }
-  queue.waiting[waiting->job.request] = waiting;
-  if (!is_admitted) {
-    MakeLate(queue, waiting);
+  if (!queue.queue.Add(waiting->request, now)) {
+    co_return placement(denial{"over_capacity", LateRetry()});
   }
+  queue.waiting[waiting->request.request] = waiting;
   call->OnCallerGone([this, waiting, service = call->Service().name] {
-    Forget(*queues_[service], waiting, timer_service::Now());
+    Forget(*queues_[service], waiting);
     waiting->decision.Push(denial{"caller_gone", milliseconds(0)});
   });
   Pump(queue);
@@ -179,7 +145,7 @@
   auto decided = co_await waiting->decision.Receive(std::chrono::duration_cast<microseconds>(call->End() - now));
   call->ClearCancel();
   if (!decided) {
-    Forget(queue, waiting, timer_service::Now());
+    Forget(queue, waiting);
     co_return placement(denial{"time_over", LateRetry()});
   }
   co_return std::move(*decided);
@@ -191,32 +157,10 @@
   }
 }
 
-// The most urgent request that can still be in time; if there is none, the late one that is given up first. With
-// `accept`, only requests for which it is true.
-generation_calls::waiting_ptr generation_calls::FindNext(service_queue& queue, time_point now,
-                                                         const std::function<bool(const queue_job&)>& accept) {
-  if (const queue_job* head = queue.queue.PeekNext(now, accept)) {
-    const auto found = queue.waiting.find(head->request);
-    return found == queue.waiting.end() ? nullptr : found->second;
-  }
-  for (const auto& [give_up, waiting] : queue.late) {
-    if (!accept || accept(waiting->job)) {
-      return waiting;
-    }
-  }
-  return nullptr;
-}
-
-// A late request earns its caller little, so it leaves room to requests of other routers that can still be in time. A
-// stream that has begun does not: its caller has part of the answer.
-bool generation_calls::YieldsToPeers(const service_queue& queue, const waiting_request& waiting) const {
-  return waiting.is_late && !waiting.is_resumed && group_->PeersWaiting(queue.record.name) > 0;
-}
-
 std::vector<waiting_count> generation_calls::OwnWaiting() const {
   std::vector<waiting_count> counts;
   for (const auto& [name, queue] : queues_) {
-    if (const std::size_t requests = queue->queue.WaitingCount(); requests > 0) {
+    if (const std::size_t requests = queue->queue.InTimeCount(); requests > 0) {
       const auto limit = std::numeric_limits<std::uint16_t>::max();
       counts.push_back({ServiceKey(name), static_cast<std::uint16_t>(std::min<std::size_t>(requests, limit))});
     }
@@ -224,20 +168,14 @@
   return counts;
 }
 
-void generation_calls::MakeLate(service_queue& queue, const waiting_ptr& waiting) {
-  waiting->is_late = true;
-  queue.late.emplace(waiting->give_up, waiting);
-}
-
-void generation_calls::Forget(service_queue& queue, const waiting_ptr& waiting, time_point now) {
-  queue.queue.RemoveJob(waiting->job.request, now);
-  std::erase_if(queue.late, [&](const auto& item) { return item.second == waiting; });
-  queue.waiting.erase(waiting->job.request);
+void generation_calls::Forget(service_queue& queue, const waiting_ptr& waiting) {
+  queue.queue.Remove(waiting->request.request);
+  queue.waiting.erase(waiting->request.request);
 }
 
 void generation_calls::Pump(service_queue& queue) {
   PlaceWaiting(queue);
-  const bool has_waiting = queue.queue.WaitingCount() > 0;
+  const bool has_waiting = queue.queue.InTimeCount() > 0;
   if (has_waiting != queue.told_waiting) {
     queue.told_waiting = has_waiting;
     group_->NoteChange();
@@ -249,7 +187,13 @@
   if (queue.waiting.empty()) {
     return;
   }
-  RefuseOverdue(queue, now);
+  for (const placement_request& request : queue.queue.TakeGivenUp(now)) {
+    const auto found = queue.waiting.find(request.request);
+    if (found != queue.waiting.end()) {
+      found->second->decision.Push(denial{"overdue", LateRetry()});
+      queue.waiting.erase(found);
+    }
+  }
   queue.last_pump = std::exchange(queue.this_pump, now);
   const engine_profile profile = queue.record.engine.value_or(engine_profile{});
   const auto engines = board_->List(queue.record.name, endpoint_role::kDecode);
@@ -257,47 +201,32 @@
   placement_settings policy;
   policy.prefill_backlog = static_cast<std::uint32_t>(settings_.prefill_backlog);
   policy.own_prompt_limit = static_cast<std::uint32_t>(settings_.own_prompt_limit);
-  const auto choose = [&](const waiting_request& waiting) {
-    auto views = board_->EngineViews(engines, profile, waiting.avoid);
+  const auto choose = [&](const placement_request& request) {
+    auto views = board_->EngineViews(engines, profile, queue.waiting.at(request.request)->avoid);
     for (engine_view& view : views) {
       view.headroom_tokens = queue.spread.Headroom(view.running);
     }
     const auto prefill_views = board_->EngineViews(prefill_engines, profile, {});
-    return ChooseEngines(views, prefill_views, waiting.tokens, waiting.job.prompt_tokens, settings_.deployment.zone,
+    return ChooseEngines(views, prefill_views, request.tokens, request.prompt_tokens, settings_.deployment.zone,
                          RandomNumber(), policy);
   };
-  const auto is_short = [&](const queue_job& job) { return job.prompt_tokens <= policy.own_prompt_limit; };
-  // Only the most urgent request is placed: passing it by for smaller ones would starve long prompts. A short prompt
-  // that a decode engine reads takes nothing from a long one that waits for a prefill engine.
-  while (waiting_ptr waiting = FindNext(queue, now, nullptr)) {
-    if (YieldsToPeers(queue, *waiting)) {
-      break;
-    }
-    engine_choice choice = choose(*waiting);
-    if (choice.waits_for == wait_reason::kPrefillBusy) {
-      NoteBlocked(queue, choice.waits_for, now);
-      waiting = FindNext(queue, now, is_short);
-      if (!waiting) {
-        return;
-      }
-      choice = choose(*waiting);
+  const bool peers_wait = group_->PeersWaiting(queue.record.name) > 0;
+  while (true) {
+    const placement_step step = queue.queue.TakeNext(choose, peers_wait);
+    if (step.blocked != wait_reason::kNone) {
+      NoteBlocked(queue, step.blocked, now);
     }
-    if (choice.waits_for != wait_reason::kNone) {
-      NoteBlocked(queue, choice.waits_for, now);
+    if (!step.placed) {
       return;
     }
-    if (waiting->is_late) {
-      std::erase_if(queue.late, [&](const auto& item) { return item.second == waiting; });
-    } else {
-      queue.queue.PickNext(now, [&](const queue_job& job) { return job.request == waiting->job.request; });
-    }
-    grant place{engines[choice.decode], std::nullopt, {}, waiting->tokens};
-    board_->AddDecode(place.engine.name, waiting->tokens, 1);
-    if (choice.prefill) {
-      place.prefill = prefill_engines[*choice.prefill];
-      board_->AddPrefill(place.prefill->name, waiting->job.prompt_tokens, 1);
+    const waiting_ptr waiting = queue.waiting.at(step.placed->request);
+    grant place{engines[step.engines.decode], std::nullopt, {}, step.placed->tokens};
+    board_->AddDecode(place.engine.name, place.tokens, 1);
+    if (step.engines.prefill) {
+      place.prefill = prefill_engines[*step.engines.prefill];
+      board_->AddPrefill(place.prefill->name, step.placed->prompt_tokens, 1);
     } else {
-      board_->AddPrefill(place.engine.name, waiting->job.prompt_tokens, 0);
+      board_->AddPrefill(place.engine.name, step.placed->prompt_tokens, 0);
     }
     asio::co_spawn(kernel_.Context(), Reserve(queue.record.name, waiting, std::move(place)), asio::detached);
   }
@@ -320,19 +249,18 @@
 task<> generation_calls::Reserve(std::string service, waiting_ptr waiting, grant place) {
   const engine_profile profile = waiting->call->Service().engine.value_or(engine_profile{});
   const milliseconds lifetime = std::min(settings_.reservation_time, profile.hold_limit);
-  auto request = platform::MakeReserve(place.engine.name, waiting->tokens, lifetime);
+  auto request = platform::MakeReserve(place.engine.name, waiting->request.tokens, lifetime);
   auto answer = co_await client_.Fetch(place.engine.address, std::move(request), settings_.reserve_timeout);
   const time_point now = timer_service::Now();
   service_queue& queue = *queues_[service];
   auto reservation = answer && answer.value().status == 200 ? platform::ReadReservation(answer.value().body)
                                                             : result<std::string>(error{error_code::kUnavailable, ""});
-  const bool still_waits = queue.waiting.contains(waiting->job.request);
+  const bool still_waits = queue.waiting.contains(waiting->request.request);
   if (reservation) {
     place.reservation = reservation.value();
     if (still_waits && !waiting->call->IsCallerGone()) {
-      queue.queue.NoteStarted(waiting->job.request, now);
       waiting->call->waited = waiting->call->Age(now);
-      queue.waiting.erase(waiting->job.request);
+      queue.waiting.erase(waiting->request.request);
       waiting->decision.Push(std::move(place));
     } else {
       ReleasePlace(*waiting->call, place);
@@ -344,43 +272,22 @@
   if (!answer) {
     board_->NoteUnreachable(place.engine);
   } else {
-    board_->NoteRefused(place.engine.name, waiting->tokens);
+    board_->NoteRefused(place.engine.name, waiting->request.tokens);
   }
   Events()
       .Line(kPart, "reservation_refused")
       .Request(waiting->call->Terms().attempt)
       .Add("endpoint", place.engine.name.value)
-      .Add("tokens", waiting->tokens)
+      .Add("tokens", waiting->request.tokens)
       .Add("status", answer ? answer.value().status : 0)
       .Add("detail", answer ? "" : Describe(answer.error()));
   if (still_waits) {
-    if (waiting->is_late) {
-      MakeLate(queue, waiting);
-    } else {
-      queue.queue.Requeue(waiting->job.request, now);
-    }
+    queue.queue.PutBack(waiting->request, now);
     Pump(queue);
     ScheduleTick();
   }
 }
 
-// A request that can no longer meet its target waits behind those that can. One that has waited as long as a caller is
-// patient is refused.
-void generation_calls::RefuseOverdue(service_queue& queue, time_point now) {
-  for (const queue_job& job : queue.queue.ExpireOverdue(now)) {
-    const auto found = queue.waiting.find(job.request);
-    if (found != queue.waiting.end()) {
-      MakeLate(queue, found->second);
-    }
-  }
-  while (!queue.late.empty() && queue.late.begin()->first <= now) {
-    const waiting_ptr waiting = queue.late.begin()->second;
-    queue.late.erase(queue.late.begin());
-    queue.waiting.erase(waiting->job.request);
-    waiting->decision.Push(denial{"overdue", LateRetry()});
-  }
-}
-
 // A request that is refused for lack of room comes back when the burst has most likely passed.
 milliseconds generation_calls::LateRetry() const {
   return std::chrono::duration_cast<milliseconds>(settings_.late_retry * (1 + RandomUnit()));
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -1,10 +1,9 @@
 // Calls of model services: reserve decode memory, prefill, decode, and pass the stream on. A service of the kernel.
 //
-// Requests wait in the admission queue of their service. The head of the queue asks the engine with the most room for a
+// Requests wait in the placement queue of their service. The head of the queue asks the engine with the most room for a
 // reservation; the engine's grant decides between routers. Nothing is prefilled before decode memory is reserved.
 #pragma once
 
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -16,8 +15,8 @@
 #include "direct/direct_call.h"
 #include "direct/endpoint_board.h"
 #include "direct/plain_calls.h"
-#include "persimmon/admission.h"
 #include "persimmon/event_stream.h"
+#include "persimmon/placement_queue.h"
 
 namespace persimmon {
 
@@ -64,11 +63,7 @@
   struct waiting_request {
     explicit waiting_request(asio::io_context& context) : decision(context) {}
     direct_call_ptr call;
-    queue_job job;
-    std::uint32_t tokens = 0;  // to reserve
-    bool is_resumed = false;   // it has been placed before
-    bool is_late = false;      // its target is missed; it is served when nothing else waits
-    time_point give_up;        // of a late one
+    placement_request request;
     std::vector<endpoint_name> avoid;
     mailbox<placement> decision;
   };
@@ -92,17 +87,12 @@
 
   service_queue& QueueFor(const service_record& service);
   task<placement> AwaitPlace(direct_call_ptr call, std::vector<endpoint_name> avoid, bool is_resumed);
-  queue_job MakeJob(const direct_call& call, bool is_resumed, time_point now);
-  void UpdatePool(service_queue& queue, time_point now);
+  placement_request MakeRequest(const direct_call& call, bool is_resumed, time_point now);
   void Pump(service_queue& queue);
   void PlaceWaiting(service_queue& queue);
   void NoteBlocked(service_queue& queue, wait_reason reason, time_point now);
-  waiting_ptr FindNext(service_queue& queue, time_point now, const std::function<bool(const queue_job&)>& accept);
-  bool YieldsToPeers(const service_queue& queue, const waiting_request& waiting) const;
-  void MakeLate(service_queue& queue, const waiting_ptr& waiting);
-  void Forget(service_queue& queue, const waiting_ptr& waiting, time_point now);
+  void Forget(service_queue& queue, const waiting_ptr& waiting);
   task<> Reserve(std::string service, waiting_ptr waiting, grant place);
-  void RefuseOverdue(service_queue& queue, time_point now);
   milliseconds LateRetry() const;
   void ScheduleTick();
 
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -145,21 +145,6 @@
   EXPECT_EQ(Admit(queue, Job(3, 1'000, 10)), admission_verdict::kQueueFull);
 }
 
-// A queue that serves late jobs after the others must not call a job late before it is: the prediction counts starts of
-// jobs in time only, sees a slower pool than there is, and admits fewer and fewer.
-TEST_F(admission_test, AdmitRequest_WithoutPrediction_RefusesOnlyLateJobsAndAFullQueue) {
-  settings_.predicts_waits = false;
-  settings_.fair_shares = false;
-  settings_.queue_limit = 3;
-  auto queue = MakeQueue(BusyPool(), settings_);
-  for (int id = 0; id < 3; ++id) {
-    EXPECT_EQ(Admit(queue, Job(id, 150)), admission_verdict::kAdmitted) << id;
-  }
-  EXPECT_EQ(Admit(queue, Job(3, 150)), admission_verdict::kQueueFull);
-  EXPECT_EQ(queue.ExpireOverdue(At(151)).size(), 3U);
-  EXPECT_EQ(Admit(queue, Job(4, 150), 151), admission_verdict::kOverCapacity);
-}
-
 TEST_F(admission_test, AdmitRequest_WhenNoEndpointIsLeft_Refuses) {
   auto pool = BusyPool();
   pool.decode_endpoints = 0;
--- /dev/null
+++ b/tests/placement_queue_test.cpp
@@ -0,0 +1,193 @@
+// Guards against requests served late while they could be in time, long prompts that short ones keep passing, and
+// requests that are lost or served twice.
+//
+// Sections
+//   1. order
+//   2. giving up
+//   3. any sequence of operations
+#include "persimmon/placement_queue.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+
+#include "decision_support.h"
+
+namespace persimmon {
+namespace {
+
+class placement_queue_test : public testing::Test {
+ protected:
+  static placement_request Request(int id, std::int64_t latest_ms, std::uint32_t prompt = 3'000,
+                                   std::int64_t give_up_ms = 5'000) {
+    placement_request request;
+    request.request = request_id{std::to_string(id)};
+    request.latest_start = At(latest_ms);
+    request.give_up = At(give_up_ms);
+    request.prompt_tokens = prompt;
+    request.tokens = prompt + 900;
+    return request;
+  }
+
+  static engine_choice HasRoom(const placement_request&) { return {wait_reason::kNone, 0, 0}; }
+  static engine_choice NoMemory(const placement_request&) { return {wait_reason::kDecodeMemory, 0, std::nullopt}; }
+
+  // Prefill engines are behind; a decode engine reads prompts of up to 2,400 tokens.
+  static engine_choice OnlyOwnPrompts(const placement_request& request) {
+    return request.prompt_tokens <= 2'400 ? engine_choice{wait_reason::kNone, 0, std::nullopt}
+                                          : engine_choice{wait_reason::kPrefillBusy, 0, std::nullopt};
+  }
+
+  std::string Next(const placement_queue::engine_chooser& choose, bool peers_wait = false) {
+    const placement_step step = queue_.TakeNext(choose, peers_wait);
+    return step.placed ? step.placed->request.value : "";
+  }
+
+  placement_queue queue_;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. order
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST_F(placement_queue_test, TakeNext_WithRoom_FollowsTheLatestStart) {
+  ASSERT_TRUE(queue_.Add(Request(1, 700), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(2, 300), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(3, 500), At(0)));
+  EXPECT_EQ(Next(HasRoom), "2");
+  EXPECT_EQ(Next(HasRoom), "3");
+  EXPECT_EQ(Next(HasRoom), "1");
+  EXPECT_EQ(Next(HasRoom), "");
+}
+
+TEST_F(placement_queue_test, LateRequest_WhileOneCanBeInTime_GoesBehindIt) {
+  ASSERT_TRUE(queue_.Add(Request(1, 100), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(2, 900), At(400)));
+  EXPECT_TRUE(queue_.TakeGivenUp(At(400)).empty());
+  EXPECT_EQ(Next(HasRoom), "2");
+  EXPECT_EQ(Next(HasRoom), "1");
+}
+
+// The room would be taken from requests of other routers that can be in time.
+TEST_F(placement_queue_test, LateRequest_WhilePeersWait_LeavesThemTheRoom) {
+  ASSERT_TRUE(queue_.Add(Request(1, -1), At(0)));
+  EXPECT_EQ(Next(HasRoom, true), "");
+  EXPECT_EQ(Next(HasRoom, false), "1");
+}
+
+TEST_F(placement_queue_test, ResumedStream_ThatIsLate_YieldsToNoPeer) {
+  placement_request resumed = Request(2, -1, 3'000, 9'000);
+  resumed.is_resumed = true;
+  ASSERT_TRUE(queue_.Add(Request(1, -1), At(0)));
+  ASSERT_TRUE(queue_.Add(resumed, At(0)));
+  EXPECT_EQ(Next(HasRoom, true), "2");
+  EXPECT_EQ(Next(HasRoom, true), "");
+}
+
+// Smaller requests would fit, and would keep a long one waiting for ever.
+TEST_F(placement_queue_test, Head_ThatWaitsForMemory_IsNotPassed) {
+  ASSERT_TRUE(queue_.Add(Request(1, 300, 8'000), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(2, 700, 500), At(0)));
+  const auto only_small = [](const placement_request& request) {
+    return request.tokens < 2'000 ? HasRoom(request) : NoMemory(request);
+  };
+  const placement_step step = queue_.TakeNext(only_small, false);
+  EXPECT_FALSE(step.placed);
+  EXPECT_EQ(step.blocked, wait_reason::kDecodeMemory);
+}
+
+// A decode engine cannot read the long prompt, so the short one takes nothing from it.
+TEST_F(placement_queue_test, Head_ThatWaitsForPrefill_LetsShortPromptsGoToDecodeEngines) {
+  ASSERT_TRUE(queue_.Add(Request(1, 300, 8'000), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(2, 700, 3'000), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(3, 900, 1'000), At(0)));
+  const placement_step step = queue_.TakeNext(OnlyOwnPrompts, false);
+  ASSERT_TRUE(step.placed);
+  EXPECT_EQ(step.placed->request.value, "3");
+  EXPECT_FALSE(step.engines.prefill);
+  EXPECT_EQ(step.blocked, wait_reason::kPrefillBusy);
+  EXPECT_EQ(queue_.Size(), 2U);
+}
+
+TEST_F(placement_queue_test, PutBack_AfterARefusedReservation_KeepsItsPlace) {
+  ASSERT_TRUE(queue_.Add(Request(1, 300), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(2, 700), At(0)));
+  const placement_step step = queue_.TakeNext(HasRoom, false);
+  queue_.PutBack(*step.placed, At(10));
+  EXPECT_EQ(Next(HasRoom), "1");
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. giving up
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST_F(placement_queue_test, TakeGivenUp_AtTheTimeOfGivingUp_ReturnsExactlyThose) {
+  ASSERT_TRUE(queue_.Add(Request(1, 300, 3'000, 1'000), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(2, 300, 3'000, 2'000), At(0)));
+  EXPECT_TRUE(queue_.TakeGivenUp(At(999)).empty());
+  const auto given_up = queue_.TakeGivenUp(At(1'000));
+  ASSERT_EQ(given_up.size(), 1U);
+  EXPECT_EQ(given_up[0].request.value, "1");
+  EXPECT_EQ(queue_.Size(), 1U);
+}
+
+// A request that cannot be served is refused at once and not held.
+TEST_F(placement_queue_test, Add_OfALateRequestThatWouldBeGivenUp_IsRefused) {
+  EXPECT_FALSE(queue_.Add(Request(1, 300, 3'000, 1'000), At(1'000)));
+}
+
+TEST_F(placement_queue_test, Add_BeyondTheLimits_IsRefused) {
+  queue_.SetSettings({.request_limit = 3, .late_limit = 1});
+  EXPECT_TRUE(queue_.Add(Request(1, -1), At(0)));
+  EXPECT_FALSE(queue_.Add(Request(2, -1), At(0)));
+  EXPECT_TRUE(queue_.Add(Request(3, 500), At(0)));
+  EXPECT_TRUE(queue_.Add(Request(4, 500), At(0)));
+  EXPECT_FALSE(queue_.Add(Request(5, 500), At(0)));
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. any sequence of operations
+// ---------------------------------------------------------------------------------------------------------------------
+
+RC_GTEST_FIXTURE_PROP(placement_queue_test, Queue_ForAnyOperations_KeepsEveryRequestOnce, ()) {
+  std::map<std::string, placement_request> waiting;
+  std::vector<placement_request> placed;
+  std::int64_t now = 0;
+  const auto operations = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5));
+  int next_id = 0;
+  for (const int operation : operations) {
+    now += *rc::gen::inRange(0, 300);
+    if (operation == 0) {
+      auto request = Request(++next_id, now + *rc::gen::inRange(-200, 800), *rc::gen::inRange<std::uint32_t>(1, 9'000),
+                             now + *rc::gen::inRange(0, 2'500));
+      request.is_resumed = *rc::gen::arbitrary<bool>();
+      if (queue_.Add(request, At(now))) {
+        waiting[request.request.value] = request;
+      }
+    } else if (operation == 1) {
+      const placement_step step = queue_.TakeNext(OnlyOwnPrompts, *rc::gen::arbitrary<bool>());
+      if (step.placed) {
+        RC_ASSERT(waiting.erase(step.placed->request.value) == 1U);
+        placed.push_back(*step.placed);
+      }
+    } else if (operation == 2 && !placed.empty()) {
+      queue_.PutBack(placed.back(), At(now));
+      waiting[placed.back().request.value] = placed.back();
+      placed.pop_back();
+    } else if (operation == 3) {
+      for (const placement_request& request : queue_.TakeGivenUp(At(now))) {
+        RC_ASSERT(request.give_up <= At(now));
+        RC_ASSERT(waiting.erase(request.request.value) == 1U);
+      }
+    } else if (operation == 4 && !waiting.empty()) {
+      const std::string id = waiting.begin()->first;
+      RC_ASSERT(queue_.Remove(request_id{id}));
+      waiting.erase(id);
+    }
+    RC_ASSERT(queue_.Size() == waiting.size());
+  }
+}
+
+}  // namespace
+}  // namespace persimmon
