Ask the store less often, and date an outage from the last answer

An outage behind a silent connection was dated from the time-out of the call, up to 2.5 s after its beginning, so entries that lapsed in it could be taken for removed.

Ruled out: one feed for both tables (the call names one table).

Change: a call waits 2.5 s for changes; together with its time limit of 1 s that stays below the three silent intervals after which entries lapse. After a change of endpoints the router waits 100 ms, so that those which follow come with one call. An outage begins with the last answer. Tests: calls for forty endpoints that start together, and entries that lapse in a silent outage; both failed before.

--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -14,8 +14,8 @@
 
   // [store]
   milliseconds store_timeout = milliseconds(1'000);  // for one call; a silent connection is noticed after it
-  milliseconds feed_wait = milliseconds(1'500);      // for one call that waits for changes; bounds how long a silent
-                                                     // connection hides a change, together with store_timeout
+  milliseconds feed_wait = milliseconds(2'500);      // for one call that waits for changes; together with store_timeout
+                                                     // below the three silent intervals after which entries lapse
 
   // [endpoints]
   milliseconds connect_timeout = milliseconds(300);  // zones are a few milliseconds apart
--- a/src/direct/directory.cpp
+++ b/src/direct/directory.cpp
@@ -18,6 +18,9 @@
 // Endpoints are removed after three silent intervals of more than a second, so that a shorter outage lapses none.
 constexpr milliseconds kLapsingOutage(2'500);
 constexpr milliseconds kLapseCheck(200);
+// After changes of endpoints, so that those that follow at once come with one call. Many start or leave together, and
+// the platform counts calls; the delay is small against the two seconds in which a leaving endpoint is to be seen.
+constexpr milliseconds kGatherPause(100);
 constexpr std::size_t kMaxLoggedFindings = 5;  // of one desired state
 
 }  // namespace
@@ -88,10 +91,14 @@
     if (!rows.empty() || was_snapshot) {
       ApplyRows(index, rows, was_snapshot, after_outage);
     }
+    if (index == kEndpoints && !rows.empty() && !was_snapshot) {
+      co_await kernel_.Timers().Sleep(kGatherPause);
+    }
   }
 }
 
 void deployment_directory::NoteAnswer(const std::string& table, feed_state& feed) {
+  feed.last_answer = timer_service::Now();
   if (feed.is_away) {
     const auto away = std::chrono::duration_cast<milliseconds>(timer_service::Now() - feed.away_since);
     Events().Line(kPart, "store_regained").Add("table", table).Add("away_ms", away.count());
@@ -102,7 +109,8 @@
 void deployment_directory::NoteFailure(const std::string& table, feed_state& feed, const error& failure) {
   if (!feed.is_away) {
     feed.is_away = true;
-    feed.away_since = timer_service::Now();
+    // A silent connection hides the beginning of an outage until the call times out.
+    feed.away_since = feed.last_answer.value_or(timer_service::Now());
     Events().Line(kPart, "store_lost").Add("table", table).Add("reason", failure.message);
   }
 }
--- a/src/direct/directory.h
+++ b/src/direct/directory.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,7 @@
   struct feed_state {
     bool is_away = false;
     time_point away_since;
+    std::optional<time_point> last_answer;
     std::uint64_t version = 0;
   };
   enum feed_index : std::size_t { kDesiredState, kEndpoints };
--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -351,6 +351,7 @@
   const std::uint64_t committed_before = counters_.transactions;
   http_response response;
   if (request.target.starts_with("/rows-feed?")) {
+    ++counters_.feeds;
     response = co_await Feed(request);
   } else {
     response = Answer(request);
--- a/src/fakes/fake_platform.h
+++ b/src/fakes/fake_platform.h
@@ -117,6 +117,7 @@
 
 struct platform_counters {
   std::uint64_t reads = 0;         // rows and prefixes
+  std::uint64_t feeds = 0;         // calls that wait for changes
   std::uint64_t transactions = 0;  // committed
   std::uint64_t conflicts = 0;     // transactions refused
   std::uint64_t lost_replies = 0;
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -640,6 +640,36 @@
   EXPECT_TRUE(world_.RunUntil([this] { return world_.Directory().Endpoints().Size() == 0; }, milliseconds(5'000)));
 }
 
+// The platform counts calls; endpoints start and leave together, and a call for each of them is many with 24 routers.
+TEST_F(directory_test, ChangesOfManyEndpoints_AtOnce_AreReadWithFewCalls) {
+  world_.WriteDesiredState();
+  ASSERT_TRUE(world_.Start());
+  const std::uint64_t before = world_.Platform().Counts().feeds;
+  const time_point begin = timer_service::Now();
+  for (int i = 2; i < 42; ++i) {
+    world_.AddReplica(PlainReplica("app-" + std::to_string(i)));
+    world_.RunFor(milliseconds(10));
+  }
+  ASSERT_TRUE(world_.RunUntil([this] { return world_.Directory().Endpoints().Size() == 41; }));
+  const auto took = std::chrono::duration_cast<milliseconds>(timer_service::Now() - begin);
+  // One a tenth of a second for the endpoints, and the waits of both tables that end without a change.
+  const auto waits = static_cast<std::uint64_t>(2 * (took / world_.Settings().feed_wait + 1));
+  EXPECT_LE(world_.Platform().Counts().feeds - before, static_cast<std::uint64_t>(took.count()) / 100 + waits + 1);
+}
+
+// An outage behind a silent connection is seen when the call times out; it began with the last answer.
+TEST_F(directory_test, EntriesThatLapseInASilentOutage_AreKeptUntilTheEndpointsAreBack) {
+  world_.WriteDesiredState();
+  ASSERT_TRUE(world_.Start());
+  world_.Platform().Faults().delay = milliseconds(60'000);
+  world_.RunFor(milliseconds(2'520));
+  replica_.Unregister(world_.Platform().Tables());
+  world_.Platform().Faults().delay = milliseconds(0);
+  ASSERT_TRUE(world_.RunUntil([this] { return world_.Directory().IsStoreReachable(); }));
+  world_.RunFor(milliseconds(300));
+  EXPECT_EQ(world_.Directory().Endpoints().Size(), 1U) << "it may be back within two seconds";
+}
+
 // Another writer's row must not harm the others.
 TEST_F(directory_test, EntryThatCannotBeRead_NamesNoEndpointAndHarmsNoOther) {
   world_.WriteDesiredState();
