Add a trial of placement in virtual time, with tests that play the load

Ruled out: the trial of the admission queue (bench/policy_trial.cpp), which has one router and no memory of engines.

Change: tests/support/engine_model.h models engines, routers with old news of each other, and callers that come back; placement_load_test checks what callers get; bench/placement_trial.cpp prints the comparison.

--- /dev/null
+++ b/bench/placement_trial.cpp
@@ -0,0 +1,53 @@
+// Compares ways to place model requests under the bursts of the deployments, in virtual time. Deterministic for a seed.
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include "support/engine_model.h"
+
+DEFINE_uint64(seed, 1, "seed of the first play");
+DEFINE_int32(plays, 5, "plays with seeds from --seed on; their figures are added up");
+DEFINE_double(burst, 0, "factor of the load in the burst; 0: that of the deployment");
+
+namespace persimmon {
+namespace {
+
+using support::placing_way;
+
+void PrintTrial(const char* name, const support::model_deployment& deployment, support::model_load load) {
+  constexpr std::pair<placing_way, const char*> kWays[] = {{placing_way::kPresent, "present"},
+                                                           {placing_way::kOwnOrder, "each router by itself"},
+                                                           {placing_way::kRoundRobin, "engines in turn"},
+                                                           {placing_way::kPerfect, "perfect knowledge"}};
+  const std::uint64_t first_seed = load.seed;
+  load.burst_factor = FLAGS_burst > 0 ? FLAGS_burst : load.burst_factor;
+  fmt::print("{}: {} routers, {} + {} engines, {}/s, burst {}x\n", name, deployment.routers, deployment.prefill,
+             deployment.decode, load.rate, load.burst_factor);
+  fmt::print("  {:<24}{:>10}{:>10}{:>12}{:>12}{:>16}\n", "way", "in time", "served", "large", "preempted",
+             "tokens in vain");
+  for (const auto& [way, label] : kWays) {
+    support::model_totals sum;
+    for (int i = 0; i < FLAGS_plays; ++i) {
+      load.seed = first_seed + static_cast<std::uint64_t>(i);
+      const auto totals = support::engine_model(deployment, load, way).Play();
+      sum.requests += totals.requests;
+      sum.in_time += totals.in_time;
+      sum.large += totals.large;
+      sum.large_in_time += totals.large_in_time;
+      sum.served += totals.served;
+      sum.preempted += totals.preempted;
+      sum.tokens_in_vain += totals.tokens_in_vain;
+    }
+    fmt::print("  {:<24}{:>10.3f}{:>10.3f}{:>12.3f}{:>12}{:>16.0f}\n", label, sum.InTimeShare(), sum.ServedShare(),
+               sum.LargeShare(), sum.preempted, sum.tokens_in_vain);
+  }
+}
+
+}  // namespace
+}  // namespace persimmon
+
+int main(int argc, char** argv) {
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  persimmon::PrintTrial("small", persimmon::support::SmallDeployment(), persimmon::support::SmallLoad(FLAGS_seed));
+  persimmon::PrintTrial("grown", persimmon::support::GrownDeployment(), persimmon::support::GrownLoad(FLAGS_seed));
+  return 0;
+}
