Let the table stand-in be silent, refuse single calls and write late

Ruled out: nothing; no fault of the router was known here. Change: three faults of the stand-in, with tests: a silent store is noticed within the limits and serving goes on, refused calls of one table leave the other in force, and a lease that is written late leads to one order for each engine.

--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -21,6 +21,7 @@
 
 using json = nlohmann::json;
 
+constexpr milliseconds kSilencePoll(5);
 constexpr std::size_t kMaxVmHistory = 4096;
 constexpr std::size_t kMaxTransactionBytes = 16U << 20U;
 constexpr std::uint32_t kMaxFaultCount = 3'600'000;
@@ -342,6 +343,23 @@
       co_await timers_.Sleep(delay);
       --counters_.waiting;
     }
+    while (faults_.silent && !exchange->IsDisconnected()) {
+      co_await timers_.Sleep(kSilencePoll);
+    }
+    if (!faults_.refused_path.empty() && request.target.starts_with(faults_.refused_path)) {
+      ++counters_.refused;
+      http_response refused{faults_.refused_status, {}, {}};
+      (void)co_await exchange->Respond(std::move(refused));
+      co_return;
+    }
+    if (faults_.late_writes > 0 && request.target == "/rows-tx") {
+      --faults_.late_writes;
+      const std::string body = request.body;
+      exchange->AbortStream();
+      co_await timers_.Sleep(faults_.write_lag);
+      (void)Transact(body);
+      co_return;
+    }
     if (faults_.outage) {
       ++counters_.refused;
       exchange->AbortStream();
--- a/src/fakes/fake_platform.h
+++ b/src/fakes/fake_platform.h
@@ -107,9 +107,15 @@
 // ---------------------------------------------------------------------------------------------------------------------
 
 struct platform_faults {
-  bool outage = false;                       // connections are closed without an answer; no write takes effect
-  milliseconds delay = milliseconds(0);      // before a request is carried out
-  std::uint32_t lose_replies = 0;            // the next transactions take effect without a reply
+  bool outage = false;                   // connections are closed without an answer; no write takes effect
+  milliseconds delay = milliseconds(0);  // before a request is carried out
+  std::uint32_t lose_replies = 0;        // the next transactions take effect without a reply
+  // The next transactions get no reply at once, and are carried out this much later if their conditions still hold.
+  std::uint32_t late_writes = 0;
+  milliseconds write_lag = milliseconds(500);
+  bool silent = false;            // requests are taken and never answered
+  std::string refused_path = {};  // requests whose target begins so are refused; empty: none
+  int refused_status = 503;
   milliseconds vm_lag = milliseconds(1000);  // age of the VM list
 
   bool operator==(const platform_faults&) const = default;
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -670,6 +670,38 @@
   EXPECT_EQ(world_.Directory().Endpoints().Size(), 1U) << "it may be back within two seconds";
 }
 
+// A store that takes calls and never answers looks alive to a connection; only the time limit of the call shows it.
+TEST_F(directory_test, SilentStore_IsNoticedAndServingGoesOn) {
+  world_.WriteDesiredState();
+  ASSERT_TRUE(world_.Start());
+  world_.Platform().Faults().silent = true;
+  const milliseconds limit = world_.Settings().feed_wait + world_.Settings().store_timeout;
+  EXPECT_TRUE(world_.RunUntil([this] { return !world_.Directory().IsStoreReachable(); }, limit * 2));
+  const auto call = world_.Send("GET", "/pages/1", "a1");
+  ASSERT_TRUE(world_.Finish(call));
+  EXPECT_EQ(call->Status(), 200);
+  world_.WriteDesiredState({.version = 2});
+  world_.Platform().Faults().silent = false;
+  EXPECT_TRUE(world_.RunUntil([this] { return world_.Directory().Routes()->Revision() == 2; }, milliseconds(3'000)));
+}
+
+// The store may turn single callers or calls away while it serves others.
+TEST_F(directory_test, RefusedCallsOfOneTable_LeaveTheOtherInForce) {
+  world_.WriteDesiredState();
+  ASSERT_TRUE(world_.Start());
+  for (const int status : {503, 429}) {
+    world_.Platform().Faults().refused_path = "/rows-feed?table=servers";
+    world_.Platform().Faults().refused_status = status;
+    world_.RunFor(milliseconds(600));
+    const std::uint64_t revision = world_.Directory().Routes()->Revision() + 1;
+    world_.WriteDesiredState({.version = revision});
+    EXPECT_TRUE(
+        world_.RunUntil([&] { return world_.Directory().Routes()->Revision() == revision; }, milliseconds(2'000)))
+        << status;
+    EXPECT_EQ(world_.Directory().Endpoints().Size(), 1U) << status;
+  }
+}
+
 // Another writer's row must not harm the others.
 TEST_F(directory_test, EntryThatCannotBeRead_NamesNoEndpointAndHarmsNoOther) {
   world_.WriteDesiredState();
@@ -781,6 +813,21 @@
   }
 }
 
+// The write of the lease may be carried out after the call has failed. Orders wait until the row has been read with
+// this router as its holder, and carry the version of a row that it has written.
+TEST_F(stage_orders_test, LeaseWrite_ThatTakesEffectLate_LeadsToOneOrderForEachEngine) {
+  world_.Platform().Faults().late_writes = 1;
+  ASSERT_TRUE(world_.Start());
+  world_.RunFor(milliseconds(100));
+  EXPECT_EQ(Orders(), 0);
+  ASSERT_TRUE(world_.RunUntil([this] { return Orders() > 0; }, milliseconds(20'000)));
+  world_.RunFor(milliseconds(1'500));
+  EXPECT_LE(Orders(), 3);
+  for (const fake_replica* engine : engines_) {
+    EXPECT_LE(engine->Orders(), 1) << engine->Name();
+  }
+}
+
 // Two holders at once would undo each other's orders.
 TEST_F(stage_orders_test, RowOfAnotherHolder_ThatIsFresh_StopsAllOrders) {
   world_.Platform().Tables().Commit({{{"persimmon_leases", "llm"}, R"({"holder":"router-9"})", false, std::nullopt}});
