End the pause of an engine that has become a prefill engine

An engine that refused a run was paused for as long as its report named the prefill stage. After an order to prefill that is for ever, so the engine was lost for both stages.

Ruled out: the entry's lag (the pause is needed until the entry follows).

Change: the check ends once the entry no longer names a decode engine. Test: Engine_ThatHasBecomeAPrefillEngine_ReadsPrompts, which failed before. Also: figures of the trial are added up in one place; an unused setter and an unused include are gone.

--- a/bench/placement_trial.cpp
+++ b/bench/placement_trial.cpp
@@ -28,14 +28,7 @@
     support::model_totals sum;
     for (int i = 0; i < FLAGS_plays; ++i) {
       load.seed = first_seed + static_cast<std::uint64_t>(i);
-      const auto totals = support::engine_model(deployment, load, way).Play();
-      sum.requests += totals.requests;
-      sum.in_time += totals.in_time;
-      sum.large += totals.large;
-      sum.large_in_time += totals.large_in_time;
-      sum.served += totals.served;
-      sum.preempted += totals.preempted;
-      sum.tokens_in_vain += totals.tokens_in_vain;
+      sum += support::engine_model(deployment, load, way).Play();
     }
     fmt::print("  {:<24}{:>10.3f}{:>10.3f}{:>12.3f}{:>12}{:>16.0f}\n", label, sum.InTimeShare(), sum.ServedShare(),
                sum.LargeShare(), sum.preempted, sum.tokens_in_vain);
--- a/include/persimmon/placement_queue.h
+++ b/include/persimmon/placement_queue.h
@@ -64,8 +64,6 @@
 
   explicit placement_queue(placement_queue_settings settings = {}) : settings_(settings) {}
 
-  void SetSettings(const placement_queue_settings& settings) { settings_ = settings; }
-
   // False if the request has to be refused at once: it is late and would be given up now, or the queue is full.
   bool Add(const placement_request& request, time_point now);
 
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include "core/settings.h"
-#include "persimmon/admission.h"
 #include "persimmon/kv_placement.h"
 #include "platform/settings.h"
 
--- a/src/direct/endpoint_board.cpp
+++ b/src/direct/endpoint_board.cpp
@@ -195,6 +195,11 @@
   return entry != nullptr && !entry->draining && entry->started_ms == endpoint.started_ms;
 }
 
+bool endpoint_board::IsDecodeEngine(const endpoint_name& endpoint) const {
+  const endpoint_entry* entry = directory_->Endpoints().Find(endpoint);
+  return entry != nullptr && entry->role == endpoint_role::kDecode;
+}
+
 std::vector<endpoint_use> endpoint_board::OwnUses() const {
   const time_point now = timer_service::Now();
   std::vector<endpoint_use> uses;
--- a/src/direct/endpoint_board.h
+++ b/src/direct/endpoint_board.h
@@ -59,6 +59,9 @@
   // True if the endpoint is registered with the same incarnation and takes new work.
   bool IsCurrent(const chosen_endpoint& endpoint) const;
 
+  // True if its entry names it a decode engine.
+  bool IsDecodeEngine(const endpoint_name& endpoint) const;
+
   // For other routers.
   std::vector<endpoint_use> OwnUses() const;
 
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -527,7 +527,7 @@
     co_return;
   }
   bool is_watched = true;
-  while (is_watched && board_->IsCurrent(engine)) {
+  while (is_watched && board_->IsCurrent(engine) && board_->IsDecodeEngine(engine.name)) {
     auto answer = co_await client_.Fetch(engine.address, platform::MakeReport(engine.name), kReportLimit);
     auto report = answer && answer.value().status == 200
                       ? platform::ReadReport(answer.value().body)
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -76,6 +76,9 @@
   std::uint32_t ReservedTokens() const;
   std::size_t KeptHandles() const { return handles_.size(); }
   const std::string& Stage() const { return options_.stage; }
+  void SetStage(const std::string& stage) {
+    options_.stage = stage;
+  }  // as an order does; its entry follows by Register
 
  private:
   task<> Handle(std::shared_ptr<http_exchange> exchange);
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -379,6 +379,27 @@
   })) << "it is used again afterwards";
 }
 
+// The pause of an engine that changes its stage must end once its entry shows the new one, or it is lost for both.
+TEST_F(model_call_test, Engine_ThatHasBecomeAPrefillEngine_ReadsPrompts) {
+  first_.Faults().switches = true;
+  for (int i = 0; i < 10; ++i) {
+    ASSERT_TRUE(world_.Finish(world_.SendModel("/digest/1", "a" + std::to_string(i))));
+  }
+  first_.SetStage("prefill");
+  first_.Faults().switches = false;
+  world_.RunFor(milliseconds(1'200));
+  first_.Register(world_.Platform().Tables());
+  prefill_.Unregister(world_.Platform().Tables());
+  world_.RunFor(milliseconds(1'500));
+  for (int i = 0; i < 10; ++i) {
+    const auto call = world_.SendModel("/digest/1", "b" + std::to_string(i));
+    ASSERT_TRUE(world_.Finish(call));
+    EXPECT_EQ(call->body, WholeStream("b" + std::to_string(i), 5));
+    world_.RunFor(milliseconds(200));
+  }
+  EXPECT_EQ(first_.Prefills(), 10);
+}
+
 TEST_F(model_call_test, CallerThatLeaves_WhileItsStreamRuns_FreesTheEngine) {
   first_.Faults().mute = true;
   second_.Faults().mute = true;
--- a/tests/placement_load_test.cpp
+++ b/tests/placement_load_test.cpp
@@ -21,14 +21,7 @@
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
       const model_deployment deployment = GetParam() ? support::GrownDeployment() : support::SmallDeployment();
       const model_load load = GetParam() ? support::GrownLoad(seed) : support::SmallLoad(seed);
-      const model_totals totals = engine_model(deployment, load, way).Play();
-      sum.requests += totals.requests;
-      sum.in_time += totals.in_time;
-      sum.large += totals.large;
-      sum.large_in_time += totals.large_in_time;
-      sum.served += totals.served;
-      sum.preempted += totals.preempted;
-      sum.tokens_in_vain += totals.tokens_in_vain;
+      sum += engine_model(deployment, load, way).Play();
     }
     RecordProperty("in_time_per_mille", static_cast<int>(sum.InTimeShare() * 1'000));
     return sum;
--- a/tests/placement_queue_test.cpp
+++ b/tests/placement_queue_test.cpp
@@ -138,7 +138,7 @@
 }
 
 TEST_F(placement_queue_test, Add_BeyondTheLimits_IsRefused) {
-  queue_.SetSettings({.request_limit = 3, .late_limit = 1});
+  queue_ = placement_queue({.request_limit = 3, .late_limit = 1});
   EXPECT_TRUE(queue_.Add(Request(1, -1), At(0)));
   EXPECT_FALSE(queue_.Add(Request(2, -1), At(0)));
   EXPECT_TRUE(queue_.Add(Request(3, 500), At(0)));
--- a/tests/support/engine_model.h
+++ b/tests/support/engine_model.h
@@ -66,6 +66,17 @@
   int preempted = 0;
   double tokens_in_vain = 0;
 
+  model_totals& operator+=(const model_totals& other) {
+    requests += other.requests;
+    in_time += other.in_time;
+    large += other.large;
+    large_in_time += other.large_in_time;
+    served += other.served;
+    preempted += other.preempted;
+    tokens_in_vain += other.tokens_in_vain;
+    return *this;
+  }
+
   double InTimeShare() const { return requests == 0 ? 0 : static_cast<double>(in_time) / requests; }
   double LargeShare() const { return large == 0 ? 0 : static_cast<double>(large_in_time) / large; }
   double ServedShare() const { return requests == 0 ? 0 : static_cast<double>(served) / requests; }
