Take the measured stage plan back; choose engines by the predicted peak of their memory

Change: routers tell each other the held, expected and reserved tokens of each stream; an engine is chosen if the peak of all fits; the expected rest follows from learned lengths; where streams of other routers start unseen too often, maxima count as before.

--- a/src/decisions/placement_queue.cpp
+++ b/src/decisions/placement_queue.cpp
@@ -1,7 +1,6 @@
 #include "persimmon/placement_queue.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace persimmon {
 
@@ -42,10 +41,9 @@
   return expired;
 }
 
-const placement_request* placement_queue::FindNext(bool peers_have_in_time_requests,
-                                                   std::uint32_t max_prompt_tokens) const {
+const placement_request* placement_queue::FindNext(bool peers_have_in_time_requests, bool short_prompts_only) const {
   const auto is_suitable = [&](const placement_request& request) {
-    return request.memory.held_tokens <= max_prompt_tokens;
+    return !short_prompts_only || request.memory.held_tokens <= settings_.local_prefill_limit;
   };
   for (const auto& [key, request] : in_time_) {
     if (is_suitable(request)) {
@@ -60,17 +58,16 @@
   return nullptr;
 }
 
-placement_step placement_queue::TakeNext(const engine_chooser& choose, bool peers_have_in_time_requests,
-                                         std::uint32_t local_prefill_limit) {
+placement_step placement_queue::TakeNext(const engine_chooser& choose, bool peers_have_in_time_requests) {
   placement_step step;
-  const placement_request* next = FindNext(peers_have_in_time_requests, std::numeric_limits<std::uint32_t>::max());
+  const placement_request* next = FindNext(peers_have_in_time_requests, false);
   if (next == nullptr) {
     return step;
   }
   step.engines = choose(*next);
   step.blocked = step.engines.waits_for;
   if (step.blocked == wait_reason::kPrefillBusy) {
-    next = FindNext(peers_have_in_time_requests, local_prefill_limit);
+    next = FindNext(peers_have_in_time_requests, true);
     if (next == nullptr) {
       return step;
     }
--- a/src/decisions/stage_plan.cpp
+++ b/src/decisions/stage_plan.cpp
@@ -74,14 +74,6 @@
   return changes;
 }
 
-std::uint32_t stage_planner::CountPrefill(std::span<const engine_stage_view> engines, time_point now) const {
-  return static_cast<std::uint32_t>(std::count_if(engines.begin(), engines.end(), [&](const engine_stage_view& engine) {
-    const auto ordered = pending_.find(engine.name);
-    const bool is_pending = ordered != pending_.end() && now < ordered->second.until;
-    return (is_pending ? ordered->second.role : engine.role) == endpoint_role::kPrefill;
-  }));
-}
-
 void stage_planner::RecordOrder(const stage_change& change, time_point now) {
   pending_[change.engine] = {change.role, now + settings_.order_timeout};
 }
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -25,7 +25,6 @@
   services.Register<stage_orders>("stages", services, *settings, *client, table);
   auto& request_ingress = services.Register<ingress>("entry", services, *settings, *client);
   group.local_revision = [&directory] { return directory.Routes()->Revision(); };
-  group.local_workloads = [&generations] { return generations.LocalWorkloads(); };
   group.local_uses = [&tracker] { return tracker.LocalUses(); };
   group.local_waiting = [&generations] { return generations.LocalWaiting(); };
   // The stop function owns the settings and the client; the program keeps it until the kernel has stopped.
--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -23,10 +23,11 @@
   duration("model", "transfer_time_ms", settings.transfer_time);
   duration("model", "late_wait_ms", settings.late_wait);
   duration("model", "late_retry_ms", settings.overload_retry_after);
-  duration("model", "max_event_pause_ms", settings.max_event_pause);
+  bind.Number("model", "prefill_backlog_tokens", settings.max_prefill_backlog, 0, 1'000'000);
+  bind.Number("model", "own_prompt_limit_tokens", settings.local_prefill_limit, 0, 1'000'000);
   duration("model", "stall_limit_ms", settings.stall_limit);
   bind.Flag("stages", "order_stages", settings.order_stages);
-  bind.Real("stages", "initial_prefill_share", settings.initial_prefill_share, 0, 1);
+  bind.Real("stages", "prefill_weight", settings.prefill_weight, 0.1, 10);
   duration("stages", "stage_settle_ms", settings.stage_settle);
   duration("stop", "announce_ms", settings.stop_announce);
   duration("stop", "reserve_ms", settings.stop_reserve);
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -37,22 +37,27 @@
   milliseconds reservation_time = milliseconds(2'000);  // lifetime of a reservation that no request uses yet
   // Time for which an engine that has refused a reservation is not asked for as much memory again.
   milliseconds refused_pause = milliseconds(40);
-  // Time budgeted from the end of a prefill to the first event, until it has been measured.
+  // Time budgeted from the end of a prefill to the first event; the median is 150 ms and the 90th percentile 400 ms
+  // outside bursts. A request that starts too late for this budget usually misses its latency target.
   milliseconds transfer_time = milliseconds(300);
   // How long a request that can no longer meet its target may wait for capacity. Callers are expected to disconnect
   // after 3.6 s without an event.
   milliseconds late_wait = milliseconds(2'500);
   // Base Retry-After of a refusal for lack of capacity; jitter adds up to 100%.
   milliseconds overload_retry_after = milliseconds(1'500);
-  // Longest pause between events of a stream on a route that declares none.
-  milliseconds max_event_pause = milliseconds(300);
+  std::int64_t max_prefill_backlog = 7'000;  // a prefill engine with more pending prompt tokens gets no new prompts
+  // Longest prompt, in tokens, that a decode engine prefills itself while the prefill engines are busy. Such a prefill
+  // pauses the engine's streams. At 12 tokens per millisecond, the rate of a slow engine that also decodes, it takes
+  // 200 ms, which keeps the gap between events below 300 ms.
+  std::int64_t local_prefill_limit = 2'400;
   milliseconds stall_limit = milliseconds(2'000);  // a resumable stream without data for this long is resumed on
                                                    // another engine
 
   // [stages]
-  bool order_stages = true;                         // switch engines between prefill and decode to follow the traffic
-  // Share of the engines that run prefill at the first start of the whole system, until the workload has been measured.
-  double initial_prefill_share = 0.2;
+  bool order_stages = true;  // switch engines between prefill and decode to follow the traffic
+  // Multiplier for the number of prefill engines that a constant load needs. A burst loads the prefill engines first:
+  // its prompts arrive at once, while decode memory fills over seconds.
+  double prefill_weight = 1.2;
   milliseconds stage_settle = milliseconds(1'500);  // the set of engines must be stable for this long before an order
 
   // [stop]
--- a/src/direct/endpoint_tracker.cpp
+++ b/src/direct/endpoint_tracker.cpp
@@ -80,17 +80,6 @@
   group_->ScheduleUpdate();
 }
 
-std::uint32_t endpoint_tracker::PendingPrefill(const endpoint_name& endpoint) const {
-  const endpoint_state* state = FindState(endpoint);
-  return (state == nullptr ? 0 : state->use.prefill_tokens) + group_->PeerUse(endpoint).prefill_tokens;
-}
-
-std::uint32_t endpoint_tracker::StreamCount(const endpoint_name& endpoint) const {
-  const endpoint_state* state = FindState(endpoint);
-  const std::size_t local_streams = state == nullptr ? 0 : state->streams.size();
-  return static_cast<std::uint32_t>(local_streams + group_->PeerUse(endpoint).streams.size());
-}
-
 void endpoint_tracker::RecordReservationRefused(const endpoint_name& endpoint, std::uint32_t tokens) {
   const time_point now = timer_service::Now();
   endpoint_state& state = StateOf(endpoint);
--- a/src/direct/endpoint_tracker.h
+++ b/src/direct/endpoint_tracker.h
@@ -42,12 +42,6 @@
   void UpdateStream(const endpoint_name& endpoint, stream_id id, const stream_memory& memory);
   void RemoveStream(const endpoint_name& endpoint, stream_id id);
 
-  // Prompt tokens of this router and its peers that the engine has not finished to prefill.
-  std::uint32_t PendingPrefill(const endpoint_name& endpoint) const;
-
-  // Decode reservations and streams of this router and its peers on the engine.
-  std::uint32_t StreamCount(const endpoint_name& endpoint) const;
-
   // An engine refused to reserve this many tokens; it is not asked for that many or more during refused_pause.
   void RecordReservationRefused(const endpoint_name& endpoint, std::uint32_t tokens);
 
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -27,8 +27,8 @@
 constexpr milliseconds kResumeStartLimit(500);
 constexpr milliseconds kNoEngineRetryAfter(1'000);  // Retry-After when no engine is available
 constexpr milliseconds kControlTimeout(1'000);      // of one call that frees memory
-constexpr std::size_t kIntervalEvents = 8;          // events of a stream over which one token interval is measured
-constexpr milliseconds kWorkloadPeriod(200);        // between two calculations of the workload over all routers
+constexpr int kStreamTimeSamples = 32;              // streams over which their duration is averaged
+constexpr int kIntervalSamples = 32;                // streams over which the token interval is averaged
 // A request with at least this fraction of the route's largest time budget counts as a first attempt. First attempts
 // have 12 to 14 s.
 constexpr double kFirstAttemptBudgetShare = 0.85;
@@ -56,11 +56,7 @@
   placement_queue queue;
   std::map<request_id, waiting_ptr> waiting;  // all requests without a reservation
   output_length_model output_lengths;
-  workload_meter meter;
-  workload_profile workload;        // over all routers
-  double local_requests_per_s = 0;  // part of the workload that arrives at this router
-  time_point workload_updated;
-  milliseconds max_pause{0};  // between events, of the last request's route
+  microseconds stream_time{0};  // mean duration of the answered streams; 0: none yet
   time_point previous_dispatch;
   time_point current_dispatch;
   bool reported_waiting = false;  // the last state sent to peers listed waiting requests that can meet their target
@@ -92,7 +88,9 @@
 generation_calls::service_queue& generation_calls::QueueFor(const service_record& service) {
   auto& queue = queues_[service.name];
   if (!queue) {
-    queue = std::make_unique<service_queue>(service, placement_queue_settings{});
+    placement_queue_settings settings;
+    settings.local_prefill_limit = static_cast<std::uint32_t>(settings_.local_prefill_limit);
+    queue = std::make_unique<service_queue>(service, settings);
   }
   queue->record = service;
   return *queue;
@@ -118,23 +116,15 @@
   placement_request request;
   request.request = request_id{fmt::format("{}", ++next_number_)};
   const std::uint32_t estimate = EstimateOutput(metadata.expected_output_tokens, metadata.max_output_tokens, {});
-  service_queue& queue = QueueFor(call.Service());
-  output_length_model& output_lengths = queue.output_lengths;
-  queue.max_pause = route.target_event_interval.count() > 0 ? route.target_event_interval : settings_.max_event_pause;
-  if (!is_resumed && is_first_attempt) {
+  output_length_model& output_lengths = QueueFor(call.Service()).output_lengths;
+  if (!is_resumed) {
     output_lengths.RecordEstimate(estimate);
-    queue.meter.RecordRequest(metadata.prompt_tokens,
-                              output_lengths.ExpectRemaining(estimate, 0, metadata.max_output_tokens),
-                              route.target_latency, now);
   }
   request.memory = {metadata.prompt_tokens, output_lengths.ExpectRemaining(estimate, 0, metadata.max_output_tokens)};
   request.is_resumed = is_resumed;
-  const workload_profile& workload = Workload(call.Service());
-  const auto first_event = workload.first_event_ms > 0
-                               ? microseconds(static_cast<std::int64_t>(workload.first_event_ms * 1e3))
-                               : microseconds(settings_.transfer_time);
-  request.latest_start = call.Arrival() - waited_before + route.target_latency -
-                         EstimatePrefill(metadata.prompt_tokens, workload) - first_event;
+  const double prefill_ms = metadata.prompt_tokens / placement_settings{}.prefill_tokens_per_ms;
+  const auto prefill = microseconds(static_cast<std::int64_t>(prefill_ms * 1'000));
+  request.latest_start = call.Arrival() - waited_before + route.target_latency - prefill - settings_.transfer_time;
   if (is_resumed) {
     // A stream that has lost its engine, or a request whose earlier assignment failed, counts as in time for this long,
     // even if it has missed its target.
@@ -195,37 +185,6 @@
   return counts;
 }
 
-std::vector<workload_report> generation_calls::LocalWorkloads() const {
-  std::vector<workload_report> reports;
-  for (const auto& [name, queue] : queues_) {
-    reports.push_back(queue->meter.Report(ServiceKey(name), timer_service::Now()));
-  }
-  return reports;
-}
-
-const workload_profile& generation_calls::Workload(const service_record& service) {
-  service_queue& queue = QueueFor(service);
-  const time_point now = timer_service::Now();
-  if (now - queue.workload_updated >= kWorkloadPeriod) {
-    queue.workload_updated = now;
-    std::vector<workload_report> reports = group_->PeerWorkloads(service.name);
-    reports.push_back(queue.meter.Report(ServiceKey(service.name), now));
-    queue.local_requests_per_s = reports.back().requests_per_s;
-    queue.workload = CombineReports(reports);
-  }
-  return queue.workload;
-}
-
-microseconds generation_calls::TokenInterval(const service_record& service) {
-  const workload_profile& workload = Workload(service);
-  if (workload.token_interval_ms <= 0) {
-    return kAssumedTokenInterval;
-  }
-  const double streams = service.engine ? service.engine->slots : 1;
-  const double interval_ms = workload.token_interval_ms + workload.token_interval_per_stream_ms * streams;
-  return microseconds(static_cast<std::int64_t>(interval_ms * 1e3));
-}
-
 void generation_calls::RemoveWaiting(service_queue& queue, const waiting_ptr& waiting) {
   queue.queue.Remove(waiting->request.request);
   queue.waiting.erase(waiting->request.request);
@@ -256,24 +215,23 @@
   const engine_profile profile = queue.record.engine.value_or(engine_profile{});
   const auto engines = endpoint_tracker_->ListEndpoints(queue.record.name, endpoint_role::kDecode);
   const auto prefill_engines = endpoint_tracker_->ListEndpoints(queue.record.name, endpoint_role::kPrefill);
-  const workload_profile& workload = Workload(queue.record);
-  const double peer_requests_per_s = std::max(0.0, workload.requests_per_s - queue.local_requests_per_s);
-  const double unseen_streams = engines.empty()
-                                    ? 0
-                                    : peer_requests_per_s / 1e3 * static_cast<double>(group_->SendInterval().count()) /
-                                          static_cast<double>(engines.size());
-  const placement_settings settings = MakePlacementSettings(workload, queue.max_pause, unseen_streams);
+  placement_settings settings;
+  settings.max_prefill_backlog = static_cast<std::uint32_t>(settings_.max_prefill_backlog);
+  settings.local_prefill_limit = static_cast<std::uint32_t>(settings_.local_prefill_limit);
   const auto choose = [&](const placement_request& request) {
     auto views = endpoint_tracker_->EngineViews(engines, profile, queue.waiting.at(request.request)->avoid);
+    double streams = 0;
     for (engine_view& view : views) {
+      streams += static_cast<double>(view.streams.size()) / static_cast<double>(views.size());
       view.headroom_tokens = queue.output_lengths.Headroom(view.running);
     }
+    settings.counts_maxima = HasOutdatedViews(streams, queue.stream_time, group_->SendInterval());
     const auto prefill_views = endpoint_tracker_->EngineViews(prefill_engines, profile, {});
     return ChooseEngines(views, prefill_views, request.memory, settings_.deployment.zone, RandomNumber(), settings);
   };
   const bool peers_wait = group_->PeersWaiting(queue.record.name) > 0;
   while (true) {
-    const placement_step step = queue.queue.TakeNext(choose, peers_wait, settings.local_prefill_limit);
+    const placement_step step = queue.queue.TakeNext(choose, peers_wait);
     if (step.blocked != wait_reason::kNone) {
       RecordBlocked(queue, step.blocked, now);
     }
@@ -316,13 +274,9 @@
   const milliseconds lifetime = std::min(settings_.reservation_time, profile.max_reservation_time);
   const std::uint32_t tokens = assignment.memory.reserved_tokens;
   auto request = platform::MakeReserveRequest(assignment.engine.name, tokens, lifetime);
-  const time_point sent = timer_service::Now();
   auto response = co_await client_.Fetch(assignment.engine.address, std::move(request), settings_.reserve_timeout);
   const time_point now = timer_service::Now();
   service_queue& queue = *queues_[service];
-  if (response) {
-    queue.meter.RecordCallOverhead(std::chrono::duration_cast<microseconds>(now - sent));
-  }
   auto reservation = response && response.value().status == 200
                          ? platform::ParseReservation(response.value().body)
                          : result<std::string>(error{error_code::kUnavailable, ""});
@@ -434,9 +388,7 @@
       }
       const auto engines = endpoint_tracker_->ListEndpoints(call->Service().name, endpoint_role::kPrefill);
       const auto views = endpoint_tracker_->EngineViews(engines, profile, avoid);
-      const placement_settings placement =
-          MakePlacementSettings(Workload(call->Service()), settings_.max_event_pause, 0);
-      const auto index = ChoosePrefillEngine(views, assignment.engine.zone, RandomNumber(), placement);
+      const auto index = ChoosePrefillEngine(views, assignment.engine.zone, RandomNumber(), {});
       if (!index || !budget.AllowSend(begin)) {
         call->reason = index ? "budget_spent" : "no_prefill_engine";
         co_return std::nullopt;
@@ -445,8 +397,6 @@
       endpoint_tracker_->AddPrefill(engine.name, call->Metadata().prompt_tokens, 1);
     }
     avoid.push_back(engine.name);
-    const std::uint32_t pending = endpoint_tracker_->PendingPrefill(engine.name);
-    const std::uint32_t tokens_ahead = pending - std::min(pending, call->Metadata().prompt_tokens);
     http_call upstream(client_);
     call->SetDisconnectHandler([&upstream] { upstream.Cancel(); });
     const time_point end = std::min(call->Deadline(), begin + kPrefillTimeout);
@@ -475,12 +425,6 @@
                                                          : result<std::string>(error{error_code::kUnavailable, ""});
     if (handle) {
       endpoint_tracker_->RecordAnswer(engine);
-      const time_point prefilled = timer_service::Now();
-      if (tokens_ahead == 0) {
-        QueueFor(call->Service())
-            .meter.RecordPrefill(call->Metadata().prompt_tokens,
-                                 std::chrono::duration_cast<microseconds>(prefilled - begin));
-      }
       Events()
           .Line(kComponent, "prefilled")
           .Request(call->Metadata().attempt)
@@ -563,7 +507,7 @@
         (void)co_await call->Exchange().StartStream(head.value().status,
                                                     platform::ForwardedHeaders(head.value().headers));
       }
-      outcome = co_await ForwardStream(call, upstream, assignment, stream, begin);
+      outcome = co_await ForwardStream(call, upstream, assignment, stream);
     } else if (metadata.has_seal && !stream.started && head.value().status >= 400 && head.value().status != 429 &&
                head.value().status != 503 && head.value().status != 408) {
       // An error response of the engine itself is forwarded unchanged.
@@ -639,9 +583,21 @@
   engines_being_checked_.erase(engine.name);
 }
 
+void generation_calls::RecordTokenInterval(microseconds streamed, std::size_t tokens) {
+  if (tokens > 0) {
+    token_interval_ += (streamed / static_cast<std::int64_t>(tokens) - token_interval_) / kIntervalSamples;
+  }
+}
+
+void generation_calls::RecordStreamTime(service_queue& queue, microseconds duration) {
+  queue.stream_time = queue.stream_time.count() == 0
+                          ? duration
+                          : queue.stream_time + (duration - queue.stream_time) / kStreamTimeSamples;
+}
+
 task<generation_calls::decode_result> generation_calls::ForwardStream(direct_call_ptr call, http_call& upstream,
                                                                       const engine_assignment& assignment,
-                                                                      stream_state& stream, time_point decode_begin) {
+                                                                      stream_state& stream) {
   const bool resumable = call->Route().resumable;
   const engine_profile profile = call->Service().engine.value_or(engine_profile{});
   std::uint32_t used_tokens = call->Metadata().prompt_tokens;
@@ -651,20 +607,9 @@
   const auto output_tokens = [&] {
     return static_cast<std::uint32_t>(stream.events.EventCount()) * profile.tokens_per_event;
   };
-  workload_meter& meter = QueueFor(call->Service()).meter;
-  time_point last_event = timer_service::Now();
-  time_point interval_begin;        // arrival of the first event of the current interval
-  std::size_t interval_events = 0;  // event count then; 0: no event yet
-  const auto record_interval = [&](time_point read_at) {
-    const std::size_t count = stream.events.EventCount();
-    if (count > interval_events && interval_events > 0) {
-      const auto tokens = static_cast<std::int64_t>((count - interval_events) * profile.tokens_per_event);
-      meter.RecordTokenInterval(std::chrono::duration_cast<microseconds>(read_at - interval_begin) / tokens,
-                                endpoint_tracker_->StreamCount(assignment.engine.name), read_at);
-    }
-    interval_events = count;
-    interval_begin = read_at;
-  };
+  const time_point begin = timer_service::Now();
+  time_point last_event = begin;
+  const std::size_t events_before = stream.events.EventCount();
   microseconds longest_pause(0);
   decode_result outcome = decode_result::kBroken;
   while (true) {
@@ -697,13 +642,6 @@
       const time_point read_at = timer_service::Now();
       longest_pause = std::max(longest_pause, std::chrono::duration_cast<microseconds>(read_at - last_event));
       last_event = read_at;
-      const std::size_t count = stream.events.EventCount();
-      if (interval_events == 0 && assignment.prefill) {
-        meter.RecordFirstEvent(std::chrono::duration_cast<microseconds>(read_at - decode_begin), read_at);
-      }
-      if (interval_events == 0 || count >= interval_events + kIntervalEvents) {
-        record_interval(read_at);
-      }
       if (call->first_event == milliseconds(0)) {
         call->first_event = call->Age(timer_service::Now());
       }
@@ -718,8 +656,10 @@
       outcome = finished ? decode_result::kDone : decode_result::kCallerDisconnected;
       call->reason = "whole_answer";  // replaces the reason of an earlier attempt
       endpoint_tracker_->RecordAnswer(assignment.engine);
+      RecordTokenInterval(std::chrono::duration_cast<microseconds>(last_event - begin),
+                          (stream.events.EventCount() - events_before) * profile.tokens_per_event);
       output_lengths.RecordAnswer(estimated_output, output_tokens());
-      record_interval(last_event);
+      RecordStreamTime(QueueFor(call->Service()), std::chrono::duration_cast<microseconds>(last_event - begin));
       break;
     }
     used_tokens = call->Metadata().prompt_tokens + output_tokens();
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -18,7 +18,6 @@
 #include "direct/plain_calls.h"
 #include "persimmon/event_stream.h"
 #include "persimmon/placement_queue.h"
-#include "persimmon/workload.h"
 
 namespace persimmon {
 
@@ -37,14 +36,8 @@
   // Waiting requests by service, to be sent to the other routers.
   std::vector<waiting_count> LocalWaiting() const;
 
-  // Workload of each model service as measured by this router, to be sent to the other routers.
-  std::vector<workload_report> LocalWorkloads() const;
-
-  // Workload of the service over all routers. Values of 0 have not been measured yet.
-  const workload_profile& Workload(const service_record& service);
-
-  // Mean time between output tokens on a busy engine; kAssumedTokenInterval until it has been measured.
-  microseconds TokenInterval(const service_record& service);
+  // Mean time between output tokens over recent streams; kAssumedTokenInterval before the first stream.
+  microseconds TokenInterval() const { return token_interval_; }
 
   // Tries to assign engines to waiting requests; to be called when capacity may have become free.
   void DispatchAll();
@@ -110,10 +103,12 @@
   task<decode_result> Decode(direct_call_ptr call, const engine_assignment& assignment,
                              std::optional<platform::kv_source> source, stream_state& stream);
   task<decode_result> ForwardStream(direct_call_ptr call, http_call& upstream, const engine_assignment& assignment,
-                                    stream_state& stream, time_point decode_begin);
+                                    stream_state& stream);
   task<call_outcome> Finish(direct_call_ptr call, decode_result result, stream_state& stream, bool may_have_run);
 
   task<> CheckEngine(chosen_endpoint engine);
+  static void RecordStreamTime(service_queue& queue, microseconds duration);
+  void RecordTokenInterval(microseconds streamed, std::size_t tokens);
   void ReleaseReservation(const engine_assignment& assignment);
   void ReleaseAssignment(const direct_call& call, const engine_assignment& assignment);
   void ReleasePrefill(const direct_call& call, const engine_assignment& assignment,
@@ -134,6 +129,7 @@
   std::set<endpoint_name> engines_being_checked_;        // engines that CheckEngine polls
   timer_subscription dispatch_timer_;
   bool dispatch_scheduled_ = false;
+  microseconds token_interval_ = kAssumedTokenInterval;
   std::uint64_t next_number_ = 0;
 };
 
--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -23,6 +23,7 @@
 constexpr milliseconds kNotReadyRetryAfter(500);   // Retry-After while no desired state is active
 // Retry-After for long requests during a stop; short, because another router can accept them at once.
 constexpr milliseconds kStoppingRetryAfter(20);
+constexpr milliseconds kFirstEventTime(700);  // 90th percentile of the time to the first event outside bursts
 constexpr double kStreamMargin = 1.25;  // multiplier for the expected duration, for responses longer than estimated
 // From callers; leaves file descriptors for endpoints if the process may open 4,100.
 constexpr std::size_t kMaxConnections = 3'000;
@@ -236,9 +237,8 @@
 bool ingress::EndsBeforeDeadline(const direct_call& call) const {
   const auto& metadata = call.Metadata();
   const std::uint32_t output = EstimateOutput(metadata.expected_output_tokens, metadata.max_output_tokens, {});
-  const auto duration = output * generation_calls_->TokenInterval(call.Service()) * kStreamMargin;
-  return timer_service::Now() + call.Route().target_latency + std::chrono::duration_cast<microseconds>(duration) <
-         drain_deadline_;
+  const auto duration = output * generation_calls_->TokenInterval() * kStreamMargin;
+  return timer_service::Now() + kFirstEventTime + std::chrono::duration_cast<microseconds>(duration) < drain_deadline_;
 }
 
 void ingress::LogCompletion(const direct_call& call, call_outcome outcome) {
--- a/src/direct/router_group.cpp
+++ b/src/direct/router_group.cpp
@@ -103,7 +103,6 @@
   state.uses = local_uses ? local_uses() : std::vector<endpoint_use>();
   state.suspects = local_suspects ? local_suspects() : std::vector<suspect_report>();
   state.waiting = local_waiting ? local_waiting() : std::vector<waiting_count>();
-  state.workloads = local_workloads ? local_workloads() : std::vector<workload_report>();
   std::vector<host_port> recipients;
   for (const auto& [address, other] : peers_) {
     recipients.push_back(address);
@@ -166,12 +165,10 @@
   bool changed = false;
   std::erase_if(paused_until_, [now](const auto& item) { return now >= item.second; });
   for (auto& [address, other] : peers_) {
-    if (now - other.last_heard > kSilenceTimeout &&
-        !(other.state.uses.empty() && other.state.waiting.empty() && other.state.workloads.empty())) {
+    if (now - other.last_heard > kSilenceTimeout && !(other.state.uses.empty() && other.state.waiting.empty())) {
       Events().Line(kComponent, "router_silent").Add("router", other.state.name);
       other.state.uses.clear();
       other.state.waiting.clear();
-      other.state.workloads.clear();
       changed = true;
     }
   }
@@ -239,19 +236,6 @@
   return requests;
 }
 
-std::vector<workload_report> router_group::PeerWorkloads(const std::string& service) const {
-  const std::uint64_t key = ServiceKey(service);
-  std::vector<workload_report> reports;
-  for (const auto& [address, other] : peers_) {
-    for (const workload_report& report : other.state.workloads) {
-      if (report.service == key) {
-        reports.push_back(report);
-      }
-    }
-  }
-  return reports;
-}
-
 std::uint32_t router_group::RouterCount() const {
   const auto live_routers = static_cast<std::uint32_t>(peers_.size()) + 1;
   return peers_.empty() ? kAssumedRouters : live_routers;
--- a/src/direct/router_group.h
+++ b/src/direct/router_group.h
@@ -43,7 +43,6 @@
   std::function<std::vector<endpoint_use>()> local_uses;
   std::function<std::vector<suspect_report>()> local_suspects;
   std::function<std::vector<waiting_count>()> local_waiting;
-  std::function<std::vector<workload_report>()> local_workloads;
   // Called with the suspect reports of another router. `origin` is its name and incarnation.
   std::function<void(const std::string& origin, const std::vector<suspect_report>&)> on_suspects;
   // Called after the endpoint loads of another router have changed.
@@ -60,12 +59,9 @@
   // messages.
   std::uint32_t PeersWaiting(const std::string& service) const;
 
-  // Shortest time between two messages of this router. Peers learn of a change within this time on average.
+  // Shortest time between two messages of a router, after which its peers know its load.
   milliseconds SendInterval() const;
 
-  // Workload of the service as last reported by the other routers.
-  std::vector<workload_report> PeerWorkloads(const std::string& service) const;
-
   // True while another router pauses the endpoint because it was unreachable, rejected work or executes an order.
   bool IsPausedByPeer(const endpoint_name& endpoint, time_point now) const;
 
--- a/src/direct/stage_orders.cpp
+++ b/src/direct/stage_orders.cpp
@@ -2,7 +2,6 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <cmath>
 #include <nlohmann/json.hpp>
 
 #include "core/event_log.h"
@@ -19,8 +18,6 @@
 constexpr milliseconds kPlanPeriod(400);       // mean time between rounds, with random jitter of up to a quarter
 constexpr milliseconds kMaxStartDelay(1'200);  // random, so that routers that start together do not plan simultaneously
 constexpr milliseconds kOrderTimeout(400);     // for the response of an engine
-// From an order to the registry entry with the new stage, beside the switch itself.
-constexpr milliseconds kOrderDelay(1'500);
 // Orders are sent at most this long after the lease was requested, so that a router that was suspended in the meantime
 // sends no orders with an outdated lease.
 constexpr milliseconds kLeaseUseLimit(1'000);
@@ -42,7 +39,6 @@
 void stage_orders::Start() {
   directory_ = &kernel_.Find<deployment_directory>("directory");
   endpoint_tracker_ = &kernel_.Find<endpoint_tracker>("board");
-  generation_calls_ = &kernel_.Find<generation_calls>("generations");
   if (settings_.order_stages) {
     asio::co_spawn(kernel_.Context(), Run(), asio::detached);
   }
@@ -64,20 +60,9 @@
   }
 }
 
-stage_planner& stage_orders::PlannerFor(const service_record& service) {
-  const milliseconds switch_time = service.engine->stage_switch_time;
-  stage_settings settings;
-  settings.settle = settings_.stage_settle;
-  settings.order_timeout = 2 * switch_time + kOrderDelay;
-  settings.round_pause = switch_time + kOrderDelay;
-  // The wanted number already accounts for the cost of a change.
-  settings.tolerated_excess = 0;
-  settings.tolerated_lack = 0;
-  return planners_.try_emplace(service.name, settings).first->second;
-}
-
 task<> stage_orders::RunRound(service_record service) {
-  stage_planner& planner = PlannerFor(service);
+  const stage_settings settings{.settle = settings_.stage_settle, .first_start = settings_.deployment.first_start};
+  stage_planner& planner = planners_.try_emplace(service.name, settings).first->second;
   const auto endpoints = endpoint_tracker_->ListEndpoints(service.name, std::nullopt);
   const auto views = endpoint_tracker_->EngineViews(endpoints, *service.engine, {});
   std::vector<engine_stage_view> engines;
@@ -88,31 +73,14 @@
       engines.push_back({endpoints[i].name, endpoints[i].zone, endpoints[i].started_ms, *entry->role, load});
     }
   }
-  const engine_pool pool{static_cast<std::uint32_t>(engines.size()), service.engine->kv_tokens, service.engine->slots,
-                         service.engine->stage_switch_time};
-  const workload_profile workload = generation_calls_->Workload(service);
-  const std::uint32_t prefill = planner.CountPrefill(engines, timer_service::Now());
-  std::uint32_t wanted = PlanPrefillEngines(pool, workload, prefill);
-  if (!workload.IsComplete() && settings_.deployment.first_start) {
-    // Without traffic a change disturbs nobody.
-    wanted = static_cast<std::uint32_t>(std::ceil(settings_.initial_prefill_share * pool.engines));
-  }
-  const auto changes = planner.Plan(engines, wanted, timer_service::Now());
+  workload_profile profile;
+  profile.prefill_tokens_per_ms /= settings_.prefill_weight;
+  const double prefill_target = PlanPrefillEngines(static_cast<std::uint32_t>(engines.size()),
+                                                   service.engine->kv_tokens, service.engine->slots, profile);
+  const auto changes = planner.Plan(engines, prefill_target, timer_service::Now());
   if (changes.empty()) {
     co_return;
   }
-  Events()
-      .Line(kComponent, "plan")
-      .Add("service", service.name)
-      .Add("engines", pool.engines)
-      .Add("prefill", prefill)
-      .Add("wanted", wanted)
-      .Add("requests_per_s", workload.requests_per_s)
-      .Add("prompt_tokens", workload.prompt_tokens)
-      .Add("output_tokens", workload.output_tokens)
-      .Add("prefill_tokens_per_ms", workload.prefill_tokens_per_ms)
-      .Add("token_interval_ms", workload.token_interval_ms)
-      .Add("token_interval_per_stream_ms", workload.token_interval_per_stream_ms);
   const time_point begin = timer_service::Now();
   const auto fencing_token = co_await AcquireLease(service.name);
   if (!fencing_token) {
--- a/src/direct/stage_orders.h
+++ b/src/direct/stage_orders.h
@@ -13,7 +13,6 @@
 #include "core/kernel.h"
 #include "direct/directory.h"
 #include "direct/endpoint_tracker.h"
-#include "direct/generation_calls.h"
 #include "persimmon/stage_plan.h"
 #include "platform/table_client.h"
 
@@ -32,7 +31,6 @@
  private:
   task<> Run();
   task<> RunRound(service_record service);
-  stage_planner& PlannerFor(const service_record& service);
   // Returns the fencing token for one round of orders, or nothing if the lease could not be acquired.
   task<std::optional<std::uint64_t>> AcquireLease(const std::string& service);
   // Returns false if the engine has already accepted a higher fencing token.
@@ -44,7 +42,6 @@
   table_client table_;
   deployment_directory* directory_ = nullptr;
   endpoint_tracker* endpoint_tracker_ = nullptr;
-  generation_calls* generation_calls_ = nullptr;   // measures the workload
   std::map<std::string, stage_planner> planners_;  // by service
   std::map<std::string, lease_watch> leases_;      // by service
   bool leaving_ = false;
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -27,7 +27,6 @@
 #include "persimmon/error.h"
 #include "persimmon/kv_placement.h"
 #include "persimmon/types.h"
-#include "persimmon/workload.h"
 
 namespace persimmon {
 
@@ -524,13 +523,12 @@
   std::vector<host_port> members;  // UDP addresses of the routers it has recently received messages from
   std::vector<endpoint_use> uses;  // endpoints without work in progress are omitted
   std::vector<suspect_report> suspects;
-  std::vector<waiting_count> waiting;      // services without queued requests are omitted
-  std::vector<workload_report> workloads;  // of model services, as measured by the router
+  std::vector<waiting_count> waiting;  // services without queued requests are omitted
 
   bool operator==(const router_state&) const = default;
   template <class archive>
   void serialize(archive& ar) {
-    ar(name, incarnation, sequence, revision, leaving, control, members, uses, suspects, waiting, workloads);
+    ar(name, incarnation, sequence, revision, leaving, control, members, uses, suspects, waiting);
   }
 };
 
