Count on medians where views are outdated, on means where streams are predicted

Change: ExpectRemaining takes the kind of expectation; the sum of maxima uses medians, the predicted peak means.

--- a/include/persimmon/kv_placement.h
+++ b/include/persimmon/kv_placement.h
@@ -177,10 +177,12 @@
   void RecordEstimate(std::uint32_t estimated_tokens);  // of a new request
   void RecordAnswer(std::uint32_t estimated_tokens, std::uint32_t output_tokens);
 
-  // Mean number of further output tokens of a stream that has generated this many. More than the difference to the
-  // estimate, because some streams become much longer. At most the difference to `maximum`.
-  std::uint32_t ExpectRemaining(std::uint32_t estimated_tokens, std::uint32_t generated_tokens,
-                                std::uint32_t maximum) const;
+  // Expected number of further output tokens of a stream that has generated this many, at most the difference to
+  // `maximum`. More than the difference to the estimate, because some streams become much longer. kMedian counts only
+  // up to the median length until the stream has reached it.
+  enum class expectation : std::uint8_t { kMean, kMedian };
+  std::uint32_t ExpectRemaining(std::uint32_t estimated_tokens, std::uint32_t generated_tokens, std::uint32_t maximum,
+                                expectation kind) const;
 
   // Tokens to leave free on an engine with this many streams: one standard deviation of the sum of their lengths. About
   // five in six engines then have enough memory, because only the excess on one side of the mean counts. 0 for an idle
--- a/src/decisions/kv_placement.cpp
+++ b/src/decisions/kv_placement.cpp
@@ -227,24 +227,25 @@
 }
 
 std::uint32_t output_length_model::ExpectRemaining(std::uint32_t estimated_tokens, std::uint32_t generated_tokens,
-                                                   std::uint32_t maximum) const {
+                                                   std::uint32_t maximum, expectation kind) const {
   if (generated_tokens >= maximum) {
     return 0;
   }
   const double left = maximum - generated_tokens;
   const double median = std::max(1.0, estimated_tokens * std::exp(mean_log_ratio_));
-  const double deviation = std::sqrt(variance_);
-  const double mean = median * std::exp(variance_ / 2);
-  if (generated_tokens == 0 || deviation < kMinDeviation) {
-    return static_cast<std::uint32_t>(std::clamp(mean - generated_tokens, 0.0, left));
+  if (kind == expectation::kMedian && generated_tokens < median) {
+    return static_cast<std::uint32_t>(std::min(median - generated_tokens, left));
+  }
+  const double deviation = std::max(kMinDeviation, std::sqrt(variance_));
+  if (generated_tokens == 0) {
+    return static_cast<std::uint32_t>(std::min(median * std::exp(deviation * deviation / 2), left));
   }
   // Mean of a log-normal variable that exceeds the tokens generated so far.
   const double position = std::log(generated_tokens / median) / deviation;
   const double share_above = NormalTail(position);
-  if (share_above < kMinTail) {
-    return static_cast<std::uint32_t>(std::min(left, generated_tokens * deviation));
-  }
-  const double mean_above = mean * NormalTail(position - deviation) / share_above;
+  const double mean = median * std::exp(deviation * deviation / 2);
+  const double mean_above = share_above < kMinTail ? generated_tokens * (1 + deviation)  // far beyond the estimate
+                                                   : mean * NormalTail(position - deviation) / share_above;
   return static_cast<std::uint32_t>(std::clamp(mean_above - generated_tokens, 0.0, left));
 }
 
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -56,6 +56,7 @@
   placement_queue queue;
   std::map<request_id, waiting_ptr> waiting;  // all requests without a reservation
   output_length_model output_lengths;
+  output_length_model::expectation length_expectation = output_length_model::expectation::kMedian;
   microseconds stream_time{0};  // mean duration of the answered streams; 0: none yet
   time_point previous_dispatch;
   time_point current_dispatch;
@@ -116,11 +117,13 @@
   placement_request request;
   request.request = request_id{fmt::format("{}", ++next_number_)};
   const std::uint32_t estimate = EstimateOutput(metadata.expected_output_tokens, metadata.max_output_tokens, {});
-  output_length_model& output_lengths = QueueFor(call.Service()).output_lengths;
+  service_queue& queue = QueueFor(call.Service());
+  output_length_model& output_lengths = queue.output_lengths;
   if (!is_resumed) {
     output_lengths.RecordEstimate(estimate);
   }
-  request.memory = {metadata.prompt_tokens, output_lengths.ExpectRemaining(estimate, 0, metadata.max_output_tokens)};
+  request.memory = {metadata.prompt_tokens,
+                    output_lengths.ExpectRemaining(estimate, 0, metadata.max_output_tokens, queue.length_expectation)};
   request.is_resumed = is_resumed;
   const double prefill_ms = metadata.prompt_tokens / placement_settings{}.prefill_tokens_per_ms;
   const auto prefill = microseconds(static_cast<std::int64_t>(prefill_ms * 1'000));
@@ -226,6 +229,9 @@
       view.headroom_tokens = queue.output_lengths.Headroom(view.running);
     }
     settings.counts_maxima = HasOutdatedViews(streams, queue.stream_time, group_->SendInterval());
+    // The sum of maxima is cautious by itself.
+    queue.length_expectation =
+        settings.counts_maxima ? output_length_model::expectation::kMedian : output_length_model::expectation::kMean;
     const auto prefill_views = endpoint_tracker_->EngineViews(prefill_engines, profile, {});
     return ChooseEngines(views, prefill_views, request.memory, settings_.deployment.zone, RandomNumber(), settings);
   };
@@ -663,7 +669,8 @@
       break;
     }
     used_tokens = call->Metadata().prompt_tokens + output_tokens();
-    const std::uint32_t remaining = output_lengths.ExpectRemaining(estimated_output, output_tokens(), max_output);
+    const std::uint32_t remaining = output_lengths.ExpectRemaining(estimated_output, output_tokens(), max_output,
+                                                                   QueueFor(call->Service()).length_expectation);
     endpoint_tracker_->UpdateStream(assignment.engine.name, assignment.stream_id,
                                     {used_tokens, remaining, assignment.memory.reserved_tokens});
   }
--- a/tests/kv_placement_test.cpp
+++ b/tests/kv_placement_test.cpp
@@ -144,10 +144,14 @@
 // A stream that has outlasted its estimate does not end at once. Counting on that preempted one stream in four on
 // engines with outputs of 4,700 tokens.
 TEST(output_length_model_test, ExpectRemaining_OfAStreamPastItsEstimate_IsNotZero) {
-  output_length_model lengths;
-  EXPECT_GT(lengths.ExpectRemaining(1'000, 1'200, 10'000), 100U);
-  EXPECT_EQ(lengths.ExpectRemaining(1'000, 1'200, 1'250), 50U) << "the maximum output is a hard limit";
-  EXPECT_EQ(lengths.ExpectRemaining(1'000, 2'000, 2'000), 0U);
+  constexpr auto kMean = output_length_model::expectation::kMean;
+  constexpr auto kMedian = output_length_model::expectation::kMedian;
+  const output_length_model lengths;
+  EXPECT_EQ(lengths.ExpectRemaining(1'000, 400, 10'000, kMedian), 600U);
+  EXPECT_GT(lengths.ExpectRemaining(1'000, 1'200, 10'000, kMedian), 100U);
+  EXPECT_GT(lengths.ExpectRemaining(1'000, 1'200, 10'000, kMean), 100U);
+  EXPECT_EQ(lengths.ExpectRemaining(1'000, 1'200, 1'250, kMean), 50U) << "the maximum output is a hard limit";
+  EXPECT_EQ(lengths.ExpectRemaining(1'000, 2'000, 2'000, kMean), 0U);
 }
 
 // Callers whose estimates are twice too low would otherwise fill engines until they preempt.
@@ -156,7 +160,7 @@
   for (int i = 0; i < 500; ++i) {
     lengths.RecordAnswer(500, i % 2 == 0 ? 900 : 1'100);
   }
-  EXPECT_NEAR(lengths.ExpectRemaining(500, 0, 10'000), 1'000, 30);
+  EXPECT_NEAR(lengths.ExpectRemaining(500, 0, 10'000, output_length_model::expectation::kMean), 1'000, 30);
 }
 
 // Runs streams of any size to their end, step by step. What the engine sets aside must never exceed the predicted peak,
--- a/tests/support/engine_model.h
+++ b/tests/support/engine_model.h
@@ -207,15 +207,14 @@
 
   std::size_t DecodeIndex(std::uint32_t engine) const { return deployment_.prefill + engine; }
 
-  static constexpr milliseconds kMeanStreamTime{3'600};
-
-  // On a decode engine.
-  double MeanStreams() const {
+  bool HasOutdatedViews() const {
+    constexpr milliseconds kMeanStreamTime(3'600);
     double streams = 0;
     for (const detail::decode_engine& engine : decode_) {
       streams += static_cast<double>(engine.runs.size()) / static_cast<double>(decode_.size());
     }
-    return streams;
+    return policy_ == placement_policy::kProduct &&
+           persimmon::HasOutdatedViews(streams, kMeanStreamTime, milliseconds(deployment_.ReportPeriodMs()));
   }
 
   // --- callers ---
@@ -426,7 +425,9 @@
     if (policy_ == placement_policy::kPerfectInformation) {
       return request.output > generated ? request.output - generated : 0;
     }
-    return routers_[request.router].output_lengths.ExpectRemaining(request.hint, generated, kMaxOutput);
+    const auto kind =
+        HasOutdatedViews() ? output_length_model::expectation::kMedian : output_length_model::expectation::kMean;
+    return routers_[request.router].output_lengths.ExpectRemaining(request.hint, generated, kMaxOutput, kind);
   }
 
   void UpdateStream(const detail::decode_run& run, std::uint32_t engine) {
@@ -499,9 +500,7 @@
     placement_settings placement;
     placement.local_prefill_limit =
         policy_ == placement_policy::kIndependentRouters ? 0 : placement.local_prefill_limit;
-    placement.counts_maxima =
-        policy_ == placement_policy::kProduct &&
-        HasOutdatedViews(MeanStreams(), kMeanStreamTime, milliseconds(deployment_.ReportPeriodMs()));
+    placement.counts_maxima = HasOutdatedViews();
     const auto choose = [&](const placement_request& request) {
       std::vector<engine_view> prefill;
       std::vector<engine_view> decode;
