--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -22,7 +22,14 @@
   pids+=($!)
 }
 
-base=${DEMO_PORT:-$((20000 + RANDOM % 20000))}
+# The ports must lie below the ephemeral range: connections that were closed shortly before may still hold ports there.
+ports=30
+first_ephemeral=$(cut -f1 /proc/sys/net/ipv4/ip_local_port_range)
+base=${DEMO_PORT:-$((10000 + RANDOM % (first_ephemeral - 10000 - ports)))}
+if [ $((base + ports)) -gt "$first_ephemeral" ]; then
+  echo "ports $base to $((base + ports)) overlap the ephemeral ports, which start at $first_ephemeral: choose a lower DEMO_PORT"
+  exit 2
+fi
 platform=127.0.0.1:$base
 secret=demo-secret
 
