--- a/src/direct/router_group.cpp
+++ b/src/direct/router_group.cpp
@@ -217,12 +217,12 @@
 }
 
 const endpoint_use& router_group::PeerUse(const endpoint_name& endpoint) const {
-  static const endpoint_use kNone;
+  static const endpoint_use no_use;
   if (peer_uses_outdated_) {
     SumUses();
   }
   const auto found = peer_uses_.find(EndpointKey(endpoint));
-  return found == peer_uses_.end() ? kNone : found->second;
+  return found == peer_uses_.end() ? no_use : found->second;
 }
 
 std::uint32_t router_group::PeersWaiting(const std::string& service) const {
