--- a/include/persimmon/endpoint_registry.h
+++ b/include/persimmon/endpoint_registry.h
@@ -55,7 +55,9 @@
 
   // Call when an entry was written or removed. An unreadable entry counts as removed.
   void PutEntry(const endpoint_entry& entry);
-  void RemoveEntry(const endpoint_name& name, time_point now);
+
+  // Returns until when the endpoint still receives work; nothing if it receives none.
+  std::optional<time_point> RemoveEntry(const endpoint_name& name, time_point now);
 
   // Replaces all entries by a snapshot of the store. `after_outage`: the store was unavailable, so missing entries may
   // have expired while their endpoints are alive.
--- a/include/persimmon/send_budget.h
+++ b/include/persimmon/send_budget.h
@@ -40,6 +40,10 @@
 
   double Available(time_point now);
 
+  // Requests and extra sends in the current window.
+  std::size_t RequestCount() const { return requests_.size(); }
+  std::size_t SendCount() const { return sends_.size(); }
+
  private:
   void Expire(time_point now);
 
--- a/src/core/timers.h
+++ b/src/core/timers.h
@@ -4,6 +4,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -41,6 +42,11 @@
   std::shared_ptr<bool> active_;
 };
 
+// Time between two points in whole milliseconds, for logs.
+inline std::int64_t ElapsedMs(time_point from, time_point until) {
+  return std::chrono::duration_cast<milliseconds>(until - from).count();
+}
+
 class timer_service {
  public:
   explicit timer_service(asio::io_context& context) : context_(context) {}
--- a/src/decisions/endpoint_registry.cpp
+++ b/src/decisions/endpoint_registry.cpp
@@ -8,17 +8,20 @@
   entries_.insert_or_assign(entry.name, stored_entry{entry, std::nullopt});
 }
 
-void endpoint_registry::RemoveEntry(const endpoint_name& name, time_point now) {
+std::optional<time_point> endpoint_registry::RemoveEntry(const endpoint_name& name, time_point now) {
   const auto found = entries_.find(name);
   if (found == entries_.end()) {
-    return;
+    return std::nullopt;
   }
   const bool may_have_expired = now < grace_end_ && !found->second.entry.draining;
   if (!may_have_expired) {
     entries_.erase(found);
-  } else if (!found->second.remove_at) {
+    return std::nullopt;
+  }
+  if (!found->second.remove_at) {
     found->second.remove_at = grace_end_;
   }
+  return found->second.remove_at;
 }
 
 void endpoint_registry::ReplaceAll(const std::vector<endpoint_entry>& entries, bool after_outage, time_point now) {
--- a/src/direct/direct_call.h
+++ b/src/direct/direct_call.h
@@ -72,7 +72,9 @@
   std::string reason;     // of the outcome, for the log
   std::string endpoints;  // names of the endpoints that received the request in order, separated by commas, for the log
   std::uint32_t sends = 0;
-  milliseconds waited{0};  // time in the queue until engines were reserved
+  std::uint32_t extra_sends = 0;  // sends that were counted in the send budget of the service
+  std::uint32_t prefills = 0;     // prefills that an engine has completed
+  milliseconds waited{0};         // time in the queue until engines were reserved
   wait_reason waited_for = wait_reason::kNone;
   milliseconds first_event{0};  // time from arrival to the first forwarded event; 0: none yet
 
--- a/src/direct/directory.cpp
+++ b/src/direct/directory.cpp
@@ -100,10 +100,13 @@
 }
 
 void deployment_directory::RecordSuccess(const std::string& table, feed_state& feed) {
-  feed.last_success = timer_service::Now();
+  const time_point now = timer_service::Now();
+  feed.last_success = now;
   if (feed.is_unreachable) {
-    const auto outage_time = std::chrono::duration_cast<milliseconds>(timer_service::Now() - feed.unreachable_since);
-    Events().Line(kComponent, "store_regained").Add("table", table).Add("away_ms", outage_time.count());
+    Events()
+        .Line(kComponent, "store_regained")
+        .Add("table", table)
+        .Add("away_ms", ElapsedMs(feed.unreachable_since, now));
     feed.is_unreachable = false;
   }
 }
@@ -113,7 +116,11 @@
     feed.is_unreachable = true;
     // On a silent connection the call times out long after the outage began, so the last success is the start.
     feed.unreachable_since = feed.last_success.value_or(timer_service::Now());
-    Events().Line(kComponent, "store_lost").Add("table", table).Add("reason", failure.message);
+    Events()
+        .Line(kComponent, "store_lost")
+        .Add("table", table)
+        .Add("silent_ms", ElapsedMs(feed.unreachable_since, timer_service::Now()))
+        .Add("reason", failure.message);
   }
 }
 
@@ -168,9 +175,12 @@
 void deployment_directory::ApplyEndpointRow(const table_row& row) {
   const time_point now = timer_service::Now();
   if (row.version == 0) {
-    registry_.RemoveEntry(endpoint_name{row.key}, now);
+    const auto used_until = registry_.RemoveEntry(endpoint_name{row.key}, now);
     endpoint_texts_.erase(row.key);
-    Events().Line(kComponent, "endpoint_removed").Add("endpoint", row.key);
+    Events()
+        .Line(kComponent, "endpoint_removed")
+        .Add("endpoint", row.key)
+        .Add("still_used_ms", used_until ? ElapsedMs(now, *used_until) : 0);
     return;
   }
   auto entry = platform::ParseEndpointEntry(row.key, row.value);
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -247,7 +247,7 @@
     const waiting_ptr waiting = queue.waiting.at(step.placed->request);
     stream_memory memory = step.placed->memory;
     memory.reserved_tokens = step.engines.reserved_tokens;
-    engine_assignment assignment{engines[step.engines.decode], std::nullopt, {}, memory, 0};
+    engine_assignment assignment{engines[step.engines.decode], std::nullopt, {}, memory, 0, now};
     assignment.stream_id = endpoint_tracker_->AddStream(assignment.engine.name, memory);
     if (step.engines.prefill) {
       assignment.prefill = prefill_engines[*step.engines.prefill];
@@ -380,7 +380,6 @@
 task<std::optional<platform::kv_source>> generation_calls::Prefill(direct_call_ptr call,
                                                                    const engine_assignment& assignment) {
   const engine_profile profile = call->Service().engine.value_or(engine_profile{});
-  send_budget& budget = budgets_->BudgetFor(call->Service().name);
   std::vector<endpoint_name> avoid;
   if (!assignment.prefill) {
     co_return platform::kv_source{};
@@ -395,7 +394,7 @@
       const auto engines = endpoint_tracker_->ListEndpoints(call->Service().name, endpoint_role::kPrefill);
       const auto views = endpoint_tracker_->EngineViews(engines, profile, avoid);
       const auto index = ChoosePrefillEngine(views, assignment.engine.zone, RandomNumber(), {});
-      if (!index || !budget.AllowSend(begin)) {
+      if (!index || !budgets_->AllowExtraSend(*call)) {
         call->reason = index ? "budget_spent" : "no_prefill_engine";
         co_return std::nullopt;
       }
@@ -436,7 +435,10 @@
           .Request(call->Metadata().attempt)
           .Add("endpoint", engine.name.value)
           .Add("tokens", call->Metadata().prompt_tokens)
+          .Add("completed_before", call->prefills)
+          .Add("chosen_ms_before", ElapsedMs(assignment.chosen_at, begin))
           .Add("took_ms", elapsed.count());
+      ++call->prefills;
       co_return platform::kv_source{engine.address.Text(), handle.value()};
     }
     if (call->IsCallerDisconnected()) {
@@ -451,7 +453,7 @@
       endpoint_tracker_->RecordRequestRejected(engine);
     }
     if (was_sent) {
-      budget.RecordSend(timer_service::Now());  // a rejected prefill is an extra send to the service
+      budgets_->RecordExtraSend(*call);  // a rejected prefill is an extra send to the service
     }
     call->reason = "prefill_failed";
     Events()
@@ -459,6 +461,9 @@
         .Request(call->Metadata().attempt)
         .Add("endpoint", engine.name.value)
         .Add("status", failure ? 0 : head.value().status)
+        .Add("completed_before", call->prefills)
+        .Add("extra_sends", call->extra_sends)
+        .Add("chosen_ms_before", ElapsedMs(assignment.chosen_at, begin))
         .Add("detail", failure ? FormatError(*failure) : "")
         .Add("took_ms", elapsed.count());
   }
@@ -556,6 +561,8 @@
         .Add("endpoint", assignment.engine.name.value)
         .Add("result", static_cast<int>(outcome))
         .Add("events", stream.events.EventCount())
+        .Add("extra_sends", call->extra_sends)
+        .Add("chosen_ms_before", ElapsedMs(assignment.chosen_at, begin))
         .Add("detail", detail)
         .Add("took_ms", elapsed.count());
   }
@@ -692,8 +699,7 @@
 // ---------------------------------------------------------------------------------------------------------------------
 
 task<call_outcome> generation_calls::Serve(direct_call_ptr call) {
-  send_budget& budget = budgets_->BudgetFor(call->Service().name);
-  budget.RecordRequest(timer_service::Now());
+  budgets_->RecordRequest(*call);
   if (const auto refused = suspect_tracker_->RemainingRefusal(call->Fingerprint())) {
     co_return co_await call->Refuse("crashes_endpoints", *refused);
   }
@@ -703,7 +709,7 @@
   decode_result result = decode_result::kNotRun;
   for (std::uint32_t assignment_round = 0; assignment_round < kMaxAssignments; ++assignment_round) {
     // Checked before the reservation and the prefill, which would be wasted if the send is not allowed.
-    if (call->sends > 0 && !budget.AllowSend(timer_service::Now())) {
+    if (call->sends > 0 && !budgets_->AllowExtraSend(*call)) {
       call->reason = "budget_spent";
       break;
     }
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -15,7 +15,8 @@
 #include "core/metrics.h"
 #include "direct/direct_call.h"
 #include "direct/endpoint_tracker.h"
-#include "direct/plain_calls.h"
+#include "direct/send_budgets.h"
+#include "direct/suspect_tracker.h"
 #include "persimmon/event_stream.h"
 #include "persimmon/placement_queue.h"
 
@@ -52,6 +53,7 @@
     std::string reservation;
     stream_memory memory;                       // at the start of the decode
     endpoint_tracker::stream_id stream_id = 0;  // of the load on the decode engine
+    time_point chosen_at;                       // when the engines were chosen
   };
 
   // Reason why no engine was assigned to a request.
--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -252,6 +252,8 @@
       .Add("outcome", CallOutcomeName(outcome))
       .Add("reason", call.reason)
       .Add("sends", call.sends)
+      .Add("extra_sends", call.extra_sends)
+      .Add("prefills", call.prefills)
       .Add("endpoints", call.endpoints)
       .Add("waited_ms", call.waited.count())
       .Add("waited_for", WaitReasonName(call.waited_for))
--- a/src/direct/plain_calls.cpp
+++ b/src/direct/plain_calls.cpp
@@ -19,17 +19,6 @@
 
 }  // namespace
 
-send_budget& send_budgets::BudgetFor(const std::string& service) {
-  const auto& deployment = settings_.deployment;
-  send_budget_settings limits;
-  limits.ratio = deployment.budget_ratio;
-  limits.slack = deployment.budget_slack;
-  limits.window = deployment.budget_window;
-  send_budget& budget = budgets_.try_emplace(service, limits).first->second;
-  budget.SetRouters(kernel_.Find<router_group>("group").RouterCount());
-  return budget;
-}
-
 plain_calls::plain_calls(kernel& services, const direct_settings& settings, http_client& client)
     : kernel_(services), settings_(settings), client_(client) {}
 
@@ -55,8 +44,7 @@
 task<call_outcome> plain_calls::Serve(direct_call_ptr call) {
   const route_record& route = call->Route();
   const bool is_idempotent = route.kind == call_kind::kIdempotent;
-  send_budget& budget = budgets_->BudgetFor(call->Service().name);
-  budget.RecordRequest(timer_service::Now());
+  budgets_->RecordRequest(*call);
   if (const auto refused = suspect_tracker_->RemainingRefusal(call->Fingerprint())) {
     co_return co_await call->Refuse("crashes_endpoints", *refused);
   }
@@ -73,7 +61,7 @@
     }
     const bool may_send = has_time && call->sends < route.max_attempts && connect_failures < kMaxConnectAttempts;
     auto endpoint = may_send ? Choose(*call, avoid) : std::nullopt;
-    if (endpoint && !is_first && !budget.AllowSend(now)) {
+    if (endpoint && !is_first && !budgets_->AllowExtraSend(*call)) {
       call->reason = "budget_spent";
       endpoint.reset();
     }
--- a/src/direct/plain_calls.h
+++ b/src/direct/plain_calls.h
@@ -2,31 +2,16 @@
 // that states whether the call may have run. A service of the kernel.
 #pragma once
 
-#include <map>
 #include <string>
+#include <vector>
 
 #include "direct/direct_call.h"
 #include "direct/endpoint_tracker.h"
+#include "direct/send_budgets.h"
 #include "direct/suspect_tracker.h"
-#include "persimmon/send_budget.h"
 
 namespace persimmon {
 
-// Send budgets, one per service. A service of the kernel.
-class send_budgets {
- public:
-  send_budgets(kernel& services, const direct_settings& settings) : kernel_(services), settings_(settings) {}
-  void Start() {}
-  void Stop() {}
-
-  send_budget& BudgetFor(const std::string& service);
-
- private:
-  kernel& kernel_;
-  const direct_settings& settings_;
-  std::map<std::string, send_budget> budgets_;
-};
-
 class plain_calls {
  public:
   plain_calls(kernel& services, const direct_settings& settings, http_client& client);
--- /dev/null
+++ b/src/direct/send_budgets.cpp
@@ -0,0 +1,50 @@
+#include "direct/send_budgets.h"
+
+#include "core/event_log.h"
+
+namespace persimmon {
+namespace {
+
+constexpr const char* kComponent = "router.budgets";
+
+}  // namespace
+
+send_budget& send_budgets::BudgetFor(const std::string& service) {
+  const auto& deployment = settings_.deployment;
+  send_budget_settings limits;
+  limits.ratio = deployment.budget_ratio;
+  limits.slack = deployment.budget_slack;
+  limits.window = deployment.budget_window;
+  send_budget& budget = budgets_.try_emplace(service, limits).first->second;
+  budget.SetRouters(group_->RouterCount());
+  return budget;
+}
+
+void send_budgets::RecordRequest(const direct_call& call) {
+  BudgetFor(call.Service().name).RecordRequest(timer_service::Now());
+}
+
+bool send_budgets::AllowExtraSend(direct_call& call) {
+  send_budget& budget = BudgetFor(call.Service().name);
+  const time_point now = timer_service::Now();
+  if (budget.AllowSend(now)) {
+    ++call.extra_sends;
+    return true;
+  }
+  Events()
+      .Line(kComponent, "budget_spent")
+      .Request(call.Metadata().attempt)
+      .Add("service", call.Service().name)
+      .Add("requests", budget.RequestCount())
+      .Add("extra_sends", budget.SendCount())
+      .Add("available", budget.Available(now))
+      .Add("routers", group_->RouterCount());
+  return false;
+}
+
+void send_budgets::RecordExtraSend(direct_call& call) {
+  BudgetFor(call.Service().name).RecordSend(timer_service::Now());
+  ++call.extra_sends;
+}
+
+}  // namespace persimmon
--- /dev/null
+++ b/src/direct/send_budgets.h
@@ -0,0 +1,39 @@
+// Budgets of extra sends, one per service, with the log lines that explain them. A service of the kernel.
+#pragma once
+
+#include <map>
+#include <string>
+
+#include "core/kernel.h"
+#include "direct/direct_call.h"
+#include "direct/router_group.h"
+#include "persimmon/send_budget.h"
+
+namespace persimmon {
+
+class send_budgets {
+ public:
+  send_budgets(kernel& services, const direct_settings& settings) : kernel_(services), settings_(settings) {}
+
+  void Start() { group_ = &kernel_.Find<router_group>("group"); }
+  void Stop() {}
+
+  // Counts a request of a caller, which raises the budget of its service.
+  void RecordRequest(const direct_call& call);
+
+  // Returns true and counts an extra send of the call if the budget of its service allows one more.
+  bool AllowExtraSend(direct_call& call);
+
+  // Counts an extra send without a check.
+  void RecordExtraSend(direct_call& call);
+
+ private:
+  send_budget& BudgetFor(const std::string& service);
+
+  kernel& kernel_;
+  const direct_settings& settings_;
+  router_group* group_ = nullptr;
+  std::map<std::string, send_budget> budgets_;
+};
+
+}  // namespace persimmon
