--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -30,6 +30,8 @@
 constexpr std::size_t kMaxHistoryEntries = 10'000;  // changes that a feed can resume from
 constexpr milliseconds kMaxFeedWait(30'000);
 constexpr milliseconds kFeedPollInterval(5);
+constexpr milliseconds kExpiryCheckPeriod(50);
+constexpr const char* kEndpointTable = "servers";
 
 const logger& Log() {
   static const logger log("fakes.platform");
@@ -42,6 +44,23 @@
 // 1. table store
 // ---------------------------------------------------------------------------------------------------------------------
 
+namespace {
+
+// True if the entry of an endpoint is written again with no other change than its count of reports. Such a write is no
+// change of the table.
+bool IsRepeatedReport(const row_id& id, const std::string& before, const std::string& after) {
+  json old_entry = id.table == kEndpointTable ? json::parse(before, nullptr, false) : json();
+  json new_entry = id.table == kEndpointTable ? json::parse(after, nullptr, false) : json();
+  if (!old_entry.is_object() || !new_entry.is_object()) {
+    return false;
+  }
+  old_entry.erase("seq");
+  new_entry.erase("seq");
+  return old_entry == new_entry;
+}
+
+}  // namespace
+
 std::optional<stored_row> table_store::Read(const row_id& id) const {
   const auto found = rows_.find(id);
   return found == rows_.end() ? std::nullopt : std::optional(found->second);
@@ -78,6 +97,11 @@
       continue;
     }
     if (write.value) {
+      const auto row = rows_.find(write.id);
+      if (row != rows_.end() && IsRepeatedReport(write.id, row->second.value, *write.value)) {
+        row->second.value = *write.value;
+        continue;
+      }
       rows_[write.id] = {*write.value, last_version_};
     } else {
       rows_.erase(write.id);
@@ -309,9 +333,36 @@
       server_(context, std::move(listen), http_limits{.body_bytes = kMaxTransactionBytes},
               [this](std::shared_ptr<http_exchange> exchange) { return Handle(std::move(exchange)); }) {}
 
-result<void> fake_platform::Start() { return server_.Start(); }
+result<void> fake_platform::Start() {
+  if (entry_expiry_.count() > 0) {
+    expiry_timer_ = timers_.SubscribeEvery(kExpiryCheckPeriod, 0, [this] { RemoveExpiredEntries(); });
+  }
+  return server_.Start();
+}
 
-void fake_platform::Stop() { server_.Stop(); }
+void fake_platform::Stop() {
+  expiry_timer_.Cancel();
+  server_.Stop();
+}
+
+void fake_platform::RecordReports(const std::vector<row_write>& writes) {
+  for (const row_write& write : writes) {
+    if (write.id.table == kEndpointTable && write.value) {
+      last_reports_[write.id] = timer_service::Now();
+    }
+  }
+}
+
+void fake_platform::RemoveExpiredEntries() {
+  const time_point oldest = timer_service::Now() - entry_expiry_;
+  for (const auto& [id, row] : tables_.ReadRange(kEndpointTable, {}, {})) {
+    const auto report = last_reports_.find(id);
+    if (report != last_reports_.end() && report->second < oldest) {
+      tables_.Commit({{id, std::nullopt, false, std::nullopt}});
+      last_reports_.erase(report);
+    }
+  }
+}
 
 result<void> fake_platform::Preload(const std::string& text) {
   auto records = SplitRecords(text);
@@ -473,6 +524,7 @@
   const auto conflicts = tables_.Commit(writes.value());
   if (conflicts.empty()) {
     ++counters_.transactions;
+    RecordReports(writes.value());
     return JsonResponse(200, json{{"ver", tables_.Version()}, {"now_ms", 0}}.dump());
   }
   ++counters_.conflicts;
@@ -516,15 +568,22 @@
     return BadRequest("the body is not a JSON object");
   }
   for (const auto& [name, unused] : value.items()) {
-    if (name != "outage" && name != "delay_ms" && name != "lose_replies" && name != "vm_lag_ms") {
+    if (name != "outage" && name != "silent" && name != "refused_path" && name != "delay_ms" &&
+        name != "lose_replies" && name != "vm_lag_ms") {
       return BadRequest("unknown fault '" + name + "'");
     }
   }
   platform_faults next = faults_;
-  if (value.contains("outage") && !value["outage"].is_boolean()) {
-    return BadRequest("outage must be true or false");
+  for (const auto& [name, target] : {std::pair("outage", &next.outage), std::pair("silent", &next.silent)}) {
+    if (value.contains(name) && !value[name].is_boolean()) {
+      return BadRequest(fmt::format("{} must be true or false", name));
+    }
+    *target = value.value(name, *target);
+  }
+  if (value.contains("refused_path") && !value["refused_path"].is_string()) {
+    return BadRequest("refused_path must be a string");
   }
-  next.outage = value.value("outage", next.outage);
+  next.refused_path = value.value("refused_path", next.refused_path);
   if (!ReadUnsigned(value, "delay_ms", next.delay) || !ReadUnsigned(value, "lose_replies", next.lose_replies) ||
       !ReadUnsigned(value, "vm_lag_ms", next.vm_lag)) {
     return BadRequest(
--- a/src/fakes/fake_platform.h
+++ b/src/fakes/fake_platform.h
@@ -152,6 +152,9 @@
   platform_faults& Faults() { return faults_; }
   const platform_counters& Counts() const { return counters_; }
 
+  // Removes endpoint entries that are not written again for this long, also during an outage. 0: never.
+  void SetEntryExpiry(milliseconds expiry) { entry_expiry_ = expiry; }
+
   // Stores the records of a JSON document as revision 1. Errors: kInvalid.
   result<void> Preload(const std::string& text);
 
@@ -165,12 +168,17 @@
   http_response PutVm(const std::string& name, const std::string& body);
   http_response SetFaults(const std::string& body);
   http_response ReportCounters() const;
+  void RecordReports(const std::vector<row_write>& writes);
+  void RemoveExpiredEntries();
 
   timer_service timers_;
   table_store tables_;
   vm_table vms_;
   platform_faults faults_;
   platform_counters counters_;
+  milliseconds entry_expiry_{0};
+  std::map<row_id, time_point> last_reports_;  // of the endpoint entries
+  timer_subscription expiry_timer_;
   http_server server_;
 };
 
--- a/src/fakes/fake_platform_main.cpp
+++ b/src/fakes/fake_platform_main.cpp
@@ -10,6 +10,7 @@
 #include "persimmon/records.h"
 
 DEFINE_string(listen, "127.0.0.1:7900", "IP:PORT to listen on");
+DEFINE_uint32(entry_expiry_ms, 0, "remove endpoint entries that are not written again for this long; 0: never");
 DEFINE_string(preload, "", "comma-separated files with records, stored as revision 1 at startup");
 
 namespace {
@@ -62,6 +63,7 @@
       return persimmon::kExitSettings;
     }
   }
+  platform.SetEntryExpiry(persimmon::milliseconds(FLAGS_entry_expiry_ms));
   const auto started = platform.Start();
   if (!started) {
     log.Error("Cannot start: {}.", started.error().message);
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -6,11 +6,14 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "core/event_log.h"
+
 namespace persimmon::fakes {
 namespace {
 
 using json = nlohmann::json;
 
+constexpr const char* kComponent = "fake.replica";
 constexpr milliseconds kHangDuration(60'000);
 constexpr milliseconds kDisconnectPollInterval(2);
 
@@ -30,7 +33,7 @@
 fake_replica::fake_replica(asio::io_context& context, replica_options options)
     : options_(std::move(options)),
       timers_(context),
-      server_(context, host_port{"127.0.0.1", 0}, http_limits{},
+      server_(context, options_.listen, http_limits{},
               [this](std::shared_ptr<http_exchange> exchange) { return Handle(std::move(exchange)); }) {}
 
 fake_replica::~fake_replica() { Stop(); }
@@ -39,18 +42,22 @@
 
 void fake_replica::Stop() { server_.Stop(); }
 
-void fake_replica::Register(table_store& tables, bool draining) const {
+std::string fake_replica::EntryText(bool draining, std::uint64_t reports) const {
   json entry = {{"service", options_.service},
                 {"address", Address().Text()},
                 {"zone", options_.zone},
                 {"slots", 16},
                 {"state", draining ? "draining" : "ready"},
                 {"born", options_.started_ms},
-                {"seq", 1}};
+                {"seq", reports}};
   if (!options_.stage.empty()) {
     entry["stage"] = options_.stage;
   }
-  tables.Commit({{{"servers", options_.name}, entry.dump(), false, std::nullopt}});
+  return entry.dump();
+}
+
+void fake_replica::Register(table_store& tables, bool draining) const {
+  tables.Commit({{{"servers", options_.name}, EntryText(draining, 1), false, std::nullopt}});
 }
 
 void fake_replica::Unregister(table_store& tables) const {
@@ -90,9 +97,40 @@
   return {status, {{"Persimmonchute-Not-Executed", "1"}, {"Persimmonchute-Instance-Id", options_.name}}, {}};
 }
 
+// Applies {"full":bool,"rejects_work":bool,"never_responds":bool}; other faults need a test in the same process.
+http_response fake_replica::SetFaults(const std::string& body) {
+  const json input = json::parse(body, nullptr, false);
+  const json fields = input.is_object() ? input : json::object();
+  const std::map<std::string, bool*> flags = {
+      {"full", &faults_.full}, {"rejects_work", &faults_.rejects_work}, {"never_responds", &faults_.never_responds}};
+  for (const auto& [name, value] : fields.items()) {
+    if (!flags.contains(name) || !value.is_boolean()) {
+      return JsonResponse(400, json{{"error", "unknown fault or not a boolean: " + name}}.dump());
+    }
+  }
+  for (const auto& [name, value] : fields.items()) {
+    *flags.at(name) = value.get<bool>();
+  }
+  return JsonResponse(200, "{}");
+}
+
+// `result`: "run", "prefill", "rejected" or "rejected_prefill".
+void fake_replica::LogArrival(const http_request& request, const char* result) const {
+  if (options_.logs_arrivals) {
+    Events()
+        .Line(kComponent, "arrival")
+        .Request(Header(request, "Persimmonchute-Attempt-Id"))
+        .Add("endpoint", options_.name)
+        .Add("service", options_.service)
+        .Add("result", result);
+  }
+}
+
 task<> fake_replica::Handle(std::shared_ptr<http_exchange> exchange) {
   const http_request& request = exchange->Request();
-  requests_.push_back(request);
+  if (!options_.logs_arrivals) {
+    requests_.push_back(request);  // kept for tests in the same process
+  }
   http_response response;
   const std::string expected = Header(request, "Persimmonchute-Expect-Instance");
   if (!expected.empty() && expected != options_.name) {
@@ -108,7 +146,12 @@
     response.status = handles_.erase(request.target.substr(11)) > 0 ? 200 : 404;
   } else if (request.target == "/order") {
     response = ApplyOrder(request);
-  } else if (faults_.full) {
+  } else if (request.target == "/faults") {
+    response = SetFaults(request.body);
+  } else if (request.target == "/health") {
+    response = {200, {{"Persimmonchute-Instance-Id", options_.name}}, {}};
+  } else if (faults_.full || faults_.rejects_work) {
+    LogArrival(request, Header(request, "Persimmonchute-Stage") == "prefill" ? "rejected_prefill" : "rejected");
     response = NotExecuted(503);
   } else if (Header(request, "Persimmonchute-Stage") == "prefill") {
     co_return co_await ServePrefill(exchange);
@@ -146,6 +189,7 @@
 
 task<> fake_replica::ServePrefill(std::shared_ptr<http_exchange> exchange) {
   const http_request& request = exchange->Request();
+  LogArrival(request, options_.stage == "prefill" ? "prefill" : "rejected_prefill");
   if (options_.stage != "prefill") {
     auto refused = NotExecuted(421);
     (void)co_await exchange->Respond(std::move(refused));
@@ -188,10 +232,12 @@
   const std::string attempt = Header(exchange->Request(), "Persimmonchute-Attempt-Id");
   const std::string budget = Header(exchange->Request(), "Persimmonchute-Deadline-Ms");
   if (options_.stage == "prefill" || faults_.switching_stage || !ConsumeReservation(exchange->Request())) {
+    LogArrival(exchange->Request(), "rejected");
     auto refused = NotExecuted(options_.stage == "prefill" ? 421 : 503);
     (void)co_await exchange->Respond(std::move(refused));
     co_return;
   }
+  LogArrival(exchange->Request(), "run");
   ++runs_[attempt];
   ++running_count_;
   if (!faults_.crash_on.empty() && exchange->Request().body == faults_.crash_on) {
@@ -216,6 +262,9 @@
     }
     co_await StreamEvents(exchange, attempt);
   } else {
+    if (options_.work_time.count() > 0) {
+      co_await timers_.Sleep(options_.work_time);
+    }
     http_response answer{200, ResponseHeaders(attempt), "answer of " + options_.name + " to " + attempt};
     (void)co_await exchange->Respond(std::move(answer));
   }
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -19,6 +19,7 @@
 namespace persimmon::fakes {
 
 struct replica_options {
+  host_port listen = {"127.0.0.1", 0};
   std::string name;  // key of its entry in the table service
   std::string service;
   std::string zone = "zone-a";
@@ -29,13 +30,16 @@
   milliseconds event_interval = milliseconds(1);  // after each event
   // Prefill rate; prompts are prefilled one after another, by decode engines at half the rate. 0: without delay.
   std::uint32_t tokens_per_ms = 0;
+  milliseconds work_time = milliseconds(0);  // duration of a plain call
+  bool logs_arrivals = false;                // writes a line for each received request to the event log
 
   bool operator==(const replica_options&) const = default;
 };
 
 // Injected faults. Each stays in effect until it is changed.
 struct replica_faults {
-  bool full = false;                     // rejects requests with proof that nothing has run
+  bool full = false;                     // rejects requests and reservations with proof that nothing has run
+  bool rejects_work = false;             // like full, but grants reservations
   bool switching_stage = false;          // is switching to another stage: grants reservations but runs nothing
   bool never_responds = false;           // runs requests and sends no response
   bool returns_500 = false;              // runs requests and responds with status 500
@@ -57,12 +61,14 @@
   result<void> Start();
   void Stop();
 
+  // The value of its entry in the table service. `reports`: number of its status reports so far.
+  std::string EntryText(bool draining, std::uint64_t reports) const;
   // Writes or removes its entry in the table service.
   void Register(table_store& tables, bool draining = false) const;
   void Unregister(table_store& tables) const;
 
   replica_faults& Faults() { return faults_; }
-  host_port Address() const { return {"127.0.0.1", server_.Port()}; }
+  host_port Address() const { return {options_.listen.host, server_.Port()}; }
   const std::string& Name() const { return options_.name; }
 
   // Returns the number of requests that ran under an attempt id. Requests that were only received do not count.
@@ -92,6 +98,8 @@
   task<> SimulatePrefill(const http_request& request, double rate);
   http_response ApplyOrder(const http_request& request);
   http_response NotExecuted(int status) const;
+  http_response SetFaults(const std::string& body);
+  void LogArrival(const http_request& request, const char* result) const;
   header_list ResponseHeaders(const std::string& attempt) const;
   bool ConsumeReservation(const http_request& request);
 
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -21,6 +21,24 @@
 using support::router_harness;
 using support::WholeStream;
 
+// Time after which a leaving endpoint must get no more requests.
+constexpr milliseconds kDrainTime(2'000);
+
+// Sends calls from now until well after the drain time and returns how many reach the endpoint after it.
+int CallsAfterTheDrainTime(router_harness& harness, const fake_replica& endpoint) {
+  constexpr milliseconds kObservedTime(2'500);
+  const time_point left = timer_service::Now();
+  int late_calls = 0;
+  for (int i = 0; timer_service::Now() < left + kObservedTime; ++i) {
+    const int runs_before = endpoint.TotalRuns();
+    const bool is_late = timer_service::Now() > left + kDrainTime;
+    EXPECT_TRUE(harness.Finish(harness.Send("GET", "/pages/1", "late-" + std::to_string(i))));
+    late_calls += is_late ? endpoint.TotalRuns() - runs_before : 0;
+    harness.RunFor(milliseconds(5));
+  }
+  return late_calls;
+}
+
 // Work of a caller that has disconnected must have ended at the endpoint within half a second.
 constexpr milliseconds kReleaseLimit(500);
 
@@ -268,6 +286,48 @@
   EXPECT_TRUE(harness_.EndpointTracker().LocalUses().empty());
 }
 
+// Guards against prefills that are repeated without being counted: each further round of a request sends a prefill and
+// a decode call, and both are extra sends.
+TEST(model_budget_test, ExtraSends_WhenEveryDecodeCallIsRejected_StayWithinTheBudget) {
+  router_harness harness([](direct_settings& settings) { settings.deployment.budget_slack = 0; });
+  harness.AddReplica(Engine("pre-1", "prefill"));
+  for (const char* name : {"dec-1", "dec-2", "dec-3"}) {
+    harness.AddReplica(Engine(name, "decode")).Faults().rejects_work = true;
+  }
+  harness.WriteDesiredState({.timeout_ms = 14'000, .attempts = 3});
+  ASSERT_TRUE(harness.Start());
+  constexpr int kCalls = 100;
+  for (int i = 0; i < kCalls; ++i) {
+    ASSERT_TRUE(harness.Finish(harness.SendModel("/digest/1", "a" + std::to_string(i))));
+  }
+  EXPECT_LE(harness.ExtraModelSends(), harness.Settings().deployment.budget_ratio * kCalls);
+}
+
+// Guards against counting rejected prefills only afterwards: prompts sent before the first rejection is known exceed
+// the budget together.
+TEST(model_budget_test, ExtraSends_WhenEveryPrefillIsRejected_StayWithinTheBudget) {
+  router_harness harness([](direct_settings& settings) { settings.deployment.budget_slack = 0; });
+  for (const char* name : {"pre-1", "pre-2", "pre-3", "pre-4"}) {
+    harness.AddReplica(Engine(name, "prefill")).Faults().rejects_work = true;
+  }
+  harness.AddReplica(Engine("dec-1", "decode", 200'000));
+  harness.WriteDesiredState({.timeout_ms = 14'000, .memory_tokens = 200'000});
+  ASSERT_TRUE(harness.Start());
+  constexpr int kRounds = 8;
+  constexpr int kCalls = 16;
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<caller_exchange_ptr> calls;
+    for (int i = 0; i < kCalls; ++i) {
+      calls.push_back(harness.SendModel("/chat/1", "a" + std::to_string(round * kCalls + i), 200));
+    }
+    for (const auto& call : calls) {
+      ASSERT_TRUE(harness.Finish(call));
+    }
+    harness.RunFor(milliseconds(550));  // the pause after the first rejection ends
+  }
+  EXPECT_LE(harness.ExtraModelSends(), harness.Settings().deployment.budget_ratio * kRounds * kCalls);
+}
+
 // If a prompt is prefilled before decode memory is reserved and no memory becomes free, the prefill is wasted.
 TEST_F(model_call_test, Call_WithoutDecodeMemory_IsNotPrefilled) {
   first_.Faults().full = true;
@@ -747,6 +807,47 @@
   EXPECT_EQ(harness_.Directory().Endpoints().Size(), 1U);
 }
 
+// With the product's own limits for store calls.
+class leaving_endpoint_test : public testing::Test {
+ protected:
+  leaving_endpoint_test()
+      : harness_(
+            [](direct_settings& settings) {
+              settings.feed_wait = direct_settings{}.feed_wait;
+              settings.store_timeout = direct_settings{}.store_timeout;
+            },
+            router_harness::store_path::kLink),
+        first_(harness_.AddReplica(PlainReplica("app-1"))) {
+    harness_.AddReplica(PlainReplica("app-2"));
+    harness_.WriteDesiredState();
+  }
+  void SetUp() override { ASSERT_TRUE(harness_.Start()); }
+
+  router_harness harness_;
+  fake_replica& first_;
+};
+
+// Guards against taking an endpoint that leaves for one whose entry expired in an outage long past: the first long poll
+// after an outage ends seconds after the store is back.
+TEST_F(leaving_endpoint_test, UnannouncedLeave_WhenTheStoreHasBeenBackForSeconds_EndsTheCallsWithinTheDrainTime) {
+  auto& faults = harness_.Platform().Faults();
+  faults.refused_path = "/rows-feed";
+  harness_.RunFor(milliseconds(2'800));
+  faults.refused_path.clear();
+  ASSERT_TRUE(harness_.RunUntil([this] { return harness_.Directory().IsStoreReachable(); }));
+  harness_.RunFor(milliseconds(20));
+  first_.Unregister(harness_.Platform().Tables());
+  EXPECT_EQ(CallsAfterTheDrainTime(harness_, first_), 0);
+}
+
+// Guards against a router that keeps using an endpoint because its connection to the store has gone silent.
+TEST_F(leaving_endpoint_test, Leave_WhileTheStoreConnectionIsSilent_EndsTheCallsWithinTheDrainTime) {
+  harness_.RunFor(milliseconds(300));
+  harness_.StoreLink().SetSilent(true);
+  first_.Register(harness_.Platform().Tables(), true);
+  EXPECT_EQ(CallsAfterTheDrainTime(harness_, first_), 0);
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 4. graceful shutdown
 // ---------------------------------------------------------------------------------------------------------------------
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,619 @@
+#!/usr/bin/env python3
+"""Fault soak of the direct router: runs real routers, endpoints and a store as processes on loopback, injects faults
+from outside, and checks what callers and endpoints saw.
+
+Sections
+  1. deployment     processes, settings and addresses
+  2. callers        open-loop load over open connections
+  3. faults         seeded schedules of signals, links and store faults
+  4. checks         promises, checked on the logs of the endpoints and the answers of the callers
+  5. command line
+
+A run is repeated by its seed and scenario. The exit code is 0 only if no promise was broken. Times are Unix seconds.
+"""
+import argparse
+import asyncio
+import base64
+import collections
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+HOST = "app.example"
+SERVICES = ("app", "llm")
+PORT = {"store": 20000, "callers": 20001, "ready": 20002, "control": 20003, "replica": 20004, "link": 20005,
+        "link_control": 20006, "internal": 20010}
+# The bounds of the promises, as the platform's settings state them.
+BOUNDS = {"contact_ms": 3000, "drain_ms": 2000, "grace_s": 8, "lease_ms": 3000, "config_apply_ms": 2000,
+          "retry_budget_ratio": 0.2, "budget_window_s": 10, "retry_budget_slack": 56}
+HEARTBEAT_MS = 1200
+IDLE_LIMIT_MS = 15000  # for connections of callers
+EXPIRY_MS = 3 * HEARTBEAT_MS
+
+
+# ----------------------------------------------------------------------------------------------------------------------
+# 1. deployment
+# ----------------------------------------------------------------------------------------------------------------------
+
+
+class Process:
+    """One child process whose standard output goes to a file. Only processes started here are ever signalled."""
+
+    def __init__(self, deployment, name, program, arguments, environment=None):
+        self.name, self.program = name, program
+        self.log = deployment.folder / f"{name}.log"
+        with open(self.log, "ab") as log, open(deployment.folder / f"{name}.err", "ab") as errors:
+            self.child = subprocess.Popen([str(deployment.bin / program), *arguments], stdout=log, stderr=errors,
+                                          env={**os.environ, **(environment or {})})
+
+    def is_running(self):
+        return self.child.poll() is None
+
+    def send(self, number):
+        if self.is_running():
+            self.child.send_signal(number)
+
+    def end(self):
+        if self.is_running():
+            self.child.send_signal(signal.SIGCONT)
+            self.child.kill()
+        self.child.wait()
+
+
+class Deployment:
+    def __init__(self, bin_folder, folder, routers, plain, prefill, decode, unannounced_share):
+        self.bin, self.folder = Path(bin_folder).resolve(), Path(folder)
+        self.net = f"127.{64 + os.getpid() // 250 % 100}.{os.getpid() % 250}"
+        self.router_count = routers
+        self.sizes = {"app": plain, "prefill": prefill, "decode": decode}
+        self.unannounced_share = unannounced_share  # share of endpoints that leave by removing their entry
+        self.routers, self.links, self.replicas = {}, {}, {}
+        self.next_replica = 0
+        self.revision = 0
+        self.disturbed = collections.defaultdict(list)  # router, endpoint or "store": [(from, until)]
+
+    def address(self, kind, index=1):
+        group = {"store": 0, "callers": 1, "ready": 1, "control": 1, "internal": 1, "link": 1, "link_control": 1}
+        host = {0: 250, 1: index}[group[kind]] if kind in group else 100 + index
+        return f"{self.net}.{host}:{PORT[kind]}"
+
+    def disturb(self, who, seconds):
+        now = time.time()
+        self.disturbed[who].append((now, now + seconds))
+
+    def is_calm(self, who, begin, end):
+        return not any(start <= end and until >= begin for start, until in self.disturbed[who])
+
+    def start(self):
+        self.store = Process(self, "store", "fake-platform",
+                             ["--listen", self.address("store"), f"--entry_expiry_ms={EXPIRY_MS}"])
+        wait_for_port(self.address("store"))
+        self.write_desired_state()
+        for index in range(1, self.router_count + 1):
+            self.start_link(index)
+            self.start_router(index)
+        for stage, count in self.sizes.items():
+            for _ in range(count):
+                self.start_replica(stage)
+
+    def start_link(self, index):
+        self.links[index] = Process(self, f"link-{index}", "fake-link",
+                                    ["--listen", self.address("link", index), "--to", self.address("store"),
+                                     "--control", self.address("link_control", index)])
+
+    def start_router(self, index):
+        settings = self.folder / f"router-{index}.conf"
+        seeds = [self.address("control", seed) for seed in range(1, min(3, self.router_count) + 1)]
+        lines = {"node_name": f"router-{index}", "zone": "zone-a", "listen.front": self.address("callers", index),
+                 "listen.ready": self.address("ready", index), "listen.control": self.address("control", index),
+                 "internal_ports": f"{PORT['internal']},{PORT['internal'] + 5}", "seeds": ",".join(seeds),
+                 "bootstrap": "false", "heartbeat_ms": HEARTBEAT_MS,
+                 "platform.address": self.address("link", index)}
+        lines.update({f"bounds.{name}": value for name, value in BOUNDS.items()})
+        settings.write_text("".join(f"{key}={value}\n" for key, value in lines.items()))
+        config = self.folder / "router.ini"
+        config.write_text("[stages]\norder_stages = false\n")
+        self.routers[index] = Process(self, f"router-{index}", "persimmon-router", ["--config", str(config)],
+                                      {"PERSIMMONCHUTE_SETTINGS": str(settings)})
+
+    def start_replica(self, stage):
+        self.next_replica += 1
+        name = f"{stage}-{self.next_replica}"
+        arguments = ["--listen", self.address("replica", self.next_replica), "--store", self.address("store"),
+                     "--name", name, "--service", "app" if stage == "app" else "llm",
+                     f"--heartbeat_ms={HEARTBEAT_MS}"]
+        if stage == "app":
+            arguments.append("--work_ms=30")
+        else:
+            arguments += ["--stage", stage, "--tokens_per_ms=33", "--memory_tokens=36000", "--events=12"]
+        if random.Random(name).random() < self.unannounced_share:
+            arguments.append("--leave_unannounced")
+        self.replicas[name] = Process(self, name, "fake-replica", arguments)
+        return name
+
+    def write_desired_state(self):
+        self.revision += 1
+        route = lambda prefix, kind, service, resumable, attempts: {
+            "name": prefix, "host": HOST, "prefix": prefix, "kind": kind, "timeout_ms": 3000, "priority": 1,
+            "target_latency_ms": 300 if service == "app" else 900, "service": service, "max_attempts": attempts,
+            "resumable": resumable}
+        engine = {"slots": 16, "kv_capacity_tokens": 36000, "stride": 10, "handle_ttl_s": 2, "role_switch_s": 0.5,
+                  "hold_ms": 2000}
+        state = {"version": self.revision,
+                 "routes": [route("/pages/", "idempotent", "app", False, 2),
+                            route("/submit/", "non_idempotent", "app", False, 1),
+                            route("/chat/", "streaming", "llm", False, 2),
+                            route("/digest/", "streaming", "llm", True, 3)],
+                 "services": [{"name": "app", "health_path": "/health", "max_conns": 100},
+                              {"name": "llm", "health_path": "/health", "max_conns": 200, "engine": engine}],
+                 "limits": {"max_header_bytes": 8192, "max_body_bytes": 100000, "header_timeout_ms": 3000,
+                            "idle_timeout_ms": IDLE_LIMIT_MS}}
+        value = base64.b64encode(json.dumps(state).encode()).decode()
+        body = {"expected": [], "remove": [],
+                "puts": [{"table": "op", "part": "", "key": "config", "value": value}]}
+        return post(self.address("store"), "/rows-tx", body)
+
+    def living_replicas(self, stage=None):
+        return [name for name, process in self.replicas.items()
+                if process.is_running() and (stage is None or name.startswith(stage))]
+
+    def stop(self):
+        for process in [*self.routers.values(), *self.replicas.values(), *self.links.values(), self.store]:
+            process.end()
+
+
+def wait_for_port(address, seconds=10):
+    host, port = address.split(":")
+    import socket
+    end = time.time() + seconds
+    while time.time() < end:
+        try:
+            socket.create_connection((host, int(port)), 0.2).close()
+            return
+        except OSError:
+            time.sleep(0.02)
+    raise RuntimeError(f"{address} does not accept connections")
+
+
+def post(address, target, body, seconds=1.0):
+    """Sends a control request; returns the status, 0 if there is no answer."""
+    import http.client
+    try:
+        connection = http.client.HTTPConnection(address, timeout=seconds)
+        connection.request("POST", target, json.dumps(body), {"Content-Type": "application/json"})
+        return connection.getresponse().status
+    except OSError:
+        return 0
+
+
+# ----------------------------------------------------------------------------------------------------------------------
+# 2. callers
+# ----------------------------------------------------------------------------------------------------------------------
+
+
+class Answer:
+    """What the caller of one request saw."""
+
+    def __init__(self, attempt, router, kind, begin):
+        self.attempt, self.router, self.kind, self.begin = attempt, router, kind, begin
+        self.status, self.headers, self.body, self.is_complete, self.end = 0, {}, b"", False, 0.0
+
+    def is_whole(self):
+        if not self.is_complete or self.status != 200:
+            return False
+        text = self.body.decode(errors="replace")
+        if self.kind in ("chat", "digest"):
+            pieces = [line for line in text.split("\n") if line.startswith("data:")]
+            wanted = [f"data: piece {number} of {self.attempt}" for number in range(1, 13)]
+            return pieces == wanted
+        return text.endswith(f"to {self.attempt}")
+
+
+class Callers:
+    """Sends requests at a constant rate. Connections are kept open and used until the router closes them."""
+
+    def __init__(self, deployment, randomness, rate):
+        self.deployment, self.random, self.rate = deployment, randomness, rate
+        self.idle = collections.defaultdict(list)
+        self.answers = []
+        self.tasks = set()
+
+    async def run(self, seconds):
+        end = time.time() + seconds
+        number = 0
+        while time.time() < end:
+            number += 1
+            router = self.random.randrange(self.deployment.router_count) + 1
+            kind = self.random.choices(["pages", "submit", "chat", "digest"], [3, 3, 2, 2])[0]
+            answer = Answer(f"r{router}-{number}", router, kind, time.time())
+            self.answers.append(answer)
+            task = asyncio.create_task(self.exchange(answer))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+            await asyncio.sleep(self.random.expovariate(self.rate))
+        await asyncio.wait(self.tasks, timeout=10) if self.tasks else None
+
+    async def exchange(self, answer):
+        try:
+            await asyncio.wait_for(self.send(answer), 8)
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+            pass  # the answer stays incomplete, which the checks judge
+        answer.end = time.time()
+
+    async def send(self, answer):
+        host, port = self.deployment.address("callers", answer.router).split(":")
+        pool = self.idle[answer.router]
+        # A caller reuses a connection that has been idle for at most four fifths of the limit of the desired state.
+        pool[:] = [entry for entry in pool if time.time() - entry[2] < 0.8 * IDLE_LIMIT_MS / 1000]
+        reader, writer = pool.pop()[:2] if pool else await asyncio.open_connection(host, int(port))
+        method = "GET" if answer.kind == "pages" else "POST"
+        body = b"" if method == "GET" else b"body of " + answer.attempt.encode()
+        head = [f"{method} /{answer.kind}/1 HTTP/1.1", f"Host: {HOST}", f"Persimmonchute-Attempt-Id: {answer.attempt}",
+                "Persimmonchute-Deadline-Ms: 3000", f"Content-Length: {len(body)}"]
+        if answer.kind in ("chat", "digest"):
+            head += ["Persimmonchute-Model: m", "Persimmonchute-Token-Count: 2000,120",
+                     "Persimmonchute-Length-Hint: 120", "Persimmonchute-Prompt-Prefix: 5c:200"]
+        writer.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
+        try:
+            lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+            answer.status = int(lines[0].split(" ")[1])
+            answer.headers = {name.lower(): value.strip()
+                              for name, _, value in (line.partition(":") for line in lines[1:] if line)}
+            if "content-length" in answer.headers:
+                answer.body = await reader.readexactly(int(answer.headers["content-length"]))
+            else:
+                await self.read_chunks(reader, answer)
+            answer.is_complete = True
+        finally:
+            if answer.is_complete and answer.headers.get("connection", "").lower() != "close":
+                pool.append((reader, writer, time.time()))
+            else:
+                writer.close()
+
+    @staticmethod
+    async def read_chunks(reader, answer):
+        while True:
+            size = int(await reader.readline(), 16)
+            answer.body += (await reader.readexactly(size + 2))[:size]
+            if size == 0:
+                return
+
+
+# ----------------------------------------------------------------------------------------------------------------------
+# 3. faults
+# ----------------------------------------------------------------------------------------------------------------------
+
+
+class Faults:
+    """Injects the faults of a scenario. Every choice comes from the seeded generator."""
+
+    def __init__(self, deployment, randomness):
+        self.deployment, self.random = deployment, randomness
+        self.log = []
+
+    def note(self, text):
+        self.log.append((time.time(), text))
+
+    async def leave(self, name):
+        """An endpoint leaves; another one takes its place first, as in a planned replacement."""
+        self.note(f"{name} leaves")
+        self.deployment.start_replica(name.split("-")[0])
+        self.deployment.replicas[name].send(signal.SIGTERM)
+
+    async def kill_replica(self, name):
+        self.note(f"{name} killed")
+        self.deployment.disturb(name, 1)
+        self.deployment.replicas[name].end()
+        await asyncio.sleep(1)
+        self.deployment.start_replica(name.split("-")[0])
+
+    async def pause(self, process, who, seconds):
+        self.note(f"{who} paused for {seconds:.1f} s")
+        self.deployment.disturb(who, seconds)
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        process.send(signal.SIGCONT)
+
+    async def restart_router(self, index, number):
+        self.note(f"router {index} gets {signal.Signals(number).name}")
+        process = self.deployment.routers[index]
+        self.deployment.disturb(index, 9)
+        process.send(number)
+        while process.is_running():
+            await asyncio.sleep(0.05)
+        self.deployment.start_router(index)
+
+    async def silence_link(self, index):
+        """The open connections of a router to the store go silent for good; new ones work."""
+        self.note(f"store connections of router {index} go silent")
+        self.deployment.disturb(index, 0)
+        post(self.deployment.address("link_control", index), "/faults", {"silent": True})
+
+    async def cut_link(self, index):
+        self.note(f"store connections of router {index} reset")
+        self.deployment.disturb(index, 0)
+        post(self.deployment.address("link_control", index), "/faults", {"cut": True})
+
+    async def refuse_feeds_once(self):
+        """The store refuses calls to its feed for a moment, as over its rate limit; it loses nothing."""
+        self.note("the store refuses feed calls")
+        store = self.deployment.address("store")
+        post(store, "/faults", {"refused_path": "/rows-feed"})
+        await asyncio.sleep(2.6)  # every long poll ends once
+        post(store, "/faults", {"refused_path": ""})
+
+    async def store_outage(self, seconds):
+        self.note(f"store away for {seconds:.1f} s")
+        self.deployment.disturb("store", seconds)
+        store = self.deployment.address("store")
+        fault = self.random.choice(["outage", "silent"])
+        post(store, "/faults", {fault: True})
+        await asyncio.sleep(seconds)
+        post(store, "/faults", {fault: False})
+
+    async def reject_work(self, names, seconds):
+        """Engines that grant reservations reject prompts or requests."""
+        self.note(f"{', '.join(names)} reject work for {seconds:.1f} s")
+        for name in names:
+            post(self.deployment.address("replica", int(name.split("-")[1])), "/faults", {"rejects_work": True})
+        await asyncio.sleep(seconds)
+        for name in names:
+            if self.deployment.replicas[name].is_running():
+                post(self.deployment.address("replica", int(name.split("-")[1])), "/faults", {"rejects_work": False})
+
+    def pick(self, stage=None):
+        return self.random.choice(self.deployment.living_replicas(stage))
+
+    def pick_router(self):
+        return self.random.choice(list(self.deployment.routers))
+
+    async def mixed(self, seconds):
+        """Faults of all kinds in series, which overlap."""
+        end = time.time() + seconds
+        running = set()
+        actions = [
+            lambda: self.leave(self.pick()), lambda: self.leave(self.pick("app")), lambda: self.kill_replica(self.pick()),
+            lambda: (lambda name: self.pause(self.deployment.replicas[name], name, self.random.uniform(0.3, 2)))(
+                self.pick()),
+            lambda: self.restart_router(self.pick_router(), signal.SIGTERM),
+            lambda: self.restart_router(self.pick_router(), signal.SIGKILL),
+            lambda: (lambda index: self.pause(self.deployment.routers[index], index, self.random.uniform(0.3, 3)))(
+                self.pick_router()),
+            lambda: self.silence_link(self.pick_router()), lambda: self.cut_link(self.pick_router()),
+            lambda: self.refuse_feeds_once(), lambda: self.store_outage(self.random.uniform(0.5, 5)),
+            lambda: self.reject_work(self.deployment.living_replicas(self.random.choice(["prefill", "decode"])),
+                                     self.random.uniform(0.5, 3)),
+            lambda: asyncio.to_thread(self.deployment.write_desired_state)]
+        while time.time() < end:
+            task = asyncio.create_task(self.random.choice(actions)())
+            running.add(task)
+            await asyncio.sleep(self.random.uniform(0.1, 2.5))
+        await asyncio.gather(*running)
+
+    async def rejected_decodes(self, seconds):
+        """All decode engines grant reservations and reject the requests, as while they carry out orders."""
+        await asyncio.sleep(10.5)  # the budget is full
+        await self.reject_work(self.deployment.living_replicas("decode"), seconds - 10.5)
+
+    async def rejected_prefills(self, seconds):
+        """All prefill engines reject every prompt."""
+        await asyncio.sleep(10.5)
+        await self.reject_work(self.deployment.living_replicas("prefill"), seconds - 10.5)
+
+    async def restarts_while_rejecting(self, seconds):
+        """Engines reject requests while every router is killed and started again, twice within one window."""
+        await asyncio.sleep(10.5)
+        rejecting = asyncio.create_task(
+            self.reject_work(self.deployment.living_replicas("decode"), seconds - 10.5))
+        for _ in range(2):
+            await asyncio.sleep(2)
+            await asyncio.gather(*(self.restart_router(index, signal.SIGKILL) for index in self.deployment.routers))
+        await rejecting
+
+    async def unannounced_leaves(self, seconds):
+        """Endpoints leave in series by removing their entry while the store refuses some feed calls."""
+        end = time.time() + seconds - 6
+        while time.time() < end:
+            await self.refuse_feeds_once()
+            await asyncio.sleep(self.random.uniform(2.5, 2.9))  # while the first long polls afterwards end
+            await self.leave(self.pick("app"))
+            await asyncio.sleep(3)
+        await asyncio.sleep(5)
+
+    async def silent_store(self, seconds):
+        """Endpoints leave in series while the store connections of routers go silent, one after the other."""
+        end = time.time() + seconds - 6
+        while time.time() < end:
+            await self.silence_link(self.pick_router())
+            await asyncio.sleep(self.random.uniform(0.1, 0.5))
+            await self.leave(self.pick("app"))
+            await asyncio.sleep(5)
+        await asyncio.sleep(5)
+
+
+SCENARIOS = ["mixed", "rejected_decodes", "rejected_prefills", "restarts_while_rejecting", "unannounced_leaves",
+             "silent_store"]
+
+
+# ----------------------------------------------------------------------------------------------------------------------
+# 4. checks
+# ----------------------------------------------------------------------------------------------------------------------
+
+
+def read_events(path):
+    events = []
+    for line in path.read_text(errors="replace").splitlines():
+        try:
+            events.append(json.loads(line))
+        except ValueError:
+            pass  # a line cut by a signal
+    return events
+
+
+class Checks:
+    def __init__(self, deployment, answers):
+        self.deployment, self.answers = deployment, answers
+        self.by_attempt = {answer.attempt: answer for answer in answers}
+        self.broken = []
+        self.arrivals = []  # (time, attempt, endpoint, service, result)
+        self.left = {}      # endpoint: time at which the store accepted that it leaves
+        for name in deployment.replicas:
+            for event in read_events(deployment.folder / f"{name}.log"):
+                seconds = event["t"] / 1000
+                if event["event"] == "arrival":
+                    self.arrivals.append((seconds, event["request"], name, event["service"], event["result"]))
+                elif event["event"] == "leaving_acknowledged":
+                    self.left[name] = seconds
+        self.arrivals.sort()
+        self.runs = collections.Counter(attempt for _, attempt, _, _, result in self.arrivals if result == "run")
+
+    def report(self, rule, text):
+        self.broken.append((rule, text))
+
+    def router_of(self, attempt):
+        return int(attempt[1:].split("-")[0])
+
+    def is_in_touch(self, router, at):
+        contact = BOUNDS["contact_ms"] / 1000
+        return (self.deployment.is_calm(router, at - contact, at) and
+                self.deployment.is_calm("store", at - contact, at))
+
+    def check_leaving(self):
+        """No request reaches an endpoint later than drain_ms after the store has accepted that it leaves."""
+        for at, attempt, endpoint, _, result in self.arrivals:
+            left = self.left.get(endpoint)
+            router = self.router_of(attempt)
+            contact = BOUNDS["contact_ms"] / 1000
+            if (left and at > left + BOUNDS["drain_ms"] / 1000 and self.is_in_touch(router, at) and
+                    self.deployment.is_calm("store", left - contact, left) and
+                    self.deployment.is_calm(endpoint, left, at)):
+                self.report("DRAIN", f"{attempt} ({result}) reached {endpoint} {(at - left) * 1000:.0f} ms after its "
+                                     f"leaving was acknowledged")
+
+    def check_budget(self):
+        """In every window, a service gets no more sends beyond the first of each request than the budget allows."""
+        window = BOUNDS["budget_window_s"]
+        for service in SERVICES:
+            requests = sorted(answer.begin for answer in self.answers
+                              if (answer.kind in ("chat", "digest")) == (service == "llm"))
+            extra, has_run, has_prefill = [], set(), set()
+            for at, attempt, _, arrived_service, result in self.arrivals:
+                if arrived_service != service:
+                    continue
+                # The first prefill that an engine accepts is no extra send; a rejected one always is.
+                seen = has_prefill if result == "prefill" else has_run
+                if result == "rejected_prefill" or attempt in seen:
+                    extra.append(at)
+                else:
+                    seen.add(attempt)
+            worst = (0, 0, 0)
+            for index, end in enumerate(extra):
+                count = sum(1 for at in extra[:index + 1] if at > end - window)
+                most = max(sum(1 for at in requests if end - back - window < at <= end - back)
+                           for back in (0, window / 2, window))
+                allowed = BOUNDS["retry_budget_ratio"] * most + BOUNDS["retry_budget_slack"]
+                worst = max(worst, (count - allowed, count, allowed))
+            if worst[0] > 0:
+                self.report("BUDGET", f"{service}: {worst[1]} arrivals beyond the first within {window} s, "
+                                      f"{worst[2]:.0f} are allowed")
+
+    def check_answers(self):
+        """Answers are whole, a refusal is true, and what may not be repeated runs at most once."""
+        for answer in self.answers:
+            runs = self.runs[answer.attempt]
+            if answer.kind in ("submit", "chat") and runs > 1:
+                self.report("TWICE", f"{answer.attempt} ({answer.kind}) ran {runs} times")
+            if answer.status in (408, 421, 429, 503) and runs > 0 and answer.kind in ("submit", "chat"):
+                self.report("REFUSED", f"{answer.attempt} got {answer.status} and ran {runs} times")
+            if answer.status == 200 and answer.is_complete and not answer.is_whole():
+                self.report("MIXED", f"{answer.attempt} ({answer.kind}) got a success that is not whole: "
+                                     f"{answer.body[-120:]!r}")
+            if answer.status == 200 and "persimmonchute-server-seal" not in answer.headers:
+                self.report("MIXED", f"{answer.attempt} got a success without a seal")
+            if answer.status == 0 and self.is_in_touch(answer.router, answer.end):
+                self.report("LOST", f"{answer.attempt} ({answer.kind}) got no answer from router {answer.router}")
+
+    def check_processes(self):
+        """No process ends by itself."""
+        for name, process in [*self.deployment.routers.items(), *self.deployment.links.items()]:
+            code = process.child.poll()
+            if code is not None and code not in (0, -signal.SIGKILL):
+                self.report("ENDED", f"{process.name} ended with {code}")
+
+    def run(self):
+        self.check_leaving()
+        self.check_budget()
+        self.check_answers()
+        self.check_processes()
+        return self.broken
+
+
+# ----------------------------------------------------------------------------------------------------------------------
+# 5. command line
+# ----------------------------------------------------------------------------------------------------------------------
+
+
+async def play(deployment, arguments):
+    randomness = random.Random(arguments.seed)
+    callers = Callers(deployment, random.Random(arguments.seed + 1), arguments.rate)
+    faults = Faults(deployment, randomness)
+    load = asyncio.create_task(callers.run(arguments.seconds + 2))
+    await getattr(faults, arguments.scenario)(arguments.seconds)
+    await load
+    return callers, faults
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n\n")[0])
+    parser.add_argument("--bin", default="build/bin", help="folder with the programs")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=30, help="time with faults")
+    parser.add_argument("--rate", type=float, default=60, help="requests per second")
+    parser.add_argument("--routers", type=int, default=5)
+    parser.add_argument("--plain", type=int, default=3, help="plain endpoints at the start")
+    parser.add_argument("--prefill", type=int, default=3, help="prefill engines at the start")
+    parser.add_argument("--decode", type=int, default=6, help="decode engines at the start")
+    parser.add_argument("--scenario", choices=SCENARIOS, default="mixed")
+    parser.add_argument("--keep", help="folder in which the logs are kept; default: kept only if a promise was broken")
+    arguments = parser.parse_args()
+    folder = Path(arguments.keep or tempfile.mkdtemp(prefix=f"soak-{arguments.scenario}-{arguments.seed}-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    deployment = Deployment(arguments.bin, folder, arguments.routers, arguments.plain, arguments.prefill,
+                            arguments.decode, 1.0 if arguments.scenario == "unannounced_leaves" else 0.5)
+    try:
+        deployment.start()
+        for index in deployment.routers:
+            wait_for_port(deployment.address("callers", index))
+        time.sleep(1.5)  # all endpoints are registered, and the routers have read them
+        callers, faults = asyncio.run(play(deployment, arguments))
+    finally:
+        deployment.stop()
+    time.sleep(0.2)
+    checks = Checks(deployment, callers.answers)
+    broken = checks.run()
+    for at, text in faults.log:
+        print(f"  {at:.3f} {text}")
+    outcomes = collections.Counter((answer.kind, answer.status if answer.is_complete else "broken")
+                                   for answer in callers.answers)
+    print(f"{arguments.scenario} seed {arguments.seed}: {len(callers.answers)} requests, "
+          f"{len(checks.arrivals)} arrivals, {len(faults.log)} faults, "
+          f"{', '.join(f'{kind} {status}: {count}' for (kind, status), count in sorted(outcomes.items(), key=str))}")
+    for rule, text in broken:
+        print(f"BROKEN {rule}: {text}")
+    if broken or arguments.keep:
+        print(f"logs: {folder}")
+    else:
+        import shutil
+        shutil.rmtree(folder)
+    print(f"{len(checks.answers) and 1 - bool(broken)} passed, {int(bool(broken))} failed")
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/support/router_harness.h
+++ b/tests/support/router_harness.h
@@ -5,6 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -15,6 +16,7 @@
 #include "direct/direct_router.h"
 #include "direct/directory.h"
 #include "direct/endpoint_tracker.h"
+#include "fakes/fake_link.h"
 #include "fakes/fake_platform.h"
 #include "fakes/fake_replica.h"
 #include "support/processes.h"
@@ -82,7 +84,11 @@
 
 class router_harness {
  public:
-  explicit router_harness(const std::function<void(direct_settings&)>& adjust = nullptr)
+  enum class store_path : std::uint8_t { kDirect, kLink };
+
+  // With kLink, the connections of the router to the store go through StoreLink().
+  explicit router_harness(const std::function<void(direct_settings&)>& adjust = nullptr,
+                          store_path path = store_path::kDirect)
       : platform_(kernel_.Context(), host_port{"127.0.0.1", 0}),
         client_(kernel_.Context(), http_client_limits{.idle_connections = 0}) {
     SetLogLevel(log_level::kError);
@@ -95,6 +101,14 @@
     settings_.deployment.readiness = FreeAddress();
     settings_.deployment.control = FreeAddress();
     settings_.deployment.store = {"127.0.0.1", platform_.Port()};
+    if (path == store_path::kLink) {
+      store_link_ = std::make_unique<fake_link>(
+          kernel_.Context(), fake_link_options{.listen = FreeAddress(), .target = settings_.deployment.store});
+      if (!store_link_->Start()) {
+        AbortProgram("The fake link cannot listen.");
+      }
+      settings_.deployment.store = {"127.0.0.1", store_link_->Port()};
+    }
     settings_.deployment.first_internal_port = FreeAddress().port;
     settings_.feed_wait = milliseconds(100);
     settings_.store_timeout = milliseconds(300);
@@ -108,6 +122,9 @@
 
   ~router_harness() {
     kernel_.Stop();
+    if (store_link_) {
+      store_link_->Stop();
+    }
     platform_.Stop();
     for (const auto& replica : replicas_) {
       replica->Stop();
@@ -139,9 +156,39 @@
 
   void StartWithoutWaiting() { kernel_.Start(); }
 
+  // Sends to model engines beyond the first accepted prefill and the first decode call of each request, as the
+  // endpoints count them. Rejected prefills count.
+  int ExtraModelSends() const {
+    std::map<std::string, int> decode_calls;
+    std::map<std::string, int> prefills;
+    int rejected_prefills = 0;
+    for (const auto& replica : replicas_) {
+      for (const http_request& request : replica->Requests()) {
+        const std::string attempt(FindHeader(request.headers, "Persimmonchute-Attempt-Id"));
+        const bool is_prefill = FindHeader(request.headers, "Persimmonchute-Stage") == "prefill";
+        if (attempt.empty()) {
+          continue;
+        }
+        if (is_prefill && replica->Faults().rejects_work) {
+          ++rejected_prefills;
+        } else {
+          ++(is_prefill ? prefills : decode_calls)[attempt];
+        }
+      }
+    }
+    int extra = rejected_prefills;
+    for (const auto* counts : {&decode_calls, &prefills}) {
+      for (const auto& [attempt, count] : *counts) {
+        extra += count - 1;
+      }
+    }
+    return extra;
+  }
+
   deployment_directory& Directory() { return kernel_.Find<deployment_directory>("directory"); }
   endpoint_tracker& EndpointTracker() { return kernel_.Find<endpoint_tracker>("board"); }
   fakes::fake_platform& Platform() { return platform_; }
+  fake_link& StoreLink() { return *store_link_; }
   const direct_settings& Settings() const { return settings_; }
   kernel& Kernel() { return kernel_; }
 
@@ -239,6 +286,7 @@
   kernel kernel_;
   direct_settings settings_;
   fakes::fake_platform platform_;
+  std::unique_ptr<fake_link> store_link_;
   std::vector<std::unique_ptr<fakes::fake_replica>> replicas_;
   http_client client_;
   detail::stop_function stop_;
