Count the repeated prefill of a request in the send budget

Cause: a further round of a request, after a rejected decode call, a broken stream or an engine that left during the prefill, sends a second prefill and a second decode call. The router counted one extra send, or none if no decode call had been made; the endpoints count both. Change: a round counts the sends that are extra before its reservation, and returns those that it does not make. The first prefill of such a round is not counted a second time if it is rejected.

--- a/include/persimmon/send_budget.h
+++ b/include/persimmon/send_budget.h
@@ -6,6 +6,7 @@
 // requests and gets an equal part of the slack.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 
@@ -31,8 +32,12 @@
   void SetRouters(std::uint32_t count) { routers_ = count == 0 ? 1 : count; }
   void RecordRequest(time_point now);
 
-  // Returns true and counts the send if the budget allows one more extra send.
-  bool AllowSend(time_point now);
+  // Returns true and counts the sends if the budget allows that many more extra sends.
+  bool AllowSends(std::size_t count, time_point now);
+  bool AllowSend(time_point now) { return AllowSends(1, now); }
+
+  // Takes back extra sends that were allowed and then not sent.
+  void ReturnSends(std::size_t count);
 
   // Counts an extra send without a check. A send that was rejected or failed is extra even if it was the first of its
   // request, which is known only afterwards.
--- a/src/decisions/send_budget.cpp
+++ b/src/decisions/send_budget.cpp
@@ -1,5 +1,7 @@
 #include "persimmon/send_budget.h"
 
+#include <algorithm>
+
 namespace persimmon {
 
 void send_budget::Expire(time_point now) {
@@ -23,14 +25,18 @@
   return settings_.utilization * total - static_cast<double>(sends_.size());
 }
 
-bool send_budget::AllowSend(time_point now) {
-  if (Available(now) < 1) {
+bool send_budget::AllowSends(std::size_t count, time_point now) {
+  if (count > 0 && Available(now) < static_cast<double>(count)) {
     return false;
   }
-  sends_.push_back(now);
+  sends_.insert(sends_.end(), count, now);
   return true;
 }
 
+void send_budget::ReturnSends(std::size_t count) {
+  sends_.erase(sends_.end() - static_cast<std::ptrdiff_t>(std::min(count, sends_.size())), sends_.end());
+}
+
 void send_budget::RecordSend(time_point now) {
   Expire(now);
   sends_.push_back(now);
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -394,7 +394,7 @@
       const auto engines = endpoint_tracker_->ListEndpoints(call->Service().name, endpoint_role::kPrefill);
       const auto views = endpoint_tracker_->EngineViews(engines, profile, avoid);
       const auto index = ChoosePrefillEngine(views, assignment.engine.zone, RandomNumber(), {});
-      if (!index || !budgets_->AllowExtraSend(*call)) {
+      if (!index || !budgets_->AllowExtraSends(*call)) {
         call->reason = index ? "budget_spent" : "no_prefill_engine";
         co_return std::nullopt;
       }
@@ -452,8 +452,9 @@
     } else {
       endpoint_tracker_->RecordRequestRejected(engine);
     }
-    if (was_sent) {
-      budgets_->RecordExtraSend(*call);  // a rejected prefill is an extra send to the service
+    // A rejected prefill is an extra send to the service. Serve has counted the first one of a further round.
+    if (was_sent && (call->prefills == 0 || avoid.size() > 1)) {
+      budgets_->RecordExtraSend(*call);
     }
     call->reason = "prefill_failed";
     Events()
@@ -708,16 +709,25 @@
   bool may_have_run = false;
   decode_result result = decode_result::kNotRun;
   for (std::uint32_t assignment_round = 0; assignment_round < kMaxAssignments; ++assignment_round) {
-    // Checked before the reservation and the prefill, which would be wasted if the send is not allowed.
-    if (call->sends > 0 && !budgets_->AllowExtraSend(*call)) {
+    // Counted before the reservation and the prefill, which would be wasted if the sends are not allowed. The first
+    // completed prefill and the first decode call of a request are no extra sends.
+    const std::uint32_t extra_prefills = call->prefills > 0 ? 1 : 0;
+    const std::uint32_t extra_sends = extra_prefills + (call->sends > 0 ? 1 : 0);
+    if (!budgets_->AllowExtraSends(*call, extra_sends)) {
       call->reason = "budget_spent";
       break;
     }
     assignment_result assigned = co_await AwaitAssignment(call, avoid, assignment_round > 0);
+    const auto* chosen = std::get_if<engine_assignment>(&assigned);
+    if (chosen == nullptr || call->IsCallerDisconnected()) {
+      budgets_->ReturnExtraSends(*call, extra_sends);
+    } else if (!chosen->prefill) {
+      budgets_->ReturnExtraSends(*call, extra_prefills);
+    }
     if (call->IsCallerDisconnected()) {
-      if (const auto* assignment = std::get_if<engine_assignment>(&assigned)) {
-        ReleaseAssignment(*call, *assignment);
-        ReleaseReservation(*assignment);
+      if (chosen != nullptr) {
+        ReleaseAssignment(*call, *chosen);
+        ReleaseReservation(*chosen);
       }
       result = decode_result::kCallerDisconnected;
       break;
--- a/src/direct/plain_calls.cpp
+++ b/src/direct/plain_calls.cpp
@@ -61,7 +61,7 @@
     }
     const bool may_send = has_time && call->sends < route.max_attempts && connect_failures < kMaxConnectAttempts;
     auto endpoint = may_send ? Choose(*call, avoid) : std::nullopt;
-    if (endpoint && !is_first && !budgets_->AllowExtraSend(*call)) {
+    if (endpoint && !is_first && !budgets_->AllowExtraSends(*call)) {
       call->reason = "budget_spent";
       endpoint.reset();
     }
--- a/src/direct/send_budgets.cpp
+++ b/src/direct/send_budgets.cpp
@@ -1,5 +1,7 @@
 #include "direct/send_budgets.h"
 
+#include <algorithm>
+
 #include "core/event_log.h"
 
 namespace persimmon {
@@ -24,17 +26,18 @@
   BudgetFor(call.Service().name).RecordRequest(timer_service::Now());
 }
 
-bool send_budgets::AllowExtraSend(direct_call& call) {
+bool send_budgets::AllowExtraSends(direct_call& call, std::uint32_t count) {
   send_budget& budget = BudgetFor(call.Service().name);
   const time_point now = timer_service::Now();
-  if (budget.AllowSend(now)) {
-    ++call.extra_sends;
+  if (budget.AllowSends(count, now)) {
+    call.extra_sends += count;
     return true;
   }
   Events()
       .Line(kComponent, "budget_spent")
       .Request(call.Metadata().attempt)
       .Add("service", call.Service().name)
+      .Add("asked", count)
       .Add("requests", budget.RequestCount())
       .Add("extra_sends", budget.SendCount())
       .Add("available", budget.Available(now))
@@ -42,6 +45,11 @@
   return false;
 }
 
+void send_budgets::ReturnExtraSends(direct_call& call, std::uint32_t count) {
+  BudgetFor(call.Service().name).ReturnSends(count);
+  call.extra_sends -= std::min(count, call.extra_sends);
+}
+
 void send_budgets::RecordExtraSend(direct_call& call) {
   BudgetFor(call.Service().name).RecordSend(timer_service::Now());
   ++call.extra_sends;
--- a/src/direct/send_budgets.h
+++ b/src/direct/send_budgets.h
@@ -21,8 +21,11 @@
   // Counts a request of a caller, which raises the budget of its service.
   void RecordRequest(const direct_call& call);
 
-  // Returns true and counts an extra send of the call if the budget of its service allows one more.
-  bool AllowExtraSend(direct_call& call);
+  // Returns true and counts extra sends of the call if the budget of its service allows that many more.
+  bool AllowExtraSends(direct_call& call, std::uint32_t count = 1);
+
+  // Takes back extra sends that were allowed and then not sent.
+  void ReturnExtraSends(direct_call& call, std::uint32_t count);
 
   // Counts an extra send without a check.
   void RecordExtraSend(direct_call& call);
--- a/src/fakes/fake_replica_main.cpp
+++ b/src/fakes/fake_replica_main.cpp
@@ -64,7 +64,7 @@
     writes[0].key = name_;
     writes[0].value = std::move(value);
     auto written = co_await table_.Commit(std::move(writes));
-    co_return written && written.value().committed;
+    co_return written&& written.value().committed;
   }
 
   task<> ReportStatus() {
