Keep room in the send budget for prefills that may be rejected

Cause: a rejected first prefill is an extra send, which is known only afterwards. It was counted then, without a limit, and the prompts in progress at that time followed it. A repeated prefill was counted twice: when the first one was rejected and again before it was sent. Change: a first prefill is a provisional send. It occupies the budget until it has ended, and is counted only if it was rejected or lost. While too many are in progress, prompts wait as if the prefill engines were busy; while the budget has no room for a rejection, decode engines prefill locally, as without prefill engines. One at a time is always allowed until the first rejection, so that a router with few requests can start.

--- a/include/persimmon/send_budget.h
+++ b/include/persimmon/send_budget.h
@@ -4,6 +4,9 @@
 // All routers share one budget per service, unlike the budget of retry_budget.h, which each router has for itself. It
 // is `ratio` times the number of requests in any window, plus a fixed `slack`. Each router applies the ratio to its own
 // requests and gets an equal part of the slack.
+//
+// A provisional send, such as the first prefill of a request, is an extra send only if the endpoint rejects it, which
+// is known afterwards. Until then it occupies the budget, so that sends which are rejected together do not exceed it.
 #pragma once
 
 #include <cstddef>
@@ -39,10 +42,24 @@
   // Takes back extra sends that were allowed and then not sent.
   void ReturnSends(std::size_t count);
 
-  // Counts an extra send without a check. A send that was rejected or failed is extra even if it was the first of its
-  // request, which is known only afterwards.
+  enum class provisional_check : std::uint8_t {
+    kAllowed,
+    kWaits,  // too many provisional sends are in progress
+    kSpent,  // the budget has no room for a rejection
+  };
+
+  // Whether another provisional send may be started. One at a time is allowed while the router has counted no extra
+  // send, so that a router with few requests can start.
+  provisional_check CheckProvisional(time_point now);
+  void BeginProvisional() { ++provisional_; }
+
+  // Ends a provisional send. A rejected one is counted by RecordSend.
+  void EndProvisional() { provisional_ -= provisional_ > 0 ? 1 : 0; }
+
+  // Counts an extra send without a check.
   void RecordSend(time_point now);
 
+  // Extra sends that the budget has room for; negative if it is exceeded.
   double Available(time_point now);
 
   // Requests and extra sends in the current window.
@@ -56,6 +73,7 @@
   std::uint32_t routers_ = 1;
   std::deque<time_point> requests_;
   std::deque<time_point> sends_;
+  std::size_t provisional_ = 0;  // provisional sends in progress
 };
 
 }  // namespace persimmon
--- a/src/decisions/send_budget.cpp
+++ b/src/decisions/send_budget.cpp
@@ -22,7 +22,14 @@
 double send_budget::Available(time_point now) {
   Expire(now);
   const double total = settings_.ratio * static_cast<double>(requests_.size()) + settings_.slack / routers_;
-  return settings_.utilization * total - static_cast<double>(sends_.size());
+  return settings_.utilization * total - static_cast<double>(sends_.size() + provisional_);
+}
+
+send_budget::provisional_check send_budget::CheckProvisional(time_point now) {
+  if (Available(now) >= 1 || (sends_.empty() && provisional_ == 0)) {
+    return provisional_check::kAllowed;
+  }
+  return provisional_ > 0 ? provisional_check::kWaits : provisional_check::kSpent;
 }
 
 bool send_budget::AllowSends(std::size_t count, time_point now) {
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -38,6 +38,17 @@
 constexpr std::size_t kMaxRememberedRoutes = 4'096;
 constexpr std::uint32_t kMaxAssignments = 4;  // engine assignments per request, including failed ones
 
+// Excludes prefill engines while the send budget has no room for a rejected prefill.
+void ApplyBudget(send_budget::provisional_check check, std::vector<engine_view>& prefill_engines) {
+  for (engine_view& engine : prefill_engines) {
+    if (check == send_budget::provisional_check::kSpent) {
+      engine.can_receive = false;
+    } else if (check == send_budget::provisional_check::kWaits) {
+      engine.pending_tokens = std::numeric_limits<std::uint32_t>::max();  // as busy, so that prompts wait
+    }
+  }
+}
+
 std::string FormatError(const error& failure) {
   return fmt::format("{}: {}", ErrorName(failure.code), failure.message);
 }
@@ -232,7 +243,10 @@
     // The sum of maxima is cautious by itself.
     queue.length_expectation =
         settings.counts_maxima ? output_length_model::expectation::kMedian : output_length_model::expectation::kMean;
-    const auto prefill_views = endpoint_tracker_->EngineViews(prefill_engines, profile, {});
+    auto prefill_views = endpoint_tracker_->EngineViews(prefill_engines, profile, {});
+    if (queue.waiting.at(request.request)->call->prefills == 0) {
+      ApplyBudget(budgets_->CheckProvisional(queue.record.name), prefill_views);
+    }
     return ChooseEngines(views, prefill_views, request.memory, settings_.deployment.zone, RandomNumber(), settings);
   };
   const bool peers_wait = group_->PeersWaiting(queue.record.name) > 0;
@@ -247,10 +261,13 @@
     const waiting_ptr waiting = queue.waiting.at(step.placed->request);
     stream_memory memory = step.placed->memory;
     memory.reserved_tokens = step.engines.reserved_tokens;
-    engine_assignment assignment{engines[step.engines.decode], std::nullopt, {}, memory, 0, now};
+    engine_assignment assignment{engines[step.engines.decode], std::nullopt, {}, memory, 0, now, {}};
     assignment.stream_id = endpoint_tracker_->AddStream(assignment.engine.name, memory);
     if (step.engines.prefill) {
       assignment.prefill = prefill_engines[*step.engines.prefill];
+      if (waiting->call->prefills == 0) {
+        assignment.first_prefill = budgets_->BeginProvisional(queue.record.name);
+      }
       endpoint_tracker_->AddPrefill(assignment.prefill->name, memory.held_tokens, 1);
     } else {
       endpoint_tracker_->AddPrefill(assignment.engine.name, memory.held_tokens, 0);
@@ -378,13 +395,14 @@
 // ---------------------------------------------------------------------------------------------------------------------
 
 task<std::optional<platform::kv_source>> generation_calls::Prefill(direct_call_ptr call,
-                                                                   const engine_assignment& assignment) {
+                                                                   engine_assignment& assignment) {
   const engine_profile profile = call->Service().engine.value_or(engine_profile{});
   std::vector<endpoint_name> avoid;
   if (!assignment.prefill) {
     co_return platform::kv_source{};
   }
   chosen_endpoint engine = *assignment.prefill;  // the engine's load already includes this prefill
+  provisional_send first_prefill = std::exchange(assignment.first_prefill, {});
   while (true) {
     const time_point begin = timer_service::Now();
     if (!avoid.empty()) {
@@ -394,10 +412,15 @@
       const auto engines = endpoint_tracker_->ListEndpoints(call->Service().name, endpoint_role::kPrefill);
       const auto views = endpoint_tracker_->EngineViews(engines, profile, avoid);
       const auto index = ChoosePrefillEngine(views, assignment.engine.zone, RandomNumber(), {});
-      if (!index || !budgets_->AllowExtraSends(*call)) {
+      const std::string& service = call->Service().name;
+      const bool is_first = call->prefills == 0;
+      const bool is_allowed = is_first ? budgets_->CheckProvisional(service) == send_budget::provisional_check::kAllowed
+                                       : index && budgets_->AllowExtraSends(*call);
+      if (!index || !is_allowed) {
         call->reason = index ? "budget_spent" : "no_prefill_engine";
         co_return std::nullopt;
       }
+      first_prefill = is_first ? budgets_->BeginProvisional(service) : provisional_send();
       engine = engines[*index];
       endpoint_tracker_->AddPrefill(engine.name, call->Metadata().prompt_tokens, 1);
     }
@@ -424,10 +447,18 @@
     }
     call->ClearDisconnectHandler();
     ReleasePrefill(*call, assignment, engine.name);
-    DispatchAll();
+    first_prefill.End();
     const auto elapsed = std::chrono::duration_cast<milliseconds>(timer_service::Now() - begin);
     auto handle = !failure && head.value().status == 200 ? platform::ParsePrefillHandle(body)
                                                          : result<std::string>(error{error_code::kUnavailable, ""});
+    const bool was_sent = !failure || failure->code != error_code::kUnavailable;
+    // After the first completed prefill, a further one has been counted before it was sent.
+    if (!was_sent && call->prefills > 0) {
+      budgets_->ReturnExtraSends(*call, 1);
+    } else if (!handle && was_sent && call->prefills == 0 && !call->IsCallerDisconnected()) {
+      budgets_->RecordExtraSend(*call);
+    }
+    DispatchAll();
     if (handle) {
       endpoint_tracker_->RecordAnswer(engine);
       Events()
@@ -444,7 +475,6 @@
     if (call->IsCallerDisconnected()) {
       co_return std::nullopt;
     }
-    const bool was_sent = !failure || failure->code != error_code::kUnavailable;
     if (!was_sent) {
       endpoint_tracker_->RecordUnreachable(engine);
     } else if (failure) {
@@ -452,10 +482,6 @@
     } else {
       endpoint_tracker_->RecordRequestRejected(engine);
     }
-    // A rejected prefill is an extra send to the service. Serve has counted the first one of a further round.
-    if (was_sent && (call->prefills == 0 || avoid.size() > 1)) {
-      budgets_->RecordExtraSend(*call);
-    }
     call->reason = "prefill_failed";
     Events()
         .Line(kComponent, "prefill_failed")
@@ -741,7 +767,7 @@
       }
       co_return co_await call->Refuse(rejected->reason, rejected->retry_after);
     }
-    const engine_assignment assignment = std::get<engine_assignment>(std::move(assigned));
+    engine_assignment assignment = std::get<engine_assignment>(std::move(assigned));
     const auto release_decode = [&] { endpoint_tracker_->RemoveStream(assignment.engine.name, assignment.stream_id); };
     auto source = co_await Prefill(call, assignment);
     if (!source) {
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -54,6 +54,7 @@
     stream_memory memory;                       // at the start of the decode
     endpoint_tracker::stream_id stream_id = 0;  // of the load on the decode engine
     time_point chosen_at;                       // when the engines were chosen
+    provisional_send first_prefill;             // set until the first prefill of the request has ended
   };
 
   // Reason why no engine was assigned to a request.
@@ -101,7 +102,7 @@
   void ScheduleDispatch();
 
   // Returns an empty source if the assignment has no prefill engine, and nothing if the prefill failed.
-  task<std::optional<platform::kv_source>> Prefill(direct_call_ptr call, const engine_assignment& assignment);
+  task<std::optional<platform::kv_source>> Prefill(direct_call_ptr call, engine_assignment& assignment);
   task<decode_result> Decode(direct_call_ptr call, const engine_assignment& assignment,
                              std::optional<platform::kv_source> source, stream_state& stream);
   task<decode_result> ForwardStream(direct_call_ptr call, http_call& upstream, const engine_assignment& assignment,
--- a/src/direct/send_budgets.cpp
+++ b/src/direct/send_budgets.cpp
@@ -50,6 +50,10 @@
   call.extra_sends -= std::min(count, call.extra_sends);
 }
 
+send_budget::provisional_check send_budgets::CheckProvisional(const std::string& service) {
+  return BudgetFor(service).CheckProvisional(timer_service::Now());
+}
+
 void send_budgets::RecordExtraSend(direct_call& call) {
   BudgetFor(call.Service().name).RecordSend(timer_service::Now());
   ++call.extra_sends;
--- a/tests/send_budget_test.cpp
+++ b/tests/send_budget_test.cpp
@@ -4,6 +4,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <vector>
 
 namespace persimmon {
@@ -40,6 +41,59 @@
   }
 }
 
+// Sends that are found to be extra only when they are rejected must not exceed the budget together.
+RC_GTEST_PROP(send_budget_test, ProvisionalSends_RejectedAtAnyTime_NeverExceedTheBudget, ()) {
+  send_budget budget({.ratio = 0.2, .slack = 10, .window = milliseconds(10'000), .utilization = 1.0});
+  std::vector<time_point> requests;
+  std::vector<time_point> rejections;
+  int in_progress = 0;
+  time_point now{std::chrono::hours(1)};
+  const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      rc::gen::pair(rc::gen::inRange(0, 200), rc::gen::inRange(0, 100)));
+  for (const auto& [pause, choice] : steps) {
+    now += milliseconds(pause);
+    if (choice < 30) {
+      budget.RecordRequest(now);
+      requests.push_back(now);
+    } else if (choice < 70) {
+      if (budget.CheckProvisional(now) == send_budget::provisional_check::kAllowed) {
+        budget.BeginProvisional();
+        ++in_progress;
+      }
+    } else if (in_progress > 0) {
+      --in_progress;
+      budget.EndProvisional();
+      if (choice < 95) {
+        budget.RecordSend(now);
+        rejections.push_back(now);
+      }
+    }
+    const auto in_window = [](const std::vector<time_point>& times, time_point end) {
+      return static_cast<double>(std::count_if(
+          times.begin(), times.end(), [end](time_point t) { return t >= end - milliseconds(10'000) && t <= end; }));
+    };
+    // Requests of the window, of the one before it or of the one half a window before it count, whichever are most: a
+    // send may begin under a larger budget than the one in which it is rejected.
+    const double most_requests = std::max({in_window(requests, now), in_window(requests, now - milliseconds(5'000)),
+                                           in_window(requests, now - milliseconds(10'000))});
+    RC_ASSERT(in_window(rejections, now) <= 0.2 * most_requests + 10);
+  }
+}
+
+// A router with few requests must be able to send at all, and must learn from the first rejection.
+TEST(send_budget_test, CheckProvisional_WithAnEmptyBudget_AllowsOneAtATimeUntilOneIsRejected) {
+  using check = send_budget::provisional_check;
+  send_budget budget({.ratio = 0.2, .slack = 0, .window = milliseconds(10'000), .utilization = 1.0});
+  const time_point now{std::chrono::hours(1)};
+  EXPECT_EQ(budget.CheckProvisional(now), check::kAllowed);
+  budget.BeginProvisional();
+  EXPECT_EQ(budget.CheckProvisional(now), check::kWaits);
+  budget.EndProvisional();
+  EXPECT_EQ(budget.CheckProvisional(now), check::kAllowed);
+  budget.RecordSend(now);
+  EXPECT_EQ(budget.CheckProvisional(now), check::kSpent);
+}
+
 TEST(send_budget_test, AllowSend_AfterRecordedSends_CountsThem) {
   send_budget budget({.ratio = 0, .slack = 10, .window = milliseconds(10'000), .utilization = 1.0});
   const time_point now{std::chrono::hours(1)};
