Date the return of the store by its first answer, not by a long poll

Cause: an entry that is removed within 2.2 s after an outage counts as expired, and its endpoint stays in use. The router dated the end of the outage by the answer of its next long poll, up to 2.9 s after the store was back, and a second time by the poll of the desired state. So a leaving endpoint of a calm store was taken for an expired one. The shortest outage in which an entry can expire was a constant.

--- a/src/direct/directory.cpp
+++ b/src/direct/directory.cpp
@@ -15,9 +15,9 @@
 
 constexpr const char* kComponent = "router.directory";
 constexpr milliseconds kRetryDelay(200);  // after a failed call, plus a random time of up to the same length
-// The store removes an entry after three missed report intervals of more than a second each, so no entry expires in a
-// shorter outage.
-constexpr milliseconds kMinExpiryOutage(2'500);
+// The store removes an entry after three report intervals without a report. The last report may be one interval older
+// than the outage, so no entry expires in an outage that is shorter than two.
+constexpr int kMinExpiryIntervals = 2;
 constexpr milliseconds kExpiryCheckPeriod(200);
 // Delay after endpoint changes, so that further changes are read in one batch. Many endpoints start or stop together,
 // and the platform counts calls. The delay is short compared with the two seconds within which a stopping
@@ -68,7 +68,10 @@
         failure = snapshot.error();
       }
     } else {
-      auto changes = co_await table_.AwaitChanges(table, feed.version, limits.wait, limits.answer_limit);
+      // After a failure, the first call does not wait for changes, so that the return of the store is noticed at once.
+      const milliseconds wait = feed.is_unreachable ? milliseconds(0) : limits.wait;
+      const milliseconds answer_limit = feed.is_unreachable ? settings_.store_timeout : limits.answer_limit;
+      auto changes = co_await table_.AwaitChanges(table, feed.version, wait, answer_limit);
       if (!changes) {
         failure = changes.error();
       } else if (changes.value().is_history_lost) {
@@ -93,9 +96,10 @@
       co_await kernel_.Timers().Sleep(std::chrono::duration_cast<microseconds>(delay));
       continue;
     }
-    const bool after_outage = feed.is_unreachable && timer_service::Now() - feed.unreachable_since > kMinExpiryOutage;
+    const bool after_outage = feed.is_unreachable && timer_service::Now() - feed.unreachable_since >
+                                                         kMinExpiryIntervals * deployment.report_interval;
     RecordSuccess(table, feed);
-    if (after_outage) {
+    if (after_outage && index == kEndpoints) {
       registry_.RecordStoreRecovery(timer_service::Now());
     }
     if (!rows.empty() || was_snapshot) {
