Give a restarted router no second part of the send budget's slack

Change: a router uses the slack one window after its start, unless the whole system starts for the first time; it uses none while it knows of no other router although the settings name some; a router that has gone silent without leaving counts for 120 s. The test harness starts routers as a first start, so that its tests have a budget at once.

--- a/include/persimmon/send_budget.h
+++ b/include/persimmon/send_budget.h
@@ -30,9 +30,12 @@
 
 class send_budget {
  public:
-  explicit send_budget(send_budget_settings settings) : settings_(settings) {}
+  // `slack_from`: when the router may use its part of the slack. A router that has been started again waits for one
+  // window, because its earlier process may have used that part.
+  send_budget(send_budget_settings settings, time_point slack_from) : settings_(settings), slack_from_(slack_from) {}
 
-  void SetRouters(std::uint32_t count) { routers_ = count == 0 ? 1 : count; }
+  // Number of routers that share the slack; 0 if it is not known, so that this router may use none of it.
+  void SetRouters(std::uint32_t count) { routers_ = count; }
   void RecordRequest(time_point now);
 
   // Returns true and counts the sends if the budget allows that many more extra sends.
@@ -70,6 +73,7 @@
   void Expire(time_point now);
 
   send_budget_settings settings_;
+  time_point slack_from_;
   std::uint32_t routers_ = 1;
   std::deque<time_point> requests_;
   std::deque<time_point> sends_;
--- a/src/decisions/send_budget.cpp
+++ b/src/decisions/send_budget.cpp
@@ -21,7 +21,9 @@
 
 double send_budget::Available(time_point now) {
   Expire(now);
-  const double total = settings_.ratio * static_cast<double>(requests_.size()) + settings_.slack / routers_;
+  const bool has_slack = routers_ > 0 && now >= slack_from_;
+  const double slack = has_slack ? settings_.slack / routers_ : 0;
+  const double total = settings_.ratio * static_cast<double>(requests_.size()) + slack;
   return settings_.utilization * total - static_cast<double>(sends_.size() + provisional_);
 }
 
--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -70,6 +70,7 @@
       .Line(kComponent, "started")
       .Add("name", deployment.name)
       .Add("zone", deployment.zone.value)
+      .Add("first_start", deployment.first_start)
       .Add("callers", deployment.callers.Text())
       .Add("store", deployment.store.Text());
 }
--- a/src/direct/router_group.cpp
+++ b/src/direct/router_group.cpp
@@ -23,7 +23,9 @@
 // Maximum number of routers listed in one heartbeat, starting at a random one, because a datagram cannot hold all of
 // them.
 constexpr std::size_t kMaxMembers = 10;
-constexpr std::uint32_t kAssumedRouters = 5;  // for shared limits, until a message of another router has arrived
+// A router that has gone silent without leaving counts in shared limits for this long: a cut between routers may last
+// that long, and both sides must not share the limits anew.
+constexpr milliseconds kSilentCountTime(120'000);
 
 }  // namespace
 
@@ -140,6 +142,7 @@
   const bool uses_changed = is_new || known->second.state.uses != state.uses;
   peers_.insert_or_assign(sender, peer_state{state, now});
   candidates_.erase(sender);
+  silent_routers_.erase(sender);
   for (const host_port& member : state.members) {
     if (member != own_address_ && !peers_.contains(member)) {
       candidates_.emplace(member, time_point());
@@ -163,6 +166,7 @@
 void router_group::ExpireSilentPeers() {
   const time_point now = timer_service::Now();
   bool changed = false;
+  std::erase_if(silent_routers_, [now](const auto& item) { return now >= item.second; });
   std::erase_if(paused_until_, [now](const auto& item) { return now >= item.second; });
   for (auto& [address, other] : peers_) {
     if (now - other.last_heard > kSilenceTimeout && !(other.state.uses.empty() && other.state.waiting.empty())) {
@@ -177,6 +181,9 @@
     if (now - item->second.last_heard > limit) {
       Events().Line(kComponent, "router_forgotten").Add("router", item->second.state.name);
       candidates_.emplace(item->first, now);
+      if (!item->second.state.leaving) {
+        silent_routers_[item->first] = now + kSilentCountTime;
+      }
       item = peers_.erase(item);
       changed = true;
     } else {
@@ -237,8 +244,8 @@
 }
 
 std::uint32_t router_group::RouterCount() const {
-  const auto live_routers = static_cast<std::uint32_t>(peers_.size()) + 1;
-  return peers_.empty() ? kAssumedRouters : live_routers;
+  const bool is_unknown = peers_.empty() && silent_routers_.empty() && !candidates_.empty();
+  return is_unknown ? 0 : static_cast<std::uint32_t>(peers_.size() + silent_routers_.size()) + 1;
 }
 
 revision_number router_group::NewestPeerRevision() const {
--- a/src/direct/router_group.h
+++ b/src/direct/router_group.h
@@ -65,8 +65,8 @@
   // True while another router pauses the endpoint because it was unreachable, rejected work or executes an order.
   bool IsPausedByPeer(const endpoint_name& endpoint, time_point now) const;
 
-  // Number of routers that share limits: this one and all whose last message is not older than the removal timeout; an
-  // assumed number before the first message.
+  // Number of routers that share limits: this one, its peers, and routers that have gone silent without leaving and may
+  // still be running behind a cut. 0 if there are other routers and none has been heard yet.
   std::uint32_t RouterCount() const;
 
   revision_number NewestPeerRevision() const;  // 0: unknown
@@ -95,6 +95,7 @@
   std::uint64_t sequence_ = 0;
   std::map<host_port, peer_state> peers_;
   std::map<host_port, time_point> candidates_;                         // with the time of the last message to each
+  std::map<host_port, time_point> silent_routers_;                     // removed peers, counted until this time
   mutable std::unordered_map<std::uint64_t, endpoint_use> peer_uses_;  // sums by endpoint key
   mutable bool peer_uses_outdated_ = false;                            // the sums are calculated when they are needed
   std::unordered_map<std::uint64_t, time_point> paused_until_;  // pauses reported by other routers, by endpoint key
--- a/src/direct/send_budgets.cpp
+++ b/src/direct/send_budgets.cpp
@@ -11,13 +11,19 @@
 
 }  // namespace
 
+void send_budgets::Start() {
+  const auto& deployment = settings_.deployment;
+  group_ = &kernel_.Find<router_group>("group");
+  slack_from_ = timer_service::Now() + (deployment.first_start ? milliseconds(0) : deployment.budget_window);
+}
+
 send_budget& send_budgets::BudgetFor(const std::string& service) {
   const auto& deployment = settings_.deployment;
   send_budget_settings limits;
   limits.ratio = deployment.budget_ratio;
   limits.slack = deployment.budget_slack;
   limits.window = deployment.budget_window;
-  send_budget& budget = budgets_.try_emplace(service, limits).first->second;
+  send_budget& budget = budgets_.try_emplace(service, limits, slack_from_).first->second;
   budget.SetRouters(group_->RouterCount());
   return budget;
 }
--- a/src/direct/send_budgets.h
+++ b/src/direct/send_budgets.h
@@ -33,7 +33,7 @@
  public:
   send_budgets(kernel& services, const direct_settings& settings) : kernel_(services), settings_(settings) {}
 
-  void Start() { group_ = &kernel_.Find<router_group>("group"); }
+  void Start();
   void Stop() {}
 
   // Counts a request of a caller, which raises the budget of its service.
@@ -58,6 +58,7 @@
   kernel& kernel_;
   const direct_settings& settings_;
   router_group* group_ = nullptr;
+  time_point slack_from_;
   std::map<std::string, send_budget> budgets_;  // elements are never removed, because provisional sends refer to them
 };
 
--- a/tests/router_group_test.cpp
+++ b/tests/router_group_test.cpp
@@ -135,6 +135,24 @@
   EXPECT_TRUE(RunUntil([this] { return AllRouterCountsAre(2); }, milliseconds(4'000)));
 }
 
+// Guards against a share of the common limits that grows behind a cut: both sides of it would use the whole limit.
+TEST_F(router_group_test, SilentRouter_ThatHasNotLeft_StillCountsInTheCommonLimits) {
+  AddRouters(3);
+  ASSERT_TRUE(RunUntil([this] { return AllRouterCountsAre(3); }, milliseconds(5'000)));
+  members_[2]->services.Stop();
+  members_.pop_back();
+  RunFor(milliseconds(13'000));  // longer than a silent router stays a peer
+  EXPECT_TRUE(AllRouterCountsAre(3));
+}
+
+// A router that has not heard of any other yet must not take a part of the common limits that belongs to them.
+TEST_F(router_group_test, Router_ThatHasHeardOfNoOther_DoesNotKnowHowManyShareTheLimits) {
+  AddRouters(2);
+  members_.erase(members_.begin());  // the seed of the other
+  RunFor(milliseconds(200));
+  EXPECT_EQ(Group(0).RouterCount(), 0U);
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 3. waiting requests
 // ---------------------------------------------------------------------------------------------------------------------
--- a/tests/send_budget_test.cpp
+++ b/tests/send_budget_test.cpp
@@ -15,7 +15,7 @@
 RC_GTEST_PROP(send_budget_test, AllowSend_OfSeveralRouters_NeverExceedsTheSharedBudget, ()) {
   const auto routers = *rc::gen::inRange<std::size_t>(1, 8);
   const send_budget_settings settings{.ratio = 0.2, .slack = 56, .window = milliseconds(10'000), .utilization = 1.0};
-  std::vector<send_budget> budgets(routers, send_budget(settings));
+  std::vector<send_budget> budgets(routers, send_budget(settings, time_point()));
   for (send_budget& budget : budgets) {
     budget.SetRouters(static_cast<std::uint32_t>(routers));
   }
@@ -41,9 +41,40 @@
   }
 }
 
+// Guards against a share of the slack that is used twice within one window: by a router, and again after its restart.
+RC_GTEST_PROP(send_budget_test, AllowSend_AcrossRestarts_NeverExceedsTheSharedBudget, ()) {
+  const send_budget_settings settings{.ratio = 0.2, .slack = 56, .window = milliseconds(10'000), .utilization = 1.0};
+  constexpr std::size_t kRouters = 3;
+  std::vector<send_budget> budgets(kRouters, send_budget(settings, time_point()));
+  std::vector<time_point> sends;
+  time_point now{std::chrono::hours(1)};
+  const auto steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      rc::gen::pair(rc::gen::inRange(0, 400), rc::gen::inRange(0, 100)));
+  for (const auto& [pause, choice] : steps) {
+    now += milliseconds(pause);
+    send_budget& budget = budgets[static_cast<std::size_t>(choice) % kRouters];
+    budget.SetRouters(kRouters);
+    if (choice < 10) {
+      budget = send_budget(settings, now + settings.window);
+    } else if (budget.AllowSend(now)) {
+      sends.push_back(now);
+    }
+    const auto in_window =
+        std::count_if(sends.begin(), sends.end(), [&](time_point t) { return t >= now - settings.window; });
+    RC_ASSERT(static_cast<double>(in_window) <= settings.slack);
+  }
+}
+
+// A router that does not know how many others share the slack must not use any of it.
+TEST(send_budget_test, AllowSend_WithAnUnknownNumberOfRouters_UsesNoSlack) {
+  send_budget budget({.ratio = 0, .slack = 56, .window = milliseconds(10'000), .utilization = 1.0}, time_point());
+  budget.SetRouters(0);
+  EXPECT_FALSE(budget.AllowSend(time_point{std::chrono::hours(1)}));
+}
+
 // Sends that are found to be extra only when they are rejected must not exceed the budget together.
 RC_GTEST_PROP(send_budget_test, ProvisionalSends_RejectedAtAnyTime_NeverExceedTheBudget, ()) {
-  send_budget budget({.ratio = 0.2, .slack = 10, .window = milliseconds(10'000), .utilization = 1.0});
+  send_budget budget({.ratio = 0.2, .slack = 10, .window = milliseconds(10'000), .utilization = 1.0}, time_point());
   std::vector<time_point> requests;
   std::vector<time_point> rejections;
   int in_progress = 0;
@@ -83,7 +114,7 @@
 // A router with few requests must be able to send at all, and must learn from the first rejection.
 TEST(send_budget_test, CheckProvisional_WithAnEmptyBudget_AllowsOneAtATimeUntilOneIsRejected) {
   using check = send_budget::provisional_check;
-  send_budget budget({.ratio = 0.2, .slack = 0, .window = milliseconds(10'000), .utilization = 1.0});
+  send_budget budget({.ratio = 0.2, .slack = 0, .window = milliseconds(10'000), .utilization = 1.0}, time_point());
   const time_point now{std::chrono::hours(1)};
   EXPECT_EQ(budget.CheckProvisional(now), check::kAllowed);
   budget.BeginProvisional();
@@ -95,7 +126,7 @@
 }
 
 TEST(send_budget_test, AllowSend_AfterRecordedSends_CountsThem) {
-  send_budget budget({.ratio = 0, .slack = 10, .window = milliseconds(10'000), .utilization = 1.0});
+  send_budget budget({.ratio = 0, .slack = 10, .window = milliseconds(10'000), .utilization = 1.0}, time_point());
   const time_point now{std::chrono::hours(1)};
   for (int i = 0; i < 10; ++i) {
     budget.RecordSend(now);
--- a/tests/support/router_harness.h
+++ b/tests/support/router_harness.h
@@ -112,6 +112,7 @@
     settings_.deployment.first_internal_port = FreeAddress().port;
     settings_.feed_wait = milliseconds(100);
     settings_.store_timeout = milliseconds(300);
+    settings_.deployment.first_start = true;
     settings_.order_stages = false;
     settings_.stop_announce = milliseconds(50);
     if (adjust) {
