Check right before a send that the endpoint still receives work

Cause: a request may be sent to an endpoint that was chosen before it left. Change: each request of a caller, plain, prefill or decode, is checked when its connection is open: the endpoint must be the same incarnation and receive new work. Otherwise nothing is sent, and another endpoint is chosen. Before: PrefillEngine_ThatLeavesWhileMemoryIsReserved_GetsNoPrompt failed, the leaving engine got the prompt. After: it passes.

--- a/src/direct/endpoint_tracker.h
+++ b/src/direct/endpoint_tracker.h
@@ -65,6 +65,11 @@
   // True if the endpoint is registered with the same incarnation and is not draining.
   bool IsCurrent(const chosen_endpoint& endpoint) const;
 
+  // The check of a send: true while the endpoint is the same incarnation and receives new work.
+  http_call::send_check MakeSendCheck(const chosen_endpoint& endpoint) const {
+    return [this, endpoint] { return IsCurrent(endpoint); };
+  }
+
   // True if the registry lists the endpoint as a decode engine.
   bool IsDecodeEngine(const endpoint_name& endpoint) const;
 
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -430,7 +430,8 @@
     const time_point end = std::min(call->Deadline(), begin + kPrefillTimeout);
     auto request = platform::MakePrefillRequest(call->Forwarded(), engine.name, call->TimeLeft(begin));
     auto head =
-        co_await upstream.Send(engine.address, std::move(request), end, MakeAttemptFilter(call->Metadata().attempt));
+        co_await upstream.Send(engine.address, std::move(request), end, MakeAttemptFilter(call->Metadata().attempt),
+                               endpoint_tracker_->MakeSendCheck(engine));
     std::string body;
     std::optional<error> failure;
     if (!head) {
@@ -514,7 +515,8 @@
   const bool may_resume = call->Route().resumable && call->sends < call->Route().max_attempts;
   const time_point end = may_resume ? std::min(call->Deadline(), begin + settings_.stall_limit) : call->Deadline();
   auto head = co_await upstream.Send(assignment.engine.address, std::move(request), end,
-                                     MakeAttemptFilter(call->Metadata().attempt));
+                                     MakeAttemptFilter(call->Metadata().attempt),
+                                     endpoint_tracker_->MakeSendCheck(assignment.engine));
   if (!assignment.prefill) {
     ReleasePrefill(*call, assignment, assignment.engine.name);
     DispatchAll();
--- a/src/direct/plain_calls.cpp
+++ b/src/direct/plain_calls.cpp
@@ -120,8 +120,9 @@
   suspect_tracker_->RecordStart(call->Fingerprint(), endpoint);
   const time_point begin = timer_service::Now();
   auto request = platform::MakeCallRequest(call->Forwarded(), endpoint.name, call->TimeLeft(begin));
-  auto head = co_await upstream.Send(endpoint.address, std::move(request), deadline,
-                                     MakeAttemptFilter(call->Metadata().attempt));
+  auto head =
+      co_await upstream.Send(endpoint.address, std::move(request), deadline,
+                             MakeAttemptFilter(call->Metadata().attempt), endpoint_tracker_->MakeSendCheck(endpoint));
   std::optional<error> failure;
   if (!head) {
     failure = head.error();
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -139,6 +139,8 @@
     response =
         JsonResponse(200, json{{"stage", options_.stage}, {"busy", faults_.switching_stage}, {"seq", orders_}}.dump());
   } else if (request.target == "/hold-take") {
+    const milliseconds delay = faults_.reserve_delay;
+    co_await timers_.Sleep(delay);
     response = Reserve(request);
   } else if (request.target.starts_with("/hold-drop/")) {
     response.status = reservations_.erase(request.target.substr(11)) > 0 ? 200 : 404;
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -956,7 +956,7 @@
 }
 
 task<result<http_response_head>> http_call::Send(host_port address, http_request request, time_point deadline,
-                                                 head_filter matches) {
+                                                 head_filter matches, send_check may_send) {
   const auto state = state_;
   const auto client = state->client;
   state->address = address;
@@ -979,6 +979,9 @@
     sys_error ignored;
     state->connection->stream.socket().set_option(tcp::no_delay(true), ignored);
   }
+  if (may_send && !may_send()) {
+    co_return error{error_code::kUnavailable, fmt::format("{} no longer receives requests", address.Text())};
+  }
   state->connection->stream.expires_at(deadline);
   if (message->body().size() <= kMaxForegroundBodyBytes) {
     const std::size_t written = co_await http::async_write(state->connection->stream, *message, RedirectError(failure));
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -215,11 +215,14 @@
   // dropped.
   using head_filter = std::function<bool(const http_response_head&)>;
 
+  // Checked right before the request is written, because connecting takes time. If it returns false, nothing is sent.
+  using send_check = std::function<bool()>;
+
   // Sends the request and returns the status and headers of its response, which may arrive before the request body has
   // been sent. Errors: kUnavailable if nothing was sent; kTimeout and kClosed if the request may have taken effect;
   // kProtocol for a response that is not valid HTTP; kCancelled.
   task<result<http_response_head>> Send(host_port address, http_request request, time_point deadline,
-                                        head_filter matches);
+                                        head_filter matches, send_check may_send = nullptr);
 
   // Returns the next part of the body, or an empty string at its end. Errors: kTimeout, kClosed, kProtocol, kCancelled.
   task<result<std::string>> Read(time_point deadline);
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -286,6 +286,21 @@
   EXPECT_TRUE(harness_.EndpointTracker().LocalUses().empty());
 }
 
+// Guards against a prompt for an engine that was chosen before it left: the reservation lies between choice and
+// prefill.
+TEST_F(model_call_test, PrefillEngine_ThatLeavesWhileMemoryIsReserved_GetsNoPrompt) {
+  first_.Faults().reserve_delay = milliseconds(150);
+  second_.Faults().reserve_delay = milliseconds(150);
+  const auto call = harness_.SendModel("/chat/1", "a1");
+  harness_.RunFor(milliseconds(30));
+  fake_replica& other = harness_.AddReplica(Engine("pre-2", "prefill"));
+  prefill_.Register(harness_.Platform().Tables(), true);
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->body, WholeStream("a1", 5));
+  EXPECT_EQ(prefill_.Prefills(), 0);
+  EXPECT_EQ(other.Prefills(), 1);
+}
+
 // Guards against prefills that are repeated without being counted: each further round of a request sends a prefill and
 // a decode call, and both are extra sends.
 TEST(model_budget_test, ExtraSends_WhenEveryDecodeCallIsRejected_StayWithinTheBudget) {
