Send no new work to an endpoint that states its leaving in an answer

Change: the header is read from every response (calls, prefills, decode calls, reservations, reports, orders). An incarnation that has been seen draining, in its entry or by its own word, never receives new work again; it is remembered for 120 s after its entry is gone, so that an old entry does not bring it back.

--- a/include/persimmon/endpoint_registry.h
+++ b/include/persimmon/endpoint_registry.h
@@ -6,7 +6,8 @@
 //
 // An entry that is missing after a store outage may have expired although its endpoint is alive. Such endpoints keep
 // receiving work for `expiry_grace`. An incarnation is identified by the endpoint's name and start time, because an
-// endpoint may keep its name across a restart, which loses all its earlier state.
+// endpoint may keep its name across a restart, which loses all its earlier state. An incarnation that has once been
+// seen draining, in its entry or by its own word, never receives new work again, whatever a later entry says.
 #pragma once
 
 #include <cstdint>
@@ -46,6 +47,10 @@
   // guarantees about two seconds.
   milliseconds expiry_grace = milliseconds(2'200);
 
+  // Time for which an incarnation without an entry is remembered as leaving. Its old entry may come back with an older
+  // copy of the store, which is some seconds old.
+  milliseconds leaving_retention = milliseconds(120'000);
+
   bool operator==(const registry_settings&) const = default;
 };
 
@@ -56,6 +61,9 @@
   // Call when an entry was written or removed. An unreadable entry counts as removed.
   void PutEntry(const endpoint_entry& entry);
 
+  // Call when the incarnation has stated by itself that it is leaving. Returns true if that is new.
+  bool RecordLeaving(const endpoint_name& name, std::uint64_t started_ms, time_point now);
+
   // Returns until when the endpoint still receives work; nothing if it receives none.
   std::optional<time_point> RemoveEntry(const endpoint_name& name, time_point now);
 
@@ -67,10 +75,13 @@
   // expired: unless it is draining, its endpoint keeps receiving work until that period ends.
   void RecordStoreRecovery(time_point now) { grace_end_ = now + settings_.expiry_grace; }
 
-  // Removes the entries that are missing from the store and whose grace period has ended. Returns true if there was
-  // any.
+  // Removes the entries that are missing from the store and whose grace period has ended, and forgets incarnations that
+  // have left long ago. Returns true if an entry was removed.
   bool RemoveExpiredEntries(time_point now);
 
+  // True if the incarnation is registered and can receive new work.
+  bool ReceivesWork(const endpoint_name& name, std::uint64_t started_ms) const;
+
   const endpoint_entry* Find(const endpoint_name& name) const;
 
   // Returns the endpoints of a service that can receive new work, ordered by name.
@@ -84,8 +95,14 @@
     std::optional<time_point> remove_at;  // set if missing from the store: time of removal
   };
 
+  struct leaving_incarnation {
+    std::uint64_t started_ms = 0;
+    time_point remembered_from;  // when its entry was removed, or when it stated its leaving
+  };
+
   registry_settings settings_;
   std::map<endpoint_name, stored_entry> entries_;
+  std::map<endpoint_name, leaving_incarnation> leaving_;
   time_point grace_end_;
 };
 
--- a/src/decisions/endpoint_registry.cpp
+++ b/src/decisions/endpoint_registry.cpp
@@ -5,7 +5,31 @@
 namespace persimmon {
 
 void endpoint_registry::PutEntry(const endpoint_entry& entry) {
-  entries_.insert_or_assign(entry.name, stored_entry{entry, std::nullopt});
+  endpoint_entry& stored = entries_.insert_or_assign(entry.name, stored_entry{entry, std::nullopt}).first->second.entry;
+  const auto left = leaving_.find(entry.name);
+  if (left != leaving_.end() && left->second.started_ms == entry.started_ms) {
+    stored.draining = true;
+  } else if (stored.draining) {
+    leaving_.insert_or_assign(entry.name, leaving_incarnation{entry.started_ms, {}});
+  }
+}
+
+bool endpoint_registry::RecordLeaving(const endpoint_name& name, std::uint64_t started_ms, time_point now) {
+  const auto left = leaving_.find(name);
+  if (left != leaving_.end() && left->second.started_ms >= started_ms) {
+    return false;
+  }
+  leaving_.insert_or_assign(name, leaving_incarnation{started_ms, now});
+  const auto found = entries_.find(name);
+  if (found != entries_.end() && found->second.entry.started_ms == started_ms) {
+    found->second.entry.draining = true;
+  }
+  return true;
+}
+
+bool endpoint_registry::ReceivesWork(const endpoint_name& name, std::uint64_t started_ms) const {
+  const endpoint_entry* entry = Find(name);
+  return entry != nullptr && !entry->draining && entry->started_ms == started_ms;
 }
 
 std::optional<time_point> endpoint_registry::RemoveEntry(const endpoint_name& name, time_point now) {
@@ -13,6 +37,9 @@
   if (found == entries_.end()) {
     return std::nullopt;
   }
+  if (const auto left = leaving_.find(name); left != leaving_.end()) {
+    left->second.remembered_from = now;
+  }
   const bool may_have_expired = now < grace_end_ && !found->second.entry.draining;
   if (!may_have_expired) {
     entries_.erase(found);
@@ -45,6 +72,9 @@
 }
 
 bool endpoint_registry::RemoveExpiredEntries(time_point now) {
+  std::erase_if(leaving_, [&](const auto& item) {
+    return !entries_.contains(item.first) && now - item.second.remembered_from > settings_.leaving_retention;
+  });
   return std::erase_if(entries_,
                        [now](const auto& item) { return item.second.remove_at && *item.second.remove_at <= now; }) > 0;
 }
--- a/src/direct/directory.cpp
+++ b/src/direct/directory.cpp
@@ -231,6 +231,13 @@
   Events().Line(kComponent, "endpoints_read").Add("endpoints", entries.size()).Add("after_outage", after_outage);
 }
 
+void deployment_directory::RecordLeaving(const endpoint_name& endpoint, std::uint64_t started_ms) {
+  if (registry_.RecordLeaving(endpoint, started_ms, timer_service::Now())) {
+    Events().Line(kComponent, "endpoint_leaving").Add("endpoint", endpoint.value).Add("started_ms", started_ms);
+    NotifyListeners();
+  }
+}
+
 void deployment_directory::NotifyListeners() {
   for (const auto& listener : listeners_) {
     listener();
--- a/src/direct/directory.h
+++ b/src/direct/directory.h
@@ -33,6 +33,9 @@
 
   const endpoint_registry& Endpoints() const { return registry_; }
 
+  // Records that the incarnation of an endpoint has stated by itself that it is leaving.
+  void RecordLeaving(const endpoint_name& endpoint, std::uint64_t started_ms);
+
   // Registers a function that is called after every change of routes or endpoints.
   void Subscribe(std::function<void()> on_change) { listeners_.push_back(std::move(on_change)); }
 
--- a/src/direct/endpoint_tracker.cpp
+++ b/src/direct/endpoint_tracker.cpp
@@ -4,6 +4,7 @@
 
 #include "core/event_log.h"
 #include "core/random.h"
+#include "platform/requests.h"
 
 namespace persimmon {
 namespace {
@@ -88,6 +89,13 @@
   state.refused_until = now + settings_.refused_pause;
 }
 
+void endpoint_tracker::RecordResponse(const chosen_endpoint& endpoint, const http_response_head& head) {
+  const auto metadata = platform::ParseResponseHeaders(head);
+  if (metadata.is_leaving && !metadata.is_misdirected) {
+    directory_->RecordLeaving(endpoint.name, endpoint.started_ms);
+  }
+}
+
 void endpoint_tracker::RecordAnswer(const chosen_endpoint& endpoint) {
   StateOf(endpoint.name).down_pause = milliseconds(0);
   const endpoint_entry* entry = directory_->Endpoints().Find(endpoint.name);
@@ -214,8 +222,7 @@
 }
 
 bool endpoint_tracker::IsCurrent(const chosen_endpoint& endpoint) const {
-  const endpoint_entry* entry = directory_->Endpoints().Find(endpoint.name);
-  return entry != nullptr && !entry->draining && entry->started_ms == endpoint.started_ms;
+  return directory_->Endpoints().ReceivesWork(endpoint.name, endpoint.started_ms);
 }
 
 bool endpoint_tracker::IsDecodeEngine(const endpoint_name& endpoint) const {
--- a/src/direct/endpoint_tracker.h
+++ b/src/direct/endpoint_tracker.h
@@ -45,6 +45,9 @@
   // An engine refused to reserve this many tokens; it is not asked for that many or more during refused_pause.
   void RecordReservationRefused(const endpoint_name& endpoint, std::uint32_t tokens);
 
+  // Records what the head of any response of the endpoint says about the endpoint itself.
+  void RecordResponse(const chosen_endpoint& endpoint, const http_response_head& head);
+
   void RecordAnswer(const chosen_endpoint& endpoint);
   void RecordFailure(const chosen_endpoint& endpoint);          // no complete response, or a timeout
   void RecordUnreachable(const chosen_endpoint& endpoint);      // the request could not be sent
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -298,6 +298,9 @@
   const std::uint32_t tokens = assignment.memory.reserved_tokens;
   auto request = platform::MakeReserveRequest(assignment.engine.name, tokens, lifetime);
   auto response = co_await client_.Fetch(assignment.engine.address, std::move(request), settings_.reserve_timeout);
+  if (response) {
+    endpoint_tracker_->RecordResponse(assignment.engine, response.value().Head());
+  }
   const time_point now = timer_service::Now();
   service_queue& queue = *queues_[service];
   auto reservation = response && response.value().status == 200
@@ -436,6 +439,8 @@
     std::optional<error> failure;
     if (!head) {
       failure = head.error();
+    } else {
+      endpoint_tracker_->RecordResponse(engine, head.value());
     }
     for (bool more = !failure; more;) {
       auto piece = co_await upstream.Read(end);
@@ -533,6 +538,7 @@
       endpoint_tracker_->RecordFailure(assignment.engine);
     }
   } else {
+    endpoint_tracker_->RecordResponse(assignment.engine, head.value());
     const auto metadata = platform::ParseResponseHeaders(head.value());
     const bool is_success = head.value().status >= 200 && head.value().status < 300;
     if (metadata.proves_not_run) {
@@ -607,6 +613,9 @@
   bool is_switching = true;
   while (is_switching && endpoint_tracker_->IsCurrent(engine) && endpoint_tracker_->IsDecodeEngine(engine.name)) {
     auto response = co_await client_.Fetch(engine.address, platform::MakeReportRequest(engine.name), kReportTimeout);
+    if (response) {
+      endpoint_tracker_->RecordResponse(engine, response.value().Head());
+    }
     auto report =
         response && response.value().status == 200
             ? platform::ParseReport(response.value().body)
--- a/src/direct/plain_calls.cpp
+++ b/src/direct/plain_calls.cpp
@@ -129,6 +129,7 @@
     outcome.result = failure->code == error_code::kUnavailable ? attempt_result::kNotSent : attempt_result::kMayHaveRun;
   } else {
     const auto metadata = platform::ParseResponseHeaders(head.value());
+    endpoint_tracker_->RecordResponse(endpoint, head.value());
     outcome.response = {head.value().status, platform::ForwardedHeaders(head.value().headers), {}};
     bool complete = false;
     while (!complete && !failure) {
--- a/src/direct/stage_orders.cpp
+++ b/src/direct/stage_orders.cpp
@@ -147,6 +147,9 @@
   const auto stage =
       role == endpoint_role::kPrefill ? platform::engine_stage::kPrefill : platform::engine_stage::kDecode;
   auto reported = co_await client_.Fetch(engine.address, platform::MakeReportRequest(engine.name), kOrderTimeout);
+  if (reported) {
+    endpoint_tracker_->RecordResponse(engine, reported.value().Head());
+  }
   auto report =
       reported && reported.value().status == 200
           ? platform::ParseReport(reported.value().body)
@@ -162,6 +165,9 @@
   auto request = platform::MakeStageOrderRequest(engine.name, stage, settings_.deployment.name, fencing_token,
                                                  report.value().orders_accepted);
   auto response = co_await client_.Fetch(engine.address, std::move(request), kOrderTimeout);
+  if (response) {
+    endpoint_tracker_->RecordResponse(engine, response.value().Head());
+  }
   const int status = response ? response.value().status : 0;
   Events()
       .Line(kComponent, "order_sent")
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -90,9 +90,16 @@
   if (!faults_.omits_seal) {
     headers.push_back({"Persimmonchute-Server-Seal", "seal." + options_.name + "." + attempt});
   }
+  AddLeavingHeader(headers);
   return headers;
 }
 
+void fake_replica::AddLeavingHeader(header_list& headers) const {
+  if (faults_.leaving) {
+    headers.push_back({"Server-Leaving", "1"});
+  }
+}
+
 http_response fake_replica::NotExecuted(int status) const {
   return {status, {{"Persimmonchute-Not-Executed", "1"}, {"Persimmonchute-Instance-Id", options_.name}}, {}};
 }
@@ -160,6 +167,7 @@
   } else {
     co_return co_await ServeRequest(exchange);
   }
+  AddLeavingHeader(response.headers);
   (void)co_await exchange->Respond(std::move(response));
 }
 
@@ -194,6 +202,7 @@
   LogArrival(request, options_.stage == "prefill" ? "prefill" : "rejected_prefill");
   if (options_.stage != "prefill") {
     auto refused = NotExecuted(421);
+    AddLeavingHeader(refused.headers);
     (void)co_await exchange->Respond(std::move(refused));
     co_return;
   }
@@ -205,6 +214,7 @@
   }
   http_response response = JsonResponse(200, json{{"handle", handle}, {"tokens", 100}, {"version", 1}}.dump());
   response.headers.push_back({"Persimmonchute-Attempt-Id", Header(request, "Persimmonchute-Attempt-Id")});
+  AddLeavingHeader(response.headers);
   (void)co_await exchange->Respond(std::move(response));
 }
 
@@ -236,6 +246,7 @@
   if (options_.stage == "prefill" || faults_.switching_stage || !ConsumeReservation(exchange->Request())) {
     LogArrival(exchange->Request(), "rejected");
     auto refused = NotExecuted(options_.stage == "prefill" ? 421 : 503);
+    AddLeavingHeader(refused.headers);
     (void)co_await exchange->Respond(std::move(refused));
     co_return;
   }
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -39,6 +39,7 @@
 // Injected faults. Each stays in effect until it is changed.
 struct replica_faults {
   bool full = false;                     // rejects requests and reservations with proof that nothing has run
+  bool leaving = false;                  // states in all responses that it is leaving
   bool rejects_work = false;             // like full, but grants reservations
   bool switching_stage = false;          // is switching to another stage: grants reservations but runs nothing
   bool never_responds = false;           // runs requests and sends no response
@@ -99,6 +100,7 @@
   task<> SimulatePrefill(const http_request& request, double rate);
   http_response ApplyOrder(const http_request& request);
   http_response NotExecuted(int status) const;
+  void AddLeavingHeader(header_list& headers) const;
   http_response SetFaults(const std::string& body);
   void LogArrival(const http_request& request, const char* result) const;
   header_list ResponseHeaders(const std::string& attempt) const;
--- a/src/fakes/fake_replica_main.cpp
+++ b/src/fakes/fake_replica_main.cpp
@@ -25,6 +25,8 @@
 DEFINE_uint32(tokens_per_ms, 0, "prefill rate; 0: without delay");
 DEFINE_uint32(work_ms, 0, "duration of a plain call");
 DEFINE_uint32(heartbeat_ms, 1'200, "time between status reports");
+DEFINE_uint32(announce_delay_ms, 0,
+              "time between its first response that states its leaving and the change of its entry");
 DEFINE_uint32(serve_after_leave_ms, 5'000, "how long it serves after the service has accepted that it leaves");
 DEFINE_bool(leave_unannounced, false, "on SIGTERM, remove the entry instead of reporting that the endpoint drains");
 
@@ -75,7 +77,9 @@
   }
 
   task<> LeaveDeployment(std::function<void()> finished) {
+    replica_.Faults().leaving = true;
     Events().Line(kComponent, "leaving").Add("endpoint", name_).Add("announced", !FLAGS_leave_unannounced);
+    co_await kernel_.Timers().Sleep(milliseconds(FLAGS_announce_delay_ms));
     std::optional<std::string> value;
     if (!FLAGS_leave_unannounced) {
       value = replica_.EntryText(true, ++reports_);
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -42,11 +42,20 @@
   bool operator==(const http_request&) const = default;
 };
 
+struct http_response_head {
+  int status = 0;
+  header_list headers;
+
+  bool operator==(const http_response_head&) const = default;
+};
+
 struct http_response {
   int status = 200;
   header_list headers;
   std::string body;
 
+  http_response_head Head() const { return {status, headers}; }
+
   bool operator==(const http_response&) const = default;
 };
 
@@ -195,13 +204,6 @@
 // 4. streaming calls
 // ---------------------------------------------------------------------------------------------------------------------
 
-struct http_response_head {
-  int status = 0;
-  header_list headers;
-
-  bool operator==(const http_response_head&) const = default;
-};
-
 // One request to a server whose response body is read incrementally. Destroying or cancelling the call closes its
 // connection unless the response has been read completely.
 class http_call {
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -842,6 +842,35 @@
   fake_replica& first_;
 };
 
+// Guards against waiting for the store although the endpoint itself has stated that it is leaving.
+TEST_F(leaving_endpoint_test, Endpoint_ThatStatesItsLeavingInAnAnswer_GetsNoMoreCalls) {
+  first_.Faults().leaving = true;
+  for (int i = 0; first_.TotalRuns() == 0; ++i) {
+    ASSERT_TRUE(harness_.Finish(harness_.Send("GET", "/pages/1", "a" + std::to_string(i))));
+  }
+  for (int i = 0; i < 30; ++i) {
+    ASSERT_TRUE(harness_.Finish(harness_.Send("GET", "/pages/1", "b" + std::to_string(i))));
+  }
+  EXPECT_EQ(first_.TotalRuns(), 1);
+}
+
+// A rejection, a reservation and a report state the leaving as well as an answer.
+TEST_F(model_call_test, Engine_ThatStatesItsLeavingInARefusedReservation_GetsNoMoreRequests) {
+  first_.Faults().leaving = true;
+  first_.Faults().full = true;
+  second_.Faults().full = true;
+  const auto refused = harness_.SendModel("/chat/1", "a1");
+  ASSERT_TRUE(harness_.Finish(refused));
+  first_.Faults().full = false;
+  second_.Faults().full = false;
+  const std::size_t requests = first_.Requests().size();
+  for (int i = 0; i < 10; ++i) {
+    ASSERT_TRUE(harness_.Finish(harness_.SendModel("/chat/1", "b" + std::to_string(i))));
+  }
+  EXPECT_EQ(first_.Requests().size(), requests);
+  EXPECT_EQ(second_.TotalRuns(), 10);
+}
+
 // Guards against taking an endpoint that leaves for one whose entry expired in an outage long past: the first long poll
 // after an outage ends seconds after the store is back.
 TEST_F(leaving_endpoint_test, UnannouncedLeave_WhenTheStoreHasBeenBackForSeconds_EndsTheCallsAtOnce) {
--- a/tests/endpoint_registry_test.cpp
+++ b/tests/endpoint_registry_test.cpp
@@ -62,6 +62,45 @@
   EXPECT_EQ(registry_.Size(), 0U);
 }
 
+// Guards against new work for an endpoint that has left and whose old entry comes back with an older copy of the store.
+TEST_F(endpoint_registry_test, DrainingEndpoint_WhoseEntryIsReadyAgain_StaysOutUntilItStartsAgain) {
+  registry_.PutEntry(MakeEntry("a", true));
+  registry_.PutEntry(MakeEntry("a"));
+  EXPECT_EQ(Ready(), 0U);
+  registry_.RemoveEntry(endpoint_name{"a"}, now_);
+  registry_.RemoveExpiredEntries(now_ + milliseconds(1'000));
+  registry_.PutEntry(MakeEntry("a"));
+  EXPECT_EQ(Ready(), 0U);
+  endpoint_entry restarted = MakeEntry("a");
+  restarted.started_ms = 7;
+  registry_.PutEntry(restarted);
+  EXPECT_EQ(Ready(), 1U);
+}
+
+TEST_F(endpoint_registry_test, Endpoint_ThatHasStatedItsLeaving_ReceivesNoWorkUntilItStartsAgain) {
+  endpoint_entry entry = MakeEntry("a");
+  entry.started_ms = 5;
+  registry_.PutEntry(entry);
+  EXPECT_TRUE(registry_.RecordLeaving(entry.name, 5, now_));
+  EXPECT_FALSE(registry_.RecordLeaving(entry.name, 5, now_));
+  EXPECT_FALSE(registry_.ReceivesWork(entry.name, 5));
+  registry_.PutEntry(entry);
+  EXPECT_EQ(Ready(), 0U);
+  entry.started_ms = 6;
+  registry_.PutEntry(entry);
+  EXPECT_TRUE(registry_.ReceivesWork(entry.name, 6));
+  EXPECT_EQ(Ready(), 1U);
+}
+
+// A late response of an earlier incarnation must not take the present one out of use.
+TEST_F(endpoint_registry_test, LeavingOfAnEarlierIncarnation_LeavesThePresentOneInUse) {
+  endpoint_entry entry = MakeEntry("a");
+  entry.started_ms = 6;
+  registry_.PutEntry(entry);
+  registry_.RecordLeaving(entry.name, 5, now_);
+  EXPECT_EQ(Ready(), 1U);
+}
+
 TEST_F(endpoint_registry_test, MissingEntry_WithoutAnOutage_IsRemovedAtOnce) {
   registry_.PutEntry(MakeEntry("a"));
   registry_.ReplaceAll({}, false, now_);
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -74,6 +74,8 @@
         self.sizes = {"app": plain, "prefill": prefill, "decode": decode}
         self.unannounced_share = unannounced_share  # share of endpoints that leave by removing their entry
         self.routers, self.links, self.replicas = {}, {}, {}
+        self.leaving = set()  # names of endpoints that have been told to leave
+        self.announce_delay_ms = 0  # from the first answer in which an endpoint states that it leaves to its entry
         self.next_replica = 0
         self.revision = 0
         self.disturbed = collections.defaultdict(list)  # router, endpoint or "store": [(from, until)]
@@ -132,6 +134,8 @@
             arguments.append("--work_ms=30")
         else:
             arguments += ["--stage", stage, "--tokens_per_ms=33", "--memory_tokens=36000", "--events=12"]
+        if self.announce_delay_ms:
+            arguments.append(f"--announce_delay_ms={self.announce_delay_ms}")
         if random.Random(name).random() < self.unannounced_share:
             arguments.append("--leave_unannounced")
         self.replicas[name] = Process(self, name, "fake-replica", arguments)
@@ -161,7 +165,7 @@
 
     def living_replicas(self, stage=None):
         return [name for name, process in self.replicas.items()
-                if process.is_running() and (stage is None or name.startswith(stage))]
+                if process.is_running() and name not in self.leaving and (stage is None or name.startswith(stage))]
 
     def stop(self):
         for process in [*self.routers.values(), *self.replicas.values(), *self.links.values(), self.store]:
@@ -304,6 +308,7 @@
         """An endpoint leaves; another one takes its place first, as in a planned replacement."""
         self.note(f"{name} leaves")
         self.deployment.start_replica(name.split("-")[0])
+        self.deployment.leaving.add(name)
         self.deployment.replicas[name].send(signal.SIGTERM)
 
     async def kill_replica(self, name):
@@ -426,6 +431,14 @@
             await asyncio.sleep(3)
         await asyncio.sleep(5)
 
+    async def leaves_by_own_word(self, seconds):
+        """Endpoints say in their answers that they leave long before their entries do."""
+        end = time.time() + seconds - 6
+        while time.time() < end:
+            await self.leave(self.pick(self.random.choice(["app", "decode", "prefill"])))
+            await asyncio.sleep(self.random.uniform(1, 3))
+        await asyncio.sleep(5)
+
     async def silent_store(self, seconds):
         """Endpoints leave in series while the store connections of routers go silent, one after the other."""
         end = time.time() + seconds - 6
@@ -438,7 +451,7 @@
 
 
 SCENARIOS = ["mixed", "rejected_decodes", "rejected_prefills", "restarts_while_rejecting", "unannounced_leaves",
-             "silent_store"]
+             "silent_store", "leaves_by_own_word"]
 
 
 # ----------------------------------------------------------------------------------------------------------------------
@@ -496,6 +509,23 @@
                 self.report("DRAIN", f"{attempt} ({result}) reached {endpoint} {(at - left) * 1000:.0f} ms after its "
                                      f"leaving was acknowledged")
 
+    def check_own_word(self):
+        """No request reaches an endpoint from a router later than drain_ms after that router has passed on an answer in
+        which the endpoint states that it is leaving."""
+        told = {}  # (router, endpoint): first time
+        for answer in self.answers:
+            seal = answer.headers.get("persimmonchute-server-seal", "")
+            if answer.headers.get("server-leaving") == "1" and seal:
+                key = (answer.router, seal.split(".")[1])
+                told[key] = min(told.get(key, answer.end), answer.end)
+        for at, attempt, endpoint, _, result in self.arrivals:
+            router = self.router_of(attempt)
+            first = told.get((router, endpoint))
+            if (first and self.by_attempt[attempt].begin > first + BOUNDS["drain_ms"] / 1000 and
+                    self.deployment.is_calm(router, first, at)):
+                self.report("DRAIN", f"{attempt} ({result}) reached {endpoint} {(at - first) * 1000:.0f} ms after "
+                                     f"router {router} had passed on its word that it leaves")
+
     def check_budget(self):
         """In every window, a service gets no more sends beyond the first of each request than the budget allows."""
         window = BOUNDS["budget_window_s"]
@@ -548,6 +578,7 @@
 
     def run(self):
         self.check_leaving()
+        self.check_own_word()
         self.check_budget()
         self.check_answers()
         self.check_processes()
@@ -586,6 +617,8 @@
     folder.mkdir(parents=True, exist_ok=True)
     deployment = Deployment(arguments.bin, folder, arguments.routers, arguments.plain, arguments.prefill,
                             arguments.decode, 1.0 if arguments.scenario == "unannounced_leaves" else 0.5)
+    if arguments.scenario == "leaves_by_own_word":
+        deployment.announce_delay_ms = 6000
     try:
         deployment.start()
         for index in deployment.routers:
