Send nothing to an endpoint before the time it states with 503

A rejection paused the endpoint for a time of the router's own, and a paused endpoint was used if there was no other. Change: the endpoint's incarnation is closed until the stated time, also when there is no other. Every send checks it when its connection is open; health, stage orders, reports and calls that free memory keep to it as well. If all endpoints are closed, callers are refused at once with the time until the first one opens; model requests only if they cannot wait that long. A time of more than an hour counts as an hour; other forms than seconds are ignored.

--- a/src/direct/endpoint_tracker.cpp
+++ b/src/direct/endpoint_tracker.cpp
@@ -34,6 +34,7 @@
   health_timer_ = kernel_.Timers().SubscribeEvery(kHealthPeriod, 0.1, [this] {
     UpdateHealth();
     RemoveIdleStates();
+    RemoveEndedClosures();
   });
 }
 
@@ -94,6 +95,42 @@
   if (metadata.is_leaving && !metadata.is_misdirected) {
     directory_->RecordLeaving(endpoint.name, endpoint.started_ms);
   }
+  if (metadata.closed_for) {
+    CloseEndpoint(endpoint, *metadata.closed_for);
+  }
+}
+
+void endpoint_tracker::CloseEndpoint(const chosen_endpoint& endpoint, milliseconds duration) {
+  closure& closed = closures_[endpoint.name];
+  closed = {endpoint.started_ms, endpoint.address, timer_service::Now() + duration};
+  Events().Line(kComponent, "endpoint_closed").Add("endpoint", endpoint.name.value).Add("for_ms", duration.count());
+}
+
+bool endpoint_tracker::IsClosed(const chosen_endpoint& endpoint) const {
+  const auto found = closures_.find(endpoint.name);
+  return found != closures_.end() && found->second.started_ms == endpoint.started_ms &&
+         timer_service::Now() < found->second.until;
+}
+
+bool endpoint_tracker::IsClosed(const host_port& address) const {
+  const time_point now = timer_service::Now();
+  return std::any_of(closures_.begin(), closures_.end(),
+                     [&](const auto& item) { return item.second.address == address && now < item.second.until; });
+}
+
+milliseconds endpoint_tracker::TimeUntilOpen(const std::vector<chosen_endpoint>& endpoints) const {
+  const time_point now = timer_service::Now();
+  std::optional<milliseconds> shortest;
+  for (const chosen_endpoint& endpoint : endpoints) {
+    const milliseconds remaining =
+        IsClosed(endpoint) ? std::chrono::ceil<milliseconds>(closures_.at(endpoint.name).until - now) : milliseconds(0);
+    shortest = std::min(shortest.value_or(remaining), remaining);
+  }
+  return shortest.value_or(milliseconds(0));
+}
+
+void endpoint_tracker::RemoveEndedClosures() {
+  std::erase_if(closures_, [now = timer_service::Now()](const auto& item) { return now >= item.second.until; });
 }
 
 void endpoint_tracker::RecordAnswer(const chosen_endpoint& endpoint) {
@@ -161,7 +198,8 @@
 
 bool endpoint_tracker::CanReceive(const chosen_endpoint& endpoint, time_point now) const {
   const endpoint_state* state = FindState(endpoint.name);
-  return (state == nullptr || now >= state->paused_until) && !group_->IsPausedByPeer(endpoint.name, now);
+  return (state == nullptr || now >= state->paused_until) && !group_->IsPausedByPeer(endpoint.name, now) &&
+         !IsClosed(endpoint);
 }
 
 std::vector<endpoint_view> endpoint_tracker::PlainViews(const std::vector<chosen_endpoint>& endpoints,
@@ -183,8 +221,9 @@
   // If all endpoints are paused, use the paused ones rather than fail the call.
   const bool any_can_receive =
       std::any_of(views.begin(), views.end(), [](const endpoint_view& view) { return view.can_receive; });
-  for (endpoint_view& view : views) {
-    view.can_receive = view.can_receive || (!any_can_receive && !Contains(avoid, view.name));
+  for (std::size_t i = 0; i < views.size(); ++i) {
+    const bool may_be_paused = !any_can_receive && !Contains(avoid, views[i].name) && !IsClosed(endpoints[i]);
+    views[i].can_receive = views[i].can_receive || may_be_paused;
   }
   return views;
 }
--- a/src/direct/endpoint_tracker.h
+++ b/src/direct/endpoint_tracker.h
@@ -68,11 +68,19 @@
   // True if the endpoint is registered with the same incarnation and is not draining.
   bool IsCurrent(const chosen_endpoint& endpoint) const;
 
-  // The check of a send: true while the endpoint is the same incarnation and receives new work.
+  // The check of a send: true while the endpoint is the same incarnation, receives new work and is not closed.
   http_call::send_check MakeSendCheck(const chosen_endpoint& endpoint) const {
-    return [this, endpoint] { return IsCurrent(endpoint); };
+    return [this, endpoint] { return IsCurrent(endpoint) && !IsClosed(endpoint); };
   }
 
+  // A closed endpoint has asked this router by a Retry-After header to send nothing for some time. In contrast to a
+  // paused one, it gets no requests even if there is no other.
+  bool IsClosed(const chosen_endpoint& endpoint) const;
+  bool IsClosed(const host_port& address) const;
+
+  // Time until the first of the endpoints opens again; 0 if one of them is open or there is none.
+  milliseconds TimeUntilOpen(const std::vector<chosen_endpoint>& endpoints) const;
+
   // True if the registry lists the endpoint as a decode engine.
   bool IsDecodeEngine(const endpoint_name& endpoint) const;
 
@@ -89,18 +97,27 @@
     time_point refused_until;
   };
 
+  struct closure {
+    std::uint64_t started_ms = 0;  // of the incarnation that has asked for it
+    host_port address;
+    time_point until;
+  };
+
+  void CloseEndpoint(const chosen_endpoint& endpoint, milliseconds duration);
   void PauseEndpoint(const chosen_endpoint& endpoint, const char* reason);
   endpoint_state& StateOf(const endpoint_name& endpoint);
   const endpoint_state* FindState(const endpoint_name& endpoint) const;
   bool CanReceive(const chosen_endpoint& endpoint, time_point now) const;
   void UpdateHealth();
   void RemoveIdleStates();
+  void RemoveEndedClosures();
 
   kernel& kernel_;
   const direct_settings& settings_;
   deployment_directory* directory_ = nullptr;
   router_group* group_ = nullptr;
   std::map<endpoint_name, endpoint_state> states_;
+  std::map<endpoint_name, closure> closures_;
   stream_id next_stream_ = 0;
   std::map<std::string, health_table> health_;  // by service
   timer_subscription health_timer_;
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -159,9 +159,14 @@
   waiting->call = call;
   waiting->avoid = std::move(avoid);
   waiting->request = MakeRequest(*call, is_resumed, now);
-  if (endpoint_tracker_->ListEndpoints(call->Service().name, endpoint_role::kDecode).empty()) {
+  const auto decode_engines = endpoint_tracker_->ListEndpoints(call->Service().name, endpoint_role::kDecode);
+  if (decode_engines.empty()) {
     co_return assignment_result(rejection{"no_endpoint", kNoEngineRetryAfter});
   }
+  const milliseconds until_open = endpoint_tracker_->TimeUntilOpen(decode_engines);
+  if (now + until_open >= waiting->request.expiry) {
+    co_return assignment_result(rejection{"endpoints_closed", until_open + CapacityRetryAfter()});
+  }
   if (!queue.queue.Add(waiting->request, now)) {
     co_return assignment_result(rejection{"over_capacity", CapacityRetryAfter()});
   }
@@ -386,6 +391,10 @@
 }
 
 task<> generation_calls::SendControl(host_port address, http_request request, const char* purpose) {
+  if (endpoint_tracker_->IsClosed(address)) {
+    Events().Line(kComponent, "control_skipped").Add("purpose", purpose).Add("address", address.Text());
+    co_return;
+  }
   auto response = co_await client_.Fetch(address, std::move(request), kControlTimeout);
   if (!response) {
     // The engine frees the memory by itself when the reservation or the handle expires.
@@ -612,6 +621,10 @@
   }
   bool is_switching = true;
   while (is_switching && endpoint_tracker_->IsCurrent(engine) && endpoint_tracker_->IsDecodeEngine(engine.name)) {
+    if (endpoint_tracker_->IsClosed(engine)) {
+      co_await kernel_.Timers().Sleep(kBusyPause);
+      continue;
+    }
     auto response = co_await client_.Fetch(engine.address, platform::MakeReportRequest(engine.name), kReportTimeout);
     if (response) {
       endpoint_tracker_->RecordResponse(engine, response.value().Head());
--- a/src/direct/plain_calls.cpp
+++ b/src/direct/plain_calls.cpp
@@ -28,8 +28,10 @@
   suspect_tracker_ = &kernel_.Find<suspect_tracker>("crashes");
 }
 
-milliseconds plain_calls::RetryAfter() const {
-  return std::chrono::duration_cast<milliseconds>(settings_.plain_retry_after * (1 + RandomUnit()));
+milliseconds plain_calls::RetryAfter(const direct_call& call) const {
+  const auto jittered = std::chrono::duration_cast<milliseconds>(settings_.plain_retry_after * (1 + RandomUnit()));
+  const auto endpoints = endpoint_tracker_->ListEndpoints(call.Service().name, std::nullopt);
+  return endpoint_tracker_->TimeUntilOpen(endpoints) + jittered;
 }
 
 std::optional<chosen_endpoint> plain_calls::Choose(const direct_call& call,
@@ -108,7 +110,7 @@
     const bool timed_out = call->TimeLeft(timer_service::Now()) <= kMinTimeLeft;
     co_return co_await call->Fail(timed_out ? 504 : 502, timed_out ? "timeout" : "endpoint_lost");
   }
-  co_return co_await call->Refuse(call->sends == 0 ? "no_endpoint" : "endpoints_full", RetryAfter());
+  co_return co_await call->Refuse(call->sends == 0 ? "no_endpoint" : "endpoints_full", RetryAfter(*call));
 }
 
 task<plain_calls::attempt_outcome> plain_calls::SendAttempt(direct_call_ptr call, chosen_endpoint endpoint,
--- a/src/direct/plain_calls.h
+++ b/src/direct/plain_calls.h
@@ -37,7 +37,7 @@
   task<attempt_outcome> SendAttempt(direct_call_ptr call, chosen_endpoint endpoint, time_point deadline,
                                     bool may_retry);
   task<call_outcome> ForwardResponse(direct_call_ptr call, attempt_outcome& outcome);
-  milliseconds RetryAfter() const;
+  milliseconds RetryAfter(const direct_call& call) const;
 
   kernel& kernel_;
   const direct_settings& settings_;
--- a/src/direct/stage_orders.cpp
+++ b/src/direct/stage_orders.cpp
@@ -94,7 +94,7 @@
       break;
     }
     for (const chosen_endpoint& endpoint : endpoints) {
-      if (endpoint.name == change.engine) {
+      if (endpoint.name == change.engine && !endpoint_tracker_->IsClosed(endpoint)) {
         planner.RecordOrder(change, timer_service::Now());
         if (!co_await SendOrder(service, endpoint, change.role, *fencing_token)) {
           co_return;
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -101,22 +101,34 @@
 }
 
 http_response fake_replica::NotExecuted(int status) const {
-  return {status, {{"Persimmonchute-Not-Executed", "1"}, {"Persimmonchute-Instance-Id", options_.name}}, {}};
+  http_response response{
+      status, {{"Persimmonchute-Not-Executed", "1"}, {"Persimmonchute-Instance-Id", options_.name}}, {}};
+  if (status == 503 && faults_.retry_after.count() > 0) {
+    const double seconds = static_cast<double>(faults_.retry_after.count()) / 1e3;
+    response.headers.push_back({"Retry-After", fmt::format("{:.3f}", seconds)});
+  }
+  return response;
 }
 
-// Applies {"full":bool,"rejects_work":bool,"never_responds":bool}; other faults need a test in the same process.
+// Applies {"full":bool,"rejects_work":bool,"never_responds":bool,"retry_after_ms":N}; other faults need a test in the
+// same process.
 http_response fake_replica::SetFaults(const std::string& body) {
   const json input = json::parse(body, nullptr, false);
   const json fields = input.is_object() ? input : json::object();
   const std::map<std::string, bool*> flags = {
       {"full", &faults_.full}, {"rejects_work", &faults_.rejects_work}, {"never_responds", &faults_.never_responds}};
   for (const auto& [name, value] : fields.items()) {
-    if (!flags.contains(name) || !value.is_boolean()) {
-      return JsonResponse(400, json{{"error", "unknown fault or not a boolean: " + name}}.dump());
+    const bool is_time = name == "retry_after_ms" && value.is_number_unsigned();
+    if (!is_time && (!flags.contains(name) || !value.is_boolean())) {
+      return JsonResponse(400, json{{"error", "unknown fault or a value of the wrong type: " + name}}.dump());
     }
   }
   for (const auto& [name, value] : fields.items()) {
-    *flags.at(name) = value.get<bool>();
+    if (name == "retry_after_ms") {
+      faults_.retry_after = milliseconds(value.get<std::uint32_t>());
+    } else {
+      *flags.at(name) = value.get<bool>();
+    }
   }
   return JsonResponse(200, "{}");
 }
@@ -129,7 +141,8 @@
         .Request(Header(request, "Persimmonchute-Attempt-Id"))
         .Add("endpoint", options_.name)
         .Add("service", options_.service)
-        .Add("result", result);
+        .Add("result", result)
+        .Add("retry_after_ms", std::string_view(result).starts_with("rejected") ? faults_.retry_after.count() : 0);
   }
 }
 
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -49,6 +49,7 @@
   bool endless_event = false;            // the first event of a stream never ends
   bool handles_expire = false;           // KV cache handles of prefills expire immediately
   std::string crash_on = {};             // running a request with this body stops the endpoint
+  milliseconds retry_after{0};           // stated in rejections with status 503; 0: not stated
   milliseconds reserve_delay{0};         // before a reservation is granted or refused
   std::uint32_t break_after_events = 0;  // streams break off after this many events; 0: never
 
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -154,6 +154,39 @@
   EXPECT_EQ(Runs("a1"), 0);
 }
 
+// An endpoint that states when it wants requests again must get none before, even if there is no other.
+TEST_F(plain_call_test, Endpoints_ThatStateARetryTime_GetNothingUntilThenAndCallersLearnIt) {
+  SetBoth({.full = true, .retry_after = milliseconds(1'200)});
+  const time_point begin = timer_service::Now();
+  ASSERT_TRUE(harness_.Finish(harness_.Send("GET", "/pages/1", "a0")));
+  const auto received = [this] { return first_.Requests().size() + second_.Requests().size(); };
+  const std::size_t requests = received();
+  ASSERT_EQ(requests, 2U);
+  for (int i = 1; timer_service::Now() < begin + milliseconds(1'000); ++i) {
+    const auto call = harness_.Send("GET", "/pages/1", "a" + std::to_string(i));
+    ASSERT_TRUE(harness_.Finish(call));
+    EXPECT_EQ(call->Status(), 503);
+    EXPECT_GT(std::stod(call->Header("Retry-After")), 0.2);
+    harness_.RunFor(milliseconds(20));
+  }
+  EXPECT_EQ(received(), requests);
+  SetBoth({});
+  harness_.RunFor(milliseconds(400));
+  const auto call = harness_.Send("GET", "/pages/1", "last");
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 200);
+}
+
+TEST_F(plain_call_test, Endpoint_ThatStatesARetryTime_LeavesTheCallsToTheOther) {
+  first_.Faults() = {.full = true, .retry_after = milliseconds(60'000)};
+  for (int i = 0; i < 30; ++i) {
+    const auto call = harness_.Send("GET", "/pages/1", "a" + std::to_string(i));
+    ASSERT_TRUE(harness_.Finish(call));
+    EXPECT_EQ(call->Status(), 200);
+  }
+  EXPECT_EQ(first_.Requests().size(), 1U);
+}
+
 // A successful response without the seal does not come from the endpoint.
 TEST_F(plain_call_test, Answer_WithoutSeal_IsNotPassedOnAsSuccess) {
   SetBoth({.omits_seal = true});
@@ -301,6 +334,23 @@
   EXPECT_EQ(other.Prefills(), 1);
 }
 
+// A request that cannot be served before the engines open again must not wait for it in the queue.
+TEST_F(model_call_test, Engines_ThatStateARetryTime_GetNothingAndRequestsAreRefusedAtOnce) {
+  for (fake_replica* engine : {&first_, &second_}) {
+    engine->Faults() = {.full = true, .retry_after = milliseconds(30'000)};
+  }
+  ASSERT_TRUE(harness_.Finish(harness_.SendModel("/chat/1", "a1")));
+  const std::size_t requests = first_.Requests().size() + second_.Requests().size();
+  EXPECT_EQ(requests, 2U);
+  const time_point begin = timer_service::Now();
+  const auto call = harness_.SendModel("/chat/1", "a2");
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_LT(timer_service::Now() - begin, milliseconds(200));
+  EXPECT_EQ(call->Status(), 503);
+  EXPECT_GT(std::stod(call->Header("Retry-After")), 25);
+  EXPECT_EQ(first_.Requests().size() + second_.Requests().size(), requests);
+}
+
 // Guards against prefills that are repeated without being counted: each further round of a request sends a prefill and
 // a decode call, and both are extra sends.
 TEST(model_budget_test, ExtraSends_WhenEveryDecodeCallIsRejected_StayWithinTheBudget) {
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -223,5 +223,19 @@
   EXPECT_EQ(FindHeader(decode.headers, "Persimmonchute-Kv-Hold"), "r");
 }
 
+// A time in another form, or one that no endpoint means, must not close it for good.
+TEST(response_headers_test, RetryAfter_InSecondsWith503_ClosesTheEndpoint_OtherFormsDoNot) {
+  const auto closed_for = [](int status, const std::string& value) {
+    return platform::ParseResponseHeaders({status, {{"Retry-After", value}}}).closed_for;
+  };
+  EXPECT_EQ(closed_for(503, "2"), milliseconds(2'000));
+  EXPECT_EQ(closed_for(503, "0.25"), milliseconds(250));
+  EXPECT_EQ(closed_for(503, "1e9"), milliseconds(3'600'000));
+  for (const char* value : {"", "-1", "nan", "soon", "2 s", "Fri, 04 Dec 2026 07:00:00 GMT"}) {
+    EXPECT_EQ(closed_for(503, value), std::nullopt) << value;
+  }
+  EXPECT_EQ(closed_for(429, "2"), std::nullopt);
+}
+
 }  // namespace
 }  // namespace persimmon::platform
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -372,6 +372,18 @@
             if self.deployment.replicas[name].is_running():
                 post(self.deployment.address("replica", int(name.split("-")[1])), "/faults", {"rejects_work": False})
 
+    async def close_endpoints(self, names, seconds):
+        """Endpoints turn requests away and state when they want some again."""
+        self.note(f"{', '.join(names)} closed for {seconds:.1f} s")
+        end = time.time() + seconds
+        addresses = [self.deployment.address("replica", int(name.split("-")[1])) for name in names]
+        while time.time() < end:
+            for address in addresses:
+                post(address, "/faults", {"rejects_work": True, "retry_after_ms": int((end - time.time()) * 1000) + 1})
+            await asyncio.sleep(0.1)
+        for address in addresses:
+            post(address, "/faults", {"rejects_work": False, "retry_after_ms": 0})
+
     def pick(self, stage=None):
         return self.random.choice(self.deployment.living_replicas(stage))
 
@@ -394,6 +406,7 @@
             lambda: self.refuse_feeds_once(), lambda: self.store_outage(self.random.uniform(0.5, 5)),
             lambda: self.reject_work(self.deployment.living_replicas(self.random.choice(["prefill", "decode"])),
                                      self.random.uniform(0.5, 3)),
+            lambda: self.close_endpoints([self.pick()], self.random.uniform(1, 4)),
             lambda: asyncio.to_thread(self.deployment.write_desired_state)]
         while time.time() < end:
             task = asyncio.create_task(self.random.choice(actions)())
@@ -439,6 +452,15 @@
             await asyncio.sleep(self.random.uniform(1, 3))
         await asyncio.sleep(5)
 
+    async def closed_endpoints(self, seconds):
+        """Some or all endpoints of a kind turn requests away for seconds, in series."""
+        end = time.time() + seconds
+        while time.time() < end:
+            names = self.deployment.living_replicas(self.random.choice(["app", "decode", "prefill"]))
+            await self.close_endpoints(self.random.sample(names, self.random.randint(1, len(names))),
+                                       self.random.uniform(1, 4))
+            await asyncio.sleep(self.random.uniform(0.2, 1))
+
     async def silent_store(self, seconds):
         """Endpoints leave in series while the store connections of routers go silent, one after the other."""
         end = time.time() + seconds - 6
@@ -451,7 +473,8 @@
 
 
 SCENARIOS = ["mixed", "rejected_decodes", "rejected_prefills", "restarts_while_rejecting", "unannounced_leaves",
-             "silent_store", "leaves_by_own_word"]
+             "silent_store", "leaves_by_own_word",
+             "closed_endpoints"]
 
 
 # ----------------------------------------------------------------------------------------------------------------------
@@ -475,12 +498,16 @@
         self.by_attempt = {answer.attempt: answer for answer in answers}
         self.broken = []
         self.arrivals = []  # (time, attempt, endpoint, service, result)
+        self.closures = []  # (time, router, endpoint, seconds)
         self.left = {}      # endpoint: time at which the store accepted that it leaves
         for name in deployment.replicas:
             for event in read_events(deployment.folder / f"{name}.log"):
                 seconds = event["t"] / 1000
                 if event["event"] == "arrival":
                     self.arrivals.append((seconds, event["request"], name, event["service"], event["result"]))
+                    if event["retry_after_ms"]:
+                        self.closures.append((seconds, self.router_of(event["request"]), name,
+                                              event["retry_after_ms"] / 1000))
                 elif event["event"] == "leaving_acknowledged":
                     self.left[name] = seconds
         self.arrivals.sort()
@@ -526,6 +553,18 @@
                 self.report("DRAIN", f"{attempt} ({result}) reached {endpoint} {(at - first) * 1000:.0f} ms after "
                                      f"router {router} had passed on its word that it leaves")
 
+    def check_closed(self):
+        """At most two requests reach an endpoint from a router between half a second after it has turned that router away
+        and the time that it has stated."""
+        by_pair = collections.defaultdict(list)
+        for at, attempt, endpoint, _, _ in self.arrivals:
+            by_pair[self.router_of(attempt), endpoint].append(at)
+        for at, router, endpoint, seconds in self.closures:
+            late = [arrival for arrival in by_pair[router, endpoint] if at + 0.5 < arrival < at + seconds]
+            if len(late) > 2 and self.deployment.is_calm(router, at, late[-1]):
+                self.report("BUDGET", f"{len(late)} requests of router {router} reached {endpoint}, which had turned it "
+                                      f"away for {seconds:.1f} s")
+
     def check_budget(self):
         """In every window, a service gets no more sends beyond the first of each request than the budget allows."""
         window = BOUNDS["budget_window_s"]
@@ -579,6 +618,7 @@
     def run(self):
         self.check_leaving()
         self.check_own_word()
+        self.check_closed()
         self.check_budget()
         self.check_answers()
         self.check_processes()
