Keep the later of two stated times, and restored entries unproved until written

Found by reading the change: of two 503 answers in progress, the one that came last set the time until which an endpoint is closed, also to an earlier time; and a restored entry whose endpoint may have left counted as written when the table was read again (lost history, a second return from a copy). Change: the later time holds; an unchanged entry that is read again stays without work. Tests for both were written with the fix and not run without it. LimitFeed has a test of its own.

--- a/include/persimmon/endpoint_registry.h
+++ b/include/persimmon/endpoint_registry.h
@@ -102,22 +102,21 @@
  private:
   struct stored_entry {
     endpoint_entry entry;
-    std::optional<time_point> remove_at;  // set if missing from the store: time of removal
-    std::optional<time_point>
-        unknown_until;  // set if restored from an older copy and not written since: no work until then
+    std::optional<time_point> remove_at;      // set if missing from the store: time of removal
+    std::optional<time_point> unknown_until;  // set for a restored entry whose endpoint may have left
 
     bool ReceivesWork() const { return !entry.draining && !unknown_until; }
   };
 
-  struct leaving_incarnation {
+  struct past_incarnation {
     std::uint64_t started_ms = 0;
-    time_point remembered_from;  // when its entry was removed, or when it stated its leaving
+    time_point remembered_from;  // when its entry was removed, or when it stated that it leaves
   };
 
   registry_settings settings_;
   std::map<endpoint_name, stored_entry> entries_;
-  std::map<endpoint_name, leaving_incarnation> leaving_;
-  std::map<endpoint_name, leaving_incarnation> removed_;  // incarnations whose entries have been removed
+  std::map<endpoint_name, past_incarnation> leaving_;
+  std::map<endpoint_name, past_incarnation> removed_;  // incarnations whose entries have been removed
   time_point grace_end_;
 };
 
--- a/src/decisions/endpoint_registry.cpp
+++ b/src/decisions/endpoint_registry.cpp
@@ -11,7 +11,7 @@
   if (left != leaving_.end() && left->second.started_ms == entry.started_ms) {
     stored.draining = true;
   } else if (stored.draining) {
-    leaving_.insert_or_assign(entry.name, leaving_incarnation{entry.started_ms, {}});
+    leaving_.insert_or_assign(entry.name, past_incarnation{entry.started_ms, {}});
   }
 }
 
@@ -20,7 +20,7 @@
   if (left != leaving_.end() && left->second.started_ms >= started_ms) {
     return false;
   }
-  leaving_.insert_or_assign(name, leaving_incarnation{started_ms, now});
+  leaving_.insert_or_assign(name, past_incarnation{started_ms, now});
   const auto found = entries_.find(name);
   if (found != entries_.end() && found->second.entry.started_ms == started_ms) {
     found->second.entry.draining = true;
@@ -41,7 +41,7 @@
   if (const auto left = leaving_.find(name); left != leaving_.end()) {
     left->second.remembered_from = now;
   }
-  removed_.insert_or_assign(name, leaving_incarnation{found->second.entry.started_ms, now});
+  removed_.insert_or_assign(name, past_incarnation{found->second.entry.started_ms, now});
   const bool may_have_expired = now < grace_end_ && !found->second.entry.draining;
   if (!may_have_expired) {
     entries_.erase(found);
@@ -60,7 +60,11 @@
   std::set<endpoint_name> present;
   for (const endpoint_entry& entry : entries) {
     present.insert(entry.name);
-    PutEntry(entry);
+    const auto known = entries_.find(entry.name);
+    const bool is_unchanged = known != entries_.end() && known->second.unknown_until && known->second.entry == entry;
+    if (!is_unchanged) {  // reading a restored entry again does not show that its endpoint is there
+      PutEntry(entry);
+    }
   }
   std::vector<endpoint_name> missing;
   for (const auto& [name, stored] : entries_) {
@@ -74,12 +78,14 @@
 }
 
 void endpoint_registry::ReplaceAllRestored(const std::vector<endpoint_entry>& entries, time_point now) {
-  const std::map<endpoint_name, leaving_incarnation> removed_before = removed_;
+  const std::map<endpoint_name, past_incarnation> removed_before = removed_;
   ReplaceAll(entries, true, now);
   for (const endpoint_entry& entry : entries) {
     const auto removed = removed_before.find(entry.name);
-    if (removed != removed_before.end() && removed->second.started_ms == entry.started_ms) {
-      entries_.at(entry.name).unknown_until = now + settings_.restored_entry_check;
+    const bool was_removed = removed != removed_before.end() && removed->second.started_ms == entry.started_ms;
+    std::optional<time_point>& unknown_until = entries_.at(entry.name).unknown_until;
+    if (was_removed || unknown_until) {
+      unknown_until = now + settings_.restored_entry_check;
     }
   }
 }
--- a/src/direct/endpoint_tracker.cpp
+++ b/src/direct/endpoint_tracker.cpp
@@ -101,8 +101,11 @@
 }
 
 void endpoint_tracker::CloseEndpoint(const chosen_endpoint& endpoint, milliseconds duration) {
+  const time_point until = timer_service::Now() + duration;
   closure& closed = closures_[endpoint.name];
-  closed = {endpoint.started_ms, endpoint.address, timer_service::Now() + duration};
+  // Of several answers, the one that asks for the latest time holds.
+  const bool is_same = closed.started_ms == endpoint.started_ms;
+  closed = {endpoint.started_ms, endpoint.address, is_same ? std::max(closed.until, until) : until};
   Events().Line(kComponent, "endpoint_closed").Add("endpoint", endpoint.name.value).Add("for_ms", duration.count());
 }
 
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -179,6 +179,18 @@
   EXPECT_EQ(call->Status(), 200);
 }
 
+// Of two answers in progress, the later one may state an earlier time.
+TEST_F(plain_call_test, Endpoint_ThatStatesTwoRetryTimes_IsClosedUntilTheLaterOne) {
+  const chosen_endpoint endpoint{endpoint_name{"app-1"}, 1, {}, first_.Address()};
+  const auto record = [&](const char* seconds) {
+    harness_.EndpointTracker().RecordResponse(endpoint, {503, {{"Retry-After", seconds}}});
+  };
+  record("30");
+  record("0.001");
+  harness_.RunFor(milliseconds(20));
+  EXPECT_TRUE(harness_.EndpointTracker().IsClosed(endpoint));
+}
+
 TEST_F(plain_call_test, Endpoint_ThatStatesARetryTime_LeavesTheCallsToTheOther) {
   first_.Faults() = {.full = true, .retry_after = milliseconds(60'000)};
   for (int i = 0; i < 30; ++i) {
@@ -874,6 +886,17 @@
   EXPECT_EQ(harness_.Directory().Endpoints().Size(), 1U);
 }
 
+// A change must be known within the bound, however long the polls of the settings are.
+TEST(feed_limits_test, LimitFeed_ForABlindTime_LeavesTimeForANewConnection) {
+  const direct_settings settings;
+  for (const int blind_ms : {1'000, 2'000, 3'000, 5'000, 60'000}) {
+    const milliseconds blind(blind_ms);
+    const feed_limits limits = LimitFeed(settings, blind);
+    EXPECT_LE((limits.wait + limits.answer_limit) * 4, blind * 3);
+    EXPECT_LE(limits.wait, settings.feed_wait);
+  }
+}
+
 // With the product's own limits for store calls.
 class leaving_endpoint_test : public testing::Test {
  protected:
--- a/tests/endpoint_registry_test.cpp
+++ b/tests/endpoint_registry_test.cpp
@@ -92,6 +92,35 @@
   EXPECT_EQ(Ready(), 1U);
 }
 
+// Guards against work for an endpoint that had left: its restored entry is no sign of life, however often it is read.
+TEST_F(endpoint_registry_test, RestoredEntry_OfARemovedEndpoint_GetsWorkOnlyWhenWrittenOrStillThereLater) {
+  const auto restore = [this] {
+    registry_.PutEntry(MakeEntry("a"));
+    registry_.RemoveEntry(endpoint_name{"a"}, now_);
+    registry_.ReplaceAllRestored({MakeEntry("a")}, now_);
+  };
+  restore();
+  EXPECT_EQ(Ready(), 0U);
+  registry_.ReplaceAll({MakeEntry("a")}, false, now_);
+  registry_.ReplaceAllRestored({MakeEntry("a")}, now_ + milliseconds(1'000));
+  registry_.RemoveExpiredEntries(now_ + milliseconds(5'000));
+  EXPECT_EQ(Ready(), 0U);
+  EXPECT_TRUE(registry_.RemoveExpiredEntries(now_ + milliseconds(5'900)));
+  EXPECT_EQ(Ready(), 1U);
+  restore();
+  registry_.PutEntry(MakeEntry("a"));
+  EXPECT_EQ(Ready(), 1U);
+}
+
+// An entry that was written after the copy was made is missing until its endpoint writes it again.
+TEST_F(endpoint_registry_test, EntryThatTheOlderCopyLacks_StaysReadyForAWhile) {
+  registry_.PutEntry(MakeEntry("a"));
+  registry_.ReplaceAllRestored({}, now_);
+  EXPECT_EQ(Ready(), 1U);
+  EXPECT_TRUE(registry_.RemoveExpiredEntries(now_ + milliseconds(2'300)));
+  EXPECT_EQ(Ready(), 0U);
+}
+
 // A late response of an earlier incarnation must not take the present one out of use.
 TEST_F(endpoint_registry_test, LeavingOfAnEarlierIncarnation_LeavesThePresentOneInUse) {
   endpoint_entry entry = MakeEntry("a");
