--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -300,6 +300,7 @@
     def __init__(self, deployment, randomness):
         self.deployment, self.random = deployment, randomness
         self.log = []
+        self.restarting = set()  # routers that are being restarted
 
     def note(self, text):
         self.log.append((time.time(), text))
@@ -328,11 +329,16 @@
     async def restart_router(self, index, number):
         self.note(f"router {index} gets {signal.Signals(number).name}")
         process = self.deployment.routers[index]
+        if index in self.restarting:  # a further signal to the same process
+            process.send(number)
+            return
+        self.restarting.add(index)
         self.deployment.disturb(index, 9)
         process.send(number)
         while process.is_running():
             await asyncio.sleep(0.05)
         self.deployment.start_router(index)
+        self.restarting.discard(index)
 
     async def silence_link(self, index):
         """The open connections of a router to the store go silent for good; new ones work."""
