--- a/src/direct/endpoint_tracker.cpp
+++ b/src/direct/endpoint_tracker.cpp
@@ -4,7 +4,6 @@
 
 #include "core/event_log.h"
 #include "core/random.h"
-#include "platform/requests.h"
 
 namespace persimmon {
 namespace {
@@ -90,8 +89,7 @@
   state.refused_until = now + settings_.refused_pause;
 }
 
-void endpoint_tracker::RecordResponse(const chosen_endpoint& endpoint, const http_response_head& head) {
-  const auto metadata = platform::ParseResponseHeaders(head);
+void endpoint_tracker::RecordResponse(const chosen_endpoint& endpoint, const platform::response_metadata& metadata) {
   if (metadata.is_leaving && !metadata.is_misdirected) {
     directory_->RecordLeaving(endpoint.name, endpoint.started_ms);
   }
@@ -100,6 +98,19 @@
   }
 }
 
+task<result<platform::engine_report>> endpoint_tracker::FetchReport(http_client& client, chosen_endpoint engine,
+                                                                    milliseconds timeout) {
+  auto response = co_await client.Fetch(engine.address, platform::MakeReportRequest(engine.name), timeout);
+  if (!response) {
+    co_return response.error();
+  }
+  RecordResponse(engine, platform::ParseResponseHeaders(response.value().Head()));
+  if (response.value().status != 200) {
+    co_return error{error_code::kUnavailable, "no valid report from the engine"};
+  }
+  co_return platform::ParseReport(response.value().body);
+}
+
 void endpoint_tracker::CloseEndpoint(const chosen_endpoint& endpoint, milliseconds duration) {
   const time_point until = timer_service::Now() + duration;
   closure& closed = closures_[endpoint.name];
--- a/src/direct/endpoint_tracker.h
+++ b/src/direct/endpoint_tracker.h
@@ -12,6 +12,7 @@
 #include "direct/router_group.h"
 #include "persimmon/kv_placement.h"
 #include "persimmon/selection.h"
+#include "platform/requests.h"
 
 namespace persimmon {
 
@@ -45,8 +46,12 @@
   // An engine refused to reserve this many tokens; it is not asked for that many or more during refused_pause.
   void RecordReservationRefused(const endpoint_name& endpoint, std::uint32_t tokens);
 
-  // Records what the head of any response of the endpoint says about the endpoint itself.
-  void RecordResponse(const chosen_endpoint& endpoint, const http_response_head& head);
+  // Records what any response of the endpoint says about the endpoint itself.
+  void RecordResponse(const chosen_endpoint& endpoint, const platform::response_metadata& metadata);
+
+  // Reads the report of an engine and records its response. Errors: those of Fetch; kUnavailable for a response other
+  // than a report; kProtocol.
+  task<result<platform::engine_report>> FetchReport(http_client& client, chosen_endpoint engine, milliseconds timeout);
 
   void RecordAnswer(const chosen_endpoint& endpoint);
   void RecordFailure(const chosen_endpoint& endpoint);          // no complete response, or a timeout
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -304,7 +304,7 @@
   auto request = platform::MakeReserveRequest(assignment.engine.name, tokens, lifetime);
   auto response = co_await client_.Fetch(assignment.engine.address, std::move(request), settings_.reserve_timeout);
   if (response) {
-    endpoint_tracker_->RecordResponse(assignment.engine, response.value().Head());
+    endpoint_tracker_->RecordResponse(assignment.engine, platform::ParseResponseHeaders(response.value().Head()));
   }
   const time_point now = timer_service::Now();
   service_queue& queue = *queues_[service];
@@ -449,7 +449,7 @@
     if (!head) {
       failure = head.error();
     } else {
-      endpoint_tracker_->RecordResponse(engine, head.value());
+      endpoint_tracker_->RecordResponse(engine, platform::ParseResponseHeaders(head.value()));
     }
     for (bool more = !failure; more;) {
       auto piece = co_await upstream.Read(end);
@@ -463,7 +463,7 @@
     call->ClearDisconnectHandler();
     ReleasePrefill(*call, assignment, engine.name);
     first_prefill.End();
-    const auto elapsed = std::chrono::duration_cast<milliseconds>(timer_service::Now() - begin);
+    const std::int64_t elapsed_ms = ElapsedMs(begin, timer_service::Now());
     auto handle = !failure && head.value().status == 200 ? platform::ParsePrefillHandle(body)
                                                          : result<std::string>(error{error_code::kUnavailable, ""});
     const bool was_sent = !failure || failure->code != error_code::kUnavailable;
@@ -483,7 +483,7 @@
           .Add("tokens", call->Metadata().prompt_tokens)
           .Add("completed_before", call->prefills)
           .Add("chosen_ms_before", ElapsedMs(assignment.chosen_at, begin))
-          .Add("took_ms", elapsed.count());
+          .Add("took_ms", elapsed_ms);
       ++call->prefills;
       co_return platform::kv_source{engine.address.Text(), handle.value()};
     }
@@ -507,7 +507,7 @@
         .Add("extra_sends", call->extra_sends)
         .Add("chosen_ms_before", ElapsedMs(assignment.chosen_at, begin))
         .Add("detail", failure ? FormatError(*failure) : "")
-        .Add("took_ms", elapsed.count());
+        .Add("took_ms", elapsed_ms);
   }
 }
 
@@ -547,8 +547,8 @@
       endpoint_tracker_->RecordFailure(assignment.engine);
     }
   } else {
-    endpoint_tracker_->RecordResponse(assignment.engine, head.value());
     const auto metadata = platform::ParseResponseHeaders(head.value());
+    endpoint_tracker_->RecordResponse(assignment.engine, metadata);
     const bool is_success = head.value().status >= 200 && head.value().status < 300;
     if (metadata.proves_not_run) {
       detail = fmt::format("status {}", head.value().status);
@@ -598,7 +598,7 @@
     outcome = decode_result::kTimeout;
   }
   if (outcome != decode_result::kDone) {
-    const auto elapsed = std::chrono::duration_cast<milliseconds>(timer_service::Now() - begin);
+    const std::int64_t elapsed_ms = ElapsedMs(begin, timer_service::Now());
     Events()
         .Line(kComponent, "decode_ended")
         .Request(call->Metadata().attempt)
@@ -608,7 +608,7 @@
         .Add("extra_sends", call->extra_sends)
         .Add("chosen_ms_before", ElapsedMs(assignment.chosen_at, begin))
         .Add("detail", detail)
-        .Add("took_ms", elapsed.count());
+        .Add("took_ms", elapsed_ms);
   }
   co_return outcome;
 }
@@ -625,14 +625,7 @@
       co_await kernel_.Timers().Sleep(kBusyPause);
       continue;
     }
-    auto response = co_await client_.Fetch(engine.address, platform::MakeReportRequest(engine.name), kReportTimeout);
-    if (response) {
-      endpoint_tracker_->RecordResponse(engine, response.value().Head());
-    }
-    auto report =
-        response && response.value().status == 200
-            ? platform::ParseReport(response.value().body)
-            : result<platform::engine_report>(error{error_code::kUnavailable, "no valid report from the engine"});
+    auto report = co_await endpoint_tracker_->FetchReport(client_, engine, kReportTimeout);
     is_switching = report && (report.value().is_busy || report.value().stage == platform::engine_stage::kPrefill);
     Events()
         .Line(kComponent, "engine_checked")
--- a/src/direct/plain_calls.cpp
+++ b/src/direct/plain_calls.cpp
@@ -131,7 +131,7 @@
     outcome.result = failure->code == error_code::kUnavailable ? attempt_result::kNotSent : attempt_result::kMayHaveRun;
   } else {
     const auto metadata = platform::ParseResponseHeaders(head.value());
-    endpoint_tracker_->RecordResponse(endpoint, head.value());
+    endpoint_tracker_->RecordResponse(endpoint, metadata);
     outcome.response = {head.value().status, platform::ForwardedHeaders(head.value().headers), {}};
     bool complete = false;
     while (!complete && !failure) {
@@ -198,7 +198,7 @@
     }
   }
   if (outcome.result != attempt_result::kAnswered) {
-    const auto elapsed = std::chrono::duration_cast<milliseconds>(timer_service::Now() - begin);
+    const std::int64_t elapsed_ms = ElapsedMs(begin, timer_service::Now());
     Events()
         .Line(kComponent, "try_failed")
         .Request(call->Metadata().attempt)
@@ -208,7 +208,7 @@
         .Add("detail", failure ? failure->message : "")
         .Add("reused", upstream.IsReused())
         .Add("may_repeat", may_retry)
-        .Add("took_ms", elapsed.count());
+        .Add("took_ms", elapsed_ms);
   }
   co_return outcome;
 }
--- a/src/direct/stage_orders.cpp
+++ b/src/direct/stage_orders.cpp
@@ -154,14 +154,7 @@
                                    std::uint64_t fencing_token) {
   const auto stage =
       role == endpoint_role::kPrefill ? platform::engine_stage::kPrefill : platform::engine_stage::kDecode;
-  auto reported = co_await client_.Fetch(engine.address, platform::MakeReportRequest(engine.name), kOrderTimeout);
-  if (reported) {
-    endpoint_tracker_->RecordResponse(engine, reported.value().Head());
-  }
-  auto report =
-      reported && reported.value().status == 200
-          ? platform::ParseReport(reported.value().body)
-          : result<platform::engine_report>(error{error_code::kUnavailable, "no valid report from the engine"});
+  auto report = co_await endpoint_tracker_->FetchReport(client_, engine, kOrderTimeout);
   if (!report || report.value().is_busy) {
     Events()
         .Line(kComponent, "order_not_sent")
@@ -174,7 +167,7 @@
                                                  report.value().orders_accepted);
   auto response = co_await client_.Fetch(engine.address, std::move(request), kOrderTimeout);
   if (response) {
-    endpoint_tracker_->RecordResponse(engine, response.value().Head());
+    endpoint_tracker_->RecordResponse(engine, platform::ParseResponseHeaders(response.value().Head()));
   }
   const int status = response ? response.value().status : 0;
   Events()
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -180,6 +180,11 @@
   } else {
     co_return co_await ServeRequest(exchange);
   }
+  co_await Respond(exchange, std::move(response));
+}
+
+// Sends a response that the replica makes without running a request.
+task<> fake_replica::Respond(std::shared_ptr<http_exchange> exchange, http_response response) {
   AddLeavingHeader(response.headers);
   (void)co_await exchange->Respond(std::move(response));
 }
@@ -215,8 +220,7 @@
   LogArrival(request, options_.stage == "prefill" ? "prefill" : "rejected_prefill");
   if (options_.stage != "prefill") {
     auto refused = NotExecuted(421);
-    AddLeavingHeader(refused.headers);
-    (void)co_await exchange->Respond(std::move(refused));
+    co_await Respond(exchange, std::move(refused));
     co_return;
   }
   ++prefills_;
@@ -227,8 +231,7 @@
   }
   http_response response = JsonResponse(200, json{{"handle", handle}, {"tokens", 100}, {"version", 1}}.dump());
   response.headers.push_back({"Persimmonchute-Attempt-Id", Header(request, "Persimmonchute-Attempt-Id")});
-  AddLeavingHeader(response.headers);
-  (void)co_await exchange->Respond(std::move(response));
+  co_await Respond(exchange, std::move(response));
 }
 
 http_response fake_replica::ApplyOrder(const http_request& request) {
@@ -259,8 +262,7 @@
   if (options_.stage == "prefill" || faults_.switching_stage || !ConsumeReservation(exchange->Request())) {
     LogArrival(exchange->Request(), "rejected");
     auto refused = NotExecuted(options_.stage == "prefill" ? 421 : 503);
-    AddLeavingHeader(refused.headers);
-    (void)co_await exchange->Respond(std::move(refused));
+    co_await Respond(exchange, std::move(refused));
     co_return;
   }
   LogArrival(exchange->Request(), "run");
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -102,6 +102,7 @@
   http_response ApplyOrder(const http_request& request);
   http_response NotExecuted(int status) const;
   void AddLeavingHeader(header_list& headers) const;
+  task<> Respond(std::shared_ptr<http_exchange> exchange, http_response response);
   http_response SetFaults(const std::string& body);
   void LogArrival(const http_request& request, const char* result) const;
   header_list ResponseHeaders(const std::string& attempt) const;
--- a/src/fakes/fake_replica_main.cpp
+++ b/src/fakes/fake_replica_main.cpp
@@ -4,9 +4,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <chrono>
-#include <csignal>
 
 #include "core/event_log.h"
 #include "core/program.h"
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -15,10 +15,13 @@
 import asyncio
 import base64
 import collections
+import http.client
 import json
 import os
 import random
+import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -174,7 +177,6 @@
 
 def wait_for_port(address, seconds=10):
     host, port = address.split(":")
-    import socket
     end = time.time() + seconds
     while time.time() < end:
         try:
@@ -187,7 +189,6 @@
 
 def post(address, target, body, seconds=1.0):
     """Sends a control request; returns the status, 0 if there is no answer."""
-    import http.client
     try:
         connection = http.client.HTTPConnection(address, timeout=seconds)
         connection.request("POST", target, json.dumps(body), {"Content-Type": "application/json"})
@@ -715,7 +716,6 @@
     if broken or arguments.keep:
         print(f"logs: {folder}")
     else:
-        import shutil
         shutil.rmtree(folder)
     print(f"{len(checks.answers) and 1 - bool(broken)} passed, {int(bool(broken))} failed")
     return 1 if broken else 0
