--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -668,6 +668,7 @@
   time_point last_event = begin;
   const std::size_t events_before = stream.events.EventCount();
   microseconds longest_pause(0);
+  std::size_t incomplete_bytes = 0;  // of an event whose end has not arrived
   decode_result outcome = decode_result::kBroken;
   while (true) {
     const bool may_resume = resumable && call->sends < call->Route().max_attempts;
@@ -675,6 +676,7 @@
     auto piece =
         co_await upstream.Read(may_resume ? std::min(call->Deadline(), now + settings_.stall_limit) : call->Deadline());
     std::string events = piece ? stream.events.Add(piece.value()) : std::string();
+    incomplete_bytes = stream.events.Incomplete().size();
     if (!piece || stream.events.IsOversized()) {
       endpoint_tracker_->RecordFailure(assignment.engine);
       Events()
@@ -730,6 +732,8 @@
       .Request(call->Metadata().attempt)
       .Add("endpoint", assignment.engine.name.value)
       .Add("whole", outcome == decode_result::kDone)
+      .Add("framing", BodyFramingName(upstream.Framing()))
+      .Add("incomplete_bytes", incomplete_bytes)
       .Add("events", stream.events.EventCount())
       .Add("used_tokens", used_tokens)
       .Add("estimated_tokens", assignment.memory.held_tokens + assignment.memory.remaining_tokens)
--- a/src/direct/plain_calls.cpp
+++ b/src/direct/plain_calls.cpp
@@ -207,6 +207,7 @@
         .Add("failure", outcome.failure)
         .Add("detail", failure ? failure->message : "")
         .Add("reused", upstream.IsReused())
+        .Add("framing", BodyFramingName(upstream.Framing()))
         .Add("may_repeat", may_retry)
         .Add("took_ms", elapsed_ms);
   }
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -108,6 +108,18 @@
   return false;
 }
 
+const char* BodyFramingName(body_framing framing) {
+  switch (framing) {
+    case body_framing::kLength:
+      return "length";
+    case body_framing::kChunks:
+      return "chunks";
+    case body_framing::kConnectionEnd:
+      return "connection_end";
+  }
+  return "unknown";
+}
+
 http_response JsonResponse(int status, std::string body) {
   return http_response{status, {{"Content-Type", "application/json"}}, std::move(body)};
 }
@@ -855,6 +867,14 @@
 
 using call_message = http::request<http::string_body>;
 
+template <class response_parser>
+body_framing FramingOf(const response_parser& parser) {
+  if (parser.chunked()) {
+    return body_framing::kChunks;
+  }
+  return parser.need_eof() ? body_framing::kConnectionEnd : body_framing::kLength;
+}
+
 void WriteInBackground(const client_connection_ptr& connection, const std::shared_ptr<call_message>& message) {
   connection->sending = true;
   http::async_write(connection->stream, *message, [connection, message](sys_error failure, std::size_t) {
@@ -870,6 +890,7 @@
   client_connection_ptr connection;
   std::optional<http::response_parser<http::buffer_body>> parser;
   std::string keep_alive;  // Keep-Alive header of the response
+  body_framing framing = body_framing::kLength;
   bool reused = false;
   bool unmatched = false;  // the connection carried a response that belongs to another request
   bool cancelled = false;
@@ -910,6 +931,7 @@
     } while (parser->get().result_int() < 200);  // interim responses
     http_response_head head{static_cast<int>(parser->get().result_int()), CopyHeaders(parser->get())};
     keep_alive = std::string(FindHeader(head.headers, "Keep-Alive"));
+    framing = FramingOf(*parser);
     co_return head;
   }
 
@@ -1039,4 +1061,6 @@
 
 bool http_call::IsReused() const { return state_->reused; }
 
+body_framing http_call::Framing() const { return state_->framing; }
+
 }  // namespace persimmon
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -167,6 +167,16 @@
 // True for hop-by-hop headers, which are never forwarded: the fixed list and those named in the Connection header.
 bool IsHopByHopHeader(const header_list& headers, std::string_view name);
 
+// What marks the end of a response body. Only a length or chunks prove that the body is whole.
+enum class body_framing : std::uint8_t {
+  kLength,         // Content-Length, or a response that has no body
+  kChunks,         // the terminating chunk
+  kConnectionEnd,  // the server closes the connection, which it also does when it stops in the middle of the body
+};
+
+// "length", "chunks" or "connection_end".
+const char* BodyFramingName(body_framing framing);
+
 class http_call;
 
 class http_client {
@@ -232,7 +242,8 @@
   // Closes the connection. Pending operations fail with kCancelled.
   void Cancel();
 
-  bool IsReused() const;  // the request was sent over a pooled connection
+  bool IsReused() const;         // the request was sent over a pooled connection
+  body_framing Framing() const;  // of the response whose head Send has returned
 
  private:
   struct state;
