--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -294,18 +294,33 @@
       co_await timers_.Sleep(options_.work_time);
     }
     http_response answer{200, ResponseHeaders(attempt), "answer of " + options_.name + " to " + attempt};
-    (void)co_await exchange->Respond(std::move(answer));
+    co_await Answer(exchange, std::move(answer));
   }
   --running_count_;
 }
 
+// Sends the response of a plain call that has run.
+task<> fake_replica::Answer(std::shared_ptr<http_exchange> exchange, http_response answer) {
+  if (!faults_.unframed) {
+    (void)co_await exchange->Respond(std::move(answer));
+    co_return;
+  }
+  auto sent = co_await exchange->StartStream(answer.status, std::move(answer.headers), body_framing::kConnectionEnd);
+  if (sent) {
+    sent = co_await exchange->WriteChunk(std::move(answer.body));
+  }
+  if (sent) {
+    (void)co_await exchange->FinishStream();
+  }
+}
+
 task<> fake_replica::StreamEvents(std::shared_ptr<http_exchange> exchange, std::string attempt) {
   std::uint32_t last_event_id = 0;
   const std::string resume = Header(exchange->Request(), "Last-Event-Id");
   std::from_chars(resume.data(), resume.data() + resume.size(), last_event_id);
   header_list headers = ResponseHeaders(attempt);
   headers.push_back({"Content-Type", "text/event-stream"});
-  auto sent = co_await exchange->StartStream(200, std::move(headers));
+  auto sent = co_await exchange->StartStream(200, std::move(headers), Framing());
   while (sent && faults_.endless_event && !exchange->IsDisconnected()) {
     std::string filler(64U << 10U, 'x');
     sent = co_await exchange->WriteChunk(std::move(filler));
@@ -315,7 +330,11 @@
     if (faults_.break_after_events != 0 && sent_events == faults_.break_after_events) {
       std::string incomplete = fmt::format("id: {}\ndata: piece {}", id, id);  // an event without its end
       (void)co_await exchange->WriteChunk(std::move(incomplete));
-      exchange->AbortStream();
+      if (faults_.breaks_in_order) {
+        (void)co_await exchange->FinishStream();
+      } else {
+        exchange->AbortStream();
+      }
       co_return;
     }
     std::string event = fmt::format("id: {}\ndata: piece {} of {}\n\n", id, id, attempt);
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -47,6 +47,8 @@
   bool omits_seal = false;               // omits the seal header, which proves that the endpoint itself responded
   bool drops_responses = false;          // runs requests and closes the connection without a response
   bool endless_event = false;            // the first event of a stream never ends
+  bool unframed = false;                 // bodies have neither a length nor chunks and end with the connection
+  bool breaks_in_order = false;          // streams that break off end like whole ones: last chunk, or orderly close
   bool handles_expire = false;           // KV cache handles of prefills expire immediately
   std::string crash_on = {};             // running a request with this body stops the endpoint
   milliseconds retry_after{0};           // stated in rejections with status 503; 0: not stated
@@ -95,6 +97,8 @@
  private:
   task<> Handle(std::shared_ptr<http_exchange> exchange);
   task<> ServeRequest(std::shared_ptr<http_exchange> exchange);
+  body_framing Framing() const { return faults_.unframed ? body_framing::kConnectionEnd : body_framing::kChunks; }
+  task<> Answer(std::shared_ptr<http_exchange> exchange, http_response answer);
   task<> StreamEvents(std::shared_ptr<http_exchange> exchange, std::string attempt);
   http_response Reserve(const http_request& request);
   task<> ServePrefill(std::shared_ptr<http_exchange> exchange);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -220,12 +220,13 @@
     co_return Finish(failure);
   }
 
-  task<result<void>> WriteHead(int status, header_list headers) {
+  task<result<void>> WriteHead(int status, header_list headers, body_framing framing) {
+    chunked_ = chunked_ && framing == body_framing::kChunks;
     http::response<http::empty_body> message;
     message.version(11);
     message.result(static_cast<unsigned>(status));
     SetHeaders(message, headers);
-    // HTTP/1.0 has no chunked encoding: closing the connection ends the body.
+    // Without chunks, closing the connection ends the body.
     keep_alive_ = keep_alive_ && chunked_ && !server_->disable_keep_alive;
     message.keep_alive(keep_alive_ && !server_->draining);
     message.chunked(chunked_);
@@ -470,7 +471,7 @@
   std::function<void()> on_disconnect_;
   std::uint64_t watch_generation_ = 0;
   bool keep_alive_ = true;
-  bool chunked_ = true;  // false: HTTP/1.0
+  bool chunked_ = true;  // false: the end of the connection ends the body of a stream
   bool head_request_ = false;
   bool reading_ = false;
   bool serving_ = false;
@@ -491,11 +492,11 @@
   co_return co_await connection_->Write(std::move(response));
 }
 
-task<result<void>> http_exchange::StartStream(int status, header_list headers) {
+task<result<void>> http_exchange::StartStream(int status, header_list headers, body_framing framing) {
   if (std::exchange(started_, true)) {
     AbortProgram("A second response was started on an HTTP exchange.");
   }
-  co_return co_await connection_->WriteHead(status, std::move(headers));
+  co_return co_await connection_->WriteHead(status, std::move(headers), framing);
 }
 
 task<result<void>> http_exchange::WriteChunk(std::string data) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -49,6 +49,16 @@
   bool operator==(const http_response_head&) const = default;
 };
 
+// What marks the end of a response body. Only a length or chunks prove that the body is whole.
+enum class body_framing : std::uint8_t {
+  kLength,         // Content-Length, or a response that has no body
+  kChunks,         // the terminating chunk
+  kConnectionEnd,  // the server closes the connection, which it also does when it stops in the middle of the body
+};
+
+// "length", "chunks" or "connection_end".
+const char* BodyFramingName(body_framing framing);
+
 struct http_response {
   int status = 200;
   header_list headers;
@@ -88,8 +98,9 @@
   // Sends a complete response. Errors: kClosed if the caller has disconnected; kTimeout.
   task<result<void>> Respond(http_response response);
 
-  // Sends the status line and headers of a response whose body follows in chunks.
-  task<result<void>> StartStream(int status, header_list headers);
+  // Sends the status line and headers of a response whose body follows in parts. kConnectionEnd: the body is sent
+  // without chunks and ends with the connection, as always for callers that speak HTTP/1.0.
+  task<result<void>> StartStream(int status, header_list headers, body_framing framing = body_framing::kChunks);
   task<result<void>> WriteChunk(std::string data);
   task<result<void>> FinishStream();
 
@@ -167,16 +178,6 @@
 // True for hop-by-hop headers, which are never forwarded: the fixed list and those named in the Connection header.
 bool IsHopByHopHeader(const header_list& headers, std::string_view name);
 
-// What marks the end of a response body. Only a length or chunks prove that the body is whole.
-enum class body_framing : std::uint8_t {
-  kLength,         // Content-Length, or a response that has no body
-  kChunks,         // the terminating chunk
-  kConnectionEnd,  // the server closes the connection, which it also does when it stops in the middle of the body
-};
-
-// "length", "chunks" or "connection_end".
-const char* BodyFramingName(body_framing framing);
-
 class http_call;
 
 class http_client {
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -202,6 +202,14 @@
   EXPECT_EQ(first_.Requests().size(), 1U);
 }
 
+TEST_F(plain_call_test, Answer_WithoutALength_IsPassedOnWhole) {
+  SetBoth({.unframed = true});
+  const auto call = harness_.Send("POST", "/submit/1", "a1", {}, "quiz");
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 200);
+  EXPECT_NE(call->body.find("to a1"), std::string::npos);
+}
+
 // A successful response without the seal does not come from the endpoint.
 TEST_F(plain_call_test, Answer_WithoutSeal_IsNotPassedOnAsSuccess) {
   SetBoth({.omits_seal = true});
@@ -311,6 +319,11 @@
 
   int Runs(const std::string& attempt) const { return first_.Runs(attempt) + second_.Runs(attempt); }
 
+  void SetBoth(const fakes::replica_faults& faults) {
+    first_.Faults() = faults;
+    second_.Faults() = faults;
+  }
+
   // True if the engines hold no memory and no runs.
   bool IsAllFreed() const {
     return first_.ReservedTokens() + second_.ReservedTokens() == 0 && first_.ActiveRuns() + second_.ActiveRuns() == 0;
@@ -484,6 +497,45 @@
   EXPECT_EQ(reservations, 1);
 }
 
+TEST_F(model_call_test, Stream_WithoutALength_IsForwardedWhole) {
+  SetBoth({.unframed = true});
+  for (const char* path : {"/chat/1", "/digest/1"}) {
+    const auto call = harness_.SendModel(path, path);
+    ASSERT_TRUE(harness_.Finish(call));
+    EXPECT_FALSE(call->failure);
+    EXPECT_EQ(call->body, WholeStream(path, 5));
+    EXPECT_EQ(Runs(path), 1);
+  }
+}
+
+// Guards against a broken stream that is framed as complete, whatever marked its end at the engine.
+TEST_F(model_call_test, Stream_ThatEndsInOrderInsideAnEvent_LooksBrokenToTheCaller) {
+  for (const bool unframed : {true, false}) {
+    SetBoth({.unframed = unframed, .breaks_in_order = true, .break_after_events = 2});
+    const std::string attempt = unframed ? "unframed" : "chunked";
+    const auto call = harness_.SendModel("/chat/1", attempt);
+    ASSERT_TRUE(harness_.Finish(call));
+    EXPECT_EQ(call->Status(), 200);
+    EXPECT_TRUE(call->failure) << attempt;
+    EXPECT_EQ(Runs(attempt), 1);
+  }
+}
+
+// Guards against forwarding the incomplete event and ending the stream instead of going on at the other engine.
+TEST_F(model_call_test, Stream_ThatEndsInOrderInsideAnEvent_GoesOnAtAnotherEngine) {
+  for (const bool unframed : {true, false}) {
+    SetBoth({.unframed = unframed, .breaks_in_order = true, .break_after_events = 2});
+    const std::string attempt = unframed ? "unframed" : "chunked";
+    const auto call = harness_.SendModel("/digest/1", attempt);
+    ASSERT_TRUE(harness_.RunUntil([&] { return Runs(attempt) == 1; }));
+    (first_.Runs(attempt) == 1 ? second_ : first_).Faults().break_after_events = 0;
+    ASSERT_TRUE(harness_.Finish(call));
+    EXPECT_FALSE(call->failure);
+    EXPECT_EQ(call->body, WholeStream(attempt, 5));
+    EXPECT_EQ(Runs(attempt), 2);
+  }
+}
+
 TEST_F(model_call_test, Stream_ThatBreaksOffOnAnotherRoute_LooksBrokenToTheCaller) {
   first_.Faults().break_after_events = 2;
   second_.Faults().break_after_events = 2;
