Treat a stream that ends inside an event as broken off

The engine had crashed in the middle of the stream.

Cause: the router took the end of the engine's body for the end of the stream. It appended the incomplete event and finished its own response. A body with neither a length nor chunks ends with its connection, also when the engine crashes, so its end proves nothing. The same held for a terminating chunk.

Ruled out: an abort that looks complete, because nothing was aborted.

Change: a stream whose bytes end inside an event is broken off, however its end is framed: it goes on at another engine on a resumable route, and is aborted otherwise. On routes that cannot resume, the splitter now sees all bytes, so an event without end is limited there as well. Line breaks after the last event are forwarded as before.

Why it works: an event ends with a blank line, so a cut anywhere inside it is visible in the bytes themselves.

--- a/include/persimmon/event_stream.h
+++ b/include/persimmon/event_stream.h
@@ -21,6 +21,10 @@
   // Bytes of the incomplete event.
   const std::string& Incomplete() const { return incomplete_; }
 
+  // True if the bytes so far end inside an event. A stream that ends there has been broken off, however its end is
+  // framed. Line breaks between events belong to none.
+  bool IsInsideEvent() const { return incomplete_.find_first_not_of("\r\n") != std::string::npos; }
+
   // Discards the incomplete event, after its endpoint was lost.
   void DropIncomplete() { incomplete_.clear(); }
 
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -675,36 +675,42 @@
     const time_point now = timer_service::Now();
     auto piece =
         co_await upstream.Read(may_resume ? std::min(call->Deadline(), now + settings_.stall_limit) : call->Deadline());
-    std::string events = piece ? stream.events.Add(piece.value()) : std::string();
+    std::string forwarded = piece ? stream.events.Add(piece.value()) : std::string();
     incomplete_bytes = stream.events.Incomplete().size();
-    if (!piece || stream.events.IsOversized()) {
+    const bool is_end = piece && piece.value().empty();
+    std::string failure;
+    if (!piece) {
+      failure = FormatError(piece.error());
+    } else if (stream.events.IsOversized()) {
+      failure = "an event exceeds the maximum length";
+    } else if (is_end && stream.events.IsInsideEvent()) {
+      failure = "the body ends inside an event";
+    }
+    if (!failure.empty()) {
       endpoint_tracker_->RecordFailure(assignment.engine);
       Events()
           .Line(kComponent, "stream_broken")
           .Request(call->Metadata().attempt)
           .Add("endpoint", assignment.engine.name.value)
           .Add("events", stream.events.EventCount())
-          .Add("detail", piece ? "an event exceeds the maximum length" : FormatError(piece.error()));
+          .Add("framing", BodyFramingName(upstream.Framing()))
+          .Add("detail", failure);
       break;
     }
-    const bool is_end = piece.value().empty();
-    if (is_end && !stream.events.Incomplete().empty()) {
-      events += stream.events.Incomplete();
-      stream.events.DropIncomplete();
-    }
-    if (!resumable && !is_end) {
-      // The stream cannot be resumed elsewhere, so incomplete events are forwarded without buffering.
-      events += stream.events.Incomplete();
-      stream.events.DropIncomplete();
+    if (!resumable) {
+      // No other endpoint can continue the stream, so the bytes of an incomplete event are forwarded as they arrive.
+      forwarded = std::move(piece.value());
+    } else if (is_end) {
+      forwarded += stream.events.Incomplete();  // line breaks after the last event
     }
-    if (!events.empty()) {
+    if (!forwarded.empty()) {
       const time_point read_at = timer_service::Now();
       longest_pause = std::max(longest_pause, std::chrono::duration_cast<microseconds>(read_at - last_event));
       last_event = read_at;
       if (call->first_event == milliseconds(0)) {
         call->first_event = call->Age(timer_service::Now());
       }
-      auto written = co_await call->Exchange().WriteChunk(std::move(events));
+      auto written = co_await call->Exchange().WriteChunk(std::move(forwarded));
       if (!written) {
         outcome = decode_result::kCallerDisconnected;
         break;
--- a/tests/event_stream_test.cpp
+++ b/tests/event_stream_test.cpp
@@ -40,6 +40,20 @@
   EXPECT_EQ(events.LastId(), "2");
 }
 
+// Guards against taking a cut event for a whole stream, and line breaks after the last event for a cut one.
+TEST(event_splitter_test, IsInsideEvent_AfterEachByteOfAStream_IsFalseOnlyBetweenEvents) {
+  for (const std::string line_end : {"\n", "\r\n"}) {
+    const std::string event = MakeEvents(1, line_end);
+    event_splitter events;
+    for (std::size_t count = 1; count <= event.size(); ++count) {
+      events.Add(event.substr(count - 1, 1));
+      EXPECT_EQ(events.IsInsideEvent(), count < event.size()) << count;
+    }
+    events.Add(line_end);
+    EXPECT_FALSE(events.IsInsideEvent());
+  }
+}
+
 TEST(event_splitter_test, LastId_WithoutIds_StaysEmpty) {
   event_splitter events;
   events.Add("data: a\n\n");
