Show what endless and cut responses do to each kind of client call

Endless heads, bodies and chunks of Fetch and FetchLines are bounded, and a reset is never a whole body.

--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -131,6 +131,13 @@
     socket_.close(ignored);
   }
 
+  // Closes the connection with a TCP reset.
+  void Reset() {
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+    socket_.close(ignored);
+  }
+
   void ShutdownSend() { socket_.shutdown(asio::ip::tcp::socket::shutdown_send); }
 
   const std::string& Received() const { return received_; }
--- /dev/null
+++ b/tests/untrusted_response_test.cpp
@@ -0,0 +1,255 @@
+// link: persimmon_net
+// Responses that a server in trouble may send to each kind of client call: heads, bodies and interim responses without
+// end, interim responses before the final one, bodies that end with their connection.
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <optional>
+
+#include "net/http.h"
+#include "net_support.h"
+
+namespace persimmon {
+namespace {
+
+enum class client_kind : std::uint8_t { kFetch, kFetchLines, kCall };
+
+constexpr std::array<client_kind, 3> kAllKinds = {client_kind::kFetch, client_kind::kFetchLines, client_kind::kCall};
+
+const char* KindName(client_kind kind) {
+  return kind == client_kind::kFetch ? "Fetch" : kind == client_kind::kFetchLines ? "FetchLines" : "http_call";
+}
+
+struct observed_response {
+  int status = 0;
+  std::string body;
+  std::optional<error> failure;
+  bool done = false;
+};
+
+class untrusted_response_test : public testing::Test {
+ protected:
+  static constexpr milliseconds kLimit{500};  // response timeout and deadline of all calls
+  // A call must have ended this long after its limit, although bytes arrive without a pause.
+  static constexpr milliseconds kGrace{1'000};
+  static constexpr std::size_t kBodyBytes = 1U << 20U;
+  // Bytes that a server can send before a call gives up. The socket buffers of both sides take several megabytes.
+  static constexpr std::size_t kMaxSentBytes = 24U << 20U;
+
+  // Starts a call; the returned connection is the server's side, which has read the request.
+  std::unique_ptr<raw_connection> Start(client_kind kind) {
+    observed_ = {};
+    lines_.clear();
+    Begin(kind);
+    auto server = listener_.Accept();
+    EXPECT_TRUE(server && server->AwaitText("\r\n\r\n"));
+    return server;
+  }
+
+  // Sends the bytes again and again until the call ends. Returns the number of bytes sent.
+  std::size_t SendWithoutEnd(raw_connection& server, std::string_view bytes) {
+    std::string block;
+    while (block.size() < 64U << 10U) {
+      block += bytes;
+    }
+    std::size_t sent = 0;
+    const time_point end = timer_service::Now() + kLimit + kGrace;
+    loop_.RunUntil([&] {
+      server.Write();
+      if (!server.HasUnsent()) {
+        server.Send(block);
+        sent += block.size();
+      }
+      return observed_.done || timer_service::Now() > end || sent > kMaxSentBytes * 2;
+    });
+    return sent;
+  }
+
+  // Expects that the call fails in bounded time and memory while the server sends the bytes without end after the
+  // start.
+  void ExpectBounded(client_kind kind, std::string_view start, std::string_view repeated) {
+    auto server = Start(kind);
+    server->Send(start);
+    const std::size_t sent = SendWithoutEnd(*server, repeated);
+    EXPECT_TRUE(observed_.done) << KindName(kind) << " has not ended after " << sent << " bytes";
+    EXPECT_TRUE(observed_.failure) << KindName(kind);
+    EXPECT_LT(sent, kMaxSentBytes) << KindName(kind);
+    call_.reset();
+    client_ = std::make_unique<http_client>(loop_.Context(), Limits());
+    loop_.RunFor(milliseconds(5));
+  }
+
+  bool AwaitDone() {
+    return loop_.RunUntil([this] { return observed_.done; });
+  }
+
+  static http_client_limits Limits() { return {.response_timeout = kLimit, .body_bytes = kBodyBytes}; }
+
+  test_loop loop_;
+  raw_listener listener_{loop_};
+  std::unique_ptr<http_client> client_ = std::make_unique<http_client>(loop_.Context(), Limits());
+  std::unique_ptr<http_call> call_;
+  observed_response observed_;
+  std::vector<std::string> lines_;
+
+ private:
+  void Begin(client_kind kind) {
+    http_request request{"GET", "/", {}, {}, {}};
+    const host_port address{"127.0.0.1", listener_.Port()};
+    if (kind == client_kind::kCall) {
+      call_ = std::make_unique<http_call>(*client_);
+      asio::co_spawn(loop_.Context(), RunCall(*call_, address, std::move(request), &observed_), asio::detached);
+    } else {
+      asio::co_spawn(loop_.Context(), RunFetch(kind, *client_, address, std::move(request), &lines_, &observed_),
+                     asio::detached);
+    }
+  }
+
+  static task<> RunFetch(client_kind kind, http_client& client, host_port address, http_request request,
+                         std::vector<std::string>* lines, observed_response* observed) {
+    http_client::line_handler on_line = [lines](std::string_view line) {
+      lines->emplace_back(line);
+      return true;
+    };
+    result<http_response> response = error{error_code::kCancelled, ""};
+    if (kind == client_kind::kFetch) {
+      response = co_await client.Fetch(address, std::move(request));
+    } else {
+      response = co_await client.FetchLines(address, std::move(request), std::move(on_line), kLimit);
+    }
+    if (response) {
+      observed->status = response.value().status;
+      observed->body = response.value().body;
+    } else {
+      observed->failure = response.error();
+    }
+    observed->done = true;
+  }
+
+  static task<> RunCall(http_call& call, host_port address, http_request request, observed_response* observed) {
+    const time_point end = timer_service::Now() + kLimit;
+    auto head = co_await call.Send(address, std::move(request), end, [](const http_response_head& received) {
+      return FindHeader(received.headers, "Other").empty();
+    });
+    if (!head) {
+      observed->failure = head.error();
+    } else {
+      observed->status = head.value().status;
+      for (bool more = true; more;) {
+        auto piece = co_await call.Read(end);
+        if (!piece) {
+          observed->failure = piece.error();
+          break;
+        }
+        more = !piece.value().empty();
+      }
+    }
+    observed->done = true;
+  }
+};
+
+TEST_F(untrusted_response_test, HeadField_WithoutEnd_EndsTheCall) {
+  for (const client_kind kind : kAllKinds) {
+    ExpectBounded(kind, "HTTP/1.1 200 OK\r\nX: ", "x");
+  }
+}
+
+TEST_F(untrusted_response_test, HeadFields_WithoutEnd_EndTheCall) {
+  for (const client_kind kind : kAllKinds) {
+    ExpectBounded(kind, "HTTP/1.1 200 OK\r\n", "X: y\r\n");
+  }
+}
+
+// Guards against reading interim responses for as long as the server sends them.
+TEST_F(untrusted_response_test, InterimResponses_WithoutEnd_EndTheCall) {
+  for (const client_kind kind : kAllKinds) {
+    ExpectBounded(kind, "", "HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+TEST_F(untrusted_response_test, BodyWithoutLength_WithoutEnd_EndsTheCall) {
+  ExpectBounded(client_kind::kFetch, "HTTP/1.1 200 OK\r\n\r\n", "x");
+  ExpectBounded(client_kind::kFetchLines, "HTTP/1.1 200 OK\r\n\r\n", "x");
+  ExpectBounded(client_kind::kFetchLines, "HTTP/1.1 500 Failed\r\n\r\n", "x");
+}
+
+TEST_F(untrusted_response_test, Chunks_WithoutEnd_EndTheCall) {
+  ExpectBounded(client_kind::kFetch, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n");
+  ExpectBounded(client_kind::kFetchLines, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n");
+}
+
+// A chunk header is buffered until its end, so it needs a limit in all calls.
+TEST_F(untrusted_response_test, ChunkHeader_WithoutEnd_EndsTheCall) {
+  for (const client_kind kind : kAllKinds) {
+    ExpectBounded(kind, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;", "x");
+  }
+}
+
+TEST_F(untrusted_response_test, Trailer_WithoutEnd_EndsTheCall) {
+  for (const client_kind kind : kAllKinds) {
+    ExpectBounded(kind, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n", "X: y\r\n");
+  }
+}
+
+// A body that is passed on is not limited in size, but its deadline must hold while bytes arrive without a pause.
+TEST_F(untrusted_response_test, BodyThatIsPassedOn_WithoutEnd_EndsAtTheDeadline) {
+  auto server = Start(client_kind::kCall);
+  server->Send("HTTP/1.1 200 OK\r\n\r\n");
+  const time_point end = timer_service::Now() + kLimit + kGrace;
+  ASSERT_TRUE(loop_.RunUntil([&] {
+    server->Send("some bytes");
+    return observed_.done || timer_service::Now() > end;
+  }));
+  EXPECT_TRUE(observed_.done);
+  ASSERT_TRUE(observed_.failure);
+  EXPECT_EQ(observed_.failure->code, error_code::kTimeout);
+}
+
+// Guards against reading the body of a response to another request for as long as the server sends it.
+TEST_F(untrusted_response_test, ResponseToAnotherRequest_WithoutEnd_EndsTheCall) {
+  ExpectBounded(client_kind::kCall, "HTTP/1.1 200 OK\r\nOther: 1\r\n\r\n", "x");
+}
+
+// Guards against taking an interim response for the final one, which would then answer the next request.
+TEST_F(untrusted_response_test, InterimResponse_BeforeTheFinalOne_IsSkipped) {
+  for (const client_kind kind : kAllKinds) {
+    auto server = Start(kind);
+    server->Send("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n");
+    loop_.RunFor(milliseconds(5));
+    server->Send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes");
+    ASSERT_TRUE(AwaitDone());
+    EXPECT_FALSE(observed_.failure) << KindName(kind);
+    EXPECT_EQ(observed_.status, 200) << KindName(kind);
+    call_.reset();
+    client_ = std::make_unique<http_client>(loop_.Context(), Limits());
+  }
+}
+
+// A body that ends with its connection may have been cut anywhere; without its line end, the last line may be a part.
+TEST_F(untrusted_response_test, LastLine_CutByTheEndOfTheConnection_IsNotPassedOn) {
+  auto server = Start(client_kind::kFetchLines);
+  server->Send("HTTP/1.1 200 OK\r\n\r\none\ntw");
+  server->AwaitSent();
+  server->Close();
+  ASSERT_TRUE(AwaitDone());
+  EXPECT_EQ(lines_, std::vector<std::string>{"one"});
+  ASSERT_TRUE(observed_.failure);
+  EXPECT_EQ(observed_.failure->code, error_code::kClosed);
+}
+
+TEST_F(untrusted_response_test, Body_WhoseConnectionIsReset_IsNotComplete) {
+  for (const client_kind kind : kAllKinds) {
+    auto server = Start(kind);
+    server->Send("HTTP/1.1 200 OK\r\n\r\none\n");
+    server->AwaitSent();
+    loop_.RunFor(milliseconds(5));
+    server->Reset();
+    ASSERT_TRUE(AwaitDone());
+    EXPECT_TRUE(observed_.failure) << KindName(kind);
+  }
+}
+
+}  // namespace
+}  // namespace persimmon
