Skip interim responses in every client call

Cause: Fetch and FetchLines took an interim response (1xx) for the final one, with an empty body, and returned its connection to the pool, so the final response would have been read as the answer to the next request. Only http_call skipped interim responses.

Change: one function reads the head of the final response for all three calls. untrusted_response_test.InterimResponse_BeforeTheFinalOne_IsSkipped failed before (status 100 from Fetch and FetchLines) and passes now; http_test and http_call_test pass.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -38,6 +38,7 @@
 constexpr milliseconds kLingerTimeout(1'000);       // time for which the input of a rejected caller is still read
 constexpr std::size_t kMaxLingerBytes = 64U << 20U;
 constexpr milliseconds kAcceptRetryDelay(100);  // after a failed accept, for example if no file descriptor is free
+constexpr unsigned kFirstFinalStatus = 200;     // lower ones belong to interim responses
 constexpr unsigned kHttp10 = 10;                // HTTP/1.0 in Beast's encoding
 
 const logger& Log() {
@@ -635,6 +636,20 @@
   return std::chrono::seconds(seconds);
 }
 
+// Reads the status and headers of the next final response; interim responses (1xx) before it are skipped. `prepare`
+// sets the limits of a new parser.
+template <class parser_type, class prepare_function>
+task<sys_error> ReadFinalHead(client_connection& connection, std::optional<parser_type>& parser,
+                              prepare_function prepare) {
+  sys_error failure;
+  do {
+    parser.emplace();
+    prepare(*parser);
+    co_await http::async_read_header(connection.stream, connection.buffer, *parser, RedirectError(failure));
+  } while (!failure && parser->get().result_int() < kFirstFinalStatus);
+  co_return failure;
+}
+
 // Splits a byte stream into lines.
 class line_splitter {
  public:
@@ -771,19 +786,22 @@
   if (!sent) {
     co_return sent.error();
   }
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(state->limits.body_bytes);
-  parser.skip(head_request);
-  sys_error failure;
-  co_await http::async_read(connection->stream, connection->buffer, parser, RedirectError(failure));
+  std::optional<http::response_parser<http::string_body>> parser;
+  sys_error failure = co_await ReadFinalHead(*connection, parser, [&](auto& created) {
+    created.body_limit(state->limits.body_bytes);
+    created.skip(head_request);
+  });
+  if (!failure) {
+    co_await http::async_read(connection->stream, connection->buffer, *parser, RedirectError(failure));
+  }
   if (failure) {
     co_return MakeError(failure, "response from " + address.Text());
   }
   http_response response;
-  response.status = static_cast<int>(parser.get().result_int());
-  response.headers = CopyHeaders(parser.get());
-  response.body = std::move(parser.get().body());
-  if (parser.get().keep_alive()) {
+  response.status = static_cast<int>(parser->get().result_int());
+  response.headers = CopyHeaders(parser->get());
+  response.body = std::move(parser->get().body());
+  if (parser->get().keep_alive()) {
     state->ReturnToPool(address, std::move(connection), FindHeader(response.headers, "Keep-Alive"));
   }
   co_return response;
@@ -808,23 +826,22 @@
   if (!sent) {
     co_return sent.error();
   }
-  http::response_parser<http::buffer_body> parser;
-  parser.body_limit(boost::none);
-  sys_error failure;
-  co_await http::async_read_header(connection->stream, connection->buffer, parser, RedirectError(failure));
+  std::optional<http::response_parser<http::buffer_body>> parser;
+  sys_error failure =
+      co_await ReadFinalHead(*connection, parser, [](auto& created) { created.body_limit(boost::none); });
   if (failure) {
     co_return MakeError(failure, "response from " + address.Text());
   }
   http_response response;
-  response.status = static_cast<int>(parser.get().result_int());
-  response.headers = CopyHeaders(parser.get());
+  response.status = static_cast<int>(parser->get().result_int());
+  response.headers = CopyHeaders(parser->get());
   line_splitter lines;
   std::array<char, 16384> chunk{};
-  while (!parser.is_done()) {
-    parser.get().body().data = chunk.data();
-    parser.get().body().size = chunk.size();
+  while (!parser->is_done()) {
+    parser->get().body().data = chunk.data();
+    parser->get().body().size = chunk.size();
     connection->stream.expires_at(std::min(end, timer_service::Now() + state->limits.idle_timeout));
-    co_await http::async_read_some(connection->stream, connection->buffer, parser, RedirectError(failure));
+    co_await http::async_read_some(connection->stream, connection->buffer, *parser, RedirectError(failure));
     if (failure == http::error::need_buffer) {
       failure = {};
     }
@@ -835,7 +852,7 @@
     if (failure) {
       co_return MakeError(failure, "response from " + address.Text());
     }
-    const std::string_view data(chunk.data(), chunk.size() - parser.get().body().size);
+    const std::string_view data(chunk.data(), chunk.size() - parser->get().body().size);
     if (response.status != 200) {
       response.body.append(data);
     } else if (!lines.Add(data, on_line)) {
@@ -849,7 +866,7 @@
   if (!lines.Finish(on_line)) {
     co_return error{error_code::kCancelled, "the line handler ended the exchange"};
   }
-  if (parser.get().keep_alive()) {
+  if (parser->get().keep_alive()) {
     state->ReturnToPool(address, std::move(connection), FindHeader(response.headers, "Keep-Alive"));
   }
   co_return response;
@@ -918,18 +935,15 @@
     return described;
   }
 
-  // Reads the status and headers of the next response, skipping 1xx ones.
+  // Reads the status and headers of the next response.
   task<result<http_response_head>> ReadHead(bool head_request) {
-    sys_error failure;
-    do {
-      parser.emplace();
-      parser->body_limit(boost::none);
-      parser->skip(head_request);
-      co_await http::async_read_header(connection->stream, connection->buffer, *parser, RedirectError(failure));
-      if (failure || cancelled) {
-        co_return MakeCallError(failure, "response from");
-      }
-    } while (parser->get().result_int() < 200);  // interim responses
+    const sys_error failure = co_await ReadFinalHead(*connection, parser, [head_request](auto& created) {
+      created.body_limit(boost::none);
+      created.skip(head_request);
+    });
+    if (failure || cancelled) {
+      co_return MakeCallError(failure, "response from");
+    }
     http_response_head head{static_cast<int>(parser->get().result_int()), CopyHeaders(parser->get())};
     keep_alive = std::string(FindHeader(head.headers, "Keep-Alive"));
     framing = FramingOf(*parser);
