Limit the interim responses before a final one

Cause: http_call read interim responses for as long as the server sent them. Each one arrived at once, so the deadline of the connection never took effect: 20 MB were read in 1.5 s with a deadline of 0.5 s, and the call went on.

Change: after eight interim responses the connection is given up, in all three calls. untrusted_response_test.InterimResponses_WithoutEnd_EndTheCall failed before (not ended after 20,058,300 bytes) and passes now.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -37,9 +37,10 @@
 constexpr std::size_t kMaxPipelinedBytes = 65'536;  // of pipelined requests, buffered while a response is prepared
 constexpr milliseconds kLingerTimeout(1'000);       // time for which the input of a rejected caller is still read
 constexpr std::size_t kMaxLingerBytes = 64U << 20U;
-constexpr milliseconds kAcceptRetryDelay(100);  // after a failed accept, for example if no file descriptor is free
-constexpr unsigned kFirstFinalStatus = 200;     // lower ones belong to interim responses
-constexpr unsigned kHttp10 = 10;                // HTTP/1.0 in Beast's encoding
+constexpr milliseconds kAcceptRetryDelay(100);   // after a failed accept, for example if no file descriptor is free
+constexpr unsigned kFirstFinalStatus = 200;      // lower ones belong to interim responses
+constexpr std::size_t kMaxInterimResponses = 8;  // before a final response; a server may send them without end
+constexpr unsigned kHttp10 = 10;                 // HTTP/1.0 in Beast's encoding
 
 const logger& Log() {
   static const logger log("net.http");
@@ -641,13 +642,17 @@
 template <class parser_type, class prepare_function>
 task<sys_error> ReadFinalHead(client_connection& connection, std::optional<parser_type>& parser,
                               prepare_function prepare) {
-  sys_error failure;
-  do {
+  for (std::size_t interim_responses = 0; interim_responses <= kMaxInterimResponses; ++interim_responses) {
     parser.emplace();
     prepare(*parser);
+    sys_error failure;
     co_await http::async_read_header(connection.stream, connection.buffer, *parser, RedirectError(failure));
-  } while (!failure && parser->get().result_int() < kFirstFinalStatus);
-  co_return failure;
+    if (failure || parser->get().result_int() >= kFirstFinalStatus) {
+      co_return failure;
+    }
+  }
+  Log().Warning("A server has sent more than {} interim responses to one request.", kMaxInterimResponses);
+  co_return http::error::bad_status;
 }
 
 // Splits a byte stream into lines.
