Limit the bytes of a chunk header or trailer in the HTTP client

Cause: a chunk header and a trailer are buffered until their end arrives, and the buffer of a connection had no limit. A server that sends either without end filled the memory: 50 MB were read in 0.2 s, in all three calls.

Change: a connection buffers at most 64 KiB that the parser has not consumed; more is a failure of the response. Heads had a limit before, bodies are consumed as they arrive. untrusted_response_test.ChunkHeader_WithoutEnd_EndsTheCall and Trailer_WithoutEnd_EndsTheCall failed before (not ended after 50,397,184 and 50,333,184 bytes) and pass now.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -35,6 +35,7 @@
 
 constexpr std::size_t kReadBufferBytes = 16'384;
 constexpr std::size_t kMaxPipelinedBytes = 65'536;  // of pipelined requests, buffered while a response is prepared
+constexpr std::size_t kMaxUnparsedBytes = 65'536;   // of a chunk header or a trailer, buffered until its end arrives
 constexpr milliseconds kLingerTimeout(1'000);       // time for which the input of a rejected caller is still read
 constexpr std::size_t kMaxLingerBytes = 64U << 20U;
 constexpr milliseconds kAcceptRetryDelay(100);   // after a failed accept, for example if no file descriptor is free
@@ -601,7 +602,7 @@
 namespace {
 
 struct client_connection {
-  explicit client_connection(asio::io_context& context) : stream(context) {}
+  explicit client_connection(asio::io_context& context) : stream(context), buffer(kMaxUnparsedBytes) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   time_point idle_since;
