Keep the deadline of a call while its body arrives without a pause

Cause: the timeout of a connection does not cancel a read whose data has already arrived, and each read of http_call armed it anew. A body without end kept a call, its endpoint and its caller busy beyond the deadline for as long as the server sent bytes (not ended 1 s after a deadline of 0.5 s).

Change: data that has already arrived is read for 100 ms after the deadline, so that an answer that is ready is still delivered by a process that was suspended; then the call ends with a timeout.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -887,6 +887,7 @@
 // A body up to this size fits the socket buffers of a new connection and is written before the response is read. A
 // larger one is written in the background.
 constexpr std::size_t kMaxForegroundBodyBytes = 8'192;
+constexpr milliseconds kLateReadLimit(100);        // time for which data is still read after a deadline
 constexpr std::size_t kMaxUnmatchedResponses = 4;  // responses read per call before the connection is abandoned
 
 using call_message = http::request<http::string_body>;
@@ -916,7 +917,9 @@
   std::string keep_alive;  // Keep-Alive header of the response
   body_framing framing = body_framing::kLength;
   bool reused = false;
-  bool unmatched = false;  // the connection carried a response that belongs to another request
+  time_point deadline;                   // of the read in progress
+  std::optional<time_point> late_since;  // first read that ended after its deadline
+  bool unmatched = false;                // the connection carried a response that belongs to another request
   bool cancelled = false;
   bool finished = false;
 
@@ -928,6 +931,23 @@
     }
   }
 
+  void SetDeadline(time_point end) {
+    deadline = end;
+    connection->stream.expires_at(end);
+  }
+
+  // The timeout of the stream does not cancel a read whose data has already arrived. Such data is still delivered, for
+  // example after the process was suspended, but not for as long as a server sends more.
+  bool IsTooLate() {
+    const time_point now = timer_service::Now();
+    if (now < deadline) {
+      late_since.reset();
+      return false;
+    }
+    late_since = late_since.value_or(now);
+    return now - *late_since > kLateReadLimit;
+  }
+
   error MakeCallError(const sys_error& failure, std::string_view what) {
     if (cancelled) {
       return error{error_code::kCancelled, "the call was cancelled"};
@@ -968,6 +988,10 @@
       if (failure == http::error::need_buffer) {
         failure = {};
       }
+      if (!failure && IsTooLate()) {
+        failure = beast::error::timeout;
+        Close();
+      }
       if (failure || cancelled) {
         co_return MakeCallError(failure, "response from");
       }
@@ -1025,7 +1049,7 @@
   if (may_send && !may_send()) {
     co_return error{error_code::kUnavailable, fmt::format("{} no longer receives requests", address.Text())};
   }
-  state->connection->stream.expires_at(deadline);
+  state->SetDeadline(deadline);
   if (message->body().size() <= kMaxForegroundBodyBytes) {
     const std::size_t written = co_await http::async_write(state->connection->stream, *message, RedirectError(failure));
     if (failure || state->cancelled) {
@@ -1067,7 +1091,7 @@
   if (!state->connection || !state->parser) {
     co_return error{error_code::kCancelled, "the request has not been sent"};
   }
-  state->connection->stream.expires_at(deadline);
+  state->SetDeadline(deadline);
   auto part = co_await state->ReadBodyPart();
   if (part && part.value().empty()) {
     state->Finish();
