Limit the bytes of a response to another request

Cause: http_call reads and drops a response that belongs to another request, so that the expected one can follow, and did so for as long as the server sent its body (not ended after 50,397,184 bytes).

Change: at most 1 MiB of such a body is dropped; then the call fails, and its connection is closed.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -887,8 +887,9 @@
 // A body up to this size fits the socket buffers of a new connection and is written before the response is read. A
 // larger one is written in the background.
 constexpr std::size_t kMaxForegroundBodyBytes = 8'192;
-constexpr milliseconds kLateReadLimit(100);        // time for which data is still read after a deadline
-constexpr std::size_t kMaxUnmatchedResponses = 4;  // responses read per call before the connection is abandoned
+constexpr milliseconds kLateReadLimit(100);            // time for which data is still read after a deadline
+constexpr std::size_t kMaxUnmatchedBytes = 1U << 20U;  // of one such response that are read and dropped
+constexpr std::size_t kMaxUnmatchedResponses = 4;      // responses read per call before the connection is abandoned
 
 using call_message = http::request<http::string_body>;
 
@@ -1068,11 +1069,18 @@
       co_return head;
     }
     state->unmatched = true;
+    std::size_t dropped_bytes = 0;
     for (bool more = true; more;) {
       auto part = co_await state->ReadBodyPart();
       if (!part) {
         co_return part.error();
       }
+      dropped_bytes += part.value().size();
+      if (dropped_bytes > kMaxUnmatchedBytes) {
+        co_return error{error_code::kProtocol,
+                        fmt::format("{} sent a response to another request that exceeds {} bytes", address.Text(),
+                                    kMaxUnmatchedBytes)};
+      }
       more = !part.value().empty();
     }
     if (!state->parser->get().keep_alive()) {
