Pass on no last line that the end of the connection has cut

Cause: FetchLines passed on an unterminated last line however the body ended.

Change: such a line is a failure (kClosed). With a length or chunks it is passed on as before. The agent also wants the last line of its engine's protocol, so no stream was taken for whole there. untrusted_response_test.LastLine_CutByTheEndOfTheConnection_IsNotPassedOn failed before and passes now.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -656,6 +656,14 @@
   co_return http::error::bad_status;
 }
 
+template <class response_parser>
+body_framing FramingOf(const response_parser& parser) {
+  if (parser.chunked()) {
+    return body_framing::kChunks;
+  }
+  return parser.need_eof() ? body_framing::kConnectionEnd : body_framing::kLength;
+}
+
 // Splits a byte stream into lines.
 class line_splitter {
  public:
@@ -869,6 +877,9 @@
                       fmt::format("response from {} exceeds the size limit of a line or body", address.Text())};
     }
   }
+  if (lines.PartialLineBytes() > 0 && FramingOf(*parser) == body_framing::kConnectionEnd) {
+    co_return error{error_code::kClosed, fmt::format("response from {} ends inside a line", address.Text())};
+  }
   if (!lines.Finish(on_line)) {
     co_return error{error_code::kCancelled, "the line handler ended the exchange"};
   }
@@ -893,14 +904,6 @@
 
 using call_message = http::request<http::string_body>;
 
-template <class response_parser>
-body_framing FramingOf(const response_parser& parser) {
-  if (parser.chunked()) {
-    return body_framing::kChunks;
-  }
-  return parser.need_eof() ? body_framing::kConnectionEnd : body_framing::kLength;
-}
-
 void WriteInBackground(const client_connection_ptr& connection, const std::shared_ptr<call_message>& message) {
   connection->sending = true;
   http::async_write(connection->stream, *message, [connection, message](sys_error failure, std::size_t) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -195,7 +195,8 @@
   // Closes the pooled connections to the address.
   void CloseIdleConnections(const host_port& address);
 
-  // Like Fetch, but passes each line of the body to the handler as it arrives; the returned body is empty. If the
+  // Like Fetch, but passes each line of the body to the handler as it arrives; the returned body is empty. A last line
+  // without a line end is passed on only if a length or chunks prove that it is whole; otherwise kClosed. If the
   // handler returns false, the connection is closed and the result is kCancelled. A response whose status is not 200 is
   // returned with its body, without calling the handler.
   using line_handler = std::function<bool(std::string_view line)>;
