Limit the bodies that the router buffers

Cause: a plain answer without a seal, the body of a prefill and the error response of an engine were buffered until their end or the deadline, so an endpoint that sends bytes without end filled the router's memory, over loopback at more than 1 GB/s.

Change: one function reads a buffered body, up to 256 KiB, the size up to which plain answers were buffered before; a longer one is a failure of the endpoint. Bodies that are passed on are not limited in size; their deadline ends them.

The fake endpoint learns bodies without end.

--- a/src/direct/direct_call.cpp
+++ b/src/direct/direct_call.cpp
@@ -107,6 +107,20 @@
   return call_outcome::kCallerDisconnected;
 }
 
+task<result<std::string>> ReadBufferedBody(http_call& upstream, time_point deadline) {
+  std::string body;
+  while (true) {
+    auto piece = co_await upstream.Read(deadline);
+    if (!piece || piece.value().empty()) {
+      co_return piece ? result<std::string>(std::move(body)) : piece;
+    }
+    body += piece.value();
+    if (body.size() > kMaxBufferedBytes) {
+      co_return error{error_code::kProtocol, fmt::format("a body to buffer exceeds {} bytes", kMaxBufferedBytes)};
+    }
+  }
+}
+
 http_call::head_filter MakeAttemptFilter(const std::string& attempt) {
   return [attempt](const http_response_head& head) {
     const std::string answered = platform::ParseResponseHeaders(head).attempt;
--- a/src/direct/direct_call.h
+++ b/src/direct/direct_call.h
@@ -96,6 +96,13 @@
 
 using direct_call_ptr = std::shared_ptr<direct_call>;
 
+// A longer response of an endpoint is not buffered.
+inline constexpr std::size_t kMaxBufferedBytes = 256U << 10U;
+
+// Reads the rest of a body that is buffered. Errors: those of http_call::Read; kProtocol if it exceeds
+// kMaxBufferedBytes.
+task<result<std::string>> ReadBufferedBody(http_call& upstream, time_point deadline);
+
 // Returns a filter that is true if the response head belongs to the request with this attempt id. A response without an
 // id is accepted.
 http_call::head_filter MakeAttemptFilter(const std::string& attempt);
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -451,14 +451,13 @@
     } else {
       endpoint_tracker_->RecordResponse(engine, platform::ParseResponseHeaders(head.value()));
     }
-    for (bool more = !failure; more;) {
-      auto piece = co_await upstream.Read(end);
-      if (!piece) {
-        failure = piece.error();
-        break;
+    if (!failure) {
+      auto read = co_await ReadBufferedBody(upstream, end);
+      if (read) {
+        body = std::move(read.value());
+      } else {
+        failure = read.error();
       }
-      more = !piece.value().empty();
-      body += piece.value();
     }
     call->ClearDisconnectHandler();
     ReleasePrefill(*call, assignment, engine.name);
@@ -566,22 +565,17 @@
     } else if (metadata.has_seal && !stream.started && head.value().status >= 400 && head.value().status != 429 &&
                head.value().status != 503 && head.value().status != 408) {
       // An error response of the engine itself is forwarded unchanged.
-      http_response failed{head.value().status, platform::ForwardedHeaders(head.value().headers), {}};
-      bool complete = false;
-      while (!complete) {
-        auto piece = co_await upstream.Read(end);
-        if (!piece) {
-          break;
-        }
-        complete = piece.value().empty();
-        failed.body += piece.value();
-      }
       detail = fmt::format("status {}", head.value().status);
-      if (complete) {
+      auto body = co_await ReadBufferedBody(upstream, end);
+      if (body) {
+        http_response failed{head.value().status, platform::ForwardedHeaders(head.value().headers),
+                             std::move(body.value())};
         stream.started = true;
         call->reason = "endpoint_failure";
         (void)co_await call->Exchange().Respond(std::move(failed));
         outcome = decode_result::kDone;
+      } else {
+        detail += ", " + FormatError(body.error());
       }
     } else {
       detail = fmt::format(
--- a/src/direct/plain_calls.cpp
+++ b/src/direct/plain_calls.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr const char* kComponent = "router.plain";
-// Longer responses are streamed to the caller, after which the call cannot be retried.
-constexpr std::size_t kMaxBufferedBytes = 256U << 10U;
 constexpr std::uint32_t kMaxConnectAttempts = 4;  // unreachable endpoints that are tried for one request
 constexpr milliseconds kMinTimeLeft(20);          // with less time left, an attempt cannot succeed and is not started
 constexpr int kFirstServerError = 500;
@@ -142,8 +140,12 @@
       }
       complete = piece.value().empty();
       const bool is_long = outcome.response.body.size() + piece.value().size() > kMaxBufferedBytes;
-      if (is_long && !outcome.is_streamed && metadata.has_seal) {
-        outcome.is_streamed = true;
+      if (is_long && !outcome.is_streamed && !metadata.has_seal) {
+        failure = error{error_code::kProtocol, fmt::format("a body without seal exceeds {} bytes", kMaxBufferedBytes)};
+        break;
+      }
+      if (is_long && !outcome.is_streamed) {
+        outcome.is_streamed = true;  // the call cannot be retried afterwards
         (void)co_await call->Exchange().StartStream(outcome.response.status, outcome.response.headers);
         deadline = call->Deadline();
       }
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -16,6 +16,7 @@
 constexpr const char* kComponent = "fake.replica";
 constexpr milliseconds kHangDuration(60'000);
 constexpr milliseconds kDisconnectPollInterval(2);
+constexpr std::size_t kEndlessPartBytes = 64U << 10U;  // of one write of a body or an event without end
 
 std::string Header(const http_request& request, const char* name) {
   return std::string(FindHeader(request.headers, name));
@@ -231,7 +232,8 @@
   }
   http_response response = JsonResponse(200, json{{"handle", handle}, {"tokens", 100}, {"version", 1}}.dump());
   response.headers.push_back({"Persimmonchute-Attempt-Id", Header(request, "Persimmonchute-Attempt-Id")});
-  co_await Respond(exchange, std::move(response));
+  AddLeavingHeader(response.headers);
+  co_await Answer(exchange, std::move(response));
 }
 
 http_response fake_replica::ApplyOrder(const http_request& request) {
@@ -282,7 +284,7 @@
     }
   } else if (faults_.returns_500) {
     http_response failed{500, ResponseHeaders(attempt), "failed"};
-    (void)co_await exchange->Respond(std::move(failed));
+    co_await Answer(exchange, std::move(failed));
   } else if (options_.stage == "decode") {
     if (Header(exchange->Request(), "Persimmonchute-Kv-Source").empty()) {
       local_prefill_tokens_.push_back(PromptTokens(exchange->Request()));
@@ -301,14 +303,17 @@
 
 // Sends the response of a plain call that has run.
 task<> fake_replica::Answer(std::shared_ptr<http_exchange> exchange, http_response answer) {
-  if (!faults_.unframed) {
+  if (!faults_.unframed && !faults_.endless_body) {
     (void)co_await exchange->Respond(std::move(answer));
     co_return;
   }
-  auto sent = co_await exchange->StartStream(answer.status, std::move(answer.headers), body_framing::kConnectionEnd);
-  if (sent) {
-    sent = co_await exchange->WriteChunk(std::move(answer.body));
-  }
+  auto sent = co_await exchange->StartStream(answer.status, std::move(answer.headers), Framing());
+  do {
+    std::string part = faults_.endless_body ? std::string(kEndlessPartBytes, 'x') : answer.body;
+    if (sent) {
+      sent = co_await exchange->WriteChunk(std::move(part));
+    }
+  } while (sent && faults_.endless_body);
   if (sent) {
     (void)co_await exchange->FinishStream();
   }
@@ -322,7 +327,7 @@
   headers.push_back({"Content-Type", "text/event-stream"});
   auto sent = co_await exchange->StartStream(200, std::move(headers), Framing());
   while (sent && faults_.endless_event && !exchange->IsDisconnected()) {
-    std::string filler(64U << 10U, 'x');
+    std::string filler(kEndlessPartBytes, 'x');
     sent = co_await exchange->WriteChunk(std::move(filler));
   }
   std::uint32_t sent_events = 0;
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -218,6 +218,29 @@
   EXPECT_EQ(call->Status(), 502);
 }
 
+// Guards against buffering an answer that may not be passed on for as long as its endpoint sends it.
+TEST_F(plain_call_test, AnswerWithoutSeal_ThatNeverEnds_IsGivenUpEarly) {
+  SetBoth({.omits_seal = true, .endless_body = true});
+  const time_point begin = timer_service::Now();
+  const auto call = harness_.Send("POST", "/submit/1", "a1", {}, "quiz");
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 502);
+  EXPECT_LT(timer_service::Now() - begin, kReleaseLimit);
+  EXPECT_TRUE(harness_.RunUntil([this] { return first_.ActiveRuns() + second_.ActiveRuns() == 0; }, kReleaseLimit));
+}
+
+TEST_F(plain_call_test, AnswerWithSeal_ThatNeverEnds_IsBrokenOffAtTheRoutesTimeout) {
+  for (const bool unframed : {true, false}) {
+    SetBoth({.endless_body = true, .unframed = unframed});
+    const time_point begin = timer_service::Now();
+    const auto call = harness_.Send("POST", "/submit/1", unframed ? "a1" : "a2", {}, "quiz");
+    ASSERT_TRUE(harness_.Finish(call));
+    EXPECT_TRUE(call->failure);
+    EXPECT_LT(timer_service::Now() - begin, milliseconds(1'500) + kReleaseLimit);
+    EXPECT_TRUE(harness_.RunUntil([this] { return first_.ActiveRuns() + second_.ActiveRuns() == 0; }, kReleaseLimit));
+  }
+}
+
 TEST_F(plain_call_test, UnresponsiveEndpoint_UntilTheRoutesTimeout_EndsWithATimeoutOnTime) {
   SetBoth({.never_responds = true});
   const time_point begin = timer_service::Now();
@@ -478,6 +501,28 @@
   EXPECT_TRUE(harness_.RunUntil([this] { return IsAllFreed(); }, kReleaseLimit));
 }
 
+// Guards against buffering the body of a prefill for as long as its engine sends it.
+TEST_F(model_call_test, Prefill_WhoseBodyNeverEnds_IsGivenUpEarly) {
+  prefill_.Faults().endless_body = true;
+  const time_point begin = timer_service::Now();
+  const auto call = harness_.SendModel("/digest/1", "a1");
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 503);
+  EXPECT_LT(timer_service::Now() - begin, kReleaseLimit);
+  EXPECT_TRUE(harness_.RunUntil([this] { return IsAllFreed(); }, kReleaseLimit));
+}
+
+// Guards against buffering the error response of an engine for as long as the engine sends it.
+TEST_F(model_call_test, Failure_WhoseBodyNeverEnds_IsGivenUpEarly) {
+  SetBoth({.returns_500 = true, .endless_body = true});
+  const time_point begin = timer_service::Now();
+  const auto call = harness_.SendModel("/chat/1", "a1");
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 502);
+  EXPECT_LT(timer_service::Now() - begin, kReleaseLimit);
+  EXPECT_TRUE(harness_.RunUntil([this] { return IsAllFreed(); }, kReleaseLimit));
+}
+
 // An engine refuses reservations whose lifetime exceeds its limit, so requesting a longer one would make every call
 // fail.
 TEST(model_reserve_test, Reservation_OnEnginesWithAShortLimit_AsksForNoMore) {
