Pass on no long answer that a short one would not be

Cause: an answer of more than 256 KiB was passed on as soon as it had a seal; whether its bytes are the endpoint's own was checked only at the end of its body. A long answer with a content encoding reached the caller with status 200.

Change: the check is made once, from the head, before the first byte is passed on. plain_call_test.LongAnswer_WithAnEncoding_IsNotPassedOnAsSuccess failed before (status 200) and passes now, with all tests of plain calls.

--- a/src/direct/plain_calls.cpp
+++ b/src/direct/plain_calls.cpp
@@ -131,6 +131,10 @@
     const auto metadata = platform::ParseResponseHeaders(head.value());
     endpoint_tracker_->RecordResponse(endpoint, metadata);
     outcome.response = {head.value().status, platform::ForwardedHeaders(head.value().headers), {}};
+    // A response without a seal or with a content encoding is not the endpoint's own. From some statuses the caller
+    // would conclude that the call has not run, which the endpoint has not stated.
+    const bool is_forwardable = metadata.has_seal && !metadata.is_encoded && !metadata.proves_not_run &&
+                                !ImpliesNotRun(outcome.response.status);
     bool complete = false;
     while (!complete && !failure) {
       auto piece = co_await upstream.Read(deadline);
@@ -140,8 +144,9 @@
       }
       complete = piece.value().empty();
       const bool is_long = outcome.response.body.size() + piece.value().size() > kMaxBufferedBytes;
-      if (is_long && !outcome.is_streamed && !metadata.has_seal) {
-        failure = error{error_code::kProtocol, fmt::format("a body without seal exceeds {} bytes", kMaxBufferedBytes)};
+      if (is_long && !outcome.is_streamed && !is_forwardable) {
+        failure = error{error_code::kProtocol,
+                        fmt::format("a body that is not passed on exceeds {} bytes", kMaxBufferedBytes)};
         break;
       }
       if (is_long && !outcome.is_streamed) {
@@ -158,14 +163,11 @@
         }
       }
     }
-    const bool is_success = outcome.response.status < 400;
     if (metadata.proves_not_run) {
       outcome.result = attempt_result::kNotRun;
     } else if (failure) {
       outcome.result = attempt_result::kMayHaveRun;
-    } else if (!metadata.has_seal || metadata.is_encoded || (ImpliesNotRun(outcome.response.status) && !is_success)) {
-      // A response without a seal or with a content encoding is not the endpoint's own. From the other statuses the
-      // caller would conclude that the call has not run, which the endpoint has not stated.
+    } else if (!is_forwardable) {
       outcome.result = attempt_result::kMayHaveRun;
       outcome.failure = "answer_not_genuine";
     } else {
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -91,6 +91,9 @@
   if (!faults_.omits_seal) {
     headers.push_back({"Persimmonchute-Server-Seal", "seal." + options_.name + "." + attempt});
   }
+  if (faults_.encoded) {
+    headers.push_back({"Content-Encoding", "gzip"});
+  }
   AddLeavingHeader(headers);
   return headers;
 }
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -48,6 +48,7 @@
   bool drops_responses = false;          // runs requests and closes the connection without a response
   bool endless_event = false;            // the first event of a stream never ends
   bool endless_body = false;             // bodies of plain calls, prefills and failures never end
+  bool encoded = false;                  // states a content encoding, so the bytes are not the endpoint's own
   bool unframed = false;                 // bodies have neither a length nor chunks and end with the connection
   bool breaks_in_order = false;          // streams that break off end like whole ones: last chunk, or orderly close
   bool handles_expire = false;           // KV cache handles of prefills expire immediately
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -229,6 +229,15 @@
   EXPECT_TRUE(harness_.RunUntil([this] { return first_.ActiveRuns() + second_.ActiveRuns() == 0; }, kReleaseLimit));
 }
 
+// Guards against passing on the start of an answer that may not be passed on, only because it is long.
+TEST_F(plain_call_test, LongAnswer_WithAnEncoding_IsNotPassedOnAsSuccess) {
+  SetBoth({.endless_body = true, .encoded = true});
+  const auto call = harness_.Send("POST", "/submit/1", "a1", {}, "quiz");
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 502);
+  EXPECT_FALSE(call->failure);
+}
+
 TEST_F(plain_call_test, AnswerWithSeal_ThatNeverEnds_IsBrokenOffAtTheRoutesTimeout) {
   for (const bool unframed : {true, false}) {
     SetBoth({.endless_body = true, .unframed = unframed});
