Reset the connection when a body without chunks is aborted

Cause: a caller that speaks HTTP/1.0 gets bodies without chunks, whose end is the end of the connection. Callers of HTTP/1.1 were not affected: the terminating chunk is missing there.

Change: while a body without chunks is incomplete, the connection is reset instead. AbortStream_WhenCallerSpeaksHttp10_ResetsTheConnection and Stop_WhileABodyWithoutChunksIsSent_ResetsTheConnection failed before (orderly close) and pass now, with all of http_test.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -187,7 +187,12 @@
   void Close() {
     closed_ = true;
     sys_error ignored;
-    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    if (in_unframed_body_) {
+      // An orderly close would mark the end of the body. A reset shows that it is incomplete.
+      stream_.socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    } else {
+      stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    }
     stream_.socket().close(ignored);
   }
 
@@ -235,6 +240,7 @@
     message.chunked(chunked_);
     http::response_serializer<http::empty_body> serializer(message);
     sys_error failure;
+    in_unframed_body_ = !chunked_;
     stream_.expires_after(server_->limits.write_timeout);
     co_await http::async_write_header(stream_, serializer, RedirectError(failure));
     stream_.expires_never();
@@ -457,6 +463,7 @@
 
   result<void> Finish(sys_error failure) {
     complete_ = !failure;
+    in_unframed_body_ = in_unframed_body_ && !complete_;
     if (failure) {
       HandleDisconnect();
       Close();
@@ -474,7 +481,8 @@
   std::function<void()> on_disconnect_;
   std::uint64_t watch_generation_ = 0;
   bool keep_alive_ = true;
-  bool chunked_ = true;  // false: the end of the connection ends the body of a stream
+  bool chunked_ = true;            // false: the end of the connection ends the body of a stream
+  bool in_unframed_body_ = false;  // a body without chunks has been started and is incomplete
   bool head_request_ = false;
   bool reading_ = false;
   bool serving_ = false;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -91,6 +91,13 @@
         ++failed_writes_;
         co_return;
       }
+      if (exchange.Request().target == "/stream/abort") {
+        exchange.AbortStream();
+        co_return;
+      }
+      if (exchange.Request().target == "/stream/throw") {
+        throw std::runtime_error("handler failed");
+      }
     }
     (void)co_await exchange.FinishStream();
   }
@@ -343,6 +350,32 @@
   EXPECT_EQ(caller->Received().find("chunked"), std::string::npos);
 }
 
+// Without chunks the end of the connection ends the body, so only a reset shows that the body is incomplete.
+TEST_F(http_server_test, AbortStream_WhenCallerSpeaksHttp10_ResetsTheConnection) {
+  StartServer();
+  for (const char* target : {"/stream/abort", "/stream/throw"}) {
+    auto caller = Connect();
+    caller->Send(fmt::format("GET {} HTTP/1.0\r\nHost: h\r\n\r\n", target));
+    ASSERT_TRUE(caller->AwaitEnd());
+    EXPECT_TRUE(caller->IsReset()) << target;
+  }
+  auto caller = Connect();
+  caller->Send("GET /stream HTTP/1.0\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(caller->AwaitEnd());
+  EXPECT_FALSE(caller->IsReset());
+}
+
+// Guards against a shutdown that makes an incomplete body without chunks look complete.
+TEST_F(http_server_test, Stop_WhileABodyWithoutChunksIsSent_ResetsTheConnection) {
+  StartServer();
+  auto caller = Connect();
+  caller->Send("GET /stream/long HTTP/1.0\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(caller->AwaitText("xxx"));
+  server_->Stop();
+  ASSERT_TRUE(caller->AwaitEnd());
+  EXPECT_TRUE(caller->IsReset());
+}
+
 TEST_F(http_server_test, WriteChunk_WhenCallerDoesNotRead_FailsAfterWriteLimit) {
   limits_.write_timeout = milliseconds(200);
   StartServer();
