Limit the chunk header and trailer of a caller's request

Change: with 64 KiB that the parser cannot consume after the head, the request is rejected with 431. Serve_WhenChunkHeaderOrTrailerHasNoEnd_Answers431 failed before (408 after the timeout) and passes now, with all of http_test.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -327,6 +327,10 @@
       buffer_.consume(used);
       if (failure == http::error::need_more) {
         failure = {};
+        if (parser.is_header_done() && buffer_.size() >= kMaxUnparsedBytes) {
+          failure = http::error::header_limit;
+          co_return;
+        }
       } else if (failure || parser.is_done() || used > 0) {
         if (failure) {
           co_return;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -192,6 +192,19 @@
   EXPECT_NE(caller->Received().find(" 413 "), std::string::npos) << caller->Received();
 }
 
+// A chunk header and a trailer are buffered until their end, so a caller must not send them without end.
+TEST_F(http_server_test, Serve_WhenChunkHeaderOrTrailerHasNoEnd_Answers431) {
+  StartServer();
+  for (const char* start : {"1;", "1\r\nx\r\n0\r\nX: "}) {
+    auto caller = Connect();
+    caller->Send(std::string("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n") + start +
+                 std::string(4U << 20U, 'x'));
+    ASSERT_TRUE(caller->AwaitEnd());
+    EXPECT_NE(caller->Received().find(" 431 "), std::string::npos) << caller->Received();
+  }
+  EXPECT_EQ(requests_, 0);
+}
+
 TEST_F(http_server_test, Serve_WhenCallerIsSlow_Answers408) {
   limits_.read_timeout = milliseconds(100);
   StartServer();
