Limit the bodies of control calls to their expected size

Fetch buffers a body up to the limit of its client, and all clients used the default of 64 MiB, more than half of the memory of an entry VM. That the limit ends a call is shown by untrusted_response_test; no test of its own.

--- a/src/agent/engine_client.cpp
+++ b/src/agent/engine_client.cpp
@@ -11,11 +11,14 @@
 using json = nlohmann::json;
 
 constexpr milliseconds kControlTimeout(1'000);
+constexpr std::size_t kMaxControlBodyBytes = 4U << 20U;  // states and lists of cache events
+constexpr std::size_t kMaxLineBytes = 1U << 20U;         // of a stream; also of the body of a refusal
 
 http_client_limits ControlLimits() {
   http_client_limits limits;
   limits.connect_timeout = kControlTimeout;
   limits.response_timeout = kControlTimeout;
+  limits.body_bytes = kMaxControlBodyBytes;
   return limits;
 }
 
@@ -26,6 +29,7 @@
   limits.idle_timeout = stream_timeout;
   // Keeping an idle connection for every stream would use one file descriptor for each decode slot.
   limits.idle_connections = 4;
+  limits.body_bytes = kMaxLineBytes;
   return limits;
 }
 
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -4,6 +4,13 @@
 #include "direct/ingress.h"
 
 namespace persimmon {
+namespace {
+
+// Of the answers of engines and peers to control calls. The largest is the state of a peer: a desired state and the
+// entries of all endpoints, some 300 bytes each.
+constexpr std::size_t kMaxControlBodyBytes = 4U << 20U;
+
+}  // namespace
 
 detail::stop_function RegisterDirectRouter(kernel& services, direct_settings initial) {
   const auto settings = std::make_shared<direct_settings>(std::move(initial));
@@ -11,6 +18,7 @@
   limits.connect_timeout = settings->connect_timeout;
   limits.idle_connections = static_cast<std::size_t>(settings->idle_connections);
   limits.reuse_limit = settings->reuse_limit;
+  limits.body_bytes = kMaxControlBodyBytes;
   const auto client = std::make_shared<http_client>(services.Context(), limits);
   const table_client table(services.Context(), {settings->deployment.store}, settings->store_timeout);
 
