Teach the soak streams that are cut in order and bytes without end

The fake endpoint takes these faults while it runs, and the soak plays them in two scenarios of their own and in the mixed one. A new check holds the memory of each router to that of an entry VM (110 MB).

--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -114,26 +114,39 @@
   return response;
 }
 
-// Applies {"full":bool,"rejects_work":bool,"never_responds":bool,"retry_after_ms":N}; other faults need a test in the
-// same process.
+// Applies an object of faults by name, {"full":true,"retry_after_ms":500}; faults that are not listed here need a test
+// in the same process.
 http_response fake_replica::SetFaults(const std::string& body) {
   const json input = json::parse(body, nullptr, false);
   const json fields = input.is_object() ? input : json::object();
-  const std::map<std::string, bool*> flags = {
-      {"full", &faults_.full}, {"rejects_work", &faults_.rejects_work}, {"never_responds", &faults_.never_responds}};
+  const std::map<std::string, bool*> flags = {{"full", &faults_.full},
+                                              {"rejects_work", &faults_.rejects_work},
+                                              {"never_responds", &faults_.never_responds},
+                                              {"omits_seal", &faults_.omits_seal},
+                                              {"endless_body", &faults_.endless_body},
+                                              {"endless_event", &faults_.endless_event},
+                                              {"unframed", &faults_.unframed},
+                                              {"breaks_in_order", &faults_.breaks_in_order}};
+  std::uint32_t retry_after_ms = 0;
+  const std::map<std::string, std::uint32_t*> numbers = {{"retry_after_ms", &retry_after_ms},
+                                                         {"break_after_events", &faults_.break_after_events}};
   for (const auto& [name, value] : fields.items()) {
-    const bool is_time = name == "retry_after_ms" && value.is_number_unsigned();
-    if (!is_time && (!flags.contains(name) || !value.is_boolean())) {
+    const bool is_flag = flags.contains(name) && value.is_boolean();
+    const bool is_number = numbers.contains(name) && value.is_number_unsigned();
+    if (!is_flag && !is_number) {
       return JsonResponse(400, json{{"error", "unknown fault or a value of the wrong type: " + name}}.dump());
     }
   }
   for (const auto& [name, value] : fields.items()) {
-    if (name == "retry_after_ms") {
-      faults_.retry_after = milliseconds(value.get<std::uint32_t>());
-    } else {
+    if (flags.contains(name)) {
       *flags.at(name) = value.get<bool>();
+    } else {
+      *numbers.at(name) = value.get<std::uint32_t>();
     }
   }
+  if (fields.contains("retry_after_ms")) {
+    faults_.retry_after = milliseconds(retry_after_ms);
+  }
   return JsonResponse(200, "{}");
 }
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -37,6 +37,8 @@
           "retry_budget_ratio": 0.2, "budget_window_s": 10, "retry_budget_slack": 56}
 HEARTBEAT_MS = 1200
 IDLE_LIMIT_MS = 15000  # for connections of callers
+MAX_BODY_BYTES = 4 << 20  # a caller stops reading a longer body
+MEMORY_LIMIT_MB = 110  # of an entry VM, the least that a deployment states
 EXPIRY_MS = 3 * HEARTBEAT_MS
 
 
@@ -62,6 +64,14 @@
         if self.is_running():
             self.child.send_signal(number)
 
+    def peak_memory_mb(self):
+        try:
+            status = Path(f"/proc/{self.child.pid}/status").read_text()
+        except OSError:
+            return 0  # the process has ended
+        peaks = [line.split()[1] for line in status.splitlines() if line.startswith("VmHWM:")]
+        return int(peaks[0]) / 1024 if peaks else 0
+
     def end(self):
         if self.is_running():
             self.child.send_signal(signal.SIGCONT)
@@ -81,6 +91,7 @@
         self.announce_delay_ms = 0  # from the first answer in which an endpoint states that it leaves to its entry
         self.next_replica = 0
         self.revision = 0
+        self.peak_memory_mb = collections.Counter()  # by router, over all its processes
         self.disturbed = collections.defaultdict(list)  # router, endpoint or "store": [(from, until)]
 
     def address(self, kind, index=1):
@@ -88,6 +99,9 @@
         host = {0: 250, 1: index}[group[kind]] if kind in group else 100 + index
         return f"{self.net}.{host}:{PORT[kind]}"
 
+    def replica_address(self, name):
+        return self.address("replica", int(name.split("-")[1]))
+
     def disturb(self, who, seconds):
         now = time.time()
         self.disturbed[who].append((now, now + seconds))
@@ -170,6 +184,10 @@
         return [name for name, process in self.replicas.items()
                 if process.is_running() and name not in self.leaving and (stage is None or name.startswith(stage))]
 
+    def record_memory(self):
+        for index, process in self.routers.items():
+            self.peak_memory_mb[index] = max(self.peak_memory_mb[index], process.peak_memory_mb())
+
     def stop(self):
         for process in [*self.routers.values(), *self.replicas.values(), *self.links.values(), self.store]:
             process.end()
@@ -288,6 +306,8 @@
             answer.body += (await reader.readexactly(size + 2))[:size]
             if size == 0:
                 return
+            if len(answer.body) > MAX_BODY_BYTES:
+                raise ValueError("the body does not end")
 
 
 # ----------------------------------------------------------------------------------------------------------------------
@@ -386,18 +406,39 @@
     async def reject_work(self, names, seconds):
         """Engines that grant reservations reject prompts or requests."""
         self.note(f"{', '.join(names)} reject work for {seconds:.1f} s")
+        await self.set_faults(names, seconds, {"rejects_work": True}, {"rejects_work": False})
+
+    async def break_streams(self, names, seconds):
+        """Streams break off inside an event; their bodies end in order, with or without chunks."""
+        unframed = self.random.random() < 0.7
+        self.note(f"{', '.join(names)} break streams off for {seconds:.1f} s, {'unframed' if unframed else 'chunked'}")
+        await self.set_faults(names, seconds, {"unframed": unframed, "breaks_in_order": True,
+                                               "break_after_events": self.random.randint(1, 11)},
+                              {"unframed": False, "breaks_in_order": False, "break_after_events": 0})
+
+    async def send_without_end(self, names, seconds):
+        """Endpoints send bodies or events without end, some of them without a seal."""
+        if names[0].startswith("decode"):
+            faults = {"endless_event": True}
+        else:
+            faults = {"endless_body": True, **{name: True for name in ("omits_seal", "unframed")
+                                               if self.random.random() < 0.5}}
+        self.note(f"{', '.join(names)} send without end for {seconds:.1f} s: {', '.join(faults)}")
+        await self.set_faults(names, seconds, faults, dict.fromkeys(faults, False))
+
+    async def set_faults(self, names, seconds, faults, cleared):
         for name in names:
-            post(self.deployment.address("replica", int(name.split("-")[1])), "/faults", {"rejects_work": True})
+            await asyncio.to_thread(post, self.deployment.replica_address(name), "/faults", faults)
         await asyncio.sleep(seconds)
         for name in names:
             if self.deployment.replicas[name].is_running():
-                post(self.deployment.address("replica", int(name.split("-")[1])), "/faults", {"rejects_work": False})
+                await asyncio.to_thread(post, self.deployment.replica_address(name), "/faults", cleared)
 
     async def close_endpoints(self, names, seconds):
         """Endpoints turn requests away and state when they want some again."""
         self.note(f"{', '.join(names)} closed for {seconds:.1f} s")
         end = time.time() + seconds
-        addresses = [self.deployment.address("replica", int(name.split("-")[1])) for name in names]
+        addresses = [self.deployment.replica_address(name) for name in names]
         while time.time() < end:
             for address in addresses:
                 post(address, "/faults", {"rejects_work": True, "retry_after_ms": int((end - time.time()) * 1000) + 1})
@@ -429,6 +470,8 @@
                                      self.random.uniform(0.5, 3)),
             lambda: self.restore_store(self.random.uniform(1, 5)),
             lambda: self.close_endpoints([self.pick()], self.random.uniform(1, 4)),
+            lambda: self.break_streams([self.pick("decode")], self.random.uniform(0.5, 3)),
+            lambda: self.send_without_end([self.pick()], self.random.uniform(0.2, 1)),
             lambda: asyncio.to_thread(self.deployment.write_desired_state)]
         while time.time() < end:
             task = asyncio.create_task(self.random.choice(actions)())
@@ -495,6 +538,24 @@
             await asyncio.sleep(self.random.uniform(1, 4))
         await asyncio.sleep(6)
 
+    async def broken_streams(self, seconds):
+        """Streams of some or all decode engines break off inside an event, in series."""
+        end = time.time() + seconds
+        while time.time() < end:
+            names = self.deployment.living_replicas("decode")
+            await self.break_streams(self.random.sample(names, self.random.randint(1, len(names))),
+                                     self.random.uniform(0.5, 2))
+            await asyncio.sleep(self.random.uniform(0.1, 0.5))
+
+    async def endless_bytes(self, seconds):
+        """Endpoints of all kinds send bytes without end, one after the other."""
+        end = time.time() + seconds - 4
+        while time.time() < end:
+            await self.send_without_end([self.pick(self.random.choice(["app", "prefill", "decode"]))],
+                                        self.random.uniform(0.2, 1))
+            await asyncio.sleep(self.random.uniform(0.1, 0.5))
+        await asyncio.sleep(4)
+
     async def silent_store(self, seconds):
         """Endpoints leave in series while the store connections of routers go silent, one after the other."""
         end = time.time() + seconds - 6
@@ -508,7 +569,7 @@
 
 SCENARIOS = ["mixed", "rejected_decodes", "rejected_prefills", "restarts_while_rejecting", "unannounced_leaves",
              "silent_store", "leaves_by_own_word",
-             "closed_endpoints", "restored_store"]
+             "closed_endpoints", "restored_store", "broken_streams", "endless_bytes"]
 
 
 # ----------------------------------------------------------------------------------------------------------------------
@@ -642,6 +703,12 @@
             if answer.status == 0 and self.is_in_touch(answer.router, answer.end):
                 self.report("LOST", f"{answer.attempt} ({answer.kind}) got no answer from router {answer.router}")
 
+    def check_memory(self):
+        """No router exceeds the memory of an entry VM, whatever endpoints send."""
+        for index, peak in self.deployment.peak_memory_mb.items():
+            if peak > MEMORY_LIMIT_MB:
+                self.report("MEMORY", f"router {index} used {peak:.0f} MB, {MEMORY_LIMIT_MB} are allowed")
+
     def check_processes(self):
         """No process ends by itself."""
         for name, process in [*self.deployment.routers.items(), *self.deployment.links.items()]:
@@ -655,6 +722,7 @@
         self.check_closed()
         self.check_budget()
         self.check_answers()
+        self.check_memory()
         self.check_processes()
         return self.broken
 
@@ -664,13 +732,21 @@
 # ----------------------------------------------------------------------------------------------------------------------
 
 
+async def watch_memory(deployment):
+    while True:
+        deployment.record_memory()
+        await asyncio.sleep(0.2)
+
+
 async def play(deployment, arguments):
     randomness = random.Random(arguments.seed)
     callers = Callers(deployment, random.Random(arguments.seed + 1), arguments.rate)
     faults = Faults(deployment, randomness)
     load = asyncio.create_task(callers.run(arguments.seconds + 2))
+    watch = asyncio.create_task(watch_memory(deployment))
     await getattr(faults, arguments.scenario)(arguments.seconds)
     await load
+    watch.cancel()
     return callers, faults
 
 
