--- a/include/persimmon/endpoint_registry.h
+++ b/include/persimmon/endpoint_registry.h
@@ -31,6 +31,7 @@
   std::string service;
   std::string address;  // IP:PORT
   zone_name zone;
+  std::string version;    // of its software; empty: not stated
   bool draining = false;  // accepts no new work
   std::uint32_t slots = 0;
   std::optional<endpoint_role> role;  // model engines: prefill or decode
--- a/src/direct/directory.cpp
+++ b/src/direct/directory.cpp
@@ -227,6 +227,7 @@
       .Add("address", entry.value().address)
       .Add("draining", entry.value().draining)
       .Add("started_ms", entry.value().started_ms)
+      .Add("version", entry.value().version)
       .Add("role", !entry.value().role                             ? "none"
                    : entry.value().role == endpoint_role::kPrefill ? "prefill"
                                                                    : "decode");
--- a/src/direct/endpoint_tracker.cpp
+++ b/src/direct/endpoint_tracker.cpp
@@ -204,7 +204,7 @@
   for (const endpoint_entry* entry : directory_->Endpoints().ListReady(service)) {
     auto address = ParseHostPort(entry->address);
     if (address && (!role || entry->role == role)) {
-      endpoints.push_back({entry->name, entry->started_ms, entry->zone, address.value()});
+      endpoints.push_back({entry->name, entry->started_ms, entry->zone, address.value(), entry->version});
     }
   }
   return endpoints;
--- a/src/direct/endpoint_tracker.h
+++ b/src/direct/endpoint_tracker.h
@@ -22,6 +22,7 @@
   std::uint64_t started_ms = 0;  // start time of its process, which identifies the incarnation
   zone_name zone;
   host_port address;
+  std::string version;  // of its software
 
   bool operator==(const chosen_endpoint&) const = default;
 };
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -662,6 +662,9 @@
   time_point last_event = begin;
   const std::size_t events_before = stream.events.EventCount();
   microseconds longest_pause(0);
+  // Id of the event after which this run continues.
+  const std::string continued_after =
+      stream.events.LastId().empty() ? call->Metadata().resume_after : stream.events.LastId();
   std::size_t incomplete_bytes = 0;  // of an event whose end has not arrived
   decode_result outcome = decode_result::kBroken;
   while (true) {
@@ -731,6 +734,9 @@
       .Line(kComponent, "stream_ended")
       .Request(call->Metadata().attempt)
       .Add("endpoint", assignment.engine.name.value)
+      .Add("version", assignment.engine.version)
+      .Add("resumes", call->Metadata().resumed_attempt)
+      .Add("continued_after", continued_after)
       .Add("whole", outcome == decode_result::kDone)
       .Add("framing", BodyFramingName(upstream.Framing()))
       .Add("incomplete_bytes", incomplete_bytes)
