--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -54,6 +54,9 @@
   if (!options_.stage.empty()) {
     entry["stage"] = options_.stage;
   }
+  if (!options_.version.empty()) {
+    entry["version"] = options_.version;
+  }
   return entry.dump();
 }
 
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -181,7 +181,7 @@
 
 // Of two answers in progress, the later one may state an earlier time.
 TEST_F(plain_call_test, Endpoint_ThatStatesTwoRetryTimes_IsClosedUntilTheLaterOne) {
-  const chosen_endpoint endpoint{endpoint_name{"app-1"}, 1, {}, first_.Address()};
+  const chosen_endpoint endpoint{endpoint_name{"app-1"}, 1, {}, first_.Address(), {}};
   const auto record = [&](const char* seconds) {
     harness_.EndpointTracker().RecordResponse(endpoint,
                                               platform::ParseResponseHeaders({503, {{"Retry-After", seconds}}}));
@@ -846,6 +846,140 @@
   }
 }
 
+// Engines of two software versions serve side by side.
+class stream_version_test : public testing::Test {
+ protected:
+  stream_version_test() {
+    harness_.AddReplica(Engine("pre-1", "prefill"));
+    for (const char* name : {"old-1", "old-2", "new-1", "new-2", "new-3"}) {
+      replica_options options = Engine(name, "decode");
+      options.version = std::string(name).substr(0, 3);
+      options.event_interval = milliseconds(10);
+      engines_.push_back(&harness_.AddReplica(options));
+    }
+    harness_.WriteDesiredState({.timeout_ms = 14'000});
+  }
+  void SetUp() override { ASSERT_TRUE(harness_.Start()); }
+
+  // Versions of the engines that have run the attempt, in order of the engines.
+  std::string VersionsOf(const std::string& attempt) const {
+    std::string versions;
+    for (const fake_replica* engine : engines_) {
+      versions += engine->Runs(attempt) > 0 ? engine->Name().substr(0, 3) + " " : "";
+    }
+    return versions;
+  }
+
+  // Starts a stream, and leaves after its first event. Returns the version that began it.
+  std::string BeginStream(const std::string& attempt) {
+    const auto call = harness_.SendModel("/digest/1", attempt);
+    EXPECT_TRUE(harness_.RunUntil([&] { return !call->body.empty(); }));
+    call->call->Cancel();
+    EXPECT_TRUE(harness_.Finish(call));
+    return VersionsOf(attempt);
+  }
+
+  caller_exchange_ptr Resume(const std::string& attempt, const std::string& resumed) {
+    return harness_.SendModel("/digest/1", attempt, 1'000, 100, milliseconds(10'000),
+                              {{"Resumes", resumed}, {"Last-Event-Id", "1"}});
+  }
+
+  router_harness harness_;
+  std::vector<fake_replica*> engines_;
+};
+
+// Guards against joining parts of two versions within one answer.
+TEST_F(stream_version_test, Stream_ThatBreaksOff_GoesOnAtTheVersionThatBeganIt) {
+  for (int i = 0; i < 10; ++i) {
+    const std::string attempt = "a" + std::to_string(i);
+    for (fake_replica* engine : engines_) {
+      engine->Faults().break_after_events = 2;
+    }
+    const auto call = harness_.SendModel("/digest/1", attempt);
+    ASSERT_TRUE(harness_.RunUntil([&] { return !VersionsOf(attempt).empty(); }));
+    const std::string version = VersionsOf(attempt);
+    for (fake_replica* engine : engines_) {
+      engine->Faults().break_after_events = engine->Runs(attempt) > 0 ? 2 : 0;
+    }
+    ASSERT_TRUE(harness_.Finish(call));
+    EXPECT_FALSE(call->failure);
+    EXPECT_EQ(VersionsOf(attempt), version + version);
+    harness_.RunFor(milliseconds(100));
+  }
+}
+
+// Guards against going on at another version because the last engine of the first one is gone.
+TEST_F(stream_version_test, Stream_WhoseVersionHasNoOtherEngine_LooksBrokenToTheCaller) {
+  engines_[1]->Unregister(harness_.Platform().Tables());
+  ASSERT_TRUE(harness_.RunUntil([this] { return harness_.Directory().Endpoints().Size() == 5; }));
+  for (std::size_t i = 2; i < engines_.size(); ++i) {
+    engines_[i]->Faults().full = true;
+  }
+  engines_[0]->Faults().break_after_events = 2;
+  const time_point begin = timer_service::Now();
+  const auto call = harness_.SendModel("/digest/1", "a1");
+  ASSERT_TRUE(harness_.RunUntil([&] { return VersionsOf("a1") == "old "; }));
+  for (std::size_t i = 2; i < engines_.size(); ++i) {
+    engines_[i]->Faults().full = false;
+  }
+  engines_[0]->Unregister(harness_.Platform().Tables());
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_TRUE(call->failure);
+  EXPECT_EQ(VersionsOf("a1"), "old ");
+  EXPECT_LT(timer_service::Now() - begin, kDrainTime);
+}
+
+TEST_F(stream_version_test, ResumedStream_OfThisRouter_GoesOnAtTheVersionThatBeganIt) {
+  for (int i = 0; i < 10; ++i) {
+    const std::string first = "a" + std::to_string(i);
+    const std::string second = "b" + std::to_string(i);
+    const std::string version = BeginStream(first);
+    const auto call = Resume(second, first);
+    ASSERT_TRUE(harness_.Finish(call));
+    EXPECT_EQ(call->Status(), 200);
+    EXPECT_EQ(VersionsOf(second), version);
+  }
+}
+
+// Guards against a guess: if nobody knows which version began a stream, it must not go on.
+TEST_F(stream_version_test, ResumedStream_ThatNobodyKnows_IsRefusedWithoutRunning) {
+  const auto call = Resume("b1", "unknown");
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 503);
+  EXPECT_NE(call->Header("Retry-After"), "");
+  EXPECT_EQ(VersionsOf("b1"), "");
+}
+
+// Guards against waiting in the queue for engines of a version that is gone.
+TEST_F(stream_version_test, ResumedStream_WhoseVersionIsGone_IsRefusedAtOnce) {
+  for (std::size_t i = 2; i < engines_.size(); ++i) {
+    engines_[i]->Faults().full = true;
+  }
+  ASSERT_EQ(BeginStream("a1"), "old ");
+  for (std::size_t i = 0; i < engines_.size(); ++i) {
+    engines_[i]->Faults().full = false;
+    if (i < 2) {
+      engines_[i]->Unregister(harness_.Platform().Tables());
+    }
+  }
+  ASSERT_TRUE(harness_.RunUntil([this] { return harness_.Directory().Endpoints().Size() == 4; }));
+  const time_point begin = timer_service::Now();
+  const auto call = Resume("b1", "a1");
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 503);
+  EXPECT_EQ(VersionsOf("b1"), "");
+  EXPECT_LT(timer_service::Now() - begin, milliseconds(200));
+}
+
+// With one version, a stream goes on although nobody knows which engine began it.
+TEST_F(model_call_test, ResumedStream_ThatNobodyKnows_GoesOnWhileOneVersionServes) {
+  const auto call = harness_.SendModel("/digest/1", "b1", 1'000, 100, milliseconds(10'000),
+                                       {{"Resumes", "unknown"}, {"Last-Event-Id", "2"}});
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 200);
+  EXPECT_TRUE(call->body.starts_with("id: 3\n"));
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 3. directory and readiness
 // ---------------------------------------------------------------------------------------------------------------------
