Continue a broken stream only at the version that began it

What two versions write does not fit together, and engines do not check it.

Change: from its first event on, a stream is bound to the version of its engine. Only engines of that version are chosen; without any, the stream is broken off at once, also while it waits in the queue. A bound stream at the head of the queue does not hold back requests that can use other engines.

--- a/include/persimmon/placement_queue.h
+++ b/include/persimmon/placement_queue.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "persimmon/kv_placement.h"
@@ -33,6 +34,8 @@
   time_point expiry;        // a late request is refused then, shortly before its caller is expected to disconnect
   stream_memory memory;     // holds the prompt, which is to be prefilled; the remaining tokens are the output
   bool is_resumed = false;  // its caller has received part of the response
+  // Requests of one group can use only the same part of the engines; 0: all engines.
+  std::uint64_t engine_group = 0;
 
   bool operator==(const placement_request&) const = default;
 };
@@ -42,6 +45,7 @@
   std::optional<placement_request> placed;   // removed from the queue; absent: nothing can be placed now
   engine_choice engines;                     // of the placed request
   wait_reason blocked = wait_reason::kNone;  // why the head of the queue waits
+  std::uint64_t blocked_group = 0;           // its engine group
 
   bool operator==(const placement_step&) const = default;
 };
@@ -82,7 +86,7 @@
   // small requests would otherwise starve a large one. But while it waits for a prefill engine, a short prompt may be
   // prefilled by a decode engine, which does not delay it. `peers_have_in_time_requests` means that requests that can
   // still meet their target are waiting on other routers; late requests then let them go first, unless they are
-  // resumed.
+  // resumed. A request that can use only a part of the engines does not hold back those that can use others.
   placement_step TakeNext(const engine_chooser& choose, bool peers_have_in_time_requests);
 
   std::size_t InTimeCount() const { return in_time_.size(); }
@@ -98,7 +102,10 @@
   using request_map = std::map<order_key, placement_request>;
 
   void Insert(const placement_request& request, time_point now);
-  const placement_request* FindNext(bool peers_have_in_time_requests, bool short_prompts_only) const;
+  const placement_request* FindNext(bool peers_have_in_time_requests, bool short_prompts_only,
+                                    const std::set<std::uint64_t>& skipped_groups) const;
+  placement_step TryNext(const engine_chooser& choose, bool peers_have_in_time_requests,
+                         const std::set<std::uint64_t>& skipped_groups);
 
   placement_queue_settings settings_;
   request_map in_time_;
--- a/src/decisions/placement_queue.cpp
+++ b/src/decisions/placement_queue.cpp
@@ -41,9 +41,11 @@
   return expired;
 }
 
-const placement_request* placement_queue::FindNext(bool peers_have_in_time_requests, bool short_prompts_only) const {
+const placement_request* placement_queue::FindNext(bool peers_have_in_time_requests, bool short_prompts_only,
+                                                   const std::set<std::uint64_t>& skipped_groups) const {
   const auto is_suitable = [&](const placement_request& request) {
-    return !short_prompts_only || request.memory.held_tokens <= settings_.local_prefill_limit;
+    return !skipped_groups.contains(request.engine_group) &&
+           (!short_prompts_only || request.memory.held_tokens <= settings_.local_prefill_limit);
   };
   for (const auto& [key, request] : in_time_) {
     if (is_suitable(request)) {
@@ -58,16 +60,18 @@
   return nullptr;
 }
 
-placement_step placement_queue::TakeNext(const engine_chooser& choose, bool peers_have_in_time_requests) {
+placement_step placement_queue::TryNext(const engine_chooser& choose, bool peers_have_in_time_requests,
+                                        const std::set<std::uint64_t>& skipped_groups) {
   placement_step step;
-  const placement_request* next = FindNext(peers_have_in_time_requests, false);
+  const placement_request* next = FindNext(peers_have_in_time_requests, false, skipped_groups);
   if (next == nullptr) {
     return step;
   }
+  step.blocked_group = next->engine_group;
   step.engines = choose(*next);
   step.blocked = step.engines.waits_for;
   if (step.blocked == wait_reason::kPrefillBusy) {
-    next = FindNext(peers_have_in_time_requests, true);
+    next = FindNext(peers_have_in_time_requests, true, skipped_groups);
     if (next == nullptr) {
       return step;
     }
@@ -80,4 +84,20 @@
   return step;
 }
 
+placement_step placement_queue::TakeNext(const engine_chooser& choose, bool peers_have_in_time_requests) {
+  std::set<std::uint64_t> skipped_groups;
+  std::optional<placement_step> first_blocked;
+  while (true) {
+    placement_step step = TryNext(choose, peers_have_in_time_requests, skipped_groups);
+    const bool can_skip = !step.placed && step.blocked != wait_reason::kNone && step.blocked_group != 0 &&
+                          step.blocked != wait_reason::kPrefillBusy;
+    if (!can_skip) {
+      const bool reports_first = !step.placed && step.blocked == wait_reason::kNone && first_blocked;
+      return reports_first ? *first_blocked : step;
+    }
+    skipped_groups.insert(step.blocked_group);
+    first_blocked = first_blocked.value_or(step);
+  }
+}
+
 }  // namespace persimmon
--- a/src/direct/direct_call.h
+++ b/src/direct/direct_call.h
@@ -69,6 +69,9 @@
 
   call_outcome EndAsCallerDisconnected();
 
+  // Software version of the engines at which the stream must go on; absent while it has no event or any version may
+  // serve.
+  std::optional<std::string> engine_version;
   std::string reason;     // of the outcome, for the log
   std::string endpoints;  // names of the endpoints that received the request in order, separated by commas, for the log
   std::uint32_t sends = 0;
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -49,6 +49,15 @@
   }
 }
 
+// True if the engine's software version may serve the call's stream.
+bool IsUsableFor(const direct_call& call, const chosen_endpoint& engine) {
+  return !call.engine_version || *call.engine_version == engine.version;
+}
+
+bool IsAnyUsableFor(const direct_call& call, const std::vector<chosen_endpoint>& engines) {
+  return std::any_of(engines.begin(), engines.end(), [&](const auto& engine) { return IsUsableFor(call, engine); });
+}
+
 std::string FormatError(const error& failure) {
   return fmt::format("{}: {}", ErrorName(failure.code), failure.message);
 }
@@ -136,6 +145,7 @@
   request.memory = {metadata.prompt_tokens,
                     output_lengths.ExpectRemaining(estimate, 0, metadata.max_output_tokens, queue.length_expectation)};
   request.is_resumed = is_resumed;
+  request.engine_group = call.engine_version ? RendezvousScore(call.Service().name, *call.engine_version) : 0;
   const double prefill_ms = metadata.prompt_tokens / placement_settings{}.prefill_tokens_per_ms;
   const auto prefill = microseconds(static_cast<std::int64_t>(prefill_ms * 1'000));
   request.latest_start = call.Arrival() - waited_before + route.target_latency - prefill - settings_.transfer_time;
@@ -163,6 +173,9 @@
   if (decode_engines.empty()) {
     co_return assignment_result(rejection{"no_endpoint", kNoEngineRetryAfter});
   }
+  if (!IsAnyUsableFor(*call, decode_engines)) {
+    co_return assignment_result(rejection{"stream_version_gone", kNoEngineRetryAfter});
+  }
   const milliseconds until_open = endpoint_tracker_->TimeUntilOpen(decode_engines);
   if (now + until_open >= waiting->request.expiry) {
     co_return assignment_result(rejection{"endpoints_closed", until_open + CapacityRetryAfter()});
@@ -234,13 +247,17 @@
   const engine_profile profile = queue.record.engine.value_or(engine_profile{});
   const auto engines = endpoint_tracker_->ListEndpoints(queue.record.name, endpoint_role::kDecode);
   const auto prefill_engines = endpoint_tracker_->ListEndpoints(queue.record.name, endpoint_role::kPrefill);
+  RejectStrandedStreams(queue, engines);
   placement_settings settings;
   settings.max_prefill_backlog = static_cast<std::uint32_t>(settings_.max_prefill_backlog);
   settings.local_prefill_limit = static_cast<std::uint32_t>(settings_.local_prefill_limit);
   const auto choose = [&](const placement_request& request) {
-    auto views = endpoint_tracker_->EngineViews(engines, profile, queue.waiting.at(request.request)->avoid);
+    const waiting_request& waiting = *queue.waiting.at(request.request);
+    auto views = endpoint_tracker_->EngineViews(engines, profile, waiting.avoid);
     double streams = 0;
-    for (engine_view& view : views) {
+    for (std::size_t i = 0; i < views.size(); ++i) {
+      engine_view& view = views[i];
+      view.can_receive = view.can_receive && IsUsableFor(*waiting.call, engines[i]);
       streams += static_cast<double>(view.streams.size()) / static_cast<double>(views.size());
       view.headroom_tokens = queue.output_lengths.Headroom(view.running);
     }
@@ -249,7 +266,7 @@
     queue.length_expectation =
         settings.counts_maxima ? output_length_model::expectation::kMedian : output_length_model::expectation::kMean;
     auto prefill_views = endpoint_tracker_->EngineViews(prefill_engines, profile, {});
-    if (queue.waiting.at(request.request)->call->prefills == 0) {
+    if (waiting.call->prefills == 0) {
       ApplyBudget(budgets_->CheckProvisional(queue.record.name), prefill_views);
     }
     return ChooseEngines(views, prefill_views, request.memory, settings_.deployment.zone, RandomNumber(), settings);
@@ -281,6 +298,20 @@
   }
 }
 
+// Rejects the waiting streams whose software version has no decode engine any more. They could only wait in vain.
+void generation_calls::RejectStrandedStreams(service_queue& queue, const std::vector<chosen_endpoint>& engines) {
+  std::vector<waiting_ptr> stranded;
+  for (const auto& [request, waiting] : queue.waiting) {
+    if (!IsAnyUsableFor(*waiting->call, engines)) {
+      stranded.push_back(waiting);
+    }
+  }
+  for (const waiting_ptr& waiting : stranded) {
+    RemoveWaiting(queue, waiting);
+    waiting->result_mailbox.Push(rejection{"stream_version_gone", kNoEngineRetryAfter});
+  }
+}
+
 // Records the time since the previous dispatch as blocked in the metrics, by reason, if that time is shorter than three
 // dispatch periods. Stores the reason in each waiting request.
 void generation_calls::RecordBlocked(service_queue& queue, wait_reason reason, time_point now) {
@@ -707,6 +738,9 @@
       if (call->first_event == milliseconds(0)) {
         call->first_event = call->Age(timer_service::Now());
       }
+      if (resumable && !call->engine_version) {
+        call->engine_version = assignment.engine.version;
+      }
       auto written = co_await call->Exchange().WriteChunk(std::move(forwarded));
       if (!written) {
         outcome = decode_result::kCallerDisconnected;
--- a/tests/placement_queue_test.cpp
+++ b/tests/placement_queue_test.cpp
@@ -118,6 +118,35 @@
   EXPECT_EQ(Next(HasCapacity), "1");
 }
 
+// Guards against a stream that waits for one of few engines of its version and holds back requests for all others.
+TEST_F(placement_queue_test, TakeNext_WhenAnEngineGroupIsFull_ServesTheOthers) {
+  placement_request bound = Request(1, 100);
+  bound.engine_group = 7;
+  ASSERT_TRUE(queue_.Add(bound, At(0)));
+  bound.request = request_id{"2"};
+  ASSERT_TRUE(queue_.Add(bound, At(0)));
+  ASSERT_TRUE(queue_.Add(Request(3, 700), At(0)));
+  const auto group_is_full = [](const placement_request& request) {
+    return request.engine_group == 7 ? NoMemory(request) : HasCapacity(request);
+  };
+  EXPECT_EQ(Next(group_is_full), "3");
+  EXPECT_EQ(queue_.TakeNext(group_is_full, false).blocked, wait_reason::kDecodeMemory);
+  EXPECT_EQ(Next(HasCapacity), "1");
+  EXPECT_EQ(Next(HasCapacity), "2");
+}
+
+// Guards against small requests that starve a large one: without a group, only the most urgent request is tried.
+TEST_F(placement_queue_test, TakeNext_WhenAllEnginesAreFull_LetsNoBoundRequestPass) {
+  ASSERT_TRUE(queue_.Add(Request(1, 100), At(0)));
+  placement_request bound = Request(2, 700);
+  bound.engine_group = 7;
+  ASSERT_TRUE(queue_.Add(bound, At(0)));
+  EXPECT_EQ(Next([](const placement_request& request) {
+              return request.engine_group == 7 ? HasCapacity(request) : NoMemory(request);
+            }),
+            "");
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 2. refusals
 // ---------------------------------------------------------------------------------------------------------------------
