Find the version that began a stream which a caller takes up again

Change: while a service has had one version for as long as callers resume streams, any engine may continue. Otherwise the router that forwards the first event records attempt and version, and copies the record to three routers that rendezvous hashing names; the router that gets the next attempt looks it up there. Copies are acknowledged, placed anew when routers come and go, and expire with the caller's time budget. A version that nobody knows, or that no engine has any more, is refused at once and truthfully. The versions of each service are recorded in the store when their set changes, so that a router that restarts within a roll does not take the version it sees for the only one there was. A resumed stream waits for capacity like one that broke off within its answer.

The soak plays engines of several versions while routers are killed, and callers that take streams up again.

--- a/include/persimmon/routes.h
+++ b/include/persimmon/routes.h
@@ -110,6 +110,9 @@
   const std::map<std::string, service_record>& Services() const { return services_; }
   std::size_t RouteCount() const;
 
+  // Longest timeout of the routes whose streams can be resumed; 0 without such a route.
+  milliseconds LongestResumableTimeout() const;
+
   bool operator==(const routing_table&) const = default;
 
  private:
--- /dev/null
+++ b/include/persimmon/stream_origins.h
@@ -0,0 +1,148 @@
+// Which software version began a stream, for streams that callers take up again at any router.
+//
+// Sections
+//   1. versions of a service
+//   2. origins of streams
+//
+// What engines of two software versions write does not fit together, so a stream may go on only at the version that
+// began it, and engines do not check this. While a service has one version, nothing needs to be known. Otherwise the
+// router that forwards the first event of a stream records its version and copies the record to a few other routers,
+// which are found by hashing the attempt. The number of copies does not grow with the number of routers.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "persimmon/types.h"
+
+namespace persimmon {
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. versions of a service
+// ---------------------------------------------------------------------------------------------------------------------
+
+using version_set = std::set<std::string>;
+
+// The versions of one service that may have begun a stream which can still be resumed.
+class service_versions {
+ public:
+  // Sets the versions of the registered engines.
+  void SetServing(version_set versions, time_point now);
+
+  // Adds versions that the store's record of the service lists. Their engines may have been removed at any time before.
+  void AddRecorded(const version_set& versions, time_point now);
+
+  // Versions that serve, or that did within the retention: the longest time for which callers resume a stream.
+  version_set Candidates(time_point now, milliseconds retention) const;
+
+  const version_set& Serving() const { return serving_; }
+
+ private:
+  version_set serving_;
+  std::map<std::string, time_point> last_seen_;  // of versions that no longer serve
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. origins of streams
+// ---------------------------------------------------------------------------------------------------------------------
+
+using origin_key = std::uint64_t;  // xxHash of the attempt that brought the first event
+
+// xxHash of the service and its version. 0 stands for an unknown version.
+std::uint64_t VersionKey(std::string_view service, std::string_view version);
+
+origin_key OriginKey(std::string_view attempt);
+
+// A router that can hold copies. A router that restarts loses its copies and has another incarnation.
+struct origin_holder {
+  std::string address;
+  std::uint64_t incarnation = 0;
+
+  auto operator<=>(const origin_holder&) const = default;
+};
+
+struct stream_origin {
+  origin_key attempt = 0;
+  std::uint64_t version = 0;  // VersionKey
+  time_point expiry;          // when the caller no longer resumes the stream
+
+  bool operator==(const stream_origin&) const = default;
+};
+
+struct stream_origin_settings {
+  std::size_t max_origins = 16'384;  // about 3 MB; the one that expires first is dropped
+  std::size_t copies = 3;            // holders of an attempt; two may end at the same time
+  milliseconds resend_interval = milliseconds(100);
+  std::uint32_t max_sends = 8;  // of one copy to one holder
+
+  bool operator==(const stream_origin_settings&) const = default;
+};
+
+class stream_origin_table {
+ public:
+  // `own_address` identifies this router among the holders.
+  stream_origin_table(std::string own_address, stream_origin_settings settings)
+      : own_address_(std::move(own_address)), settings_(settings) {}
+
+  // Records the origin of a stream that this router forwards. A known one keeps its version and the later expiry.
+  void Record(const stream_origin& origin);
+
+  // Records a copy that another router has sent. That router serves the other holders, so copies go out from here only
+  // when the holders change.
+  void RecordCopy(const stream_origin& origin);
+
+  // Returns the version key of the attempt's stream.
+  std::optional<std::uint64_t> Find(origin_key attempt, time_point now) const;
+
+  // Sets the routers that can hold copies, with this one. Copies whose holder is missing are placed anew.
+  void SetHolders(std::vector<origin_holder> holders);
+
+  // Returns the holders of an attempt without this router, the first choice first.
+  std::vector<origin_holder> HoldersOf(origin_key attempt) const;
+
+  // Returns the copies that are due at their holders: not acknowledged, and not sent within the resend interval.
+  // `needs_copies`: true for the versions whose streams must be known at other routers.
+  std::map<origin_holder, std::vector<stream_origin>> TakeDueCopies(
+      const std::function<bool(std::uint64_t version)>& needs_copies, time_point now);
+
+  // Records that a holder has acknowledged copies.
+  void RecordHeld(const origin_holder& holder, const std::vector<origin_key>& attempts);
+
+  void RemoveExpired(time_point now);
+
+  std::size_t Size() const { return origins_.size(); }
+
+ private:
+  struct copy_state {
+    origin_holder holder;
+    std::uint32_t sends = 0;
+    time_point sent_at;
+    bool is_held = false;
+  };
+  struct origin_state {
+    std::uint64_t version = 0;
+    time_point expiry;
+    std::uint64_t generation = 0;  // of the holders for which the copies were placed
+    std::vector<copy_state> copies;
+  };
+
+  origin_state& Insert(const stream_origin& origin);
+  void PlaceCopies(origin_key attempt, origin_state& state) const;
+
+  std::string own_address_;
+  stream_origin_settings settings_;
+  std::unordered_map<origin_key, origin_state> origins_;
+  std::multimap<time_point, origin_key> by_expiry_;
+  std::vector<origin_holder> holders_;
+  std::uint64_t generation_ = 1;  // increases with every change of the holders
+};
+
+}  // namespace persimmon
--- a/src/decisions/routes.cpp
+++ b/src/decisions/routes.cpp
@@ -69,6 +69,16 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
+milliseconds routing_table::LongestResumableTimeout() const {
+  milliseconds longest(0);
+  for (const auto& [host, prefixes] : hosts_) {
+    for (const auto& [prefix, route] : prefixes) {
+      longest = std::max(longest, route.resumable ? route.timeout : milliseconds(0));
+    }
+  }
+  return longest;
+}
+
 std::size_t routing_table::RouteCount() const {
   return std::accumulate(hosts_.begin(), hosts_.end(), std::size_t{0},
                          [](std::size_t sum, const auto& host) { return sum + host.second.size(); });
--- /dev/null
+++ b/src/decisions/stream_origins.cpp
@@ -0,0 +1,174 @@
+#include "persimmon/stream_origins.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+#include "persimmon/selection.h"
+
+namespace persimmon {
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. versions of a service
+// ---------------------------------------------------------------------------------------------------------------------
+
+void service_versions::SetServing(version_set versions, time_point now) {
+  for (const std::string& version : serving_) {
+    if (!versions.contains(version)) {
+      last_seen_[version] = now;
+    }
+  }
+  serving_ = std::move(versions);
+}
+
+void service_versions::AddRecorded(const version_set& versions, time_point now) {
+  for (const std::string& version : versions) {
+    last_seen_.try_emplace(version, now);
+  }
+}
+
+version_set service_versions::Candidates(time_point now, milliseconds retention) const {
+  version_set candidates = serving_;
+  for (const auto& [version, seen] : last_seen_) {
+    if (now - seen < retention) {
+      candidates.insert(version);
+    }
+  }
+  return candidates;
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. origins of streams
+// ---------------------------------------------------------------------------------------------------------------------
+
+std::uint64_t VersionKey(std::string_view service, std::string_view version) {
+  return std::max<std::uint64_t>(RendezvousScore(service, version), 1);
+}
+
+origin_key OriginKey(std::string_view attempt) { return RendezvousScore("", attempt); }
+
+stream_origin_table::origin_state& stream_origin_table::Insert(const stream_origin& origin) {
+  if (origins_.size() >= settings_.max_origins) {
+    RemoveExpired(by_expiry_.begin()->first);
+  }
+  origin_state& state = origins_[origin.attempt];
+  state.version = origin.version;
+  state.expiry = origin.expiry;
+  by_expiry_.emplace(origin.expiry, origin.attempt);
+  return state;
+}
+
+void stream_origin_table::Record(const stream_origin& origin) {
+  const auto found = origins_.find(origin.attempt);
+  if (found == origins_.end()) {
+    Insert(origin);
+  } else if (origin.expiry > found->second.expiry) {
+    found->second.expiry = origin.expiry;
+    found->second.copies.clear();  // the holders have the earlier expiry
+    found->second.generation = 0;
+    by_expiry_.emplace(origin.expiry, origin.attempt);
+  }
+}
+
+void stream_origin_table::RecordCopy(const stream_origin& origin) {
+  if (origins_.contains(origin.attempt)) {
+    return;
+  }
+  origin_state& state = Insert(origin);
+  PlaceCopies(origin.attempt, state);
+  for (copy_state& copy : state.copies) {
+    copy.is_held = true;
+  }
+}
+
+std::optional<std::uint64_t> stream_origin_table::Find(origin_key attempt, time_point now) const {
+  const auto found = origins_.find(attempt);
+  return found != origins_.end() && now < found->second.expiry ? std::optional(found->second.version) : std::nullopt;
+}
+
+void stream_origin_table::SetHolders(std::vector<origin_holder> holders) {
+  std::sort(holders.begin(), holders.end());
+  if (holders != holders_) {
+    holders_ = std::move(holders);
+    ++generation_;
+  }
+}
+
+std::vector<origin_holder> stream_origin_table::HoldersOf(origin_key attempt) const {
+  const std::string_view chooser(reinterpret_cast<const char*>(&attempt), sizeof(attempt));
+  std::vector<std::pair<std::uint64_t, const origin_holder*>> ranked;
+  ranked.reserve(holders_.size());
+  for (const origin_holder& holder : holders_) {
+    ranked.emplace_back(RendezvousScore(chooser, holder.address), &holder);
+  }
+  const auto count = std::min(settings_.copies, ranked.size());
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(),
+                    [](const auto& left, const auto& right) { return left.first > right.first; });
+  std::vector<origin_holder> chosen;
+  for (std::size_t i = 0; i < count; ++i) {
+    if (ranked[i].second->address != own_address_) {
+      chosen.push_back(*ranked[i].second);
+    }
+  }
+  return chosen;
+}
+
+// Keeps the state of copies whose holder is chosen again. A holder that has restarted gets its copy again.
+void stream_origin_table::PlaceCopies(origin_key attempt, origin_state& state) const {
+  std::vector<copy_state> copies;
+  for (const origin_holder& holder : HoldersOf(attempt)) {
+    const auto known = std::find_if(state.copies.begin(), state.copies.end(),
+                                    [&](const copy_state& copy) { return copy.holder == holder; });
+    copies.push_back(known != state.copies.end() ? *known : copy_state{holder, 0, {}, false});
+  }
+  state.copies = std::move(copies);
+  state.generation = generation_;
+}
+
+std::map<origin_holder, std::vector<stream_origin>> stream_origin_table::TakeDueCopies(
+    const std::function<bool(std::uint64_t version)>& needs_copies, time_point now) {
+  std::map<origin_holder, std::vector<stream_origin>> due;
+  for (auto& [attempt, state] : origins_) {
+    if (now >= state.expiry || !needs_copies(state.version)) {
+      continue;
+    }
+    if (state.generation != generation_) {
+      PlaceCopies(attempt, state);
+    }
+    for (copy_state& copy : state.copies) {
+      const bool was_sent = copy.sends > 0 && now - copy.sent_at < settings_.resend_interval;
+      if (copy.is_held || was_sent || copy.sends >= settings_.max_sends) {
+        continue;
+      }
+      ++copy.sends;
+      copy.sent_at = now;
+      due[copy.holder].push_back({attempt, state.version, state.expiry});
+    }
+  }
+  return due;
+}
+
+void stream_origin_table::RecordHeld(const origin_holder& holder, const std::vector<origin_key>& attempts) {
+  for (const origin_key attempt : attempts) {
+    const auto found = origins_.find(attempt);
+    if (found == origins_.end()) {
+      continue;
+    }
+    for (copy_state& copy : found->second.copies) {
+      copy.is_held = copy.is_held || copy.holder == holder;
+    }
+  }
+}
+
+void stream_origin_table::RemoveExpired(time_point now) {
+  const auto end = by_expiry_.upper_bound(now);
+  for (auto item = by_expiry_.begin(); item != end; ++item) {
+    const auto found = origins_.find(item->second);
+    if (found != origins_.end() && found->second.expiry <= now) {
+      origins_.erase(found);
+    }
+  }
+  by_expiry_.erase(by_expiry_.begin(), end);
+}
+
+}  // namespace persimmon
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -2,6 +2,7 @@
 
 #include "core/telemetry.h"
 #include "direct/ingress.h"
+#include "direct/origin_tracker.h"
 
 namespace persimmon {
 namespace {
@@ -28,6 +29,7 @@
   auto& tracker = services.Register<endpoint_tracker>("board", services, *settings);
   services.Register<suspect_tracker>("crashes", services, *client);
   services.Register<send_budgets>("budgets", services, *settings);
+  services.Register<origin_tracker>("origins", services, *settings, table);
   services.Register<plain_calls>("plain", services, *settings, *client);
   auto& generations = services.Register<generation_calls>("generations", services, *settings, *client);
   services.Register<stage_orders>("stages", services, *settings, *client, table);
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -94,6 +94,7 @@
   group_ = &kernel_.Find<router_group>("group");
   metrics_ = &kernel_.Find<telemetry>("telemetry").Metrics();
   suspect_tracker_ = &kernel_.Find<suspect_tracker>("crashes");
+  origins_ = &kernel_.Find<origin_tracker>("origins");
 }
 
 void generation_calls::Stop() { dispatch_timer_.Cancel(); }
@@ -145,7 +146,7 @@
   request.memory = {metadata.prompt_tokens,
                     output_lengths.ExpectRemaining(estimate, 0, metadata.max_output_tokens, queue.length_expectation)};
   request.is_resumed = is_resumed;
-  request.engine_group = call.engine_version ? RendezvousScore(call.Service().name, *call.engine_version) : 0;
+  request.engine_group = call.engine_version ? VersionKey(call.Service().name, *call.engine_version) : 0;
   const double prefill_ms = metadata.prompt_tokens / placement_settings{}.prefill_tokens_per_ms;
   const auto prefill = microseconds(static_cast<std::int64_t>(prefill_ms * 1'000));
   request.latest_start = call.Arrival() - waited_before + route.target_latency - prefill - settings_.transfer_time;
@@ -740,6 +741,7 @@
       }
       if (resumable && !call->engine_version) {
         call->engine_version = assignment.engine.version;
+        origins_->RecordFirstEvent(*call, assignment.engine.version);
       }
       auto written = co_await call->Exchange().WriteChunk(std::move(forwarded));
       if (!written) {
@@ -791,6 +793,12 @@
   if (const auto refused = suspect_tracker_->RemainingRefusal(call->Fingerprint())) {
     co_return co_await call->Refuse("crashes_endpoints", *refused);
   }
+  auto version = co_await origins_->FindVersion(call);
+  if (!version) {
+    co_return co_await call->Refuse("stream_version_unknown", kNoEngineRetryAfter);
+  }
+  call->engine_version = std::move(version.value());
+  const bool continues_stream = !call->Metadata().resume_after.empty();
   stream_state stream;
   std::vector<endpoint_name> avoid;
   bool may_have_run = false;
@@ -804,7 +812,7 @@
       call->reason = "budget_spent";
       break;
     }
-    assignment_result assigned = co_await AwaitAssignment(call, avoid, assignment_round > 0);
+    assignment_result assigned = co_await AwaitAssignment(call, avoid, assignment_round > 0 || continues_stream);
     const auto* chosen = std::get_if<engine_assignment>(&assigned);
     if (chosen == nullptr || call->IsCallerDisconnected()) {
       budgets_->ReturnExtraSends(*call, extra_sends);
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -15,6 +15,7 @@
 #include "core/metrics.h"
 #include "direct/direct_call.h"
 #include "direct/endpoint_tracker.h"
+#include "direct/origin_tracker.h"
 #include "direct/send_budgets.h"
 #include "direct/suspect_tracker.h"
 #include "persimmon/event_stream.h"
@@ -128,6 +129,7 @@
   router_group* group_ = nullptr;
   metrics_registry* metrics_ = nullptr;
   suspect_tracker* suspect_tracker_ = nullptr;
+  origin_tracker* origins_ = nullptr;
   std::map<std::string, std::unique_ptr<service_queue>> queues_;
   std::map<std::string, milliseconds> largest_budgets_;  // largest time budget seen of callers, by route
   std::set<endpoint_name> engines_being_checked_;        // engines that CheckEngine polls
--- a/src/direct/router_group.cpp
+++ b/src/direct/router_group.cpp
@@ -43,6 +43,8 @@
                                               [this](const host_port& sender, const message& received) {
                                                 if (const auto* state = std::get_if<router_state>(&received)) {
                                                   Receive(sender, *state);
+                                                } else if (on_message) {
+                                                  on_message(sender, received);
                                                 }
                                               });
   if (auto started = socket_->Start(); !started) {
@@ -248,6 +250,20 @@
   return is_unknown ? 0 : static_cast<std::uint32_t>(peers_.size() + silent_routers_.size()) + 1;
 }
 
+std::vector<router_group::member> router_group::LiveMembers() const {
+  const time_point now = timer_service::Now();
+  std::vector<member> members;
+  if (!leaving_) {
+    members.push_back(Self());
+  }
+  for (const auto& [address, other] : peers_) {
+    if (!other.state.leaving && now - other.last_heard <= kSilenceTimeout) {
+      members.push_back({address, other.state.incarnation});
+    }
+  }
+  return members;
+}
+
 revision_number router_group::NewestPeerRevision() const {
   revision_number newest = 0;
   for (const auto& [address, other] : peers_) {
--- a/src/direct/router_group.h
+++ b/src/direct/router_group.h
@@ -45,6 +45,8 @@
   std::function<std::vector<waiting_count>()> local_waiting;
   // Called with the suspect reports of another router. `origin` is its name and incarnation.
   std::function<void(const std::string& origin, const std::vector<suspect_report>&)> on_suspects;
+  // Called with the messages of other types that routers send to each other.
+  std::function<void(const host_port& sender, const message&)> on_message;
   // Called after the endpoint loads of another router have changed.
   std::function<void()> on_change;
 
@@ -69,6 +71,19 @@
   // still be running behind a cut. 0 if there are other routers and none has been heard yet.
   std::uint32_t RouterCount() const;
 
+  // Addresses and incarnations of the routers that have been heard lately and are not leaving, with this one.
+  struct member {
+    host_port address;
+    std::uint64_t incarnation = 0;
+
+    bool operator==(const member&) const = default;
+  };
+  std::vector<member> LiveMembers() const;
+  member Self() const { return {own_address_, incarnation_}; }
+
+  // Sends a message of another type than router_state to a router. It may be lost.
+  void Send(const host_port& receiver, const message& value) { socket_->Send(receiver, value); }
+
   revision_number NewestPeerRevision() const;  // 0: unknown
 
   // Control addresses of the other routers that hold a desired state and are not leaving, newest revision first.
--- a/src/fakes/fake_replica_main.cpp
+++ b/src/fakes/fake_replica_main.cpp
@@ -17,6 +17,7 @@
 DEFINE_string(service, "app", "service of the endpoint");
 DEFINE_string(zone, "zone-a", "availability zone of the endpoint");
 DEFINE_string(stage, "", "prefill or decode; empty: a plain service");
+DEFINE_string(software_version, "", "software version in its entry; empty: none");
 DEFINE_uint32(memory_tokens, 0, "KV cache capacity of a decode engine");
 DEFINE_uint32(events, 5, "events per stream");
 DEFINE_uint32(event_interval_ms, 20, "time after each event");
@@ -107,6 +108,7 @@
   options.service = FLAGS_service;
   options.zone = FLAGS_zone;
   options.stage = FLAGS_stage;
+  options.version = FLAGS_software_version;
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   options.started_ms = static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
   options.memory_tokens = FLAGS_memory_tokens;
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -153,11 +153,34 @@
   return message(std::in_place_index<index>);
 }
 
-constexpr std::array<const char*, std::variant_size_v<message>> kMessageNames = {
-    "hello",           "heartbeat",        "slot_open",      "reserve_slot",  "slot_granted",  "slot_refused",
-    "start_prefill",   "prefill_progress", "start_decode",   "tokens",        "resume_stream", "call_service",
-    "service_answer",  "cancel",           "attempt_status", "query_attempt", "load_report",   "fetch_config",
-    "config_snapshot", "lend_tokens",      "tokens_lent",    "claim_batch",   "claim_results", "router_state"};
+constexpr std::array<const char*, std::variant_size_v<message>> kMessageNames = {"hello",
+                                                                                 "heartbeat",
+                                                                                 "slot_open",
+                                                                                 "reserve_slot",
+                                                                                 "slot_granted",
+                                                                                 "slot_refused",
+                                                                                 "start_prefill",
+                                                                                 "prefill_progress",
+                                                                                 "start_decode",
+                                                                                 "tokens",
+                                                                                 "resume_stream",
+                                                                                 "call_service",
+                                                                                 "service_answer",
+                                                                                 "cancel",
+                                                                                 "attempt_status",
+                                                                                 "query_attempt",
+                                                                                 "load_report",
+                                                                                 "fetch_config",
+                                                                                 "config_snapshot",
+                                                                                 "lend_tokens",
+                                                                                 "tokens_lent",
+                                                                                 "claim_batch",
+                                                                                 "claim_results",
+                                                                                 "router_state",
+                                                                                 "hold_stream_origins",
+                                                                                 "stream_origins_held",
+                                                                                 "find_stream_origin",
+                                                                                 "stream_origin_found"};
 
 }  // namespace
 
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -532,6 +532,63 @@
   }
 };
 
+// Which software version began the stream of an attempt.
+struct stream_origin_copy {
+  std::uint64_t attempt = 0;      // OriginKey
+  std::uint64_t version = 0;      // VersionKey
+  std::uint32_t lifetime_ms = 0;  // for which the receiver keeps it
+
+  bool operator==(const stream_origin_copy&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(attempt, version, lifetime_ms);
+  }
+};
+
+// Asks another router to hold copies. It answers with stream_origins_held.
+struct hold_stream_origins {
+  std::vector<stream_origin_copy> origins;
+
+  bool operator==(const hold_stream_origins&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(origins);
+  }
+};
+
+struct stream_origins_held {
+  std::uint64_t incarnation = 0;  // of the router that holds them
+  std::vector<std::uint64_t> attempts;
+
+  bool operator==(const stream_origins_held&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(incarnation, attempts);
+  }
+};
+
+// Asks another router for the origin of an attempt. It answers with stream_origin_found.
+struct find_stream_origin {
+  std::uint64_t attempt = 0;
+
+  bool operator==(const find_stream_origin&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(attempt);
+  }
+};
+
+struct stream_origin_found {
+  std::uint64_t attempt = 0;
+  std::uint64_t version = 0;  // 0: not known there
+
+  bool operator==(const stream_origin_found&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(attempt, version);
+  }
+};
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 9. frames
 // ---------------------------------------------------------------------------------------------------------------------
@@ -540,7 +597,8 @@
 using message = std::variant<hello, heartbeat, slot_open, reserve_slot, slot_granted, slot_refused, start_prefill,
                              prefill_progress, start_decode, tokens, resume_stream, call_service, service_answer,
                              cancel, attempt_status, query_attempt, load_report, fetch_config, config_snapshot,
-                             lend_tokens, tokens_lent, claim_batch, claim_results, router_state>;
+                             lend_tokens, tokens_lent, claim_batch, claim_results, router_state, hold_stream_origins,
+                             stream_origins_held, find_stream_origin, stream_origin_found>;
 
 // Name of the message type, for logs and golden files.
 const char* MessageName(const message& value);
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -10,6 +10,7 @@
 #include <gtest/gtest.h>
 
 #include "direct/stage_orders.h"
+#include "persimmon/stream_origins.h"
 #include "support/router_harness.h"
 
 namespace persimmon {
@@ -971,6 +972,195 @@
   EXPECT_LT(timer_service::Now() - begin, milliseconds(200));
 }
 
+// Another router of the deployment, as far as the origins of streams are concerned.
+class peer_router {
+ public:
+  explicit peer_router(router_harness& harness)
+      : harness_(harness),
+        socket_(harness.Kernel().Context(), host_port{"127.0.0.1", 0},
+                [this](const host_port&, const message& received) { Receive(received); }) {
+    EXPECT_TRUE(socket_.Start());
+    state_.name = "router-2";
+    state_.incarnation = 7;
+  }
+  ~peer_router() { socket_.Stop(); }
+
+  // Makes itself known, again after each change of its state.
+  void Announce() {
+    ++state_.sequence;
+    Send(message(state_));
+    harness_.RunFor(milliseconds(20));
+  }
+  void Restart() { ++state_.incarnation; }
+
+  std::map<std::uint64_t, std::uint64_t> origins;  // version keys by attempt; received and known
+  int copies_received = 0;
+  bool answers = true;
+
+ private:
+  void Send(const message& value) {
+    socket_.Send({"127.0.0.1", harness_.Settings().deployment.first_internal_port}, value);
+  }
+  void Receive(const message& received) {
+    if (!answers) {
+      return;
+    }
+    if (const auto* copies = std::get_if<hold_stream_origins>(&received)) {
+      stream_origins_held held{state_.incarnation, {}};
+      for (const stream_origin_copy& copy : copies->origins) {
+        origins[copy.attempt] = copy.version;
+        held.attempts.push_back(copy.attempt);
+        ++copies_received;
+      }
+      Send(message(held));
+    } else if (const auto* find = std::get_if<find_stream_origin>(&received)) {
+      const auto found = origins.find(find->attempt);
+      Send(message(stream_origin_found{find->attempt, found == origins.end() ? 0 : found->second}));
+    }
+  }
+
+  router_harness& harness_;
+  datagram_socket socket_;
+  router_state state_;
+};
+
+// Guards against losing the version of a stream with the router that began it.
+TEST_F(stream_version_test, NewStream_WhileTwoVersionsServe_IsCopiedToAnotherRouter) {
+  peer_router peer(harness_);
+  peer.Announce();
+  const std::string version = BeginStream("a1");
+  ASSERT_TRUE(harness_.RunUntil([&] { return peer.origins.contains(OriginKey("a1")); }, milliseconds(500)));
+  EXPECT_EQ(peer.origins.at(OriginKey("a1")), VersionKey("llm", version.substr(0, 3)));
+  peer.Announce();
+  harness_.RunFor(milliseconds(300));
+  EXPECT_EQ(peer.copies_received, 1) << "an acknowledged copy is sent again";
+  peer.Restart();
+  peer.Announce();
+  EXPECT_TRUE(harness_.RunUntil([&] { return peer.copies_received == 2; }, milliseconds(500)))
+      << "a router that has restarted has lost its copy";
+}
+
+TEST_F(stream_version_test, ResumedStream_OfAnotherRouter_GoesOnAtTheVersionThatBeganIt) {
+  peer_router peer(harness_);
+  for (int i = 0; i < 10; ++i) {
+    peer.Announce();
+    const std::string version = i % 2 == 0 ? "old" : "new";
+    const std::string first = "first-" + std::to_string(i);
+    peer.origins[OriginKey(first)] = VersionKey("llm", version);
+    const auto call = Resume("b" + std::to_string(i), first);
+    ASSERT_TRUE(harness_.Finish(call));
+    EXPECT_EQ(call->Status(), 200);
+    EXPECT_EQ(VersionsOf("b" + std::to_string(i)), version + " ");
+  }
+}
+
+// A router that holds copies may be gone without a word; the caller must not wait for it.
+TEST_F(stream_version_test, ResumedStream_WhoseHolderIsSilent_IsRefusedWithinMilliseconds) {
+  peer_router peer(harness_);
+  peer.answers = false;
+  peer.Announce();
+  const time_point begin = timer_service::Now();
+  const auto call = Resume("b1", "first");
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 503);
+  EXPECT_EQ(VersionsOf("b1"), "");
+  EXPECT_LT(timer_service::Now() - begin, kReleaseLimit);
+}
+
+// Streams that are open when the second version appears may break while both serve.
+TEST(stream_copy_test, OpenStreams_WhenASecondVersionAppears_AreCopied) {
+  router_harness harness;
+  replica_options options = Engine("pre-1", "prefill");
+  options.version = "old";
+  harness.AddReplica(options);
+  options = Engine("dec-1", "decode");
+  options.version = "old";
+  options.event_interval = milliseconds(200);
+  harness.AddReplica(options);
+  harness.WriteDesiredState({.timeout_ms = 14'000});
+  ASSERT_TRUE(harness.Start());
+  peer_router peer(harness);
+  peer.Announce();
+  const auto call = harness.SendModel("/digest/1", "a1");
+  ASSERT_TRUE(harness.RunUntil([&] { return !call->body.empty(); }));
+  harness.RunFor(milliseconds(250));
+  EXPECT_EQ(peer.copies_received, 0) << "with one version, no copies are needed";
+  options.name = "dec-2";
+  options.version = "new";
+  harness.AddReplica(options);
+  peer.Announce();
+  EXPECT_TRUE(harness.RunUntil([&] { return peer.copies_received == 1; }, milliseconds(1'000)));
+}
+
+// A router that starts, not for the first time, and sees one version.
+class version_record_test : public testing::Test {
+ protected:
+  static constexpr const char* kTable = "persimmon_versions";
+
+  version_record_test() : harness_([](direct_settings& settings) { settings.deployment.first_start = false; }) {
+    replica_options options = Engine("pre-1", "prefill");
+    options.version = "new";
+    harness_.AddReplica(options);
+    options = Engine("dec-1", "decode");
+    options.version = "new";
+    engine_ = &harness_.AddReplica(options);
+    harness_.WriteDesiredState({.timeout_ms = 14'000});
+  }
+
+  int StatusOfResumed() {
+    const auto call = harness_.SendModel("/digest/1", "b1", 1'000, 100, milliseconds(10'000),
+                                         {{"Resumes", "unknown"}, {"Last-Event-Id", "2"}});
+    EXPECT_TRUE(harness_.Finish(call));
+    return call->Status();
+  }
+
+  std::optional<fakes::stored_row> RecordRow() { return harness_.Platform().Tables().Read({kTable, "llm"}); }
+
+  std::vector<std::string> RecordedVersions() {
+    const auto row = RecordRow();
+    const json record = row ? json::parse(row->value, nullptr, false) : json();
+    return record.is_object() ? record["versions"].get<std::vector<std::string>>() : std::vector<std::string>();
+  }
+
+  router_harness harness_;
+  fake_replica* engine_ = nullptr;
+};
+
+// Guards against taking the only version that serves for the one that began the stream.
+TEST_F(version_record_test, ResumedStream_AfterARestartWithinARoll_IsRefused) {
+  harness_.Platform().Tables().Commit(
+      {{{kTable, "llm"}, R"({"schema":1,"versions":["new","old"]})", false, std::nullopt}});
+  ASSERT_TRUE(harness_.Start());
+  EXPECT_EQ(StatusOfResumed(), 503);
+  EXPECT_EQ(engine_->TotalRuns(), 0);
+}
+
+// Guards against refusing streams after each restart: with one version for long, any engine can continue them.
+TEST_F(version_record_test, ResumedStream_AfterARestartWithOneVersion_GoesOn) {
+  harness_.Platform().Tables().Commit({{{kTable, "llm"}, R"({"schema":1,"versions":["new"]})", false, std::nullopt}});
+  ASSERT_TRUE(harness_.Start());
+  EXPECT_EQ(StatusOfResumed(), 200);
+}
+
+TEST_F(version_record_test, Record_WhenAVersionAppears_IsWrittenOnce) {
+  ASSERT_TRUE(harness_.Start());
+  ASSERT_TRUE(harness_.RunUntil([this] { return RecordedVersions() == std::vector<std::string>{"new"}; }));
+  replica_options options = Engine("dec-2", "decode");
+  options.version = "newer";
+  harness_.AddReplica(options);
+  ASSERT_TRUE(harness_.RunUntil([this] { return RecordedVersions().size() == 2; }));
+  const std::uint64_t version = RecordRow()->version;
+  harness_.RunFor(milliseconds(1'200));
+  EXPECT_EQ(RecordRow()->version, version);
+}
+
+// An unreadable record must not stop the router, and is written anew.
+TEST_F(version_record_test, Record_ThatIsUnreadable_IsReplaced) {
+  harness_.Platform().Tables().Commit({{{kTable, "llm"}, "no json", false, std::nullopt}});
+  ASSERT_TRUE(harness_.Start());
+  EXPECT_TRUE(harness_.RunUntil([this] { return RecordedVersions() == std::vector<std::string>{"new"}; }));
+}
+
 // With one version, a stream goes on although nobody knows which engine began it.
 TEST_F(model_call_test, ResumedStream_ThatNobodyKnows_GoesOnWhileOneVersionServes) {
   const auto call = harness_.SendModel("/digest/1", "b1", 1'000, 100, milliseconds(10'000),
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -88,6 +88,9 @@
         self.unannounced_share = unannounced_share  # share of endpoints that leave by removing their entry
         self.routers, self.links, self.replicas = {}, {}, {}
         self.leaving = set()  # names of endpoints that have been told to leave
+        self.version = "v1"  # software version of engines that start
+        self.versions = {}   # of engines, by name
+        self.event_interval_ms = 20
         self.announce_delay_ms = 0  # from the first answer in which an endpoint states that it leaves to its entry
         self.next_replica = 0
         self.revision = 0
@@ -150,7 +153,11 @@
         if stage == "app":
             arguments.append("--work_ms=30")
         else:
-            arguments += ["--stage", stage, "--tokens_per_ms=33", "--memory_tokens=36000", "--events=12"]
+            arguments += ["--stage", stage, "--tokens_per_ms=33", "--memory_tokens=36000", "--events=12",
+                          f"--event_interval_ms={self.event_interval_ms}"]
+        if stage != "app":
+            arguments.append(f"--software_version={self.version}")
+            self.versions[name] = self.version
         if self.announce_delay_ms:
             arguments.append(f"--announce_delay_ms={self.announce_delay_ms}")
         if random.Random(name).random() < self.unannounced_share:
@@ -221,10 +228,10 @@
 
 
 class Answer:
-    """What the caller of one request saw."""
+    """What the caller of one request saw. `resumed`: the answer whose stream this one takes up again."""
 
-    def __init__(self, attempt, router, kind, begin):
-        self.attempt, self.router, self.kind, self.begin = attempt, router, kind, begin
+    def __init__(self, attempt, router, kind, begin, resumed=None):
+        self.attempt, self.router, self.kind, self.begin, self.resumed = attempt, router, kind, begin, resumed
         self.status, self.headers, self.body, self.is_complete, self.end = 0, {}, b"", False, 0.0
 
     def is_whole(self):
@@ -233,11 +240,19 @@
         text = self.body.decode(errors="replace")
         if self.kind in ("chat", "digest"):
             pieces = [line for line in text.split("\n") if line.startswith("data:")]
-            wanted = [f"data: piece {number} of {self.attempt}" for number in range(1, 13)]
+            first = self.resumed.last_event() + 1 if self.resumed else 1
+            wanted = [f"data: piece {number} of {self.attempt}" for number in range(first, 13)]
             return pieces == wanted
         return text.endswith(f"to {self.attempt}")
 
 
+    def last_event(self):
+        """Id of the last whole event, 0 without one."""
+        whole = self.body.decode(errors="replace").split("\n\n")[:-1]
+        ids = [int(line[4:]) for event in whole for line in event.split("\n") if line.startswith("id: ")]
+        return max(ids, default=0)
+
+
 class Callers:
     """Sends requests at a constant rate. Connections are kept open and used until the router closes them."""
 
@@ -256,12 +271,22 @@
             kind = self.random.choices(["pages", "submit", "chat", "digest"], [3, 3, 2, 2])[0]
             answer = Answer(f"r{router}-{number}", router, kind, time.time())
             self.answers.append(answer)
-            task = asyncio.create_task(self.exchange(answer))
+            task = asyncio.create_task(self.exchange_until_whole(answer))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
             await asyncio.sleep(self.random.expovariate(self.rate))
         await asyncio.wait(self.tasks, timeout=10) if self.tasks else None
 
+    async def exchange_until_whole(self, answer):
+        """A caller takes a resumable stream up once, at any router, after its last whole event."""
+        await self.exchange(answer)
+        last = answer.last_event()
+        if answer.kind == "digest" and not answer.is_complete and 0 < last < 12:
+            router = self.random.randrange(self.deployment.router_count) + 1
+            again = Answer(f"r{router}-again-{answer.attempt}", router, "digest", time.time(), answer)
+            self.answers.append(again)
+            await self.exchange(again)
+
     async def exchange(self, answer):
         try:
             await asyncio.wait_for(self.send(answer), 8)
@@ -282,6 +307,8 @@
         if answer.kind in ("chat", "digest"):
             head += ["Persimmonchute-Model: m", "Persimmonchute-Token-Count: 2000,120",
                      "Persimmonchute-Length-Hint: 120", "Persimmonchute-Prompt-Prefix: 5c:200"]
+        if answer.resumed:
+            head += [f"Resumes: {answer.resumed.attempt}", f"Last-Event-Id: {answer.resumed.last_event()}"]
         writer.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
         try:
             lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
@@ -538,6 +565,25 @@
             await asyncio.sleep(self.random.uniform(1, 4))
         await asyncio.sleep(6)
 
+    async def version_roll(self, seconds):
+        """Engines of several software versions serve side by side, while engines break streams off and routers are
+        killed and restarted."""
+        end = time.time() + seconds
+        number = 1
+        while time.time() < end:
+            number += 1
+            self.deployment.version = f"v{number}"
+            for name in self.random.sample(self.deployment.living_replicas("decode"), 3):
+                await self.leave(name)
+                await asyncio.sleep(self.random.uniform(0.1, 0.5))
+            for _ in range(4):
+                breaking = asyncio.create_task(self.break_streams([self.pick("decode")], 1))
+                number_of_signal = self.random.choice([signal.SIGKILL, signal.SIGKILL, signal.SIGTERM])
+                routers = self.random.sample(list(self.deployment.routers), self.random.choice([1, 1, 2]))
+                await asyncio.gather(*(self.restart_router(index, number_of_signal) for index in routers))
+                await breaking
+                await asyncio.sleep(self.random.uniform(0.5, 2))
+
     async def broken_streams(self, seconds):
         """Streams of some or all decode engines break off inside an event, in series."""
         end = time.time() + seconds
@@ -569,7 +615,8 @@
 
 SCENARIOS = ["mixed", "rejected_decodes", "rejected_prefills", "restarts_while_rejecting", "unannounced_leaves",
              "silent_store", "leaves_by_own_word",
-             "closed_endpoints", "restored_store", "broken_streams", "endless_bytes"]
+             "closed_endpoints", "restored_store", "broken_streams", "endless_bytes",
+             "version_roll"]
 
 
 # ----------------------------------------------------------------------------------------------------------------------
@@ -703,6 +750,43 @@
             if answer.status == 0 and self.is_in_touch(answer.router, answer.end):
                 self.report("LOST", f"{answer.attempt} ({answer.kind}) got no answer from router {answer.router}")
 
+    def check_versions(self):
+        """No stream holds events of engines of two software versions, in one answer or over a caller's tries."""
+        sources = collections.defaultdict(list)  # engines that have run an attempt
+        for _, attempt, endpoint, _, result in self.arrivals:
+            if result == "run" and endpoint in self.deployment.versions:
+                sources[attempt].append(endpoint)
+        for answer in self.answers:
+            if answer.kind != "digest" or answer.last_event() == 0:
+                continue
+            engines = sources[answer.attempt] + (sources[answer.resumed.attempt] if answer.resumed else [])
+            versions = {self.deployment.versions[name] for name in engines}
+            if len(versions) > 1:
+                self.report("ORDER", f"{answer.attempt} went on at another version: {', '.join(engines)} are "
+                                     f"{', '.join(sorted(versions))}")
+
+    def check_resumed(self):
+        """Of streams that callers take up again, at least half as many go on as of new ones begin."""
+        resumed = [answer for answer in self.answers if answer.resumed and self.may_go_on(answer)]
+        fresh = [answer for answer in self.answers if answer.kind == "digest" and not answer.resumed]
+        if len(resumed) < 12:
+            return
+        share = sum(answer.status == 200 for answer in resumed) / len(resumed)
+        fresh_share = sum(answer.status == 200 for answer in fresh) / len(fresh)
+        if share < fresh_share / 2:
+            self.report("LOST", f"{share:.0%} of {len(resumed)} resumed streams went on, {fresh_share:.0%} of new ones")
+
+    def may_go_on(self, answer):
+        """The router is in touch, and two engines of the stream's version serve until the end."""
+        runs = [name for _, attempt, name, _, result in self.arrivals
+                if attempt == answer.resumed.attempt and result == "run" and name in self.deployment.versions]
+        if not runs or not self.is_in_touch(answer.router, answer.begin):
+            return False
+        version = self.deployment.versions[runs[0]]
+        serving = [name for name, known in self.deployment.versions.items()
+                   if known == version and name.startswith("decode") and name not in self.left]
+        return len(serving) >= 2
+
     def check_memory(self):
         """No router exceeds the memory of an entry VM, whatever endpoints send."""
         for index, peak in self.deployment.peak_memory_mb.items():
@@ -722,6 +806,8 @@
         self.check_closed()
         self.check_budget()
         self.check_answers()
+        self.check_versions()
+        self.check_resumed()
         self.check_memory()
         self.check_processes()
         return self.broken
@@ -769,6 +855,8 @@
                             arguments.decode, 1.0 if arguments.scenario == "unannounced_leaves" else 0.5)
     if arguments.scenario == "leaves_by_own_word":
         deployment.announce_delay_ms = 6000
+    if arguments.scenario == "version_roll":
+        deployment.event_interval_ms = 100  # long enough for streams to be cut by routers that end
     try:
         deployment.start()
         for index in deployment.routers:
@@ -787,6 +875,9 @@
     print(f"{arguments.scenario} seed {arguments.seed}: {len(callers.answers)} requests, "
           f"{len(checks.arrivals)} arrivals, {len(faults.log)} faults, "
           f"{', '.join(f'{kind} {status}: {count}' for (kind, status), count in sorted(outcomes.items(), key=str))}")
+    resumed = [answer for answer in callers.answers if answer.resumed]
+    if resumed:
+        print(f"{len(resumed)} streams taken up again, {sum(answer.status == 200 for answer in resumed)} went on")
     for rule, text in broken:
         print(f"BROKEN {rule}: {text}")
     if broken or arguments.keep:
