Test prefills by another version and engines that return with one

An engine that restarts under its name with another version is not one of the old version any more. The rank of a router is computed only when a record is outdated.

--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -334,9 +334,8 @@
     if (has_records_ && directory_->IsInForce() && directory_->IsStoreReachable()) {
       std::vector<std::string> due;
       for (const auto& [name, state] : services_) {
-        const std::size_t rank = OwnRank(name);
-        if (state.outdated_since && rank < kRecordKeepers &&
-            now - *state.outdated_since >= kRankDelay * static_cast<int>(rank)) {
+        const std::size_t rank = state.outdated_since ? OwnRank(name) : kRecordKeepers;
+        if (rank < kRecordKeepers && now - *state.outdated_since >= kRankDelay * static_cast<int>(rank)) {
           due.push_back(name);
         }
       }
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -850,8 +850,7 @@
 // Engines of two software versions serve side by side.
 class stream_version_test : public testing::Test {
  protected:
-  stream_version_test() {
-    harness_.AddReplica(Engine("pre-1", "prefill"));
+  stream_version_test() : prefill_(harness_.AddReplica(Engine("pre-1", "prefill"))) {
     for (const char* name : {"old-1", "old-2", "new-1", "new-2", "new-3"}) {
       replica_options options = Engine(name, "decode");
       options.version = std::string(name).substr(0, 3);
@@ -886,6 +885,7 @@
   }
 
   router_harness harness_;
+  fake_replica& prefill_;
   std::vector<fake_replica*> engines_;
 };
 
@@ -972,6 +972,36 @@
   EXPECT_LT(timer_service::Now() - begin, milliseconds(200));
 }
 
+// The platform binds the events of a stream to one version, not the prefill of its prompt (docs/platform.md).
+TEST_F(stream_version_test, NewStream_PrefilledByAnotherVersion_IsServed) {
+  const auto call = harness_.SendModel("/digest/1", "a1");
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->body, WholeStream("a1", 5));
+  EXPECT_EQ(prefill_.Prefills(), 1);
+}
+
+// Guards against taking an engine that restarts under its name for one of the version that it had before.
+TEST_F(stream_version_test, ResumedStream_WhoseEnginesRestartWithAnotherVersion_IsRefused) {
+  for (std::size_t i = 2; i < engines_.size(); ++i) {
+    engines_[i]->Faults().full = true;
+  }
+  ASSERT_EQ(BeginStream("a1"), "old ");
+  for (std::size_t i = 0; i < 2; ++i) {
+    json entry = json::parse(engines_[i]->EntryText(false, 2));
+    entry["version"] = "new";
+    entry["born"] = 2;
+    harness_.Platform().Tables().Commit({{{"servers", engines_[i]->Name()}, entry.dump(), false, std::nullopt}});
+  }
+  ASSERT_TRUE(harness_.RunUntil([this] {
+    const auto* entry = harness_.Directory().Endpoints().Find(endpoint_name{engines_[1]->Name()});
+    return entry != nullptr && entry->version == "new";
+  }));
+  const auto call = Resume("b1", "a1");
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 503);
+  EXPECT_EQ(VersionsOf("b1"), "");
+}
+
 // Another router of the deployment, as far as the origins of streams are concerned.
 class peer_router {
  public:
