--- a/include/persimmon/stream_origins.h
+++ b/include/persimmon/stream_origins.h
@@ -78,7 +78,7 @@
 };
 
 struct stream_origin_settings {
-  std::size_t max_origins = 16'384;  // about 3 MB; the one that expires first is dropped
+  std::size_t max_origins = 16'384;  // about 5 MB; the one that expires first is dropped
   std::size_t copies = 3;            // holders of an attempt; two may end at the same time
   milliseconds resend_interval = milliseconds(100);
   std::uint32_t max_sends = 8;  // of one copy to one holder
