Keep requests waiting while no engine is registered

Cause: the check for streams whose version is gone, added with the bound streams, also refused requests that are bound to no version when the list of decode engines was empty for a moment, as stream_version_gone. Found by reading the change; no run had shown it.

Change: only bound streams are checked. model_call_test.WaitingCall_WhileNoEngineIsRegistered_KeepsItsPlace failed before (503 stream_version_gone) and passes now, with stream_version_test.

--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -303,7 +303,7 @@
 void generation_calls::RejectStrandedStreams(service_queue& queue, const std::vector<chosen_endpoint>& engines) {
   std::vector<waiting_ptr> stranded;
   for (const auto& [request, waiting] : queue.waiting) {
-    if (!IsAnyUsableFor(*waiting->call, engines)) {
+    if (waiting->call->engine_version && !IsAnyUsableFor(*waiting->call, engines)) {
       stranded.push_back(waiting);
     }
   }
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -651,6 +651,24 @@
   EXPECT_EQ(first_.Prefills(), 10);
 }
 
+// Guards against refusing requests that wait while the entries of all engines are missing for a moment.
+TEST_F(model_call_test, WaitingCall_WhileNoEngineIsRegistered_KeepsItsPlace) {
+  SetBoth({.full = true});
+  const auto call = harness_.SendModel("/chat/1", "a1");
+  harness_.RunFor(milliseconds(100));
+  for (fake_replica* engine : {&first_, &second_}) {
+    engine->Unregister(harness_.Platform().Tables());
+  }
+  ASSERT_TRUE(harness_.RunUntil([this] { return harness_.Directory().Endpoints().Size() == 1; }));
+  harness_.RunFor(milliseconds(200));
+  SetBoth({});
+  for (fake_replica* engine : {&first_, &second_}) {
+    engine->Register(harness_.Platform().Tables());
+  }
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->body, WholeStream("a1", 5));
+}
+
 TEST_F(model_call_test, CallerThatLeaves_WhileItsStreamRuns_FreesTheEngine) {
   first_.Faults().never_responds = true;
   second_.Faults().never_responds = true;
