Correct the comment on the memory limit of the soak

The comment called 110 MB the least that a deployment states; entry VMs of the grown deployment have 88 MB. Only the comment changes; the limit stays.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -38,7 +38,7 @@
 HEARTBEAT_MS = 1200
 IDLE_LIMIT_MS = 15000  # for connections of callers
 MAX_BODY_BYTES = 4 << 20  # a caller stops reading a longer body
-MEMORY_LIMIT_MB = 110  # of an entry VM, the least that a deployment states
+MEMORY_LIMIT_MB = 110  # of an entry VM of the smallest deployment; VMs of larger ones have 88 MB and more
 EXPIRY_MS = 3 * HEARTBEAT_MS
 
 
