Use an ejected engine where every usable one is ejected

What callers saw: a stream that broke off waited for 2.5 s and was then broken off (reason "overdue"), although an engine of its version was serving.

Cause: an engine is taken out of rotation by its health within the pool of the service, at most a third of it. A request may be bound to a part of that pool: by the software version that began its stream, and by the engines that have already failed it. If all of that part is ejected, no engine is left to it. The choice for plain calls uses an ejected endpoint in this case; the choice for model calls did not.

Ruled out: ejecting fewer engines (the bound on the pool is right; it is the request that has no other) and separate health tables by version (two engines, one of which the request avoids, would meet the same end).

Evidence: the new test failed before (no run at the ejected engine, 3.3 s) and passes now.

--- a/src/direct/endpoint_tracker.cpp
+++ b/src/direct/endpoint_tracker.cpp
@@ -216,6 +216,12 @@
          !IsClosed(endpoint);
 }
 
+double endpoint_tracker::HealthShare(const endpoint_name& endpoint) const {
+  const endpoint_entry* entry = directory_->Endpoints().Find(endpoint);
+  const auto health = entry == nullptr ? health_.end() : health_.find(entry->service);
+  return health == health_.end() ? 1.0 : health->second.HealthShare(endpoint);
+}
+
 std::vector<endpoint_view> endpoint_tracker::PlainViews(const std::vector<chosen_endpoint>& endpoints,
                                                         const std::vector<endpoint_name>& avoid) const {
   const time_point now = timer_service::Now();
@@ -225,9 +231,7 @@
     view.name = endpoint.name;
     view.zone = endpoint.zone;
     view.can_receive = CanReceive(endpoint, now) && !Contains(avoid, endpoint.name);
-    const endpoint_entry* entry = directory_->Endpoints().Find(endpoint.name);
-    const auto health = entry == nullptr ? health_.end() : health_.find(entry->service);
-    view.health_share = health == health_.end() ? 1.0 : health->second.HealthShare(endpoint.name);
+    view.health_share = HealthShare(endpoint.name);
     const endpoint_state* state = FindState(endpoint.name);
     view.calls_in_progress = (state == nullptr ? 0U : state->use.calls) + group_->PeerUse(endpoint.name).calls;
     views.push_back(std::move(view));
@@ -242,22 +246,26 @@
   return views;
 }
 
-std::vector<engine_view> endpoint_tracker::EngineViews(const std::vector<chosen_endpoint>& endpoints,
-                                                       const engine_profile& profile,
-                                                       const std::vector<endpoint_name>& avoid) const {
+std::vector<engine_view> endpoint_tracker::EngineViews(
+    const std::vector<chosen_endpoint>& endpoints, const engine_profile& profile,
+    const std::vector<endpoint_name>& avoid, const std::function<bool(const chosen_endpoint&)>& is_usable) const {
   const time_point now = timer_service::Now();
+  const auto is_candidate = [&](const chosen_endpoint& endpoint) {
+    return is_usable(endpoint) && !Contains(avoid, endpoint.name);
+  };
+  const bool all_ejected = std::none_of(endpoints.begin(), endpoints.end(), [&](const chosen_endpoint& endpoint) {
+    return is_candidate(endpoint) && HealthShare(endpoint.name) > 0;
+  });
   std::vector<engine_view> views;
   for (const chosen_endpoint& endpoint : endpoints) {
     const endpoint_state* state = FindState(endpoint.name);
     const endpoint_use local_use = state == nullptr ? endpoint_use{} : state->use;
     const endpoint_use& peer_use = group_->PeerUse(endpoint.name);
-    const endpoint_entry* entry = directory_->Endpoints().Find(endpoint.name);
-    const auto health = entry == nullptr ? health_.end() : health_.find(entry->service);
-    const double health_share = health == health_.end() ? 1.0 : health->second.HealthShare(endpoint.name);
+    const bool is_in_rotation = all_ejected || RandomUnit() < HealthShare(endpoint.name);
     engine_view view;
     view.name = endpoint.name;
     view.zone = endpoint.zone;
-    view.can_receive = CanReceive(endpoint, now) && !Contains(avoid, endpoint.name) && RandomUnit() < health_share;
+    view.can_receive = CanReceive(endpoint, now) && is_candidate(endpoint) && is_in_rotation;
     view.kv_tokens = profile.kv_tokens;
     view.slots = profile.slots;
     view.streams = peer_use.streams;
--- a/src/direct/endpoint_tracker.h
+++ b/src/direct/endpoint_tracker.h
@@ -68,8 +68,12 @@
   std::vector<chosen_endpoint> ListEndpoints(const std::string& service, std::optional<endpoint_role> role) const;
   std::vector<endpoint_view> PlainViews(const std::vector<chosen_endpoint>& endpoints,
                                         const std::vector<endpoint_name>& avoid) const;
-  std::vector<engine_view> EngineViews(const std::vector<chosen_endpoint>& endpoints, const engine_profile& profile,
-                                       const std::vector<endpoint_name>& avoid) const;
+  // `is_usable`: false for engines that cannot serve the request, whatever their state. An ejected engine is used if
+  // all usable ones are ejected.
+  std::vector<engine_view> EngineViews(
+      const std::vector<chosen_endpoint>& endpoints, const engine_profile& profile,
+      const std::vector<endpoint_name>& avoid,
+      const std::function<bool(const chosen_endpoint&)>& is_usable = [](const chosen_endpoint&) { return true; }) const;
 
   // True if the endpoint is registered with the same incarnation and is not draining.
   bool IsCurrent(const chosen_endpoint& endpoint) const;
@@ -114,6 +118,7 @@
   endpoint_state& StateOf(const endpoint_name& endpoint);
   const endpoint_state* FindState(const endpoint_name& endpoint) const;
   bool CanReceive(const chosen_endpoint& endpoint, time_point now) const;
+  double HealthShare(const endpoint_name& endpoint) const;
   void UpdateHealth();
   void RemoveIdleStates();
   void RemoveEndedClosures();
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -254,11 +254,11 @@
   settings.local_prefill_limit = static_cast<std::uint32_t>(settings_.local_prefill_limit);
   const auto choose = [&](const placement_request& request) {
     const waiting_request& waiting = *queue.waiting.at(request.request);
-    auto views = endpoint_tracker_->EngineViews(engines, profile, waiting.avoid);
+    auto views = endpoint_tracker_->EngineViews(engines, profile, waiting.avoid, [&](const chosen_endpoint& engine) {
+      return IsUsableFor(*waiting.call, engine);
+    });
     double streams = 0;
-    for (std::size_t i = 0; i < views.size(); ++i) {
-      engine_view& view = views[i];
-      view.can_receive = view.can_receive && IsUsableFor(*waiting.call, engines[i]);
+    for (engine_view& view : views) {
       streams += static_cast<double>(view.streams.size()) / static_cast<double>(views.size());
       view.headroom_tokens = queue.output_lengths.Headroom(view.running);
     }
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -927,6 +927,31 @@
   }
 }
 
+// Guards against waiting in vain for an ejected engine, because the pool has healthy ones that the stream cannot use.
+TEST_F(stream_version_test, Stream_WhoseOnlyOtherEngineIsEjected_GoesOnThere) {
+  for (std::size_t i = 1; i < engines_.size(); ++i) {
+    engines_[i]->Faults().full = true;
+  }
+  const auto engines = harness_.EndpointTracker().ListEndpoints("llm", endpoint_role::kDecode);
+  const auto ejected = std::find_if(engines.begin(), engines.end(),
+                                    [](const chosen_endpoint& engine) { return engine.name.value == "old-2"; });
+  ASSERT_NE(ejected, engines.end());
+  constexpr milliseconds kHealthUpdate(400);  // longer than the period between health updates
+  harness_.EndpointTracker().RecordAnswer(*ejected);
+  harness_.RunFor(kHealthUpdate);  // health is tracked from the first answer on
+  for (std::uint32_t i = 0; i < health_settings{}.failures_to_eject; ++i) {
+    harness_.EndpointTracker().RecordFailure(*ejected);
+  }
+  harness_.RunFor(kHealthUpdate);
+  engines_[0]->Faults().break_after_events = 2;
+  const auto call = harness_.SendModel("/digest/1", "a1");
+  ASSERT_TRUE(harness_.RunUntil([&] { return engines_[0]->Runs("a1") == 1; }));
+  engines_[1]->Faults().full = false;
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_FALSE(call->failure);
+  EXPECT_EQ(engines_[1]->Runs("a1"), 1);
+}
+
 // Guards against going on at another version because the last engine of the first one is gone.
 TEST_F(stream_version_test, Stream_WhoseVersionHasNoOtherEngine_LooksBrokenToTheCaller) {
   engines_[1]->Unregister(harness_.Platform().Tables());
