--- a/src/fakes/fake_engine.cpp
+++ b/src/fakes/fake_engine.cpp
@@ -239,6 +239,8 @@
   double slow_factor = 1;
   bool stall_transfers = false;
   std::string crash_text;
+  std::optional<std::size_t> cut_after_bytes;  // decode streams break off after this many bytes of their body
+  std::string cut_framing;                     // of such streams: "chunks", "last_chunk" or "connection_end"
 
   bool HasRole(std::string_view role) const { return std::find(roles.begin(), roles.end(), role) != roles.end(); }
 
@@ -539,7 +541,30 @@
     exchange->OnDisconnect([this, job] { EndDecode(job, "cancelled"); });
     asio::co_spawn(context, ReceiveKvCache(job, source.value(), input.at("kv").get<std::string>(), pieces),
                    asio::detached);
-    co_await StreamDecode(exchange, job);
+    if (cut_after_bytes) {
+      co_await StreamCutDecode(exchange, job);
+    } else {
+      co_await StreamDecode(exchange, job);
+    }
+  }
+
+  // Sends the first bytes of the whole body and breaks off.
+  task<> StreamCutDecode(exchange_ptr exchange, decode_ptr job) {
+    while (!job->ended) {
+      co_await job->changed.Wait();
+    }
+    const std::string whole = job->pending_output + DecodeEnd(*job);
+    std::string part = whole.substr(0, *cut_after_bytes);
+    (void)co_await exchange->WriteChunk(std::move(part));
+    if (cut_framing == "chunks") {
+      exchange->AbortStream();
+    } else {
+      (void)co_await exchange->FinishStream();
+    }
+  }
+
+  static std::string DecodeEnd(const decode_job& job) {
+    return job.failure.empty() ? JsonLine({{"done", true}, {"reason", "length"}}) : JsonLine({{"error", job.failure}});
   }
 
   // Runs concurrently with StreamDecode, so that a cancellation ends the stream while a piece is still outstanding.
@@ -561,8 +586,7 @@
       std::string lines = std::exchange(job->pending_output, std::string());
       const bool last = job->ended;
       if (last) {
-        lines += job->failure.empty() ? JsonLine({{"done", true}, {"reason", "length"}})
-                                      : JsonLine({{"error", job->failure}});
+        lines += DecodeEnd(*job);
       }
       (void)co_await exchange->WriteChunk(std::move(lines));
       if (last) {
@@ -667,6 +691,11 @@
     slow_factor = input.value("slow_factor", slow_factor);
     crash_text = input.value("crash_on", crash_text);
     stall_transfers = input.value("stall_transfers", stall_transfers);
+    if (input.contains("cut_after_bytes")) {
+      const json& bytes = input.at("cut_after_bytes");
+      cut_after_bytes = bytes.is_null() ? std::nullopt : std::optional(bytes.get<std::size_t>());
+    }
+    cut_framing = input.value("cut_framing", cut_framing);
     for (const auto& [kv, job] : prefills) {
       job->changed.NotifyAll();
     }
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -107,6 +107,12 @@
   }
 }
 
+body_framing fake_replica::Framing() const {
+  return faults_.states_length ? body_framing::kLength
+         : faults_.unframed    ? body_framing::kConnectionEnd
+                               : body_framing::kChunks;
+}
+
 http_response fake_replica::NotExecuted(int status) const {
   http_response response{
       status, {{"Persimmonchute-Not-Executed", "1"}, {"Persimmonchute-Instance-Id", options_.name}}, {}};
@@ -304,6 +310,8 @@
   } else if (faults_.returns_500) {
     http_response failed{500, ResponseHeaders(attempt), "failed"};
     co_await Answer(exchange, std::move(failed));
+  } else if (options_.stage.empty() && exchange->Request().target.starts_with("/feed/")) {
+    co_await StreamEvents(exchange, attempt);
   } else if (options_.stage == "decode") {
     if (Header(exchange->Request(), "Persimmonchute-Kv-Source").empty()) {
       local_prefill_tokens_.push_back(PromptTokens(exchange->Request()));
@@ -338,13 +346,40 @@
   }
 }
 
+task<> fake_replica::BreakOff(std::shared_ptr<http_exchange> exchange) {
+  if (faults_.breaks_in_order) {
+    (void)co_await exchange->FinishStream();
+  } else {
+    exchange->AbortStream();
+  }
+  if (faults_.stops_at_cut) {
+    Stop();
+  }
+}
+
 task<> fake_replica::StreamEvents(std::shared_ptr<http_exchange> exchange, std::string attempt) {
   std::uint32_t last_event_id = 0;
   const std::string resume = Header(exchange->Request(), "Last-Event-Id");
   std::from_chars(resume.data(), resume.data() + resume.size(), last_event_id);
   header_list headers = ResponseHeaders(attempt);
   headers.push_back({"Content-Type", "text/event-stream"});
+  const auto event_text = [&attempt](std::uint32_t id) {
+    return fmt::format("id: {}\ndata: piece {} of {}\n\n", id, id, attempt);
+  };
+  std::string whole;
+  for (std::uint32_t id = last_event_id + 1; id <= options_.events; ++id) {
+    whole += event_text(id);
+  }
+  if (faults_.states_length) {
+    headers.push_back({"Content-Length", std::to_string(whole.size())});
+  }
   auto sent = co_await exchange->StartStream(200, std::move(headers), Framing());
+  if (faults_.cut_after_bytes) {
+    std::string part = whole.substr(0, *faults_.cut_after_bytes);
+    (void)co_await exchange->WriteChunk(std::move(part));
+    co_await BreakOff(exchange);
+    co_return;
+  }
   while (sent && faults_.endless_event && !exchange->IsDisconnected()) {
     std::string filler(kEndlessPartBytes, 'x');
     sent = co_await exchange->WriteChunk(std::move(filler));
@@ -354,14 +389,10 @@
     if (faults_.break_after_events != 0 && sent_events == faults_.break_after_events) {
       std::string incomplete = fmt::format("id: {}\ndata: piece {}", id, id);  // an event without its end
       (void)co_await exchange->WriteChunk(std::move(incomplete));
-      if (faults_.breaks_in_order) {
-        (void)co_await exchange->FinishStream();
-      } else {
-        exchange->AbortStream();
-      }
+      co_await BreakOff(exchange);
       co_return;
     }
-    std::string event = fmt::format("id: {}\ndata: piece {} of {}\n\n", id, id, attempt);
+    std::string event = event_text(id);
     sent = co_await exchange->WriteChunk(std::move(event));
     ++sent_events;
     co_await timers_.Sleep(options_.event_interval);
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -1,5 +1,5 @@
 // Fake of an endpoint that routers call directly: a plain service, a prefill engine or a decode engine, with its entry
-// in the table service and fault injection.
+// in the table service and fault injection. A plain service answers requests below /feed/ with a stream of events.
 //
 // It counts the requests that it runs, so that tests can check what reached it. It has no queue. Only the events of a
 // stream and, if tokens_per_ms is set, the prefill of prompts take time.
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -52,11 +53,14 @@
   bool encoded = false;                  // states a content encoding, so the bytes are not the endpoint's own
   bool unframed = false;                 // bodies have neither a length nor chunks and end with the connection
   bool breaks_in_order = false;          // streams that break off end like whole ones: last chunk, or orderly close
+  bool states_length = false;            // bodies of streams have a length
+  bool stops_at_cut = false;             // the endpoint stops when cut_after_bytes breaks off a stream
   bool handles_expire = false;           // KV cache handles of prefills expire immediately
   std::string crash_on = {};             // running a request with this body stops the endpoint
   milliseconds retry_after{0};           // stated in rejections with status 503; 0: not stated
   milliseconds reserve_delay{0};         // before a reservation is granted or refused
   std::uint32_t break_after_events = 0;  // streams break off after this many events; 0: never
+  std::optional<std::size_t> cut_after_bytes = {};  // streams break off after this many bytes of their body
 
   bool operator==(const replica_faults&) const = default;
 };
@@ -100,9 +104,10 @@
  private:
   task<> Handle(std::shared_ptr<http_exchange> exchange);
   task<> ServeRequest(std::shared_ptr<http_exchange> exchange);
-  body_framing Framing() const { return faults_.unframed ? body_framing::kConnectionEnd : body_framing::kChunks; }
+  body_framing Framing() const;
   task<> Answer(std::shared_ptr<http_exchange> exchange, http_response answer);
   task<> StreamEvents(std::shared_ptr<http_exchange> exchange, std::string attempt);
+  task<> BreakOff(std::shared_ptr<http_exchange> exchange);
   http_response Reserve(const http_request& request);
   task<> ServePrefill(std::shared_ptr<http_exchange> exchange);
   task<> SimulatePrefill(const http_request& request, double rate);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -238,6 +238,9 @@
     keep_alive_ = keep_alive_ && chunked_ && !server_->disable_keep_alive;
     message.keep_alive(keep_alive_ && !server_->draining);
     message.chunked(chunked_);
+    if (framing == body_framing::kLength) {
+      message.set(http::field::content_length, FindHeader(headers, "Content-Length"));
+    }
     http::response_serializer<http::empty_body> serializer(message);
     sys_error failure;
     in_unframed_body_ = !chunked_;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -98,8 +98,9 @@
   // Sends a complete response. Errors: kClosed if the caller has disconnected; kTimeout.
   task<result<void>> Respond(http_response response);
 
-  // Sends the status line and headers of a response whose body follows in parts. kConnectionEnd: the body is sent
-  // without chunks and ends with the connection, as always for callers that speak HTTP/1.0.
+  // Sends the status line and headers of a response whose body follows in parts. kLength: the headers state its length.
+  // kConnectionEnd: the body is sent without chunks and ends with the connection, as always for callers that speak
+  // HTTP/1.0.
   task<result<void>> StartStream(int status, header_list headers, body_framing framing = body_framing::kChunks);
   task<result<void>> WriteChunk(std::string data);
   task<result<void>> FinishStream();
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -338,6 +338,36 @@
   RunDecode(Router(), "again", prompt, 5);
 }
 
+// Guards against taking the end of a cut stream, however its end is framed, for the end of the answer.
+TEST_F(agent_test, DecodeStream_CutAtAnyByte_IsNeverReportedAsFinished) {
+  StartModelEndpoint({"--kv_lifetime_ms=60000", "--decode_base_ms=0.1", "--decode_slope_ms=0.1"});
+  constexpr std::uint32_t kTokens = 2;
+  const std::string prompt = MakePrompt(20);
+  std::uint32_t number = 0;
+  // Decodes the prompt and returns the end that the agent reports.
+  const auto decode = [&](const json& faults) {
+    Post(engine_port_, "/faults", faults);
+    const std::string attempt = "d" + std::to_string(++number);
+    StartPrefill(Router(), "prefill-" + attempt, prompt);
+    StartDecode(Router(), attempt, AwaitTicket(Router(), "prefill-" + attempt), kTokens);
+    EXPECT_TRUE(RunUntil([&] {
+      const auto* part = Router().Last<tokens>(attempt);
+      return part != nullptr && part->state != work_state::kRunning;
+    }));
+    return attempt;
+  };
+  for (const char* framing : {"chunks", "last_chunk", "connection_end"}) {
+    bool is_whole = false;
+    for (std::size_t bytes = 0; !is_whole && !HasFatalFailure(); ++bytes) {
+      const std::string attempt = decode({{"cut_after_bytes", bytes}, {"cut_framing", framing}});
+      is_whole = Router().Last<tokens>(attempt)->state == work_state::kFinished;
+      const auto received = Router().ReceivedTokens(attempt);
+      EXPECT_EQ(received, ExpectedTokens(prompt, 0, static_cast<std::uint32_t>(received.size()))) << bytes;
+      EXPECT_TRUE(!is_whole || received.size() == kTokens) << framing << ", after " << bytes << " bytes";
+    }
+  }
+}
+
 TEST_F(agent_test, Transfer_WhenStalledOnce_IsRepeated) {
   StartModelEndpoint({"--piece_timeout_ms=200", "--kv_lifetime_ms=60000"});
   Post(engine_port_, "/faults", {{"stall_transfers", true}});
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -591,6 +591,110 @@
   }
 }
 
+// How a stream ends that is cut: what marks the end of its body, and whether its connection ends in order.
+struct stream_cut {
+  const char* name;
+  fakes::replica_faults faults;
+  bool proves_end;  // the end of a whole body cannot be mistaken for a cut
+};
+
+const stream_cut kStreamCuts[] = {
+    {"with a length", {.breaks_in_order = true, .states_length = true}, true},
+    {"in chunks", {}, true},
+    {"in chunks, with the last one", {.breaks_in_order = true}, false},
+    {"with neither, closed in order", {.unframed = true, .breaks_in_order = true}, false},
+    {"with neither, reset", {.unframed = true}, true},
+};
+
+// A stream of two events that is cut after every number of bytes.
+class stream_cut_test : public testing::Test {
+ protected:
+  static constexpr std::uint32_t kEvents = 2;
+
+  // Sends a request for each cut and checks its response.
+  template <class checker>
+  static void CutEverywhere(const stream_cut& cut, bool staged, const std::string& path, const checker& check) {
+    router_harness harness([](direct_settings& settings) { settings.deployment.budget_slack = 1'000; });
+    std::vector<fake_replica*> engines;
+    for (const char* name : {"dec-1", "dec-2"}) {
+      replica_options options = path == "/feed/1" ? PlainReplica(name) : Engine(name, "decode");
+      options.events = kEvents;
+      options.event_interval = milliseconds(0);
+      engines.push_back(&harness.AddReplica(options));
+    }
+    if (staged) {
+      harness.AddReplica(Engine("pre-1", "prefill"));
+    }
+    harness.WriteDesiredState({.timeout_ms = 14'000});
+    ASSERT_TRUE(harness.Start());
+    const std::string whole = WholeStream("a1000", kEvents);
+    const std::size_t first_event_end = whole.find("\n\n") + 2;
+    for (std::size_t bytes = 0; bytes < whole.size(); ++bytes) {
+      const std::string attempt = "a" + std::to_string(1'000 + bytes);
+      for (fake_replica* engine : engines) {
+        engine->Faults() = cut.faults;
+        engine->Faults().cut_after_bytes = bytes;
+      }
+      const auto call = harness.SendModel(path, attempt);
+      ASSERT_TRUE(harness.RunUntil([&] { return engines[0]->Runs(attempt) + engines[1]->Runs(attempt) > 0; }));
+      engines[engines[0]->Runs(attempt) > 0 ? 1 : 0]->Faults() = {};
+      ASSERT_TRUE(harness.Finish(call)) << bytes;
+      check(*call, WholeStream(attempt, kEvents), bytes, bytes == first_event_end);
+    }
+  }
+};
+
+// Guards against framing a response as complete whose stream was cut.
+TEST_F(stream_cut_test, Stream_CutAtAnyByte_LooksBrokenToTheCaller) {
+  for (const stream_cut& cut : kStreamCuts) {
+    for (const bool staged : {true, false}) {
+      CutEverywhere(cut, staged, "/chat/1", [&](const auto& call, const auto&, std::size_t bytes, bool between_events) {
+        if (cut.proves_end || !between_events) {
+          EXPECT_TRUE(call.failure) << cut.name << ", staged " << staged << ", after " << bytes << " bytes";
+        }
+      });
+    }
+  }
+}
+
+// Guards against a gap, a repetition or an early end when another engine continues a stream that was cut.
+TEST_F(stream_cut_test, ResumableStream_CutAtAnyByte_ReachesTheCallerWhole) {
+  for (const stream_cut& cut : kStreamCuts) {
+    for (const bool staged : {true, false}) {
+      CutEverywhere(cut, staged, "/digest/1",
+                    [&](const auto& call, const auto& whole, std::size_t bytes, bool between_events) {
+                      if (cut.proves_end || !between_events) {
+                        EXPECT_FALSE(call.failure) << cut.name << ", after " << bytes << " bytes";
+                        EXPECT_EQ(call.body, whole) << cut.name << ", after " << bytes << " bytes";
+                      }
+                    });
+    }
+  }
+}
+
+// Guards against passing on the cut stream of a service without engines as a plain answer that is whole.
+TEST_F(stream_cut_test, StreamOfAPlainService_CutAtAnyByte_IsNotPassedOnAsWhole) {
+  for (const stream_cut& cut : kStreamCuts) {
+    CutEverywhere(cut, false, "/feed/1", [&](const auto& call, const auto&, std::size_t bytes, bool between_events) {
+      if (cut.proves_end || !between_events) {
+        EXPECT_TRUE(call.failure || call.Status() != 200) << cut.name << ", after " << bytes << " bytes";
+      }
+    });
+  }
+}
+
+// Guards against taking the end of a crashed engine's connection between two events for the end of the stream.
+TEST_F(model_call_test, UnframedStream_WhoseEngineCrashesBetweenEvents_GoesOnAtAnotherEngine) {
+  const std::size_t first_event = WholeStream("a1", 1).size();
+  SetBoth({.unframed = true, .breaks_in_order = true, .stops_at_cut = true, .cut_after_bytes = first_event});
+  const auto call = harness_.SendModel("/digest/1", "a1");
+  ASSERT_TRUE(harness_.RunUntil([&] { return Runs("a1") == 1; }));
+  (first_.Runs("a1") == 1 ? second_ : first_).Faults() = {};
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_FALSE(call->failure);
+  EXPECT_EQ(call->body, WholeStream("a1", 5));
+}
+
 TEST_F(model_call_test, Stream_ThatBreaksOffOnAnotherRoute_LooksBrokenToTheCaller) {
   first_.Faults().break_after_events = 2;
   second_.Faults().break_after_events = 2;
