Break off a cut stream of a service without engines

What callers would see: on a route of kind streaming that leads to a service without engines (a split may), a stream that was cut but ended in order reached them as a complete response.

Cause: such streams are served by the path for plain calls, which trusts the framing of the body. Only the path for engines looked at the events.

Change: event_splitter::FindBrokenEnd states why a stream cannot be whole, and both paths ask it. A response that states another content than events is not judged by them.

--- a/include/persimmon/event_stream.h
+++ b/include/persimmon/event_stream.h
@@ -25,6 +25,10 @@
   // framed. Line breaks between events belong to none.
   bool IsInsideEvent() const { return incomplete_.find_first_not_of("\r\n") != std::string::npos; }
 
+  // Reason why a stream that ends here has been broken off: it ends inside an event, or before its first one. Null if
+  // it may be whole. `may_be_empty`: the stream continues one that may have nothing left.
+  const char* FindBrokenEnd(bool may_be_empty) const;
+
   // Discards the incomplete event, after its endpoint was lost.
   void DropIncomplete() { incomplete_.clear(); }
 
--- a/src/decisions/event_stream.cpp
+++ b/src/decisions/event_stream.cpp
@@ -24,6 +24,13 @@
   return complete;
 }
 
+const char* event_splitter::FindBrokenEnd(bool may_be_empty) const {
+  if (IsInsideEvent()) {
+    return "the body ends inside an event";
+  }
+  return events_ == 0 && !may_be_empty ? "the body ends before its first event" : nullptr;
+}
+
 void event_splitter::RecordEvent(std::string_view event) {
   ++events_;
   while (!event.empty()) {
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -712,10 +712,8 @@
       failure = FormatError(piece.error());
     } else if (stream.events.IsOversized()) {
       failure = "an event exceeds the maximum length";
-    } else if (is_end && stream.events.IsInsideEvent()) {
-      failure = "the body ends inside an event";
-    } else if (is_end && stream.events.EventCount() == 0 && continued_after.empty()) {
-      failure = "the body ends before its first event";
+    } else if (const char* broken = is_end ? stream.events.FindBrokenEnd(!continued_after.empty()) : nullptr) {
+      failure = broken;
     }
     if (!failure.empty()) {
       endpoint_tracker_->RecordFailure(assignment.engine);
--- a/src/direct/plain_calls.cpp
+++ b/src/direct/plain_calls.cpp
@@ -4,6 +4,7 @@
 
 #include "core/event_log.h"
 #include "core/random.h"
+#include "persimmon/event_stream.h"
 
 namespace persimmon {
 namespace {
@@ -11,8 +12,15 @@
 constexpr const char* kComponent = "router.plain";
 constexpr std::uint32_t kMaxConnectAttempts = 4;  // unreachable endpoints that are tried for one request
 constexpr milliseconds kMinTimeLeft(20);          // with less time left, an attempt cannot succeed and is not started
+constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
 
+// True for a successful response that states no other content than events.
+bool IsEventStream(const http_response_head& head) {
+  const std::string_view type = FindHeader(head.headers, "Content-Type");
+  return head.status < kFirstRedirect && (type.empty() || type.starts_with("text/event-stream"));
+}
+
 bool ImpliesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
 }  // namespace
@@ -135,6 +143,9 @@
     // would conclude that the call has not run, which the endpoint has not stated.
     const bool is_forwardable = metadata.has_seal && !metadata.is_encoded && !metadata.proves_not_run &&
                                 !ImpliesNotRun(outcome.response.status);
+    // The framing does not prove that a stream of events is whole.
+    const bool is_stream = call->Route().kind == call_kind::kStreaming && IsEventStream(head.value());
+    event_splitter events;
     bool complete = false;
     while (!complete && !failure) {
       auto piece = co_await upstream.Read(deadline);
@@ -143,6 +154,13 @@
         break;
       }
       complete = piece.value().empty();
+      (void)events.Add(is_stream ? std::string_view(piece.value()) : std::string_view());
+      const char* broken =
+          complete && is_stream ? events.FindBrokenEnd(!call->Metadata().resume_after.empty()) : nullptr;
+      if (broken != nullptr || events.IsOversized()) {
+        failure = error{error_code::kClosed, broken != nullptr ? broken : "an event exceeds the maximum length"};
+        break;
+      }
       const bool is_long = outcome.response.body.size() + piece.value().size() > kMaxBufferedBytes;
       if (is_long && !outcome.is_streamed && !is_forwardable) {
         failure = error{error_code::kProtocol,
--- a/tests/event_stream_test.cpp
+++ b/tests/event_stream_test.cpp
@@ -54,6 +54,17 @@
   }
 }
 
+// Guards against taking a body without any event for a whole stream.
+TEST(event_splitter_test, FindBrokenEnd_WithoutAnyEvent_AllowsItOnlyForAContinuedStream) {
+  event_splitter events;
+  EXPECT_NE(events.FindBrokenEnd(false), nullptr);
+  EXPECT_EQ(events.FindBrokenEnd(true), nullptr);
+  events.Add("data: a\n");
+  EXPECT_NE(events.FindBrokenEnd(true), nullptr);
+  events.Add("\n");
+  EXPECT_EQ(events.FindBrokenEnd(false), nullptr);
+}
+
 TEST(event_splitter_test, LastId_WithoutIds_StaysEmpty) {
   event_splitter events;
   events.Add("data: a\n\n");
