Check that the engine still runs when an unframed stream ends

What callers would see: a stream that misses its last events, framed as complete.

Cause: a body with neither a length nor chunks ends with its connection. If its engine crashes between two events, the bytes look like a whole stream.

Change: at the end of such a body the router checks whether the engine still accepts connections, as it does after a broken one; if not, the stream counts as broken off. Bodies with a length or chunks prove their end and need no check. An engine that is leaving may stop right after its last stream and is not checked.

What remains: an engine that lives and cuts such a body in order between two events cannot be told from one that has finished.

--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -678,6 +678,21 @@
                           : queue.stream_time + (duration - queue.stream_time) / kStreamTimeSamples;
 }
 
+// Returns why a stream whose body has ended was broken off, and an empty text if it is whole.
+task<std::string> generation_calls::CheckStreamEnd(const direct_call& call, const http_call& upstream,
+                                                   chosen_endpoint engine, const event_splitter& events,
+                                                   bool may_be_empty) {
+  if (const char* broken = events.FindBrokenEnd(may_be_empty)) {
+    co_return broken;
+  }
+  // A crash ends a body without length or chunks like its end does. A leaving engine may stop after its last stream.
+  if (upstream.Framing() != body_framing::kConnectionEnd || !endpoint_tracker_->IsCurrent(engine)) {
+    co_return std::string();
+  }
+  const bool has_crashed = co_await suspect_tracker_->HasCrashed(engine, call.Service().health_path);
+  co_return has_crashed ? "the engine has crashed at the end of a body without framing" : "";
+}
+
 task<generation_calls::decode_result> generation_calls::ForwardStream(direct_call_ptr call, http_call& upstream,
                                                                       const engine_assignment& assignment,
                                                                       stream_state& stream) {
@@ -712,8 +727,8 @@
       failure = FormatError(piece.error());
     } else if (stream.events.IsOversized()) {
       failure = "an event exceeds the maximum length";
-    } else if (const char* broken = is_end ? stream.events.FindBrokenEnd(!continued_after.empty()) : nullptr) {
-      failure = broken;
+    } else if (is_end) {
+      failure = co_await CheckStreamEnd(*call, upstream, assignment.engine, stream.events, !continued_after.empty());
     }
     if (!failure.empty()) {
       endpoint_tracker_->RecordFailure(assignment.engine);
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -109,6 +109,8 @@
                              std::optional<platform::kv_source> source, stream_state& stream);
   task<decode_result> ForwardStream(direct_call_ptr call, http_call& upstream, const engine_assignment& assignment,
                                     stream_state& stream);
+  task<std::string> CheckStreamEnd(const direct_call& call, const http_call& upstream, chosen_endpoint engine,
+                                   const event_splitter& events, bool may_be_empty);
   task<call_outcome> Finish(direct_call_ptr call, decode_result result, stream_state& stream, bool may_have_run);
 
   task<> CheckEngine(chosen_endpoint engine);
--- a/src/direct/suspect_tracker.cpp
+++ b/src/direct/suspect_tracker.cpp
@@ -77,12 +77,16 @@
   asio::co_spawn(kernel_.Context(), CheckEndpoint(fingerprint, endpoint, health_path), asio::detached);
 }
 
-task<> suspect_tracker::CheckEndpoint(fingerprint_number fingerprint, chosen_endpoint endpoint,
-                                      std::string health_path) {
+task<bool> suspect_tracker::HasCrashed(chosen_endpoint endpoint, std::string health_path) {
   co_await kernel_.Timers().Sleep(kHealthCheckDelay);
   http_request request{"GET", health_path.empty() ? "/" : health_path, {}, {}, {}};
   auto response = co_await client_.Fetch(endpoint.address, std::move(request), kHealthCheckTimeout);
-  const bool has_crashed = !response && response.error().code == error_code::kUnavailable;
+  co_return !response && response.error().code == error_code::kUnavailable;
+}
+
+task<> suspect_tracker::CheckEndpoint(fingerprint_number fingerprint, chosen_endpoint endpoint,
+                                      std::string health_path) {
+  const bool has_crashed = co_await HasCrashed(endpoint, std::move(health_path));
   if (has_crashed) {
     const auto suspects = suspects_.RecordCrash(endpoint.name, timer_service::Now());
     Events()
--- a/src/direct/suspect_tracker.h
+++ b/src/direct/suspect_tracker.h
@@ -33,6 +33,10 @@
   void RecordDisconnect(fingerprint_number fingerprint, const chosen_endpoint& endpoint,
                         const std::string& health_path);
 
+  // True if the endpoint refuses a connection shortly after its response has ended. One that does not answer in time
+  // has not crashed.
+  task<bool> HasCrashed(chosen_endpoint endpoint, std::string health_path);
+
  private:
   task<> CheckEndpoint(fingerprint_number fingerprint, chosen_endpoint endpoint, std::string health_path);
 
