Log the parts of the prompt of a decode call that was cut

Logs could not tell whether the requests under which engines crash have anything in common: the fingerprint is that of the whole request. At most 32 parts are kept of a request.

No decision reads them yet. Tests: the parse, malformed entries and the limit.

--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -6,6 +6,7 @@
 #include "direct/generation_calls.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -631,6 +632,7 @@
         .Add("endpoint", assignment.engine.name.value)
         .Add("result", static_cast<int>(outcome))
         .Add("events", stream.events.EventCount())
+        .Add("parts", fmt::format("{:x}", fmt::join(call->Metadata().shared_parts, ",")))
         .Add("extra_sends", call->extra_sends)
         .Add("chosen_ms_before", ElapsedMs(assignment.chosen_at, begin))
         .Add("detail", detail)
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -196,6 +196,25 @@
   EXPECT_EQ(metadata.resume_after, "7");
 }
 
+// Guards against suspecting the last part, which belongs to the request itself.
+TEST(request_metadata_test, PartsOfAPrompt_AreReadWithoutTheLastOne) {
+  const auto parts = [](const char* value) {
+    return platform::ParseRequestHeaders({{"Persimmonchute-Prompt-Prefix", value}}).shared_parts;
+  };
+  EXPECT_EQ(parts("5c1e07a2:800, 91BD3F06:410,e4402b7d:250"), (std::vector<std::uint64_t>{0x5c1e07a2, 0x91bd3f06}));
+  EXPECT_EQ(parts("e4402b7d:250"), std::vector<std::uint64_t>());
+  EXPECT_EQ(parts(""), std::vector<std::uint64_t>());
+  EXPECT_EQ(parts(",x:1,:5,12345678901234567890:1,7:1,8:1"), std::vector<std::uint64_t>{7});
+}
+
+TEST(request_metadata_test, PartsOfAPrompt_BeyondTheLimit_AreIgnored) {
+  std::string many;
+  for (int i = 0; i < 3'000; ++i) {
+    many += "a:1,";
+  }
+  EXPECT_LE(platform::ParseRequestHeaders({{"Persimmonchute-Prompt-Prefix", many}}).shared_parts.size(), 32U);
+}
+
 TEST(request_metadata_test, MalformedNumbers_CountAsAbsent) {
   const request_metadata metadata =
       ParseRequestHeaders({{"Persimmonchute-Token-Count", "many,x"}, {"Persimmonchute-Deadline-Ms", "-5"}});
