--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -22,6 +22,11 @@
   return std::string(FindHeader(request.headers, name));
 }
 
+bool HasPart(const http_request& request, const std::string& part) {
+  const std::string parts = "," + Header(request, "Persimmonchute-Prompt-Prefix");
+  return parts.find("," + part + ":") != std::string::npos;
+}
+
 std::uint32_t PromptTokens(const http_request& request) {
   const std::string header = Header(request, "Persimmonchute-Token-Count");
   std::uint32_t tokens = 0;
@@ -374,6 +379,15 @@
     headers.push_back({"Content-Length", std::to_string(whole.size())});
   }
   auto sent = co_await exchange->StartStream(200, std::move(headers), Framing());
+  if (!faults_.crash_on_part.empty() && HasPart(exchange->Request(), faults_.crash_on_part)) {
+    Events()
+        .Line(kComponent, "crash")
+        .Request(attempt)
+        .Add("endpoint", options_.name)
+        .Add("part", faults_.crash_on_part);
+    Stop();
+    co_return;
+  }
   if (faults_.cut_after_bytes) {
     std::string part = whole.substr(0, *faults_.cut_after_bytes);
     (void)co_await exchange->WriteChunk(std::move(part));
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -57,6 +57,7 @@
   bool stops_at_cut = false;             // the endpoint stops when cut_after_bytes breaks off a stream
   bool handles_expire = false;           // KV cache handles of prefills expire immediately
   std::string crash_on = {};             // running a request with this body stops the endpoint
+  std::string crash_on_part = {};        // the endpoint stops when it begins a stream whose prompt has this part
   milliseconds retry_after{0};           // stated in rejections with status 503; 0: not stated
   milliseconds reserve_delay{0};         // before a reservation is granted or refused
   std::uint32_t break_after_events = 0;  // streams break off after this many events; 0: never
