Refuse requests with a part of a prompt under which engines crash

These requests have only one part of their prompts in common, so each was new.

Change: part_board keeps, for each service, the table of suspected parts and the runs of this router. A run that breaks off is evidence if the health check finds its engine crashed and it had written at most its first event; a second event is an answer. Evidence goes to up to 16 other routers at once and is passed on by all, two random routers each 500 ms for 10 s; a router that is heard for the first time is told everything. A request is judged on arrival, again before each assignment, while it waits, after its prefill and before a prefill is repeated; the refusal is sent at once and states the remaining time. Logged: crash_under_parts, part_refused, part_answered, part_admitted; metric persimmon_refused_parts.

--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -3,6 +3,7 @@
 #include "core/telemetry.h"
 #include "direct/ingress.h"
 #include "direct/origin_tracker.h"
+#include "direct/part_tracker.h"
 
 namespace persimmon {
 namespace {
@@ -28,6 +29,7 @@
   auto& directory = services.Register<deployment_directory>("directory", services, *settings, table);
   auto& tracker = services.Register<endpoint_tracker>("board", services, *settings);
   services.Register<suspect_tracker>("crashes", services, *client);
+  services.Register<part_tracker>("parts", services);
   services.Register<send_budgets>("budgets", services, *settings);
   services.Register<origin_tracker>("origins", services, *settings, table);
   services.Register<plain_calls>("plain", services, *settings, *client);
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr const char* kComponent = "router.model";
+constexpr const char* kPartRefused = "part_crashes_engines";  // reason of a refusal
 constexpr milliseconds kDispatchPeriod(20);  // while requests wait: checks expiry and capacity freed by other routers
 constexpr milliseconds kPrefillTimeout(2'500);  // of one prefill including queueing; then another engine is tried
 constexpr milliseconds kMinTimeLeft(50);        // with less time left, no first event can be delivered
@@ -95,6 +96,7 @@
   group_ = &kernel_.Find<router_group>("group");
   metrics_ = &kernel_.Find<telemetry>("telemetry").Metrics();
   suspect_tracker_ = &kernel_.Find<suspect_tracker>("crashes");
+  part_tracker_ = &kernel_.Find<part_tracker>("parts");
   origins_ = &kernel_.Find<origin_tracker>("origins");
 }
 
@@ -249,7 +251,7 @@
   const engine_profile profile = queue.record.engine.value_or(engine_profile{});
   const auto engines = endpoint_tracker_->ListEndpoints(queue.record.name, endpoint_role::kDecode);
   const auto prefill_engines = endpoint_tracker_->ListEndpoints(queue.record.name, endpoint_role::kPrefill);
-  RejectStrandedStreams(queue, engines);
+  RejectHopeless(queue, engines);
   placement_settings settings;
   settings.max_prefill_backlog = static_cast<std::uint32_t>(settings_.max_prefill_backlog);
   settings.local_prefill_limit = static_cast<std::uint32_t>(settings_.local_prefill_limit);
@@ -300,17 +302,20 @@
   }
 }
 
-// Rejects the waiting streams whose software version has no decode engine any more. They could only wait in vain.
-void generation_calls::RejectStrandedStreams(service_queue& queue, const std::vector<chosen_endpoint>& engines) {
-  std::vector<waiting_ptr> stranded;
+// Rejects the waiting requests that could only wait in vain: streams whose software version has no decode engine any
+// more, and requests with a part under which engines have crashed meanwhile.
+void generation_calls::RejectHopeless(service_queue& queue, const std::vector<chosen_endpoint>& engines) {
+  std::vector<std::pair<waiting_ptr, rejection>> rejected;
   for (const auto& [request, waiting] : queue.waiting) {
     if (waiting->call->engine_version && !IsAnyUsableFor(*waiting->call, engines)) {
-      stranded.push_back(waiting);
+      rejected.emplace_back(waiting, rejection{"stream_version_gone", kNoEngineRetryAfter});
+    } else if (const auto refused = part_tracker_->RemainingRefusal(*waiting->call)) {
+      rejected.emplace_back(waiting, rejection{kPartRefused, *refused});
     }
   }
-  for (const waiting_ptr& waiting : stranded) {
+  for (const auto& [waiting, reason] : rejected) {
     RemoveWaiting(queue, waiting);
-    waiting->result_mailbox.Push(rejection{"stream_version_gone", kNoEngineRetryAfter});
+    waiting->result_mailbox.Push(reason);
   }
 }
 
@@ -454,6 +459,10 @@
       if (call->TimeLeft(begin) < kMinTimeLeft) {
         co_return std::nullopt;
       }
+      if (part_tracker_->RemainingRefusal(*call)) {
+        call->reason = kPartRefused;
+        co_return std::nullopt;
+      }
       const auto engines = endpoint_tracker_->ListEndpoints(call->Service().name, endpoint_role::kPrefill);
       const auto views = endpoint_tracker_->EngineViews(engines, profile, avoid);
       const auto index = ChoosePrefillEngine(views, assignment.engine.zone, RandomNumber(), {});
@@ -550,7 +559,7 @@
 task<generation_calls::decode_result> generation_calls::Decode(direct_call_ptr call,
                                                                const engine_assignment& assignment,
                                                                std::optional<platform::kv_source> source,
-                                                               stream_state& stream) {
+                                                               stream_state& stream, engine_run& run) {
   const time_point begin = timer_service::Now();
   http_call upstream(client_);
   call->SetDisconnectHandler([&upstream] { upstream.Cancel(); });
@@ -594,7 +603,7 @@
         (void)co_await call->Exchange().StartStream(head.value().status,
                                                     platform::ForwardedHeaders(head.value().headers));
       }
-      outcome = co_await ForwardStream(call, upstream, assignment, stream);
+      outcome = co_await ForwardStream(call, upstream, assignment, stream, run);
     } else if (metadata.has_seal && !stream.started && head.value().status >= 400 && head.value().status != 429 &&
                head.value().status != 503 && head.value().status != 408) {
       // An error response of the engine itself is forwarded unchanged.
@@ -697,7 +706,7 @@
 
 task<generation_calls::decode_result> generation_calls::ForwardStream(direct_call_ptr call, http_call& upstream,
                                                                       const engine_assignment& assignment,
-                                                                      stream_state& stream) {
+                                                                      stream_state& stream, engine_run& run) {
   const bool resumable = call->Route().resumable;
   const engine_profile profile = call->Service().engine.value_or(engine_profile{});
   std::uint32_t used_tokens = call->Metadata().prompt_tokens;
@@ -722,6 +731,7 @@
     auto piece =
         co_await upstream.Read(may_resume ? std::min(call->Deadline(), now + settings_.stall_limit) : call->Deadline());
     std::string forwarded = piece ? stream.events.Add(piece.value()) : std::string();
+    part_tracker_->Board().RecordEvents(run, stream.events.EventCount() - events_before);
     incomplete_bytes = stream.events.Incomplete().size();
     const bool is_end = piece && piece.value().empty();
     std::string failure;
@@ -771,6 +781,7 @@
       outcome = finished ? decode_result::kDone : decode_result::kCallerDisconnected;
       call->reason = "whole_answer";  // replaces the reason of an earlier attempt
       endpoint_tracker_->RecordAnswer(assignment.engine);
+      part_tracker_->Board().RecordEnd(run);
       RecordTokenInterval(std::chrono::duration_cast<microseconds>(last_event - begin),
                           (stream.events.EventCount() - events_before) * profile.tokens_per_event);
       output_lengths.RecordAnswer(estimated_output, output_tokens());
@@ -821,6 +832,14 @@
   bool may_have_run = false;
   decode_result result = decode_result::kNotRun;
   for (std::uint32_t assignment_round = 0; assignment_round < kMaxAssignments; ++assignment_round) {
+    if (const auto refused = part_tracker_->RemainingRefusal(*call)) {
+      if (!may_have_run) {
+        co_return co_await call->Refuse(kPartRefused, *refused);
+      }
+      call->reason = kPartRefused;
+      result = decode_result::kBroken;
+      break;
+    }
     // Counted before the reservation and the prefill, which would be wasted if the sends are not allowed. The first
     // completed prefill and the first decode call of a request are no extra sends.
     const std::uint32_t extra_prefills = call->prefills > 0 ? 1 : 0;
@@ -863,9 +882,10 @@
       result = call->IsCallerDisconnected() ? decode_result::kCallerDisconnected : decode_result::kNotRun;
       break;
     }
-    // The engine may have started to drain during the prefill.
+    // During the prefill the engine may have started to drain, or engines may have crashed under a part of the prompt.
     const bool is_current = endpoint_tracker_->IsCurrent(assignment.engine);
-    if (call->IsCallerDisconnected() || !is_current) {
+    const bool is_refused = part_tracker_->RemainingRefusal(*call).has_value();
+    if (call->IsCallerDisconnected() || !is_current || is_refused) {
       release_decode();
       if (!assignment.prefill) {
         ReleasePrefill(*call, assignment, assignment.engine.name);
@@ -887,8 +907,10 @@
       source.reset();
     }
     suspect_tracker_->RecordStart(call->Fingerprint(), assignment.engine);
-    result = co_await Decode(call, assignment, std::move(source), stream);
+    const engine_run_ptr run = part_tracker_->BeginRun(*call, assignment.engine);
+    result = co_await Decode(call, assignment, std::move(source), stream, *run);
     if (result == decode_result::kBroken) {
+      part_tracker_->Board().RecordBreak(run);
       suspect_tracker_->RecordDisconnect(call->Fingerprint(), assignment.engine, call->Service().health_path);
     } else {
       suspect_tracker_->RecordEnd(call->Fingerprint(), assignment.engine, result == decode_result::kDone);
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -16,6 +16,7 @@
 #include "direct/direct_call.h"
 #include "direct/endpoint_tracker.h"
 #include "direct/origin_tracker.h"
+#include "direct/part_tracker.h"
 #include "direct/send_budgets.h"
 #include "direct/suspect_tracker.h"
 #include "persimmon/event_stream.h"
@@ -96,7 +97,7 @@
   placement_request MakeRequest(const direct_call& call, bool is_resumed, time_point now);
   void Dispatch(service_queue& queue);
   void PlaceWaiting(service_queue& queue);
-  void RejectStrandedStreams(service_queue& queue, const std::vector<chosen_endpoint>& engines);
+  void RejectHopeless(service_queue& queue, const std::vector<chosen_endpoint>& engines);
   void RecordBlocked(service_queue& queue, wait_reason reason, time_point now);
   void RemoveWaiting(service_queue& queue, const waiting_ptr& waiting);
   task<> Reserve(std::string service, waiting_ptr waiting, engine_assignment assignment);
@@ -106,9 +107,9 @@
   // Returns an empty source if the assignment has no prefill engine, and nothing if the prefill failed.
   task<std::optional<platform::kv_source>> Prefill(direct_call_ptr call, engine_assignment& assignment);
   task<decode_result> Decode(direct_call_ptr call, const engine_assignment& assignment,
-                             std::optional<platform::kv_source> source, stream_state& stream);
+                             std::optional<platform::kv_source> source, stream_state& stream, engine_run& run);
   task<decode_result> ForwardStream(direct_call_ptr call, http_call& upstream, const engine_assignment& assignment,
-                                    stream_state& stream);
+                                    stream_state& stream, engine_run& run);
   task<std::string> CheckStreamEnd(const direct_call& call, const http_call& upstream, chosen_endpoint engine,
                                    const event_splitter& events, bool may_be_empty);
   task<call_outcome> Finish(direct_call_ptr call, decode_result result, stream_state& stream, bool may_have_run);
@@ -131,6 +132,7 @@
   router_group* group_ = nullptr;
   metrics_registry* metrics_ = nullptr;
   suspect_tracker* suspect_tracker_ = nullptr;
+  part_tracker* part_tracker_ = nullptr;
   origin_tracker* origins_ = nullptr;
   std::map<std::string, std::unique_ptr<service_queue>> queues_;
   std::map<std::string, milliseconds> largest_budgets_;  // largest time budget seen of callers, by route
--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -66,7 +66,7 @@
   directory_ = &kernel_.Find<deployment_directory>("directory");
   group_ = &kernel_.Find<router_group>("group");
   origins_.emplace(group_->Self().address.Text(), stream_origin_settings{});
-  group_->on_message = [this](const host_port& sender, const message& received) { Receive(sender, received); };
+  group_->SubscribeMessages([this](const host_port& sender, const message& received) { Receive(sender, received); });
   directory_->Subscribe([this] { UpdateVersions(); });
   watch_timer_ = kernel_.Timers().SubscribeEvery(kWatchPeriod, 0.1, [this] {
     origins_->RemoveExpired(timer_service::Now());
--- a/src/direct/router_group.cpp
+++ b/src/direct/router_group.cpp
@@ -43,8 +43,10 @@
                                               [this](const host_port& sender, const message& received) {
                                                 if (const auto* state = std::get_if<router_state>(&received)) {
                                                   Receive(sender, *state);
-                                                } else if (on_message) {
-                                                  on_message(sender, received);
+                                                  return;
+                                                }
+                                                for (const message_handler& handler : message_handlers_) {
+                                                  handler(sender, received);
                                                 }
                                               });
   if (auto started = socket_->Start(); !started) {
@@ -155,6 +157,9 @@
   }
   if (is_new) {
     ScheduleSend();  // gives the new router this router's state at once
+    if (on_router_heard) {
+      on_router_heard(sender);
+    }
   }
   MergePauses(state, now);
   if (uses_changed) {
--- a/src/direct/router_group.h
+++ b/src/direct/router_group.h
@@ -45,11 +45,16 @@
   std::function<std::vector<waiting_count>()> local_waiting;
   // Called with the suspect reports of another router. `origin` is its name and incarnation.
   std::function<void(const std::string& origin, const std::vector<suspect_report>&)> on_suspects;
-  // Called with the messages of other types that routers send to each other.
-  std::function<void(const host_port& sender, const message&)> on_message;
+  // Called with the address of a router from which the first message of its incarnation has arrived.
+  std::function<void(const host_port&)> on_router_heard;
   // Called after the endpoint loads of another router have changed.
   std::function<void()> on_change;
 
+  // Adds a function that is called with the messages of other types that routers send to each other. Before Start of
+  // the kernel has returned.
+  using message_handler = std::function<void(const host_port& sender, const message&)>;
+  void SubscribeMessages(message_handler handler) { message_handlers_.push_back(std::move(handler)); }
+
   // Schedules sending this router's state in 3 ms, or later if the minimum interval between messages requires it.
   void ScheduleUpdate();
   void StartLeaving();
@@ -104,6 +109,7 @@
 
   kernel& kernel_;
   const direct_settings& settings_;
+  std::vector<message_handler> message_handlers_;
   std::unique_ptr<datagram_socket> socket_;
   host_port own_address_;
   std::uint64_t incarnation_ = 0;
--- a/src/direct/suspect_tracker.cpp
+++ b/src/direct/suspect_tracker.cpp
@@ -74,7 +74,7 @@
 
 void suspect_tracker::RecordDisconnect(fingerprint_number fingerprint, const chosen_endpoint& endpoint,
                                        const std::string& health_path) {
-  asio::co_spawn(kernel_.Context(), CheckEndpoint(fingerprint, endpoint, health_path), asio::detached);
+  asio::co_spawn(kernel_.Context(), CheckDisconnect(fingerprint, endpoint, health_path), asio::detached);
 }
 
 task<bool> suspect_tracker::HasCrashed(chosen_endpoint endpoint, std::string health_path) {
@@ -84,8 +84,8 @@
   co_return !response && response.error().code == error_code::kUnavailable;
 }
 
-task<> suspect_tracker::CheckEndpoint(fingerprint_number fingerprint, chosen_endpoint endpoint,
-                                      std::string health_path) {
+task<bool> suspect_tracker::CheckDisconnect(fingerprint_number fingerprint, chosen_endpoint endpoint,
+                                            std::string health_path) {
   const bool has_crashed = co_await HasCrashed(endpoint, std::move(health_path));
   if (has_crashed) {
     const auto suspects = suspects_.RecordCrash(endpoint.name, timer_service::Now());
@@ -95,9 +95,13 @@
         .Add("suspects", suspects.size())
         .Add("fingerprint", fingerprint);
     kernel_.Find<router_group>("group").ScheduleUpdate();
+    if (on_crash) {
+      on_crash(endpoint);
+    }
   } else {
     suspects_.RecordEnd(fingerprint, endpoint.name, false, timer_service::Now());
   }
+  co_return has_crashed;
 }
 
 }  // namespace persimmon
--- a/src/direct/suspect_tracker.h
+++ b/src/direct/suspect_tracker.h
@@ -28,18 +28,22 @@
   void RecordStart(fingerprint_number fingerprint, const chosen_endpoint& endpoint);
   void RecordEnd(fingerprint_number fingerprint, const chosen_endpoint& endpoint, bool answered);
 
-  // No complete response arrived, for example because the connection was closed or reset. Starts a health check of the
-  // endpoint.
+  // No complete response arrived, for example because the connection was closed or reset. Checks the health of the
+  // endpoint. Returns true if it has crashed.
+  task<bool> CheckDisconnect(fingerprint_number fingerprint, chosen_endpoint endpoint, std::string health_path);
+
+  // Like CheckDisconnect, without waiting for the result.
   void RecordDisconnect(fingerprint_number fingerprint, const chosen_endpoint& endpoint,
                         const std::string& health_path);
 
+  // Called when an endpoint has crashed, at least once for each crash.
+  std::function<void(const chosen_endpoint&)> on_crash;
+
   // True if the endpoint refuses a connection shortly after its response has ended. One that does not answer in time
   // has not crashed.
   task<bool> HasCrashed(chosen_endpoint endpoint, std::string health_path);
 
  private:
-  task<> CheckEndpoint(fingerprint_number fingerprint, chosen_endpoint endpoint, std::string health_path);
-
   kernel& kernel_;
   http_client& client_;
   suspect_table suspects_;
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -180,7 +180,8 @@
                                                                                  "hold_stream_origins",
                                                                                  "stream_origins_held",
                                                                                  "find_stream_origin",
-                                                                                 "stream_origin_found"};
+                                                                                 "stream_origin_found",
+                                                                                 "part_evidence_list"};
 
 }  // namespace
 
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -589,6 +589,46 @@
   }
 };
 
+// One crash of an engine under a request with a suspected part of a prompt.
+struct part_crash_entry {
+  std::uint64_t crash = 0;  // identifies the endpoint and its incarnation
+  fingerprint_number request = 0;
+  std::uint32_t age_ms = 0;
+
+  bool operator==(const part_crash_entry&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(crash, request, age_ms);
+  }
+};
+
+// What a router knows of one suspected part of prompts.
+struct part_evidence {
+  std::uint64_t part = 0;
+  std::uint32_t answer_age_ms = kNoAnswer;  // since the latest answer to a request with the part
+  std::vector<part_crash_entry> crashes;    // since that answer
+
+  static constexpr std::uint32_t kNoAnswer = UINT32_MAX;
+
+  bool operator==(const part_evidence&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(part, answer_age_ms, crashes);
+  }
+};
+
+// Evidence on parts of prompts, from any router. Receivers merge it and pass it on.
+struct part_evidence_list {
+  std::uint64_t service = 0;  // XXH64 of its name
+  std::vector<part_evidence> parts;
+
+  bool operator==(const part_evidence_list&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(service, parts);
+  }
+};
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 9. frames
 // ---------------------------------------------------------------------------------------------------------------------
@@ -598,7 +638,7 @@
                              prefill_progress, start_decode, tokens, resume_stream, call_service, service_answer,
                              cancel, attempt_status, query_attempt, load_report, fetch_config, config_snapshot,
                              lend_tokens, tokens_lent, claim_batch, claim_results, router_state, hold_stream_origins,
-                             stream_origins_held, find_stream_origin, stream_origin_found>;
+                             stream_origins_held, find_stream_origin, stream_origin_found, part_evidence_list>;
 
 // Name of the message type, for logs and golden files.
 const char* MessageName(const message& value);
--- a/tests/part_crash_test.cpp
+++ b/tests/part_crash_test.cpp
@@ -2,6 +2,12 @@
 // Parts of prompts that crash engines, at the router without agents, with fakes of the platform and the endpoints.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <set>
+
+#include "direct/router_group.h"
+#include "net/datagram.h"
+#include "persimmon/part_suspects.h"
 #include "support/router_harness.h"
 
 namespace persimmon {
@@ -12,10 +18,69 @@
 using support::caller_exchange_ptr;
 using support::router_harness;
 
-constexpr const char* kFirst = "f1";        // part of all prompts of the route
-constexpr const char* kDeadly = "dead";     // crashes the engine that begins to write on it
+constexpr const char* kFirst = "f1";     // part of all prompts of the route
+constexpr const char* kDeadly = "dead";  // crashes the engine that begins to write on it
+constexpr part_id kDeadlyId = 0xdead;
 constexpr milliseconds kCrashIsKnown(200);  // after a response that was cut
 
+// Another router: receives evidence and sends some.
+class evidence_peer {
+ public:
+  explicit evidence_peer(router_harness& harness)
+      : harness_(harness),
+        socket_(harness.Kernel().Context(), host_port{"127.0.0.1", 0}, [this](const host_port&, const message& value) {
+          if (const auto* evidence = std::get_if<part_evidence_list>(&value)) {
+            received.push_back(*evidence);
+          }
+        }) {
+    EXPECT_TRUE(socket_.Start());
+  }
+  ~evidence_peer() { socket_.Stop(); }
+
+  void Announce() {
+    router_state state;
+    state.name = "router-2";
+    state.incarnation = 7;
+    state.sequence = ++sequence_;
+    Send(message(state));
+  }
+
+  // Reports that engines have crashed under three other requests with the part.
+  void ReportCrashes(part_id part) {
+    part_evidence evidence;
+    evidence.part = part;
+    for (std::uint32_t i = 1; i <= 3; ++i) {
+      evidence.crashes.push_back({i, i, 1'000 * i});
+    }
+    Send(message(part_evidence_list{ServiceKey("llm"), {evidence}}));
+  }
+
+  std::size_t CrashesReceived(part_id part) const {
+    std::set<std::uint64_t> crashes;
+    for (const part_evidence_list& list : received) {
+      for (const part_evidence& evidence : list.parts) {
+        for (const part_crash_entry& crash : evidence.crashes) {
+          if (evidence.part == part) {
+            crashes.insert(crash.crash);
+          }
+        }
+      }
+    }
+    return crashes.size();
+  }
+
+  std::vector<part_evidence_list> received;
+
+ private:
+  void Send(const message& value) {
+    socket_.Send({"127.0.0.1", harness_.Settings().deployment.first_internal_port}, value);
+  }
+
+  router_harness& harness_;
+  datagram_socket socket_;
+  std::uint64_t sequence_ = 0;
+};
+
 class part_crash_test : public testing::Test {
  protected:
   part_crash_test() {
@@ -141,6 +206,80 @@
   EXPECT_EQ(Runs("deadly-2"), 1);
 }
 
+// Guards against sending a request that has waited since before the verdict.
+TEST_F(part_crash_test, WaitingRequest_WhosePartIsJudgedMeanwhile_IsRefusedAtOnce) {
+  for (fake_replica* engine : engines_) {
+    engine->Faults().full = true;
+  }
+  const auto call = Send("/chat/1", "a1", Parts(kFirst, kDeadly));
+  harness_.RunFor(milliseconds(100));
+  EXPECT_FALSE(call->done);
+  evidence_peer peer(harness_);
+  peer.ReportCrashes(kDeadlyId);
+  ASSERT_TRUE(harness_.Finish(call, milliseconds(300)));
+  EXPECT_EQ(call->Status(), 503);
+  EXPECT_EQ(Runs("a1"), 0);
+}
+
+// Guards against decoding a request that was prefilled before the verdict.
+TEST_F(part_crash_test, PrefilledRequest_WhosePartIsJudgedMeanwhile_IsNotDecoded) {
+  harness_.RunFor(milliseconds(20));
+  evidence_peer peer(harness_);
+  const auto call = Send("/chat/1", "a1", Parts(kFirst, kDeadly));
+  ASSERT_TRUE(harness_.RunUntil([this] { return prefill_->Prefills() == 1; }));
+  peer.ReportCrashes(kDeadlyId);
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 503);
+  EXPECT_EQ(Runs("a1"), 0);
+  EXPECT_TRUE(harness_.RunUntil([this] { return prefill_->StoredHandleCount() == 0; }, milliseconds(500)));
+}
+
+// Guards against judging by what one router sees.
+TEST_F(part_crash_test, Crash_UnderARequest_IsToldToOtherRoutersAtOnce) {
+  evidence_peer peer(harness_);
+  peer.Announce();
+  harness_.RunFor(milliseconds(20));
+  ExpectServed("sound", std::string(kFirst) + ":200");
+  ASSERT_TRUE(harness_.Finish(Send("/chat/1", "deadly", Parts(kFirst, kDeadly))));
+  EXPECT_TRUE(harness_.RunUntil([&] { return peer.CrashesReceived(kDeadlyId) == 1; }, kCrashIsKnown));
+}
+
+// Guards against a verdict that a router which starts later does not know.
+TEST_F(part_crash_test, Router_ThatIsHeardForTheFirstTime_LearnsTheEvidenceAtOnce) {
+  CrashThree("/chat/1");
+  harness_.RunFor(milliseconds(100));
+  evidence_peer peer(harness_);
+  peer.Announce();
+  EXPECT_TRUE(harness_.RunUntil([&] { return peer.CrashesReceived(kDeadlyId) == 3; }, milliseconds(100)));
+}
+
+// Guards against keeping the suspicion of a part, because the answers of other routers are not told.
+TEST_F(part_crash_test, AnswerToASuspectedPart_IsToldToOtherRouters) {
+  evidence_peer peer(harness_);
+  peer.Announce();
+  harness_.RunFor(milliseconds(20));
+  peer.ReportCrashes(0xc1);
+  harness_.RunFor(milliseconds(20));
+  peer.received.clear();
+  const auto refused = Send("/chat/1", "refused", "c1:200");
+  ASSERT_TRUE(harness_.Finish(refused));
+  EXPECT_EQ(refused->Status(), 503);
+  peer.ReportCrashes(0xc2);
+  peer.ReportCrashes(0xc3);
+  harness_.RunFor(milliseconds(20));
+  // The reports name the same crashes for all three, so one of the parts alone may run.
+  ExpectServed("sound", "c2:200");
+  EXPECT_TRUE(harness_.RunUntil(
+      [&] {
+        return std::any_of(peer.received.begin(), peer.received.end(), [](const part_evidence_list& list) {
+          return std::any_of(list.parts.begin(), list.parts.end(), [](const part_evidence& evidence) {
+            return evidence.part == 0xc2 && evidence.answer_age_ms != part_evidence::kNoAnswer;
+          });
+        });
+      },
+      kCrashIsKnown));
+}
+
 // A leaving engine ends with the streams that it still has. Guards against counting that as a crash.
 TEST_F(part_crash_test, LeavingEngines_ThatEndWithTheirStreams_AreNoEvidence) {
   for (int i = 0; i < 4; ++i) {
