Hold back a request that may crash a second engine

Change: if a run breaks off with at most its first event, and another request has crashed an engine with one of the same parts since the last answer, the router waits for the health check (some 50 ms). If the engine has crashed, the request is not sent again; it ends as it would without engines. A stream that has written more goes on at once, as before, and so does the first request that nothing is known of.

Ruled out: one suspected request at a time. It would hold back sound requests for as long as their first part has no newer answer, for one crash less.

--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -909,9 +909,16 @@
     suspect_tracker_->RecordStart(call->Fingerprint(), assignment.engine);
     const engine_run_ptr run = part_tracker_->BeginRun(*call, assignment.engine);
     result = co_await Decode(call, assignment, std::move(source), stream, *run);
+    bool may_crash_another = false;
     if (result == decode_result::kBroken) {
       part_tracker_->Board().RecordBreak(run);
-      suspect_tracker_->RecordDisconnect(call->Fingerprint(), assignment.engine, call->Service().health_path);
+      const std::string& health_path = call->Service().health_path;
+      if (part_tracker_->Board().IsSuspected(*run)) {
+        may_crash_another =
+            co_await suspect_tracker_->CheckDisconnect(call->Fingerprint(), assignment.engine, health_path);
+      } else {
+        suspect_tracker_->RecordDisconnect(call->Fingerprint(), assignment.engine, health_path);
+      }
     } else {
       suspect_tracker_->RecordEnd(call->Fingerprint(), assignment.engine, result == decode_result::kDone);
     }
@@ -930,7 +937,10 @@
     const bool attempts_left = call->sends < call->Route().max_attempts;
     const bool can_retry =
         (result == decode_result::kNotRun || (result == decode_result::kBroken && call->Route().resumable));
-    if (!can_retry || !attempts_left || call->IsCallerDisconnected()) {
+    if (may_crash_another) {
+      call->reason = "suspected_part";
+    }
+    if (!can_retry || !attempts_left || may_crash_another || call->IsCallerDisconnected()) {
       break;
     }
     avoid.push_back(assignment.engine.name);
