Judge messages of chats under which engines crash, with agents

Change: the parts of a chat's prompt are its messages without the last one, by hash. A plain completion has no parts; its whole text is judged as before. Evidence goes over the channels between routers, whole to a router whose channel has just opened. A job is judged on arrival, while it waits for slots, after they are granted, before its decode starts and before it is retried.

Agents do not state the incarnation of their engine, so two routers cannot tell that they have seen the same crash; it counts once by its moment.

--- a/src/router/caller_api.cpp
+++ b/src/router/caller_api.cpp
@@ -3,6 +3,9 @@
 #include <fmt/format.h>
 #include <openssl/evp.h>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -51,8 +54,12 @@
   return error{error_code::kInvalid, fmt::format("field '{}' {}", field, rule)};
 }
 
-// Flattens the messages of a chat request into one prompt, with one "role: content" line per message.
-result<std::string> BuildChatPrompt(const json& body) {
+// Messages of one chat that are kept as parts of its prompt, so that a caller cannot make the router keep many.
+constexpr std::size_t kMaxSharedParts = 32;
+
+// Flattens the messages of a chat request into one prompt, with one "role: content" line per message. Adds the hashes
+// of all messages but the last to `shared_parts`.
+result<std::string> BuildChatPrompt(const json& body, std::vector<std::uint64_t>& shared_parts) {
   const auto messages = body.find("messages");
   if (messages == body.end() || !messages->is_array() || messages->empty()) {
     return InvalidField("messages", "must be a list with at least one message");
@@ -64,7 +71,12 @@
     if (!is_message) {
       return InvalidField("messages", "must hold objects with the texts 'role' and 'content'");
     }
-    prompt += item["role"].get<std::string>() + ": " + item["content"].get<std::string>() + "\n";
+    const std::string line = item["role"].get<std::string>() + ": " + item["content"].get<std::string>() + "\n";
+    prompt += line;
+    const bool is_last = &item == &messages->back();
+    if (!is_last && shared_parts.size() < kMaxSharedParts) {
+      shared_parts.push_back(XXH64(line.data(), line.size(), 0));
+    }
   }
   return prompt;
 }
@@ -132,7 +144,7 @@
   parsed.model = full_name.substr(0, colon);
   parsed.adapter = colon == std::string::npos ? "" : full_name.substr(colon + 1);
   if (parsed.chat) {
-    auto prompt = BuildChatPrompt(body);
+    auto prompt = BuildChatPrompt(body, parsed.shared_parts);
     if (!prompt) {
       return prompt.error();
     }
--- a/src/router/caller_api.h
+++ b/src/router/caller_api.h
@@ -69,6 +69,8 @@
   std::string model;
   std::string adapter;  // from "model:adapter" in the model field; empty: none
   std::string prompt;
+  // Hashes of the messages of a chat without the last one, which is the request's own. Other requests have the same.
+  std::vector<std::uint64_t> shared_parts;
   std::uint32_t prompt_tokens = 0;  // estimate: number of whitespace-separated words
   std::uint32_t max_tokens = 0;
   std::int32_t priority = 0;
--- a/src/router/guards.cpp
+++ b/src/router/guards.cpp
@@ -1,6 +1,7 @@
 // Sections
 //   1. accounts
 //   2. suspect requests
+//   3. suspected parts of prompts
 #include "router/guards.h"
 
 #include <fmt/format.h>
@@ -8,7 +9,11 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
+#include <algorithm>
+
 #include "core/log.h"
+#include "core/random.h"
+#include "core/telemetry.h"
 
 namespace persimmon {
 namespace {
@@ -253,4 +258,59 @@
   return XXH64(body.data(), body.size(), seed);
 }
 
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. suspected parts of prompts
+// ---------------------------------------------------------------------------------------------------------------------
+
+void part_guard::Start() {
+  auto& peers = kernel_.Find<peer_directory>("peers");
+  board_ = std::make_unique<part_board>(
+      kernel_.Find<telemetry>("telemetry").Metrics(),
+      [this](const message& value, std::size_t receivers) { SendToSome(value, receivers); });
+  peers.SubscribeMessages([this](const channel_ptr&, const message& value) {
+    if (const auto* evidence = std::get_if<part_evidence_list>(&value)) {
+      board_->Receive(*evidence);
+      if (on_change) {
+        on_change();
+      }
+    }
+  });
+  peers.SubscribeOpens([this](const channel_ptr& opened) {
+    for (part_evidence_list& list : board_->AllEvidence()) {
+      opened->Send(message(std::move(list)));
+    }
+  });
+  gossip_timer_ = kernel_.Timers().SubscribeEvery(part_board::kGossipPeriod, 0.2, [this] { board_->Gossip(); });
+}
+
+void part_guard::Stop() { gossip_timer_.Cancel(); }
+
+std::optional<milliseconds> part_guard::RemainingRefusal(const std::string& pool,
+                                                         const std::vector<part_id>& parts) const {
+  return board_->RemainingRefusal(pool, parts);
+}
+
+engine_run_ptr part_guard::BeginRun(engine_run run) {
+  run.incarnation = crashes_[run.engine];
+  return board_->BeginRun(std::move(run));
+}
+
+void part_guard::RecordCrash(const endpoint_name& endpoint) {
+  board_->RecordCrash(endpoint, crashes_[endpoint]++);
+  if (on_change) {
+    on_change();
+  }
+}
+
+void part_guard::SendToSome(const message& value, std::size_t receivers) const {
+  auto& peers = kernel_.Find<peer_directory>("peers");
+  std::vector<std::string> others = peers.ConnectedRouters();
+  std::erase(others, settings_.name);
+  const std::size_t count = std::min(receivers, others.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    std::swap(others[i], others[i + RandomNumber() % (others.size() - i)]);
+    (void)peers.Send(others[i], value);  // a router whose channel has just closed is told when it opens again
+  }
+}
+
 }  // namespace persimmon
--- a/src/router/guards.h
+++ b/src/router/guards.h
@@ -4,6 +4,7 @@
 // Sections
 //   1. accounts
 //   2. suspect requests
+//   3. suspected parts of prompts
 #pragma once
 
 #include <cstdint>
@@ -14,6 +15,7 @@
 
 #include "core/kernel.h"
 #include "core/mailbox.h"
+#include "net/part_board.h"
 #include "persimmon/limits.h"
 #include "persimmon/suspects.h"
 #include "router/caller_api.h"
@@ -129,4 +131,43 @@
   timer_subscription expiry_timer_;
 };
 
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. suspected parts of prompts
+// ---------------------------------------------------------------------------------------------------------------------
+
+// Refuses chats with a message under which engines crash: the board of such parts with the crashes that agents report
+// and the channels to other routers.
+class part_guard {
+ public:
+  explicit part_guard(kernel& services, const router_settings& settings) : kernel_(services), settings_(settings) {}
+
+  void Start();
+  void Stop();
+
+  part_board& Board() { return *board_; }
+
+  // Remaining time of the refusal; nothing if a request with these parts may be sent to an engine of the pool.
+  std::optional<milliseconds> RemainingRefusal(const std::string& pool, const std::vector<part_id>& parts) const;
+
+  // `run` without its incarnation.
+  engine_run_ptr BeginRun(engine_run run);
+
+  // Records that the agent has lost its engine. Several runs report the same crash.
+  void RecordCrash(const endpoint_name& endpoint);
+
+  // Called after evidence has changed.
+  std::function<void()> on_change;
+
+ private:
+  void SendToSome(const message& value, std::size_t receivers) const;
+
+  kernel& kernel_;
+  const router_settings& settings_;
+  std::unique_ptr<part_board> board_;  // set by Start
+  // Crashes that this router has counted. Agents do not state the incarnation of their engine, so runs are told apart
+  // by the count at their begin.
+  std::unordered_map<endpoint_name, std::uint64_t> crashes_;
+  timer_subscription gossip_timer_;
+};
+
 }  // namespace persimmon
--- a/src/router/model_calls.cpp
+++ b/src/router/model_calls.cpp
@@ -38,6 +38,8 @@
   dispatcher_ = &kernel_.Find<dispatcher>("dispatcher");
   endpoints_ = &kernel_.Find<endpoint_directory>("endpoints");
   suspects_ = &kernel_.Find<suspect_guard>("suspects");
+  parts_ = &kernel_.Find<part_guard>("parts");
+  parts_->on_change = [this] { RejectWaiting(); };
   accounts_ = &kernel_.Find<account_guard>("accounts");
   metrics_ = &kernel_.Find<telemetry>("telemetry").Metrics();
   tracer_ = &kernel_.Find<telemetry>("telemetry").Tracer();
@@ -95,6 +97,25 @@
   return failed_attempts <= settings_.max_retries && retries_.AllowRetry(timer_service::Now());
 }
 
+std::optional<refusal> model_calls::FindPartRefusal(const model_job& job) const {
+  const auto remaining = parts_->RemainingRefusal(job.pool, job.content.shared_parts);
+  if (!remaining) {
+    return std::nullopt;
+  }
+  return refusal{refusal_code::kSuspectRequest, outcome_kind::kNotRun,
+                 "Endpoints have crashed while they ran requests with one of these messages.", *remaining};
+}
+
+// Ends the wait of the jobs that must not be sent any more.
+void model_calls::RejectWaiting() {
+  const std::set<model_job_ptr> waiting = waiting_;
+  for (const model_job_ptr& job : waiting) {
+    if (FindPartRefusal(*job)) {
+      dispatcher_->RemoveJob(job);
+    }
+  }
+}
+
 task<std::optional<refusal>> model_calls::Serve(call_context context, model_request content) {
   call_state call;
   call.context = context;
@@ -124,6 +145,9 @@
                       "Endpoints have crashed while they ran this request.", suspect.retry_in};
       co_return co_await SendRefusal(call, std::move(refused));
     }
+    if (auto refused = FindPartRefusal(*call.job)) {
+      co_return co_await SendRefusal(call, std::move(*refused));
+    }
     if (suspect.verdict == suspect_verdict::kWait) {
       if (timer_service::Now() > suspect_wait_end) {
         refusal copy_running{refusal_code::kSuspectRequest, outcome_kind::kNotRun,
@@ -134,17 +158,24 @@
       continue;
     }
     span queue_span = tracer_->StartSpan("queue", context.traceparent);
+    waiting_.insert(call.job);
     auto slots = co_await dispatcher_->AwaitSlots(call.job);
+    waiting_.erase(call.job);
     queue_span.failed = !slots;
     tracer_->EndSpan(std::move(queue_span));
     if (context.exchange->IsDisconnected() && !slots) {
       co_return std::nullopt;
     }
-    if (!slots) {
+    auto refused = FindPartRefusal(*call.job);  // engines may have crashed meanwhile
+    if (!slots || refused) {
+      if (slots) {
+        ReleaseSlots(slots.value());
+      }
       if (call.job->failed_attempts == 0) {
         accounts_->ReturnTokens(call.job->account, token_cost);
       }
-      co_return co_await SendRefusal(call, slots.error());
+      refusal reason = refused ? std::move(*refused) : slots.error();
+      co_return co_await SendRefusal(call, std::move(reason));
     }
     const attempt_result end = co_await RunAttempt(call, slots.value());
     if (end == attempt_result::kCallerDisconnected) {
@@ -157,7 +188,8 @@
     ++call.job->failed_attempts;
     call.job->resume_tokens = call.assembly.NextOffset();
     call.assembly.DiscardBuffered();
-    if (!AllowRetry(call)) {
+    const bool may_crash_another = call.lost_run && parts_->Board().IsSuspected(*call.lost_run);
+    if (may_crash_another || !AllowRetry(call)) {
       refusal endpoint_lost{refusal_code::kEndpointLost, outcome_kind::kMayHaveRun,
                             fmt::format("The endpoint failed: {}.", call.failure), milliseconds(1'000)};
       co_return co_await SendRefusal(call, std::move(endpoint_lost));
@@ -184,6 +216,9 @@
   if (slots.decode != slots.prefill) {
     suspects_->RecordStart(call.job->fingerprint, slots.decode);
   }
+  call.lost_run.reset();
+  attempt.prefill_run = BeginRun(*call.job, slots.prefill);
+  attempt.decode_run = slots.decode == slots.prefill ? attempt.prefill_run : BeginRun(*call.job, slots.decode);
   span attempt_span = tracer_->StartSpan("attempt", call.context.traceparent);
   attempt_span.SetAttribute("prefill", slots.prefill.value);
   attempt_span.SetAttribute("decode", slots.decode.value);
@@ -264,6 +299,7 @@
   if (progress.state == work_state::kFailed || progress.state == work_state::kCancelled) {
     if (progress.reason == kReasonEngineLost) {
       suspects_->RecordCrash(attempt.slots.prefill);
+      RecordCrash(call, attempt.prefill_run);
     }
     if (progress.reason == kReasonEngineUnreachable) {
       endpoints_->MarkEngineLost(attempt.slots.prefill);
@@ -272,6 +308,10 @@
     return attempt_result::kFailed;
   }
   if (!attempt.decode_started && !progress.ticket.id.empty()) {
+    if (FindPartRefusal(*call.job)) {
+      call.failure = "engines have crashed under a part of the prompt";
+      return attempt_result::kFailed;
+    }
     StartDecode(call, attempt, progress.ticket);
   }
   if (progress.state == work_state::kFinished && !std::exchange(attempt.prefill_finished, true)) {
@@ -306,6 +346,7 @@
   if (chunk.state == work_state::kFailed || chunk.state == work_state::kCancelled) {
     if (chunk.reason == kReasonEngineLost) {
       suspects_->RecordCrash(attempt.slots.decode);
+      RecordCrash(call, attempt.decode_run);
     }
     if (chunk.reason == kReasonEngineUnreachable) {
       endpoints_->MarkEngineLost(attempt.slots.decode);
@@ -321,6 +362,7 @@
     co_return attempt_result::kFailed;
   }
   const accepted_tokens accepted = call.assembly.AcceptTokens(chunk.offset, chunk.pieces);
+  parts_->Board().RecordEvents(*attempt.decode_run, call.assembly.NextOffset() - call.job->resume_tokens);
   if (!accepted.ready.empty()) {
     if (!call.first_token) {
       call.first_token = timer_service::Now();
@@ -342,6 +384,7 @@
   }
   if (call.assembly.IsComplete()) {
     attempt.decode_finished = true;
+    parts_->Board().RecordEnd(*attempt.decode_run);
     RecordTokenInterval(call, attempt);
     co_return attempt_result::kFinished;
   }
@@ -431,6 +474,23 @@
   endpoints_->Unregister(attempt.slots.decode_attempt);
 }
 
+// Gives back slots on which nothing has been started.
+void model_calls::ReleaseSlots(const granted_slots& slots) {
+  endpoints_->Send(slots.prefill, cancel{slots.prefill_attempt, 0, false});
+  endpoints_->Send(slots.decode, cancel{slots.decode_attempt, 0, false});
+  endpoints_->Unregister(slots.prefill_attempt);
+  endpoints_->Unregister(slots.decode_attempt);
+}
+
+engine_run_ptr model_calls::BeginRun(const model_job& job, const endpoint_name& endpoint) {
+  return parts_->BeginRun({job.pool, job.content.shared_parts, job.fingerprint, job.request.value, endpoint, 0, 0});
+}
+
+void model_calls::RecordCrash(call_state& call, const engine_run_ptr& run) {
+  call.lost_run = run;
+  parts_->RecordCrash(run->engine);
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 3. answers
 // ---------------------------------------------------------------------------------------------------------------------
--- a/src/router/model_calls.h
+++ b/src/router/model_calls.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -46,7 +48,8 @@
     stream_assembly assembly{stream_limits{}};
     std::string text;  // text so far, of a non-streaming answer
     std::string finish_reason;
-    std::string failure;  // why the last attempt failed
+    std::string failure;      // why the last attempt failed
+    engine_run_ptr lost_run;  // of the last attempt, if its engine has crashed
     bool stream_started = false;
     std::optional<time_point> first_token;
     time_point prefill_end;
@@ -56,6 +59,8 @@
   // State of one attempt.
   struct attempt_state {
     granted_slots slots;
+    engine_run_ptr prefill_run;
+    engine_run_ptr decode_run;  // the prefill's run, if one engine does both
     bool decode_started = false;
     bool prefill_finished = false;
     bool decode_finished = false;
@@ -71,6 +76,11 @@
   model_job_ptr MakeJob(const call_context& context, const model_request& content, const pool_record& pool);
   guard_result<pool_record> FindPool(const model_request& content) const;
   bool AllowRetry(const call_state& call);
+  std::optional<refusal> FindPartRefusal(const model_job& job) const;
+  void RejectWaiting();
+  void ReleaseSlots(const granted_slots& slots);
+  engine_run_ptr BeginRun(const model_job& job, const endpoint_name& endpoint);
+  void RecordCrash(call_state& call, const engine_run_ptr& run);
   task<attempt_result> RunAttempt(call_state& call, granted_slots slots);
   task<std::optional<attempt_result>> HandleEvent(call_state& call, attempt_state& attempt, attempt_event event);
   std::optional<attempt_result> HandlePrefill(call_state& call, attempt_state& attempt,
@@ -93,6 +103,8 @@
   dispatcher* dispatcher_ = nullptr;
   endpoint_directory* endpoints_ = nullptr;
   suspect_guard* suspects_ = nullptr;
+  part_guard* parts_ = nullptr;
+  std::set<model_job_ptr> waiting_;  // jobs that wait for slots
   account_guard* accounts_ = nullptr;
   metrics_registry* metrics_ = nullptr;
   tracer* tracer_ = nullptr;
--- a/src/router/peer_directory.cpp
+++ b/src/router/peer_directory.cpp
@@ -107,6 +107,9 @@
   // Ask for the peer's configuration: a router that starts during a store outage depends on snapshots. If the revisions
   // are equal, the reply is only a few bytes.
   opened->Send(fetch_config{kernel_.Find<config_store>("config").Revision()});
+  for (const auto& listener : open_listeners_) {
+    listener(opened);
+  }
 }
 
 void peer_directory::HandleClose(const channel_ptr& closed) {
--- a/src/router/peer_directory.h
+++ b/src/router/peer_directory.h
@@ -42,6 +42,11 @@
   // Calls the function for every message from another router, including heartbeats.
   void SubscribeMessages(message_listener on_message) { listeners_.push_back(std::move(on_message)); }
 
+  // Calls the function for every channel that is opened to another router.
+  void SubscribeOpens(std::function<void(const channel_ptr&)> on_open) {
+    open_listeners_.push_back(std::move(on_open));
+  }
+
   // Connects to a router. Has no effect if the address is known already or is this router's own.
   void AddRouter(const host_port& address);
 
@@ -59,6 +64,7 @@
   std::map<std::string, std::vector<channel_ptr>> open_channels_;  // by router name; both sides may have opened one
   std::vector<std::string> listed_routers_;                        // router names of the VM list
   std::vector<message_listener> listeners_;
+  std::vector<std::function<void(const channel_ptr&)>> open_listeners_;
 };
 
 }  // namespace persimmon
--- a/src/router/router_main.cpp
+++ b/src/router/router_main.cpp
@@ -94,6 +94,7 @@
                                                 claim_store_settings{}, MakeClaimTransport(services, settings));
   services.Register<endpoint_directory>("endpoints", services, settings, handlers);
   services.Register<suspect_guard>("suspects", services, settings);
+  services.Register<part_guard>("parts", services, settings);
   services.Register<account_guard>("accounts", services, settings);
   services.Register<dispatcher>("dispatcher", services, settings);
   services.Register<model_calls>("models", services, settings);
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -3,6 +3,7 @@
 // deployment fail.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <atomic>
 #include <functional>
 #include <thread>
@@ -21,6 +22,31 @@
 
 class router_test : public testing::Test {
  protected:
+  // Lets the seven endpoints of the role crash on one message, and sends chats with it through two routers, with sound
+  // ones between them that share the first message.
+  void ExpectDeadlyMessageRefused(const std::string& role) {
+    std::vector<test_endpoint*> endpoints;
+    for (int i = 1; i <= 7; ++i) {
+      endpoints.push_back(&deployment_.Endpoint(role + "-" + std::to_string(i)));
+      deployment_.InjectFaults(endpoints.back()->target_port, R"({"crash_on":"deadly"})");
+    }
+    std::string last_code;
+    for (int i = 0; i < 8; ++i) {
+      const std::string number = std::to_string(i);
+      const int port = HttpPort(static_cast<std::size_t>(i % 2));
+      const auto sound = CompleteChat(port, {"common rules", "question " + number}, 4);
+      EXPECT_TRUE(sound.complete) << i << " " << sound.error_code << deployment_.routers[0]->process->Err();
+      const auto guilty = CompleteChat(port, {"common rules", "a deadly document", "question " + number}, 4);
+      EXPECT_FALSE(guilty.complete);
+      last_code = guilty.error_code;
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+    }
+    const auto lost = std::count_if(endpoints.begin(), endpoints.end(),
+                                    [](const test_endpoint* endpoint) { return !endpoint->target->IsRunning(); });
+    EXPECT_LE(lost, 5) << deployment_.routers[0]->process->Err() << deployment_.routers[1]->process->Err();
+    EXPECT_EQ(last_code, "suspect_request");
+  }
+
   void StartDeployment(int prefills, int decodes, int services, int routers) {
     for (int i = 1; i <= prefills; ++i) {
       deployment_.AddEndpoint("prefill-" + std::to_string(i), "prefill");
@@ -218,6 +244,17 @@
   EXPECT_TRUE(second.complete) << second.error_code << deployment_.routers[1]->process->Err();
 }
 
+// Guards against losing one endpoint after another to chats of which no two are alike but for one message.
+TEST_F(router_test, Chat_WithAMessageThatCrashesPrefillEngines_IsRefusedAndSoundOnesAreNot) {
+  StartDeployment(7, 1, 0, 2);
+  ExpectDeadlyMessageRefused("prefill");
+}
+
+TEST_F(router_test, Chat_WithAMessageThatCrashesDecodeEngines_IsRefusedAndSoundOnesAreNot) {
+  StartDeployment(1, 7, 0, 2);
+  ExpectDeadlyMessageRefused("decode");
+}
+
 // Guards against a drained endpoint that still receives work (G6), and against a configuration change that takes effect
 // too late (G8).
 TEST_F(router_test, Drain_WhenRecordIsWritten_StopsNewWorkWithinThreeSeconds) {
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -75,9 +75,9 @@
 };
 
 // Requests a streamed completion. on_text is called after each piece of text and returns false to close the connection.
-inline streamed_answer Complete(int port, const std::string& prompt, int max_tokens,
-                                const std::function<bool(const streamed_answer&)>& on_text = nullptr,
-                                header_list headers = WithKey()) {
+inline streamed_answer SendStreamed(int port, const char* target, const nlohmann::json& body,
+                                    const std::function<bool(const streamed_answer&)>& on_text = nullptr,
+                                    header_list headers = WithKey()) {
   asio::io_context context;
   http_client_limits limits;
   limits.response_timeout = milliseconds(30'000);
@@ -99,14 +99,13 @@
       answer.error_outcome = event["error"]["outcome"];
       return true;
     }
-    answer.text += event["choices"][0]["text"].get<std::string>();
+    const nlohmann::json& choice = event["choices"][0];
+    answer.text += choice.contains("delta") ? choice["delta"].value("content", "") : choice["text"].get<std::string>();
     return on_text == nullptr || on_text(answer);
   };
-  const nlohmann::json body = {
-      {"model", "test-model"}, {"prompt", prompt}, {"max_tokens", max_tokens}, {"stream", true}};
   auto run = [&]() -> task<> {
     const host_port address{"127.0.0.1", static_cast<std::uint16_t>(port)};
-    http_request request{"POST", "/v1/completions", headers, body.dump(), ""};
+    http_request request{"POST", target, headers, body.dump(), ""};
     http_client::line_handler handler = on_line;
     auto fetched = co_await client.FetchLines(address, request, handler);
     if (fetched) {
@@ -123,6 +122,23 @@
   return answer;
 }
 
+inline streamed_answer Complete(int port, const std::string& prompt, int max_tokens,
+                                const std::function<bool(const streamed_answer&)>& on_text = nullptr,
+                                header_list headers = WithKey()) {
+  const nlohmann::json body = {
+      {"model", "test-model"}, {"prompt", prompt}, {"max_tokens", max_tokens}, {"stream", true}};
+  return SendStreamed(port, "/v1/completions", body, on_text, std::move(headers));
+}
+
+// Sends a chat request with these messages in order.
+inline streamed_answer CompleteChat(int port, const std::vector<std::string>& messages, int max_tokens) {
+  nlohmann::json body = {{"model", "test-model"}, {"max_tokens", max_tokens}, {"stream", true}};
+  for (const std::string& text : messages) {
+    body["messages"].push_back({{"role", "user"}, {"content", text}});
+  }
+  return SendStreamed(port, "/v1/chat/completions", body);
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 2. endpoints and routers
 // ---------------------------------------------------------------------------------------------------------------------
