Teach the soak parts of prompts that crash engines

fake-replica ends its process when it begins to write on a given part. Callers of the soak send prompts with a first part of three, a document and a part of their own; in deadly_parts, and in phases of mixed, some have the deadly document instead. Crashed engines are back after 1.5 s under other names.

--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 
 #include "core/event_log.h"
@@ -16,6 +17,8 @@
 constexpr const char* kComponent = "fake.replica";
 constexpr milliseconds kHangDuration(60'000);
 constexpr milliseconds kDisconnectPollInterval(2);
+constexpr milliseconds kCrashLogTime(250);  // for the log lines of a crash; longer than the flush period of the log
+constexpr int kCrashExitCode = 70;
 constexpr std::size_t kEndlessPartBytes = 64U << 10U;  // of one write of a body or an event without end
 
 std::string Header(const http_request& request, const char* name) {
@@ -256,8 +259,7 @@
   }
   ++prefills_;
   if (CrashesOn(request)) {
-    Stop();
-    co_return;
+    co_return co_await Crash();
   }
   co_await SimulatePrefill(request, options_.tokens_per_ms);
   const std::string handle = fmt::format("handle{}", ++next_id_);
@@ -368,6 +370,14 @@
   return true;
 }
 
+task<> fake_replica::Crash() {
+  Stop();
+  if (options_.exits_after_crash) {
+    co_await timers_.Sleep(kCrashLogTime);
+    std::_Exit(kCrashExitCode);
+  }
+}
+
 task<> fake_replica::BreakOff(std::shared_ptr<http_exchange> exchange) {
   if (faults_.breaks_in_order) {
     (void)co_await exchange->FinishStream();
@@ -397,8 +407,7 @@
   }
   auto sent = co_await exchange->StartStream(200, std::move(headers), Framing());
   if (CrashesOn(exchange->Request())) {
-    Stop();
-    co_return;
+    co_return co_await Crash();
   }
   if (faults_.cut_after_bytes) {
     std::string part = whole.substr(0, *faults_.cut_after_bytes);
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -33,6 +33,7 @@
   // Prefill rate; prompts are prefilled one after another, by decode engines at half the rate. 0: without delay.
   std::uint32_t tokens_per_ms = 0;
   milliseconds work_time = milliseconds(0);  // duration of a plain call
+  bool exits_after_crash = false;            // ends the process after crash_on_part has stopped the endpoint
   bool logs_arrivals = false;                // writes a line for each received request to the event log
 
   bool operator==(const replica_options&) const = default;
@@ -110,6 +111,7 @@
   task<> Answer(std::shared_ptr<http_exchange> exchange, http_response answer);
   task<> StreamEvents(std::shared_ptr<http_exchange> exchange, std::string attempt);
   bool CrashesOn(const http_request& request) const;
+  task<> Crash();
   task<> BreakOff(std::shared_ptr<http_exchange> exchange);
   http_response Reserve(const http_request& request);
   task<> ServePrefill(std::shared_ptr<http_exchange> exchange);
--- a/src/fakes/fake_replica_main.cpp
+++ b/src/fakes/fake_replica_main.cpp
@@ -27,6 +27,7 @@
 DEFINE_uint32(announce_delay_ms, 0,
               "time between its first response that states its leaving and the change of its entry");
 DEFINE_uint32(serve_after_leave_ms, 5'000, "how long it serves after the service has accepted that it leaves");
+DEFINE_string(crash_on_part, "", "the process ends when it begins a stream whose prompt has this part; empty: never");
 DEFINE_bool(leave_unannounced, false, "on SIGTERM, remove the entry instead of reporting that the endpoint drains");
 
 namespace persimmon::fakes {
@@ -43,7 +44,9 @@
       : kernel_(services),
         name_(options.name),
         replica_(services.Context(), std::move(options)),
-        table_(services.Context(), {std::move(store)}, kStoreTimeout) {}
+        table_(services.Context(), {std::move(store)}, kStoreTimeout) {
+    replica_.Faults().crash_on_part = FLAGS_crash_on_part;
+  }
 
   result<void> Start() {
     auto started = replica_.Start();
@@ -116,6 +119,7 @@
   options.event_interval = milliseconds(FLAGS_event_interval_ms);
   options.tokens_per_ms = FLAGS_tokens_per_ms;
   options.work_time = milliseconds(FLAGS_work_ms);
+  options.exits_after_crash = true;
   options.logs_arrivals = true;
   return options;
 }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -40,6 +40,9 @@
 MAX_BODY_BYTES = 4 << 20  # a caller stops reading a longer body
 MEMORY_LIMIT_MB = 110  # of an entry VM of the smallest deployment; VMs of larger ones have 88 MB and more
 EXPIRY_MS = 3 * HEARTBEAT_MS
+FIRST_PARTS = ("f1", "f2", "f3")  # first parts of prompts, which sound and guilty requests share
+DEADLY_PART = "dead"              # decode engines crash when they begin to write on it
+CRASH_EXIT_CODE = 70              # of an engine that has crashed on it
 
 
 # ----------------------------------------------------------------------------------------------------------------------
@@ -90,6 +93,7 @@
         self.leaving = set()  # names of endpoints that have been told to leave
         self.version = "v1"  # software version of engines that start
         self.versions = {}   # of engines, by name
+        self.deadly_share = 0.0  # share of streaming requests whose prompts have the deadly part
         self.event_interval_ms = 20
         self.announce_delay_ms = 0  # from the first answer in which an endpoint states that it leaves to its entry
         self.next_replica = 0
@@ -155,6 +159,8 @@
         else:
             arguments += ["--stage", stage, "--tokens_per_ms=33", "--memory_tokens=36000", "--events=12",
                           f"--event_interval_ms={self.event_interval_ms}"]
+        if stage == "decode":
+            arguments.append(f"--crash_on_part={DEADLY_PART}")
         if stage != "app":
             arguments.append(f"--software_version={self.version}")
             self.versions[name] = self.version
@@ -233,6 +239,13 @@
     def __init__(self, attempt, router, kind, begin, resumed=None):
         self.attempt, self.router, self.kind, self.begin, self.resumed = attempt, router, kind, begin, resumed
         self.status, self.headers, self.body, self.is_complete, self.end = 0, {}, b"", False, 0.0
+        self.first_part, self.is_deadly = "", False
+
+    def parts(self):
+        """First part, document, and the request's own part, which is unlike all others."""
+        number = int.from_bytes(self.attempt.encode(), "big") % (1 << 48)
+        document = DEADLY_PART if self.is_deadly else f"d{number % 20:02x}"
+        return f"{self.first_part}:200,{document}:600,{number:x}:1200"
 
     def is_whole(self):
         if not self.is_complete or self.status != 200:
@@ -258,6 +271,7 @@
 
     def __init__(self, deployment, randomness, rate):
         self.deployment, self.random, self.rate = deployment, randomness, rate
+        self.part_random = random.Random(randomness.random())  # so that parts leave the other draws as they are
         self.idle = collections.defaultdict(list)
         self.answers = []
         self.tasks = set()
@@ -270,6 +284,9 @@
             router = self.random.randrange(self.deployment.router_count) + 1
             kind = self.random.choices(["pages", "submit", "chat", "digest"], [3, 3, 2, 2])[0]
             answer = Answer(f"r{router}-{number}", router, kind, time.time())
+            if kind in ("chat", "digest"):
+                answer.first_part = self.part_random.choice(FIRST_PARTS)
+                answer.is_deadly = self.part_random.random() < self.deployment.deadly_share
             self.answers.append(answer)
             task = asyncio.create_task(self.exchange_until_whole(answer))
             self.tasks.add(task)
@@ -284,6 +301,7 @@
         if answer.kind == "digest" and not answer.is_complete and 0 < last < 12:
             router = self.random.randrange(self.deployment.router_count) + 1
             again = Answer(f"r{router}-again-{answer.attempt}", router, "digest", time.time(), answer)
+            again.first_part = answer.first_part
             self.answers.append(again)
             await self.exchange(again)
 
@@ -306,7 +324,8 @@
                 "Persimmonchute-Deadline-Ms: 3000", f"Content-Length: {len(body)}"]
         if answer.kind in ("chat", "digest"):
             head += ["Persimmonchute-Model: m", "Persimmonchute-Token-Count: 2000,120",
-                     "Persimmonchute-Length-Hint: 120", "Persimmonchute-Prompt-Prefix: 5c:200"]
+                     "Persimmonchute-Length-Hint: 120",
+                     f"Persimmonchute-Prompt-Prefix: {answer.parts()}"]
         if answer.resumed:
             head += [f"Resumes: {answer.resumed.attempt}", f"Last-Event-Id: {answer.resumed.last_event()}"]
         writer.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
@@ -499,6 +518,7 @@
             lambda: self.close_endpoints([self.pick()], self.random.uniform(1, 4)),
             lambda: self.break_streams([self.pick("decode")], self.random.uniform(0.5, 3)),
             lambda: self.send_without_end([self.pick()], self.random.uniform(0.2, 1)),
+            lambda: self.send_deadly_parts(self.random.uniform(2, 6), self.random.uniform(0.05, 0.3)),
             lambda: asyncio.to_thread(self.deployment.write_desired_state)]
         while time.time() < end:
             task = asyncio.create_task(self.random.choice(actions)())
@@ -584,6 +604,38 @@
                 await breaking
                 await asyncio.sleep(self.random.uniform(0.5, 2))
 
+    async def send_deadly_parts(self, seconds, share):
+        self.note(f"{share:.0%} of the streaming requests have a deadly part for {seconds:.1f} s")
+        self.deployment.deadly_share = share
+        await asyncio.sleep(seconds)
+        self.deployment.deadly_share = 0.0
+
+    async def replace_crashed(self):
+        """Engines that have crashed are back after some seconds, under other names."""
+        replaced = set()
+        while True:
+            for name, process in list(self.deployment.replicas.items()):
+                if process.child.poll() == CRASH_EXIT_CODE and name not in replaced:
+                    replaced.add(name)
+                    self.note(f"{name} has crashed")
+                    self.deployment.disturb(name, 1e9)
+                    asyncio.get_running_loop().call_later(1.5, self.deployment.start_replica, name.split("-")[0])
+            await asyncio.sleep(0.1)
+
+    async def deadly_parts(self, seconds):
+        """A part of prompts crashes engines, while routers are restarted and engines break off other streams."""
+        end = time.time() + seconds
+        await asyncio.sleep(3)
+        deadly = asyncio.create_task(self.send_deadly_parts(seconds - 3, self.random.uniform(0.1, 0.3)))
+        while time.time() < end - 3:
+            await asyncio.sleep(self.random.uniform(2, 4))
+            action = self.random.choice([
+                lambda: self.restart_router(self.pick_router(), self.random.choice([signal.SIGKILL, signal.SIGTERM])),
+                lambda: self.break_streams([self.pick("decode")], self.random.uniform(0.3, 1)),
+                lambda: self.leave(self.pick("decode"))])
+            await action()
+        await deadly
+
     async def broken_streams(self, seconds):
         """Streams of some or all decode engines break off inside an event, in series."""
         end = time.time() + seconds
@@ -616,7 +668,7 @@
 SCENARIOS = ["mixed", "rejected_decodes", "rejected_prefills", "restarts_while_rejecting", "unannounced_leaves",
              "silent_store", "leaves_by_own_word",
              "closed_endpoints", "restored_store", "broken_streams", "endless_bytes",
-             "version_roll"]
+             "version_roll", "deadly_parts"]
 
 
 # ----------------------------------------------------------------------------------------------------------------------
@@ -787,6 +839,35 @@
                    if known == version and name.startswith("decode") and name not in self.left]
         return len(serving) >= 2
 
+    def check_parts(self):
+        """After the fifth crash under a part, at most three requests with it reach engines, and sound requests with the
+        same first parts begin at least half as often as before."""
+        crashes = sorted(at for at, attempt, endpoint, _, result in self.arrivals if result == "run" and
+                         self.by_attempt[attempt].is_deadly and endpoint.startswith("decode"))
+        if not crashes:
+            return
+        contact = BOUNDS["contact_ms"] / 1000
+        if len(crashes) >= 5:
+            late = [attempt for at, attempt, _, _, _ in self.arrivals if self.by_attempt[attempt].is_deadly and
+                    at > crashes[4] + contact and self.is_in_touch(self.router_of(attempt), at)]
+            if len(late) > 3:
+                self.report("BUDGET", f"{len(late)} requests with a deadly part reached engines later than contact_ms "
+                                      f"after the fifth of {len(crashes)} crashes: {', '.join(late[:5])}")
+        judged = crashes[min(len(crashes), 5) - 1] + 2 * contact
+        sound = [answer for answer in self.answers if answer.first_part and not answer.is_deadly and not answer.resumed
+                 and self.is_in_touch(answer.router, answer.begin)]
+        last = max(answer.begin for answer in self.answers if answer.is_deadly)
+        before = [answer for answer in sound if answer.end < crashes[0]]
+        for first_part in {answer.first_part for answer in self.answers if answer.is_deadly}:
+            after = [answer for answer in sound if judged < answer.begin < last and answer.first_part == first_part]
+            if len(before) < 20 or len(after) < 20:
+                continue
+            share, share_before = (sum(answer.last_event() > 0 for answer in group) / len(group)
+                                   for group in (after, before))
+            if share < share_before / 2:
+                self.report("LOST", f"{share:.0%} of {len(after)} sound requests with {first_part} began after the "
+                                    f"verdict, {share_before:.0%} before")
+
     def check_memory(self):
         """No router exceeds the memory of an entry VM, whatever endpoints send."""
         for index, peak in self.deployment.peak_memory_mb.items():
@@ -808,6 +889,7 @@
         self.check_answers()
         self.check_versions()
         self.check_resumed()
+        self.check_parts()
         self.check_memory()
         self.check_processes()
         return self.broken
@@ -830,9 +912,11 @@
     faults = Faults(deployment, randomness)
     load = asyncio.create_task(callers.run(arguments.seconds + 2))
     watch = asyncio.create_task(watch_memory(deployment))
+    replace = asyncio.create_task(faults.replace_crashed())
     await getattr(faults, arguments.scenario)(arguments.seconds)
     await load
     watch.cancel()
+    replace.cancel()
     return callers, faults
 
 
