Pass evidence on when it arrives, and keep routers from repeating dropped crashes

One that was dropped was new again when another router told it, dropped a newer one, and so on: two routers with more than eight crashes of one part told each other for ever. With two rounds a second that cost only messages; passing evidence on at once, which this commit adds, would have been a storm.

Change: a full list takes only crashes that are clearly newer than all it has. Received evidence that is new goes to two random routers at once, so it spreads at the speed of the network and not of the rounds; the rounds make up for lost messages.

--- a/include/persimmon/part_suspects.h
+++ b/include/persimmon/part_suspects.h
@@ -50,7 +50,7 @@
   milliseconds answered_refusal_time = milliseconds(5'000);
   milliseconds clear_report_time = milliseconds(10'000);  // how long the answer of a suspected part is reported
   std::size_t max_suspects = 256;                         // parts; those with the oldest crash are dropped first
-  std::size_t max_crashes = 8;                            // of one part; the newest are kept
+  std::size_t max_crashes = 8;                            // of one part; then only clearly newer ones are added
   std::size_t max_answered = 16'384;                      // parts whose latest answer is kept
   std::size_t max_reports = 16;                           // in one message
 
--- a/src/decisions/part_suspects.cpp
+++ b/src/decisions/part_suspects.cpp
@@ -101,7 +101,10 @@
   const bool is_known = std::any_of(crashes.begin(), crashes.end(), [&](const part_crash& known) {
     return known.crash == crash.crash && known.request == crash.request;
   });
-  if (is_known) {
+  // A crash that was dropped for newer ones must not come back from another router, which would drop one of these
+  // again.
+  const bool is_full = crashes.size() >= settings_.max_crashes;
+  if (is_known || (is_full && crash.at < crashes.back().at + settings_.same_moment)) {
     return false;
   }
   crashes.push_back(crash);
--- a/src/net/part_board.cpp
+++ b/src/net/part_board.cpp
@@ -21,7 +21,7 @@
 constexpr const char* kComponent = "router.parts";
 constexpr std::size_t kMaxServices = 256;      // with evidence; bounds the memory for messages of other routers
 constexpr std::size_t kDirectReceivers = 16;   // routers that are told of a change at once
-constexpr std::size_t kGossipReceivers = 2;    // routers that are told again in each round
+constexpr std::size_t kGossipReceivers = 2;    // routers that are told of received evidence, and again in each round
 constexpr milliseconds kBrokenRunTime(1'000);  // for which it may still be found that the engine has crashed
 constexpr milliseconds kGossipTime(10'000);    // after a change; a lost datagram and a cut of seconds are made up
 constexpr std::uint64_t kIdleRounds = 4;       // of so many rounds one is sent, to one router, without a change
@@ -199,8 +199,9 @@
   }
   service_parts& parts = PartsOf(received.service);
   if (parts.table.MergeReports(reports, timer_service::Now())) {
-    parts.changed_at = timer_service::Now();  // it is passed on in the next rounds
+    parts.changed_at = timer_service::Now();
     LogVerdicts(parts);
+    Send(parts, kGossipReceivers);
   }
 }
 
--- a/src/net/part_board.h
+++ b/src/net/part_board.h
@@ -1,10 +1,10 @@
 // Evidence of all routers on parts of prompts under which engines crash, and the runs that may become evidence. Used by
 // the router without agents and by the one with agents.
 //
-// Each router sees a part of the requests. What it learns of a suspected part goes to other routers at once, and again
-// to a few random ones for some seconds, which pass it on; a router that is heard for the first time is told
-// everything. Answers are told only of parts that are suspected, so the cost grows with the crashes and not with the
-// traffic.
+// Each router sees a part of the requests. What it learns of a suspected part goes to some other routers at once, which
+// pass it on to a few random ones; for some seconds each router repeats it to random ones, because messages are lost. A
+// router that is heard for the first time is told everything. Answers are told only of parts that are suspected, so the
+// cost grows with the crashes and not with the traffic.
 #pragma once
 
 #include <functional>
