Let a request run that lacks one of three parts with the same crashes

Nothing would have told them apart then.

Change: a crash does not count against a request if an accused part that it does not have explains it. A request is refused if two crashes of one of its accused parts are left. Log events are part_accused and part_cleared now, as is the metric: whether a request is refused depends on all of its parts.

--- a/include/persimmon/part_suspects.h
+++ b/include/persimmon/part_suspects.h
@@ -11,11 +11,12 @@
 // Evidence against a part are crashes of engines on which a request with it had written at most its first event.
 // Evidence for it is any request with it that has written more. A part is accused once enough different requests with
 // it have crashed engines since its last answer. Several accused parts that were present in the same crashes are told
-// apart as follows: one that was answered before yields to one that never was, and parts that have hardly any crash of
-// their own are refused only together, so that a request with one of them shows which it is.
+// apart as follows: one that was answered before yields to one that never was, and crashes that an accused part
+// explains which the request does not have do not count against it. So a request with some of the parts that cannot be
+// told apart runs, and shows which of them it is.
 //
-// Evidence is a set of crashes and a latest answer for each part. Merging is idempotent and independent of the order,
-// so routers may pass on what they have heard.
+// Evidence is a set of crashes and a latest answer for each part. Merging is idempotent and, up to `max_crashes`,
+// independent of the order, so routers may pass on what they have heard.
 #pragma once
 
 #include <compare>
@@ -40,7 +41,7 @@
   std::size_t crashes_to_refuse = 3;
   // Different requests among these crashes. One request that is sent again may crash engines by its own text.
   std::size_t requests_to_refuse = 2;
-  // Crashes in which no other accused part was present. With fewer, a part is refused only together with such others.
+  // Crashes of an accused part that must remain after those which other accused parts explain.
   std::size_t own_crashes_to_refuse = 2;
   // Crashes within this time count once: a zone or a rack may lose many engines at the same moment.
   milliseconds same_moment = milliseconds(250);
@@ -66,13 +67,13 @@
   auto operator<=>(const part_crash&) const = default;
 };
 
-// A part that is refused: with `partners`, only in requests that have one of these too.
-struct refused_part {
+// A part with enough crashes to be refused.
+struct accused_part {
   part_id part = 0;
-  std::vector<part_id> partners;  // sorted
-  time_point until;
+  std::vector<std::uint64_t> crashes;  // sorted
+  time_point until;                    // of the refusal
 
-  bool operator==(const refused_part&) const = default;
+  bool operator==(const accused_part&) const = default;
 };
 
 // Evidence on one part, sent to other routers.
@@ -122,8 +123,8 @@
   // Evidence for other routers: at most `max_reports` parts, those with the most crashes first.
   std::vector<part_report> Reports(time_point now) const;
 
-  // Parts that are refused now, in order of their ids.
-  std::vector<refused_part> RefusedParts(time_point now) const;
+  // Accused parts in order of their ids. Whether a request is refused depends on all its parts.
+  std::vector<accused_part> AccusedParts(time_point now) const;
 
   void Expire(time_point now);
 
@@ -141,13 +142,13 @@
   bool RecordAnswerAt(part_id part, time_point answered_at, time_point now);
   std::optional<time_point> LastAnswer(part_id part) const;
   milliseconds RefusalTime(part_id part, std::size_t crashes) const;
-  void FindRefused();
+  void FindAccused();
   void EnforceLimits();
 
   part_suspect_settings settings_;
   std::map<part_id, suspect> suspects_;
   std::unordered_map<part_id, time_point> answered_;
-  std::vector<refused_part> refused_;  // derived from suspects_ and answered_
+  std::vector<accused_part> accused_;  // derived from suspects_ and answered_, in order of their ids
   std::optional<time_point> last_crash_;
   bool answered_since_crash_ = true;  // any part of the service
 };
--- a/src/decisions/part_suspects.cpp
+++ b/src/decisions/part_suspects.cpp
@@ -23,26 +23,22 @@
   return requests.size() >= settings.requests_to_refuse && moments >= settings.crashes_to_refuse;
 }
 
-std::set<std::uint64_t> CrashIds(const std::vector<part_crash>& crashes) {
+std::vector<std::uint64_t> CrashIds(const std::vector<part_crash>& crashes) {
   std::set<std::uint64_t> ids;
   for (const part_crash& crash : crashes) {
     ids.insert(crash.crash);
   }
-  return ids;
+  return {ids.begin(), ids.end()};
 }
 
-bool ShareElement(const std::set<std::uint64_t>& left, const std::set<std::uint64_t>& right) {
-  return std::any_of(left.begin(), left.end(), [&right](std::uint64_t id) { return right.contains(id); });
-}
-
-// Number of crashes of the part in which no other accused part was present that the predicate selects.
+// Number of crashes of the part in which none of the accused parts was present that the predicate selects.
 template <class predicate>
-std::size_t CountOwnCrashes(part_id part, const std::map<part_id, std::set<std::uint64_t>>& accused,
-                            const predicate& is_selected) {
-  const auto& crashes = accused.at(part);
-  return static_cast<std::size_t>(std::count_if(crashes.begin(), crashes.end(), [&](std::uint64_t crash) {
-    return std::none_of(accused.begin(), accused.end(), [&](const auto& other) {
-      return other.first != part && is_selected(other.first) && other.second.contains(crash);
+std::size_t CountUnexplained(const accused_part& part, const std::vector<accused_part>& accused,
+                             const predicate& is_selected) {
+  return static_cast<std::size_t>(std::count_if(part.crashes.begin(), part.crashes.end(), [&](std::uint64_t crash) {
+    return std::none_of(accused.begin(), accused.end(), [&](const accused_part& other) {
+      return other.part != part.part && is_selected(other.part) &&
+             std::binary_search(other.crashes.begin(), other.crashes.end(), crash);
     });
   }));
 }
@@ -78,7 +74,7 @@
     is_changed = RecordAnswerAt(part, now, now) || is_changed;
   }
   if (is_changed) {
-    FindRefused();
+    FindAccused();
   }
   EnforceLimits();
   return is_changed;
@@ -134,7 +130,7 @@
   }
   EnforceLimits();
   if (is_changed) {
-    FindRefused();
+    FindAccused();
   }
   return is_changed;
 }
@@ -152,7 +148,7 @@
   }
   EnforceLimits();
   if (is_changed) {
-    FindRefused();
+    FindAccused();
   }
   return is_changed;
 }
@@ -168,44 +164,30 @@
   return std::min(time, settings_.refusal_time);
 }
 
-void part_suspect_table::FindRefused() {
-  refused_.clear();
-  std::map<part_id, std::set<std::uint64_t>> accused;
+void part_suspect_table::FindAccused() {
+  accused_.clear();
   for (const auto& [part, suspected] : suspects_) {
     if (HasEnoughCrashes(suspected.crashes, settings_)) {
-      accused[part] = CrashIds(suspected.crashes);
+      const auto until = suspected.crashes.back().at + RefusalTime(part, suspected.crashes.size());
+      accused_.push_back({part, CrashIds(suspected.crashes), until});
     }
   }
   // A part that was answered before is not to blame for crashes in which one was present that never was.
-  const auto never_answered = [this](part_id part) { return !answered_.contains(part); };
-  const auto all_accused = accused;
-  std::erase_if(accused, [&](const auto& item) {
-    return !never_answered(item.first) &&
-           CountOwnCrashes(item.first, all_accused, never_answered) < settings_.own_crashes_to_refuse;
+  const std::vector<accused_part> all_accused = accused_;
+  std::erase_if(accused_, [&](const accused_part& item) {
+    return answered_.contains(item.part) && CountUnexplained(item, all_accused, [this](part_id other) {
+                                              return !answered_.contains(other);
+                                            }) < settings_.own_crashes_to_refuse;
   });
-  for (const auto& [part, crashes] : accused) {
-    refused_part refused{part, {}, {}};
-    if (CountOwnCrashes(part, accused, [](part_id) { return true; }) < settings_.own_crashes_to_refuse) {
-      for (const auto& [other, other_crashes] : accused) {
-        if (other != part && ShareElement(crashes, other_crashes)) {
-          refused.partners.push_back(other);
-        }
-      }
-    }
-    refused.until = suspects_[part].crashes.back().at + RefusalTime(part, crashes.size());
-    refused_.push_back(std::move(refused));
-  }
 }
 
 std::optional<milliseconds> part_suspect_table::RemainingRefusal(std::span<const part_id> parts, time_point now) const {
-  const auto has_part = [&](part_id part) { return std::find(parts.begin(), parts.end(), part) != parts.end(); };
+  const auto is_elsewhere = [&](part_id part) { return std::find(parts.begin(), parts.end(), part) == parts.end(); };
   std::optional<milliseconds> longest;
-  for (const refused_part& refused : refused_) {
-    const bool matches =
-        has_part(refused.part) &&
-        (refused.partners.empty() || std::any_of(refused.partners.begin(), refused.partners.end(), has_part));
-    if (matches && now < refused.until) {
-      longest = std::max(longest.value_or(milliseconds(0)), std::chrono::ceil<milliseconds>(refused.until - now));
+  for (const accused_part& accused : accused_) {
+    if (now < accused.until && !is_elsewhere(accused.part) &&
+        CountUnexplained(accused, accused_, is_elsewhere) >= settings_.own_crashes_to_refuse) {
+      longest = std::max(longest.value_or(milliseconds(0)), std::chrono::ceil<milliseconds>(accused.until - now));
     }
   }
   return longest;
@@ -219,10 +201,10 @@
   });
 }
 
-std::vector<refused_part> part_suspect_table::RefusedParts(time_point now) const {
-  std::vector<refused_part> refused = refused_;
-  std::erase_if(refused, [now](const refused_part& item) { return now >= item.until; });
-  return refused;
+std::vector<accused_part> part_suspect_table::AccusedParts(time_point now) const {
+  std::vector<accused_part> accused = accused_;
+  std::erase_if(accused, [now](const accused_part& item) { return now >= item.until; });
+  return accused;
 }
 
 std::vector<part_report> part_suspect_table::Reports(time_point now) const {
@@ -264,7 +246,7 @@
     item = is_cleared ? suspects_.erase(item) : std::next(item);
   }
   if (is_changed) {
-    FindRefused();
+    FindAccused();
   }
 }
 
--- a/src/net/part_board.cpp
+++ b/src/net/part_board.cpp
@@ -159,29 +159,29 @@
 
 void part_board::LogVerdicts(service_parts& parts) {
   const time_point now = timer_service::Now();
-  std::vector<part_id> refused;
-  for (const refused_part& item : parts.table.RefusedParts(now)) {
-    refused.push_back(item.part);
-    if (std::find(parts.refused.begin(), parts.refused.end(), item.part) == parts.refused.end()) {
+  std::vector<part_id> accused;
+  for (const accused_part& item : parts.table.AccusedParts(now)) {
+    accused.push_back(item.part);
+    if (std::find(parts.accused.begin(), parts.accused.end(), item.part) == parts.accused.end()) {
       Events()
-          .Line(kComponent, "part_refused")
+          .Line(kComponent, "part_accused")
           .Add("service", parts.name)
           .Add("part", FormatParts({item.part}))
-          .Add("only_with", FormatParts(item.partners))
+          .Add("crashes", item.crashes.size())
           .Add("for_ms", std::chrono::duration_cast<milliseconds>(item.until - now).count());
     }
   }
-  for (const part_id part : parts.refused) {
-    if (std::find(refused.begin(), refused.end(), part) == refused.end()) {
-      Events().Line(kComponent, "part_admitted").Add("service", parts.name).Add("part", FormatParts({part}));
+  for (const part_id part : parts.accused) {
+    if (std::find(accused.begin(), accused.end(), part) == accused.end()) {
+      Events().Line(kComponent, "part_cleared").Add("service", parts.name).Add("part", FormatParts({part}));
     }
   }
-  if (refused != parts.refused) {
+  if (accused != parts.accused) {
     metrics_
-        .AddGauge("persimmon_refused_parts", "Parts of prompts under which engines crash.", {{"service", parts.name}})
-        .Set(static_cast<double>(refused.size()));
+        .AddGauge("persimmon_accused_parts", "Parts of prompts under which engines crash.", {{"service", parts.name}})
+        .Set(static_cast<double>(accused.size()));
   }
-  parts.refused = std::move(refused);
+  parts.accused = std::move(accused);
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
--- a/src/net/part_board.h
+++ b/src/net/part_board.h
@@ -75,7 +75,7 @@
     std::uint64_t key = 0;  // hash of the name
     std::string name;       // empty: no request of the service has reached this router
     part_suspect_table table{part_suspect_settings{}};
-    std::vector<part_id> refused;  // as logged last
+    std::vector<part_id> accused;  // as logged last
     std::optional<time_point> changed_at;
   };
 
--- a/tests/part_suspects_test.cpp
+++ b/tests/part_suspects_test.cpp
@@ -78,6 +78,19 @@
   EXPECT_FALSE(IsRefused(table_, {kFirst}, 4'200));
 }
 
+// Guards against refusing a sound request because it has two of three parts that cannot be told apart.
+TEST_F(part_suspects_test, RequestWithoutOneOfThePartsWithTheSameCrashes_IsNotRefused) {
+  for (int i = 1; i <= 3; ++i) {
+    CrashAmongOthers({kFirst, kOther, kDeadly}, i * 1'000);
+  }
+  EXPECT_TRUE(IsRefused(table_, {kFirst, kOther, kDeadly}, 4'000));
+  EXPECT_FALSE(IsRefused(table_, {kFirst, kOther}, 4'000));
+  CrashAmongOthers({kFirst, kOther}, 5'000);
+  EXPECT_FALSE(IsRefused(table_, {kFirst, kOther}, 5'500));
+  CrashAmongOthers({kFirst, kOther}, 6'000);
+  EXPECT_TRUE(IsRefused(table_, {kFirst, kOther}, 6'500));
+}
+
 TEST_F(part_suspects_test, PartsWithTheSameCrashes_AreToldApartByFurtherCrashes) {
   for (int i = 1; i <= 3; ++i) {
     CrashAmongOthers({kFirst, kDeadly}, i * 1'000);
@@ -207,7 +220,7 @@
   part_suspect_table other(settings_);
   table.MergeReports(reports, At(0));
   other.MergeReports(shuffled, At(0));
-  RC_ASSERT(table.RefusedParts(At(0)) == other.RefusedParts(At(0)));
+  RC_ASSERT(table.AccusedParts(At(0)) == other.AccusedParts(At(0)));
   const part_list parts = *rc::gen::container<part_list>(rc::gen::inRange<part_id>(0, 4));
   RC_ASSERT(table.RemainingRefusal(parts, At(0)) == other.RemainingRefusal(parts, At(0)));
 }
