Keep the time of an answer when it is passed on

Cause, found by reading the diff: reports state ages, so the time of an answer grows by the transit time with each router that passes it on. Between two routers an answer from before a crash passed the crash after some hundred messages, cleared it, and the crash came back from the other router with a later time, and so on. A part that was answered before its crashes would have been cleared and accused by turns, with a message for each.

The times of known crashes never changed.

Evidence: AnswerBeforeTheCrashes_PassedOnForMinutes_ChangesNothing fails without the change and passes with it. The function that rejects waiting requests is renamed.

--- a/src/decisions/part_suspects.cpp
+++ b/src/decisions/part_suspects.cpp
@@ -139,7 +139,12 @@
   bool is_changed = false;
   for (const part_report& report : reports) {
     if (report.answer_age) {
-      is_changed = RecordAnswerAt(report.part, now - std::max(*report.answer_age, milliseconds(0)), now) || is_changed;
+      // The time of an answer grows with every router that passes it on, by the time that its message takes.
+      const time_point answered_at = now - std::max(*report.answer_age, milliseconds(0));
+      const auto known = LastAnswer(report.part);
+      if (!known || answered_at >= *known + settings_.same_moment) {
+        is_changed = RecordAnswerAt(report.part, answered_at, now) || is_changed;
+      }
     }
     for (const part_report::crash_entry& entry : report.crashes) {
       const part_crash crash{entry.crash, entry.request, now - std::max(entry.age, milliseconds(0))};
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -251,7 +251,7 @@
   const engine_profile profile = queue.record.engine.value_or(engine_profile{});
   const auto engines = endpoint_tracker_->ListEndpoints(queue.record.name, endpoint_role::kDecode);
   const auto prefill_engines = endpoint_tracker_->ListEndpoints(queue.record.name, endpoint_role::kPrefill);
-  RejectHopeless(queue, engines);
+  RejectUnservable(queue, engines);
   placement_settings settings;
   settings.max_prefill_backlog = static_cast<std::uint32_t>(settings_.max_prefill_backlog);
   settings.local_prefill_limit = static_cast<std::uint32_t>(settings_.local_prefill_limit);
@@ -304,7 +304,7 @@
 
 // Rejects the waiting requests that could only wait in vain: streams whose software version has no decode engine any
 // more, and requests with a part under which engines have crashed meanwhile.
-void generation_calls::RejectHopeless(service_queue& queue, const std::vector<chosen_endpoint>& engines) {
+void generation_calls::RejectUnservable(service_queue& queue, const std::vector<chosen_endpoint>& engines) {
   std::vector<std::pair<waiting_ptr, rejection>> rejected;
   for (const auto& [request, waiting] : queue.waiting) {
     if (waiting->call->engine_version && !IsAnyUsableFor(*waiting->call, engines)) {
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -97,7 +97,7 @@
   placement_request MakeRequest(const direct_call& call, bool is_resumed, time_point now);
   void Dispatch(service_queue& queue);
   void PlaceWaiting(service_queue& queue);
-  void RejectHopeless(service_queue& queue, const std::vector<chosen_endpoint>& engines);
+  void RejectUnservable(service_queue& queue, const std::vector<chosen_endpoint>& engines);
   void RecordBlocked(service_queue& queue, wait_reason reason, time_point now);
   void RemoveWaiting(service_queue& queue, const waiting_ptr& waiting);
   task<> Reserve(std::string service, waiting_ptr waiting, engine_assignment assignment);
--- a/tests/part_suspects_test.cpp
+++ b/tests/part_suspects_test.cpp
@@ -184,6 +184,22 @@
   EXPECT_FALSE(started.MergeReports(routers[1].Reports(At(5'000)), At(5'000)));
 }
 
+// Guards against an answer that seems later with every message, until it clears the crashes after it, again and again.
+TEST_F(part_suspects_test, AnswerBeforeTheCrashes_PassedOnForMinutes_ChangesNothing) {
+  part_suspect_table peer(settings_);
+  table_.RecordAnswer(part_list{kOther}, At(0));
+  Crash(table_, {kOther}, 500);
+  int changes = 0;
+  for (int i = 0; i < 2'000; ++i) {
+    const std::int64_t now = 1'000 + i * 10;
+    changes += peer.MergeReports(table_.Reports(At(now)), At(now + 2)) ? 1 : 0;
+    changes += table_.MergeReports(peer.Reports(At(now + 4)), At(now + 6)) ? 1 : 0;
+  }
+  EXPECT_EQ(changes, 1);
+  EXPECT_TRUE(table_.IsSuspected(part_list{kOther}, 99));
+  EXPECT_TRUE(peer.IsSuspected(part_list{kOther}, 99));
+}
+
 // Guards against routers that tell each other for ever of crashes that each has dropped for newer ones.
 TEST_F(part_suspects_test, Routers_WithMoreCrashesThanTheyKeep_StopTellingEachOther) {
   part_suspect_table peer(settings_);
