--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -493,7 +493,8 @@
             post(address, "/faults", {"rejects_work": False, "retry_after_ms": 0})
 
     def pick(self, stage=None):
-        return self.random.choice(self.deployment.living_replicas(stage))
+        # All engines of a stage may have crashed for a moment.
+        return self.random.choice(self.deployment.living_replicas(stage) or self.deployment.living_replicas())
 
     def pick_router(self):
         return self.random.choice(list(self.deployment.routers))
