--- a/src/direct/endpoint_tracker.cpp
+++ b/src/direct/endpoint_tracker.cpp
@@ -89,22 +89,45 @@
   state.refused_until = now + settings_.refused_pause;
 }
 
-void endpoint_tracker::RecordResponse(const chosen_endpoint& endpoint, const platform::response_metadata& metadata) {
+void endpoint_tracker::RecordResponse(const chosen_endpoint& endpoint, const platform::response_metadata& metadata,
+                                      time_point sent) {
   if (metadata.is_leaving && !metadata.is_misdirected) {
     directory_->RecordLeaving(endpoint.name, endpoint.started_ms);
   }
   if (metadata.closed_for) {
     CloseEndpoint(endpoint, *metadata.closed_for);
   }
+  if (!metadata.is_misdirected) {
+    LogLimit(endpoint, metadata, sent);
+  }
+}
+
+void endpoint_tracker::LogLimit(const chosen_endpoint& endpoint, const platform::response_metadata& metadata,
+                                time_point sent) {
+  const auto known = stated_limits_.find(endpoint.name);
+  const double before = known == stated_limits_.end() ? -1 : known->second;
+  const double now = metadata.request_limit.value_or(-1);
+  if (now == before) {
+    return;
+  }
+  Events()
+      .Line(kComponent, "limit_stated")
+      .Add("endpoint", endpoint.name.value)
+      .Add("started_ms", endpoint.started_ms)
+      .Add("limit", now)
+      .Add("before", before)
+      .Add("sent_ms_ago", ElapsedMs(sent, timer_service::Now()));
+  stated_limits_[endpoint.name] = now;
 }
 
 task<result<platform::engine_report>> endpoint_tracker::FetchReport(http_client& client, chosen_endpoint engine,
                                                                     milliseconds timeout) {
+  const time_point sent = timer_service::Now();
   auto response = co_await client.Fetch(engine.address, platform::MakeReportRequest(engine.name), timeout);
   if (!response) {
     co_return response.error();
   }
-  RecordResponse(engine, platform::ParseResponseHeaders(response.value().Head()));
+  RecordResponse(engine, platform::ParseResponseHeaders(response.value().Head()), sent);
   if (response.value().status != 200) {
     co_return error{error_code::kUnavailable, "no valid report from the engine"};
   }
--- a/src/direct/endpoint_tracker.h
+++ b/src/direct/endpoint_tracker.h
@@ -47,8 +47,8 @@
   // An engine refused to reserve this many tokens; it is not asked for that many or more during refused_pause.
   void RecordReservationRefused(const endpoint_name& endpoint, std::uint32_t tokens);
 
-  // Records what any response of the endpoint says about the endpoint itself.
-  void RecordResponse(const chosen_endpoint& endpoint, const platform::response_metadata& metadata);
+  // Records what any response of the endpoint says about the endpoint itself. `sent`: when its request was sent.
+  void RecordResponse(const chosen_endpoint& endpoint, const platform::response_metadata& metadata, time_point sent);
 
   // Reads the report of an engine and records its response. Errors: those of Fetch; kUnavailable for a response other
   // than a report; kProtocol.
@@ -113,6 +113,7 @@
     time_point until;
   };
 
+  void LogLimit(const chosen_endpoint& endpoint, const platform::response_metadata& metadata, time_point sent);
   void CloseEndpoint(const chosen_endpoint& endpoint, milliseconds duration);
   void PauseEndpoint(const chosen_endpoint& endpoint, const char* reason);
   endpoint_state& StateOf(const endpoint_name& endpoint);
@@ -129,6 +130,7 @@
   router_group* group_ = nullptr;
   std::map<endpoint_name, endpoint_state> states_;
   std::map<endpoint_name, closure> closures_;
+  std::map<endpoint_name, double> stated_limits_;  // as logged last
   stream_id next_stream_ = 0;
   std::map<std::string, health_table> health_;  // by service
   timer_subscription health_timer_;
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -339,10 +339,11 @@
   const engine_profile profile = waiting->call->Service().engine.value_or(engine_profile{});
   const milliseconds lifetime = std::min(settings_.reservation_time, profile.max_reservation_time);
   const std::uint32_t tokens = assignment.memory.reserved_tokens;
+  const time_point sent = timer_service::Now();
   auto request = platform::MakeReserveRequest(assignment.engine.name, tokens, lifetime);
   auto response = co_await client_.Fetch(assignment.engine.address, std::move(request), settings_.reserve_timeout);
   if (response) {
-    endpoint_tracker_->RecordResponse(assignment.engine, platform::ParseResponseHeaders(response.value().Head()));
+    endpoint_tracker_->RecordResponse(assignment.engine, platform::ParseResponseHeaders(response.value().Head()), sent);
   }
   const time_point now = timer_service::Now();
   service_queue& queue = *queues_[service];
@@ -493,7 +494,7 @@
     if (!head) {
       failure = head.error();
     } else {
-      endpoint_tracker_->RecordResponse(engine, platform::ParseResponseHeaders(head.value()));
+      endpoint_tracker_->RecordResponse(engine, platform::ParseResponseHeaders(head.value()), begin);
     }
     if (!failure) {
       auto read = co_await ReadBufferedBody(upstream, end);
@@ -606,7 +607,7 @@
     }
   } else {
     const auto metadata = platform::ParseResponseHeaders(head.value());
-    endpoint_tracker_->RecordResponse(assignment.engine, metadata);
+    endpoint_tracker_->RecordResponse(assignment.engine, metadata, begin);
     const bool is_success = head.value().status >= 200 && head.value().status < 300;
     if (metadata.proves_not_run) {
       detail = fmt::format("status {}", head.value().status);
--- a/src/direct/plain_calls.cpp
+++ b/src/direct/plain_calls.cpp
@@ -137,7 +137,7 @@
     outcome.result = failure->code == error_code::kUnavailable ? attempt_result::kNotSent : attempt_result::kMayHaveRun;
   } else {
     const auto metadata = platform::ParseResponseHeaders(head.value());
-    endpoint_tracker_->RecordResponse(endpoint, metadata);
+    endpoint_tracker_->RecordResponse(endpoint, metadata, begin);
     outcome.response = {head.value().status, platform::ForwardedHeaders(head.value().headers), {}};
     // A response without a seal or with a content encoding is not the endpoint's own. From some statuses the caller
     // would conclude that the call has not run, which the endpoint has not stated.
--- a/src/direct/stage_orders.cpp
+++ b/src/direct/stage_orders.cpp
@@ -165,9 +165,10 @@
   }
   auto request = platform::MakeStageOrderRequest(engine.name, stage, settings_.deployment.name, fencing_token,
                                                  report.value().orders_accepted);
+  const time_point sent = timer_service::Now();
   auto response = co_await client_.Fetch(engine.address, std::move(request), kOrderTimeout);
   if (response) {
-    endpoint_tracker_->RecordResponse(engine, platform::ParseResponseHeaders(response.value().Head()));
+    endpoint_tracker_->RecordResponse(engine, platform::ParseResponseHeaders(response.value().Head()), sent);
   }
   const int status = response ? response.value().status : 0;
   Events()
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -184,8 +184,8 @@
 TEST_F(plain_call_test, Endpoint_ThatStatesTwoRetryTimes_IsClosedUntilTheLaterOne) {
   const chosen_endpoint endpoint{endpoint_name{"app-1"}, 1, {}, first_.Address(), {}};
   const auto record = [&](const char* seconds) {
-    harness_.EndpointTracker().RecordResponse(endpoint,
-                                              platform::ParseResponseHeaders({503, {{"Retry-After", seconds}}}));
+    harness_.EndpointTracker().RecordResponse(
+        endpoint, platform::ParseResponseHeaders({503, {{"Retry-After", seconds}}}), timer_service::Now());
   };
   record("30");
   record("0.001");
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -256,5 +256,20 @@
   EXPECT_EQ(closed_for(429, "2"), std::nullopt);
 }
 
+// An endpoint that states a limit in another form must neither lose its limit nor get one of zero.
+TEST(response_headers_test, RequestLimit_OfAResponse_IsTheLowestReadableNumber) {
+  const auto read = [](const header_list& headers) { return platform::ParseResponseHeaders({200, headers}); };
+  EXPECT_EQ(read({{"server-limit", " 7.25 "}}).request_limit, 7.25);
+  EXPECT_EQ(read({{"Server-Limit", "0"}}).request_limit, 0.0);
+  EXPECT_EQ(read({{"Server-Limit", "9"}, {"Server-Limit", "4"}}).request_limit, 4.0);
+  EXPECT_EQ(read({{"Server-Limit", "9, 4.5,x"}}).request_limit, 4.5);
+  EXPECT_EQ(read({}).request_limit, std::nullopt);
+  EXPECT_FALSE(read({}).has_unreadable_limit);
+  for (const char* text : {"-1", "inf", "nan", "1e999", "7/s", "", ","}) {
+    EXPECT_EQ(read({{"Server-Limit", text}}).request_limit, std::nullopt) << text;
+    EXPECT_TRUE(read({{"Server-Limit", text}}).has_unreadable_limit) << text;
+  }
+}
+
 }  // namespace
 }  // namespace persimmon::platform
