--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -105,14 +105,17 @@
   if (faults_.encoded) {
     headers.push_back({"Content-Encoding", "gzip"});
   }
-  AddLeavingHeader(headers);
+  AddOwnState(headers);
   return headers;
 }
 
-void fake_replica::AddLeavingHeader(header_list& headers) const {
+void fake_replica::AddOwnState(header_list& headers) const {
   if (faults_.leaving) {
     headers.push_back({"Server-Leaving", "1"});
   }
+  if (!faults_.request_limit.empty()) {
+    headers.push_back({"Server-Limit", faults_.request_limit});
+  }
 }
 
 body_framing fake_replica::Framing() const {
@@ -184,6 +187,7 @@
   const http_request& request = exchange->Request();
   if (!options_.logs_arrivals) {
     requests_.push_back(request);  // kept for tests in the same process
+    arrivals_.push_back(timer_service::Now());
   }
   http_response response;
   const std::string expected = Header(request, "Persimmonchute-Expect-Instance");
@@ -219,7 +223,7 @@
 
 // Sends a response that the replica makes without running a request.
 task<> fake_replica::Respond(std::shared_ptr<http_exchange> exchange, http_response response) {
-  AddLeavingHeader(response.headers);
+  AddOwnState(response.headers);
   (void)co_await exchange->Respond(std::move(response));
 }
 
@@ -268,7 +272,7 @@
   }
   http_response response = JsonResponse(200, json{{"handle", handle}, {"tokens", 100}, {"version", 1}}.dump());
   response.headers.push_back({"Persimmonchute-Attempt-Id", Header(request, "Persimmonchute-Attempt-Id")});
-  AddLeavingHeader(response.headers);
+  AddOwnState(response.headers);
   co_await Answer(exchange, std::move(response));
 }
 
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -60,9 +60,10 @@
   std::string crash_on = {};     // running a request with this body stops the endpoint
   // The endpoint stops when it begins a stream whose prompt has this part; a prefill engine, when it reads it.
   std::string crash_on_part = {};
-  milliseconds retry_after{0};                      // stated in rejections with status 503; 0: not stated
-  milliseconds reserve_delay{0};                    // before a reservation is granted or refused
-  std::uint32_t break_after_events = 0;             // streams break off after this many events; 0: never
+  std::string request_limit = {};        // stated in all responses, in requests per second; empty: not stated
+  milliseconds retry_after{0};           // stated in rejections with status 503; 0: not stated
+  milliseconds reserve_delay{0};         // before a reservation is granted or refused
+  std::uint32_t break_after_events = 0;  // streams break off after this many events; 0: never
   std::optional<std::size_t> cut_after_bytes = {};  // streams break off after this many bytes of their body
 
   bool operator==(const replica_faults&) const = default;
@@ -97,6 +98,7 @@
   std::size_t MaxPendingPrompts() const { return max_pending_prompts_; }
   int Orders() const { return orders_; }
   const std::vector<http_request>& Requests() const { return requests_; }  // all, including those that did not run
+  const std::vector<time_point>& Arrivals() const { return arrivals_; }    // times of Requests()
   int ActiveRuns() const { return running_count_; }
   std::uint32_t ReservedTokens() const;
   std::size_t StoredHandleCount() const { return handles_.size(); }
@@ -118,7 +120,7 @@
   task<> SimulatePrefill(const http_request& request, double rate);
   http_response ApplyOrder(const http_request& request);
   http_response NotExecuted(int status) const;
-  void AddLeavingHeader(header_list& headers) const;
+  void AddOwnState(header_list& headers) const;
   task<> Respond(std::shared_ptr<http_exchange> exchange, http_response response);
   http_response SetFaults(const std::string& body);
   void LogArrival(const http_request& request, const char* result) const;
@@ -132,6 +134,7 @@
   std::map<std::string, std::uint32_t> reservations_;  // reserved KV cache tokens by reservation id (the field "hold")
   std::set<std::string> handles_;
   std::vector<http_request> requests_;
+  std::vector<time_point> arrivals_;
   int prefills_ = 0;
   std::vector<std::uint32_t> local_prefill_tokens_;
   std::size_t pending_prompts_ = 0;
--- a/tests/support/router_harness.h
+++ b/tests/support/router_harness.h
@@ -212,6 +212,12 @@
   // Sends a request. `path` must start with the prefix of a route; the replicas count runs by attempt id.
   caller_exchange_ptr Send(const std::string& method, const std::string& path, const std::string& attempt,
                            header_list extra_headers = {}, const std::string& body = "") {
+    return SendTo(settings_.deployment.callers, method, path, attempt, std::move(extra_headers), body);
+  }
+
+  // Like Send, to another router.
+  caller_exchange_ptr SendTo(const host_port& router, const std::string& method, const std::string& path,
+                             const std::string& attempt, header_list extra_headers = {}, const std::string& body = "") {
     http_request request;
     request.method = method;
     request.target = path;
@@ -220,8 +226,7 @@
     request.body = body;
     auto exchange = std::make_shared<caller_exchange>();
     exchange->call = std::make_unique<http_call>(client_);
-    asio::co_spawn(kernel_.Context(), Exchange(settings_.deployment.callers, std::move(request), exchange),
-                   asio::detached);
+    asio::co_spawn(kernel_.Context(), Exchange(router, std::move(request), exchange), asio::detached);
     return exchange;
   }
 
