--- a/include/persimmon/selection.h
+++ b/include/persimmon/selection.h
@@ -47,6 +47,7 @@
   std::uint32_t dispatched_prefills = 0;       // by this router, not in the report
   std::uint32_t dispatched_decodes = 0;        // by this router, not in the report
   std::uint32_t calls_in_progress = 0;         // service calls and streams of this router on the endpoint
+  microseconds permit_wait{0};                 // until a limit that the endpoint has stated allows a request
   std::uint32_t cached_tokens = 0;             // leading prompt tokens that are probably cached there
 
   bool operator==(const endpoint_view&) const = default;
@@ -166,7 +167,8 @@
   bool operator==(const service_request&) const = default;
 };
 
-// The endpoint with the fewest calls in progress, as reported and from this router. Ties prefer the same zone.
+// The endpoint with the fewest calls in progress, as reported and from this router. Ties prefer the same zone. If the
+// limits of all endpoints make a request wait, the one with the shortest wait.
 std::optional<std::size_t> ChooseService(std::span<const endpoint_view> endpoints, const service_request& request,
                                          const selection_settings& settings);
 
--- a/src/core/timers.cpp
+++ b/src/core/timers.cpp
@@ -2,12 +2,15 @@
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <ctime>
 
 #include "core/random.h"
 
 namespace persimmon {
 namespace {
 
+milliseconds simulated_suspension(0);
+
 struct periodic_timer : std::enable_shared_from_this<periodic_timer> {
   periodic_timer(asio::io_context& context, milliseconds period, double jitter, std::function<void()> callback,
                  std::shared_ptr<bool> active)
@@ -36,6 +39,14 @@
 
 }  // namespace
 
+time_point timer_service::NowWithSuspension() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return time_point(std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec) + simulated_suspension);
+}
+
+void timer_service::SimulateSuspension(milliseconds duration) { simulated_suspension += duration; }
+
 timer_subscription timer_service::SubscribeEvery(milliseconds period, double jitter, std::function<void()> callback) {
   auto active = std::make_shared<bool>(true);
   std::make_shared<periodic_timer>(context_, period, jitter, std::move(callback), active)->Schedule();
--- a/src/core/timers.h
+++ b/src/core/timers.h
@@ -53,6 +53,13 @@
 
   static time_point Now() { return std::chrono::steady_clock::now(); }
 
+  // Like Now, but also counts the time for which the machine was suspended. For permissions with a time limit that
+  // others have given. Not comparable with Now.
+  static time_point NowWithSuspension();
+
+  // For tests: the machine has been suspended for so much longer.
+  static void SimulateSuspension(milliseconds duration);
+
   // Calls the function periodically until the subscription ends. Each interval varies randomly; `jitter` (0 to 1) is
   // the width of the variation as a fraction of the period.
   [[nodiscard]] timer_subscription SubscribeEvery(milliseconds period, double jitter, std::function<void()> callback);
--- a/src/decisions/selection.cpp
+++ b/src/decisions/selection.cpp
@@ -196,7 +196,7 @@
                                          const selection_settings&) {
   return ChooseByHealth<std::size_t>(endpoints, request.draw, [&](const auto& is_candidate) {
     std::optional<std::size_t> best;
-    std::tuple<std::uint64_t, bool, microseconds, std::uint64_t> least;
+    std::tuple<microseconds, std::uint64_t, bool, microseconds, std::uint64_t> least;
     for (std::size_t i = 0; i < endpoints.size(); ++i) {
       const endpoint_view& endpoint = endpoints[i];
       if (!is_candidate(endpoint)) {
@@ -204,7 +204,8 @@
       }
       const std::uint64_t calls = std::uint64_t{endpoint.queued_tokens} + endpoint.calls_in_progress;
       const bool is_cross_zone = IsOtherZone(endpoint, request.preferred_zone);
-      const std::tuple order(calls, is_cross_zone, endpoint.link_delay, HashedDraw(endpoint, request.draw));
+      const std::tuple order(endpoint.permit_wait, calls, is_cross_zone, endpoint.link_delay,
+                             HashedDraw(endpoint, request.draw));
       if (!best || order < least) {
         best = i;
         least = order;
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -27,6 +27,7 @@
   services.Register<telemetry>("telemetry", services, settings->deployment.name, std::string());
   auto& group = services.Register<router_group>("group", services, *settings);
   auto& directory = services.Register<deployment_directory>("directory", services, *settings, table);
+  services.Register<limit_tracker>("limits", services);
   auto& tracker = services.Register<endpoint_tracker>("board", services, *settings);
   services.Register<suspect_tracker>("crashes", services, *client);
   services.Register<part_tracker>("parts", services);
--- a/src/direct/endpoint_tracker.cpp
+++ b/src/direct/endpoint_tracker.cpp
@@ -30,6 +30,7 @@
 void endpoint_tracker::Start() {
   directory_ = &kernel_.Find<deployment_directory>("directory");
   group_ = &kernel_.Find<router_group>("group");
+  limits_ = &kernel_.Find<limit_tracker>("limits");
   health_timer_ = kernel_.Timers().SubscribeEvery(kHealthPeriod, 0.1, [this] {
     UpdateHealth();
     RemoveIdleStates();
@@ -98,30 +99,16 @@
     CloseEndpoint(endpoint, *metadata.closed_for);
   }
   if (!metadata.is_misdirected) {
-    LogLimit(endpoint, metadata, sent);
+    limits_->RecordResponse(endpoint.name, endpoint.started_ms, metadata, sent);
   }
 }
 
-void endpoint_tracker::LogLimit(const chosen_endpoint& endpoint, const platform::response_metadata& metadata,
-                                time_point sent) {
-  const auto known = stated_limits_.find(endpoint.name);
-  const double before = known == stated_limits_.end() ? -1 : known->second;
-  const double now = metadata.request_limit.value_or(-1);
-  if (now == before) {
-    return;
-  }
-  Events()
-      .Line(kComponent, "limit_stated")
-      .Add("endpoint", endpoint.name.value)
-      .Add("started_ms", endpoint.started_ms)
-      .Add("limit", now)
-      .Add("before", before)
-      .Add("sent_ms_ago", ElapsedMs(sent, timer_service::Now()));
-  stated_limits_[endpoint.name] = now;
-}
-
 task<result<platform::engine_report>> endpoint_tracker::FetchReport(http_client& client, chosen_endpoint engine,
                                                                     milliseconds timeout) {
+  const permit_result taken = co_await AcquirePermit(engine, timeout);
+  if (!taken.permit) {
+    co_return error{error_code::kUnavailable, "the engine's limit allows no request now"};
+  }
   const time_point sent = timer_service::Now();
   auto response = co_await client.Fetch(engine.address, platform::MakeReportRequest(engine.name), timeout);
   if (!response) {
@@ -159,8 +146,9 @@
   const time_point now = timer_service::Now();
   std::optional<milliseconds> shortest;
   for (const chosen_endpoint& endpoint : endpoints) {
-    const milliseconds remaining =
+    const milliseconds closed =
         IsClosed(endpoint) ? std::chrono::ceil<milliseconds>(closures_.at(endpoint.name).until - now) : milliseconds(0);
+    const milliseconds remaining = std::max(closed, limits_->PredictWait(LimitKey(endpoint)));
     shortest = std::min(shortest.value_or(remaining), remaining);
   }
   return shortest.value_or(milliseconds(0));
@@ -256,6 +244,7 @@
     view.can_receive = CanReceive(endpoint, now) && !Contains(avoid, endpoint.name);
     view.health_share = HealthShare(endpoint.name);
     const endpoint_state* state = FindState(endpoint.name);
+    view.permit_wait = limits_->PredictWait(LimitKey(endpoint));
     view.calls_in_progress = (state == nullptr ? 0U : state->use.calls) + group_->PeerUse(endpoint.name).calls;
     views.push_back(std::move(view));
   }
@@ -288,7 +277,8 @@
     engine_view view;
     view.name = endpoint.name;
     view.zone = endpoint.zone;
-    view.can_receive = CanReceive(endpoint, now) && is_candidate(endpoint) && is_in_rotation;
+    const bool has_permits = limits_->PredictWait(LimitKey(endpoint)) == milliseconds(0);
+    view.can_receive = CanReceive(endpoint, now) && is_candidate(endpoint) && is_in_rotation && has_permits;
     view.kv_tokens = profile.kv_tokens;
     view.slots = profile.slots;
     view.streams = peer_use.streams;
@@ -309,6 +299,14 @@
   return directory_->Endpoints().ReceivesWork(endpoint.name, endpoint.started_ms);
 }
 
+std::optional<chosen_endpoint> endpoint_tracker::FindByAddress(const std::string& service,
+                                                               const host_port& address) const {
+  const auto endpoints = ListEndpoints(service, std::nullopt);
+  const auto found = std::find_if(endpoints.begin(), endpoints.end(),
+                                  [&address](const chosen_endpoint& endpoint) { return endpoint.address == address; });
+  return found == endpoints.end() ? std::nullopt : std::optional(*found);
+}
+
 bool endpoint_tracker::IsDecodeEngine(const endpoint_name& endpoint) const {
   const endpoint_entry* entry = directory_->Endpoints().Find(endpoint);
   return entry != nullptr && entry->role == endpoint_role::kDecode;
--- a/src/direct/endpoint_tracker.h
+++ b/src/direct/endpoint_tracker.h
@@ -9,6 +9,7 @@
 
 #include "core/kernel.h"
 #include "direct/directory.h"
+#include "direct/limit_tracker.h"
 #include "direct/router_group.h"
 #include "persimmon/kv_placement.h"
 #include "persimmon/selection.h"
@@ -78,9 +79,26 @@
   // True if the endpoint is registered with the same incarnation and is not draining.
   bool IsCurrent(const chosen_endpoint& endpoint) const;
 
-  // The check of a send: true while the endpoint is the same incarnation, receives new work and is not closed.
-  http_call::send_check MakeSendCheck(const chosen_endpoint& endpoint) const {
-    return [this, endpoint] { return IsCurrent(endpoint) && !IsClosed(endpoint); };
+  // An endpoint may state how many requests per second it takes. Then each request to it needs a permit.
+  bool IsLimited(const chosen_endpoint& endpoint) const { return limits_->IsLimited(LimitKey(endpoint)); }
+  bool IsPermitValid(const chosen_endpoint& endpoint, const send_permit& permit) const {
+    return limits_->IsValid(LimitKey(endpoint), permit);
+  }
+
+  // Waits for a permit; see limit_tracker::Acquire.
+  task<permit_result> AcquirePermit(const chosen_endpoint& endpoint, milliseconds max_wait) {
+    return limits_->Acquire(LimitKey(endpoint), max_wait);
+  }
+
+  // Accounts for a request that is sent without a permit, because it must not wait.
+  void ChargeLimit(const chosen_endpoint& endpoint) { limits_->Charge(LimitKey(endpoint)); }
+
+  // The check of a send: true while the endpoint is the same incarnation, receives new work and is not closed, and the
+  // permit is valid.
+  http_call::send_check MakeSendCheck(const chosen_endpoint& endpoint, const send_permit& permit) const {
+    return [this, endpoint, permit] {
+      return IsCurrent(endpoint) && !IsClosed(endpoint) && IsPermitValid(endpoint, permit);
+    };
   }
 
   // A closed endpoint has asked this router by a Retry-After header to send nothing for some time. In contrast to a
@@ -88,9 +106,13 @@
   bool IsClosed(const chosen_endpoint& endpoint) const;
   bool IsClosed(const host_port& address) const;
 
-  // Time until the first of the endpoints opens again; 0 if one of them is open or there is none.
+  // Time until the first of the endpoints opens again and its limit allows a request; 0 if one of them takes requests
+  // now or there is none.
   milliseconds TimeUntilOpen(const std::vector<chosen_endpoint>& endpoints) const;
 
+  // The registered endpoint at an address.
+  std::optional<chosen_endpoint> FindByAddress(const std::string& service, const host_port& address) const;
+
   // True if the registry lists the endpoint as a decode engine.
   bool IsDecodeEngine(const endpoint_name& endpoint) const;
 
@@ -113,7 +135,9 @@
     time_point until;
   };
 
-  void LogLimit(const chosen_endpoint& endpoint, const platform::response_metadata& metadata, time_point sent);
+  static limited_endpoint LimitKey(const chosen_endpoint& endpoint) {
+    return {EndpointKey(endpoint.name), endpoint.started_ms};
+  }
   void CloseEndpoint(const chosen_endpoint& endpoint, milliseconds duration);
   void PauseEndpoint(const chosen_endpoint& endpoint, const char* reason);
   endpoint_state& StateOf(const endpoint_name& endpoint);
@@ -128,9 +152,9 @@
   const direct_settings& settings_;
   deployment_directory* directory_ = nullptr;
   router_group* group_ = nullptr;
+  limit_tracker* limits_ = nullptr;
   std::map<endpoint_name, endpoint_state> states_;
   std::map<endpoint_name, closure> closures_;
-  std::map<endpoint_name, double> stated_limits_;  // as logged last
   stream_id next_stream_ = 0;
   std::map<std::string, health_table> health_;  // by service
   timer_subscription health_timer_;
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -27,6 +27,8 @@
 constexpr milliseconds kMinTimeLeft(50);        // with less time left, no first event can be delivered
 // Time limit for assigning engines again to a request that lost its engine.
 constexpr milliseconds kResumeStartLimit(500);
+// That a prefilled request waits for a permit of its decode engine; its KV cache is kept about as long.
+constexpr milliseconds kDecodePermitWait(500);
 constexpr milliseconds kNoEngineRetryAfter(1'000);  // Retry-After when no engine is available
 constexpr milliseconds kControlTimeout(1'000);      // of one call that frees memory
 constexpr int kStreamTimeSamples = 32;              // streams over which their duration is averaged
@@ -287,7 +289,7 @@
     const waiting_ptr waiting = queue.waiting.at(step.placed->request);
     stream_memory memory = step.placed->memory;
     memory.reserved_tokens = step.engines.reserved_tokens;
-    engine_assignment assignment{engines[step.engines.decode], std::nullopt, {}, memory, 0, now, {}};
+    engine_assignment assignment{engines[step.engines.decode], std::nullopt, {}, std::nullopt, memory, 0, now, {}};
     assignment.stream_id = endpoint_tracker_->AddStream(assignment.engine.name, memory);
     if (step.engines.prefill) {
       assignment.prefill = prefill_engines[*step.engines.prefill];
@@ -335,7 +337,32 @@
   }
 }
 
+// For a stream on an engine that states a limit, a permit takes the place of the reservation, which would count as a
+// request of its own.
+task<> generation_calls::TakePermit(std::string service, waiting_ptr waiting, engine_assignment assignment) {
+  const permit_result taken = co_await endpoint_tracker_->AcquirePermit(assignment.engine, settings_.reserve_timeout);
+  const time_point now = timer_service::Now();
+  service_queue& queue = *queues_[service];
+  const bool still_waits = queue.waiting.contains(waiting->request.request);
+  if (taken.permit && still_waits && !waiting->call->IsCallerDisconnected()) {
+    assignment.permit = taken.permit;
+    waiting->call->waited = waiting->call->Age(now);
+    queue.waiting.erase(waiting->request.request);
+    waiting->result_mailbox.Push(std::move(assignment));
+    co_return;
+  }
+  ReleaseAssignment(*waiting->call, assignment);
+  if (still_waits) {
+    queue.queue.Requeue(waiting->request, now);
+    Dispatch(queue);
+    ScheduleDispatch();
+  }
+}
+
 task<> generation_calls::Reserve(std::string service, waiting_ptr waiting, engine_assignment assignment) {
+  if (endpoint_tracker_->IsLimited(assignment.engine)) {
+    co_return co_await TakePermit(std::move(service), std::move(waiting), std::move(assignment));
+  }
   const engine_profile profile = waiting->call->Service().engine.value_or(engine_profile{});
   const milliseconds lifetime = std::min(settings_.reservation_time, profile.max_reservation_time);
   const std::uint32_t tokens = assignment.memory.reserved_tokens;
@@ -414,27 +441,33 @@
 }
 
 void generation_calls::ReleaseReservation(const engine_assignment& assignment) {
+  if (assignment.reservation.empty()) {
+    return;
+  }
   asio::co_spawn(kernel_.Context(),
-                 SendControl(assignment.engine.address, platform::MakeReleaseReservationRequest(assignment.reservation),
+                 SendControl(assignment.engine, platform::MakeReleaseReservationRequest(assignment.reservation),
                              "release_reservation"),
                  asio::detached);
 }
 
-void generation_calls::DropCache(const platform::kv_source& source) {
-  auto address = ParseHostPort(source.address);
+void generation_calls::DropCache(const std::string& service, const platform::kv_source& source) {
+  const auto address = ParseHostPort(source.address);
   if (address) {
-    asio::co_spawn(kernel_.Context(),
-                   SendControl(address.value(), platform::MakeDropCacheRequest(source.handle), "drop_cache"),
+    // An engine that is leaving is not listed; its limit is not known any more.
+    const chosen_endpoint engine = endpoint_tracker_->FindByAddress(service, address.value())
+                                       .value_or(chosen_endpoint{{}, 0, {}, address.value(), {}});
+    asio::co_spawn(kernel_.Context(), SendControl(engine, platform::MakeDropCacheRequest(source.handle), "drop_cache"),
                    asio::detached);
   }
 }
 
-task<> generation_calls::SendControl(host_port address, http_request request, const char* purpose) {
-  if (endpoint_tracker_->IsClosed(address)) {
-    Events().Line(kComponent, "control_skipped").Add("purpose", purpose).Add("address", address.Text());
+task<> generation_calls::SendControl(chosen_endpoint engine, http_request request, const char* purpose) {
+  const permit_result taken = co_await endpoint_tracker_->AcquirePermit(engine, kControlTimeout);
+  if (endpoint_tracker_->IsClosed(engine.address) || !taken.permit) {
+    Events().Line(kComponent, "control_skipped").Add("purpose", purpose).Add("address", engine.address.Text());
     co_return;
   }
-  auto response = co_await client_.Fetch(address, std::move(request), kControlTimeout);
+  auto response = co_await client_.Fetch(engine.address, std::move(request), kControlTimeout);
   if (!response) {
     // The engine frees the memory by itself when the reservation or the handle expires.
     Events().Line(kComponent, "control_failed").Add("purpose", purpose).Add("detail", FormatError(response.error()));
@@ -480,15 +513,19 @@
       endpoint_tracker_->AddPrefill(engine.name, call->Metadata().prompt_tokens, 1);
     }
     avoid.push_back(engine.name);
+    const permit_result taken = co_await endpoint_tracker_->AcquirePermit(engine, settings_.reserve_timeout);
     http_call upstream(client_);
     call->SetDisconnectHandler([&upstream] { upstream.Cancel(); });
     const time_point end = std::min(call->Deadline(), begin + kPrefillTimeout);
     suspect_tracker_->RecordStart(call->Fingerprint(), engine);
     const engine_run_ptr run = part_tracker_->BeginRun(*call, engine);
-    auto request = platform::MakePrefillRequest(call->Forwarded(), engine.name, call->TimeLeft(begin));
-    auto head =
-        co_await upstream.Send(engine.address, std::move(request), end, MakeAttemptFilter(call->Metadata().attempt),
-                               endpoint_tracker_->MakeSendCheck(engine));
+    auto request = platform::MakePrefillRequest(call->Forwarded(), engine.name, call->TimeLeft(timer_service::Now()));
+    result<http_response_head> head(error{error_code::kUnavailable, "the engine's limit allows no request now"});
+    if (taken.permit && !call->IsCallerDisconnected()) {
+      head =
+          co_await upstream.Send(engine.address, std::move(request), end, MakeAttemptFilter(call->Metadata().attempt),
+                                 endpoint_tracker_->MakeSendCheck(engine, *taken.permit));
+    }
     std::string body;
     std::optional<error> failure;
     if (!head) {
@@ -547,7 +584,9 @@
       co_return std::nullopt;
     }
     if (!was_sent) {
-      endpoint_tracker_->RecordUnreachable(engine);
+      if (taken.permit && endpoint_tracker_->IsPermitValid(engine, *taken.permit)) {
+        endpoint_tracker_->RecordUnreachable(engine);
+      }
     } else if (failure) {
       endpoint_tracker_->RecordFailure(engine);
     } else {
@@ -578,6 +617,24 @@
                                                                const engine_assignment& assignment,
                                                                std::optional<platform::kv_source> source,
                                                                stream_state& stream, engine_run& run) {
+  // The prefill may have taken longer than the permit is valid, or the engine may state a limit since.
+  send_permit permit = assignment.permit.value_or(send_permit{std::nullopt, timer_service::NowWithSuspension()});
+  if (!endpoint_tracker_->IsPermitValid(assignment.engine, permit)) {
+    const auto max_wait = std::min(call->TimeLeft(timer_service::Now()), kDecodePermitWait);
+    const permit_result taken = co_await endpoint_tracker_->AcquirePermit(assignment.engine, max_wait);
+    if (!taken.permit) {
+      if (!assignment.prefill) {
+        ReleasePrefill(*call, assignment, assignment.engine.name);
+      }
+      Events()
+          .Line(kComponent, "decode_not_permitted")
+          .Request(call->Metadata().attempt)
+          .Add("endpoint", assignment.engine.name.value)
+          .Add("retry_ms", taken.retry_in.count());
+      co_return decode_result::kNotRun;
+    }
+    permit = *taken.permit;
+  }
   const time_point begin = timer_service::Now();
   http_call upstream(client_);
   call->SetDisconnectHandler([&upstream] { upstream.Cancel(); });
@@ -589,7 +646,7 @@
   const time_point end = may_resume ? std::min(call->Deadline(), begin + settings_.stall_limit) : call->Deadline();
   auto head = co_await upstream.Send(assignment.engine.address, std::move(request), end,
                                      MakeAttemptFilter(call->Metadata().attempt),
-                                     endpoint_tracker_->MakeSendCheck(assignment.engine));
+                                     endpoint_tracker_->MakeSendCheck(assignment.engine, permit));
   if (!assignment.prefill) {
     ReleasePrefill(*call, assignment, assignment.engine.name);
     DispatchAll();
@@ -599,7 +656,9 @@
   if (!head) {
     detail = FormatError(head.error());
     if (head.error().code == error_code::kUnavailable) {
-      endpoint_tracker_->RecordUnreachable(assignment.engine);
+      if (endpoint_tracker_->IsPermitValid(assignment.engine, permit)) {
+        endpoint_tracker_->RecordUnreachable(assignment.engine);
+      }
       --call->sends;
       outcome = decode_result::kNotRun;
     } else {
@@ -910,7 +969,7 @@
       }
       ReleaseReservation(assignment);
       if (!source->handle.empty()) {
-        DropCache(*source);
+        DropCache(call->Service().name, *source);
       }
       DispatchAll();
       result = call->IsCallerDisconnected() ? decode_result::kCallerDisconnected : decode_result::kNotRun;
@@ -944,7 +1003,7 @@
     DispatchAll();
     if (result == decode_result::kNotRun) {
       if (!used_source.handle.empty()) {
-        DropCache(used_source);
+        DropCache(call->Service().name, used_source);
       }
       ReleaseReservation(assignment);
     }
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -52,7 +52,8 @@
   struct engine_assignment {
     chosen_endpoint engine;
     std::optional<chosen_endpoint> prefill;  // absent: the decode engine prefills the prompt itself
-    std::string reservation;
+    std::string reservation;                 // empty: the engine states a limit, and a permit takes its place
+    std::optional<send_permit> permit;
     stream_memory memory;                       // at the start of the decode
     endpoint_tracker::stream_id stream_id = 0;  // of the load on the decode engine
     time_point chosen_at;                       // when the engines were chosen
@@ -100,6 +101,7 @@
   void RejectUnservable(service_queue& queue, const std::vector<chosen_endpoint>& engines);
   void RecordBlocked(service_queue& queue, wait_reason reason, time_point now);
   void RemoveWaiting(service_queue& queue, const waiting_ptr& waiting);
+  task<> TakePermit(std::string service, waiting_ptr waiting, engine_assignment assignment);
   task<> Reserve(std::string service, waiting_ptr waiting, engine_assignment assignment);
   milliseconds CapacityRetryAfter() const;
   void ScheduleDispatch();
@@ -121,8 +123,8 @@
   void ReleaseAssignment(const direct_call& call, const engine_assignment& assignment);
   void ReleasePrefill(const direct_call& call, const engine_assignment& assignment,
                       const endpoint_name& prefill_engine);
-  void DropCache(const platform::kv_source& source);
-  task<> SendControl(host_port address, http_request request, const char* purpose);
+  void DropCache(const std::string& service, const platform::kv_source& source);
+  task<> SendControl(chosen_endpoint engine, http_request request, const char* purpose);
 
   kernel& kernel_;
   const direct_settings& settings_;
--- a/src/direct/part_tracker.cpp
+++ b/src/direct/part_tracker.cpp
@@ -20,11 +20,11 @@
       board_->Receive(*evidence);
     }
   });
-  group_->on_router_heard = [this](const host_port& router) {
+  group_->SubscribeRouters([this](const host_port& router) {
     for (part_evidence_list& list : board_->AllEvidence()) {
       group_->Send(router, message(std::move(list)));
     }
-  };
+  });
   gossip_timer_ = kernel_.Timers().SubscribeEvery(part_board::kGossipPeriod, 0.2, [this] { board_->Gossip(); });
 }
 
--- a/src/direct/plain_calls.cpp
+++ b/src/direct/plain_calls.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "core/event_log.h"
 #include "core/random.h"
 #include "persimmon/event_stream.h"
@@ -12,6 +14,9 @@
 constexpr const char* kComponent = "router.plain";
 constexpr std::uint32_t kMaxConnectAttempts = 4;  // unreachable endpoints that are tried for one request
 constexpr milliseconds kMinTimeLeft(20);          // with less time left, an attempt cannot succeed and is not started
+// A limited endpoint may make a call wait this long although another endpoint takes it at once.
+constexpr milliseconds kShortPermitWait(5);
+constexpr std::uint32_t kMaxPermitRefusals = 8;  // endpoints that refuse one call a permit
 constexpr int kFirstRedirect = 300;
 constexpr int kFirstServerError = 500;
 
@@ -40,13 +45,25 @@
   return endpoint_tracker_->TimeUntilOpen(endpoints) + jittered;
 }
 
-std::optional<chosen_endpoint> plain_calls::Choose(const direct_call& call,
-                                                   const std::vector<endpoint_name>& avoid) const {
+std::optional<plain_calls::choice> plain_calls::Choose(const direct_call& call,
+                                                       const std::vector<endpoint_name>& avoid) const {
   const auto endpoints = endpoint_tracker_->ListEndpoints(call.Service().name, std::nullopt);
-  auto views = endpoint_tracker_->PlainViews(endpoints, avoid);
+  const auto views = endpoint_tracker_->PlainViews(endpoints, avoid);
   const service_request selection{settings_.deployment.zone, RandomNumber()};
   const auto index = ChooseService(views, selection, selection_settings{});
-  return index ? std::optional(endpoints[*index]) : std::nullopt;
+  if (!index) {
+    return std::nullopt;
+  }
+  const auto takes_calls_now = [](const endpoint_view& view) {
+    return view.can_receive && view.health_share > 0 && view.permit_wait == microseconds(0);
+  };
+  if (std::count_if(views.begin(), views.end(), takes_calls_now) > 1) {
+    return choice{endpoints[*index], kShortPermitWait};
+  }
+  // No other endpoint takes the call now. It may wait as long as it can still meet its target.
+  const time_point now = timer_service::Now();
+  const time_point latest = std::min(call.Arrival() + call.Route().target_latency, call.Deadline() - kMinTimeLeft);
+  return choice{endpoints[*index], std::chrono::duration_cast<milliseconds>(std::max(latest, now) - now)};
 }
 
 task<call_outcome> plain_calls::Serve(direct_call_ptr call) {
@@ -58,38 +75,57 @@
   }
   std::vector<endpoint_name> avoid;
   std::uint32_t connect_failures = 0;
+  std::uint32_t permit_refusals = 0;
   bool may_have_run = false;
   std::optional<attempt_outcome> error_response;  // forwarded if no other attempt succeeds
   while (true) {
-    const time_point now = timer_service::Now();
     const bool is_first = call->sends == 0;
-    const bool has_time = call->TimeLeft(now) > kMinTimeLeft;
+    const bool has_time = call->TimeLeft(timer_service::Now()) > kMinTimeLeft;
     if (call->IsCallerDisconnected()) {
       co_return call->EndAsCallerDisconnected();
     }
-    const bool may_send = has_time && call->sends < route.max_attempts && connect_failures < kMaxConnectAttempts;
-    auto endpoint = may_send ? Choose(*call, avoid) : std::nullopt;
-    if (endpoint && !is_first && !budgets_->AllowExtraSends(*call)) {
+    const bool may_send = has_time && call->sends < route.max_attempts && connect_failures < kMaxConnectAttempts &&
+                          permit_refusals < kMaxPermitRefusals;
+    auto chosen = may_send ? Choose(*call, avoid) : std::nullopt;
+    if (chosen && !is_first && !budgets_->AllowExtraSends(*call)) {
       call->reason = "budget_spent";
-      endpoint.reset();
+      chosen.reset();
     }
-    if (!endpoint) {
+    if (!chosen) {
       break;
     }
+    const chosen_endpoint endpoint = chosen->endpoint;
+    const time_point asked = timer_service::Now();
+    const permit_result taken = co_await endpoint_tracker_->AcquirePermit(endpoint, chosen->max_permit_wait);
+    const time_point now = timer_service::Now();
+    call->waited += std::chrono::duration_cast<milliseconds>(now - asked);
+    if (call->IsCallerDisconnected()) {
+      co_return call->EndAsCallerDisconnected();
+    }
+    if (!taken.permit) {
+      if (!is_first) {
+        budgets_->ReturnExtraSends(*call, 1);
+      }
+      ++permit_refusals;
+      if (chosen->max_permit_wait > kShortPermitWait) {
+        break;  // the endpoint with the shortest wait cannot take the call in time
+      }
+      continue;
+    }
     const bool may_retry = is_idempotent && call->sends + 1 < route.max_attempts;
     time_point deadline = call->Deadline();
     if (may_retry) {
       const auto attempt_timeout = route.target_latency * settings_.second_try_share;
       deadline = std::min(deadline, now + std::chrono::duration_cast<microseconds>(attempt_timeout));
     }
-    attempt_outcome outcome = co_await SendAttempt(call, *endpoint, deadline, may_retry);
-    avoid.push_back(endpoint->name);
+    attempt_outcome outcome = co_await SendAttempt(call, endpoint, *taken.permit, deadline, may_retry);
+    avoid.push_back(endpoint.name);
     if (outcome.result == attempt_result::kNotSent) {
       ++connect_failures;
       continue;
     }
     ++call->sends;
-    call->endpoints += (call->endpoints.empty() ? "" : ",") + endpoint->name.value;
+    call->endpoints += (call->endpoints.empty() ? "" : ",") + endpoint.name.value;
     if (outcome.is_streamed) {
       co_return outcome.call_result;
     }
@@ -116,11 +152,12 @@
     const bool timed_out = call->TimeLeft(timer_service::Now()) <= kMinTimeLeft;
     co_return co_await call->Fail(timed_out ? 504 : 502, timed_out ? "timeout" : "endpoint_lost");
   }
-  co_return co_await call->Refuse(call->sends == 0 ? "no_endpoint" : "endpoints_full", RetryAfter(*call));
+  const char* reason = call->sends > 0 ? "endpoints_full" : permit_refusals > 0 ? "endpoint_limits" : "no_endpoint";
+  co_return co_await call->Refuse(reason, RetryAfter(*call));
 }
 
 task<plain_calls::attempt_outcome> plain_calls::SendAttempt(direct_call_ptr call, chosen_endpoint endpoint,
-                                                            time_point deadline, bool may_retry) {
+                                                            send_permit permit, time_point deadline, bool may_retry) {
   attempt_outcome outcome;
   http_call upstream(client_);
   call->SetDisconnectHandler([&upstream] { upstream.Cancel(); });
@@ -128,9 +165,9 @@
   suspect_tracker_->RecordStart(call->Fingerprint(), endpoint);
   const time_point begin = timer_service::Now();
   auto request = platform::MakeCallRequest(call->Forwarded(), endpoint.name, call->TimeLeft(begin));
-  auto head =
-      co_await upstream.Send(endpoint.address, std::move(request), deadline,
-                             MakeAttemptFilter(call->Metadata().attempt), endpoint_tracker_->MakeSendCheck(endpoint));
+  auto head = co_await upstream.Send(endpoint.address, std::move(request), deadline,
+                                     MakeAttemptFilter(call->Metadata().attempt),
+                                     endpoint_tracker_->MakeSendCheck(endpoint, permit));
   std::optional<error> failure;
   if (!head) {
     failure = head.error();
@@ -205,7 +242,9 @@
   if (call->IsCallerDisconnected()) {
     outcome.result = attempt_result::kCallerDisconnected;
   } else if (outcome.result == attempt_result::kNotSent) {
-    endpoint_tracker_->RecordUnreachable(endpoint);
+    if (endpoint_tracker_->IsPermitValid(endpoint, permit)) {
+      endpoint_tracker_->RecordUnreachable(endpoint);
+    }
   } else if (outcome.result == attempt_result::kMayHaveRun) {
     endpoint_tracker_->RecordFailure(endpoint);
   } else {
--- a/src/direct/plain_calls.h
+++ b/src/direct/plain_calls.h
@@ -33,9 +33,14 @@
     std::string failure;
   };
 
-  std::optional<chosen_endpoint> Choose(const direct_call& call, const std::vector<endpoint_name>& avoid) const;
-  task<attempt_outcome> SendAttempt(direct_call_ptr call, chosen_endpoint endpoint, time_point deadline,
-                                    bool may_retry);
+  struct choice {
+    chosen_endpoint endpoint;
+    milliseconds max_permit_wait{0};  // that the call may wait for a permit of the endpoint
+  };
+
+  std::optional<choice> Choose(const direct_call& call, const std::vector<endpoint_name>& avoid) const;
+  task<attempt_outcome> SendAttempt(direct_call_ptr call, chosen_endpoint endpoint, send_permit permit,
+                                    time_point deadline, bool may_retry);
   task<call_outcome> ForwardResponse(direct_call_ptr call, attempt_outcome& outcome);
   milliseconds RetryAfter(const direct_call& call) const;
 
--- a/src/direct/router_group.cpp
+++ b/src/direct/router_group.cpp
@@ -114,9 +114,15 @@
     recipients.push_back(address);
   }
   if (with_members) {
-    const std::size_t first = recipients.empty() ? 0 : RandomNumber() % recipients.size();
-    for (std::size_t i = 0; i < std::min(kMaxMembers, recipients.size()); ++i) {
-      state.members.push_back(recipients[(first + i) % recipients.size()]);
+    std::vector<host_port> heard;
+    for (const auto& [address, other] : peers_) {
+      if (now - other.last_heard <= kSilenceTimeout) {
+        heard.push_back(address);
+      }
+    }
+    const std::size_t first = heard.empty() ? 0 : RandomNumber() % heard.size();
+    for (std::size_t i = 0; i < std::min(kMaxMembers, heard.size()); ++i) {
+      state.members.push_back(heard[(first + i) % heard.size()]);
     }
   }
   for (auto& [address, last_tried] : candidates_) {
@@ -157,10 +163,13 @@
   }
   if (is_new) {
     ScheduleSend();  // gives the new router this router's state at once
-    if (on_router_heard) {
-      on_router_heard(sender);
+    for (const router_handler& handler : router_handlers_) {
+      handler(sender);
     }
   }
+  if (on_state) {
+    on_state(sender, state);
+  }
   MergePauses(state, now);
   if (uses_changed) {
     peer_uses_outdated_ = true;
--- a/src/direct/router_group.h
+++ b/src/direct/router_group.h
@@ -45,8 +45,12 @@
   std::function<std::vector<waiting_count>()> local_waiting;
   // Called with the suspect reports of another router. `origin` is its name and incarnation.
   std::function<void(const std::string& origin, const std::vector<suspect_report>&)> on_suspects;
-  // Called with the address of a router from which the first message of its incarnation has arrived.
-  std::function<void(const host_port&)> on_router_heard;
+  // Adds a function that is called with the address of a router from which the first message of its incarnation has
+  // arrived. Before Start of the kernel has returned.
+  using router_handler = std::function<void(const host_port&)>;
+  void SubscribeRouters(router_handler handler) { router_handlers_.push_back(std::move(handler)); }
+  // Called with each state that another router sends.
+  std::function<void(const host_port& sender, const router_state&)> on_state;
   // Called after the endpoint loads of another router have changed.
   std::function<void()> on_change;
 
@@ -84,10 +88,12 @@
     bool operator==(const member&) const = default;
   };
   std::vector<member> LiveMembers() const;
+  bool IsLeaving() const { return leaving_; }
   member Self() const { return {own_address_, incarnation_}; }
 
   // Sends a message of another type than router_state to a router. It may be lost.
   void Send(const host_port& receiver, const message& value) { socket_->Send(receiver, value); }
+  void SendAll(const std::vector<host_port>& receivers, const message& value) { socket_->SendAll(receivers, value); }
 
   revision_number NewestPeerRevision() const;  // 0: unknown
 
@@ -110,6 +116,7 @@
   kernel& kernel_;
   const direct_settings& settings_;
   std::vector<message_handler> message_handlers_;
+  std::vector<router_handler> router_handlers_;
   std::unique_ptr<datagram_socket> socket_;
   host_port own_address_;
   std::uint64_t incarnation_ = 0;
--- a/src/direct/stage_orders.cpp
+++ b/src/direct/stage_orders.cpp
@@ -163,6 +163,15 @@
         .Add("reason", report ? "busy" : report.error().message);
     co_return true;
   }
+  const permit_result taken = co_await endpoint_tracker_->AcquirePermit(engine, kOrderTimeout);
+  if (!taken.permit) {
+    Events()
+        .Line(kComponent, "order_not_sent")
+        .Add("service", service.name)
+        .Add("endpoint", engine.name.value)
+        .Add("reason", "its limit allows no request now");
+    co_return true;
+  }
   auto request = platform::MakeStageOrderRequest(engine.name, stage, settings_.deployment.name, fencing_token,
                                                  report.value().orders_accepted);
   const time_point sent = timer_service::Now();
--- a/src/direct/suspect_tracker.cpp
+++ b/src/direct/suspect_tracker.cpp
@@ -79,6 +79,8 @@
 
 task<bool> suspect_tracker::HasCrashed(chosen_endpoint endpoint, std::string health_path) {
   co_await kernel_.Timers().Sleep(kHealthCheckDelay);
+  // The check is short and rare, and a crash must be known at once.
+  kernel_.Find<endpoint_tracker>("board").ChargeLimit(endpoint);
   http_request request{"GET", health_path.empty() ? "/" : health_path, {}, {}, {}};
   auto response = co_await client_.Fetch(endpoint.address, std::move(request), kHealthCheckTimeout);
   co_return !response && response.error().code == error_code::kUnavailable;
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -151,6 +151,9 @@
   const std::map<std::string, std::uint32_t*> numbers = {{"retry_after_ms", &retry_after_ms},
                                                          {"break_after_events", &faults_.break_after_events}};
   for (const auto& [name, value] : fields.items()) {
+    if (name == "request_limit" && value.is_string()) {
+      continue;
+    }
     const bool is_flag = flags.contains(name) && value.is_boolean();
     const bool is_number = numbers.contains(name) && value.is_number_unsigned();
     if (!is_flag && !is_number) {
@@ -158,7 +161,10 @@
     }
   }
   for (const auto& [name, value] : fields.items()) {
-    if (flags.contains(name)) {
+    if (name == "request_limit") {
+      faults_.request_limit = value.get<std::string>();
+      Events().Line(kComponent, "limit_set").Add("endpoint", options_.name).Add("limit", faults_.request_limit);
+    } else if (flags.contains(name)) {
       *flags.at(name) = value.get<bool>();
     } else {
       *numbers.at(name) = value.get<std::uint32_t>();
@@ -170,7 +176,7 @@
   return JsonResponse(200, "{}");
 }
 
-// `result`: "run", "prefill", "rejected" or "rejected_prefill".
+// `result`: "run", "prefill", "rejected", "rejected_prefill", or "control" for calls that are not a caller's request.
 void fake_replica::LogArrival(const http_request& request, const char* result) const {
   if (options_.logs_arrivals) {
     Events()
@@ -191,6 +197,11 @@
   }
   http_response response;
   const std::string expected = Header(request, "Persimmonchute-Expect-Instance");
+  const bool is_control = request.target == "/report" || request.target == "/order" || request.target == "/health" ||
+                          request.target.starts_with("/hold-") || request.target.starts_with("/kv-handle/");
+  if (is_control) {
+    LogArrival(request, "control");
+  }
   if (!expected.empty() && expected != options_.name) {
     response = NotExecuted(421);
   } else if (request.target == "/report") {
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -836,12 +836,14 @@
   co_return response;
 }
 
-task<result<http_response>> http_client::FetchLines(host_port address, http_request request, line_handler on_line) {
-  co_return co_await FetchLines(std::move(address), std::move(request), std::move(on_line), milliseconds::max());
+task<result<http_response>> http_client::FetchLines(host_port address, http_request request, line_handler on_line,
+                                                    head_handler on_head) {
+  co_return co_await FetchLines(std::move(address), std::move(request), std::move(on_line), milliseconds::max(),
+                                std::move(on_head));
 }
 
 task<result<http_response>> http_client::FetchLines(host_port address, http_request request, line_handler on_line,
-                                                    milliseconds total_timeout) {
+                                                    milliseconds total_timeout, head_handler on_head) {
   const auto state = state_;
   const bool has_total_timeout = total_timeout != milliseconds::max();
   const time_point end = has_total_timeout ? timer_service::Now() + total_timeout : time_point::max();
@@ -864,6 +866,9 @@
   http_response response;
   response.status = static_cast<int>(parser->get().result_int());
   response.headers = CopyHeaders(parser->get());
+  if (on_head) {
+    on_head(response.Head());
+  }
   line_splitter lines;
   std::array<char, 16384> chunk{};
   while (!parser->is_done()) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -201,11 +201,14 @@
   // handler returns false, the connection is closed and the result is kCancelled. A response whose status is not 200 is
   // returned with its body, without calling the handler.
   using line_handler = std::function<bool(std::string_view line)>;
-  task<result<http_response>> FetchLines(host_port address, http_request request, line_handler on_line);
+  // `on_head` is called with the status and headers before the first line.
+  using head_handler = std::function<void(const http_response_head&)>;
+  task<result<http_response>> FetchLines(host_port address, http_request request, line_handler on_line,
+                                         head_handler on_head = nullptr);
 
   // Like FetchLines above, with an additional timeout for the whole exchange. Errors: kTimeout when it expires.
   task<result<http_response>> FetchLines(host_port address, http_request request, line_handler on_line,
-                                         milliseconds total_timeout);
+                                         milliseconds total_timeout, head_handler on_head = nullptr);
 
  private:
   friend class http_call;
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -113,6 +113,7 @@
 constexpr attempt_phase LastValue(attempt_phase) { return attempt_phase::kWrongIncarnation; }
 constexpr claim_operation_kind LastValue(claim_operation_kind) { return claim_operation_kind::kRead; }
 constexpr claim_phase LastValue(claim_phase) { return claim_phase::kDone; }
+constexpr permit_verdict LastValue(permit_verdict) { return permit_verdict::kNotHome; }
 constexpr claim_result_kind LastValue(claim_result_kind) { return claim_result_kind::kStoreUnavailable; }
 
 // Has the interface of an archive, and checks that all enumerations of a message have a valid value. Code that handles
@@ -181,7 +182,10 @@
                                                                                  "stream_origins_held",
                                                                                  "find_stream_origin",
                                                                                  "stream_origin_found",
-                                                                                 "part_evidence_list"};
+                                                                                 "part_evidence_list",
+                                                                                 "endpoint_limit_list",
+                                                                                 "ask_permit",
+                                                                                 "permit_answer"};
 
 }  // namespace
 
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -26,6 +26,7 @@
 #include "persimmon/claims.h"
 #include "persimmon/error.h"
 #include "persimmon/kv_placement.h"
+#include "persimmon/request_limits.h"
 #include "persimmon/types.h"
 
 namespace persimmon {
@@ -212,6 +213,8 @@
 
 // Failure reason: the process of the engine or service was lost, not only this attempt.
 inline constexpr const char* kReasonEngineLost = "engine_lost";
+// Reason of a refusal: the limit of requests that the endpoint states allows none now. Nothing was sent to it.
+inline constexpr const char* kReasonEndpointLimit = "endpoint_limit";
 // Failure reason: the engine or service could not be reached, and nothing was sent to it.
 inline constexpr const char* kReasonEngineUnreachable = "engine_unreachable";
 
@@ -397,8 +400,9 @@
   std::uint32_t queued_tokens = 0;         // prompt tokens waiting for prefill
   std::uint32_t prefill_tokens_per_s = 0;  // measured prefill throughput
   std::uint32_t token_interval_us = 0;     // measured inter-token latency
-  std::uint32_t decode_free_in_ms = 0;     // predicted time until the next decode slot is free
-  std::vector<cache_event> cache_events;   // limited so that the report fits in kMaxDatagramBytes
+  // Predicted time until the next decode slot is free; of a service, until the limit that it states allows a call.
+  std::uint32_t decode_free_in_ms = 0;
+  std::vector<cache_event> cache_events;  // limited so that the report fits in kMaxDatagramBytes
 
   bool operator==(const load_report&) const = default;
   template <class archive>
@@ -629,16 +633,71 @@
   }
 };
 
+// What a router knows of the limit that an endpoint states.
+struct endpoint_limit_entry {
+  std::uint64_t endpoint = 0;         // XXH64 of its name
+  std::uint64_t started_ms = 0;       // start time of its process
+  double rate = kNoLimit;             // requests per second
+  std::uint32_t sent_age_ms = 0;      // since the request to which it stated this was sent
+  std::uint32_t received_age_ms = 0;  // since the response arrived
+
+  static constexpr double kNoLimit = -1;
+
+  bool operator==(const endpoint_limit_entry&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(endpoint, started_ms, rate, sent_age_ms, received_age_ms);
+  }
+};
+
+// Limits that have changed, or all that a router is home router of.
+struct endpoint_limit_list {
+  std::vector<endpoint_limit_entry> limits;
+
+  bool operator==(const endpoint_limit_list&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(limits);
+  }
+};
+
+// Asks the home router of an endpoint for a permit to send one request. It answers with permit_answer.
+struct ask_permit {
+  std::uint64_t sequence = 0;  // echoed in the answer
+  std::uint32_t max_wait_us = 0;
+  endpoint_limit_entry limit;
+
+  bool operator==(const ask_permit&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(sequence, max_wait_us, limit);
+  }
+};
+
+struct permit_answer {
+  std::uint64_t sequence = 0;
+  permit_verdict verdict = permit_verdict::kNotHome;
+  std::uint32_t wait_us = 0;
+  endpoint_limit_entry limit;  // as the home router knows it
+
+  bool operator==(const permit_answer&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(sequence, verdict, wait_us, limit);
+  }
+};
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 9. frames
 // ---------------------------------------------------------------------------------------------------------------------
 
 // The index of a type in this list is its type number on the wire. Append new messages at the end only.
-using message = std::variant<hello, heartbeat, slot_open, reserve_slot, slot_granted, slot_refused, start_prefill,
-                             prefill_progress, start_decode, tokens, resume_stream, call_service, service_answer,
-                             cancel, attempt_status, query_attempt, load_report, fetch_config, config_snapshot,
-                             lend_tokens, tokens_lent, claim_batch, claim_results, router_state, hold_stream_origins,
-                             stream_origins_held, find_stream_origin, stream_origin_found, part_evidence_list>;
+using message =
+    std::variant<hello, heartbeat, slot_open, reserve_slot, slot_granted, slot_refused, start_prefill, prefill_progress,
+                 start_decode, tokens, resume_stream, call_service, service_answer, cancel, attempt_status,
+                 query_attempt, load_report, fetch_config, config_snapshot, lend_tokens, tokens_lent, claim_batch,
+                 claim_results, router_state, hold_stream_origins, stream_origins_held, find_stream_origin,
+                 stream_origin_found, part_evidence_list, endpoint_limit_list, ask_permit, permit_answer>;
 
 // Name of the message type, for logs and golden files.
 const char* MessageName(const message& value);
--- a/tests/endpoint_limit_test.cpp
+++ b/tests/endpoint_limit_test.cpp
@@ -5,6 +5,7 @@
 // Sections
 //   1. fixture
 //   2. plain calls
+//   3. model calls
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -206,5 +207,185 @@
   EXPECT_EQ(CountStatus(200), calls_.size()) << "the others have room for all";
 }
 
+// Second attempts are requests too.
+TEST_F(endpoint_limit_test, EndpointsThatStateLimits_AndFailEveryCall_GetNoMoreWithTheRetries) {
+  fake_replica& first = AddPlain("app-1");
+  fake_replica& second = AddPlain("app-2");
+  for (fake_replica* endpoint : {&first, &second}) {
+    endpoint->Faults().returns_500 = true;
+    endpoint->Faults().request_limit = "4";
+  }
+  StartRouters(3);
+  SendFor(milliseconds(1'000), 60, "GET", "/pages/1");
+  const time_point stated = timer_service::Now();
+  SendFor(milliseconds(5'000), 60, "GET", "/pages/1");
+  FinishCalls();
+  ExpectLimitKept(first, 4, stated);
+  ExpectLimitKept(second, 4, stated);
+}
+
+// With too few permits for all, a call is served in time or refused at once, and refused callers do not come back
+// together.
+TEST_F(endpoint_limit_test, AllEndpointsWithLimits_BelowTheDemand_AreUsedAndTheRestIsRefusedAtOnce) {
+  fake_replica& first = AddPlain("app-1");
+  fake_replica& second = AddPlain("app-2");
+  StartRouters(3);
+  first.Faults().request_limit = "10";
+  second.Faults().request_limit = "6.5";
+  SendFor(milliseconds(1'000), 60, "POST", "/submit/1");
+  const time_point stated = timer_service::Now();
+  const std::size_t first_call = calls_.size();
+  SendFor(milliseconds(6'000), 60, "POST", "/submit/1");
+  const time_point end = timer_service::Now();
+  FinishCalls();
+  ExpectLimitKept(first, 10, stated);
+  ExpectLimitKept(second, 6.5, stated);
+  EXPECT_GE(ArrivalRate(first, stated, end), kWantedShare * 10);
+  EXPECT_GE(ArrivalRate(second, stated, end), kWantedShare * 6.5);
+  std::vector<double> retry_after;
+  for (std::size_t i = first_call; i < calls_.size(); ++i) {
+    ASSERT_TRUE(calls_[i]->Status() == 200 || calls_[i]->Status() == 503) << calls_[i]->Status();
+    if (calls_[i]->Status() == 503) {
+      retry_after.push_back(std::stod(calls_[i]->Header("Retry-After")));
+    }
+  }
+  ASSERT_GT(retry_after.size(), 100U);
+  const auto [least, most] = std::minmax_element(retry_after.begin(), retry_after.end());
+  EXPECT_GT(*least, 0.2);
+  EXPECT_GT(*most - *least, 0.2);
+}
+
+// A router that sends nothing to the endpoint never hears from it that its limit has ended.
+TEST_F(endpoint_limit_test, LimitOfZero_OnceItHasEnded_EndsAtAllRouters) {
+  fake_replica& limited = AddPlain("app-1");
+  AddPlain("app-2");
+  StartRouters(3);
+  limited.Faults().request_limit = "0";
+  SendFor(milliseconds(1'000), 60, "GET", "/pages/1");
+  const time_point stated = timer_service::Now();
+  SendFor(milliseconds(4'000), 60, "GET", "/pages/1");
+  EXPECT_LE(MostInAnyWindow(limited.Arrivals(), stated), 2U);
+  limited.Faults().request_limit.clear();
+  SendFor(milliseconds(6'000), 60, "GET", "/pages/1");
+  const time_point ended = timer_service::Now();
+  SendFor(milliseconds(2'000), 60, "GET", "/pages/1");
+  EXPECT_GE(ArrivalRate(limited, ended, timer_service::Now()), 10);
+  FinishCalls();
+  EXPECT_EQ(CountStatus(200), calls_.size());
+}
+
+// Each start of a router, or a change of the home router, must not give the limit anew.
+TEST_F(endpoint_limit_test, Limit_WhileRoutersAreKilledAndStarted_IsKeptAndUsed) {
+  fake_replica& limited = AddPlain("app-1");
+  AddPlain("app-2");
+  StartRouters(5);
+  limited.Faults().request_limit = "7";
+  SendFor(milliseconds(1'000), 60, "GET", "/pages/1");
+  const time_point stated = timer_service::Now();
+  for (int i = 0; i < 4; ++i) {
+    KillLastRouter();
+    SendFor(milliseconds(700), 60, "GET", "/pages/1");
+    AddRouter();
+    RunFor(milliseconds(200));
+    SendFor(milliseconds(1'500), 60, "GET", "/pages/1");
+  }
+  ExpectLimitKept(limited, 7, stated);
+  EXPECT_GE(ArrivalRate(limited, stated, timer_service::Now()), 0.4 * 7);
+}
+
+// A permit that was given before the machine was suspended has expired when it wakes, although its timers have not seen
+// the time pass.
+TEST_F(endpoint_limit_test, Permit_AfterASuspensionOfTheMachine_IsNotUsed) {
+  fake_replica& limited = AddPlain("app-1");
+  StartRouters(1);
+  limited.Faults().request_limit = "50";
+  ASSERT_TRUE(RunUntil([this] {
+    SendFor(milliseconds(20), 50, "GET", "/pages/1");
+    return harness_.EndpointTracker().IsLimited(harness_.EndpointTracker().ListEndpoints("app", std::nullopt).at(0));
+  }));
+  auto& tracker = harness_.EndpointTracker();
+  const chosen_endpoint endpoint = tracker.ListEndpoints("app", std::nullopt).at(0);
+  std::optional<permit_result> taken;
+  asio::co_spawn(
+      harness_.Kernel().Context(),
+      [&]() -> task<> { taken = co_await tracker.AcquirePermit(endpoint, milliseconds(500)); }, asio::detached);
+  ASSERT_TRUE(RunUntil([&taken] { return taken.has_value(); }));
+  ASSERT_TRUE(taken->permit.has_value());
+  EXPECT_TRUE(tracker.MakeSendCheck(endpoint, *taken->permit)());
+  timer_service::SimulateSuspension(milliseconds(3'000));
+  EXPECT_FALSE(tracker.MakeSendCheck(endpoint, *taken->permit)());
+  FinishCalls();
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. model calls
+// ---------------------------------------------------------------------------------------------------------------------
+
+class engine_limit_test : public endpoint_limit_test {
+ protected:
+  engine_limit_test() {
+    for (int i = 1; i <= 3; ++i) {
+      decode_.push_back(&AddEngine("dec-" + std::to_string(i), "decode"));
+      prefill_.push_back(&AddEngine("pre-" + std::to_string(i), "prefill"));
+    }
+  }
+
+  void SendStreams(milliseconds duration, double per_second) {
+    SendFor(duration, per_second, "POST", "/digest/1",
+            {{"Persimmonchute-Model", "m"},
+             {"Persimmonchute-Token-Count", "3000,50"},
+             {"Persimmonchute-Length-Hint", "50"},
+             {"Persimmonchute-Deadline-Ms", "3000"}});
+  }
+
+  std::vector<fake_replica*> decode_;
+  std::vector<fake_replica*> prefill_;
+};
+
+// Reservations, reports and calls that free memory are requests too.
+TEST_F(engine_limit_test, DecodeEngineThatStatesALimit_WithThreeRouters_GetsNoMoreAndWhatItTakes) {
+  StartRouters(3);
+  decode_[0]->Faults().request_limit = "4.5";
+  SendStreams(milliseconds(1'000), 40);
+  const time_point stated = timer_service::Now();
+  SendStreams(milliseconds(6'000), 40);
+  const time_point end = timer_service::Now();
+  FinishCalls();
+  ExpectLimitKept(*decode_[0], 4.5, stated);
+  EXPECT_GE(ArrivalRate(*decode_[0], stated, end), kWantedShare * 4.5);
+  EXPECT_EQ(CountStatus(200), calls_.size()) << "the others have room for all";
+}
+
+TEST_F(engine_limit_test, PrefillEngineThatStatesALimit_WithThreeRouters_GetsNoMoreAndWhatItTakes) {
+  StartRouters(3);
+  prefill_[0]->Faults().request_limit = "4.5";
+  SendStreams(milliseconds(1'000), 40);
+  const time_point stated = timer_service::Now();
+  SendStreams(milliseconds(6'000), 40);
+  const time_point end = timer_service::Now();
+  FinishCalls();
+  ExpectLimitKept(*prefill_[0], 4.5, stated);
+  EXPECT_GE(ArrivalRate(*prefill_[0], stated, end), kWantedShare * 4.5);
+  EXPECT_EQ(CountStatus(200), calls_.size()) << "the others have room for all";
+}
+
+// Streams that no engine may begin in time are refused, and none is broken off.
+TEST_F(engine_limit_test, AllEnginesWithLimits_BelowTheDemand_AreUsedAndTheRestIsRefused) {
+  StartRouters(2);
+  for (fake_replica* engine : decode_) {
+    engine->Faults().request_limit = "3";
+  }
+  SendStreams(milliseconds(1'000), 30);
+  const time_point stated = timer_service::Now();
+  SendStreams(milliseconds(6'000), 30);
+  const time_point end = timer_service::Now();
+  FinishCalls();
+  for (const fake_replica* engine : decode_) {
+    ExpectLimitKept(*engine, 3, stated);
+    EXPECT_GE(ArrivalRate(*engine, stated, end), 0.8 * 3);
+  }
+  EXPECT_EQ(CountStatus(200) + CountStatus(503), calls_.size());
+}
+
 }  // namespace
 }  // namespace persimmon
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -46,6 +46,7 @@
 
 // Number of enumerators of each enumeration on the wire. Update it, and LastValue in wire.cpp, for a new enumerator.
 std::uint64_t CountValues(slot_role) { return 3; }
+std::uint64_t CountValues(permit_verdict) { return 4; }
 std::uint64_t CountValues(refusal_reason) { return 7; }
 std::uint64_t CountValues(work_state) { return 4; }
 std::uint64_t CountValues(outcome_kind) { return 3; }
