Keep the limit that an engine or service behind an agent states

With agents, nobody read the limit either. Load reports state how long a request would wait, and the router chooses by it. A refusal by the limit is no failure of the endpoint. FetchLines passes on the head of a response when it arrives.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -60,7 +60,9 @@
       service(context, http_client_limits()),
       startup_acceptor(context),
       slots(MakeSlotSettings(settings)),
-      attempts(0, MakeAttemptLimits(settings)) {}
+      attempts(0, MakeAttemptLimits(settings)) {
+  engine.on_response = [this](const http_response_head& head, time_point sent) { RecordResponse(head, sent); };
+}
 
 // ---------------------------------------------------------------------------------------------------------------------
 // 2. start
--- a/src/agent/agent_calls.cpp
+++ b/src/agent/agent_calls.cpp
@@ -16,6 +16,7 @@
 constexpr milliseconds kServiceRetryPause(1'000);
 
 constexpr milliseconds kDefaultCallTimeout(10'000);
+constexpr milliseconds kMaxPermitWait(500);  // of a call, for a service that states a limit
 
 service_answer MakeAnswer(const attempt_id& attempt, outcome_kind outcome, const std::string& reason) {
   service_answer answer;
@@ -49,7 +50,8 @@
                                 : leaving                                                           ? "leaving"
                                 : !IsReady()                                                        ? "not_ready"
                                 : static_cast<std::int64_t>(calls.size()) >= settings.service_calls ? "busy"
-                                                                                                    : nullptr;
+                                : PredictPermitWait() > kMaxPermitWait ? kReasonEndpointLimit
+                                                                       : nullptr;
     if (reject_reason != nullptr) {
       RefuseCall(session, call, reject_reason);
       return;
@@ -113,9 +115,15 @@
   std::erase_if(request.headers, [](const header_field& field) { return field.name == "traceparent"; });
   request.headers.push_back({"traceparent", trace.Traceparent()});
   const milliseconds timeout = call.timeout_ms == 0 ? kDefaultCallTimeout : milliseconds(call.timeout_ms);
-  auto reply = co_await service.Fetch(settings.service, std::move(request), timeout);
   service_answer answer = MakeAnswer(call.attempt, outcome_kind::kAnswered, "");
+  const bool is_permitted = co_await AcquirePermit(kMaxPermitWait * 2);
+  const time_point sent = timer_service::Now();
+  result<http_response> reply(error{error_code::kUnavailable, "the limit of the service allows no call"});
+  if (is_permitted) {
+    reply = co_await service.Fetch(settings.service, std::move(request), timeout);
+  }
   if (reply) {
+    RecordResponse(reply.value().Head(), sent);
     answer.status = static_cast<std::uint32_t>(reply.value().status);
     answer.headers = std::move(reply.value().headers);
     answer.body = std::move(reply.value().body);
@@ -123,9 +131,12 @@
     const error_code code = reply.error().code;
     const bool not_sent = code == error_code::kUnavailable;
     answer.outcome = not_sent ? outcome_kind::kNotRun : outcome_kind::kMayHaveRun;
-    answer.reason = code == error_code::kTimeout ? "timeout" : not_sent ? "service_unreachable" : kReasonEngineLost;
+    answer.reason = !is_permitted                  ? kReasonEndpointLimit
+                    : code == error_code::kTimeout ? "timeout"
+                    : not_sent                     ? "service_unreachable"
+                                                   : kReasonEngineLost;
     log.ForRequest(call.request.value).Warning("Service call failed: {}.", reply.error().message);
-    if (not_sent) {
+    if (not_sent && is_permitted) {
       service_retry_at = timer_service::Now() + kServiceRetryPause;
       SendLoadReports();
     }
--- a/src/agent/agent_engine.cpp
+++ b/src/agent/agent_engine.cpp
@@ -24,6 +24,10 @@
 
 constexpr std::size_t kMaxCacheEvents = 4'096;
 
+// Share of a limit that the engine states which the agent uses to read the engine's state.
+constexpr double kPollShare = 0.1;
+constexpr milliseconds kMaxPollPause(10'000);
+
 // If checking the counter row took longer than this, the check is repeated before a command is sent.
 constexpr milliseconds kMaxCheckDuration(500);
 
@@ -117,12 +121,22 @@
 
 task<> agent_state::PollEngine() {
   const auto self = shared_from_this();
-  if (!IsEngine() || stopped || std::exchange(engine_poll_running, true)) {
+  const time_point now = timer_service::Now();
+  if (!IsEngine() || stopped || (limit.IsLimited() && now < next_limited_poll) ||
+      std::exchange(engine_poll_running, true)) {
     co_return;
   }
+  if (limit.IsLimited()) {
+    limit.Charge(timer_service::NowWithSuspension());
+    const auto pause = std::chrono::duration<double>(1 / std::max(kPollShare * *limit.Rate(), 1e-3));
+    next_limited_poll =
+        now + std::chrono::duration_cast<milliseconds>(std::min<std::chrono::duration<double>>(pause, kMaxPollPause));
+  }
   co_await RefreshEngineState();
   if (reported_state) {
-    co_await ReadCacheEvents();
+    if (!limit.IsLimited()) {
+      co_await ReadCacheEvents();
+    }
     co_await Reconcile();
   }
   engine_poll_running = false;
@@ -200,6 +214,9 @@
   if (timer_service::Now() - check_started > kMaxCheckDuration && verdict == incarnation_check::kCurrent) {
     co_return;  // the next poll checks again
   }
+  if (!limit.Take(microseconds(0), timer_service::NowWithSuspension()).granted) {
+    co_return;  // the next poll tries again
+  }
   const fencing_token token{config->revision, incarnation};
   auto reply = co_await engine.SendCommand(token, desired);
   if (!reply) {
--- a/src/agent/agent_routers.cpp
+++ b/src/agent/agent_routers.cpp
@@ -195,6 +195,13 @@
   report.prefill_tokens_per_s = static_cast<std::uint32_t>(speed.prefill_tokens_per_s);
   report.token_interval_us = static_cast<std::uint32_t>(speed.token_interval.count());
   report.decode_free_in_ms = static_cast<std::uint32_t>(slots.PredictFree(slot_kind::kDecode, now).count());
+  const milliseconds permit_wait = PredictPermitWait();
+  if (permit_wait > milliseconds(0)) {
+    report.prefill_free = 0;
+    report.decode_free = 0;
+    const auto wait_ms = static_cast<std::uint32_t>(permit_wait.count());
+    report.decode_free_in_ms = IsEngine() ? std::max(report.decode_free_in_ms, wait_ms) : wait_ms;
+  }
   return report;
 }
 
--- a/src/agent/agent_state.h
+++ b/src/agent/agent_state.h
@@ -26,6 +26,7 @@
 #include "net/datagram.h"
 #include "net/http.h"
 #include "persimmon/attempts.h"
+#include "persimmon/request_limits.h"
 #include "persimmon/slots.h"
 #include "store/config_store.h"
 
@@ -158,6 +159,11 @@
   void OnQuery(const router_session& session, const query_attempt& request);
   attempt_status MakeStatus(const attempt_id& attempt, incarnation_number expected_incarnation) const;
 
+  // --- limit that the endpoint states (agent_limit.cpp) ---
+  void RecordResponse(const http_response_head& head, time_point sent);
+  task<bool> AcquirePermit(milliseconds max_wait);  // false: the limit allows no request within that time
+  milliseconds PredictPermitWait() const;           // of a new request, after those that have reserved a slot
+
   // --- engine and commands (agent_engine.cpp) ---
   void ApplyConfiguration(const std::shared_ptr<const configuration>& values);
   task<> PollEngine();
@@ -222,6 +228,10 @@
   std::map<attempt_id, running_call> calls;
   time_point service_retry_at;  // after a refused connection the service is reported as not ready until then
 
+  // Limit that the endpoint states. No other process sends requests to it.
+  exclusive_limit limit{request_limit_settings{}};
+  time_point next_limited_poll;
+
   // engine
   std::shared_ptr<const configuration> config;
   std::optional<endpoint_record> record;       // of this endpoint, in the configuration in force
--- a/src/agent/agent_work.cpp
+++ b/src/agent/agent_work.cpp
@@ -26,6 +26,11 @@
 constexpr const char* kTransferStalled = "transfer_stalled";  // also the engine's reason
 constexpr const char* kInvalidStream = "engine_answer_invalid";
 constexpr milliseconds kCancelRetryPeriod(50);
+constexpr milliseconds kLimitedCancelRetryPeriod(500);  // of an engine that states a limit
+// That granted work may wait for a permit of an engine that states a limit, beyond its reservation; and before it
+// fails.
+constexpr milliseconds kMaxPermitDelay(500);
+constexpr milliseconds kMaxPermitWait(2'000);
 constexpr milliseconds kTransferPollPeriod(2);
 
 // Weight of the newest sample in the moving averages of the engine's speed.
@@ -94,6 +99,12 @@
     SendTo(session.identity, slot_refused{request.attempt, request.role, reason, ToMilliseconds(kEndedRetention)});
     return;
   }
+  const milliseconds permit_wait = PredictPermitWait();
+  if (permit_wait > milliseconds(request.start_in_ms) + kMaxPermitDelay) {
+    SendTo(session.identity,
+           slot_refused{request.attempt, request.role, refusal_reason::kBusy, ToMilliseconds(permit_wait)});
+    return;
+  }
   slot_request reservation;
   reservation.attempt = request.attempt;
   reservation.kind = request.role == slot_role::kPrefill ? slot_kind::kPrefill : slot_kind::kDecode;
@@ -286,7 +297,10 @@
     return self->OnPrefillLine(work, line, failure);
   };
   std::string traceparent = trace.Traceparent();
-  auto done = co_await engine.Prefill(std::move(start), std::move(traceparent), std::move(on_line));
+  result<void> done(error{error_code::kInvalid, kReasonEndpointLimit});
+  if (co_await AcquirePermit(kMaxPermitWait)) {
+    done = co_await engine.Prefill(std::move(start), std::move(traceparent), std::move(on_line));
+  }
   if (failure.empty() && !done) {
     failure = FailureReason(done.error());
   }
@@ -400,7 +414,10 @@
     completed = completed || work->state == work_state::kFinished;
     return keep_reading;
   };
-  auto done = co_await engine.Decode(std::move(start), std::move(traceparent), std::move(on_line));
+  result<void> done(error{error_code::kInvalid, kReasonEndpointLimit});
+  if (co_await AcquirePermit(kMaxPermitWait)) {
+    done = co_await engine.Decode(std::move(start), std::move(traceparent), std::move(on_line));
+  }
   if (completed) {
     co_return std::string();
   }
@@ -524,9 +541,10 @@
   const auto self = shared_from_this();
   while (!work->ended && !stopped) {
     std::string id = work->attempt.value;
+    limit.Charge(timer_service::NowWithSuspension());
     (void)co_await engine.CancelWork(std::move(id));
     if (!work->ended) {
-      co_await timers.Sleep(kCancelRetryPeriod);
+      co_await timers.Sleep(limit.IsLimited() ? kLimitedCancelRetryPeriod : kCancelRetryPeriod);
     }
   }
 }
--- a/src/agent/engine_client.cpp
+++ b/src/agent/engine_client.cpp
@@ -116,9 +116,18 @@
       control_(context, ControlLimits()),
       streams_(context, StreamLimits(stream_timeout)) {}
 
+task<result<http_response>> engine_client::FetchControl(http_request request) {
+  const time_point sent = timer_service::Now();
+  auto reply = co_await control_.Fetch(address_, std::move(request));
+  if (reply && on_response) {
+    on_response(reply.value().Head(), sent);
+  }
+  co_return reply;
+}
+
 task<result<engine_state>> engine_client::ReadState() {
   http_request request = MakeRequest("GET", "/v1/state");
-  auto reply = co_await control_.Fetch(address_, std::move(request));
+  auto reply = co_await FetchControl(std::move(request));
   if (!reply) {
     co_return reply.error();
   }
@@ -131,7 +140,7 @@
                      {"models", setup.models},
                      {"adapters", setup.adapters}};
   http_request request = MakeRequest("POST", "/v1/commands", DumpJson(body));
-  auto reply = co_await control_.Fetch(address_, std::move(request));
+  auto reply = co_await FetchControl(std::move(request));
   if (!reply) {
     co_return reply.error();
   }
@@ -140,7 +149,7 @@
 
 task<result<std::vector<cache_event>>> engine_client::ReadCacheEvents(std::uint64_t after) {
   http_request request = MakeRequest("GET", fmt::format("/v1/cache-events?after={}", after));
-  auto reply = co_await control_.Fetch(address_, std::move(request));
+  auto reply = co_await FetchControl(std::move(request));
   if (!reply) {
     co_return reply.error();
   }
@@ -150,7 +159,7 @@
 task<result<bool>> engine_client::CancelWork(std::string id) {
   const json body = {{"id", id}};
   http_request request = MakeRequest("POST", "/v1/cancel", DumpJson(body));
-  auto reply = co_await control_.Fetch(address_, std::move(request));
+  auto reply = co_await FetchControl(std::move(request));
   if (!reply) {
     co_return reply.error();
   }
@@ -179,7 +188,11 @@
                                          http_client::line_handler on_line) {
   http_request request = MakeRequest("POST", std::move(path), std::move(body));
   request.headers.push_back({"traceparent", std::move(traceparent)});
-  auto reply = co_await streams_.FetchLines(address_, std::move(request), std::move(on_line));
+  http_client::head_handler on_head;
+  if (on_response) {
+    on_head = [this, sent = timer_service::Now()](const http_response_head& head) { on_response(head, sent); };
+  }
+  auto reply = co_await streams_.FetchLines(address_, std::move(request), std::move(on_line), std::move(on_head));
   if (!reply) {
     co_return reply.error();
   }
--- a/src/agent/engine_client.h
+++ b/src/agent/engine_client.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -52,6 +53,9 @@
 
   const host_port& Address() const { return address_; }
 
+  // Called with the head of each response and the time when its request was sent.
+  std::function<void(const http_response_head&, time_point sent)> on_response;
+
   // Errors of all functions: those of http_client, and kProtocol for an answer that cannot be parsed.
   task<result<engine_state>> ReadState();
   task<result<command_reply>> SendCommand(fencing_token token, engine_setup setup);
@@ -65,6 +69,7 @@
   task<result<void>> Decode(start_decode work, std::string traceparent, http_client::line_handler on_line);
 
  private:
+  task<result<http_response>> FetchControl(http_request request);
   task<result<void>> Stream(std::string path, std::string body, std::string traceparent,
                             http_client::line_handler on_line);
 
--- a/src/fakes/fake_engine.cpp
+++ b/src/fakes/fake_engine.cpp
@@ -212,6 +212,8 @@
   asio::io_context& context;
   fake_engine_options options;
   timer_service timers;
+  std::string request_limit;              // stated in responses, in requests per second; empty: not stated
+  std::vector<std::int64_t> arrivals_ms;  // steady time of each request, without those of other engines
   http_client client;
   std::unique_ptr<http_server> server;
   timer_subscription sampling;
@@ -370,7 +372,7 @@
     job->pieces = (job->tokens + kPieceTokens - 1) / kPieceTokens;
     prefills[job->kv] = job;
     exchange->OnDisconnect([this, job] { EndPrefill(job); });
-    (void)co_await exchange->StartStream(200, {});
+    (void)co_await exchange->StartStream(200, OwnHeaders());
     std::string first_line = JsonLine({{"kv", job->kv}, {"pieces", job->pieces}});
     (void)co_await exchange->WriteChunk(std::move(first_line));
     asio::co_spawn(context, RunPrefills(), asio::detached);
@@ -524,7 +526,7 @@
       (void)co_await exchange->Respond(std::move(refusal));
       co_return;
     }
-    (void)co_await exchange->StartStream(200, {});
+    (void)co_await exchange->StartStream(200, OwnHeaders());
     if (static_cast<std::int64_t>(decodes.size()) >= options.decode_slots) {
       std::string line = JsonLine({{"error", "no_slot"}});
       (void)co_await exchange->WriteChunk(std::move(line));
@@ -685,6 +687,7 @@
   }
 
   http_response ApplyFaults(const json& input) {
+    request_limit = input.value("request_limit", request_limit);
     if (input.value("crash", false)) {
       std::_Exit(kCrashExitCode);
     }
@@ -710,6 +713,10 @@
   // 8. requests
   // -------------------------------------------------------------------------------------------------------------------
 
+  header_list OwnHeaders() const {
+    return request_limit.empty() ? header_list() : header_list{{"Server-Limit", request_limit}};
+  }
+
   // Requests that are answered without waiting.
   http_response ServeSynchronously(const http_request& request) {
     const std::string_view target = request.target;
@@ -731,11 +738,18 @@
     if (request.method == "POST" && target == "/faults") {
       return ApplyFaults(json::parse(request.body));
     }
+    if (request.method == "GET" && target == "/arrivals") {
+      return JsonReply(200, {{"arrivals_ms", arrivals_ms}});
+    }
     return JsonReply(404, {{"error", "unknown_path"}});
   }
 
   task<> Dispatch(exchange_ptr exchange) {
     const http_request& request = exchange->Request();
+    if (request.target.starts_with("/v1/") && !request.target.starts_with("/v1/kv/")) {
+      // Other engines fetch KV cache by themselves.
+      arrivals_ms.push_back(std::chrono::duration_cast<milliseconds>(timer_service::Now().time_since_epoch()).count());
+    }
     if (request.method == "POST" && request.target == "/v1/prefill") {
       co_await ServePrefill(exchange);
       co_return;
@@ -755,6 +769,9 @@
       co_return;
     }
     auto reply = ServeSynchronously(request);
+    for (header_field& field : OwnHeaders()) {
+      reply.headers.push_back(std::move(field));
+    }
     (void)co_await exchange->Respond(std::move(reply));
   }
 
--- a/src/fakes/fake_service.cpp
+++ b/src/fakes/fake_service.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <nlohmann/json.hpp>
 #include <thread>
+#include <vector>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -42,7 +43,9 @@
   milliseconds delay;
   double slow_factor = 1;
   std::string crash_text;
-  std::int64_t calls_until_crash = 0;  // number of calls until the process crashes; 0: no crash is planned
+  std::string request_limit;              // stated in all responses, in requests per second; empty: not stated
+  std::vector<std::int64_t> arrivals_ms;  // steady time of each call
+  std::int64_t calls_until_crash = 0;     // number of calls until the process crashes; 0: no crash is planned
 
   void LoadCalls() {
     std::ifstream file(options.calls_file);
@@ -75,6 +78,7 @@
     slow_factor = input.value("slow_factor", slow_factor);
     crash_text = input.value("crash_on", crash_text);
     delay = milliseconds(input.value("delay_ms", static_cast<std::int64_t>(delay.count())));
+    request_limit = input.value("request_limit", request_limit);
     calls_until_crash = input.value("crash_before_answer", calls_until_crash);
     if (input.contains("freeze_ms")) {
       // Blocks the event loop: the process stops responding, but its connections stay open.
@@ -104,6 +108,12 @@
       (void)co_await exchange->Respond(std::move(reply));
       co_return;
     }
+    if (request.method == "GET" && request.target == "/arrivals") {
+      auto reply = JsonResponse(200, json{{"arrivals_ms", arrivals_ms}}.dump());
+      (void)co_await exchange->Respond(std::move(reply));
+      co_return;
+    }
+    arrivals_ms.push_back(std::chrono::duration_cast<milliseconds>(timer_service::Now().time_since_epoch()).count());
     const std::string call = fmt::format("{} {} {}", request.method, request.target, request.body);
     RecordCall(call, std::string(FindHeader(request.headers, "X-Request-Id")));
     CrashIfTriggered(request.body);
@@ -115,6 +125,9 @@
     const json body = {
         {"service", options.name}, {"path", request.target}, {"calls", calls[call]}, {"body_hash", hash}};
     auto reply = JsonResponse(200, body.dump());
+    if (!request_limit.empty()) {
+      reply.headers.push_back({"Server-Limit", request_limit});
+    }
     (void)co_await exchange->Respond(std::move(reply));
   }
 };
--- a/src/router/service_calls.cpp
+++ b/src/router/service_calls.cpp
@@ -99,6 +99,9 @@
                        !is_avoided && status->record.state == endpoint_state::kActive;
     view.health_share = endpoints_->HealthShare(status->record.name, endpoint_role::kService);
     view.calls_in_progress = status->active_attempts;
+    const auto report_age = std::chrono::duration_cast<microseconds>(timer_service::Now() - status->load_time);
+    view.permit_wait =
+        std::max(microseconds(0), microseconds(milliseconds(status->load.decode_free_in_ms)) - report_age);
     views.push_back(std::move(view));
   }
   const service_request criteria{zone_name{settings_.zone}, RandomNumber()};
@@ -242,8 +245,11 @@
   if (sent.answer.reason == kReasonEngineLost) {
     suspects_->RecordCrash(target.endpoint);
   }
-  RecordCallDuration(target.endpoint, sent.reply == call_reply::kAnswered,
-                     std::chrono::duration<double>(timer_service::Now() - begin).count());
+  // A limit is no sign of ill health.
+  if (sent.answer.reason != kReasonEndpointLimit) {
+    RecordCallDuration(target.endpoint, sent.reply == call_reply::kAnswered,
+                       std::chrono::duration<double>(timer_service::Now() - begin).count());
+  }
   call_span.failed = sent.reply != call_reply::kAnswered;
   tracer_->EndSpan(std::move(call_span));
   suspects_->RecordEnd(call.fingerprint, target.endpoint, sent.reply == call_reply::kAnswered);
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -14,6 +14,7 @@
 import argparse
 import asyncio
 import base64
+import bisect
 import collections
 import http.client
 import json
@@ -517,6 +518,7 @@
                                      self.random.uniform(0.5, 3)),
             lambda: self.restore_store(self.random.uniform(1, 5)),
             lambda: self.close_endpoints([self.pick()], self.random.uniform(1, 4)),
+            lambda: self.limit_endpoint(self.pick(), self.random.uniform(4, 9)),
             lambda: self.break_streams([self.pick("decode")], self.random.uniform(0.5, 3)),
             lambda: self.send_without_end([self.pick()], self.random.uniform(0.2, 1)),
             lambda: self.send_deadly_parts(self.random.uniform(2, 6), self.random.uniform(0.05, 0.3)),
@@ -655,6 +657,31 @@
             await asyncio.sleep(self.random.uniform(0.1, 0.5))
         await asyncio.sleep(4)
 
+    async def limit_endpoint(self, name, seconds):
+        """An endpoint states a limit, which changes, and ends."""
+        address = self.deployment.replica_address(name)
+        end = time.time() + seconds
+        while time.time() < end:
+            limit = self.random.choice([0, 1.5, 4, 7.2, 12])
+            self.note(f"{name} states a limit of {limit} a second")
+            await asyncio.to_thread(post, address, "/faults", {"request_limit": str(limit)})
+            await asyncio.sleep(max(0, min(self.random.uniform(5, 9), end - time.time())))
+        if self.deployment.replicas[name].is_running():
+            await asyncio.to_thread(post, address, "/faults", {"request_limit": ""})
+
+    async def limited_endpoints(self, seconds):
+        """Endpoints of all kinds state limits while routers are killed, stopped and paused."""
+        end = time.time() + seconds
+        names = [self.pick("app"), self.pick("decode"), self.pick("prefill")]
+        limited = [asyncio.create_task(self.limit_endpoint(name, seconds - 1)) for name in names]
+        while time.time() < end - 3:
+            await asyncio.sleep(self.random.uniform(0.5, 2))
+            index = self.pick_router()
+            await self.random.choice([
+                lambda: self.restart_router(index, signal.SIGKILL), lambda: self.restart_router(index, signal.SIGTERM),
+                lambda: self.pause(self.deployment.routers[index], index, self.random.uniform(0.3, 4))])()
+        await asyncio.gather(*limited)
+
     async def silent_store(self, seconds):
         """Endpoints leave in series while the store connections of routers go silent, one after the other."""
         end = time.time() + seconds - 6
@@ -669,7 +696,7 @@
 SCENARIOS = ["mixed", "rejected_decodes", "rejected_prefills", "restarts_while_rejecting", "unannounced_leaves",
              "silent_store", "leaves_by_own_word",
              "closed_endpoints", "restored_store", "broken_streams", "endless_bytes",
-             "version_roll", "deadly_parts"]
+             "version_roll", "deadly_parts", "limited_endpoints"]
 
 
 # ----------------------------------------------------------------------------------------------------------------------
@@ -694,11 +721,17 @@
         self.broken = []
         self.arrivals = []  # (time, attempt, endpoint, service, result)
         self.closures = []  # (time, router, endpoint, seconds)
+        self.received = collections.defaultdict(list)  # endpoint: times of all requests, also of control calls
+        self.limits = collections.defaultdict(list)    # endpoint: (time, stated requests per second)
         self.left = {}      # endpoint: time at which the store accepted that it leaves
         for name in deployment.replicas:
             for event in read_events(deployment.folder / f"{name}.log"):
                 seconds = event["t"] / 1000
                 if event["event"] == "arrival":
+                    self.received[name].append(seconds)
+                if event["event"] == "limit_set":
+                    self.limits[name].append((seconds, float(event["limit"] or "inf")))
+                if event["event"] == "arrival" and event["result"] != "control":
                     self.arrivals.append((seconds, event["request"], name, event["service"], event["result"]))
                     if event["retry_after_ms"]:
                         self.closures.append((seconds, self.router_of(event["request"]), name,
@@ -760,6 +793,24 @@
                 self.report("BUDGET", f"{len(late)} requests of router {router} reached {endpoint}, which had turned it "
                                       f"away for {seconds:.1f} s")
 
+    def check_limits(self):
+        """In any 4 s, an endpoint gets no more than one and a half times the limit that it states and 5 requests, from
+        all routers together, whatever happens to them."""
+        contact, window = BOUNDS["contact_ms"] / 1000, 4
+        used, allowed = 0, 0
+        for name, changes in self.limits.items():
+            times = sorted(self.received[name])
+            for (begin, limit), (end, _) in zip(changes, changes[1:] + [(times[-1] if times else 0, 0)]):
+                stated = [at for at in times if begin + contact <= at < end]
+                if limit == float("inf") or end - begin <= contact:
+                    continue
+                used, allowed = used + len(stated), allowed + limit * (end - begin - contact)
+                most = max((bisect.bisect_left(stated, at + window) - index for index, at in enumerate(stated)),
+                           default=0)
+                if most > 1.5 * limit * window + 5:
+                    self.report("LIMIT", f"{name} stated {limit} a second and got {most} requests in {window} s")
+        self.limit_share = used / allowed if allowed else None
+
     def check_budget(self):
         """In every window, a service gets no more sends beyond the first of each request than the budget allows."""
         window = BOUNDS["budget_window_s"]
@@ -886,6 +937,7 @@
         self.check_leaving()
         self.check_own_word()
         self.check_closed()
+        self.check_limits()
         self.check_budget()
         self.check_answers()
         self.check_versions()
@@ -960,6 +1012,8 @@
     print(f"{arguments.scenario} seed {arguments.seed}: {len(callers.answers)} requests, "
           f"{len(checks.arrivals)} arrivals, {len(faults.log)} faults, "
           f"{', '.join(f'{kind} {status}: {count}' for (kind, status), count in sorted(outcomes.items(), key=str))}")
+    if checks.limit_share is not None:
+        print(f"{checks.limit_share:.0%} of the stated limits were used")
     resumed = [answer for answer in callers.answers if answer.resumed]
     if resumed:
         print(f"{len(resumed)} streams taken up again, {sum(answer.status == 200 for answer in resumed)} went on")
