Check the lease again right before an order

A router whose machine was suspended, or that waited for a report or a permit, could send an order under a lease that had run out meanwhile: the limit was checked before the report was read, and on a clock that does not count suspensions. Told by operators of similar systems; not seen here. Fix: checked when the order is sent, on a clock that counts them.

--- a/src/direct/stage_orders.cpp
+++ b/src/direct/stage_orders.cpp
@@ -22,6 +22,8 @@
 // sends no orders with an outdated lease.
 constexpr milliseconds kLeaseUseLimit(1'000);
 
+bool IsLeaseUsable(time_point begin) { return timer_service::NowWithSuspension() - begin <= kLeaseUseLimit; }
+
 std::string MakeLeaseValue(const std::string& holder) { return json{{"holder", holder}}.dump(); }
 
 std::string ReadLeaseHolder(const std::string& text) {
@@ -81,7 +83,7 @@
   if (changes.empty()) {
     co_return;
   }
-  const time_point begin = timer_service::Now();
+  const time_point lease_begin = timer_service::NowWithSuspension();
   const auto fencing_token = co_await AcquireLease(service.name);
   if (!fencing_token) {
     planner.RecordRound(timer_service::Now());
@@ -89,14 +91,14 @@
   }
   planner.RecordRound(timer_service::Now());
   for (const stage_change& change : changes) {
-    if (timer_service::Now() - begin > kLeaseUseLimit || leaving_) {
+    if (!IsLeaseUsable(lease_begin) || leaving_) {
       Events().Line(kComponent, "round_ended_early").Add("service", service.name).Add("fence", *fencing_token);
       break;
     }
     for (const chosen_endpoint& endpoint : endpoints) {
       if (endpoint.name == change.engine && !endpoint_tracker_->IsClosed(endpoint)) {
         planner.RecordOrder(change, timer_service::Now());
-        if (!co_await SendOrder(service, endpoint, change.role, *fencing_token)) {
+        if (!co_await SendOrder(service, endpoint, change.role, *fencing_token, lease_begin)) {
           co_return;
         }
       }
@@ -151,7 +153,7 @@
 }
 
 task<bool> stage_orders::SendOrder(service_record service, chosen_endpoint engine, endpoint_role role,
-                                   std::uint64_t fencing_token) {
+                                   std::uint64_t fencing_token, time_point lease_begin) {
   const auto stage =
       role == endpoint_role::kPrefill ? platform::engine_stage::kPrefill : platform::engine_stage::kDecode;
   auto report = co_await endpoint_tracker_->FetchReport(client_, engine, kOrderTimeout);
@@ -164,12 +166,16 @@
     co_return true;
   }
   const permit_result taken = co_await endpoint_tracker_->AcquirePermit(engine, kOrderTimeout);
-  if (!taken.permit) {
+  // The process or the machine may have been suspended since the round began.
+  const char* obstacle = !taken.permit                 ? "its limit allows no request now"
+                         : !IsLeaseUsable(lease_begin) ? "the lease was taken too long ago"
+                                                       : nullptr;
+  if (obstacle != nullptr) {
     Events()
         .Line(kComponent, "order_not_sent")
         .Add("service", service.name)
         .Add("endpoint", engine.name.value)
-        .Add("reason", "its limit allows no request now");
+        .Add("reason", obstacle);
     co_return true;
   }
   auto request = platform::MakeStageOrderRequest(engine.name, stage, settings_.deployment.name, fencing_token,
--- a/src/direct/stage_orders.h
+++ b/src/direct/stage_orders.h
@@ -34,7 +34,8 @@
   // Returns the fencing token for one round of orders, or nothing if the lease could not be acquired.
   task<std::optional<std::uint64_t>> AcquireLease(const std::string& service);
   // Returns false if the engine has already accepted a higher fencing token.
-  task<bool> SendOrder(service_record service, chosen_endpoint engine, endpoint_role role, std::uint64_t fencing_token);
+  task<bool> SendOrder(service_record service, chosen_endpoint engine, endpoint_role role, std::uint64_t fencing_token,
+                       time_point lease_begin);
 
   kernel& kernel_;
   const direct_settings& settings_;
