Use a connection to the service of an agent for one call only

A service that sent an answer a second time, late, on a connection that was in use again gave the next caller the answer of another one: nothing in a plain answer names its request. Evidence: agent_call_test.Answer_SentAgainLateByTheService_ReachesNoOtherCaller got body-a for the call b before. Fix: no connection of an agent to its service, or for streams to its engine, is used again. Ruled out without agents: http_call compares the attempt id of each answer; a control call that reads a late answer fails to parse it.

--- a/src/agent/agent.cpp
+++ b/src/agent/agent.cpp
@@ -32,6 +32,14 @@
 constexpr milliseconds kAllocationTimeout(2'000);
 constexpr milliseconds kAllocationRetryPause(100);
 
+// A service may send an answer a second time, late, and nothing in it names its request. So no connection is used
+// again; opening one within a VM takes well under a millisecond.
+http_client_limits ServiceLimits() {
+  http_client_limits limits;
+  limits.idle_connections = 0;
+  return limits;
+}
+
 slot_settings MakeSlotSettings(const agent_settings& settings) {
   slot_settings values;
   values.bid_window = settings.bid_window;
@@ -57,7 +65,7 @@
       timers(context),
       counter(timers, table, "agent/" + settings.name),
       engine(context, settings.engine, settings.stream_timeout),
-      service(context, http_client_limits()),
+      service(context, ServiceLimits()),
       startup_acceptor(context),
       slots(MakeSlotSettings(settings)),
       attempts(0, MakeAttemptLimits(settings)) {
--- a/src/agent/engine_client.cpp
+++ b/src/agent/engine_client.cpp
@@ -27,8 +27,8 @@
   limits.connect_timeout = kControlTimeout;
   limits.response_timeout = stream_timeout;
   limits.idle_timeout = stream_timeout;
-  // Keeping an idle connection for every stream would use one file descriptor for each decode slot.
-  limits.idle_connections = 4;
+  // The lines of a stream do not name their request, so a late second copy of one must not meet the next.
+  limits.idle_connections = 0;
   limits.body_bytes = kMaxLineBytes;
   return limits;
 }
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -3,6 +3,14 @@
 // superseded agent. Runs the real programs; the test acts as the routers.
 #include <fmt/format.h>
 
+#include <array>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
 #include "fakes/fake_engine.h"
 #include "persimmon/prefix_index.h"
 #include "support/agent_harness.h"
@@ -585,6 +593,41 @@
     return call;
   }
 
+  // A service that answers each request with its body. It sends each answer a second time, after the next request on
+  // the connection has arrived.
+  task<> AnswerTwice(asio::ip::tcp::acceptor& acceptor) {
+    while (acceptor.is_open()) {
+      asio::ip::tcp::socket socket(context_);
+      boost::system::error_code failure;
+      co_await acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, failure));
+      if (!failure) {
+        asio::co_spawn(context_, ServeTwice(std::move(socket)), asio::detached);
+      }
+    }
+  }
+
+  static task<> ServeTwice(asio::ip::tcp::socket socket) {
+    constexpr std::string_view kBodyStart = "body-";  // and one more character
+    std::string input;
+    std::string previous;
+    boost::system::error_code failure;
+    while (!failure) {
+      std::array<char, 4'096> bytes{};
+      const std::size_t count =
+          co_await socket.async_read_some(asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, failure));
+      input.append(bytes.data(), count);
+      const auto body = input.find(kBodyStart);
+      if (failure || body == std::string::npos || input.size() <= body + kBodyStart.size()) {
+        continue;
+      }
+      const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n" + input.substr(body, 6);
+      input.clear();
+      const std::string sent = previous + answer;
+      previous = answer;
+      co_await asio::async_write(socket, asio::buffer(sent), asio::redirect_error(asio::use_awaitable, failure));
+    }
+  }
+
   std::uint64_t CountCalls(const std::string& attempt) {
     const json calls = FetchJson(engine_port_, "/calls")["calls"];
     return calls.value("POST /app/quiz body-" + attempt, 0ULL);
@@ -619,6 +662,26 @@
   EXPECT_EQ(CountCalls("a"), 0U);
 }
 
+// The next caller got the late second copy of an earlier answer.
+TEST_F(agent_call_test, Answer_SentAgainLateByTheService_ReachesNoOtherCaller) {
+  StartPlatform();
+  asio::ip::tcp::acceptor acceptor(context_, {asio::ip::make_address("127.0.0.1"), 0});
+  engine_port_ = acceptor.local_endpoint().port();
+  asio::co_spawn(context_, AnswerTwice(acceptor), asio::detached);
+  agent_port_ = FreePort();
+  StoreRecords(1, MakeRecords("endpoint-a", {"service"}, agent_port_));
+  StartAgent(agent_port_, "service");
+  ConnectRouter();
+  ASSERT_TRUE(AwaitReady()) << AgentLog();
+  for (const char* attempt : {"a", "b", "c"}) {
+    Router().Send(MakeCall(attempt));
+    const auto* answer = AwaitAnswer(attempt);
+    ASSERT_NE(answer, nullptr);
+    EXPECT_EQ(answer->body, std::string("body-") + attempt);
+  }
+  acceptor.close();
+}
+
 TEST_F(agent_call_test, Call_ForAnotherIncarnation_NeverRunsAndReportsMayHaveRun) {
   StartServiceEndpoint();
   call_service call = MakeCall("a");
