Answer callers that a draining server has not accepted yet, and end stalled streams of lines

Two faults told by operators of similar systems, both shown here by a test first (one file holds both). 1. During a planned stop, the acceptor was closed while the system held established connections with requests: they were reset without an answer (five of five). Now they are accepted before it is closed. Test: Drain_WhenAConnectionIsNotYetAccepted_AnswersItsRequest. 2. With agents, a stream of lines that had stalled never ended if a byte arrived now and then: the time limit began anew with each read, although it is documented as the time between two lines.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -41,6 +41,7 @@
 constexpr milliseconds kAcceptRetryDelay(100);   // after a failed accept, for example if no file descriptor is free
 constexpr unsigned kFirstFinalStatus = 200;      // lower ones belong to interim responses
 constexpr std::size_t kMaxInterimResponses = 8;  // before a final response; a server may send them without end
+constexpr milliseconds kLateReadLimit(100);      // time for which data is still read after a deadline
 constexpr unsigned kHttp10 = 10;                 // HTTP/1.0 in Beast's encoding
 
 const logger& Log() {
@@ -152,6 +153,8 @@
   bool disable_keep_alive = false;  // each response closes its connection
 
   task<> Accept();
+  void AddConnection(tcp::socket socket);
+  void AcceptEstablished();
 };
 
 namespace detail {
@@ -556,13 +559,30 @@
       co_await timers.Sleep(kAcceptRetryDelay);
       continue;
     }
-    if (connections.size() >= limits.connections) {
-      Log().Warning("Closed a connection: the limit of {} connections is reached.", limits.connections);
-      continue;
+    AddConnection(std::move(socket));
+  }
+}
+
+void http_server::state::AddConnection(tcp::socket socket) {
+  if (connections.size() >= limits.connections) {
+    Log().Warning("Closed a connection: the limit of {} connections is reached.", limits.connections);
+    return;
+  }
+  auto connection = std::make_shared<detail::http_connection>(std::move(socket), shared_from_this());
+  connections.insert(connection);
+  asio::co_spawn(context, connection->Run(), asio::detached);
+}
+
+// Closing the acceptor resets the connections that the system has established and that are not accepted yet.
+void http_server::state::AcceptEstablished() {
+  sys_error failure;
+  acceptor.non_blocking(true, failure);
+  while (!failure) {
+    tcp::socket socket(context);
+    acceptor.accept(socket, failure);
+    if (!failure) {
+      AddConnection(std::move(socket));
     }
-    auto connection = std::make_shared<detail::http_connection>(std::move(socket), self);
-    connections.insert(connection);
-    asio::co_spawn(context, connection->Run(), asio::detached);
   }
 }
 
@@ -586,6 +606,9 @@
 void http_server::Drain() {
   state_->draining = true;
   sys_error ignored;
+  if (state_->acceptor.is_open()) {
+    state_->AcceptEstablished();
+  }
   state_->acceptor.close(ignored);
   for (const auto& connection : state_->connections) {
     if (connection->IsIdle()) {
@@ -870,16 +893,22 @@
     on_head(response.Head());
   }
   line_splitter lines;
+  // Bytes of a line that does not end are no progress.
+  time_point last_line = timer_service::Now();
+  const line_handler on_whole_line = [&](std::string_view line) {
+    last_line = timer_service::Now();
+    return on_line(line);
+  };
   std::array<char, 16384> chunk{};
   while (!parser->is_done()) {
     parser->get().body().data = chunk.data();
     parser->get().body().size = chunk.size();
-    connection->stream.expires_at(std::min(end, timer_service::Now() + state->limits.idle_timeout));
+    connection->stream.expires_at(std::min(end, last_line + state->limits.idle_timeout));
     co_await http::async_read_some(connection->stream, connection->buffer, *parser, RedirectError(failure));
     if (failure == http::error::need_buffer) {
       failure = {};
     }
-    if (!failure && timer_service::Now() >= end) {
+    if (!failure && timer_service::Now() >= std::min(end, last_line + state->limits.idle_timeout + kLateReadLimit)) {
       // The timeout of the stream does not cancel a read whose data has already arrived.
       failure = beast::error::timeout;
     }
@@ -889,7 +918,7 @@
     const std::string_view data(chunk.data(), chunk.size() - parser->get().body().size);
     if (response.status != 200) {
       response.body.append(data);
-    } else if (!lines.Add(data, on_line)) {
+    } else if (!lines.Add(data, on_whole_line)) {
       co_return error{error_code::kCancelled, "the line handler ended the exchange"};
     }
     if (std::max(lines.PartialLineBytes(), response.body.size()) > state->limits.body_bytes) {
@@ -918,7 +947,6 @@
 // A body up to this size fits the socket buffers of a new connection and is written before the response is read. A
 // larger one is written in the background.
 constexpr std::size_t kMaxForegroundBodyBytes = 8'192;
-constexpr milliseconds kLateReadLimit(100);            // time for which data is still read after a deadline
 constexpr std::size_t kMaxUnmatchedBytes = 1U << 20U;  // of one such response that are read and dropped
 constexpr std::size_t kMaxUnmatchedResponses = 4;      // responses read per call before the connection is abandoned
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -426,6 +426,23 @@
   EXPECT_NE(busy->Received().find("Connection: close"), std::string::npos);
 }
 
+// A caller whose connection the system has established already was cut off without an answer.
+TEST_F(http_server_test, Drain_WhenAConnectionIsNotYetAccepted_AnswersItsRequest) {
+  StartServer();
+  const auto accepted = Connect();
+  accepted->Send(kGet);
+  ASSERT_TRUE(accepted->AwaitText("200 OK"));
+  std::vector<std::unique_ptr<raw_connection>> pending;
+  for (int i = 0; i < 5; ++i) {
+    pending.push_back(Connect());
+    pending.back()->Send(kGet);
+  }
+  server_->Drain();
+  for (const auto& connection : pending) {
+    EXPECT_TRUE(connection->AwaitText("200 OK"));
+  }
+}
+
 TEST_F(http_server_test, Drain_WhenRequestIsPartlyRead_AnswersItThenCloses) {
   StartServer();
   auto caller = Connect();
@@ -553,6 +570,42 @@
   EXPECT_TRUE(server->AwaitEnd());
 }
 
+// A stream that had stalled never ended, because a byte arrived now and then.
+TEST_F(http_client_test, FetchLines_WhenBytesArriveButNoLineEnds_TimesOut) {
+  limits_.idle_timeout = milliseconds(200);
+  client_ = std::make_unique<http_client>(loop_.Context(), limits_);
+  raw_listener listener(loop_);
+  StartLines(listener.Port());
+  auto server = listener.Accept();
+  ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+  server->Send("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nline\n");
+  for (int i = 0; i < 20 && !done_; ++i) {
+    server->Send("x");
+    loop_.RunFor(milliseconds(50));
+  }
+  ASSERT_TRUE(done_);
+  ASSERT_FALSE(response_) << lines_.size();
+  EXPECT_EQ(response_.error().code, error_code::kTimeout);
+}
+
+// One that is slow but goes on is sound.
+TEST_F(http_client_test, FetchLines_WhenLinesArriveSlowly_PassesThemAll) {
+  limits_.idle_timeout = milliseconds(300);
+  client_ = std::make_unique<http_client>(loop_.Context(), limits_);
+  raw_listener listener(loop_);
+  StartLines(listener.Port());
+  auto server = listener.Accept();
+  ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+  server->Send("HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n");
+  for (int i = 0; i < 6; ++i) {
+    server->Send("x\n");
+    loop_.RunFor(milliseconds(150));
+  }
+  ASSERT_TRUE(AwaitDone());
+  EXPECT_TRUE(response_);
+  EXPECT_EQ(lines_.size(), 6U);
+}
+
 TEST_F(http_client_test, FetchLines_WhenAnswerPauses_TimesOut) {
   limits_.idle_timeout = milliseconds(100);
   client_ = std::make_unique<http_client>(loop_.Context(), limits_);
