Take a stream that stalls with a byte now and then to another engine

The time after which a resumable stream is taken to another engine began anew with each byte, so an engine that had stalled and sent a byte now and then held the stream until the caller's deadline. Now it is the time since the last whole event. With it the test of the order after a suspension.

--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -804,9 +804,9 @@
   decode_result outcome = decode_result::kBroken;
   while (true) {
     const bool may_resume = resumable && call->sends < call->Route().max_attempts;
-    const time_point now = timer_service::Now();
-    auto piece =
-        co_await upstream.Read(may_resume ? std::min(call->Deadline(), now + settings_.stall_limit) : call->Deadline());
+    // Bytes of an event that does not end are no progress.
+    const time_point stalled_at = last_event + settings_.stall_limit;
+    auto piece = co_await upstream.Read(may_resume ? std::min(call->Deadline(), stalled_at) : call->Deadline());
     std::string forwarded = piece ? stream.events.Add(piece.value()) : std::string();
     part_tracker_->Board().RecordEvents(run, stream.events.EventCount() - events_before);
     incomplete_bytes = stream.events.Incomplete().size();
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -17,7 +17,8 @@
 constexpr const char* kComponent = "fake.replica";
 constexpr milliseconds kHangDuration(60'000);
 constexpr milliseconds kDisconnectPollInterval(2);
-constexpr milliseconds kCrashLogTime(250);  // for the log lines of a crash; longer than the flush period of the log
+constexpr milliseconds kCrashLogTime(250);     // for the log lines of a crash; longer than the flush period of the log
+constexpr milliseconds kStallBytePeriod(100);  // between two bytes of a stream that has stalled
 constexpr int kCrashExitCode = 70;
 constexpr std::size_t kEndlessPartBytes = 64U << 10U;  // of one write of a body or an event without end
 
@@ -442,6 +443,14 @@
       co_await BreakOff(exchange);
       co_return;
     }
+    if (faults_.stall_after_events != 0 && sent_events == faults_.stall_after_events) {
+      while (sent && !exchange->IsDisconnected()) {
+        std::string byte = ":";
+        sent = co_await exchange->WriteChunk(std::move(byte));
+        co_await timers_.Sleep(kStallBytePeriod);
+      }
+      co_return;
+    }
     std::string event = event_text(id);
     sent = co_await exchange->WriteChunk(std::move(event));
     ++sent_events;
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -63,6 +63,7 @@
   std::string request_limit = {};        // stated in all responses, in requests per second; empty: not stated
   milliseconds retry_after{0};           // stated in rejections with status 503; 0: not stated
   milliseconds reserve_delay{0};         // before a reservation is granted or refused
+  std::uint32_t stall_after_events = 0;  // streams stop after this many events, with a byte now and then; 0: never
   std::uint32_t break_after_events = 0;  // streams break off after this many events; 0: never
   std::optional<std::size_t> cut_after_bytes = {};  // streams break off after this many bytes of their body
 
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -1347,6 +1347,22 @@
   EXPECT_TRUE(call->body.starts_with("id: 3\n"));
 }
 
+// A stream that had stalled was not taken to another engine, because a byte arrived now and then.
+TEST(stalled_stream_test, Stream_ThatStallsWithAByteNowAndThen_GoesOnAtAnotherEngine) {
+  router_harness harness([](direct_settings& settings) { settings.stall_limit = milliseconds(500); });
+  harness.AddReplica(Engine("pre-1", "prefill"));
+  fake_replica& first = harness.AddReplica(Engine("dec-1", "decode"));
+  harness.AddReplica(Engine("dec-2", "decode")).Faults().full = true;
+  harness.WriteDesiredState({.timeout_ms = 4'000});
+  ASSERT_TRUE(harness.Start());
+  first.Faults().stall_after_events = 2;
+  const auto call = harness.SendModel("/digest/1", "a1");
+  ASSERT_TRUE(harness.RunUntil([&call] { return call->body.find("id: 2") != std::string::npos; }));
+  harness.AddReplica(Engine("dec-3", "decode"));
+  ASSERT_TRUE(harness.Finish(call));
+  EXPECT_EQ(call->body, WholeStream("a1", 5));
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 3. directory and readiness
 // ---------------------------------------------------------------------------------------------------------------------
@@ -1773,6 +1789,21 @@
   }
 }
 
+// A router whose machine is suspended between its lease and the order may have lost the lease when it wakes.
+TEST_F(stage_orders_test, Order_AfterASuspensionSinceTheLeaseWasTaken_IsNotSent) {
+  ASSERT_TRUE(harness_.Start());
+  const auto asked_for_report = [this] {
+    return std::any_of(engines_.begin(), engines_.end(), [](const fake_replica* engine) {
+      return !engine->Requests().empty() && engine->Requests().back().target == "/report";
+    });
+  };
+  ASSERT_TRUE(harness_.RunUntil(asked_for_report));
+  ASSERT_EQ(Orders(), 0);
+  timer_service::SimulateSuspension(milliseconds(3'000));
+  harness_.RunFor(milliseconds(200));
+  EXPECT_EQ(Orders(), 0);
+}
+
 // Two lease holders at the same time would revert each other's orders.
 TEST_F(stage_orders_test, RowOfAnotherHolder_ThatIsFresh_StopsAllOrders) {
   harness_.Platform().Tables().Commit({{{"persimmon_leases", "llm"}, R"({"holder":"router-9"})", false, std::nullopt}});
