Put endpoints of the soak under lower limits for longer

With 60 requests per second and limits up to 12 the scenario limited_endpoints did not find a router that reads no limit. It does not find a burst of 8 s of the limit, which the property of the schedule finds.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -662,10 +662,10 @@
         address = self.deployment.replica_address(name)
         end = time.time() + seconds
         while time.time() < end:
-            limit = self.random.choice([0, 1.5, 4, 7.2, 12])
+            limit = self.random.choice([0, 1.5, 4, 7.2])
             self.note(f"{name} states a limit of {limit} a second")
             await asyncio.to_thread(post, address, "/faults", {"request_limit": str(limit)})
-            await asyncio.sleep(max(0, min(self.random.uniform(5, 9), end - time.time())))
+            await asyncio.sleep(max(0, min(self.random.uniform(7, 10), end - time.time())))
         if self.deployment.replicas[name].is_running():
             await asyncio.to_thread(post, address, "/faults", {"request_limit": ""})
 
