Wait less for a home router that does not answer, and forget silent routers

Found by reading the diff: a call to a limited endpoint waited up to 300 ms for a home router that had just died before it went to another endpoint, as long as the target of the plain calls; 120 ms now.

--- a/include/persimmon/request_limits.h
+++ b/include/persimmon/request_limits.h
@@ -54,7 +54,7 @@
   double takeover_share = 0.5;       // of the rate
   double unknown_count_share = 0.2;  // of the rate, while it is unknown how many routers there are
   double min_rate = 0.2;             // requests per second; with a lower limit nobody would learn that it has ended
-  milliseconds retention = milliseconds(60'000);  // of what an unregistered endpoint has stated
+  milliseconds retention = milliseconds(60'000);  // of what an unregistered endpoint has stated, and of silent routers
 
   bool operator==(const request_limit_settings&) const = default;
 };
--- a/src/decisions/request_limits.cpp
+++ b/src/decisions/request_limits.cpp
@@ -107,6 +107,7 @@
 }
 
 void limit_members::RecordHeard(const std::string& address, std::uint64_t incarnation, bool leaving, time_point now) {
+  std::erase_if(others_, [&](const auto& item) { return now - item.second.last_heard > settings_.retention; });
   const auto [found, is_new] = others_.try_emplace(address);
   member& other = found->second;
   if (!is_new && IsEligible(other, now)) {
--- a/src/direct/limit_tracker.cpp
+++ b/src/direct/limit_tracker.cpp
@@ -16,7 +16,7 @@
 constexpr milliseconds kNewsPeriodPerPeer(8);   // limits the CPU time for sending with many routers
 constexpr int kNewsRepeats = 3;                 // a lost datagram is made up
 constexpr std::size_t kEntriesPerMessage = 30;  // of 32 bytes each; fits in a datagram
-constexpr milliseconds kAnswerTimeout(150);     // of the home router, to one datagram
+constexpr milliseconds kAnswerTimeout(60);      // of the home router, to one datagram
 constexpr int kMaxAsks = 2;                     // datagrams for one permit
 constexpr int kMaxRounds = 3;  // of one permit: the limit may change, or the permit become void, while it is acquired
 constexpr milliseconds kHomeRetryTime(200);  // an endpoint whose home router does not answer is avoided for
