Count the time in which a slow caller takes an event not as a stall of the engine

Found by reading the diff: since the stall of a stream is measured from its last whole event, a caller that took longer than the limit (2 s) to accept one had its sound stream taken to another engine. No test: the stand-ins' events fit into the buffers of a connection.

--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -795,6 +795,9 @@
   };
   const time_point begin = timer_service::Now();
   time_point last_event = begin;
+  // End of the latest write of whole events. Bytes of an event that does not end are no progress, and the time in which
+  // a slow caller takes an event is not the engine's.
+  time_point last_progress = begin;
   const std::size_t events_before = stream.events.EventCount();
   microseconds longest_pause(0);
   // Id of the event after which this run continues.
@@ -804,8 +807,7 @@
   decode_result outcome = decode_result::kBroken;
   while (true) {
     const bool may_resume = resumable && call->sends < call->Route().max_attempts;
-    // Bytes of an event that does not end are no progress.
-    const time_point stalled_at = last_event + settings_.stall_limit;
+    const time_point stalled_at = last_progress + settings_.stall_limit;
     auto piece = co_await upstream.Read(may_resume ? std::min(call->Deadline(), stalled_at) : call->Deadline());
     std::string forwarded = piece ? stream.events.Add(piece.value()) : std::string();
     part_tracker_->Board().RecordEvents(run, stream.events.EventCount() - events_before);
@@ -852,6 +854,7 @@
         outcome = decode_result::kCallerDisconnected;
         break;
       }
+      last_progress = timer_service::Now();
     }
     if (is_end) {
       auto finished = co_await call->Exchange().FinishStream();
