Define the load control work and the interfaces of its parts

Two customers have callers who compete for too little room and uneven endpoints; a third has client accounts that the router without agents does not know. docs/load-control.md states what is required and which part owns what.

--- a/include/persimmon/routes.h
+++ b/include/persimmon/routes.h
@@ -9,10 +9,12 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "persimmon/accounts.h"
 #include "persimmon/types.h"
 
 namespace persimmon {
@@ -73,6 +75,7 @@
   std::uint32_t priority = 0;                            // 0 is served first
   std::uint32_t max_attempts = 1;                        // maximum number of endpoints tried per request
   bool resumable = false;                                // a broken stream may continue on another endpoint
+  bool anonymous = false;                                // callers need no API key
   std::vector<weighted_service> services;                // at least one
 
   bool operator==(const route_record&) const = default;
@@ -96,8 +99,9 @@
 class routing_table {
  public:
   routing_table() = default;
+  // `accounts`: absent if callers need no API keys.
   routing_table(revision_number revision, std::vector<route_record> routes, std::vector<service_record> services,
-                const caller_limits& limits);
+                const caller_limits& limits, std::optional<account_directory> accounts = std::nullopt);
 
   // Returns the route of the host with the longest prefix of the path, or null. The query string of the request target
   // is ignored.
@@ -107,9 +111,13 @@
 
   revision_number Revision() const { return revision_; }  // 0: no routing table has been applied yet
   const caller_limits& Limits() const { return limits_; }
+  const std::optional<account_directory>& Accounts() const { return accounts_; }
   const std::map<std::string, service_record>& Services() const { return services_; }
   std::size_t RouteCount() const;
 
+  // True if streaming routes to the service have different priorities.
+  bool HasPriorities(const std::string& service) const { return services_with_priorities_.contains(service); }
+
   // Longest timeout of the routes whose streams can be resumed; 0 without such a route.
   milliseconds LongestResumableTimeout() const;
 
@@ -121,7 +129,9 @@
   revision_number revision_ = 0;
   std::map<std::string, prefix_map, std::less<>> hosts_;
   std::map<std::string, service_record> services_;
+  std::set<std::string> services_with_priorities_;
   caller_limits limits_;
+  std::optional<account_directory> accounts_;
 };
 
 // Picks one of the route's services with a probability proportional to its weight. `draw` is a random number in [0, 1).
--- a/src/decisions/routes.cpp
+++ b/src/decisions/routes.cpp
@@ -34,9 +34,16 @@
 }
 
 routing_table::routing_table(revision_number revision, std::vector<route_record> routes,
-                             std::vector<service_record> services, const caller_limits& limits)
-    : revision_(revision), limits_(limits) {
+                             std::vector<service_record> services, const caller_limits& limits,
+                             std::optional<account_directory> accounts)
+    : revision_(revision), limits_(limits), accounts_(std::move(accounts)) {
+  std::map<std::string, std::set<std::uint32_t>> priorities;  // of the streaming routes, by service
   for (route_record& route : routes) {
+    for (const weighted_service& target : route.services) {
+      if (route.kind == call_kind::kStreaming && target.weight > 0) {
+        priorities[target.service].insert(route.priority);
+      }
+    }
     prefix_map& prefixes = hosts_[LowerCase(route.host)];
     std::string prefix = route.path_prefix;
     prefixes.insert_or_assign(std::move(prefix), std::move(route));
@@ -45,6 +52,11 @@
     std::string name = service.name;
     services_.insert_or_assign(std::move(name), std::move(service));
   }
+  for (const auto& [service, values] : priorities) {
+    if (values.size() > 1) {
+      services_with_priorities_.insert(service);
+    }
+  }
 }
 
 const route_record* routing_table::FindRoute(std::string_view host, std::string_view target) const {
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -1,6 +1,7 @@
 #include "direct/direct_router.h"
 
 #include "core/telemetry.h"
+#include "direct/account_tracker.h"
 #include "direct/ingress.h"
 #include "direct/origin_tracker.h"
 #include "direct/part_tracker.h"
@@ -28,6 +29,7 @@
   auto& group = services.Register<router_group>("group", services, *settings);
   auto& directory = services.Register<deployment_directory>("directory", services, *settings, table);
   services.Register<limit_tracker>("limits", services);
+  services.Register<account_tracker>("accounts", services);
   auto& tracker = services.Register<endpoint_tracker>("board", services, *settings);
   services.Register<suspect_tracker>("crashes", services, *client);
   services.Register<part_tracker>("parts", services);
--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -14,6 +14,7 @@
   const auto duration = [&](const char* section, const char* key, milliseconds& target) {
     bind.Duration(section, key, target, kMillisecond, kMinute);
   };
+  bind.Choice("policy", "adaptive", settings.adaptive, {"auto", "on", "off"});
   duration("store", "timeout_ms", settings.store_timeout);
   duration("store", "feed_wait_ms", settings.feed_wait);
   duration("endpoints", "connect_timeout_ms", settings.connect_timeout);
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -11,6 +11,11 @@
 struct direct_settings {
   platform::deployment_settings deployment;  // read from the platform's settings file, not from the INI file
 
+  // [policy]
+  // Whether services use the adaptive policy (docs/load-control.md, section 1): "on", "off", or "auto" to decide for
+  // each service.
+  std::string adaptive = "auto";
+
   // [store]
   // Of one call; an unresponsive connection is detected after this time.
   milliseconds store_timeout = milliseconds(1'000);
--- a/src/direct/endpoint_tracker.cpp
+++ b/src/direct/endpoint_tracker.cpp
@@ -13,6 +13,9 @@
 // Time until an engine's registry entry shows its new stage: about one report interval.
 constexpr milliseconds kEntryUpdateDelay(1'500);
 
+// A service without requests for this long may have lost the endpoints that report work times.
+constexpr milliseconds kWorkTimeReportLifetime(60'000);
+
 template <class number>
 void AddClampedToZero(number& target, std::int64_t change) {
   target = static_cast<number>(std::max<std::int64_t>(0, static_cast<std::int64_t>(target) + change));
@@ -209,6 +212,16 @@
       .Add("pause_ms", state.down_pause.count());
 }
 
+bool endpoint_tracker::UsesAdaptivePolicy(const std::string& service) const {
+  if (settings_.adaptive != "auto") {
+    return settings_.adaptive == "on";
+  }
+  const auto routes = directory_->Routes();
+  const auto reported = work_time_reports_.find(service);
+  return routes->Accounts().has_value() || routes->HasPriorities(service) ||
+         (reported != work_time_reports_.end() && timer_service::Now() - reported->second < kWorkTimeReportLifetime);
+}
+
 std::vector<chosen_endpoint> endpoint_tracker::ListEndpoints(const std::string& service,
                                                              std::optional<endpoint_role> role) const {
   std::vector<chosen_endpoint> endpoints;
--- a/src/direct/endpoint_tracker.h
+++ b/src/direct/endpoint_tracker.h
@@ -65,6 +65,12 @@
   void RecordStageOrder(const chosen_endpoint& endpoint, milliseconds switch_time);
   void RecordBusy(const chosen_endpoint& endpoint, milliseconds pause);  // the engine is executing an order
 
+  // True if the service uses the adaptive policy (docs/load-control.md, section 1).
+  bool UsesAdaptivePolicy(const std::string& service) const;
+
+  // Records that an endpoint of the service has reported how long work takes on its VM.
+  void RecordWorkTimeReport(const std::string& service) { work_time_reports_[service] = timer_service::Now(); }
+
   // Ready endpoints of a service. The views have the same order, so an index into a view selects its endpoint.
   std::vector<chosen_endpoint> ListEndpoints(const std::string& service, std::optional<endpoint_role> role) const;
   std::vector<endpoint_view> PlainViews(const std::vector<chosen_endpoint>& endpoints,
@@ -156,7 +162,8 @@
   std::map<endpoint_name, endpoint_state> states_;
   std::map<endpoint_name, closure> closures_;
   stream_id next_stream_ = 0;
-  std::map<std::string, health_table> health_;  // by service
+  std::map<std::string, health_table> health_;           // by service
+  std::map<std::string, time_point> work_time_reports_;  // latest, by service
   timer_subscription health_timer_;
 };
 
