Read and hash API keys in one place for both routers

The router without agents is going to authenticate callers too. HashApiKey moves from the caller interface of the router with agents to src/core/api_key, together with the parser of the Authorization header.

--- a/src/router/caller_api.cpp
+++ b/src/router/caller_api.cpp
@@ -1,7 +1,6 @@
 #include "router/caller_api.h"
 
 #include <fmt/format.h>
-#include <openssl/evp.h>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -12,6 +11,7 @@
 #include <charconv>
 #include <nlohmann/json.hpp>
 
+#include "core/api_key.h"
 #include "persimmon/prefix_index.h"
 
 namespace persimmon {
@@ -208,23 +208,7 @@
 }
 
 std::string ReadApiKey(const http_request& request) {
-  constexpr std::string_view kScheme = "Bearer ";
-  const std::string_view header = FindHeader(request.headers, "Authorization");
-  if (!header.starts_with(kScheme)) {
-    return {};
-  }
-  return std::string(header.substr(kScheme.size()));
-}
-
-std::string HashApiKey(std::string_view key) {
-  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
-  unsigned length = 0;
-  EVP_Digest(key.data(), key.size(), digest.data(), &length, EVP_sha256(), nullptr);
-  std::string text;
-  for (unsigned i = 0; i < length; ++i) {
-    text += fmt::format("{:02x}", digest[i]);
-  }
-  return text;
+  return std::string(ParseBearerKey(FindHeader(request.headers, "Authorization")));
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
--- a/src/router/caller_api.h
+++ b/src/router/caller_api.h
@@ -95,9 +95,6 @@
 // API key from the Authorization header (Bearer scheme); empty if there is none.
 std::string ReadApiKey(const http_request& request);
 
-// SHA-256 of the key in lower-case hexadecimal.
-std::string HashApiKey(std::string_view key);
-
 // ---------------------------------------------------------------------------------------------------------------------
 // 3. model responses
 // ---------------------------------------------------------------------------------------------------------------------
--- a/src/router/guards.cpp
+++ b/src/router/guards.cpp
@@ -11,6 +11,7 @@
 
 #include <algorithm>
 
+#include "core/api_key.h"
 #include "core/log.h"
 #include "core/random.h"
 #include "core/telemetry.h"
