Check API keys of callers on arrival and before each send

caller_auth decides by the key of a request whether it may be sent and names its account to endpoints; the key itself is removed. It repeats the decision before each attempt and, through the check of the send, right before a request is written, until the response has started. Waiting model requests whose key is revoked are refused with 401 when the new desired state arrives. A router that does not follow the desired state, or knows of a newer one, answers an unknown key with 503. The amount of a limited account is taken after the check and returned if no send has been allowed.

--- /dev/null
+++ b/src/direct/caller_auth.h
@@ -0,0 +1,63 @@
+// Decides by the API key of a caller whether its request may be sent to endpoints, and names its account to them. A
+// service of the kernel.
+//
+// The decision is made when a request arrives and repeated before each send until its response has started, because
+// keys may be revoked meanwhile. Without accounts in the desired state, every request is accepted.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "core/kernel.h"
+#include "core/metrics.h"
+#include "direct/direct_call.h"
+#include "direct/directory.h"
+#include "direct/router_group.h"
+
+namespace persimmon {
+
+// Reason of the refusal of a request over the limit of its account.
+inline constexpr const char* kOverLimit = "account_limit";
+
+class caller_auth {
+ public:
+  caller_auth(kernel& services, const direct_settings& settings) : kernel_(services), settings_(settings) {}
+
+  void Start();
+  void Stop() {}
+
+  // Determines the account of a request that has arrived. Returns why it must not be served, or nothing.
+  std::optional<call_refusal> Authenticate(direct_call& call);
+
+  // Determines the account again by the current desired state; to be called before each attempt. Returns why the
+  // request must not be sent, or nothing. A call whose response has started is not refused.
+  std::optional<call_refusal> Recheck(direct_call& call);
+
+  // Makes a check of a send that is true if `check` is and the account of the call is still the one that the request
+  // names, or its response has started. Records in the call that it is sent.
+  http_call::send_check MakeSendCheck(direct_call_ptr call, http_call::send_check check);
+
+  // Counts the result of the account checks of a call that has ended.
+  void CountResult(const direct_call& call);
+
+ private:
+  enum class key_verdict : std::uint8_t { kAccepted, kMissing, kUnknown, kMayBeNew, kUnconfirmed };
+
+  struct key_check {
+    key_verdict verdict = key_verdict::kAccepted;
+    std::shared_ptr<const caller_account> account;
+  };
+
+  key_check Check(const direct_call& call, const std::shared_ptr<const routing_table>& routes) const;
+  bool IsConfirmed() const;
+  bool IsAccountCurrent(const direct_call& call) const;
+  std::optional<call_refusal> Apply(direct_call& call, bool is_new);
+
+  kernel& kernel_;
+  const direct_settings& settings_;
+  deployment_directory* directory_ = nullptr;
+  router_group* group_ = nullptr;
+  metrics_registry* metrics_ = nullptr;
+};
+
+}  // namespace persimmon
--- a/src/direct/direct_call.cpp
+++ b/src/direct/direct_call.cpp
@@ -8,6 +8,11 @@
 #include "direct/suspect_tracker.h"
 
 namespace persimmon {
+namespace {
+
+constexpr int kUnauthorized = 401;
+
+}  // namespace
 
 const char* CallOutcomeName(call_outcome outcome) {
   switch (outcome) {
@@ -43,7 +48,10 @@
       table_(std::move(table)),
       route_(route),
       service_(service),
-      forwarded_(platform::MakeForwardedRequest(exchange_->Request())),
+      has_key_headers_(!table_->Accounts()),
+      forwarded_(platform::MakeForwardedRequest(exchange_->Request(), has_key_headers_
+                                                                          ? platform::account_headers::kForward
+                                                                          : platform::account_headers::kRemove)),
       fingerprint_(suspect_tracker::Fingerprint(forwarded_)),
       arrival_(arrival),
       deadline_(arrival + std::min(route.timeout, metadata_.time_budget.value_or(route.timeout))) {}
@@ -73,26 +81,45 @@
 
 milliseconds direct_call::Age(time_point now) const { return std::chrono::duration_cast<milliseconds>(now - arrival_); }
 
-task<void> direct_call::RespondWithError(int status, const std::string& code, std::optional<milliseconds> retry_after) {
-  const bool not_run = retry_after.has_value();
+void direct_call::RemoveKeyHeaders() {
+  forwarded_ = platform::MakeForwardedRequest(exchange_->Request(), platform::account_headers::kRemove);
+  has_key_headers_ = false;
+}
+
+void direct_call::SetAccount(std::shared_ptr<const caller_account> account) {
+  account_ = std::move(account);
+  platform::SetAccountHeader(forwarded_, account_ ? account_->name.value : std::string());
+}
+
+task<void> direct_call::RespondWithError(int status, const std::string& code, std::optional<milliseconds> retry_after,
+                                         bool not_run) {
   const nlohmann::json body = {
       {"error",
        {{"code", code}, {"outcome", not_run ? "not_run" : "may_have_run"}, {"request_id", metadata_.attempt}}}};
   std::string text = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   http_response response = MakeRouterResponse(status, std::move(text), metadata_.attempt, retry_after);
+  if (status == kUnauthorized) {
+    response.headers.push_back({"WWW-Authenticate", "Bearer"});  // required by RFC 9110, section 15.5.2
+  }
   // A failed write means that the caller has disconnected; the exchange reports that through OnDisconnect.
   (void)co_await exchange_->Respond(std::move(response));
 }
 
 task<call_outcome> direct_call::Refuse(std::string code, milliseconds retry_after) {
-  reason = std::move(code);
-  co_await RespondWithError(503, reason, retry_after);
+  // A variable, because GCC 12 destroys an aggregate temporary in a co_await expression twice.
+  call_refusal refusal{503, std::move(code), retry_after};
+  co_return co_await Refuse(std::move(refusal));
+}
+
+task<call_outcome> direct_call::Refuse(call_refusal refusal) {
+  reason = refusal.code;
+  co_await RespondWithError(refusal.status, refusal.code, refusal.retry_after, true);
   co_return call_outcome::kRefused;
 }
 
 task<call_outcome> direct_call::Fail(int status, std::string code) {
   reason = std::move(code);
-  co_await RespondWithError(status, reason, std::nullopt);
+  co_await RespondWithError(status, reason, std::nullopt, false);
   co_return call_outcome::kFailed;
 }
 
--- a/src/direct/directory.cpp
+++ b/src/direct/directory.cpp
@@ -55,8 +55,12 @@
 
 task<> deployment_directory::FollowTable(std::string table, feed_index index) {
   const auto& deployment = settings_.deployment;
-  const milliseconds blind_limit =
-      index == kEndpoints ? std::min(deployment.contact_time, deployment.drain_time) : deployment.contact_time;
+  milliseconds blind_limit = deployment.contact_time;
+  if (index == kEndpoints) {
+    blind_limit = std::min(blind_limit, deployment.drain_time);
+  } else if (deployment.strict_revoke) {
+    blind_limit = std::min(blind_limit, deployment.revoke_time);  // each poll confirms the desired state
+  }
   const feed_limits limits = LimitFeed(settings_, blind_limit);
   feed_state& feed = feeds_[index];
   bool needs_snapshot = true;
@@ -191,7 +195,7 @@
     return;
   }
   routes_ = std::make_shared<const routing_table>(std::move(parsed.value()));
-  desired_text_ = row.value;
+  desired_text_ = platform::HashKeysInDesiredState(row.value);
   Events()
       .Line(kComponent, "revision_in_force")
       .Add("revision", routes_->Revision())
@@ -260,6 +264,12 @@
       .Add("restored", is_restored);
 }
 
+bool deployment_directory::FollowsDesiredState() const {
+  const feed_state& feed = feeds_[kDesiredState];
+  return feed.last_success && !feed.is_unreachable &&
+         timer_service::Now() - *feed.last_success <= settings_.deployment.contact_time;
+}
+
 void deployment_directory::RecordLeaving(const endpoint_name& endpoint, std::uint64_t started_ms) {
   if (registry_.RecordLeaving(endpoint, started_ms, timer_service::Now())) {
     Events().Line(kComponent, "endpoint_leaving").Add("endpoint", endpoint.value).Add("started_ms", started_ms);
--- a/src/direct/directory.h
+++ b/src/direct/directory.h
@@ -31,6 +31,13 @@
   bool IsInForce() const { return routes_->Revision() != 0; }
   bool IsStoreReachable() const { return !feeds_[0].is_unreachable && !feeds_[1].is_unreachable; }
 
+  // Time of the latest answer of the store to a poll of the desired state; absent before the first one.
+  std::optional<time_point> LastStoreAnswer() const { return feeds_[kDesiredState].last_success; }
+
+  // True if this router follows the desired state in the store. False after contact_time without an answer, also if no
+  // call has failed yet, as after a pause of the process.
+  bool FollowsDesiredState() const;
+
   const endpoint_registry& Endpoints() const { return registry_; }
 
   // Records that the incarnation of an endpoint has stated by itself that it is leaving.
@@ -76,7 +83,7 @@
   table_client table_;
   std::shared_ptr<const routing_table> routes_ = std::make_shared<routing_table>();
   endpoint_registry registry_;
-  std::string desired_text_;                           // JSON of the active desired state, for ExportState
+  std::string desired_text_;  // JSON of the active desired state with hashes in place of API keys, for ExportState
   std::map<std::string, std::string> endpoint_texts_;  // JSON entry by endpoint name, for ExportState
   std::array<feed_state, 2> feeds_;
   std::vector<std::function<void()>> listeners_;
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -93,6 +93,7 @@
 generation_calls::~generation_calls() = default;
 
 void generation_calls::Start() {
+  auth_ = &kernel_.Find<caller_auth>("auth");
   endpoint_tracker_ = &kernel_.Find<endpoint_tracker>("board");
   budgets_ = &kernel_.Find<send_budgets>("budgets");
   group_ = &kernel_.Find<router_group>("group");
@@ -305,12 +306,14 @@
 }
 
 // Rejects the waiting requests that could only wait in vain: streams whose software version has no decode engine any
-// more, and requests with a part under which engines have crashed meanwhile.
+// more, requests whose key has been revoked, and those with a part under which engines have crashed meanwhile.
 void generation_calls::RejectUnservable(service_queue& queue, const std::vector<chosen_endpoint>& engines) {
   std::vector<std::pair<waiting_ptr, rejection>> rejected;
   for (const auto& [request, waiting] : queue.waiting) {
     if (waiting->call->engine_version && !IsAnyUsableFor(*waiting->call, engines)) {
       rejected.emplace_back(waiting, rejection{"stream_version_gone", kNoEngineRetryAfter});
+    } else if (const auto refused = auth_->Recheck(*waiting->call)) {
+      rejected.emplace_back(waiting, rejection{refused->code, kNoEngineRetryAfter});
     } else if (const auto refused = part_tracker_->RemainingRefusal(*waiting->call)) {
       rejected.emplace_back(waiting, rejection{kPartRefused, *refused});
     }
@@ -497,6 +500,10 @@
         call->reason = kPartRefused;
         co_return std::nullopt;
       }
+      if (auto refused = auth_->Recheck(*call)) {
+        call->reason = std::move(refused->code);
+        co_return std::nullopt;
+      }
       const auto engines = endpoint_tracker_->ListEndpoints(call->Service().name, endpoint_role::kPrefill);
       const auto views = endpoint_tracker_->EngineViews(engines, profile, avoid);
       const auto index = ChoosePrefillEngine(views, assignment.engine.zone, RandomNumber(), {});
@@ -522,9 +529,9 @@
     auto request = platform::MakePrefillRequest(call->Forwarded(), engine.name, call->TimeLeft(timer_service::Now()));
     result<http_response_head> head(error{error_code::kUnavailable, "the engine's limit allows no request now"});
     if (taken.permit && !call->IsCallerDisconnected()) {
-      head =
-          co_await upstream.Send(engine.address, std::move(request), end, MakeAttemptFilter(call->Metadata().attempt),
-                                 endpoint_tracker_->MakeSendCheck(engine, *taken.permit));
+      auto may_send = auth_->MakeSendCheck(call, endpoint_tracker_->MakeSendCheck(engine, *taken.permit));
+      head = co_await upstream.Send(engine.address, std::move(request), end,
+                                    MakeAttemptFilter(call->Metadata().attempt), std::move(may_send));
     }
     std::string body;
     std::optional<error> failure;
@@ -584,7 +591,7 @@
       co_return std::nullopt;
     }
     if (!was_sent) {
-      if (taken.permit && endpoint_tracker_->IsPermitValid(engine, *taken.permit)) {
+      if (taken.permit && !call->is_send_refused && endpoint_tracker_->IsPermitValid(engine, *taken.permit)) {
         endpoint_tracker_->RecordUnreachable(engine);
       }
     } else if (failure) {
@@ -644,9 +651,9 @@
   call->endpoints += (call->endpoints.empty() ? "" : ",") + assignment.engine.name.value;
   const bool may_resume = call->Route().resumable && call->sends < call->Route().max_attempts;
   const time_point end = may_resume ? std::min(call->Deadline(), begin + settings_.stall_limit) : call->Deadline();
+  auto may_send = auth_->MakeSendCheck(call, endpoint_tracker_->MakeSendCheck(assignment.engine, permit));
   auto head = co_await upstream.Send(assignment.engine.address, std::move(request), end,
-                                     MakeAttemptFilter(call->Metadata().attempt),
-                                     endpoint_tracker_->MakeSendCheck(assignment.engine, permit));
+                                     MakeAttemptFilter(call->Metadata().attempt), std::move(may_send));
   if (!assignment.prefill) {
     ReleasePrefill(*call, assignment, assignment.engine.name);
     DispatchAll();
@@ -656,7 +663,7 @@
   if (!head) {
     detail = FormatError(head.error());
     if (head.error().code == error_code::kUnavailable) {
-      if (endpoint_tracker_->IsPermitValid(assignment.engine, permit)) {
+      if (!call->is_send_refused && endpoint_tracker_->IsPermitValid(assignment.engine, permit)) {
         endpoint_tracker_->RecordUnreachable(assignment.engine);
       }
       --call->sends;
@@ -677,6 +684,7 @@
     } else if (is_success && metadata.has_seal && !metadata.is_encoded) {
       if (!stream.started) {
         stream.started = true;
+        call->has_response = true;
         (void)co_await call->Exchange().StartStream(head.value().status,
                                                     platform::ForwardedHeaders(head.value().headers));
       }
@@ -912,6 +920,14 @@
   bool may_have_run = false;
   decode_result result = decode_result::kNotRun;
   for (std::uint32_t assignment_round = 0; assignment_round < kMaxAssignments; ++assignment_round) {
+    if (auto refused = auth_->Recheck(*call)) {
+      if (!may_have_run) {
+        co_return co_await call->Refuse(std::move(*refused));
+      }
+      call->reason = std::move(refused->code);
+      result = decode_result::kBroken;
+      break;
+    }
     if (const auto refused = part_tracker_->RemainingRefusal(*call)) {
       if (!may_have_run) {
         co_return co_await call->Refuse(kPartRefused, *refused);
@@ -950,6 +966,9 @@
         result = decode_result::kBroken;
         break;
       }
+      if (auto refused = auth_->Recheck(*call)) {
+        co_return co_await call->Refuse(std::move(*refused));
+      }
       co_return co_await call->Refuse(rejected->reason, rejected->retry_after);
     }
     engine_assignment assignment = std::get<engine_assignment>(std::move(assigned));
@@ -962,9 +981,10 @@
       result = call->IsCallerDisconnected() ? decode_result::kCallerDisconnected : decode_result::kNotRun;
       break;
     }
-    // During the prefill the engine may have started to drain, or engines may have crashed under a part of the prompt.
+    // During the prefill the engine may have started to drain, engines may have crashed under a part of the prompt, or
+    // the caller's key may have been revoked.
     const bool is_current = endpoint_tracker_->IsCurrent(assignment.engine);
-    const bool is_refused = part_tracker_->RemainingRefusal(*call).has_value();
+    const bool is_refused = part_tracker_->RemainingRefusal(*call).has_value() || auth_->Recheck(*call).has_value();
     if (call->IsCallerDisconnected() || !is_current || is_refused) {
       release_decode();
       if (!assignment.prefill) {
@@ -1040,6 +1060,9 @@
     co_return call->AbortResponse(call->reason.empty() ? "stream_broken" : call->reason);
   }
   if (result == decode_result::kNotRun && !may_have_run) {
+    if (auto refused = auth_->Recheck(*call)) {
+      co_return co_await call->Refuse(std::move(*refused));
+    }
     std::string reason = call->reason.empty() ? "engines_full" : call->reason;
     co_return co_await call->Refuse(std::move(reason), kNoEngineRetryAfter);
   }
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -13,6 +13,7 @@
 
 #include "core/mailbox.h"
 #include "core/metrics.h"
+#include "direct/caller_auth.h"
 #include "direct/direct_call.h"
 #include "direct/endpoint_tracker.h"
 #include "direct/origin_tracker.h"
@@ -129,6 +130,7 @@
   kernel& kernel_;
   const direct_settings& settings_;
   http_client& client_;
+  caller_auth* auth_ = nullptr;
   endpoint_tracker* endpoint_tracker_ = nullptr;
   send_budgets* budgets_ = nullptr;
   router_group* group_ = nullptr;
--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -25,10 +25,15 @@
 // Retry-After for long requests during a stop; short, because another router can accept them at once.
 constexpr milliseconds kStoppingRetryAfter(20);
 constexpr milliseconds kFirstEventTime(700);  // 90th percentile of the time to the first event outside bursts
+constexpr int kTooManyRequests = 429;
 constexpr double kStreamMargin = 1.25;  // multiplier for the expected duration, for responses longer than estimated
 // From callers; leaves file descriptors for endpoints if the process may open 4,100.
 constexpr std::size_t kMaxConnections = 3'000;
 
+bool IsGeneration(const direct_call& call) {
+  return call.Service().engine.has_value() && call.Route().kind == call_kind::kStreaming;
+}
+
 }  // namespace
 
 ingress::ingress(kernel& services, direct_settings& settings, http_client& client)
@@ -36,6 +41,8 @@
 
 void ingress::Start() {
   directory_ = &kernel_.Find<deployment_directory>("directory");
+  auth_ = &kernel_.Find<caller_auth>("auth");
+  accounts_ = &kernel_.Find<account_tracker>("accounts");
   plain_calls_ = &kernel_.Find<plain_calls>("plain");
   generation_calls_ = &kernel_.Find<generation_calls>("generations");
   metrics_ = &kernel_.Find<telemetry>("telemetry").Metrics();
@@ -226,18 +233,52 @@
   auto call = std::make_shared<direct_call>(exchange, platform::ParseRequestHeaders(request.headers), routes, *route,
                                             *service, arrival);
   call->WatchCaller();
-  const bool is_generation = service->engine.has_value() && route->kind == call_kind::kStreaming;
+  auto refused = auth_->Authenticate(*call);
   call_outcome outcome = call_outcome::kRefused;
-  if (is_generation && stopping_ && !EndsBeforeDeadline(*call)) {
-    outcome = co_await call->Refuse("stopping", kStoppingRetryAfter);
-  } else if (is_generation) {
-    outcome = co_await generation_calls_->Serve(call);
+  if (refused) {
+    outcome = co_await call->Refuse(std::move(*refused));
   } else {
-    outcome = co_await plain_calls_->Serve(call);
+    outcome = co_await ServeLimited(call);
   }
+  auth_->CountResult(*call);
   LogCompletion(*call, outcome);
 }
 
+// Serves a request if its account has the amount that it uses left.
+task<call_outcome> ingress::ServeLimited(direct_call_ptr call) {
+  const caller_account* account = call->Account();
+  if (account == nullptr || account->limit.tokens_per_second == 0) {
+    co_return co_await Serve(std::move(call));
+  }
+  const account_name name = account->name;  // the account of the call may change while it waits
+  const std::uint64_t amount = RequestAmount(*account, call->Metadata().total_tokens);
+  const usage_grant grant = co_await accounts_->Take(name, account->limit, amount);
+  if (!grant.granted) {
+    call_refusal refusal{kTooManyRequests, kOverLimit, grant.retry_in};
+    co_return co_await call->Refuse(std::move(refusal));
+  }
+  const call_outcome outcome = co_await Serve(call);
+  if (!call->was_sent) {
+    accounts_->Return(name, amount);
+  }
+  co_return outcome;
+}
+
+task<call_outcome> ingress::Serve(direct_call_ptr call) {
+  if (IsStoppingFor(*call)) {
+    co_return co_await call->Refuse("stopping", kStoppingRetryAfter);
+  }
+  if (IsGeneration(*call)) {
+    co_return co_await generation_calls_->Serve(std::move(call));
+  }
+  co_return co_await plain_calls_->Serve(std::move(call));
+}
+
+// True if this router is stopping and the stream would probably outlast it.
+bool ingress::IsStoppingFor(const direct_call& call) const {
+  return IsGeneration(call) && stopping_ && !EndsBeforeDeadline(call);
+}
+
 // True if the stream is expected to end before the drain deadline. Such a stream is served rather than refused, because
 // a refusal uses up one of the caller's limited retries.
 bool ingress::EndsBeforeDeadline(const direct_call& call) const {
@@ -249,9 +290,11 @@
 
 void ingress::LogCompletion(const direct_call& call, call_outcome outcome) {
   const time_point now = timer_service::Now();
-  Events()
-      .Line(kComponent, "request")
-      .Request(call.Metadata().attempt)
+  auto line = Events().Line(kComponent, "request");
+  if (call.Account() != nullptr) {
+    line.Add("account", call.Account()->name.value);
+  }
+  line.Request(call.Metadata().attempt)
       .Add("route", call.Route().name)
       .Add("kind", CallKindName(call.Route().kind))
       .Add("revision", call.Revision())
--- a/src/direct/ingress.h
+++ b/src/direct/ingress.h
@@ -8,6 +8,8 @@
 
 #include "core/kernel.h"
 #include "core/metrics.h"
+#include "direct/account_tracker.h"
+#include "direct/caller_auth.h"
 #include "direct/direct_call.h"
 #include "direct/directory.h"
 #include "direct/generation_calls.h"
@@ -30,6 +32,8 @@
 
  private:
   task<> Handle(std::shared_ptr<http_exchange> exchange);
+  task<call_outcome> Serve(direct_call_ptr call);
+  task<call_outcome> ServeLimited(direct_call_ptr call);
   task<> RespondWithError(std::shared_ptr<http_exchange> exchange, int status, std::string code,
                           std::optional<milliseconds> retry_after);
   task<> HandleControl(std::shared_ptr<http_exchange> exchange);
@@ -39,6 +43,7 @@
   void ApplyLimits();
   void AwaitReload();
   bool IsReady() const;
+  bool IsStoppingFor(const direct_call& call) const;
   bool EndsBeforeDeadline(const direct_call& call) const;
   void LogCompletion(const direct_call& call, call_outcome outcome);
 
@@ -46,6 +51,8 @@
   direct_settings& settings_;  // shared by all services; modified only by a reload
   http_client& client_;
   deployment_directory* directory_ = nullptr;
+  caller_auth* auth_ = nullptr;
+  account_tracker* accounts_ = nullptr;
   plain_calls* plain_calls_ = nullptr;
   generation_calls* generation_calls_ = nullptr;
   metrics_registry* metrics_ = nullptr;
--- a/src/direct/plain_calls.cpp
+++ b/src/direct/plain_calls.cpp
@@ -34,6 +34,7 @@
     : kernel_(services), settings_(settings), client_(client) {}
 
 void plain_calls::Start() {
+  auth_ = &kernel_.Find<caller_auth>("auth");
   endpoint_tracker_ = &kernel_.Find<endpoint_tracker>("board");
   budgets_ = &kernel_.Find<send_budgets>("budgets");
   suspect_tracker_ = &kernel_.Find<suspect_tracker>("crashes");
@@ -84,6 +85,13 @@
     if (call->IsCallerDisconnected()) {
       co_return call->EndAsCallerDisconnected();
     }
+    if (auto refused = auth_->Recheck(*call)) {
+      if (!may_have_run && !error_response) {
+        co_return co_await call->Refuse(std::move(*refused));
+      }
+      call->reason = std::move(refused->code);
+      break;
+    }
     const bool may_send = has_time && call->sends < route.max_attempts && connect_failures < kMaxConnectAttempts &&
                           permit_refusals < kMaxPermitRefusals;
     auto chosen = may_send ? Choose(*call, avoid) : std::nullopt;
@@ -165,9 +173,9 @@
   suspect_tracker_->RecordStart(call->Fingerprint(), endpoint);
   const time_point begin = timer_service::Now();
   auto request = platform::MakeCallRequest(call->Forwarded(), endpoint.name, call->TimeLeft(begin));
+  auto may_send = auth_->MakeSendCheck(call, endpoint_tracker_->MakeSendCheck(endpoint, permit));
   auto head = co_await upstream.Send(endpoint.address, std::move(request), deadline,
-                                     MakeAttemptFilter(call->Metadata().attempt),
-                                     endpoint_tracker_->MakeSendCheck(endpoint, permit));
+                                     MakeAttemptFilter(call->Metadata().attempt), std::move(may_send));
   std::optional<error> failure;
   if (!head) {
     failure = head.error();
@@ -242,7 +250,7 @@
   if (call->IsCallerDisconnected()) {
     outcome.result = attempt_result::kCallerDisconnected;
   } else if (outcome.result == attempt_result::kNotSent) {
-    if (endpoint_tracker_->IsPermitValid(endpoint, permit)) {
+    if (!call->is_send_refused && endpoint_tracker_->IsPermitValid(endpoint, permit)) {
       endpoint_tracker_->RecordUnreachable(endpoint);
     }
   } else if (outcome.result == attempt_result::kMayHaveRun) {
--- a/src/direct/plain_calls.h
+++ b/src/direct/plain_calls.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "direct/caller_auth.h"
 #include "direct/direct_call.h"
 #include "direct/endpoint_tracker.h"
 #include "direct/send_budgets.h"
@@ -47,6 +48,7 @@
   kernel& kernel_;
   const direct_settings& settings_;
   http_client& client_;
+  caller_auth* auth_ = nullptr;
   endpoint_tracker* endpoint_tracker_ = nullptr;
   send_budgets* budgets_ = nullptr;
   suspect_tracker* suspect_tracker_ = nullptr;
--- /dev/null
+++ b/tests/caller_accounts_test.cpp
@@ -0,0 +1,467 @@
+// link: persimmon_direct persimmon_fake_parts
+// Client accounts of the router without agents: which requests reach endpoints, and with which headers.
+//
+// Sections
+//   1. keys and headers
+//   2. revocation
+//   3. state of the router
+//   4. limits
+#include <gtest/gtest.h>
+
+#include "support/router_harness.h"
+
+namespace persimmon {
+namespace {
+
+using fakes::fake_replica;
+using fakes::replica_options;
+using support::caller_exchange_ptr;
+using support::desired_state_options;
+using support::json;
+using support::router_harness;
+using support::WholeStream;
+
+constexpr const char* kAuthorization = "Authorization";
+constexpr const char* kTenant = "Persimmonchute-Tenant";
+// A changed key must take effect within this time of the store's acknowledgement.
+constexpr milliseconds kApplyTime(3'000);
+
+// A router that has been started for this long knows that there are no others.
+constexpr milliseconds kGroupStartTime(2'500);
+
+header_list Key(const std::string& key) { return {{kAuthorization, "Bearer " + key}}; }
+
+json Account(const std::string& name, const std::vector<std::string>& keys) {
+  return {{"name", name}, {"api_keys", keys}};
+}
+
+class caller_accounts_test : public testing::Test {
+ protected:
+  caller_accounts_test() : caller_accounts_test(nullptr) {}
+
+  // How long a stream without data keeps its engine, less than the timeout of the routes.
+  static constexpr milliseconds kStallLimit{400};
+
+  explicit caller_accounts_test(const std::function<void(direct_settings&)>& adjust,
+                                router_harness::store_path path = router_harness::store_path::kDirect)
+      : harness_(
+            [&adjust](direct_settings& settings) {
+              settings.stall_limit = kStallLimit;
+              if (adjust) {
+                adjust(settings);
+              }
+            },
+            path) {
+    for (const char* name : {"app-1", "app-2"}) {
+      replica_options options;
+      options.name = name;
+      options.service = "app";
+      plain_.push_back(&harness_.AddReplica(options));
+    }
+    for (const char* stage : {"prefill", "decode"}) {
+      replica_options options;
+      options.name = std::string(stage) + "-1";
+      options.service = "llm";
+      options.stage = stage;
+      options.memory_tokens = options.stage == "decode" ? 10'000 : 0;
+      options.tokens_per_ms = options.stage == "prefill" ? 4 : 0;
+      options.event_interval = milliseconds(20);
+      engines_.push_back(&harness_.AddReplica(options));
+    }
+    state_.tenants = json::array({Account("alpha", {"key-a1", "key-a2"}), Account("beta", {"key-b"})});
+    harness_.WriteDesiredState(state_);
+  }
+
+  void SetUp() override { ASSERT_TRUE(harness_.Start()); }
+
+  // Writes a desired state with these accounts and does not wait for the router.
+  void WriteAccounts(const json& accounts) {
+    ++state_.version;
+    state_.tenants = accounts;
+    harness_.WriteDesiredState(state_);
+  }
+
+  void ApplyAccounts(const json& accounts) {
+    WriteAccounts(accounts);
+    ASSERT_TRUE(
+        harness_.RunUntil([&] { return harness_.Directory().Routes()->Revision() == state_.version; }, kApplyTime));
+  }
+
+  // Requests of callers that have reached endpoints, without control calls.
+  std::vector<http_request> Reached() const {
+    std::vector<http_request> reached;
+    for (const auto& replicas : {plain_, engines_}) {
+      for (const fake_replica* replica : replicas) {
+        for (const http_request& request : replica->Requests()) {
+          if (!FindHeader(request.headers, "Persimmonchute-Attempt-Id").empty()) {
+            reached.push_back(request);
+          }
+        }
+      }
+    }
+    return reached;
+  }
+
+  // Fails if an endpoint has received a key in any header, or another account name than this one.
+  void ExpectOnlyAccount(const std::string& name) const {
+    for (const http_request& request : Reached()) {
+      EXPECT_EQ(FindHeader(request.headers, kTenant), name);
+      for (const header_field& field : request.headers) {
+        EXPECT_EQ(field.value.find("key-"), std::string::npos) << field.name;
+        EXPECT_NE(field.name, kAuthorization);
+      }
+    }
+  }
+
+  caller_exchange_ptr FinishedCall(const std::string& path, const std::string& attempt, header_list headers = {}) {
+    auto call = harness_.Send("GET", path, attempt, std::move(headers));
+    EXPECT_TRUE(harness_.Finish(call));
+    return call;
+  }
+
+  caller_exchange_ptr SendModel(const std::string& path, const std::string& attempt, const std::string& key) {
+    return harness_.SendModel(path, attempt, 1'000, 100, milliseconds(14'000), Key(key));
+  }
+
+  desired_state_options state_;
+  router_harness harness_;
+  std::vector<fake_replica*> plain_;
+  std::vector<fake_replica*> engines_;  // prefill, decode
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 1. keys and headers
+// ---------------------------------------------------------------------------------------------------------------------
+
+// Endpoints attribute work by the name; a key in their hands could be used by them.
+TEST_F(caller_accounts_test, KnownKey_OfPlainCalls_ArrivesAsAccountName) {
+  for (const char* key : {"key-a1", "key-a2"}) {
+    EXPECT_EQ(FinishedCall("/pages/1", "p1", Key(key))->Status(), 200);
+    EXPECT_EQ(FinishedCall("/submit/1", "s1", Key(key))->Status(), 200);
+  }
+  EXPECT_EQ(Reached().size(), 4U);
+  ExpectOnlyAccount("alpha");
+}
+
+// The prefill and the decode are separate requests, and each must carry the name.
+TEST_F(caller_accounts_test, KnownKey_OfStreams_ArrivesAsAccountNameAtBothEngines) {
+  const auto call = SendModel("/chat/1", "m1", "key-b");
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 200);
+  EXPECT_EQ(call->body, WholeStream("m1", 5));
+  EXPECT_EQ(Reached().size(), 2U);
+  ExpectOnlyAccount("beta");
+}
+
+TEST_F(caller_accounts_test, SchemeOfAKey_InOtherCase_IsAccepted) {
+  EXPECT_EQ(FinishedCall("/pages/1", "a1", {{"authorization", "bearer key-b"}})->Status(), 200);
+  ExpectOnlyAccount("beta");
+}
+
+TEST_F(caller_accounts_test, RequestWithoutAKnownKey_IsAnswered401AndNotSent) {
+  const std::vector<header_list> callers = {{},
+                                            Key("key-x"),
+                                            Key("KEY-A1"),
+                                            Key(""),
+                                            {{kAuthorization, "Basic key-a1"}},
+                                            {{kAuthorization, "key-a1"}},
+                                            {{kTenant, "alpha"}}};
+  for (std::size_t i = 0; i < callers.size(); ++i) {
+    for (const char* path : {"/pages/1", "/submit/1", "/chat/1", "/digest/1"}) {
+      const auto call = FinishedCall(path, "x" + std::to_string(i), callers[i]);
+      EXPECT_EQ(call->Status(), 401) << path << ", caller " << i;
+      EXPECT_EQ(call->Header("WWW-Authenticate"), "Bearer");
+      EXPECT_EQ(call->Header("Retry-After"), "");
+      EXPECT_NE(call->body.find("\"not_run\""), std::string::npos);
+    }
+  }
+  EXPECT_TRUE(Reached().empty());
+}
+
+TEST_F(caller_accounts_test, AnonymousRoute_WithoutAKnownKey_SendsNeitherHeader) {
+  EXPECT_EQ(FinishedCall("/open/1", "o1")->Status(), 200);
+  EXPECT_EQ(FinishedCall("/open/1", "o2", Key("key-x"))->Status(), 200);
+  EXPECT_EQ(FinishedCall("/open/1", "o3", {{kTenant, "alpha"}})->Status(), 200);
+  EXPECT_EQ(Reached().size(), 3U);
+  ExpectOnlyAccount("");
+}
+
+TEST_F(caller_accounts_test, AnonymousRoute_WithAKnownKey_NamesTheAccount) {
+  EXPECT_EQ(FinishedCall("/open/1", "o1", Key("key-a1"))->Status(), 200);
+  ExpectOnlyAccount("alpha");
+}
+
+// A caller must not be able to use another account's name.
+TEST_F(caller_accounts_test, AccountNameOfTheCaller_IsReplaced) {
+  header_list headers = Key("key-a1");
+  headers.push_back({kTenant, "beta"});
+  headers.push_back({"persimmonchute-TENANT", "gamma"});
+  EXPECT_EQ(FinishedCall("/pages/1", "a1", headers)->Status(), 200);
+  const auto streamed = harness_.SendModel("/chat/1", "m1", 1'000, 100, milliseconds(14'000), headers);
+  ASSERT_TRUE(harness_.Finish(streamed));
+  EXPECT_EQ(streamed->Status(), 200);
+  for (const http_request& request : Reached()) {
+    EXPECT_EQ(std::count_if(request.headers.begin(), request.headers.end(),
+                            [](const header_field& field) {
+                              return field.name.size() == std::string(kTenant).size() &&
+                                     FindHeader({field}, kTenant) == field.value;
+                            }),
+              1);
+  }
+  ExpectOnlyAccount("alpha");
+}
+
+TEST_F(caller_accounts_test, SecondAuthorizationHeader_IsNotForwarded) {
+  header_list headers = Key("key-a1");
+  headers.push_back({"AUTHORIZATION", "Bearer key-b"});
+  EXPECT_EQ(FinishedCall("/pages/1", "a1", headers)->Status(), 200);
+  ExpectOnlyAccount("alpha");
+}
+
+// Deployments without accounts are served as before.
+TEST_F(caller_accounts_test, DeploymentWithoutAccounts_ForwardsBothHeadersOfCallers) {
+  ApplyAccounts(nullptr);
+  EXPECT_EQ(FinishedCall("/pages/1", "a1", {{kAuthorization, "Bearer key-x"}, {kTenant, "other"}})->Status(), 200);
+  EXPECT_EQ(FinishedCall("/pages/1", "a2")->Status(), 200);
+  ASSERT_EQ(Reached().size(), 2U);
+  for (const http_request& request : Reached()) {
+    const bool is_first = FindHeader(request.headers, "Persimmonchute-Attempt-Id") == "a1";
+    EXPECT_EQ(FindHeader(request.headers, kAuthorization), is_first ? "Bearer key-x" : "");
+    EXPECT_EQ(FindHeader(request.headers, kTenant), is_first ? "other" : "");
+  }
+}
+
+TEST_F(caller_accounts_test, EmptyListOfAccounts_MakesEveryKeyUnknown) {
+  ApplyAccounts(json::array());
+  EXPECT_EQ(FinishedCall("/pages/1", "a1", Key("key-a1"))->Status(), 401);
+  EXPECT_EQ(FinishedCall("/open/1", "a2", Key("key-a1"))->Status(), 200);
+  ExpectOnlyAccount("");
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. revocation
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST_F(caller_accounts_test, NewKey_IsKnownWithinTheApplyTime) {
+  EXPECT_EQ(FinishedCall("/pages/1", "a1", Key("key-new"))->Status(), 401);
+  ApplyAccounts(json::array({Account("alpha", {"key-new"})}));
+  EXPECT_EQ(FinishedCall("/pages/1", "a2", Key("key-new"))->Status(), 200);
+  ExpectOnlyAccount("alpha");
+}
+
+// A router that checked keys once for each connection would go on serving this caller.
+TEST_F(caller_accounts_test, KeyRevoked_OnAnOpenConnection_IsRefused) {
+  const auto first = harness_.SendOnKeptConnection("GET", "/pages/1", "a1", Key("key-a1"));
+  ASSERT_TRUE(harness_.Finish(first));
+  EXPECT_EQ(first->Status(), 200);
+  ApplyAccounts(json::array({Account("alpha", {"key-a2"})}));
+  const auto second = harness_.SendOnKeptConnection("GET", "/pages/1", "a2", Key("key-a1"));
+  ASSERT_TRUE(harness_.Finish(second));
+  EXPECT_TRUE(second->call->IsReused());
+  EXPECT_EQ(second->Status(), 401);
+  EXPECT_EQ(Reached().size(), 1U);
+  EXPECT_EQ(FinishedCall("/pages/1", "a3", Key("key-a2"))->Status(), 200);
+}
+
+// A request that was admitted before the revocation must not be sent after it.
+TEST_F(caller_accounts_test, KeyRevoked_WhileAModelRequestWaits_IsRefusedAtOnce) {
+  engines_[1]->Faults().full = true;
+  const auto call = SendModel("/chat/1", "m1", "key-a1");
+  harness_.RunFor(milliseconds(100));
+  ASSERT_FALSE(call->done);
+  ApplyAccounts(json::array({Account("beta", {"key-b"})}));
+  ASSERT_TRUE(harness_.Finish(call, milliseconds(500)));
+  EXPECT_EQ(call->Status(), 401);
+  engines_[1]->Faults().full = false;
+  harness_.RunFor(milliseconds(200));
+  EXPECT_TRUE(Reached().empty());
+}
+
+TEST_F(caller_accounts_test, KeyRevoked_DuringThePrefill_IsNotDecoded) {
+  const auto call = SendModel("/chat/1", "m1", "key-a1");  // the prefill takes 250 ms
+  ASSERT_TRUE(harness_.RunUntil([&] { return !Reached().empty(); }));
+  ApplyAccounts(json::array({Account("beta", {"key-b"})}));
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 401);
+  harness_.RunFor(milliseconds(100));
+  EXPECT_EQ(Reached().size(), 1U);
+  EXPECT_EQ(engines_[1]->Runs("m1"), 0);
+  EXPECT_EQ(engines_[1]->ReservedTokens(), 0U);
+  EXPECT_EQ(engines_[0]->StoredHandleCount(), 0U);
+}
+
+// The first try may have run, so the answer must not promise that nothing has.
+TEST_F(caller_accounts_test, KeyRevoked_BeforeASecondTry_IsNotSentAgain) {
+  for (fake_replica* replica : plain_) {
+    replica->Faults().never_responds = true;
+  }
+  const auto call = harness_.Send("GET", "/pages/1", "a1", Key("key-a1"));  // the second try follows after 675 ms
+  ASSERT_TRUE(harness_.RunUntil([&] { return !Reached().empty(); }));
+  ApplyAccounts(json::array());
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 502);
+  EXPECT_EQ(Reached().size(), 1U);
+}
+
+TEST_F(caller_accounts_test, KeyRevoked_BeforeASecondEngine_IsNotSentAgain) {
+  engines_[1]->Faults().never_responds = true;
+  const auto call = SendModel("/digest/1", "m1", "key-a1");
+  ASSERT_TRUE(harness_.RunUntil([&] { return engines_[1]->Runs("m1") == 1; }));
+  ApplyAccounts(json::array());
+  engines_[1]->Faults() = {};
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 502);
+  EXPECT_EQ(engines_[1]->Runs("m1"), 1);
+}
+
+// A call that waits for a permit of its endpoint is sent when the permit arrives, without passing the queue again.
+TEST_F(caller_accounts_test, KeyRevoked_WhileACallWaitsForAPermit_IsRefused) {
+  for (fake_replica* replica : plain_) {
+    replica->Faults().request_limit = "2";
+  }
+  harness_.RunFor(kGroupStartTime);
+  for (int i = 0; i < 4; ++i) {  // the router learns the limits and uses up what they allow
+    FinishedCall("/pages/1", "b" + std::to_string(i), Key("key-b"));
+  }
+  const std::size_t reached_before = Reached().size();
+  std::vector<caller_exchange_ptr> calls;
+  for (int i = 0; i < 4; ++i) {
+    calls.push_back(harness_.Send("GET", "/pages/1", "a" + std::to_string(i), Key("key-a1")));
+  }
+  harness_.RunFor(milliseconds(20));
+  const auto waiting = std::count_if(calls.begin(), calls.end(), [](const auto& call) { return !call->done; });
+  ASSERT_GT(waiting, 0);
+  ApplyAccounts(json::array({Account("beta", {"key-b"})}));
+  for (const auto& call : calls) {
+    ASSERT_TRUE(harness_.Finish(call));
+  }
+  EXPECT_EQ(std::count_if(calls.begin(), calls.end(), [](const auto& call) { return call->Status() == 401; }), waiting);
+  EXPECT_EQ(Reached().size(), reached_before);
+}
+
+TEST_F(caller_accounts_test, KeyRevoked_DuringAStream_LetsItFinish) {
+  const auto call = SendModel("/digest/1", "m1", "key-a1");
+  ASSERT_TRUE(harness_.RunUntil([&] { return !call->body.empty(); }));
+  ApplyAccounts(json::array());
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 200);
+  EXPECT_EQ(call->body, WholeStream("m1", 5));
+}
+
+// The name that a request carries must be that of the account that holds the key when it is sent.
+TEST_F(caller_accounts_test, KeyMovedToAnotherAccount_WhileARequestWaits_ArrivesWithItsName) {
+  engines_[1]->Faults().full = true;
+  const auto call = SendModel("/chat/1", "m1", "key-a1");
+  harness_.RunFor(milliseconds(100));
+  ApplyAccounts(json::array({Account("beta", {"key-a1"})}));
+  engines_[1]->Faults().full = false;
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 200);
+  EXPECT_EQ(Reached().size(), 2U);
+  ExpectOnlyAccount("beta");
+}
+
+// The key of a request that arrived before there were accounts must not reach an endpoint that is chosen later.
+TEST_F(caller_accounts_test, AccountsIntroduced_WhileARequestWaits_ApplyToIt) {
+  ApplyAccounts(nullptr);
+  engines_[1]->Faults().full = true;
+  const auto known = SendModel("/chat/1", "m1", "key-a1");
+  const auto unknown = SendModel("/chat/1", "m2", "key-x");
+  harness_.RunFor(milliseconds(100));
+  ApplyAccounts(json::array({Account("alpha", {"key-a1"})}));
+  engines_[1]->Faults().full = false;
+  ASSERT_TRUE(harness_.Finish(known));
+  ASSERT_TRUE(harness_.Finish(unknown));
+  EXPECT_EQ(known->Status(), 200);
+  EXPECT_EQ(unknown->Status(), 401);
+  EXPECT_EQ(Reached().size(), 2U);
+  ExpectOnlyAccount("alpha");
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. state of the router
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST(caller_accounts_start_test, RouterWithoutADesiredState_Answers503) {
+  router_harness harness;
+  harness.StartWithoutWaiting();
+  harness.RunFor(milliseconds(100));
+  const auto call = harness.Send("GET", "/pages/1", "a1", Key("key-a1"));
+  ASSERT_TRUE(harness.Finish(call));
+  EXPECT_EQ(call->Status(), 503);
+  EXPECT_NE(call->Header("Retry-After"), "");
+}
+
+// The key may have been added since the router last heard of the store.
+TEST_F(caller_accounts_test, UnknownKey_WhileTheStoreIsAway_IsAnswered503) {
+  harness_.Platform().Faults().outage = true;
+  ASSERT_TRUE(harness_.RunUntil([&] { return !harness_.Directory().FollowsDesiredState(); }));
+  const auto unknown = FinishedCall("/pages/1", "a1", Key("key-new"));
+  EXPECT_EQ(unknown->Status(), 503);
+  EXPECT_NE(unknown->Header("Retry-After"), "");
+  EXPECT_EQ(FinishedCall("/pages/1", "a2")->Status(), 401) << "no new key makes a request without one valid";
+  EXPECT_EQ(FinishedCall("/pages/1", "a3", Key("key-a1"))->Status(), 200);
+  harness_.Platform().Faults().outage = false;
+  ASSERT_TRUE(harness_.RunUntil([&] { return harness_.Directory().FollowsDesiredState(); }));
+  EXPECT_EQ(FinishedCall("/pages/1", "a4", Key("key-new"))->Status(), 401);
+  EXPECT_EQ(Reached().size(), 1U);
+}
+
+// The control port is open to all VMs of the deployment; hashes are enough for other routers to check keys.
+TEST_F(caller_accounts_test, ExportedState_HasNoKeysAndServesAnotherRouter) {
+  const auto exported = harness_.SendToControl("/state");
+  ASSERT_TRUE(harness_.Finish(exported));
+  EXPECT_EQ(exported->Status(), 200);
+  EXPECT_EQ(exported->body.find("key-"), std::string::npos) << exported->body;
+  router_harness other;
+  other.StartWithoutWaiting();
+  ASSERT_TRUE(other.Directory().ImportState(exported->body));
+  EXPECT_EQ(other.Directory().Routes()->Accounts(), harness_.Directory().Routes()->Accounts());
+  EXPECT_EQ(other.Directory().ExportState(), exported->body);
+}
+
+TEST_F(caller_accounts_test, Metrics_CountResultsAndHoldNeitherKeysNorNames) {
+  FinishedCall("/pages/1", "a1", Key("key-a1"));
+  FinishedCall("/pages/1", "a2", Key("key-x"));
+  FinishedCall("/pages/1", "a3");
+  FinishedCall("/open/1", "a4");
+  const auto metrics = harness_.SendToControl("/metrics");
+  ASSERT_TRUE(harness_.Finish(metrics));
+  for (const char* result : {"accepted", "key_unknown", "key_missing", "anonymous"}) {
+    const std::string line = std::string("persimmon_account_checks_total{result=\"") + result + "\"} 1";
+    EXPECT_NE(metrics->body.find(line), std::string::npos) << line;
+  }
+  EXPECT_EQ(metrics->body.find("key-"), std::string::npos);
+  EXPECT_EQ(metrics->body.find("alpha"), std::string::npos);
+}
+
+class strict_revocation_test : public caller_accounts_test {
+ protected:
+  strict_revocation_test()
+      : caller_accounts_test([](direct_settings& settings) {
+          settings.deployment.strict_revoke = true;
+          settings.deployment.revoke_time = kRevokeTime;
+        }) {}
+
+  static constexpr milliseconds kRevokeTime{600};
+};
+
+// A router that is cut off cannot know whether a key has been revoked.
+TEST_F(strict_revocation_test, RequestsWithAKey_WhileTheStateIsUnconfirmed_AreAnswered503) {
+  EXPECT_EQ(FinishedCall("/pages/1", "a1", Key("key-a1"))->Status(), 200);
+  harness_.RunFor(2 * kRevokeTime);
+  EXPECT_EQ(FinishedCall("/pages/1", "a2", Key("key-a1"))->Status(), 200) << "a quiet store confirms the state";
+  harness_.Platform().Faults().outage = true;
+  harness_.RunFor(kRevokeTime + milliseconds(100));
+  const auto refused = FinishedCall("/pages/1", "a3", Key("key-a1"));
+  EXPECT_EQ(refused->Status(), 503);
+  EXPECT_NE(refused->Header("Retry-After"), "");
+  EXPECT_EQ(FinishedCall("/open/1", "a4")->Status(), 200);
+  EXPECT_EQ(FinishedCall("/pages/1", "a5")->Status(), 401);
+  harness_.Platform().Faults().outage = false;
+  ASSERT_TRUE(harness_.RunUntil([&] { return harness_.Directory().FollowsDesiredState(); }));
+  EXPECT_EQ(FinishedCall("/pages/1", "a6", Key("key-a1"))->Status(), 200);
+}
+
+}  // namespace
+}  // namespace persimmon
--- a/tests/support/router_harness.h
+++ b/tests/support/router_harness.h
@@ -48,6 +48,7 @@
   int attempts = 2;
   std::uint32_t memory_tokens = 10'000;
   int hold_ms = 2'000;
+  json tenants = nullptr;  // client accounts; null: none. With accounts there is an anonymous route /open/.
 };
 
 inline std::string MakeDesiredState(const desired_state_options& options) {
@@ -66,7 +67,7 @@
   const json engine = {{"slots", 16},          {"kv_capacity_tokens", options.memory_tokens},
                        {"stride", 10},         {"handle_ttl_s", 0.5},
                        {"role_switch_s", 0.1}, {"hold_ms", options.hold_ms}};
-  return json{
+  json state = {
       {"version", options.version},
       {"routes",
        {route("/pages/", "idempotent", "app", false, options.attempts),
@@ -79,8 +80,14 @@
        {{"max_header_bytes", 8'192},
         {"max_body_bytes", 100'000},
         {"header_timeout_ms", 3'000},
-        {"idle_timeout_ms", 15'000}}}}
-      .dump();
+        {"idle_timeout_ms", 15'000}}}};
+  if (!options.tenants.is_null()) {
+    json open = route("/open/", "idempotent", "app", false, options.attempts);
+    open["anonymous"] = true;
+    state["routes"].push_back(std::move(open));
+    state["tenants"] = options.tenants;
+  }
+  return state.dump();
 }
 
 class router_harness {
@@ -91,7 +98,8 @@
   explicit router_harness(const std::function<void(direct_settings&)>& adjust = nullptr,
                           store_path path = store_path::kDirect)
       : platform_(kernel_.Context(), host_port{"127.0.0.1", 0}),
-        client_(kernel_.Context(), http_client_limits{.idle_connections = 0}) {
+        client_(kernel_.Context(), http_client_limits{.idle_connections = 0}),
+        keeping_client_(kernel_.Context(), http_client_limits{.idle_connections = 1}) {
     SetLogLevel(log_level::kError);
     if (!platform_.Start()) {
       AbortProgram("The fake platform cannot listen.");
@@ -215,9 +223,21 @@
     return SendTo(settings_.deployment.callers, method, path, attempt, std::move(extra_headers), body);
   }
 
+  // Like Send, over a connection that is kept open. The call tells whether it was.
+  caller_exchange_ptr SendOnKeptConnection(const std::string& method, const std::string& path,
+                                           const std::string& attempt, header_list extra_headers = {}) {
+    return SendTo(settings_.deployment.callers, method, path, attempt, std::move(extra_headers), "", &keeping_client_);
+  }
+
+  // Sends a request to the router's control interface.
+  caller_exchange_ptr SendToControl(const std::string& path) {
+    return SendTo(settings_.deployment.control, "GET", path, "");
+  }
+
   // Like Send, to another router.
   caller_exchange_ptr SendTo(const host_port& router, const std::string& method, const std::string& path,
-                             const std::string& attempt, header_list extra_headers = {}, const std::string& body = "") {
+                             const std::string& attempt, header_list extra_headers = {}, const std::string& body = "",
+                             http_client* client = nullptr) {
     http_request request;
     request.method = method;
     request.target = path;
@@ -225,7 +245,7 @@
     request.headers.insert(request.headers.end(), extra_headers.begin(), extra_headers.end());
     request.body = body;
     auto exchange = std::make_shared<caller_exchange>();
-    exchange->call = std::make_unique<http_call>(client_);
+    exchange->call = std::make_unique<http_call>(client != nullptr ? *client : client_);
     asio::co_spawn(kernel_.Context(), Exchange(router, std::move(request), exchange), asio::detached);
     return exchange;
   }
@@ -305,6 +325,7 @@
   std::unique_ptr<fake_link> store_link_;
   std::vector<std::unique_ptr<fakes::fake_replica>> replicas_;
   http_client client_;
+  http_client keeping_client_;
   detail::stop_function stop_;
 };
 
