Confirm the desired state of routers cut off from the store by others

With strict revocation, a router without the store must stop serving keys after revoke_ms unless a router that reaches the store confirms that there is no newer desired state. Such a router now asks three others eight times in revoke_ms at /confirmation of the control port; they pass on what they have been told. The age of a confirmation counts from the start of the poll, because an answer may wait in a buffer while the process is paused, and the polls of the desired state are shorter with strict revocation. Parsers and headers of accounts have tests of their own.

--- a/src/direct/caller_auth.cpp
+++ b/src/direct/caller_auth.cpp
@@ -1,6 +1,9 @@
 #include "direct/caller_auth.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
 
 #include "core/api_key.h"
 #include "core/random.h"
@@ -22,6 +25,13 @@
 // Retry-After while a key may be new; other routers are asked for a newer desired state twice in this time.
 constexpr milliseconds kMayBeNewRetryAfter(800);
 constexpr milliseconds kUnconfirmedRetryAfter(1'000);
+// Other routers are asked for a confirmation once this part of revoke_time has passed since the latest one. The rest
+// is enough for two rounds.
+constexpr double kAskAfterShare = 0.6;
+constexpr int kAskRounds = 8;             // per revoke_time
+constexpr std::size_t kAskedRouters = 3;  // in one round
+constexpr milliseconds kMinAskPeriod(20);
+constexpr milliseconds kMaxConfirmationAge(3'600'000);  // longer than any useful revoke_time
 
 milliseconds WithJitter(milliseconds base) {
   return std::chrono::duration_cast<milliseconds>(base * (1 + RandomUnit()));
@@ -38,16 +48,67 @@
   directory_ = &kernel_.Find<deployment_directory>("directory");
   group_ = &kernel_.Find<router_group>("group");
   metrics_ = &kernel_.Find<telemetry>("telemetry").Metrics();
+  if (settings_.deployment.strict_revoke) {
+    asio::co_spawn(kernel_.Context(), FollowPeers(), asio::detached);
+  }
+}
+
+std::optional<time_point> caller_auth::ConfirmedAt() const {
+  return std::max(directory_->ConfirmedAt(), confirmed_by_peer_at_);  // an absent time is less than any other
 }
 
 // With strict revocation, a router cut off from the store must not serve keys that may have been revoked.
 bool caller_auth::IsConfirmed() const {
   const auto& deployment = settings_.deployment;
-  if (!deployment.strict_revoke) {
-    return true;
+  const auto confirmed_at = deployment.strict_revoke ? ConfirmedAt() : std::nullopt;
+  return !deployment.strict_revoke || (confirmed_at && timer_service::Now() - *confirmed_at <= deployment.revoke_time);
+}
+
+std::string caller_auth::ExportConfirmation() const {
+  const auto confirmed_at = ConfirmedAt();
+  if (!confirmed_at) {
+    return {};
+  }
+  // Rounded up, so that a confirmation that is passed on repeatedly does not become newer.
+  const std::int64_t age_ms = ElapsedMs(*confirmed_at, timer_service::Now()) + 1;
+  return nlohmann::json{{"revision", directory_->Routes()->Revision()}, {"age_ms", age_ms}}.dump();
+}
+
+// Asks other routers while the store does not confirm the desired state. They pass on what others have told them, so
+// that one router that reaches the store is enough.
+task<> caller_auth::FollowPeers() {
+  const milliseconds revoke_time = settings_.deployment.revoke_time;
+  while (!stopped_) {
+    co_await kernel_.Timers().Sleep(std::max(revoke_time / kAskRounds, kMinAskPeriod));
+    const auto confirmed_at = ConfirmedAt();
+    const bool is_recent = confirmed_at && timer_service::Now() - *confirmed_at < kAskAfterShare * revoke_time;
+    if (stopped_ || is_recent || !directory_->Routes()->Accounts()) {
+      continue;
+    }
+    std::vector<host_port> addresses = group_->ControlAddresses();
+    for (std::size_t i = 0; i < std::min(kAskedRouters, addresses.size()); ++i) {
+      std::swap(addresses[i], addresses[i + RandomNumber() % (addresses.size() - i)]);
+      asio::co_spawn(kernel_.Context(), AskPeer(addresses[i]), asio::detached);
+    }
+  }
+}
+
+task<> caller_auth::AskPeer(host_port address) {
+  const time_point asked_at = timer_service::Now();
+  const milliseconds timeout = std::max(settings_.deployment.revoke_time / kAskRounds, kMinAskPeriod);
+  http_request request{"GET", "/confirmation", {}, {}, {}};
+  const auto response = co_await client_.Fetch(address, std::move(request), timeout);
+  if (!response || response.value().status != 200) {
+    co_return;
+  }
+  const auto body = nlohmann::json::parse(response.value().body, nullptr, false);
+  const bool is_valid = body.is_object() && body.contains("revision") && body["revision"].is_number_unsigned() &&
+                        body.contains("age_ms") && body["age_ms"].is_number_unsigned();
+  if (!is_valid || body["revision"].get<revision_number>() > directory_->Routes()->Revision()) {
+    co_return;
   }
-  const auto answered = directory_->LastStoreAnswer();
-  return answered && timer_service::Now() - *answered <= deployment.revoke_time;
+  const auto age = std::min(milliseconds(body["age_ms"].get<std::uint32_t>()), kMaxConfirmationAge);
+  confirmed_by_peer_at_ = std::max(confirmed_by_peer_at_, std::optional<time_point>(asked_at - age));
 }
 
 caller_auth::key_check caller_auth::Check(const direct_call& call,
--- a/src/direct/caller_auth.h
+++ b/src/direct/caller_auth.h
@@ -3,6 +3,9 @@
 //
 // The decision is made when a request arrives and repeated before each send until its response has started, because
 // keys may be revoked meanwhile. Without accounts in the desired state, every request is accepted.
+//
+// With strict revocation, a request with a key is accepted only while the desired state is confirmed: the store, or a
+// router whose own state is confirmed, has stated within revoke_time that there is no newer one.
 #pragma once
 
 #include <optional>
@@ -21,10 +24,11 @@
 
 class caller_auth {
  public:
-  caller_auth(kernel& services, const direct_settings& settings) : kernel_(services), settings_(settings) {}
+  caller_auth(kernel& services, const direct_settings& settings, http_client& client)
+      : kernel_(services), settings_(settings), client_(client) {}
 
   void Start();
-  void Stop() {}
+  void Stop() { stopped_ = true; }
 
   // Determines the account of a request that has arrived. Returns why it must not be served, or nothing.
   std::optional<call_refusal> Authenticate(direct_call& call);
@@ -37,6 +41,10 @@
   // names, or its response has started. Records in the call that it is sent.
   http_call::send_check MakeSendCheck(direct_call_ptr call, http_call::send_check check);
 
+  // JSON for other routers: the revision of the desired state, and how long ago it was confirmed. Empty without
+  // confirmation.
+  std::string ExportConfirmation() const;
+
   // Counts the result of the account checks of a call that has ended.
   void CountResult(const direct_call& call);
 
@@ -49,15 +57,21 @@
   };
 
   key_check Check(const direct_call& call, const std::shared_ptr<const routing_table>& routes) const;
+  std::optional<time_point> ConfirmedAt() const;
   bool IsConfirmed() const;
+  task<> FollowPeers();
+  task<> AskPeer(host_port address);
   bool IsAccountCurrent(const direct_call& call) const;
   std::optional<call_refusal> Apply(direct_call& call, bool is_new);
 
   kernel& kernel_;
   const direct_settings& settings_;
+  http_client& client_;
   deployment_directory* directory_ = nullptr;
   router_group* group_ = nullptr;
   metrics_registry* metrics_ = nullptr;
+  std::optional<time_point> confirmed_by_peer_at_;  // the active desired state
+  bool stopped_ = false;
 };
 
 }  // namespace persimmon
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -31,7 +31,7 @@
   auto& directory = services.Register<deployment_directory>("directory", services, *settings, table);
   services.Register<limit_tracker>("limits", services);
   services.Register<account_tracker>("accounts", services);
-  services.Register<caller_auth>("auth", services, *settings);
+  services.Register<caller_auth>("auth", services, *settings, *client);
   auto& tracker = services.Register<endpoint_tracker>("board", services, *settings);
   services.Register<suspect_tracker>("crashes", services, *client);
   services.Register<part_tracker>("parts", services);
--- a/src/direct/directory.cpp
+++ b/src/direct/directory.cpp
@@ -53,15 +53,21 @@
   expiry_timer_.Cancel();
 }
 
-task<> deployment_directory::FollowTable(std::string table, feed_index index) {
+feed_limits deployment_directory::Limits(feed_index index) const {
   const auto& deployment = settings_.deployment;
   milliseconds blind_limit = deployment.contact_time;
   if (index == kEndpoints) {
     blind_limit = std::min(blind_limit, deployment.drain_time);
-  } else if (deployment.strict_revoke) {
-    blind_limit = std::min(blind_limit, deployment.revoke_time);  // each poll confirms the desired state
+  } else if (deployment.strict_revoke && routes_->Accounts()) {
+    // An answered poll confirms the desired state as of its start, two polls before the next answer. With polls of a
+    // quarter of revoke_time, half of it remains for delays.
+    blind_limit = std::min(blind_limit, deployment.revoke_time / 2);
   }
-  const feed_limits limits = LimitFeed(settings_, blind_limit);
+  return LimitFeed(settings_, blind_limit);
+}
+
+task<> deployment_directory::FollowTable(std::string table, feed_index index) {
+  const auto& deployment = settings_.deployment;
   feed_state& feed = feeds_[index];
   bool needs_snapshot = true;
   while (!stopped_) {
@@ -69,6 +75,7 @@
     bool is_restored = false;
     std::vector<table_row> rows;
     std::optional<error> failure;
+    const time_point begin = timer_service::Now();
     if (needs_snapshot) {
       auto snapshot = co_await table_.ReadTable(table);
       if (snapshot) {
@@ -81,6 +88,7 @@
         failure = snapshot.error();
       }
     } else {
+      const feed_limits limits = Limits(index);
       // After a failure, the first call does not wait for changes, so that the return of the store is noticed at once.
       const milliseconds wait = feed.is_unreachable ? milliseconds(0) : limits.wait;
       const milliseconds answer_limit = feed.is_unreachable ? settings_.store_timeout : limits.answer_limit;
@@ -117,6 +125,7 @@
     const bool after_outage = feed.is_unreachable && timer_service::Now() - feed.unreachable_since >
                                                          kMinExpiryIntervals * deployment.report_interval;
     RecordSuccess(table, feed);
+    feed.confirmed_at = begin;
     if (after_outage && index == kEndpoints) {
       registry_.RecordStoreRecovery(timer_service::Now());
     }
@@ -266,8 +275,9 @@
 
 bool deployment_directory::FollowsDesiredState() const {
   const feed_state& feed = feeds_[kDesiredState];
-  return feed.last_success && !feed.is_unreachable &&
-         timer_service::Now() - *feed.last_success <= settings_.deployment.contact_time;
+  // Two polls with their answers may take this long.
+  const auto max_age = 1.5 * settings_.deployment.contact_time;
+  return feed.confirmed_at && !feed.is_unreachable && timer_service::Now() - *feed.confirmed_at <= max_age;
 }
 
 void deployment_directory::RecordLeaving(const endpoint_name& endpoint, std::uint64_t started_ms) {
--- a/src/direct/directory.h
+++ b/src/direct/directory.h
@@ -31,11 +31,12 @@
   bool IsInForce() const { return routes_->Revision() != 0; }
   bool IsStoreReachable() const { return !feeds_[0].is_unreachable && !feeds_[1].is_unreachable; }
 
-  // Time of the latest answer of the store to a poll of the desired state; absent before the first one.
-  std::optional<time_point> LastStoreAnswer() const { return feeds_[kDesiredState].last_success; }
+  // Time at which the store certainly held no newer desired state than the active one; absent before the first answer.
+  // It is the start of the latest poll that has been answered, because the answer may have waited in a buffer during a
+  // pause of this process.
+  std::optional<time_point> ConfirmedAt() const { return feeds_[kDesiredState].confirmed_at; }
 
-  // True if this router follows the desired state in the store. False after contact_time without an answer, also if no
-  // call has failed yet, as after a pause of the process.
+  // True if this router follows the desired state in the store.
   bool FollowsDesiredState() const;
 
   const endpoint_registry& Endpoints() const { return registry_; }
@@ -56,12 +57,14 @@
     bool is_unreachable = false;
     time_point unreachable_since;
     std::optional<time_point> last_success;
+    std::optional<time_point> confirmed_at;  // start of the latest call that has succeeded
     std::uint64_t version = 0;
     std::uint64_t era = 0;  // of the store that has given the version
   };
   enum feed_index : std::size_t { kDesiredState, kEndpoints };
 
   task<> FollowTable(std::string table, feed_index index);
+  feed_limits Limits(feed_index index) const;
   void RecordSuccess(const std::string& table, feed_state& feed);
   void RecordFailure(const std::string& table, feed_state& feed, const error& failure);
   // What the rows of a call are, compared with the known ones.
--- a/tests/caller_accounts_test.cpp
+++ b/tests/caller_accounts_test.cpp
@@ -8,6 +8,10 @@
 //   4. limits
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <thread>
+
+#include "direct/router_group.h"
 #include "support/router_harness.h"
 
 namespace persimmon {
@@ -407,6 +411,25 @@
   EXPECT_EQ(Reached().size(), 1U);
 }
 
+// Another router may know the key already.
+TEST_F(caller_accounts_test, UnknownKey_WhileAnotherRouterHasANewerState_IsAnswered503) {
+  datagram_socket peer(harness_.Kernel().Context(), host_port{"127.0.0.1", 0}, [](const host_port&, const message&) {});
+  ASSERT_TRUE(peer.Start());
+  router_state sent;
+  sent.name = "router-2";
+  sent.incarnation = 7;
+  sent.sequence = 1;
+  sent.revision = state_.version + 1;
+  peer.Send({"127.0.0.1", harness_.Settings().deployment.first_internal_port}, message(sent));
+  ASSERT_TRUE(harness_.RunUntil(
+      [this, &sent] { return harness_.Kernel().Find<router_group>("group").NewestPeerRevision() == sent.revision; }));
+  EXPECT_EQ(FinishedCall("/pages/1", "a1", Key("key-x"))->Status(), 503);
+  EXPECT_EQ(FinishedCall("/pages/1", "a2", Key("key-a1"))->Status(), 200);
+  ApplyAccounts(json::array({Account("alpha", {"key-a1"})}));
+  EXPECT_EQ(FinishedCall("/pages/1", "a3", Key("key-x"))->Status(), 401);
+  peer.Stop();
+}
+
 // The control port is open to all VMs of the deployment; hashes are enough for other routers to check keys.
 TEST_F(caller_accounts_test, ExportedState_HasNoKeysAndServesAnotherRouter) {
   const auto exported = harness_.SendToControl("/state");
@@ -463,5 +486,92 @@
   EXPECT_EQ(FinishedCall("/pages/1", "a6", Key("key-a1"))->Status(), 200);
 }
 
+// Two routers; only the second one keeps its connection to the store.
+class confirmation_test : public caller_accounts_test {
+ protected:
+  confirmation_test()
+      : caller_accounts_test(
+            [](direct_settings& settings) {
+              settings.deployment.strict_revoke = true;
+              settings.deployment.revoke_time = kRevokeTime;
+            },
+            router_harness::store_path::kLink) {}
+
+  ~confirmation_test() override { other_.Stop(); }
+
+  void SetUp() override {
+    caller_accounts_test::SetUp();
+    direct_settings settings = harness_.Settings();
+    auto& deployment = settings.deployment;
+    const auto free_address = [] { return host_port{"127.0.0.2", static_cast<std::uint16_t>(support::FreePort())}; };
+    deployment.name = "router-2";
+    deployment.callers = free_address();
+    deployment.readiness = free_address();
+    deployment.control = free_address();
+    deployment.store = {"127.0.0.1", harness_.Platform().Port()};
+    deployment.seeds = {harness_.Settings().deployment.control};
+    stop_ = RegisterDirectRouter(other_, settings);
+    other_.Start();
+    ASSERT_TRUE(RunBothUntil([this] {
+      return !harness_.Kernel().Find<router_group>("group").ControlAddresses().empty() &&
+             other_.Find<deployment_directory>("directory").IsInForce();
+    }));
+  }
+
+  bool RunBothUntil(const std::function<bool()>& condition, milliseconds limit = milliseconds(10'000)) {
+    const time_point end = timer_service::Now() + limit;
+    while (!condition()) {
+      if (timer_service::Now() > end) {
+        return false;
+      }
+      std::size_t handled = 0;
+      for (kernel* services : {&harness_.Kernel(), &other_}) {
+        services->Context().restart();
+        handled += services->Context().poll();
+      }
+      if (handled == 0) {
+        std::this_thread::sleep_for(microseconds(200));
+      }
+    }
+    return true;
+  }
+
+  void RunBothFor(milliseconds duration) {
+    const time_point end = timer_service::Now() + duration;
+    RunBothUntil([end] { return timer_service::Now() >= end; }, duration + milliseconds(1'000));
+  }
+
+  int StatusOf(const std::string& attempt, const std::string& key) {
+    const auto call = harness_.Send("GET", "/pages/1", attempt, Key(key));
+    EXPECT_TRUE(RunBothUntil([&] { return call->done; }));
+    return call->Status();
+  }
+
+  static constexpr milliseconds kRevokeTime{1'000};
+
+  kernel other_;
+  detail::stop_function stop_;
+};
+
+// A router that is cut off from the store only must serve known keys, and must learn changes of keys.
+TEST_F(confirmation_test, RouterCutOffFromTheStore_IsConfirmedByAnotherRouter) {
+  ASSERT_TRUE(harness_.StoreLink().SetRefusingConnections(true));
+  harness_.StoreLink().CutConnections();
+  const time_point end = timer_service::Now() + 4 * kRevokeTime;
+  for (int i = 0; timer_service::Now() < end; ++i) {
+    EXPECT_EQ(StatusOf("a" + std::to_string(i), "key-a1"), 200);
+    RunBothFor(milliseconds(20));
+  }
+  EXPECT_EQ(StatusOf("x1", "key-new"), 503);
+  WriteAccounts(json::array({Account("beta", {"key-new"})}));
+  ASSERT_TRUE(RunBothUntil([this] { return harness_.Directory().Routes()->Revision() == state_.version; }, kApplyTime));
+  EXPECT_EQ(StatusOf("x2", "key-new"), 200);
+  EXPECT_NE(StatusOf("x3", "key-a1"), 200);
+  // Without the store at the other router either, nothing confirms the state.
+  harness_.Platform().Faults().outage = true;
+  RunBothFor(kRevokeTime + milliseconds(100));
+  EXPECT_EQ(StatusOf("x4", "key-new"), 503);
+}
+
 }  // namespace
 }  // namespace persimmon
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -43,6 +43,18 @@
   EXPECT_TRUE(settings.first_start);
 }
 
+TEST(deployment_settings_test, StrictRevocation_IsOffUnlessStated) {
+  finding_list findings;
+  EXPECT_FALSE(ParseDeploymentSettings(kSettings, findings).strict_revoke);
+  const std::string strict = std::string(kSettings) + "bounds.strict_revoke=true\nbounds.revoke_ms=2500\n";
+  const deployment_settings settings = ParseDeploymentSettings(strict, findings);
+  EXPECT_TRUE(settings.strict_revoke);
+  EXPECT_EQ(settings.revoke_time, milliseconds(2'500));
+  EXPECT_TRUE(findings.empty()) << FormatFindings(findings);
+  ParseDeploymentSettings(std::string(kSettings) + "bounds.strict_revoke=perhaps\n", findings);
+  EXPECT_NE(FormatFindings(findings).find("bounds.strict_revoke"), std::string::npos);
+}
+
 TEST(deployment_settings_test, FaultyFile_ReportsEveryFindingTogether) {
   finding_list findings;
   ParseDeploymentSettings("node_name=a\nzone=z\nlisten.front=nowhere\nbounds.grace_s=soon\n", findings);
@@ -136,6 +148,123 @@
   (void)ParseDesiredState(*rc::gen::arbitrary<std::string>(), findings);
 }
 
+// SHA-256 of "key-1", from sha256sum.
+constexpr const char* kHashOfKey1 = "be2974546978e3739e6d6da85c4be9f334ce32df2b9fd4b6ff1b55c0d57e9d44";
+
+json MakeAccounts() {
+  return json::array({{{"name", "alpha"},
+                       {"api_keys", {"key-1", "key-2"}},
+                       {"priority", 0},
+                       {"unit", "token_stream"},
+                       {"plain_tokens", 40},
+                       {"per_s", 25'000.4},
+                       {"burst", 90'000}},
+                      {{"name", "beta"}, {"api_keys", {"key-3"}}, {"unit", "call"}, {"per_s", 0.25}},
+                      {{"name", "gamma"}}});
+}
+
+TEST(accounts_test, StateWithoutAccounts_HasNone) {
+  finding_list findings;
+  EXPECT_FALSE(ParseDesiredState(MakeState().dump(), findings).value().Accounts());
+  EXPECT_EQ(HashKeysInDesiredState(MakeState().dump()), MakeState().dump());
+}
+
+TEST(accounts_test, ValidAccounts_AreReadWithHashesAndAmountsOfTheirUnit) {
+  json state = MakeState();
+  state["tenants"] = MakeAccounts();
+  state["routes"][1]["anonymous"] = true;
+  finding_list findings;
+  const auto table = ParseDesiredState(state.dump(), findings);
+  ASSERT_TRUE(table);
+  EXPECT_TRUE(findings.empty()) << FormatFindings(findings);
+  EXPECT_FALSE(table.value().FindRoute("a.example", "/x/1")->anonymous);
+  EXPECT_TRUE(table.value().FindRoute("a.example", "/y/1")->anonymous);
+  ASSERT_TRUE(table.value().Accounts());
+  const caller_account* alpha = table.value().Accounts()->FindByKeyHash(kHashOfKey1);
+  ASSERT_NE(alpha, nullptr);
+  EXPECT_EQ(alpha->name.value, "alpha");
+  EXPECT_EQ(alpha->key_hashes.size(), 2U);
+  EXPECT_EQ(alpha->priority, std::optional<std::uint32_t>(0));
+  EXPECT_EQ(alpha->unit, usage_unit::kTokens);
+  EXPECT_EQ(alpha->plain_tokens, 40U);
+  EXPECT_EQ(alpha->limit, (account_limit{25'000, 90'000}));
+  const caller_account* beta = table.value().Accounts()->Find(account_name{"beta"});
+  ASSERT_NE(beta, nullptr);
+  EXPECT_EQ(beta->priority, std::nullopt);
+  EXPECT_EQ(beta->unit, usage_unit::kRequests);
+  EXPECT_EQ(beta->limit, (account_limit{250, 0})) << "a quarter of a request";
+  EXPECT_EQ(table.value().Accounts()->Find(account_name{"gamma"})->limit, account_limit{});
+}
+
+// Guards against a limit so low that it is rounded to zero, which means no limit.
+TEST(accounts_test, SmallestLimit_StaysALimit) {
+  json state = MakeState();
+  state["tenants"] = json::array({{{"name", "a"}, {"per_s", 1e-9}, {"unit", "token_stream"}}});
+  finding_list findings;
+  const auto table = ParseDesiredState(state.dump(), findings);
+  EXPECT_EQ(table.value().Accounts()->Find(account_name{"a"})->limit.tokens_per_second, 1U);
+}
+
+// Routers import the state of others, and must then check keys in the same way.
+TEST(accounts_test, StateWithHashedKeys_IsReadLikeTheOriginal) {
+  json state = MakeState();
+  state["tenants"] = MakeAccounts();
+  finding_list findings;
+  const std::string exported = HashKeysInDesiredState(state.dump());
+  EXPECT_EQ(exported.find("key-"), std::string::npos) << exported;
+  EXPECT_EQ(ParseDesiredState(exported, findings).value(), ParseDesiredState(state.dump(), findings).value());
+  EXPECT_EQ(HashKeysInDesiredState(exported), exported);
+  EXPECT_TRUE(findings.empty()) << FormatFindings(findings);
+}
+
+TEST(accounts_test, InvalidAccount_IsSkippedAndReportedWithoutItsKeys) {
+  json state = MakeState();
+  state["tenants"] = MakeAccounts();
+  state["tenants"][0]["per_s"] = "secret-1";
+  state["tenants"].push_back("secret-2");
+  state["tenants"].push_back({{"name", "two\r\nlines"}, {"api_keys", {"secret-3"}}});
+  state["tenants"].push_back({{"name", "beta"}, {"api_keys", {"secret-4"}}});
+  state["tenants"].push_back({{"name", "delta"}, {"api_keys", {"secret-5", 7, ""}}});
+  state["tenants"].push_back({{"name", "epsilon"}, {"api_keys", "secret-6"}});
+  state["tenants"].push_back({{"api_keys", {"secret-7"}}, {"api_key", "secret-8"}, {"api_key_hashes", {"secret-9"}}});
+  finding_list findings;
+  const auto table = ParseDesiredState(state.dump(), findings);
+  const auto& accounts = table.value().Accounts();
+  ASSERT_TRUE(accounts);
+  std::vector<std::string> names;
+  for (const caller_account& account : accounts->Accounts()) {
+    names.push_back(account.name.value);
+  }
+  EXPECT_EQ(names, (std::vector<std::string>{"beta", "gamma", "delta"}));
+  EXPECT_EQ(accounts->Find(account_name{"delta"})->key_hashes.size(), 1U);
+  const std::string text = FormatFindings(findings);
+  for (const char* place : {"tenant 0: per_s", "tenant 3", "tenant 4: name", "tenant 5: name", "tenant 6: api_keys",
+                            "tenant 7: api_keys", "tenant 8: name", "tenant 8: api_key_hashes"}) {
+    EXPECT_NE(text.find(place), std::string::npos) << place << " in " << text;
+  }
+  EXPECT_EQ(text.find("secret"), std::string::npos) << text;
+  EXPECT_EQ(HashKeysInDesiredState(state.dump()).find("secret-2"), std::string::npos);
+  for (int i = 2; i <= 9; ++i) {
+    EXPECT_EQ(HashKeysInDesiredState(state.dump()).find("secret-" + std::to_string(i)), std::string::npos) << i;
+  }
+}
+
+// A faulty list must not open the services to everyone.
+TEST(accounts_test, AccountsThatAreNoList_HoldNoKey) {
+  json state = MakeState();
+  state["tenants"] = {{"alpha", {{"api_keys", {"key-1"}}}}};
+  finding_list findings;
+  const auto table = ParseDesiredState(state.dump(), findings);
+  ASSERT_TRUE(table.value().Accounts());
+  EXPECT_TRUE(table.value().Accounts()->Accounts().empty());
+  EXPECT_NE(FormatFindings(findings).find("tenants"), std::string::npos);
+  EXPECT_EQ(HashKeysInDesiredState(state.dump()).find("key-1"), std::string::npos);
+}
+
+RC_GTEST_PROP(accounts_property, HashKeysInDesiredState_ForAnyBytes_NeverStopsTheProcess, ()) {
+  (void)HashKeysInDesiredState(*rc::gen::arbitrary<std::string>());
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 3. endpoint entries
 // ---------------------------------------------------------------------------------------------------------------------
@@ -222,6 +351,31 @@
   EXPECT_FALSE(metadata.time_budget);
 }
 
+// Limits count a request without stated tokens differently from one that states none.
+TEST(request_metadata_test, TotalTokens_AreTheSumOrAbsent) {
+  const auto total = [](const header_list& headers) { return ParseRequestHeaders(headers).total_tokens; };
+  EXPECT_EQ(total({{"Persimmonchute-Token-Count", "1460, 80"}}), std::optional<std::uint64_t>(1'540));
+  EXPECT_EQ(total({{"Persimmonchute-Token-Count", "4294967295,4294967295"}}),
+            std::optional<std::uint64_t>(8'589'934'590));
+  EXPECT_EQ(total({{"Persimmonchute-Token-Count", "7"}}), std::optional<std::uint64_t>(7));
+  EXPECT_EQ(total({{"Persimmonchute-Token-Count", "0,0"}}), std::optional<std::uint64_t>(0));
+  EXPECT_EQ(total({{"Persimmonchute-Token-Count", "many"}}), std::nullopt);
+  EXPECT_EQ(total({}), std::nullopt);
+}
+
+TEST(forwarded_request_test, AccountHeaders_AreRemovedOnlyOnDemandInAnyCase) {
+  http_request request;
+  request.headers = {{"AUTHORIZATION", "Bearer k"}, {"persimmonchute-tenant", "x"}, {"X-Kept", "1"}};
+  EXPECT_EQ(MakeForwardedRequest(request).headers, request.headers);
+  http_request forwarded = MakeForwardedRequest(request, account_headers::kRemove);
+  EXPECT_EQ(forwarded.headers, (header_list{{"X-Kept", "1"}}));
+  SetAccountHeader(forwarded, "alpha");
+  SetAccountHeader(forwarded, "beta");
+  EXPECT_EQ(forwarded.headers, (header_list{{"X-Kept", "1"}, {"Persimmonchute-Tenant", "beta"}}));
+  SetAccountHeader(forwarded, "");
+  EXPECT_EQ(forwarded.headers, (header_list{{"X-Kept", "1"}}));
+}
+
 // The router may state that a call has not run only if the endpoint has stated it.
 TEST(answer_terms_test, OnlyTheEndpointsOwnStatement_ProvesThatACallHasNotRun) {
   EXPECT_FALSE(ParseResponseHeaders({503, {}}).proves_not_run);
