Add a soak scenario in which keys of accounts change

Keys are added, revoked and moved to other accounts while requests wait, endpoints fail and routers are restarted, paused and cut off from the store. The fake endpoints log the account that a request names and whether it has a key. The checks compare each arrival with the state that the router had applied right before, and with the acknowledged changes and the apply time.

--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -26,6 +26,13 @@
   return std::string(FindHeader(request.headers, name));
 }
 
+// True if a header may hold the API key of a caller.
+bool HasKey(const http_request& request) {
+  return std::any_of(request.headers.begin(), request.headers.end(), [](const header_field& field) {
+    return !FindHeader({field}, "Authorization").empty() || field.value.find("Bearer") != std::string::npos;
+  });
+}
+
 bool HasPart(const http_request& request, const std::string& part) {
   const std::string parts = "," + Header(request, "Persimmonchute-Prompt-Prefix");
   return parts.find("," + part + ":") != std::string::npos;
@@ -186,6 +193,8 @@
         .Add("endpoint", options_.name)
         .Add("service", options_.service)
         .Add("result", result)
+        .Add("account", Header(request, "Persimmonchute-Tenant"))
+        .Add("has_key", HasKey(request))
         .Add("retry_after_ms", std::string_view(result).starts_with("rejected") ? faults_.retry_after.count() : 0);
   }
 }
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -42,8 +42,13 @@
 MEMORY_LIMIT_MB = 110  # of an entry VM of the smallest deployment; VMs of larger ones have 88 MB and more
 EXPIRY_MS = 3 * HEARTBEAT_MS
 FIRST_PARTS = ("f1", "f2", "f3")  # first parts of prompts, which sound and guilty requests share
+ACCOUNTS = ("alpha", "beta", "gamma", "delta")
 DEADLY_PART = "dead"              # decode engines crash when they begin to write on it
 CRASH_EXIT_CODE = 70              # of an engine that has crashed on it
+# Within this time of the store's acknowledgement, a changed key takes effect (docs/load-control.md, section 2.2).
+KEY_APPLY_SECONDS = 3.0
+# From the check of a key before a send until the endpoint logs the arrival, on a busy machine.
+SEND_SECONDS = 0.15
 
 
 # ----------------------------------------------------------------------------------------------------------------------
@@ -99,6 +104,9 @@
         self.announce_delay_ms = 0  # from the first answer in which an endpoint states that it leaves to its entry
         self.next_replica = 0
         self.revision = 0
+        self.accounts = None      # account names by key; None: the deployment has no accounts
+        self.known_accounts = {}  # accounts by revision
+        self.key_changes = []     # (time before the write, time of its acknowledgement, accounts)
         self.peak_memory_mb = collections.Counter()  # by router, over all its processes
         self.disturbed = collections.defaultdict(list)  # router, endpoint or "store": [(from, until)]
 
@@ -189,11 +197,23 @@
                               {"name": "llm", "health_path": "/health", "max_conns": 200, "engine": engine}],
                  "limits": {"max_header_bytes": 8192, "max_body_bytes": 100000, "header_timeout_ms": 3000,
                             "idle_timeout_ms": IDLE_LIMIT_MS}}
+        if self.accounts is not None:
+            state["routes"].append({**route("/open/", "idempotent", "app", False, 2), "anonymous": True})
+            state["tenants"] = [{"name": name, "api_keys": [key for key in self.accounts if self.accounts[key] == name]}
+                                for name in sorted(set(self.accounts.values()))]
+            self.known_accounts[self.revision] = dict(self.accounts)
         value = base64.b64encode(json.dumps(state).encode()).decode()
         body = {"expected": [], "remove": [],
                 "puts": [{"table": "op", "part": "", "key": "config", "value": value}]}
         return post(self.address("store"), "/rows-tx", body)
 
+    def write_accounts(self):
+        """Writes the accounts until the store acknowledges them."""
+        begin, accounts = time.time(), dict(self.accounts)
+        while self.write_desired_state() != 200:
+            time.sleep(0.1)
+        self.key_changes.append((begin, time.time(), accounts))
+
     def living_replicas(self, stage=None):
         return [name for name, process in self.replicas.items()
                 if process.is_running() and name not in self.leaving and (stage is None or name.startswith(stage))]
@@ -240,7 +260,9 @@
     def __init__(self, attempt, router, kind, begin, resumed=None):
         self.attempt, self.router, self.kind, self.begin, self.resumed = attempt, router, kind, begin, resumed
         self.status, self.headers, self.body, self.is_complete, self.end = 0, {}, b"", False, 0.0
+        self.response_at = None  # when the head of the response arrived
         self.first_part, self.is_deadly = "", False
+        self.key, self.stated_account = None, None  # that the request states
 
     def parts(self):
         """First part, document, and the request's own part, which is unlike all others."""
@@ -273,6 +295,7 @@
     def __init__(self, deployment, randomness, rate):
         self.deployment, self.random, self.rate = deployment, randomness, rate
         self.part_random = random.Random(randomness.random())  # so that parts leave the other draws as they are
+        self.key_random = random.Random(f"keys {rate} {randomness.random()}") if deployment.accounts is not None else None
         self.idle = collections.defaultdict(list)
         self.answers = []
         self.tasks = set()
@@ -288,6 +311,8 @@
             if kind in ("chat", "digest"):
                 answer.first_part = self.part_random.choice(FIRST_PARTS)
                 answer.is_deadly = self.part_random.random() < self.deployment.deadly_share
+            if self.key_random:
+                self.choose_key(answer)
             self.answers.append(answer)
             task = asyncio.create_task(self.exchange_until_whole(answer))
             self.tasks.add(task)
@@ -295,6 +320,22 @@
             await asyncio.sleep(self.random.expovariate(self.rate))
         await asyncio.wait(self.tasks, timeout=10) if self.tasks else None
 
+    def choose_key(self, answer):
+        """Most requests have a key that is or was valid; some callers state the name of an account themselves."""
+        if self.key_random.random() < 0.15:
+            answer.kind = "open"
+        keys = sorted(self.deployment.accounts)
+        revoked = sorted({key for _, _, accounts in self.deployment.key_changes for key in accounts} - set(keys))
+        choice = self.key_random.random()
+        if choice < 0.8 or (choice < 0.9 and not revoked):
+            answer.key = self.key_random.choice(keys)
+        elif choice < 0.9:
+            answer.key = self.key_random.choice(revoked)
+        elif choice < 0.95:
+            answer.key = f"key-never-{self.key_random.randrange(1 << 30):x}"
+        if self.key_random.random() < 0.1:
+            answer.stated_account = self.key_random.choice(ACCOUNTS)
+
     async def exchange_until_whole(self, answer):
         """A caller takes a resumable stream up once, at any router, after its last whole event."""
         await self.exchange(answer)
@@ -302,7 +343,7 @@
         if answer.kind == "digest" and not answer.is_complete and 0 < last < 12:
             router = self.random.randrange(self.deployment.router_count) + 1
             again = Answer(f"r{router}-again-{answer.attempt}", router, "digest", time.time(), answer)
-            again.first_part = answer.first_part
+            again.first_part, again.key = answer.first_part, answer.key
             self.answers.append(again)
             await self.exchange(again)
 
@@ -319,7 +360,7 @@
         # A caller reuses a connection that has been idle for at most four fifths of the limit of the desired state.
         pool[:] = [entry for entry in pool if time.time() - entry[2] < 0.8 * IDLE_LIMIT_MS / 1000]
         reader, writer = pool.pop()[:2] if pool else await asyncio.open_connection(host, int(port))
-        method = "GET" if answer.kind == "pages" else "POST"
+        method = "GET" if answer.kind in ("pages", "open") else "POST"
         body = b"" if method == "GET" else b"body of " + answer.attempt.encode()
         head = [f"{method} /{answer.kind}/1 HTTP/1.1", f"Host: {HOST}", f"Persimmonchute-Attempt-Id: {answer.attempt}",
                 "Persimmonchute-Deadline-Ms: 3000", f"Content-Length: {len(body)}"]
@@ -329,10 +370,14 @@
                      f"Persimmonchute-Prompt-Prefix: {answer.parts()}"]
         if answer.resumed:
             head += [f"Resumes: {answer.resumed.attempt}", f"Last-Event-Id: {answer.resumed.last_event()}"]
+        if answer.key:
+            head.append(f"Authorization: Bearer {answer.key}")
+        if answer.stated_account:
+            head.append(f"Persimmonchute-Tenant: {answer.stated_account}")
         writer.write("\r\n".join(head).encode() + b"\r\n\r\n" + body)
         try:
             lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-            answer.status = int(lines[0].split(" ")[1])
+            answer.status, answer.response_at = int(lines[0].split(" ")[1]), time.time()
             answer.headers = {name.lower(): value.strip()
                               for name, _, value in (line.partition(":") for line in lines[1:] if line)}
             if "content-length" in answer.headers:
@@ -693,10 +738,67 @@
         await asyncio.sleep(5)
 
 
+    async def change_keys(self):
+        """The operator revokes a key, adds one, or gives a key to another account."""
+        accounts, number = self.deployment.accounts, len(self.deployment.key_changes)
+        changed = self.random.choice(sorted(accounts))
+        if len(accounts) > 4 and self.random.random() < 0.6:
+            self.note(f"{changed} revoked")
+            del accounts[changed]
+        elif self.random.random() < 0.3:
+            accounts[changed] = self.random.choice(ACCOUNTS)
+            self.note(f"{changed} given to {accounts[changed]}")
+        else:
+            accounts[f"key-{number}"] = self.random.choice(ACCOUNTS)
+            self.note(f"key-{number} added to {accounts[f'key-{number}']}")
+        await asyncio.to_thread(self.deployment.write_accounts)
+
+    async def refuse_link(self, index, seconds):
+        """A router cannot reach the store, but others that can. No disturbance: it must learn changes from them."""
+        self.note(f"router {index} cannot reach the store for {seconds:.1f} s")
+        control = self.deployment.address("link_control", index)
+        await asyncio.to_thread(post, control, "/faults", {"refuse": True, "cut": True})
+        await asyncio.sleep(seconds)
+        await asyncio.to_thread(post, control, "/faults", {"refuse": False})
+
+    async def occupy(self, stage, seconds):
+        """All endpoints of a kind are full, so that requests wait or are tried again while keys change."""
+        names = self.deployment.living_replicas(stage)
+        fault = "never_responds" if stage == "app" else "full"
+        names = names[:1] if stage == "app" else names
+        self.note(f"{', '.join(names)}: {fault} for {seconds:.1f} s")
+        await self.set_faults(names, seconds, {fault: True}, {fault: False})
+
+    async def accounts(self, seconds):
+        """Keys are added, revoked and moved while requests wait, endpoints fail and routers are restarted, paused and
+        cut off from the store."""
+        end = time.time() + seconds - 3
+        actions = [
+            lambda: self.occupy("decode", self.random.uniform(0.5, 2)), lambda: self.occupy("app", 1.5),
+            lambda: self.occupy("decode", self.random.uniform(0.5, 2)),
+            lambda: self.break_streams([self.pick("decode")], self.random.uniform(0.5, 2)),
+            lambda: asyncio.gather(*(self.limit_endpoint(name, 3) for name in self.deployment.living_replicas("app"))),
+            lambda: self.restart_router(self.pick_router(), self.random.choice([signal.SIGKILL, signal.SIGTERM])),
+            lambda: (lambda index: self.pause(self.deployment.routers[index], index, self.random.uniform(0.3, 3)))(
+                self.pick_router()),
+            lambda: self.refuse_link(self.pick_router(), self.random.uniform(1, 5)),
+            lambda: self.silence_link(self.pick_router()), lambda: self.store_outage(self.random.uniform(0.5, 3))]
+        running = set()
+        next_fault = time.time()
+        while time.time() < end:
+            await self.change_keys()
+            if time.time() >= next_fault:
+                running.add(asyncio.create_task(self.random.choice(actions)()))
+                next_fault = time.time() + self.random.uniform(0.5, 2)
+            await asyncio.sleep(self.random.uniform(0.05, 0.5))
+        await asyncio.gather(*running)
+        await asyncio.sleep(3)
+
+
 SCENARIOS = ["mixed", "rejected_decodes", "rejected_prefills", "restarts_while_rejecting", "unannounced_leaves",
              "silent_store", "leaves_by_own_word",
              "closed_endpoints", "restored_store", "broken_streams", "endless_bytes",
-             "version_roll", "deadly_parts", "limited_endpoints"]
+             "version_roll", "deadly_parts", "limited_endpoints", "accounts"]
 
 
 # ----------------------------------------------------------------------------------------------------------------------
@@ -724,11 +826,21 @@
         self.received = collections.defaultdict(list)  # endpoint: times of all requests, also of control calls
         self.limits = collections.defaultdict(list)    # endpoint: (time, stated requests per second)
         self.left = {}      # endpoint: time at which the store accepted that it leaves
+        self.accounts = []  # (time, attempt, endpoint, account), of the arrivals
+        self.key_leaks = []  # (time, attempt, endpoint)
+        self.revisions = collections.defaultdict(list)  # router: (time, revision) applied
+        self.account_checks = collections.Counter()
+        if deployment.accounts is not None:
+            self.read_revisions()
         for name in deployment.replicas:
             for event in read_events(deployment.folder / f"{name}.log"):
                 seconds = event["t"] / 1000
                 if event["event"] == "arrival":
                     self.received[name].append(seconds)
+                if event["event"] == "arrival" and event["has_key"]:
+                    self.key_leaks.append((seconds, event["request"], name))
+                if event["event"] == "arrival" and event["result"] != "control":
+                    self.accounts.append((seconds, event["request"], name, event["account"]))
                 if event["event"] == "limit_set":
                     self.limits[name].append((seconds, float(event["limit"] or "inf")))
                 if event["event"] == "arrival" and event["result"] != "control":
@@ -920,6 +1032,72 @@
                 self.report("LOST", f"{share:.0%} of {len(after)} sound requests with {first_part} began after the "
                                     f"verdict, {share_before:.0%} before")
 
+    def read_revisions(self):
+        for index in self.deployment.routers:
+            for event in read_events(self.deployment.folder / f"router-{index}.log"):
+                if event["event"] == "revision_in_force":
+                    self.revisions[index].append((event["t"] / 1000, event["revision"]))
+
+    def holders(self, key, begin, end):
+        """Accounts that may have held the key at some time from begin to end, None for no account. A router may apply a
+        change as soon as it is written and must have applied it KEY_APPLY_SECONDS after it was acknowledged."""
+        changes = self.deployment.key_changes
+        known = set()
+        for index, (written, _, accounts) in enumerate(changes):
+            replaced = changes[index + 1][1] + KEY_APPLY_SECONDS if index + 1 < len(changes) else float("inf")
+            if written <= end and replaced >= begin:
+                known.add(accounts.get(key))
+        return known
+
+    def check_accounts(self):
+        """No endpoint receives a key, or a request whose key has been revoked or is held by another account."""
+        for at, attempt, endpoint in self.key_leaks:
+            self.report("KEY", f"{endpoint} received a key with {attempt or 'a control call'}")
+        if self.deployment.accounts is None:
+            return
+        for at, attempt, endpoint, account in self.accounts:
+            answer, router = self.by_attempt[attempt], self.router_of(attempt)
+            # A stream that has begun is not ended by a revocation, also if it goes on at another engine.
+            if answer.response_at and answer.response_at <= at:
+                continue
+            name = account or None
+            if name is None and answer.kind != "open":
+                self.report("ACCOUNT", f"{attempt} reached {endpoint} without an account")
+                continue
+            # By the clock: also routers that reach the store only through others know the change.
+            if self.is_in_touch(router, at) and name not in self.holders(answer.key, at - SEND_SECONDS, at):
+                self.report("ACCOUNT", f"{attempt} reached {endpoint} as {name}, but its key {answer.key} has been held "
+                                       f"by {self.holders(answer.key, at - SEND_SECONDS, at)} for {KEY_APPLY_SECONDS} s")
+            # By the router's own log: each send agrees with a state that was in force right before.
+            times = self.revisions[router]
+            first = max(bisect.bisect_right(times, (at - SEND_SECONDS, float("inf"))) - 1, 0)
+            last = bisect.bisect_right(times, (at, float("inf")))
+            states = [self.deployment.known_accounts[revision] for _, revision in times[first:max(last, first + 1)]]
+            if name not in {accounts.get(answer.key) for accounts in states}:
+                self.report("ACCOUNT", f"{attempt} reached {endpoint} as {name}, which router {router} knew not to hold "
+                                       f"{answer.key}")
+            self.account_checks["named" if name else "anonymous"] += 1
+        for answer in self.answers:
+            self.check_key_refusal(answer)
+
+    def check_key_refusal(self, answer):
+        """A key that is known is not refused, and a refused request has not run."""
+        holders = self.holders(answer.key, answer.begin, answer.end)
+        is_judged = self.is_in_touch(answer.router, answer.begin) and self.is_in_touch(answer.router, answer.end)
+        code = answer.body.decode(errors="replace")
+        if answer.status == 401:
+            self.account_checks["401"] += 1
+            if self.runs[answer.attempt] > 0:
+                self.report("REFUSED", f"{answer.attempt} got 401 and ran {self.runs[answer.attempt]} times")
+            if answer.kind == "open" or (is_judged and None not in holders):
+                self.report("ACCOUNT", f"{answer.attempt} with the known key {answer.key} got 401")
+        if answer.status == 503 and "key_may_be_new" in code:
+            self.account_checks["503"] += 1
+            if not answer.key or (is_judged and None not in holders):
+                self.report("ACCOUNT", f"{answer.attempt} with the known key {answer.key} was told that it may be new")
+        if answer.status == 200 and answer.kind != "open" and None in holders and len(holders) == 1 and is_judged:
+            self.report("ACCOUNT", f"{answer.attempt} with the unknown key {answer.key} was served")
+
     def check_memory(self):
         """No router exceeds the memory of an entry VM, whatever endpoints send."""
         for index, peak in self.deployment.peak_memory_mb.items():
@@ -943,6 +1121,7 @@
         self.check_versions()
         self.check_resumed()
         self.check_parts()
+        self.check_accounts()
         self.check_memory()
         self.check_processes()
         return self.broken
@@ -992,6 +1171,9 @@
                             arguments.decode, 1.0 if arguments.scenario == "unannounced_leaves" else 0.5)
     if arguments.scenario == "leaves_by_own_word":
         deployment.announce_delay_ms = 6000
+    if arguments.scenario == "accounts":
+        deployment.accounts = {f"key-start-{number}": ACCOUNTS[number % len(ACCOUNTS)] for number in range(8)}
+        deployment.key_changes.append((0, 0, dict(deployment.accounts)))
     if arguments.scenario == "version_roll":
         deployment.event_interval_ms = 100  # long enough for streams to be cut by routers that end
     try:
@@ -1012,6 +1194,9 @@
     print(f"{arguments.scenario} seed {arguments.seed}: {len(callers.answers)} requests, "
           f"{len(checks.arrivals)} arrivals, {len(faults.log)} faults, "
           f"{', '.join(f'{kind} {status}: {count}' for (kind, status), count in sorted(outcomes.items(), key=str))}")
+    if checks.account_checks:
+        print(f"{len(deployment.key_changes)} changes of keys; " +
+              ", ".join(f"{name}: {count}" for name, count in sorted(checks.account_checks.items())))
     if checks.limit_share is not None:
         print(f"{checks.limit_share:.0%} of the stated limits were used")
     resumed = [answer for answer in callers.answers if answer.resumed]
