Log why a request exceeds the limit of its account, and test 429

The line account_limited states the amount, the limit and the time until it is available. Two tests cover the use of account_tracker by the ingress: over the limit nothing is sent, and requests that are not sent use nothing.

--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -256,8 +256,17 @@
   }
   const account_name name = account->name;  // the account of the call may change while it waits
   const std::uint64_t amount = RequestAmount(*account, call->Metadata().total_tokens);
-  const usage_grant grant = co_await accounts_->Take(name, account->limit, amount);
+  const account_limit limit = account->limit;
+  const usage_grant grant = co_await accounts_->Take(name, limit, amount);
   if (!grant.granted) {
+    Events()
+        .Line(kComponent, "account_limited")
+        .Request(call->Metadata().attempt)
+        .Add("account", name.value)
+        .Add("amount", amount)
+        .Add("per_second", limit.tokens_per_second)
+        .Add("burst", limit.burst_tokens)
+        .Add("retry_ms", grant.retry_in.count());
     call_refusal refusal{kTooManyRequests, kOverLimit, grant.retry_in};
     co_return co_await call->Refuse(std::move(refusal));
   }
--- a/tests/caller_accounts_test.cpp
+++ b/tests/caller_accounts_test.cpp
@@ -605,5 +605,64 @@
   EXPECT_EQ(StatusOf("x4", "key-new"), 503);
 }
 
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. limits
+// ---------------------------------------------------------------------------------------------------------------------
+
+class limited_account_test : public caller_accounts_test {
+ protected:
+  limited_account_test() {
+    json limited = Account("alpha", {"key-a1"});
+    limited["per_s"] = kPerSecond;
+    limited["burst"] = kBurst;
+    WriteAccounts(json::array({limited, Account("beta", {"key-b"})}));
+  }
+
+  void SetUp() override {
+    caller_accounts_test::SetUp();
+    ASSERT_TRUE(harness_.RunUntil([&] { return harness_.Directory().Routes()->Revision() == state_.version; }));
+    harness_.RunFor(kGroupStartTime);  // the router knows by then that it is the home of all accounts
+  }
+
+  static constexpr int kPerSecond = 4;
+  static constexpr int kBurst = 8;
+};
+
+// Endpoints must not run what exceeds the limit, and 429 promises that the request has not run.
+TEST_F(limited_account_test, RequestsOverTheLimit_AreAnswered429AndNotSent) {
+  constexpr int kRequests = 40;
+  const time_point begin = timer_service::Now();
+  int served = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string attempt = "a" + std::to_string(i);
+    const auto call = FinishedCall("/pages/1", attempt, Key("key-a1"));
+    const int runs = plain_[0]->Runs(attempt) + plain_[1]->Runs(attempt);
+    served += runs;
+    if (call->Status() == 200) {
+      EXPECT_EQ(runs, 1);
+      continue;
+    }
+    EXPECT_EQ(call->Status(), 429);
+    EXPECT_EQ(runs, 0);
+    EXPECT_GT(std::stod(call->Header("Retry-After")), 0);
+    EXPECT_NE(call->body.find("\"not_run\""), std::string::npos);
+  }
+  const double seconds = std::chrono::duration<double>(timer_service::Now() - begin).count();
+  EXPECT_LE(served, kPerSecond * seconds + kBurst + 1);
+  EXPECT_GT(served, 0);
+  EXPECT_EQ(FinishedCall("/pages/1", "b1", Key("key-b"))->Status(), 200) << "another account is not limited";
+}
+
+// A request that no endpoint has received must not use up the limit.
+TEST_F(limited_account_test, RequestsThatAreNotSent_UseNothing) {
+  for (fake_replica* replica : plain_) {
+    replica->Unregister(harness_.Platform().Tables());
+  }
+  ASSERT_TRUE(harness_.RunUntil([&] { return harness_.Directory().Endpoints().Size() == engines_.size(); }));
+  for (int i = 0; i < 10 * kBurst; ++i) {
+    EXPECT_EQ(FinishedCall("/pages/1", "n" + std::to_string(i), Key("key-a1"))->Status(), 503);
+  }
+}
+
 }  // namespace
 }  // namespace persimmon
