Copy route, service and account into calls instead of keeping tables

A call kept the routing table of its arrival until its end. Calls now copy their route, service and account without key hashes.

--- a/src/direct/caller_auth.cpp
+++ b/src/direct/caller_auth.cpp
@@ -111,9 +111,8 @@
   confirmed_by_peer_at_ = std::max(confirmed_by_peer_at_, std::optional<time_point>(asked_at - age));
 }
 
-caller_auth::key_check caller_auth::Check(const direct_call& call,
-                                          const std::shared_ptr<const routing_table>& routes) const {
-  const auto& accounts = routes->Accounts();
+caller_auth::key_check caller_auth::Check(const direct_call& call, const routing_table& routes) const {
+  const auto& accounts = routes.Accounts();
   if (!accounts) {
     return {};
   }
@@ -124,7 +123,7 @@
   // A lookup by hash does not reveal a key through its timing, because callers cannot choose the hash of a key.
   const caller_account* account = has_key ? accounts->FindByKeyHash(call.key_hash) : nullptr;
   if (account != nullptr && HoldsKey(*account, call.key_hash)) {
-    return {key_verdict::kAccepted, std::shared_ptr<const caller_account>(routes, account)};
+    return {key_verdict::kAccepted, account};
   }
   if (call.Route().anonymous) {
     return {};
@@ -132,7 +131,7 @@
   if (!has_key) {
     return {key_verdict::kMissing, nullptr};
   }
-  const bool may_be_new = !directory_->FollowsDesiredState() || group_->NewestPeerRevision() > routes->Revision();
+  const bool may_be_new = !directory_->FollowsDesiredState() || group_->NewestPeerRevision() > routes.Revision();
   return {may_be_new ? key_verdict::kMayBeNew : key_verdict::kUnknown, nullptr};
 }
 
@@ -158,12 +157,12 @@
     const std::string_view key = ParseBearerKey(platform::FindAuthorization(call.Exchange().Request().headers));
     call.key_hash = key.empty() ? std::string() : HashApiKey(key);
   }
-  key_check checked = Check(call, routes);
+  const key_check checked = Check(call, *routes);
   switch (checked.verdict) {
     case key_verdict::kAccepted:
       call.checked_revision = routes->Revision();
-      if (checked.account || call.Account() != nullptr) {
-        call.SetAccount(std::move(checked.account));
+      if (checked.account != nullptr || call.Account()) {
+        call.SetAccount(checked.account);
       }
       return std::nullopt;
     case key_verdict::kMissing:
@@ -202,18 +201,17 @@
   if (call.HasKeyHeaders() || call.has_response) {
     return !call.HasKeyHeaders();
   }
-  const key_check checked = Check(call, routes);
-  const caller_account* named = call.Account();
+  const key_check checked = Check(call, *routes);
   const bool has_same_name =
-      checked.account ? named != nullptr && named->name == checked.account->name : named == nullptr;
+      checked.account == nullptr ? !call.Account() : call.Account() && call.Account()->name == checked.account->name;
   return checked.verdict == key_verdict::kAccepted && has_same_name;
 }
 
 void caller_auth::CountResult(const direct_call& call) {
-  if (!call.Table().Accounts()) {
+  if (!call.HasAccounts()) {
     return;
   }
-  const char* result = call.Account() != nullptr ? "accepted" : "anonymous";
+  const char* result = call.Account() ? "accepted" : "anonymous";
   for (const char* refusal : {kKeyMissing, kKeyUnknown, kKeyMayBeNew, kKeyRevoked, kKeysUnconfirmed, kOverLimit}) {
     if (call.reason == refusal) {
       result = refusal;
--- a/src/direct/caller_auth.h
+++ b/src/direct/caller_auth.h
@@ -53,10 +53,10 @@
 
   struct key_check {
     key_verdict verdict = key_verdict::kAccepted;
-    std::shared_ptr<const caller_account> account;
+    const caller_account* account = nullptr;  // in the routing table
   };
 
-  key_check Check(const direct_call& call, const std::shared_ptr<const routing_table>& routes) const;
+  key_check Check(const direct_call& call, const routing_table& routes) const;
   std::optional<time_point> ConfirmedAt() const;
   bool IsConfirmed() const;
   task<> FollowPeers();
--- a/src/direct/direct_call.cpp
+++ b/src/direct/direct_call.cpp
@@ -41,14 +41,15 @@
 }
 
 direct_call::direct_call(std::shared_ptr<http_exchange> exchange, platform::request_metadata metadata,
-                         std::shared_ptr<const routing_table> table, const route_record& route,
-                         const service_record& service, time_point arrival)
+                         const routing_table& table, const route_record& route, const service_record& service,
+                         time_point arrival)
     : exchange_(std::move(exchange)),
       metadata_(std::move(metadata)),
-      table_(std::move(table)),
+      revision_(table.Revision()),
       route_(route),
       service_(service),
-      has_key_headers_(!table_->Accounts()),
+      has_accounts_(table.Accounts().has_value()),
+      has_key_headers_(!has_accounts_),
       forwarded_(platform::MakeForwardedRequest(exchange_->Request(), has_key_headers_
                                                                           ? platform::account_headers::kForward
                                                                           : platform::account_headers::kRemove)),
@@ -86,8 +87,12 @@
   has_key_headers_ = false;
 }
 
-void direct_call::SetAccount(std::shared_ptr<const caller_account> account) {
-  account_ = std::move(account);
+void direct_call::SetAccount(const caller_account* account) {
+  account_.reset();
+  if (account != nullptr) {
+    account_ =
+        caller_account{account->name, {}, account->priority, account->unit, account->plain_tokens, account->limit};
+  }
   platform::SetAccountHeader(forwarded_, account_ ? account_->name.value : std::string());
 }
 
--- a/src/direct/direct_call.h
+++ b/src/direct/direct_call.h
@@ -43,9 +43,9 @@
 
 class direct_call : public std::enable_shared_from_this<direct_call> {
  public:
-  direct_call(std::shared_ptr<http_exchange> exchange, platform::request_metadata metadata,
-              std::shared_ptr<const routing_table> table, const route_record& route, const service_record& service,
-              time_point arrival);
+  // Copies the route and the service, because a long stream must not keep a whole routing table with its accounts.
+  direct_call(std::shared_ptr<http_exchange> exchange, platform::request_metadata metadata, const routing_table& table,
+              const route_record& route, const service_record& service, time_point arrival);
 
   // Starts to monitor the caller's connection for a disconnect.
   void WatchCaller();
@@ -57,10 +57,10 @@
   time_point Arrival() const { return arrival_; }
   time_point Deadline() const { return deadline_; }  // time budget or route timeout, whichever ends first
   fingerprint_number Fingerprint() const { return fingerprint_; }
-  revision_number Revision() const { return table_->Revision(); }
-  const routing_table& Table() const { return *table_; }  // in force when the request arrived
-  // Null if the caller needs no account or uses an anonymous route without a known key.
-  const caller_account* Account() const { return account_.get(); }
+  revision_number Revision() const { return revision_; }  // of the desired state when the request arrived
+  bool HasAccounts() const { return has_accounts_; }      // that desired state had client accounts
+  // Without key hashes. Absent if the caller needs no account or uses an anonymous route without a known key.
+  const std::optional<caller_account>& Account() const { return account_; }
   milliseconds TimeLeft(time_point now) const;
   milliseconds Age(time_point now) const;
   bool IsCallerDisconnected() const { return caller_disconnected_; }
@@ -86,8 +86,8 @@
   // For caller_auth. HasKeyHeaders: the forwarded request still has the headers of the caller that concern accounts.
   bool HasKeyHeaders() const { return has_key_headers_; }
   void RemoveKeyHeaders();
-  // Sets the account, which names the caller to endpoints. `account` also owns the account.
-  void SetAccount(std::shared_ptr<const caller_account> account);
+  // Sets the account, which names the caller to endpoints. Null: none.
+  void SetAccount(const caller_account* account);
 
   std::string key_hash;                  // SHA-256 of the caller's API key; empty: it has sent none
   revision_number checked_revision = 0;  // of the desired state by which the account was determined
@@ -112,12 +112,13 @@
 
   std::shared_ptr<http_exchange> exchange_;
   platform::request_metadata metadata_;
-  std::shared_ptr<const routing_table> table_;  // owns route_ and service_
-  const route_record& route_;
-  const service_record& service_;
+  revision_number revision_;
+  route_record route_;
+  service_record service_;
+  bool has_accounts_;
   bool has_key_headers_;
   http_request forwarded_;
-  std::shared_ptr<const caller_account> account_;
+  std::optional<caller_account> account_;
   fingerprint_number fingerprint_ = 0;
   time_point arrival_;
   time_point deadline_;
--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -222,7 +222,7 @@
 task<> ingress::Handle(std::shared_ptr<http_exchange> exchange) {
   const time_point arrival = timer_service::Now();
   const http_request& request = exchange->Request();
-  const auto routes = directory_->Routes();
+  auto routes = directory_->Routes();
   if (routes->Revision() == 0) {
     co_return co_await RespondWithError(exchange, 503, "no_configuration", kNotReadyRetryAfter);
   }
@@ -234,8 +234,9 @@
   if (service == nullptr) {
     co_return co_await RespondWithError(exchange, 503, "unknown_service", kNotReadyRetryAfter);
   }
-  auto call = std::make_shared<direct_call>(exchange, platform::ParseRequestHeaders(request.headers), routes, *route,
+  auto call = std::make_shared<direct_call>(exchange, platform::ParseRequestHeaders(request.headers), *routes, *route,
                                             *service, arrival);
+  routes.reset();
   call->WatchCaller();
   auto refused = auth_->Authenticate(*call);
   call_outcome outcome = call_outcome::kRefused;
@@ -250,8 +251,8 @@
 
 // Serves a request if its account has the amount that it uses left.
 task<call_outcome> ingress::ServeLimited(direct_call_ptr call) {
-  const caller_account* account = call->Account();
-  if (account == nullptr || account->limit.tokens_per_second == 0) {
+  const auto& account = call->Account();
+  if (!account || account->limit.tokens_per_second == 0) {
     co_return co_await Serve(std::move(call));
   }
   const account_name name = account->name;  // the account of the call may change while it waits
@@ -304,7 +305,7 @@
 void ingress::LogCompletion(const direct_call& call, call_outcome outcome) {
   const time_point now = timer_service::Now();
   auto line = Events().Line(kComponent, "request");
-  if (call.Account() != nullptr) {
+  if (call.Account()) {
     line.Add("account", call.Account()->name.value);
   }
   line.Request(call.Metadata().attempt)
