--- a/tests/caller_accounts_test.cpp
+++ b/tests/caller_accounts_test.cpp
@@ -8,6 +8,10 @@
 //   4. limits
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <thread>
+
+#include "direct/router_group.h"
 #include "support/router_harness.h"
 
 namespace persimmon {
@@ -58,22 +62,25 @@
       options.service = "app";
       plain_.push_back(&harness_.AddReplica(options));
     }
-    for (const char* stage : {"prefill", "decode"}) {
-      replica_options options;
-      options.name = std::string(stage) + "-1";
-      options.service = "llm";
-      options.stage = stage;
-      options.memory_tokens = options.stage == "decode" ? 10'000 : 0;
-      options.tokens_per_ms = options.stage == "prefill" ? 4 : 0;
-      options.event_interval = milliseconds(20);
-      engines_.push_back(&harness_.AddReplica(options));
-    }
+    AddEngine("prefill-1", "prefill");
+    AddEngine("decode-1", "decode");
     state_.tenants = json::array({Account("alpha", {"key-a1", "key-a2"}), Account("beta", {"key-b"})});
     harness_.WriteDesiredState(state_);
   }
 
   void SetUp() override { ASSERT_TRUE(harness_.Start()); }
 
+  void AddEngine(const std::string& name, const std::string& stage) {
+    replica_options options;
+    options.name = name;
+    options.service = "llm";
+    options.stage = stage;
+    options.memory_tokens = stage == "decode" ? 10'000 : 0;
+    options.tokens_per_ms = stage == "prefill" ? 4 : 0;
+    options.event_interval = milliseconds(20);
+    engines_.push_back(&harness_.AddReplica(options));
+  }
+
   // Writes a desired state with these accounts and does not wait for the router.
   void WriteAccounts(const json& accounts) {
     ++state_.version;
@@ -126,7 +133,7 @@
   desired_state_options state_;
   router_harness harness_;
   std::vector<fake_replica*> plain_;
-  std::vector<fake_replica*> engines_;  // prefill, decode
+  std::vector<fake_replica*> engines_;  // a prefill engine, then decode engines
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -303,15 +310,44 @@
   EXPECT_EQ(Reached().size(), 1U);
 }
 
-TEST_F(caller_accounts_test, KeyRevoked_BeforeASecondEngine_IsNotSentAgain) {
-  engines_[1]->Faults().never_responds = true;
-  const auto call = SendModel("/digest/1", "m1", "key-a1");
-  ASSERT_TRUE(harness_.RunUntil([&] { return engines_[1]->Runs("m1") == 1; }));
+class two_engines_test : public caller_accounts_test {
+ protected:
+  two_engines_test() { AddEngine("decode-2", "decode"); }
+
+  int Runs(const std::string& attempt) const { return engines_[1]->Runs(attempt) + engines_[2]->Runs(attempt); }
+};
+
+TEST_F(two_engines_test, KeyRevoked_BeforeASecondEngine_IsNotSentAgain) {
+  for (const std::size_t engine : {1, 2}) {
+    engines_[engine]->Faults().never_responds = true;
+  }
+  const auto call = SendModel("/digest/1", "m1", "key-a1");  // the second engine would follow after the stall limit
+  ASSERT_TRUE(harness_.RunUntil([&] { return Runs("m1") == 1; }));
   ApplyAccounts(json::array());
-  engines_[1]->Faults() = {};
   ASSERT_TRUE(harness_.Finish(call));
   EXPECT_EQ(call->Status(), 502);
-  EXPECT_EQ(engines_[1]->Runs("m1"), 1);
+  EXPECT_EQ(Runs("m1"), 1);
+  EXPECT_EQ(engines_[0]->Prefills(), 1);
+}
+
+// A stream in progress is not ended by a revocation, also if its engine is lost afterwards.
+TEST_F(two_engines_test, KeyRevoked_DuringAStream_LetsItGoOnAtAnotherEngine) {
+  for (const std::size_t engine : {1, 2}) {
+    engines_[engine]->Faults().break_after_events = 3;
+  }
+  const auto call = SendModel("/digest/1", "m1", "key-a1");
+  ASSERT_TRUE(harness_.RunUntil([&] { return !call->body.empty(); }));
+  for (const std::size_t engine : {1, 2}) {
+    if (engines_[engine]->Runs("m1") == 0) {
+      engines_[engine]->Faults() = {};
+    }
+  }
+  ApplyAccounts(json::array());
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 200);
+  EXPECT_EQ(call->body, WholeStream("m1", 5));
+  EXPECT_EQ(Runs("m1"), 2);
+  ExpectOnlyAccount("alpha");
 }
 
 // A call that waits for a permit of its endpoint is sent when the permit arrives, without passing the queue again.
@@ -407,6 +443,25 @@
   EXPECT_EQ(Reached().size(), 1U);
 }
 
+// Another router may know the key already.
+TEST_F(caller_accounts_test, UnknownKey_WhileAnotherRouterHasANewerState_IsAnswered503) {
+  datagram_socket peer(harness_.Kernel().Context(), host_port{"127.0.0.1", 0}, [](const host_port&, const message&) {});
+  ASSERT_TRUE(peer.Start());
+  router_state sent;
+  sent.name = "router-2";
+  sent.incarnation = 7;
+  sent.sequence = 1;
+  sent.revision = state_.version + 1;
+  peer.Send({"127.0.0.1", harness_.Settings().deployment.first_internal_port}, message(sent));
+  ASSERT_TRUE(harness_.RunUntil(
+      [this, &sent] { return harness_.Kernel().Find<router_group>("group").NewestPeerRevision() == sent.revision; }));
+  EXPECT_EQ(FinishedCall("/pages/1", "a1", Key("key-x"))->Status(), 503);
+  EXPECT_EQ(FinishedCall("/pages/1", "a2", Key("key-a1"))->Status(), 200);
+  ApplyAccounts(json::array({Account("alpha", {"key-a1"})}));
+  EXPECT_EQ(FinishedCall("/pages/1", "a3", Key("key-x"))->Status(), 401);
+  peer.Stop();
+}
+
 // The control port is open to all VMs of the deployment; hashes are enough for other routers to check keys.
 TEST_F(caller_accounts_test, ExportedState_HasNoKeysAndServesAnotherRouter) {
   const auto exported = harness_.SendToControl("/state");
@@ -463,5 +518,151 @@
   EXPECT_EQ(FinishedCall("/pages/1", "a6", Key("key-a1"))->Status(), 200);
 }
 
+// Two routers; only the second one keeps its connection to the store.
+class confirmation_test : public caller_accounts_test {
+ protected:
+  confirmation_test()
+      : caller_accounts_test(
+            [](direct_settings& settings) {
+              settings.deployment.strict_revoke = true;
+              settings.deployment.revoke_time = kRevokeTime;
+            },
+            router_harness::store_path::kLink) {}
+
+  ~confirmation_test() override { other_.Stop(); }
+
+  void SetUp() override {
+    caller_accounts_test::SetUp();
+    direct_settings settings = harness_.Settings();
+    auto& deployment = settings.deployment;
+    const auto free_address = [] { return host_port{"127.0.0.2", static_cast<std::uint16_t>(support::FreePort())}; };
+    deployment.name = "router-2";
+    deployment.callers = free_address();
+    deployment.readiness = free_address();
+    deployment.control = free_address();
+    deployment.store = {"127.0.0.1", harness_.Platform().Port()};
+    deployment.seeds = {harness_.Settings().deployment.control};
+    stop_ = RegisterDirectRouter(other_, settings);
+    other_.Start();
+    ASSERT_TRUE(RunBothUntil([this] {
+      return !harness_.Kernel().Find<router_group>("group").ControlAddresses().empty() &&
+             other_.Find<deployment_directory>("directory").IsInForce();
+    }));
+  }
+
+  bool RunBothUntil(const std::function<bool()>& condition, milliseconds limit = milliseconds(10'000)) {
+    const time_point end = timer_service::Now() + limit;
+    while (!condition()) {
+      if (timer_service::Now() > end) {
+        return false;
+      }
+      std::size_t handled = 0;
+      for (kernel* services : {&harness_.Kernel(), &other_}) {
+        services->Context().restart();
+        handled += services->Context().poll();
+      }
+      if (handled == 0) {
+        std::this_thread::sleep_for(microseconds(200));
+      }
+    }
+    return true;
+  }
+
+  void RunBothFor(milliseconds duration) {
+    const time_point end = timer_service::Now() + duration;
+    RunBothUntil([end] { return timer_service::Now() >= end; }, duration + milliseconds(1'000));
+  }
+
+  int StatusOf(const std::string& attempt, const std::string& key) {
+    const auto call = harness_.Send("GET", "/pages/1", attempt, Key(key));
+    EXPECT_TRUE(RunBothUntil([&] { return call->done; }));
+    return call->Status();
+  }
+
+  static constexpr milliseconds kRevokeTime{1'000};
+
+  kernel other_;
+  detail::stop_function stop_;
+};
+
+// A router that is cut off from the store only must serve known keys, and must learn changes of keys.
+TEST_F(confirmation_test, RouterCutOffFromTheStore_IsConfirmedByAnotherRouter) {
+  ASSERT_TRUE(harness_.StoreLink().SetRefusingConnections(true));
+  harness_.StoreLink().CutConnections();
+  const time_point end = timer_service::Now() + 4 * kRevokeTime;
+  for (int i = 0; timer_service::Now() < end; ++i) {
+    EXPECT_EQ(StatusOf("a" + std::to_string(i), "key-a1"), 200);
+    RunBothFor(milliseconds(20));
+  }
+  EXPECT_EQ(StatusOf("x1", "key-new"), 503);
+  WriteAccounts(json::array({Account("beta", {"key-new"})}));
+  ASSERT_TRUE(RunBothUntil([this] { return harness_.Directory().Routes()->Revision() == state_.version; }, kApplyTime));
+  EXPECT_EQ(StatusOf("x2", "key-new"), 200);
+  EXPECT_NE(StatusOf("x3", "key-a1"), 200);
+  // Without the store at the other router either, nothing confirms the state.
+  harness_.Platform().Faults().outage = true;
+  RunBothFor(kRevokeTime + milliseconds(100));
+  EXPECT_EQ(StatusOf("x4", "key-new"), 503);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. limits
+// ---------------------------------------------------------------------------------------------------------------------
+
+class limited_account_test : public caller_accounts_test {
+ protected:
+  limited_account_test() {
+    json limited = Account("alpha", {"key-a1"});
+    limited["per_s"] = kPerSecond;
+    limited["burst"] = kBurst;
+    WriteAccounts(json::array({limited, Account("beta", {"key-b"})}));
+  }
+
+  void SetUp() override {
+    caller_accounts_test::SetUp();
+    ASSERT_TRUE(harness_.RunUntil([&] { return harness_.Directory().Routes()->Revision() == state_.version; }));
+    harness_.RunFor(kGroupStartTime);  // the router knows by then that it is the home of all accounts
+  }
+
+  static constexpr int kPerSecond = 4;
+  static constexpr int kBurst = 8;
+};
+
+// Endpoints must not run what exceeds the limit, and 429 promises that the request has not run.
+TEST_F(limited_account_test, RequestsOverTheLimit_AreAnswered429AndNotSent) {
+  constexpr int kRequests = 40;
+  const time_point begin = timer_service::Now();
+  int served = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string attempt = "a" + std::to_string(i);
+    const auto call = FinishedCall("/pages/1", attempt, Key("key-a1"));
+    const int runs = plain_[0]->Runs(attempt) + plain_[1]->Runs(attempt);
+    served += runs;
+    if (call->Status() == 200) {
+      EXPECT_EQ(runs, 1);
+      continue;
+    }
+    EXPECT_EQ(call->Status(), 429);
+    EXPECT_EQ(runs, 0);
+    EXPECT_GT(std::stod(call->Header("Retry-After")), 0);
+    EXPECT_NE(call->body.find("\"not_run\""), std::string::npos);
+  }
+  const double seconds = std::chrono::duration<double>(timer_service::Now() - begin).count();
+  EXPECT_LE(served, kPerSecond * seconds + kBurst + 1);
+  EXPECT_GT(served, 0);
+  EXPECT_EQ(FinishedCall("/pages/1", "b1", Key("key-b"))->Status(), 200) << "another account is not limited";
+}
+
+// A request that no endpoint has received must not use up the limit.
+TEST_F(limited_account_test, RequestsThatAreNotSent_UseNothing) {
+  for (fake_replica* replica : plain_) {
+    replica->Unregister(harness_.Platform().Tables());
+  }
+  ASSERT_TRUE(harness_.RunUntil([&] { return harness_.Directory().Endpoints().Size() == engines_.size(); }));
+  for (int i = 0; i < 10 * kBurst; ++i) {
+    EXPECT_EQ(FinishedCall("/pages/1", "n" + std::to_string(i), Key("key-a1"))->Status(), 503);
+  }
+}
+
 }  // namespace
 }  // namespace persimmon
