Let limit_members choose the home router of any hash key

Client accounts will use the same members as the limits of endpoints, but are no endpoints and need other shares. The key is now a hash, and OwnRole returns what a share is derived from. request_limits_test passes (21 tests).

--- a/include/persimmon/request_limits.h
+++ b/include/persimmon/request_limits.h
@@ -161,7 +161,8 @@
 // 4. members and home routers
 // ---------------------------------------------------------------------------------------------------------------------
 
-// What a router knows of the others, and which one is the home router of an endpoint.
+// What a router knows of the others, and which one is the home router of a hash key: of an endpoint with a limit, or of
+// a client account.
 class limit_members {
  public:
   limit_members(std::string own_address, const request_limit_settings& settings, time_point now)
@@ -175,11 +176,21 @@
   // To be called several times per max_tick_delay, and before each decision. Notices that the process was paused.
   void Tick(time_point now);
 
-  // Address of the router to ask for a permit; nothing if none is known.
-  std::optional<std::string> HomeOf(const limited_endpoint& endpoint, time_point now) const;
+  // Address of the home router of what has this hash key; nothing if none is known.
+  std::optional<std::string> HomeOf(std::uint64_t key, time_point now) const;
 
-  // Share of the endpoint's limit that this router may assign; 0 if it is not the home router.
-  double OwnShare(const limited_endpoint& endpoint, time_point now) const;
+  // What this router may do as the home router.
+  struct home_role {
+    bool is_home = false;
+    bool takes_over = false;  // another router may still act as home router
+    double side = 0;          // part of all routers that this one can reach, with itself; 0: unknown
+
+    bool operator==(const home_role&) const = default;
+  };
+  home_role OwnRole(std::uint64_t key, time_point now) const;
+
+  // Share of the limit of an endpoint that this router may assign; 0 if it is not the home router.
+  double OwnShare(std::uint64_t key, time_point now) const;
 
  private:
   struct member {
--- a/src/decisions/request_limits.cpp
+++ b/src/decisions/request_limits.cpp
@@ -90,9 +90,8 @@
 
 namespace {
 
-std::uint64_t Rank(const limited_endpoint& endpoint, const std::string& router) {
-  const std::string_view key(reinterpret_cast<const char*>(&endpoint.key), sizeof(endpoint.key));
-  return RendezvousScore(key, router);
+std::uint64_t Rank(std::uint64_t key, const std::string& router) {
+  return RendezvousScore(std::string_view(reinterpret_cast<const char*>(&key), sizeof(key)), router);
 }
 
 }  // namespace
@@ -139,11 +138,11 @@
   last_tick_ = now;
 }
 
-std::optional<std::string> limit_members::HomeOf(const limited_endpoint& endpoint, time_point now) const {
+std::optional<std::string> limit_members::HomeOf(std::uint64_t key, time_point now) const {
   std::optional<std::string> best;
   std::uint64_t best_rank = 0;
   const auto consider = [&](const std::string& address) {
-    const std::uint64_t rank = Rank(endpoint, address);
+    const std::uint64_t rank = Rank(key, address);
     if (!best || rank > best_rank) {
       best = address;
       best_rank = rank;
@@ -161,27 +160,38 @@
   return best;
 }
 
-double limit_members::OwnShare(const limited_endpoint& endpoint, time_point now) const {
-  if (!IsSettled(now) || HomeOf(endpoint, now) != own_address_) {
-    return 0;
+limit_members::home_role limit_members::OwnRole(std::uint64_t key, time_point now) const {
+  home_role role;
+  if (!IsSettled(now) || HomeOf(key, now) != own_address_) {
+    return role;
   }
-  const std::uint64_t own_rank = Rank(endpoint, own_address_);
+  role.is_home = true;
+  const std::uint64_t own_rank = Rank(key, own_address_);
   const bool has_just_settled = now - own_since_ < settings_.settle_time + settings_.join_time;
   std::uint32_t alive = 1;
-  bool takes_over = false;
   for (const auto& [address, other] : others_) {
     alive += IsAlive(other, now) ? 1 : 0;
-    const bool was_home_lately = other.last_eligible && now - *other.last_eligible <= settings_.takeover_time &&
-                                 Rank(endpoint, address) > own_rank;
-    takes_over = takes_over || was_home_lately || (has_just_settled && IsEligible(other, now));
+    const bool was_home_lately =
+        other.last_eligible && now - *other.last_eligible <= settings_.takeover_time && Rank(key, address) > own_rank;
+    role.takes_over = role.takes_over || was_home_lately || (has_just_settled && IsEligible(other, now));
   }
-  double share = settings_.unknown_count_share;
   if (router_count_ != 0) {
+    role.side = static_cast<double>(alive) / std::max(alive, router_count_);
+  }
+  return role;
+}
+
+double limit_members::OwnShare(std::uint64_t key, time_point now) const {
+  const home_role role = OwnRole(key, now);
+  if (!role.is_home) {
+    return 0;
+  }
+  double share = settings_.unknown_count_share;
+  if (role.side > 0) {
     // Behind a cut, only the side with most of the routers assigns the whole limit.
-    const double side = static_cast<double>(alive) / std::max(alive, router_count_);
-    share = side > 0.5 ? 1 : side / 2;
+    share = role.side > 0.5 ? 1 : role.side / 2;
   }
-  return takes_over ? share * settings_.takeover_share : share;
+  return role.takes_over ? share * settings_.takeover_share : share;
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -233,7 +243,7 @@
   if (!Rate(endpoint)) {
     return {permit_verdict::kNoLimit, microseconds(0)};
   }
-  const double share = members_.OwnShare(endpoint, now);
+  const double share = members_.OwnShare(endpoint.key, now);
   if (share <= 0) {
     return {permit_verdict::kNotHome, microseconds(0)};
   }
--- a/src/direct/limit_tracker.cpp
+++ b/src/direct/limit_tracker.cpp
@@ -46,7 +46,7 @@
     const time_point now = timer_service::NowWithSuspension();
     std::vector<limited_endpoint> own;
     for (const limited_endpoint& endpoint : limits_->LimitedEndpoints()) {
-      if (limits_->Members().HomeOf(endpoint, now) == group_->Self().address.Text()) {
+      if (limits_->Members().HomeOf(endpoint.key, now) == group_->Self().address.Text()) {
         own.push_back(endpoint);
       }
     }
@@ -94,7 +94,7 @@
         .Add("limit", limits_->Rate(endpoint).value_or(endpoint_limit_entry::kNoLimit))
         .Add("before", before.value_or(endpoint_limit_entry::kNoLimit))
         .Add("sent_ms_ago", ElapsedMs(sent_then, now))
-        .Add("home", limits_->Members().HomeOf(endpoint, now).value_or(""));
+        .Add("home", limits_->Members().HomeOf(endpoint.key, now).value_or(""));
     RecordChange(endpoint);
   }
 }
@@ -139,7 +139,7 @@
 }
 
 void limit_tracker::TellHome(const limited_endpoint& endpoint) {
-  const auto home = limits_->Members().HomeOf(endpoint, timer_service::NowWithSuspension());
+  const auto home = limits_->Members().HomeOf(endpoint.key, timer_service::NowWithSuspension());
   if (home && *home != group_->Self().address.Text()) {
     if (const auto address = ParseHostPort(*home)) {
       SendEntries({endpoint}, {address.value()});
@@ -215,7 +215,7 @@
       co_return permit_result{send_permit{std::nullopt, asked}, milliseconds(0)};
     }
     const auto remaining = std::chrono::duration_cast<milliseconds>(end - timer_service::Now());
-    const auto home = limits_->Members().HomeOf(endpoint, asked);
+    const auto home = limits_->Members().HomeOf(endpoint.key, asked);
     std::optional<permit_decision> decision;
     if (home == group_->Self().address.Text()) {
       decision = limits_->Decide(endpoint, std::max(remaining, milliseconds(0)), asked);
--- a/tests/request_limits_test.cpp
+++ b/tests/request_limits_test.cpp
@@ -152,7 +152,7 @@
     for (double at = 0; at <= 20; at += 0.4) {
       Hear(at);
     }
-    while (self_.HomeOf(endpoint_, At(20)) != kOther) {
+    while (self_.HomeOf(endpoint_.key, At(20)) != kOther) {
       ++endpoint_.key;
     }
   }
@@ -171,19 +171,19 @@
 
 TEST_F(limit_members_test, RouterThatHasJustStarted_IsNoHomeRouter) {
   Hear(20.4, false, 2);
-  EXPECT_EQ(self_.HomeOf(endpoint_, At(20.5)), kSelf);
+  EXPECT_EQ(self_.HomeOf(endpoint_.key, At(20.5)), kSelf);
   for (double at = 20.8; at < 23; at += 0.4) {
     Hear(at, false, 2);
   }
-  EXPECT_EQ(self_.HomeOf(endpoint_, At(23)), kOther);
+  EXPECT_EQ(self_.HomeOf(endpoint_.key, At(23)), kOther);
 }
 
 // It may have missed that another router has taken over.
 TEST_F(limit_members_test, OwnProcess_AfterAPause_IsNoHomeRouterForAWhile) {
   Hear(20.4, true);
-  ASSERT_GT(self_.OwnShare(endpoint_, At(20.5)), 0);
+  ASSERT_GT(self_.OwnShare(endpoint_.key, At(20.5)), 0);
   self_.Tick(At(22));
-  EXPECT_EQ(self_.OwnShare(endpoint_, At(22)), 0);
+  EXPECT_EQ(self_.OwnShare(endpoint_.key, At(22)), 0);
 }
 
 TEST_F(limit_members_test, SilentRouter_ThatAnotherOneHears_StaysHomeRouter) {
@@ -193,7 +193,7 @@
     self_.Tick(At(at));
     self_.RecordHeard("10.0.0.3:7", 1, false, At(at));
     self_.RecordListed(kOther, At(at));
-    EXPECT_NE(self_.HomeOf(endpoint_, At(at)), kSelf);
+    EXPECT_NE(self_.HomeOf(endpoint_.key, At(at)), kSelf);
   }
 }
 
@@ -201,18 +201,18 @@
 TEST_F(limit_members_test, Successor_OfAHomeRouterThatHasLeft_AssignsLessAtFirst) {
   Hear(20.4, true);
   self_.SetRouterCount(1);
-  EXPECT_EQ(self_.OwnShare(endpoint_, At(20.5)), request_limit_settings{}.takeover_share);
+  EXPECT_EQ(self_.OwnShare(endpoint_.key, At(20.5)), request_limit_settings{}.takeover_share);
   for (double at = 20.5; at < 25; at += 0.5) {
     self_.Tick(At(at));
   }
-  EXPECT_EQ(self_.OwnShare(endpoint_, At(25)), 1);
+  EXPECT_EQ(self_.OwnShare(endpoint_.key, At(25)), 1);
 }
 
 TEST_F(limit_members_test, HalfOfTheRouters_BehindACut_AssignsAQuarter) {
   for (double at = 20.5; at < 30; at += 0.5) {
     self_.Tick(At(at));
   }
-  EXPECT_EQ(self_.OwnShare(endpoint_, At(30)), 0.25);
+  EXPECT_EQ(self_.OwnShare(endpoint_.key, At(30)), 0.25);
 }
 
 class request_limits_test : public testing::Test {
@@ -413,7 +413,7 @@
       return;
     }
     const microseconds max_wait = milliseconds(random_() % 400);
-    const auto home = self.limits->Members().HomeOf(endpoint_, At(now_));
+    const auto home = self.limits->Members().HomeOf(endpoint_.key, At(now_));
     if (!home) {
       return;
     }
