Keep the rate limits of accounts across routers without agents

Loans live for 500 ms and are for exactly what a request needs, or whole loans in advance at busy routers: the rest of a partial loan expires unused where a request has 3,000 to 7,000 tokens. The local share is lent too and spent in excess of the limit, because a home router that lends only 95% of a limit cannot reach 95% of it. A lowered limit voids loans.

limit_members now removes silent routers once per second instead of with each message; with 370 routers, more than 900 arrive per second.

--- a/include/persimmon/limits.h
+++ b/include/persimmon/limits.h
@@ -41,6 +41,22 @@
   // Largest loan as a fraction of the burst; exceeded only if a single request needs more.
   double max_loan_share = 0.25;
   milliseconds idle_retention = milliseconds(60'000);  // time after which idle accounts are removed
+  // True: the local share is lent too, so that connected routers can use the whole limit, and is spent in excess of it.
+  bool local_share_is_extra = false;
+  // Largest sum, over all routers, by which requests may overdraw the local share. 0: each router may overdraw it by
+  // one request.
+  double local_overdraft = 0;
+  // True: a router borrows exactly what a request needs, and in advance only if its demand uses the loan within
+  // loan_demand_time. Loans are granted whole or not at all. With many routers and small limits, rests of loans that no
+  // request fits into would expire.
+  bool whole_loans = false;
+  // With whole_loans, a bucket may be overdrawn by this part of its burst. Otherwise small requests would keep the
+  // level below what a large one needs, and large ones would never be admitted.
+  double overdraft_share = 0;
+  // Largest overdraft of the buckets of all sides of a partitioned network together, in tokens.
+  double partition_overdraft = 0;
+  // Time after a loan was requested in which tokens of requests that were not sent can be spent again.
+  milliseconds return_time = milliseconds(2'000);
 
   bool operator==(const limit_settings&) const = default;
 };
@@ -99,8 +115,21 @@
  public:
   explicit token_lender(limit_settings settings) : settings_(settings) {}
 
-  // Lends up to `amount` tokens. Granted tokens leave the bucket and are not returned.
-  loan LendTokens(const account_name& account, const account_limit& limit, std::uint64_t amount, time_point now);
+  // Lends up to `amount` tokens. Granted tokens leave the bucket and are not returned. `share`: part of the limit that
+  // this router may lend.
+  loan LendTokens(const account_name& account, const account_limit& limit, std::uint64_t amount, time_point now,
+                  double share = 1);
+
+  // Sets the share of each account's limit that this router may lend from now on. Removes the buckets of accounts with
+  // share 0: another router has lent since then, so the bucket must not fill up meanwhile.
+  template <class function>
+  void UpdateShares(function share_of, time_point now) {
+    for (auto item = buckets_.begin(); item != buckets_.end();) {
+      const double share = share_of(item->first);
+      SetLimit(item->second, item->second.limit, share, now);
+      item = share <= 0 ? buckets_.erase(item) : std::next(item);
+    }
+  }
 
   // Removes buckets that are at least half full and have been idle for the retention time.
   void ExpireBuckets(time_point now);
@@ -110,8 +139,13 @@
   struct bucket_entry {
     token_bucket bucket;
     account_limit limit;
+    double share = 1;
     time_point last_used;
   };
+  double Capacity(const account_limit& limit, double share) const;
+  double Overdraft(const account_limit& limit, double share) const;
+  void SetLimit(bucket_entry& entry, const account_limit& limit, double share, time_point now) const;
+
   limit_settings settings_;
   std::unordered_map<account_name, bucket_entry> buckets_;
 };
@@ -140,20 +174,24 @@
 // Per account, the tokens that this router has borrowed and its part of the local share.
 class account_token_table {
  public:
-  explicit account_token_table(limit_settings settings) : settings_(settings) {}
+  // `first_sequence`: a random one keeps answers to an earlier process of this router apart.
+  explicit account_token_table(limit_settings settings, std::uint64_t first_sequence = 1)
+      : settings_(settings), next_sequence_(first_sequence) {}
 
   // Takes the tokens for one request. `routers` is the number of routers in the VM list. While the home router is
   // unreachable, only borrowed tokens and the local share are spent. At most one request for tokens is outstanding per
-  // account, until RecordLoan or RecordLoanFailure is called.
+  // account, until RecordLoan or RecordLoanFailure is called. `is_retry`: of a request that has got kBorrow, so its
+  // amount is already counted as demand.
   take_result TakeTokens(const account_name& account, const account_limit& limit, std::uint64_t amount,
-                         bool home_reachable, std::size_t routers, time_point now);
+                         bool home_reachable, std::size_t routers, time_point now, bool is_retry = false);
 
   // Handles the home router's reply. Lent tokens expire after the loan lifetime, counted from the request for them. A
   // reply to any other than the outstanding request is ignored, so tokens may be lost but never counted twice.
   void RecordLoan(const account_name& account, std::uint64_t sequence, const loan& lent, time_point now);
   void RecordLoanFailure(const account_name& account, std::uint64_t sequence);
 
-  // Returns tokens that a request took but did not use, for example because it was rejected.
+  // Returns tokens that a request took but did not use, for example because it was rejected. With whole_loans, only
+  // those of a request that took this amount from loans that were requested within the return time; others are lost.
   void ReturnTokens(const account_name& account, std::uint64_t amount, time_point now);
 
   void ExpireAccounts(time_point now);
@@ -165,21 +203,35 @@
  private:
   struct active_loan {
     double amount = 0;
+    time_point requested;
     time_point expires;
   };
+  struct recent_take {
+    double amount = 0;
+    time_point requested;  // of the earliest loan that it took from
+  };
   struct entry {
     std::deque<active_loan> active_loans;  // earliest expiry first
+    std::deque<recent_take> recent_takes;  // from loans; only with whole_loans
+    account_limit limit;
     std::optional<token_bucket> local;
     double demand = 0;  // requested tokens, with exponential decay over the rate window
     time_point demand_updated;
     time_point refused_until;                // the home router has no tokens before this time
+    time_point prefetch_refused_until;       // only with whole_loans
+    bool is_prefetch = false;                // the outstanding request
     std::uint64_t outstanding_sequence = 0;  // sequence number of the outstanding request to the home router; 0: none
     time_point requested_at;
     time_point last_used;
   };
   static void RemoveExpired(entry& account, time_point now);
   static double BorrowedAmount(const entry& account, time_point now);
-  static void Spend(entry& account, double amount);
+  void Spend(entry& account, double amount, time_point now) const;
+  static void SetLimit(entry& account, const account_limit& limit);
+  bool IsPastReturn(const recent_take& taken, time_point now) const {
+    return now >= taken.requested + settings_.return_time;
+  }
+  bool WantsPrefetch(const entry& account, const account_limit& limit, double amount, time_point now) const;
   void RecordDemand(entry& account, double amount, time_point now) const;
   std::uint64_t LoanSize(const entry& account, const account_limit& limit, double shortfall) const;
   void RequestTokens(entry& account, const account_limit& limit, double shortfall, take_result& result, time_point now);
@@ -188,7 +240,7 @@
 
   limit_settings settings_;
   std::unordered_map<account_name, entry> accounts_;
-  std::uint64_t next_sequence_ = 1;
+  std::uint64_t next_sequence_;
 };
 
 }  // namespace persimmon
--- a/include/persimmon/request_limits.h
+++ b/include/persimmon/request_limits.h
@@ -209,6 +209,7 @@
   std::string own_address_;
   time_point own_since_;  // start, or end of the latest pause
   time_point last_tick_;
+  time_point last_expiry_;
   bool is_leaving_ = false;
   std::uint32_t router_count_ = 0;
   std::map<std::string, member> others_;  // by address
--- a/src/decisions/limits.cpp
+++ b/src/decisions/limits.cpp
@@ -15,6 +15,9 @@
 // Loans that expire within this time of each other are merged, with the earlier expiry.
 constexpr milliseconds kLoanMergeTime = milliseconds(50);
 
+// After which a request that does not fit into the local share may be tried again: the home router may be back by then.
+constexpr milliseconds kHomeRetryTime = milliseconds(200);
+
 // Longest time that TimeUntilAvailable returns: one day.
 constexpr milliseconds kMaxWait = milliseconds(86'400'000);
 
@@ -24,8 +27,13 @@
   return static_cast<double>(limit.burst_tokens > 0 ? limit.burst_tokens : limit.tokens_per_second);
 }
 
+// Part of the limit that the home router lends.
+double LendableShare(const limit_settings& settings) {
+  return settings.local_share_is_extra ? 1 : 1 - settings.local_share;
+}
+
 double LendableBurst(const account_limit& limit, const limit_settings& settings) {
-  return EffectiveBurst(limit) * (1 - settings.local_share);
+  return EffectiveBurst(limit) * LendableShare(settings);
 }
 
 }  // namespace
@@ -84,26 +92,53 @@
   return best == nullptr ? std::nullopt : std::optional(*best);
 }
 
+double token_lender::Capacity(const account_limit& limit, double share) const {
+  return LendableBurst(limit, settings_) * share;
+}
+
+double token_lender::Overdraft(const account_limit& limit, double share) const {
+  const double whole = EffectiveBurst(limit) * settings_.overdraft_share;
+  return std::min(whole, settings_.partition_overdraft * share);
+}
+
+void token_lender::SetLimit(bucket_entry& entry, const account_limit& limit, double share, time_point now) const {
+  if (entry.limit != limit || entry.share != share) {
+    const double rate = static_cast<double>(limit.tokens_per_second) * LendableShare(settings_) * share;
+    entry.bucket.SetLimit(rate, Capacity(limit, share), now);
+    entry.limit = limit;
+    entry.share = share;
+  }
+}
+
 loan token_lender::LendTokens(const account_name& account, const account_limit& limit, std::uint64_t amount,
-                              time_point now) {
+                              time_point now, double share) {
   if (limit.tokens_per_second == 0) {
     return {amount, milliseconds(0)};
   }
-  const double rate = static_cast<double>(limit.tokens_per_second) * (1 - settings_.local_share);
-  const double burst = LendableBurst(limit, settings_);
+  const double rate = static_cast<double>(limit.tokens_per_second) * LendableShare(settings_) * share;
+  const double burst = Capacity(limit, share);
   // Starts half full, because a new home router does not know what its predecessor has lent.
-  auto& entry = buckets_.try_emplace(account, bucket_entry{{rate, burst, burst / 2, now}, limit, now}).first->second;
-  if (entry.limit != limit) {
-    entry.bucket.SetLimit(rate, burst, now);
-    entry.limit = limit;
-  }
+  const bucket_entry created{{rate, burst, burst / 2, now}, limit, share, now};
+  auto& entry = buckets_.try_emplace(account, created).first->second;
+  SetLimit(entry, limit, share, now);
   entry.last_used = now;
-  const double wanted = std::min(static_cast<double>(amount), burst);
-  const double level = std::max(0.0, std::floor(entry.bucket.Level(now)));
+  const double level = std::floor(entry.bucket.Level(now));
   loan lent;
+  if (settings_.whole_loans) {
+    const auto wanted = static_cast<double>(amount);
+    const double needed = std::max(0.0, wanted - Overdraft(limit, share));
+    if (level >= needed) {
+      lent.amount = amount;
+      entry.bucket.Take(wanted, now);
+    } else {
+      lent.retry_in = entry.bucket.TimeUntilAvailable(needed, now);
+    }
+    return lent;
+  }
+  const double wanted = std::min(static_cast<double>(amount), burst);
   // Less than half of the wanted amount is not lent: small loans would expire on several routers without being enough
   // for a request on any of them.
-  if (level >= wanted || level * 2 >= wanted) {
+  if (level > 0 && (level >= wanted || level * 2 >= wanted)) {
     lent.amount = static_cast<std::uint64_t>(std::min(level, wanted));
     entry.bucket.Take(static_cast<double>(lent.amount), now);
   }
@@ -118,7 +153,7 @@
     const bucket_entry& entry = item.second;
     // A recreated bucket starts half full, so removing one that is at least half full never creates tokens.
     return now - entry.last_used > settings_.idle_retention &&
-           entry.bucket.Level(now) >= LendableBurst(entry.limit, settings_) / 2;
+           entry.bucket.Level(now) >= Capacity(entry.limit, entry.share) / 2;
   });
 }
 
@@ -132,6 +167,18 @@
   }
 }
 
+void account_token_table::SetLimit(entry& account, const account_limit& limit) {
+  const bool is_lower = limit.tokens_per_second < account.limit.tokens_per_second ||
+                        EffectiveBurst(limit) < EffectiveBurst(account.limit);
+  if (is_lower) {
+    // What was lent under the higher limit must not be spent under the lower one.
+    account.active_loans.clear();
+    account.recent_takes.clear();
+    account.outstanding_sequence = 0;
+  }
+  account.limit = limit;
+}
+
 double account_token_table::BorrowedAmount(const entry& account, time_point now) {
   double sum = 0;
   for (const active_loan& lent : account.active_loans) {
@@ -140,7 +187,11 @@
   return sum;
 }
 
-void account_token_table::Spend(entry& account, double amount) {
+void account_token_table::Spend(entry& account, double amount, time_point now) const {
+  if (settings_.whole_loans && !account.active_loans.empty()) {
+    std::erase_if(account.recent_takes, [&](const recent_take& taken) { return IsPastReturn(taken, now); });
+    account.recent_takes.push_back({amount, account.active_loans.front().requested});
+  }
   while (amount > 0 && !account.active_loans.empty()) {
     active_loan& lent = account.active_loans.front();
     const double taken = std::min(amount, lent.amount);
@@ -172,8 +223,18 @@
   }
   account.outstanding_sequence = next_sequence_++;
   account.requested_at = now;
+  account.is_prefetch = shortfall <= 0;
   result.sequence = account.outstanding_sequence;
-  result.borrow = LoanSize(account, limit, shortfall);
+  result.borrow = settings_.whole_loans && shortfall > 0 ? static_cast<std::uint64_t>(std::ceil(shortfall))
+                                                         : LoanSize(account, limit, shortfall);
+}
+
+bool account_token_table::WantsPrefetch(const entry& account, const account_limit& limit, double amount,
+                                        time_point now) const {
+  const auto loan_size = static_cast<double>(LoanSize(account, limit, 0));
+  // A loan for less than two requests would mostly leave a rest.
+  const bool is_busy = loan_size >= 2 * amount && now >= account.prefetch_refused_until;
+  return BorrowedAmount(account, now) < loan_size / 2 && (!settings_.whole_loans || is_busy);
 }
 
 take_result account_token_table::TakeLocal(entry& account, const account_limit& limit, double amount,
@@ -189,19 +250,21 @@
   // A request larger than the local burst is admitted when the bucket is full, and leaves a negative level. Otherwise
   // no request of typical size could ever run with the small local share.
   const double needed = std::min(amount, burst);
+  const double overdraft = settings_.local_overdraft / static_cast<double>(std::max<std::size_t>(routers, 1));
+  const bool is_too_large = settings_.local_overdraft > 0 && amount > burst + overdraft;
   take_result result;
-  if (account.local->Level(now) >= needed) {
+  if (account.local->Level(now) >= needed && !is_too_large) {
     account.local->Take(amount, now);
     return result;
   }
   result.verdict = take_verdict::kRefused;
-  result.retry_in = account.local->TimeUntilAvailable(needed, now);
+  result.retry_in = is_too_large ? kHomeRetryTime : account.local->TimeUntilAvailable(needed, now);
   return result;
 }
 
 take_result account_token_table::TakeTokens(const account_name& account, const account_limit& limit,
                                             std::uint64_t amount, bool home_reachable, std::size_t routers,
-                                            time_point now) {
+                                            time_point now, bool is_retry) {
   take_result result;
   if (limit.tokens_per_second == 0) {
     return result;
@@ -213,14 +276,16 @@
   }
   entry& state = accounts_[account];
   state.last_used = now;
+  SetLimit(state, limit);
   RemoveExpired(state, now);
-  RecordDemand(state, wanted, now);
+  if (!is_retry) {
+    RecordDemand(state, wanted, now);
+  }
   const double borrowed = BorrowedAmount(state, now);
   const bool may_borrow = home_reachable && now >= state.refused_until;
   if (borrowed >= wanted) {
-    Spend(state, wanted);
-    const double loan_size = static_cast<double>(LoanSize(state, limit, 0));
-    if (may_borrow && borrowed - wanted < loan_size / 2) {
+    Spend(state, wanted, now);
+    if (may_borrow && WantsPrefetch(state, limit, wanted, now)) {
       RequestTokens(state, limit, 0, result, now);
     }
     return result;
@@ -247,7 +312,9 @@
   entry& state = found->second;
   state.outstanding_sequence = 0;
   if (lent.retry_in > milliseconds(0)) {
-    state.refused_until = now + lent.retry_in;
+    // The home router may still have enough for one request when it has not enough for a loan in advance.
+    const bool is_prefetch = settings_.whole_loans && state.is_prefetch;
+    (is_prefetch ? state.prefetch_refused_until : state.refused_until) = now + lent.retry_in;
   }
   RemoveExpired(state, now);
   const time_point expires = state.requested_at + settings_.loan_lifetime;
@@ -257,7 +324,7 @@
   if (!state.active_loans.empty() && expires - state.active_loans.back().expires <= kLoanMergeTime) {
     state.active_loans.back().amount += static_cast<double>(lent.amount);
   } else {
-    state.active_loans.push_back({static_cast<double>(lent.amount), expires});
+    state.active_loans.push_back({static_cast<double>(lent.amount), state.requested_at, expires});
   }
 }
 
@@ -274,6 +341,21 @@
     return;
   }
   RemoveExpired(found->second, now);
+  if (settings_.whole_loans) {
+    auto& takes = found->second.recent_takes;
+    const auto taken = std::find_if(takes.rbegin(), takes.rend(), [&](const recent_take& each) {
+      return each.amount == static_cast<double>(amount) && !IsPastReturn(each, now);
+    });
+    if (taken != takes.rend()) {
+      const active_loan returned{taken->amount, taken->requested, taken->requested + settings_.return_time};
+      takes.erase(std::next(taken).base());
+      auto& loans = found->second.active_loans;
+      const auto later = std::find_if(loans.begin(), loans.end(),
+                                      [&returned](const active_loan& each) { return each.expires > returned.expires; });
+      loans.insert(later, returned);
+    }
+    return;
+  }
   // If all loans have expired, the tokens are lost: a new lifetime for them would exceed the bound in limits.h.
   if (!found->second.active_loans.empty()) {
     found->second.active_loans.front().amount += static_cast<double>(amount);
--- a/src/decisions/request_limits.cpp
+++ b/src/decisions/request_limits.cpp
@@ -90,6 +90,8 @@
 
 namespace {
 
+constexpr milliseconds kExpiryPeriod(1'000);
+
 std::uint64_t Rank(std::uint64_t key, const std::string& router) {
   return RendezvousScore(std::string_view(reinterpret_cast<const char*>(&key), sizeof(key)), router);
 }
@@ -106,7 +108,6 @@
 }
 
 void limit_members::RecordHeard(const std::string& address, std::uint64_t incarnation, bool leaving, time_point now) {
-  std::erase_if(others_, [&](const auto& item) { return now - item.second.last_heard > settings_.retention; });
   const auto [found, is_new] = others_.try_emplace(address);
   member& other = found->second;
   if (!is_new && IsEligible(other, now)) {
@@ -136,6 +137,11 @@
     own_since_ = now;
   }
   last_tick_ = now;
+  // Not with each message: with 370 routers, more than 900 arrive per second.
+  if (now - last_expiry_ > kExpiryPeriod) {
+    last_expiry_ = now;
+    std::erase_if(others_, [&](const auto& item) { return now - item.second.last_heard > settings_.retention; });
+  }
 }
 
 std::optional<std::string> limit_members::HomeOf(std::uint64_t key, time_point now) const {
--- a/src/direct/limit_tracker.h
+++ b/src/direct/limit_tracker.h
@@ -47,6 +47,9 @@
 
   bool IsValid(const limited_endpoint& endpoint, const send_permit& permit) const;
 
+  // The routers as this one sees them, and the home routers. Valid from Start on.
+  limit_members& Members() { return limits_->Members(); }
+
  private:
   using answer_mailbox = mailbox<permit_answer>;
 
