--- a/include/persimmon/account_limits.h
+++ b/include/persimmon/account_limits.h
@@ -110,7 +110,8 @@
       : settings_(settings),
         own_name_(std::move(own_name)),
         lender_(settings.limits),
-        table_(settings.limits, first_sequence) {}
+        table_(settings.limits, first_sequence),
+        next_return_(first_sequence) {}
 
   const account_limit_settings& Settings() const { return settings_; }
 
@@ -120,10 +121,14 @@
   account_take Take(const account_name& account, const account_limit& limit, std::uint64_t amount,
                     const account_home& home, take_stage stage, time_point now);
 
-  // Returns tokens of a request that was not sent to any endpoint.
-  void Return(const account_name& account, std::uint64_t amount, time_point now) {
-    table_.ReturnTokens(account, amount, now);
-  }
+  // Returns tokens of a request that was not sent to any endpoint. The result is to be sent to the home router, as
+  // return_tokens.
+  std::optional<loan_request> Return(const account_name& account, std::uint64_t amount, const account_home& home,
+                                     time_point now);
+
+  // Takes back tokens as the home router. `sequence`: a duplicate of a message must not create tokens.
+  void TakeBack(const std::string& borrower, const account_name& account, std::uint64_t sequence, std::uint64_t amount,
+                double own_share, time_point now);
 
   // Lends as the home router. `limit`: absent if this router does not know the account.
   loan Lend(const std::string& borrower, const account_name& account, const std::optional<account_limit>& limit,
@@ -166,6 +171,7 @@
   struct given_answer {
     std::uint64_t sequence = 0;
     loan lent;
+    std::uint64_t last_return = 0;  // sequence number of the latest message that returned tokens
     time_point at;
   };
   bool IsSilent(const std::string& router, time_point now) const;
@@ -177,8 +183,9 @@
   account_token_table table_;
   std::unordered_map<account_name, pending_loan> pending_;
   std::map<std::pair<std::string, account_name>, given_answer> answers_;  // by borrower and account
-  std::map<std::string, time_point> last_answers_;                        // by home router
-  std::map<std::string, time_point> silent_until_;                        // by home router
+  std::uint64_t next_return_;
+  std::map<std::string, time_point> last_answers_;  // by home router
+  std::map<std::string, time_point> silent_until_;  // by home router
 };
 
 }  // namespace persimmon
--- a/include/persimmon/limits.h
+++ b/include/persimmon/limits.h
@@ -55,7 +55,7 @@
   double overdraft_share = 0;
   // Largest overdraft of the buckets of all sides of a partitioned network together, in tokens.
   double partition_overdraft = 0;
-  // Time after a loan was requested in which tokens of requests that were not sent can be spent again.
+  // Time after a loan was requested in which tokens of requests that were not sent can be returned.
   milliseconds return_time = milliseconds(2'000);
 
   bool operator==(const limit_settings&) const = default;
@@ -120,6 +120,9 @@
   loan LendTokens(const account_name& account, const account_limit& limit, std::uint64_t amount, time_point now,
                   double share = 1);
 
+  // Puts returned tokens back, if this router has the account's bucket.
+  void ReturnTokens(const account_name& account, std::uint64_t amount, time_point now);
+
   // Sets the share of each account's limit that this router may lend from now on. Removes the buckets of accounts with
   // share 0: another router has lent since then, so the bucket must not fill up meanwhile.
   template <class function>
@@ -192,7 +195,8 @@
 
   // Returns tokens that a request took but did not use, for example because it was rejected. With whole_loans, only
   // those of a request that took this amount from loans that were requested within the return time; others are lost.
-  void ReturnTokens(const account_name& account, std::uint64_t amount, time_point now);
+  // The result is the amount to be returned to the home router: nobody here may need it before it expires.
+  std::uint64_t ReturnTokens(const account_name& account, std::uint64_t amount, time_point now);
 
   void ExpireAccounts(time_point now);
   std::size_t AccountCount() const { return accounts_.size(); }
@@ -235,8 +239,8 @@
   void RecordDemand(entry& account, double amount, time_point now) const;
   std::uint64_t LoanSize(const entry& account, const account_limit& limit, double shortfall) const;
   void RequestTokens(entry& account, const account_limit& limit, double shortfall, take_result& result, time_point now);
-  take_result TakeLocal(entry& account, const account_limit& limit, double amount, std::size_t routers,
-                        time_point now) const;
+  void UpdateLocal(entry& account, const account_limit& limit, std::size_t routers, time_point now) const;
+  take_result TakeLocal(entry& account, double amount, double burst, std::size_t routers, time_point now) const;
 
   limit_settings settings_;
   std::unordered_map<account_name, entry> accounts_;
--- a/src/decisions/account_limits.cpp
+++ b/src/decisions/account_limits.cpp
@@ -106,11 +106,38 @@
   }
   given_answer& answer = answers_[{borrower, account}];
   if (answer.sequence != sequence) {
-    answer = {sequence, lender_.LendTokens(account, *limit, amount, now, own_share), now};
+    answer.sequence = sequence;
+    answer.lent = lender_.LendTokens(account, *limit, amount, now, own_share);
+    answer.at = now;
   }
   return answer.lent;
 }
 
+std::optional<loan_request> account_limits::Return(const account_name& account, std::uint64_t amount,
+                                                   const account_home& home, time_point now) {
+  const std::uint64_t returned = table_.ReturnTokens(account, amount, now);
+  if (returned == 0 || home.router.empty()) {
+    return std::nullopt;
+  }
+  if (home.router != own_name_) {
+    return loan_request{home.router, account, ++next_return_, returned};
+  }
+  if (home.own_share > 0) {
+    lender_.ReturnTokens(account, returned, now);
+  }
+  return std::nullopt;
+}
+
+void account_limits::TakeBack(const std::string& borrower, const account_name& account, std::uint64_t sequence,
+                              std::uint64_t amount, double own_share, time_point now) {
+  // Without a loan within the retention time there is nothing to return. A message that arrives late is ignored.
+  const auto given = answers_.find({borrower, account});
+  if (own_share > 0 && given != answers_.end() && sequence > given->second.last_return) {
+    given->second.last_return = sequence;
+    lender_.ReturnTokens(account, amount, now);
+  }
+}
+
 bool account_limits::RecordLoan(const account_name& account, std::uint64_t sequence, const loan& lent, time_point now) {
   const auto found = pending_.find(account);
   if (found == pending_.end() || found->second.request.sequence != sequence) {
--- a/src/decisions/limits.cpp
+++ b/src/decisions/limits.cpp
@@ -148,6 +148,13 @@
   return lent;
 }
 
+void token_lender::ReturnTokens(const account_name& account, std::uint64_t amount, time_point now) {
+  const auto found = buckets_.find(account);
+  if (found != buckets_.end()) {
+    found->second.bucket.Add(static_cast<double>(amount), now);
+  }
+}
+
 void token_lender::ExpireBuckets(time_point now) {
   std::erase_if(buckets_, [&](const auto& item) {
     const bucket_entry& entry = item.second;
@@ -237,8 +244,8 @@
   return BorrowedAmount(account, now) < loan_size / 2 && (!settings_.whole_loans || is_busy);
 }
 
-take_result account_token_table::TakeLocal(entry& account, const account_limit& limit, double amount,
-                                           std::size_t routers, time_point now) const {
+void account_token_table::UpdateLocal(entry& account, const account_limit& limit, std::size_t routers,
+                                      time_point now) const {
   const double share = settings_.local_share / static_cast<double>(std::max<std::size_t>(routers, 1));
   const double rate = static_cast<double>(limit.tokens_per_second) * share;
   const double burst = EffectiveBurst(limit) * share;
@@ -247,6 +254,10 @@
   } else {
     account.local.emplace(rate, burst, 0.0, now);
   }
+}
+
+take_result account_token_table::TakeLocal(entry& account, double amount, double burst, std::size_t routers,
+                                           time_point now) const {
   // A request larger than the local burst is admitted when the bucket is full, and leaves a negative level. Otherwise
   // no request of typical size could ever run with the small local share.
   const double needed = std::min(amount, burst);
@@ -278,6 +289,7 @@
   state.last_used = now;
   SetLimit(state, limit);
   RemoveExpired(state, now);
+  UpdateLocal(state, limit, routers, now);
   if (!is_retry) {
     RecordDemand(state, wanted, now);
   }
@@ -291,7 +303,9 @@
     return result;
   }
   if (!home_reachable) {
-    return TakeLocal(state, limit, wanted, routers, now);
+    const double burst =
+        EffectiveBurst(limit) * settings_.local_share / static_cast<double>(std::max<std::size_t>(routers, 1));
+    return TakeLocal(state, wanted, burst, routers, now);
   }
   if (!may_borrow) {
     result.verdict = take_verdict::kRefused;
@@ -335,31 +349,28 @@
   }
 }
 
-void account_token_table::ReturnTokens(const account_name& account, std::uint64_t amount, time_point now) {
+std::uint64_t account_token_table::ReturnTokens(const account_name& account, std::uint64_t amount, time_point now) {
   const auto found = accounts_.find(account);
   if (found == accounts_.end()) {
-    return;
+    return 0;
   }
-  RemoveExpired(found->second, now);
+  entry& state = found->second;
+  RemoveExpired(state, now);
   if (settings_.whole_loans) {
-    auto& takes = found->second.recent_takes;
-    const auto taken = std::find_if(takes.rbegin(), takes.rend(), [&](const recent_take& each) {
+    const auto taken = std::find_if(state.recent_takes.begin(), state.recent_takes.end(), [&](const recent_take& each) {
       return each.amount == static_cast<double>(amount) && !IsPastReturn(each, now);
     });
-    if (taken != takes.rend()) {
-      const active_loan returned{taken->amount, taken->requested, taken->requested + settings_.return_time};
-      takes.erase(std::next(taken).base());
-      auto& loans = found->second.active_loans;
-      const auto later = std::find_if(loans.begin(), loans.end(),
-                                      [&returned](const active_loan& each) { return each.expires > returned.expires; });
-      loans.insert(later, returned);
+    if (taken == state.recent_takes.end()) {
+      return 0;
     }
-    return;
+    state.recent_takes.erase(taken);
+    return amount;
   }
   // If all loans have expired, the tokens are lost: a new lifetime for them would exceed the bound in limits.h.
-  if (!found->second.active_loans.empty()) {
-    found->second.active_loans.front().amount += static_cast<double>(amount);
+  if (!state.active_loans.empty()) {
+    state.active_loans.front().amount += static_cast<double>(amount);
   }
+  return 0;
 }
 
 void account_token_table::ExpireAccounts(time_point now) {
--- a/src/direct/account_tracker.cpp
+++ b/src/direct/account_tracker.cpp
@@ -133,7 +133,12 @@
 }
 
 void account_tracker::Return(const account_name& account, std::uint64_t amount) {
-  limits_->Return(account, amount, timer_service::NowWithSuspension());
+  const time_point now = timer_service::NowWithSuspension();
+  if (const auto returned = limits_->Return(account, amount, FindHome(account, now), now)) {
+    if (const auto address = ParseHostPort(returned->home)) {
+      group_->Send(address.value(), message(return_tokens{account, returned->sequence, returned->amount}));
+    }
+  }
 }
 
 task<> account_tracker::WaitForAnswer(account_name account, time_point end) {
@@ -184,9 +189,17 @@
     if (limits_->RecordLoan(lent->account, lent->sequence, granted, timer_service::NowWithSuspension())) {
       WakeWaiting(lent->account);
     }
+  } else if (const auto* returned = std::get_if<return_tokens>(&received)) {
+    TakeBack(sender, *returned);
   }
 }
 
+void account_tracker::TakeBack(const host_port& borrower, const return_tokens& returned) {
+  const time_point now = timer_service::NowWithSuspension();
+  const account_home home = FindHome(returned.account, now);
+  limits_->TakeBack(borrower.Text(), returned.account, returned.sequence, returned.amount, home.own_share, now);
+}
+
 void account_tracker::Lend(const host_port& borrower, const lend_tokens& asked) {
   const time_point now = timer_service::NowWithSuspension();
   const account_home home = FindHome(asked.account, now);
--- a/src/direct/account_tracker.h
+++ b/src/direct/account_tracker.h
@@ -2,7 +2,7 @@
 // the kernel.
 //
 // A router borrows tokens from the home router of the account by datagrams: lend_tokens and its answer, tokens_lent. A
-// lost one is repeated once.
+// lost one is repeated once. Tokens of requests that were not sent go back as return_tokens.
 #pragma once
 
 #include <cstdint>
@@ -62,6 +62,7 @@
   void WakeWaiting(const account_name& account);
   void Receive(const host_port& sender, const message& received);
   void Lend(const host_port& borrower, const lend_tokens& asked);
+  void TakeBack(const host_port& borrower, const return_tokens& returned);
   void Send(const loan_request& request);
   void ScheduleOverdueCheck();
   void HandleOverdue();
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -687,17 +687,31 @@
   }
 };
 
+// Returns tokens of requests that were not sent to any endpoint to the home router of the account. Not answered: if the
+// datagram is lost, so are the tokens.
+struct return_tokens {
+  account_name account;
+  std::uint64_t sequence = 0;  // increases with each message of the sender
+  std::uint64_t amount = 0;
+
+  bool operator==(const return_tokens&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(account, sequence, amount);
+  }
+};
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 9. frames
 // ---------------------------------------------------------------------------------------------------------------------
 
 // The index of a type in this list is its type number on the wire. Append new messages at the end only.
-using message =
-    std::variant<hello, heartbeat, slot_open, reserve_slot, slot_granted, slot_refused, start_prefill, prefill_progress,
-                 start_decode, tokens, resume_stream, call_service, service_answer, cancel, attempt_status,
-                 query_attempt, load_report, fetch_config, config_snapshot, lend_tokens, tokens_lent, claim_batch,
-                 claim_results, router_state, hold_stream_origins, stream_origins_held, find_stream_origin,
-                 stream_origin_found, part_evidence_list, endpoint_limit_list, ask_permit, permit_answer>;
+using message = std::variant<hello, heartbeat, slot_open, reserve_slot, slot_granted, slot_refused, start_prefill,
+                             prefill_progress, start_decode, tokens, resume_stream, call_service, service_answer,
+                             cancel, attempt_status, query_attempt, load_report, fetch_config, config_snapshot,
+                             lend_tokens, tokens_lent, claim_batch, claim_results, router_state, hold_stream_origins,
+                             stream_origins_held, find_stream_origin, stream_origin_found, part_evidence_list,
+                             endpoint_limit_list, ask_permit, permit_answer, return_tokens>;
 
 // Name of the message type, for logs and golden files.
 const char* MessageName(const message& value);
