Order waiting model requests by urgency and tell engines the level

In a burst, an urgent class was refused as often as one that may wait: the queue knew only the latest start, and engines got no priority.

Where the adaptive policy is used, requests in time go first by urgency (the priority of the account, then of the route) and then by latest start; late ones by retry, urgency and expiry. A level or account that is served less than half as often as all requests in the last 10 s goes first, for at most a quarter of the started tokens. Engines get the level as Persimmonchute-Request-Priority, spread over 0 to 9. A late request waits for late_wait times the time after which callers of its route abandon it, over 3.6 s.

--- a/include/persimmon/placement_queue.h
+++ b/include/persimmon/placement_queue.h
@@ -3,12 +3,17 @@
 //
 // Sections
 //   1. values
-//   2. queue
+//   2. shares of levels and accounts
+//   3. queue
 //
 // It is designed for overload: simultaneous bursts of different kinds, retrying callers, and several routers that share
 // the engines. If requests were served in order of arrival, every one would then be late. Therefore the requests that
 // can still meet their target go first, and late ones wait behind them until shortly before their callers are expected
 // to disconnect.
+//
+// Requests of different urgency: among those in time, the more urgent ones go first. A level or an account that is
+// served far less often than all requests gets a bounded share of the starts before them, so that none starves. Without
+// different levels and accounts, the order is by latest start alone.
 #pragma once
 
 #include <compare>
@@ -21,6 +26,7 @@
 
 #include "persimmon/kv_placement.h"
 #include "persimmon/types.h"
+#include "persimmon/urgency.h"
 
 namespace persimmon {
 
@@ -36,6 +42,9 @@
   bool is_resumed = false;  // its caller has received part of the response
   // Requests of one group can use only the same part of the engines; 0: all engines.
   std::uint64_t engine_group = 0;
+  urgency_level urgency;
+  account_name account;   // empty: none
+  bool is_retry = false;  // of a caller that was refused before; goes before other late requests
 
   bool operator==(const placement_request&) const = default;
 };
@@ -55,12 +64,49 @@
   std::size_t late_limit = 200;       // waiting requests that are late
   // Longest prompt that a decode engine prefills while all prefill engines are busy.
   std::uint32_t local_prefill_limit = 2'400;
+  // Time over which it is measured how often levels and accounts are served: long enough for some ten requests of a
+  // router, and short against the time between bursts.
+  milliseconds share_window = milliseconds(10'000);
+  // A level or account goes first while it is served less often than this fraction of all requests. Callers need a
+  // quarter; the rest is for the delay until requests are counted as refused.
+  double starved_share = 0.5;
+  double max_starved_starts = 0.25;  // largest fraction of the started tokens that goes first for that reason
 
   bool operator==(const placement_queue_settings&) const = default;
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
-// 2. queue
+// 2. shares of levels and accounts
+// ---------------------------------------------------------------------------------------------------------------------
+
+// Sum of amounts in which older ones lose weight exponentially.
+class decaying_sum {
+ public:
+  void Add(double amount, time_point now, milliseconds window);
+  double At(time_point now, milliseconds window) const;
+
+ private:
+  double sum_ = 0;
+  time_point updated_;
+};
+
+// Tokens of the requests that were started and that were refused, in a sliding window.
+struct service_share {
+  decaying_sum started;
+  decaying_sum refused;
+};
+
+// Use of the engines by requests that are more urgent than a level, per second, and the mean size of such a request.
+struct urgent_use {
+  double requests_per_s = 0;
+  double prompt_tokens_per_s = 0;
+  double memory_tokens_per_s = 0;  // prompts and expected outputs
+
+  bool operator==(const urgent_use&) const = default;
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. queue
 // ---------------------------------------------------------------------------------------------------------------------
 
 // The queue of one service on one router.
@@ -87,23 +133,43 @@
   // prefilled by a decode engine, which does not delay it. `peers_have_in_time_requests` means that requests that can
   // still meet their target are waiting on other routers; late requests then let them go first, unless they are
   // resumed. A request that can use only a part of the engines does not hold back those that can use others.
+  // While the most urgent request of those in time is blocked, late ones that are more urgent are tried, because
+  // capacity is reserved for them.
   placement_step TakeNext(const engine_chooser& choose, bool peers_have_in_time_requests);
 
   std::size_t InTimeCount() const { return in_time_.size(); }
   std::size_t Size() const { return in_time_.size() + late_.size(); }
 
+  // What requests that are more urgent than `level` have recently started to use.
+  urgent_use UseAbove(const urgency_level& level, time_point now) const;
+
  private:
   struct order_key {
+    bool yields_to_retries = false;  // a late request of a caller that has not been refused before
+    urgency_level urgency;
     time_point time;             // latest start; of a late request: expiry
     std::uint64_t sequence = 0;  // FIFO among equal times
 
     auto operator<=>(const order_key&) const = default;
   };
   using request_map = std::map<order_key, placement_request>;
+  using request_filter = std::function<bool(const placement_request&)>;
+
+  struct level_use {
+    decaying_sum requests;
+    decaying_sum prompt_tokens;
+    decaying_sum memory_tokens;
+  };
 
+  static double Tokens(const placement_request& request);
   void Insert(const placement_request& request, time_point now);
-  const placement_request* FindNext(bool peers_have_in_time_requests, bool short_prompts_only,
-                                    const std::set<std::uint64_t>& skipped_groups) const;
+  void RecordStart(const placement_request& request, double sign);
+  void RecordRefusal(const placement_request& request);
+  service_share& ShareOf(const account_name& account);
+  bool IsStarved(const service_share& share) const;
+  // The request that goes first because its level or account is starved; null if there is none.
+  const placement_request* FindStarved(const std::set<std::uint64_t>& skipped_groups) const;
+  const placement_request* FindNext(bool peers_have_in_time_requests, const request_filter& accepts) const;
   placement_step TryNext(const engine_chooser& choose, bool peers_have_in_time_requests,
                          const std::set<std::uint64_t>& skipped_groups);
 
@@ -111,6 +177,12 @@
   request_map in_time_;
   request_map late_;
   std::uint64_t next_sequence_ = 0;
+  time_point now_;  // of the latest call that states the time
+  service_share all_;
+  decaying_sum started_as_starved_;
+  std::map<urgency_level, service_share> levels_;
+  std::map<account_name, service_share> accounts_;
+  std::map<urgency_level, level_use> uses_;
 };
 
 }  // namespace persimmon
--- a/include/persimmon/routes.h
+++ b/include/persimmon/routes.h
@@ -16,6 +16,7 @@
 
 #include "persimmon/accounts.h"
 #include "persimmon/types.h"
+#include "persimmon/urgency.h"
 
 namespace persimmon {
 
@@ -81,6 +82,12 @@
   bool operator==(const route_record&) const = default;
 };
 
+// Urgency of the route's requests. `account`: null for a caller without account.
+urgency_level UrgencyOf(const route_record& route, const caller_account* account);
+
+// Time without an event after which callers abandon a stream of the route, also while they wait for its first event.
+milliseconds AbandonTime(const route_record& route);
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 3. routing table
 // ---------------------------------------------------------------------------------------------------------------------
@@ -118,6 +125,9 @@
   // True if streaming routes to the service have different priorities.
   bool HasPriorities(const std::string& service) const { return services_with_priorities_.contains(service); }
 
+  // Levels of urgency that streaming calls of the service may have, given its routes and all accounts.
+  const std::set<urgency_level>& UrgencyLevels(const std::string& service) const;
+
   // Longest timeout of the routes whose streams can be resumed; 0 without such a route.
   milliseconds LongestResumableTimeout() const;
 
@@ -130,6 +140,7 @@
   std::map<std::string, prefix_map, std::less<>> hosts_;
   std::map<std::string, service_record> services_;
   std::set<std::string> services_with_priorities_;
+  std::map<std::string, std::set<urgency_level>> urgency_levels_;  // by service
   caller_limits limits_;
   std::optional<account_directory> accounts_;
 };
--- a/src/decisions/placement_queue.cpp
+++ b/src/decisions/placement_queue.cpp
@@ -1,26 +1,121 @@
 #include "persimmon/placement_queue.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace persimmon {
+namespace {
+
+double Decay(time_point from, time_point to, milliseconds window) {
+  const std::chrono::duration<double> elapsed = to - from;
+  return std::exp(-std::max(0.0, elapsed / std::chrono::duration<double>(window)));
+}
+
+}  // namespace
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 2. shares of levels and accounts
+// ---------------------------------------------------------------------------------------------------------------------
+
+void decaying_sum::Add(double amount, time_point now, milliseconds window) {
+  sum_ = std::max(0.0, At(now, window) + amount);
+  updated_ = std::max(updated_, now);
+}
+
+double decaying_sum::At(time_point now, milliseconds window) const { return sum_ * Decay(updated_, now, window); }
+
+double placement_queue::Tokens(const placement_request& request) {
+  return static_cast<double>(request.memory.held_tokens) + request.memory.remaining_tokens;
+}
+
+void placement_queue::RecordStart(const placement_request& request, double sign) {
+  const milliseconds window = settings_.share_window;
+  const double tokens = sign * Tokens(request);
+  all_.started.Add(tokens, now_, window);
+  levels_[request.urgency].started.Add(tokens, now_, window);
+  if (!request.account.value.empty()) {
+    ShareOf(request.account).started.Add(tokens, now_, window);
+  }
+  level_use& use = uses_[request.urgency];
+  use.requests.Add(sign, now_, window);
+  use.prompt_tokens.Add(sign * request.memory.held_tokens, now_, window);
+  use.memory_tokens.Add(tokens, now_, window);
+}
+
+void placement_queue::RecordRefusal(const placement_request& request) {
+  const milliseconds window = settings_.share_window;
+  const double tokens = Tokens(request);
+  all_.refused.Add(tokens, now_, window);
+  levels_[request.urgency].refused.Add(tokens, now_, window);
+  if (!request.account.value.empty()) {
+    ShareOf(request.account).refused.Add(tokens, now_, window);
+  }
+}
+
+// Bounds the memory: forgets accounts without requests in the window, and all if there are too many with some.
+service_share& placement_queue::ShareOf(const account_name& account) {
+  constexpr std::size_t kMaxRememberedAccounts = 4'096;
+  if (accounts_.size() >= kMaxRememberedAccounts && !accounts_.contains(account)) {
+    std::erase_if(accounts_, [&](const auto& item) {
+      const milliseconds window = settings_.share_window;
+      return item.second.started.At(now_, window) + item.second.refused.At(now_, window) < 1;
+    });
+    if (accounts_.size() >= kMaxRememberedAccounts) {
+      accounts_.clear();
+    }
+  }
+  return accounts_[account];
+}
+
+bool placement_queue::IsStarved(const service_share& share) const {
+  const milliseconds window = settings_.share_window;
+  const double started = share.started.At(now_, window);
+  const double requested = started + share.refused.At(now_, window);
+  const double all_started = all_.started.At(now_, window);
+  const double all_requested = all_started + all_.refused.At(now_, window);
+  return requested > 0 && started * all_requested < settings_.starved_share * all_started * requested;
+}
+
+urgent_use placement_queue::UseAbove(const urgency_level& level, time_point now) const {
+  const double seconds = std::chrono::duration<double>(settings_.share_window).count();
+  urgent_use sum;
+  for (auto use = uses_.begin(); use != uses_.end() && use->first < level; ++use) {
+    sum.requests_per_s += use->second.requests.At(now, settings_.share_window) / seconds;
+    sum.prompt_tokens_per_s += use->second.prompt_tokens.At(now, settings_.share_window) / seconds;
+    sum.memory_tokens_per_s += use->second.memory_tokens.At(now, settings_.share_window) / seconds;
+  }
+  return sum;
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. queue
+// ---------------------------------------------------------------------------------------------------------------------
 
 void placement_queue::Insert(const placement_request& request, time_point now) {
+  now_ = std::max(now_, now);
   const bool is_late = request.latest_start < now;
   request_map& requests = is_late ? late_ : in_time_;
-  requests.emplace(order_key{is_late ? request.expiry : request.latest_start, next_sequence_++}, request);
+  requests.emplace(order_key{is_late && !request.is_retry, request.urgency,
+                             is_late ? request.expiry : request.latest_start, next_sequence_++},
+                   request);
 }
 
 bool placement_queue::Add(const placement_request& request, time_point now) {
+  now_ = std::max(now_, now);
   const bool is_late = request.latest_start < now;
   const bool is_refused = is_late && (request.expiry <= now || late_.size() >= settings_.late_limit);
   if (is_refused || Size() >= settings_.request_limit) {
+    RecordRefusal(request);
     return false;
   }
   Insert(request, now);
   return true;
 }
 
-void placement_queue::Requeue(const placement_request& request, time_point now) { Insert(request, now); }
+void placement_queue::Requeue(const placement_request& request, time_point now) {
+  Insert(request, now);
+  RecordStart(request, -1);
+}
 
 bool placement_queue::Remove(const request_id& request) {
   const auto is_same = [&](const auto& item) { return item.second.request == request; };
@@ -28,32 +123,57 @@
 }
 
 std::vector<placement_request> placement_queue::TakeExpired(time_point now) {
-  while (!in_time_.empty() && in_time_.begin()->first.time < now) {
-    const placement_request request = in_time_.begin()->second;
-    in_time_.erase(in_time_.begin());
-    Insert(request, now);
+  now_ = std::max(now_, now);
+  // Within a level, the requests are in the order of their latest start.
+  for (auto next = in_time_.begin(); next != in_time_.end();) {
+    if (next->second.latest_start < now) {
+      const placement_request request = next->second;
+      next = in_time_.erase(next);
+      Insert(request, now);
+    } else {
+      const urgency_level level = next->second.urgency;
+      next = std::find_if(next, in_time_.end(), [&](const auto& item) { return item.second.urgency != level; });
+    }
   }
   std::vector<placement_request> expired;
-  while (!late_.empty() && late_.begin()->first.time <= now) {
-    expired.push_back(late_.begin()->second);
-    late_.erase(late_.begin());
+  std::erase_if(late_, [&](const auto& item) {
+    if (item.second.expiry > now) {
+      return false;
+    }
+    expired.push_back(item.second);
+    return true;
+  });
+  for (const placement_request& request : expired) {
+    RecordRefusal(request);
   }
   return expired;
 }
 
-const placement_request* placement_queue::FindNext(bool peers_have_in_time_requests, bool short_prompts_only,
-                                                   const std::set<std::uint64_t>& skipped_groups) const {
-  const auto is_suitable = [&](const placement_request& request) {
+const placement_request* placement_queue::FindStarved(const std::set<std::uint64_t>& skipped_groups) const {
+  const milliseconds window = settings_.share_window;
+  const bool has_refused = all_.refused.At(now_, window) >= 1;
+  if (!has_refused ||
+      started_as_starved_.At(now_, window) > settings_.max_starved_starts * all_.started.At(now_, window)) {
+    return nullptr;
+  }
+  return FindNext(false, [&](const placement_request& request) {
+    const auto level = levels_.find(request.urgency);
+    const auto account = accounts_.find(request.account);
     return !skipped_groups.contains(request.engine_group) &&
-           (!short_prompts_only || request.memory.held_tokens <= settings_.local_prefill_limit);
-  };
+           ((level != levels_.end() && IsStarved(level->second)) ||
+            (account != accounts_.end() && IsStarved(account->second)));
+  });
+}
+
+const placement_request* placement_queue::FindNext(bool peers_have_in_time_requests,
+                                                   const request_filter& accepts) const {
   for (const auto& [key, request] : in_time_) {
-    if (is_suitable(request)) {
+    if (accepts(request)) {
       return &request;
     }
   }
   for (const auto& [key, request] : late_) {
-    if (is_suitable(request) && (request.is_resumed || !peers_have_in_time_requests)) {
+    if (accepts(request) && (request.is_resumed || !peers_have_in_time_requests)) {
       return &request;
     }
   }
@@ -63,15 +183,32 @@
 placement_step placement_queue::TryNext(const engine_chooser& choose, bool peers_have_in_time_requests,
                                         const std::set<std::uint64_t>& skipped_groups) {
   placement_step step;
-  const placement_request* next = FindNext(peers_have_in_time_requests, false, skipped_groups);
+  const auto is_in_group = [&](const placement_request& request) {
+    return !skipped_groups.contains(request.engine_group);
+  };
+  const placement_request* starved = FindStarved(skipped_groups);
+  const placement_request* next = starved != nullptr ? starved : FindNext(peers_have_in_time_requests, is_in_group);
   if (next == nullptr) {
     return step;
   }
+  const placement_request head = *next;
   step.blocked_group = next->engine_group;
   step.engines = choose(*next);
   step.blocked = step.engines.waits_for;
-  if (step.blocked == wait_reason::kPrefillBusy) {
-    next = FindNext(peers_have_in_time_requests, true, skipped_groups);
+  if (step.blocked != wait_reason::kNone && starved == nullptr) {
+    // Only late requests can be more urgent than the head.
+    const placement_request* urgent = FindNext(peers_have_in_time_requests, [&](const placement_request& request) {
+      return is_in_group(request) && request.urgency < head.urgency;
+    });
+    if (urgent != nullptr) {
+      step.engines = choose(*urgent);
+      next = step.engines.waits_for == wait_reason::kNone ? urgent : next;
+    }
+  }
+  if (step.blocked == wait_reason::kPrefillBusy && step.engines.waits_for != wait_reason::kNone) {
+    next = FindNext(peers_have_in_time_requests, [&](const placement_request& request) {
+      return is_in_group(request) && request.memory.held_tokens <= settings_.local_prefill_limit;
+    });
     if (next == nullptr) {
       return step;
     }
@@ -80,6 +217,10 @@
   if (step.engines.waits_for == wait_reason::kNone) {
     step.placed = *next;
     Remove(step.placed->request);
+    RecordStart(*step.placed, 1);
+    if (starved != nullptr) {
+      started_as_starved_.Add(Tokens(*step.placed), now_, settings_.share_window);
+    }
   }
   return step;
 }
--- a/src/decisions/routes.cpp
+++ b/src/decisions/routes.cpp
@@ -33,15 +33,36 @@
   return "unknown";
 }
 
+urgency_level UrgencyOf(const route_record& route, const caller_account* account) {
+  const bool has_priority = account != nullptr && account->priority.has_value();
+  return {has_priority ? *account->priority : route.priority, route.priority};
+}
+
+milliseconds AbandonTime(const route_record& route) {
+  constexpr milliseconds kShortest(2'000);
+  return std::max({kShortest, 4 * route.target_latency, 8 * route.target_event_interval});
+}
+
 routing_table::routing_table(revision_number revision, std::vector<route_record> routes,
                              std::vector<service_record> services, const caller_limits& limits,
                              std::optional<account_directory> accounts)
     : revision_(revision), limits_(limits), accounts_(std::move(accounts)) {
   std::map<std::string, std::set<std::uint32_t>> priorities;  // of the streaming routes, by service
+  std::set<std::uint32_t> account_priorities;
+  for (const caller_account& account : accounts_ ? accounts_->Accounts() : std::vector<caller_account>()) {
+    if (account.priority) {
+      account_priorities.insert(*account.priority);
+    }
+  }
   for (route_record& route : routes) {
     for (const weighted_service& target : route.services) {
       if (route.kind == call_kind::kStreaming && target.weight > 0) {
         priorities[target.service].insert(route.priority);
+        std::set<urgency_level>& levels = urgency_levels_[target.service];
+        levels.insert({route.priority, route.priority});
+        for (const std::uint32_t priority : account_priorities) {
+          levels.insert({priority, route.priority});
+        }
       }
     }
     prefix_map& prefixes = hosts_[LowerCase(route.host)];
@@ -81,6 +102,12 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
+const std::set<urgency_level>& routing_table::UrgencyLevels(const std::string& service) const {
+  static const std::set<urgency_level> no_levels;
+  const auto found = urgency_levels_.find(service);
+  return found == urgency_levels_.end() ? no_levels : found->second;
+}
+
 milliseconds routing_table::LongestResumableTimeout() const {
   milliseconds longest(0);
   for (const auto& [host, prefixes] : hosts_) {
--- a/src/direct/direct_call.h
+++ b/src/direct/direct_call.h
@@ -43,6 +43,8 @@
   const platform::request_metadata& Metadata() const { return metadata_; }
   const route_record& Route() const { return route_; }
   const service_record& Service() const { return service_; }
+  const routing_table& Table() const { return *table_; }
+  const caller_account* Account() const { return account_; }  // null without account
   const http_request& Forwarded() const { return forwarded_; }
   time_point Arrival() const { return arrival_; }
   time_point Deadline() const { return deadline_; }  // time budget or route timeout, whichever ends first
@@ -89,6 +91,7 @@
   std::shared_ptr<const routing_table> table_;  // owns route_ and service_
   const route_record& route_;
   const service_record& service_;
+  const caller_account* account_ = nullptr;
   http_request forwarded_;
   fingerprint_number fingerprint_ = 0;
   time_point arrival_;
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -62,6 +62,9 @@
   return std::any_of(engines.begin(), engines.end(), [&](const auto& engine) { return IsUsableFor(call, engine); });
 }
 
+// The setting late_wait is for requests whose callers abandon them after this time; it is scaled for others.
+constexpr milliseconds kLateWaitAbandonTime(3'600);
+
 std::string FormatError(const error& failure) {
   return fmt::format("{}: {}", ErrorName(failure.code), failure.message);
 }
@@ -160,12 +163,26 @@
     // even if it has missed its target.
     request.latest_start = std::max(request.latest_start, now + kResumeStartLimit);
   }
+  milliseconds late_wait = settings_.late_wait;
+  if (endpoint_tracker_->UsesAdaptivePolicy(call.Service().name)) {
+    late_wait = settings_.late_wait * AbandonTime(route).count() / kLateWaitAbandonTime.count();
+    request.urgency = UrgencyOf(route, call.Account());
+    request.account = call.Account() != nullptr ? call.Account()->name : account_name();
+    request.is_retry = !is_first_attempt;
+  }
   // The caller of a broken stream measures its wait for the next event from the last event, so late_wait starts again.
   const time_point wait_start = is_resumed ? now : call.Arrival();
-  request.expiry = std::min(wait_start + settings_.late_wait, call.Deadline() - kMinTimeLeft);
+  request.expiry = std::min(wait_start + late_wait, call.Deadline() - kMinTimeLeft);
   return request;
 }
 
+std::optional<std::uint32_t> generation_calls::PriorityOf(const direct_call& call) const {
+  const std::string& service = call.Service().name;
+  return endpoint_tracker_->UsesAdaptivePolicy(service)
+             ? EnginePriority(call.Table().UrgencyLevels(service), UrgencyOf(call.Route(), call.Account()))
+             : std::nullopt;
+}
+
 task<generation_calls::assignment_result> generation_calls::AwaitAssignment(direct_call_ptr call,
                                                                             std::vector<endpoint_name> avoid,
                                                                             bool is_resumed) {
@@ -519,7 +536,8 @@
     const time_point end = std::min(call->Deadline(), begin + kPrefillTimeout);
     suspect_tracker_->RecordStart(call->Fingerprint(), engine);
     const engine_run_ptr run = part_tracker_->BeginRun(*call, engine);
-    auto request = platform::MakePrefillRequest(call->Forwarded(), engine.name, call->TimeLeft(timer_service::Now()));
+    auto request = platform::MakePrefillRequest(call->Forwarded(), engine.name, call->TimeLeft(timer_service::Now()),
+                                                PriorityOf(*call));
     result<http_response_head> head(error{error_code::kUnavailable, "the engine's limit allows no request now"});
     if (taken.permit && !call->IsCallerDisconnected()) {
       head =
@@ -638,7 +656,7 @@
   const time_point begin = timer_service::Now();
   http_call upstream(client_);
   call->SetDisconnectHandler([&upstream] { upstream.Cancel(); });
-  platform::decode_terms terms{std::move(source), assignment.reservation, stream.events.LastId()};
+  platform::decode_terms terms{std::move(source), assignment.reservation, stream.events.LastId(), PriorityOf(*call)};
   auto request = platform::MakeDecodeRequest(call->Forwarded(), assignment.engine.name, call->TimeLeft(begin), terms);
   ++call->sends;
   call->endpoints += (call->endpoints.empty() ? "" : ",") + assignment.engine.name.value;
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -96,6 +96,8 @@
   service_queue& QueueFor(const service_record& service);
   task<assignment_result> AwaitAssignment(direct_call_ptr call, std::vector<endpoint_name> avoid, bool is_resumed);
   placement_request MakeRequest(const direct_call& call, bool is_resumed, time_point now);
+  // The number that engines are told; nothing if the service has no levels of urgency.
+  std::optional<std::uint32_t> PriorityOf(const direct_call& call) const;
   void Dispatch(service_queue& queue);
   void PlaceWaiting(service_queue& queue);
   void RejectUnservable(service_queue& queue, const std::vector<chosen_endpoint>& engines);
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -897,6 +897,79 @@
   peer.Stop();
 }
 
+// Requests of two priorities for one engine. `adaptive`: the setting.
+class urgency_test : public testing::TestWithParam<const char*> {
+ protected:
+  urgency_test() : harness_([](direct_settings& settings) { settings.adaptive = GetParam(); }) {
+    prefill_ = &harness_.AddReplica(Engine("pre-1", "prefill"));
+    engine_ = &harness_.AddReplica(Engine("dec-1", "decode", 1'200));
+    harness_.WriteDesiredState({.timeout_ms = 14'000, .memory_tokens = 1'200, .has_urgent_route = true});
+  }
+  void SetUp() override {
+    ASSERT_TRUE(harness_.Start());
+    engine_->Faults().full = true;
+  }
+
+  caller_exchange_ptr Send(const std::string& path, const std::string& attempt) {
+    const auto call = harness_.SendModel(path, attempt, 1'000, 100);
+    harness_.RunFor(milliseconds(20));
+    return call;
+  }
+
+  // Values of the priority header that the engine has received for the attempt; "" for a request without it.
+  static std::set<std::string> Priorities(const fake_replica& engine, const std::string& attempt) {
+    std::set<std::string> values;
+    for (const http_request& request : engine.Requests()) {
+      if (FindHeader(request.headers, "Persimmonchute-Attempt-Id") == attempt) {
+        values.insert(std::string(FindHeader(request.headers, "Persimmonchute-Request-Priority")));
+      }
+    }
+    return values;
+  }
+
+  // Lets both calls run and returns the one that runs first.
+  std::string FirstRun(const caller_exchange_ptr& one, const caller_exchange_ptr& other) {
+    engine_->Faults().full = false;
+    harness_.RunUntil([&] { return engine_->Runs("usual") + engine_->Runs("urgent") > 0; });
+    const std::string first = engine_->Runs("usual") > 0 ? "usual" : "urgent";
+    EXPECT_TRUE(harness_.Finish(one));
+    EXPECT_TRUE(harness_.Finish(other));
+    return first;
+  }
+
+  router_harness harness_;
+  fake_replica* prefill_ = nullptr;
+  fake_replica* engine_ = nullptr;
+};
+
+using adaptive_urgency_test = urgency_test;
+INSTANTIATE_TEST_SUITE_P(settings, adaptive_urgency_test, testing::Values("auto", "on"));
+
+// Guards against urgent requests that wait behind others, and against engines that preempt their streams.
+TEST_P(adaptive_urgency_test, UrgentRequest_AfterALessUrgentOne_GoesFirstAtRouterAndEngines) {
+  const auto usual = Send("/chat/1", "usual");
+  const auto urgent = Send("/urgent/1", "urgent");
+  EXPECT_EQ(FirstRun(usual, urgent), "urgent");
+  for (const fake_replica* engine : {prefill_, engine_}) {
+    EXPECT_EQ(Priorities(*engine, "urgent"), std::set<std::string>{"0"});
+    EXPECT_EQ(Priorities(*engine, "usual"), std::set<std::string>{"9"});
+  }
+}
+
+using fixed_urgency_test = urgency_test;
+INSTANTIATE_TEST_SUITE_P(settings, fixed_urgency_test, testing::Values("off"));
+
+// Guards against a change for deployments that do not ask for the adaptive policy.
+TEST_P(fixed_urgency_test, Priorities_WithoutTheAdaptivePolicy_ChangeNeitherOrderNorHeaders) {
+  const auto usual = Send("/chat/1", "usual");
+  const auto urgent = Send("/urgent/1", "urgent");
+  EXPECT_EQ(FirstRun(usual, urgent), "usual");
+  for (const fake_replica* engine : {prefill_, engine_}) {
+    EXPECT_EQ(Priorities(*engine, "urgent"), std::set<std::string>{""});
+    EXPECT_EQ(Priorities(*engine, "usual"), std::set<std::string>{""});
+  }
+}
+
 // The start of a burst: many prompts arrive at once for one prefill engine, while the decode engines have free memory.
 class prompt_burst_test : public testing::Test {
  protected:
--- a/tests/placement_queue_test.cpp
+++ b/tests/placement_queue_test.cpp
@@ -3,14 +3,16 @@
 //
 // Sections
 //   1. order
-//   2. refusals
-//   3. any sequence of operations
+//   2. urgency and shares
+//   3. refusals
+//   4. any sequence of operations
 #include "persimmon/placement_queue.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
 #include <map>
+#include <set>
 
 #include "decision_support.h"
 
@@ -148,7 +150,181 @@
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
-// 2. refusals
+// 2. urgency and shares
+// ---------------------------------------------------------------------------------------------------------------------
+
+class urgency_queue_test : public placement_queue_test {
+ protected:
+  static placement_request Request(int id, std::uint32_t priority, std::int64_t latest_ms,
+                                   std::int64_t expiry_ms = 5'000) {
+    placement_request request = placement_queue_test::Request(id, latest_ms, 3'000, expiry_ms);
+    request.urgency = {priority, 0};
+    return request;
+  }
+
+  // Every second, requests of both kinds arrive and one is started. Each waits for 2 s. Returns how many were started,
+  // by priority.
+  template <class make_request>
+  std::map<std::uint32_t, int> Overload(int seconds, make_request make) {
+    std::map<std::uint32_t, int> started;
+    int id = 0;
+    for (int second = 0; second < seconds; ++second) {
+      const std::int64_t now = second * 1'000;
+      queue_.TakeExpired(At(now));
+      for (int i = 0; i < 4; ++i) {
+        queue_.Add(make(++id, now), At(now));
+      }
+      const placement_step step = queue_.TakeNext(HasCapacity, false);
+      started[step.placed ? step.placed->urgency.priority : 99] += 1;
+    }
+    return started;
+  }
+};
+
+TEST_F(urgency_queue_test, TakeNext_OfRequestsInTime_FollowsUrgencyThenLatestStart) {
+  ASSERT_TRUE(queue_.Add(Request(1, 2, 300), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(2, 1, 900), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(3, 1, 700), At(0)));
+  EXPECT_EQ(Next(HasCapacity), "3");
+  EXPECT_EQ(Next(HasCapacity), "2");
+  EXPECT_EQ(Next(HasCapacity), "1");
+}
+
+// Guards against an account's priority that is ignored where routes have the same one.
+TEST_F(urgency_queue_test, TakeNext_OfOnePriority_FollowsThatOfTheRoute) {
+  placement_request request = Request(1, 1, 300);
+  request.urgency.route_priority = 4;
+  ASSERT_TRUE(queue_.Add(request, At(0)));
+  request.request = request_id{"2"};
+  request.urgency.route_priority = 3;
+  ASSERT_TRUE(queue_.Add(request, At(0)));
+  EXPECT_EQ(Next(HasCapacity), "2");
+}
+
+// Guards against a refused caller that is refused a second time while first attempts that are late too are served.
+TEST_F(urgency_queue_test, TakeNext_OfLateRequests_ServesRetriesThenUrgencyThenExpiry) {
+  placement_request retry = Request(1, 2, -1, 4'000);
+  retry.is_retry = true;
+  ASSERT_TRUE(queue_.Add(Request(2, 2, -1, 2'000), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(3, 1, -1, 3'000), At(0)));
+  ASSERT_TRUE(queue_.Add(retry, At(0)));
+  ASSERT_TRUE(queue_.Add(Request(4, 1, -1, 2'500), At(0)));
+  for (const char* expected : {"1", "4", "3", "2"}) {
+    EXPECT_EQ(Next(HasCapacity), expected);
+  }
+}
+
+TEST_F(urgency_queue_test, TakeExpired_OfSeveralLevels_MovesAllThatAreLateBehindTheOthers) {
+  ASSERT_TRUE(queue_.Add(Request(1, 1, 100), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(2, 1, 900), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(3, 2, 100), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(4, 2, 900), At(0)));
+  queue_.TakeExpired(At(200));
+  EXPECT_EQ(queue_.InTimeCount(), 2U);
+  for (const char* expected : {"2", "4", "1", "3"}) {
+    EXPECT_EQ(Next(HasCapacity), expected);
+  }
+}
+
+// Capacity reserved for urgent requests would stay idle while a less urgent one, which may not use it, is the head.
+TEST_F(urgency_queue_test, LateUrgentRequest_WhileALessUrgentOneIsBlocked_UsesTheReservedCapacity) {
+  ASSERT_TRUE(queue_.Add(Request(1, 2, 900), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(2, 1, -1), At(0)));
+  const auto only_urgent = [](const placement_request& request) {
+    return request.urgency.priority == 1 ? HasCapacity(request) : NoMemory(request);
+  };
+  EXPECT_EQ(Next(only_urgent), "2");
+  EXPECT_EQ(Next(only_urgent), "");
+}
+
+// Guards against a less urgent level that gets nothing while an urgent one alone exceeds the capacity.
+TEST_F(urgency_queue_test, UrgentOverload_LeavesTheOtherLevelAQuarterOfItsShare) {
+  const auto started = Overload(
+      400, [](int id, std::int64_t now) { return Request(id, id % 4 == 0 ? 2 : 1, now + 1'000, now + 2'000); });
+  EXPECT_GE(started.at(2), 400 / 4 / 4);
+  EXPECT_GE(started.at(1), 3 * started.at(2)) << "the urgent level has three quarters of the requests";
+}
+
+// Guards against an account that gets nothing, because all its requests are behind those of others.
+TEST_F(urgency_queue_test, AccountWhoseRequestsAreAlwaysLast_IsStillServed) {
+  std::map<std::string, int> started;
+  int id = 0;
+  for (int second = 0; second < 400; ++second) {
+    const std::int64_t now = second * 1'000;
+    queue_.TakeExpired(At(now));
+    for (int i = 0; i < 4; ++i) {
+      const bool is_last = i == 0;
+      placement_request request = Request(++id, 1, now + (is_last ? 1'500 : 1'000), now + 2'000);
+      request.account = account_name{is_last ? "last" : "other"};
+      queue_.Add(request, At(now));
+    }
+    const placement_step step = queue_.TakeNext(HasCapacity, false);
+    ASSERT_TRUE(step.placed);
+    started[step.placed->account.value] += 1;
+  }
+  EXPECT_GE(started["last"], 400 / 4 / 4);
+}
+
+// Guards against urgent requests that wait behind others whose level is starved for another reason than urgency.
+RC_GTEST_FIXTURE_PROP(urgency_queue_test, StarvedLevels_ForAnyLoad_GetABoundedShare, ()) {
+  const auto urgent_of_eight = *rc::gen::inRange(1, 8);
+  const auto started = Overload(300, [&](int id, std::int64_t now) {
+    return Request(id, id % 8 < urgent_of_eight ? 1 : 2, now + 1'000, now + 2'000);
+  });
+  const auto count = [&](std::uint32_t priority) {
+    const auto found = started.find(priority);
+    return found == started.end() ? 0 : found->second;
+  };
+  RC_ASSERT(count(99) == 0);
+  const int requests = 300 * 4;
+  const double served = 300.0 / requests;
+  RC_ASSERT(count(1) >= served / 4 * requests * urgent_of_eight / 8);
+  RC_ASSERT(count(2) >= served / 4 * requests * (8 - urgent_of_eight) / 8);
+  // Served at least as often as the other level.
+  RC_ASSERT(count(1) * (8 - urgent_of_eight) >= count(2) * urgent_of_eight);
+}
+
+TEST_F(urgency_queue_test, UseAbove_CountsStartedRequestsOfMoreUrgentLevels) {
+  ASSERT_TRUE(queue_.Add(Request(1, 1, 900), At(0)));
+  ASSERT_TRUE(queue_.Add(Request(2, 2, 900), At(0)));
+  queue_.TakeNext(HasCapacity, false);
+  const placement_step second = queue_.TakeNext(HasCapacity, false);
+  EXPECT_EQ(queue_.UseAbove({1, 0}, At(0)), urgent_use());
+  EXPECT_DOUBLE_EQ(queue_.UseAbove({2, 0}, At(0)).prompt_tokens_per_s, 300);
+  EXPECT_DOUBLE_EQ(queue_.UseAbove({2, 0}, At(0)).memory_tokens_per_s, 390);
+  EXPECT_DOUBLE_EQ(queue_.UseAbove({3, 0}, At(0)).requests_per_s, 0.2);
+  queue_.Requeue(*second.placed, At(0));
+  EXPECT_DOUBLE_EQ(queue_.UseAbove({3, 0}, At(0)).requests_per_s, 0.1) << "it was not started after all";
+  EXPECT_LT(queue_.UseAbove({2, 0}, At(60'000)).memory_tokens_per_s, 1);
+}
+
+TEST(engine_priority_test, EnginePriority_OfAnyLevels_KeepsTheirOrder) {
+  EXPECT_EQ(EnginePriority({}, {}), std::nullopt);
+  EXPECT_EQ(EnginePriority({{1, 1}}, {1, 1}), std::nullopt);
+  EXPECT_EQ(EnginePriority({{1, 1}, {2, 2}}, {1, 1}), 0U);
+  EXPECT_EQ(EnginePriority({{1, 1}, {2, 2}}, {2, 2}), 9U);
+  EXPECT_EQ(EnginePriority({{1, 1}, {2, 2}}, {3, 3}), std::nullopt);
+}
+
+// Guards against urgent streams that less urgent ones preempt.
+RC_GTEST_PROP(engine_priority_test, EnginePriority_OfTwoLevels_IsNeverLowerForTheLessUrgent, ()) {
+  std::set<urgency_level> levels;
+  for (const int priority : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 40))) {
+    levels.insert({static_cast<std::uint32_t>(priority), 0});
+  }
+  RC_PRE(levels.size() > 1);
+  std::uint32_t previous = 0;
+  for (const urgency_level& level : levels) {
+    const auto number = EnginePriority(levels, level);
+    RC_ASSERT(number.has_value());
+    RC_ASSERT(*number >= previous && *number <= kLeastUrgentNumber);
+    RC_ASSERT(levels.size() > 10 || level == *levels.begin() || *number > previous);
+    previous = *number;
+  }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. refusals
 // ---------------------------------------------------------------------------------------------------------------------
 
 TEST_F(placement_queue_test, TakeExpired_AtTheExpiry_ReturnsExactlyTheExpired) {
@@ -176,7 +352,7 @@
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
-// 3. any sequence of operations
+// 4. any sequence of operations
 // ---------------------------------------------------------------------------------------------------------------------
 
 RC_GTEST_FIXTURE_PROP(placement_queue_test, Queue_ForAnyOperations_KeepsEveryRequestOnce, ()) {
@@ -218,5 +394,48 @@
   }
 }
 
+// The same with requests of several levels and accounts, whose order changes with the shares.
+RC_GTEST_FIXTURE_PROP(urgency_queue_test, Queue_WithLevelsAndAccounts_KeepsEveryRequestOnce, ()) {
+  std::set<std::string> waiting;
+  std::vector<placement_request> placed;
+  std::int64_t now = 0;
+  int next_id = 0;
+  for (const int operation : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5))) {
+    now += *rc::gen::inRange(0, 300);
+    if (operation == 0) {
+      auto request = Request(++next_id, *rc::gen::inRange<std::uint32_t>(0, 3), now + *rc::gen::inRange(-200, 800),
+                             now + *rc::gen::inRange(0, 2'500));
+      request.is_retry = *rc::gen::arbitrary<bool>();
+      request.is_resumed = *rc::gen::arbitrary<bool>();
+      request.account = account_name{std::to_string(*rc::gen::inRange(0, 3))};
+      if (queue_.Add(request, At(now))) {
+        waiting.insert(request.request.value);
+      }
+    } else if (operation == 1) {
+      const bool is_free = *rc::gen::arbitrary<bool>();
+      const placement_step step =
+          queue_.TakeNext(is_free ? HasCapacity : OnlyLocalPrefill, *rc::gen::arbitrary<bool>());
+      if (step.placed) {
+        RC_ASSERT(waiting.erase(step.placed->request.value) == 1U);
+        placed.push_back(*step.placed);
+      }
+    } else if (operation == 2 && !placed.empty()) {
+      queue_.Requeue(placed.back(), At(now));
+      waiting.insert(placed.back().request.value);
+      placed.pop_back();
+    } else if (operation == 3) {
+      for (const placement_request& request : queue_.TakeExpired(At(now))) {
+        RC_ASSERT(request.expiry <= At(now));
+        RC_ASSERT(waiting.erase(request.request.value) == 1U);
+      }
+    } else if (operation == 4 && !waiting.empty()) {
+      const std::string id = *waiting.begin();
+      RC_ASSERT(queue_.Remove(request_id{id}));
+      waiting.erase(id);
+    }
+    RC_ASSERT(queue_.Size() == waiting.size());
+  }
+}
+
 }  // namespace
 }  // namespace persimmon
--- a/tests/routes_test.cpp
+++ b/tests/routes_test.cpp
@@ -81,5 +81,45 @@
   EXPECT_EQ(few, 100);
 }
 
+// ---------------------------------------------------------------------------------------------------------------------
+// urgency
+// ---------------------------------------------------------------------------------------------------------------------
+
+// Guards against engines that get different numbers for the same request from different routers: the levels follow from
+// the desired state alone.
+TEST(urgency_test, UrgencyLevels_OfAService_CombineItsStreamingRoutesWithAllAccounts) {
+  route_record route;
+  route.path_prefix = "/1/";
+  route.kind = call_kind::kStreaming;
+  route.priority = 3;
+  route.services = {{"llm", 1}};
+  route_record idempotent = route;
+  idempotent.path_prefix = "/2/";
+  idempotent.kind = call_kind::kIdempotent;
+  idempotent.priority = 7;
+  caller_account urgent;
+  urgent.name = account_name{"urgent"};
+  urgent.priority = 1;
+  const routing_table table(1, {route, idempotent}, {}, {}, account_directory({urgent, caller_account()}));
+  EXPECT_EQ(table.UrgencyLevels("llm"), (std::set<urgency_level>{{1, 3}, {3, 3}}));
+  EXPECT_TRUE(table.UrgencyLevels("other").empty());
+  EXPECT_EQ(UrgencyOf(route, &urgent), (urgency_level{1, 3}));
+  EXPECT_EQ(UrgencyOf(route, nullptr), (urgency_level{3, 3}));
+  const caller_account without_priority;
+  EXPECT_EQ(UrgencyOf(route, &without_priority), (urgency_level{3, 3}));
+}
+
+TEST(urgency_test, AbandonTime_OfARoute_FollowsItsTargets) {
+  const auto abandon_time = [](int target_ms, int interval_ms) {
+    route_record route;
+    route.target_latency = milliseconds(target_ms);
+    route.target_event_interval = milliseconds(interval_ms);
+    return AbandonTime(route);
+  };
+  EXPECT_EQ(abandon_time(100, 0), milliseconds(2'000));
+  EXPECT_EQ(abandon_time(900, 300), milliseconds(3'600));
+  EXPECT_EQ(abandon_time(900, 500), milliseconds(4'000));
+}
+
 }  // namespace
 }  // namespace persimmon
--- a/tests/support/router_harness.h
+++ b/tests/support/router_harness.h
@@ -48,6 +48,8 @@
   int attempts = 2;
   std::uint32_t memory_tokens = 10'000;
   int hold_ms = 2'000;
+  // Adds a route "/urgent/" to the model service, with priority 0; the others have priority 1.
+  bool has_urgent_route = false;
 };
 
 inline std::string MakeDesiredState(const desired_state_options& options) {
@@ -63,23 +65,27 @@
                 {"max_attempts", attempts},
                 {"resumable", resumable}};
   };
+  json routes = {route("/pages/", "idempotent", "app", false, options.attempts),
+                 route("/submit/", "non_idempotent", "app", false, 1), route("/chat/", "streaming", "llm", false, 1),
+                 route("/digest/", "streaming", "llm", true, options.attempts),
+                 route("/feed/", "streaming", "app", false, 1)};
+  if (options.has_urgent_route) {
+    routes.push_back(route("/urgent/", "streaming", "llm", false, 1));
+    routes.back()["priority"] = 0;
+  }
   const json engine = {{"slots", 16},          {"kv_capacity_tokens", options.memory_tokens},
                        {"stride", 10},         {"handle_ttl_s", 0.5},
                        {"role_switch_s", 0.1}, {"hold_ms", options.hold_ms}};
-  return json{
-      {"version", options.version},
-      {"routes",
-       {route("/pages/", "idempotent", "app", false, options.attempts),
-        route("/submit/", "non_idempotent", "app", false, 1), route("/chat/", "streaming", "llm", false, 1),
-        route("/digest/", "streaming", "llm", true, options.attempts), route("/feed/", "streaming", "app", false, 1)}},
-      {"services",
-       {{{"name", "app"}, {"health_path", "/health"}, {"max_conns", 100}},
-        {{"name", "llm"}, {"health_path", "/health"}, {"max_conns", 100}, {"engine", engine}}}},
-      {"limits",
-       {{"max_header_bytes", 8'192},
-        {"max_body_bytes", 100'000},
-        {"header_timeout_ms", 3'000},
-        {"idle_timeout_ms", 15'000}}}}
+  return json{{"version", options.version},
+              {"routes", routes},
+              {"services",
+               {{{"name", "app"}, {"health_path", "/health"}, {"max_conns", 100}},
+                {{"name", "llm"}, {"health_path", "/health"}, {"max_conns", 100}, {"engine", engine}}}},
+              {"limits",
+               {{"max_header_bytes", 8'192},
+                {"max_body_bytes", 100'000},
+                {"header_timeout_ms", 3'000},
+                {"idle_timeout_ms", 15'000}}}}
       .dump();
 }
 
