Simulate two classes of requests, failures and preemption by urgency

The model of engines knew one class with one target. It now has classes with rate, target, priority and accounts, further bursts, lost routers and engines, and engines that order prompts and preempt by the number that routers send.

--- a/include/persimmon/placement_queue.h
+++ b/include/persimmon/placement_queue.h
@@ -5,6 +5,7 @@
 //   1. values
 //   2. shares of levels and accounts
 //   3. queue
+//   4. room for urgent requests
 //
 // It is designed for overload: simultaneous bursts of different kinds, retrying callers, and several routers that share
 // the engines. If requests were served in order of arrival, every one would then be late. Therefore the requests that
@@ -185,4 +186,15 @@
   std::map<urgency_level, level_use> uses_;
 };
 
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. room for urgent requests
+// ---------------------------------------------------------------------------------------------------------------------
+
+// Hides from a less urgent request as much decode memory and prefill backlog as the more urgent ones use within `time`,
+// so that they find room in a burst. `use` is that of this router; `routers` share the engines. Decode memory is hidden
+// in blocks of the mean size of an urgent request, one each on the first engines of the views, because a remainder on
+// every engine would hold no request. The order of the views is the same on all routers.
+void ReserveForUrgent(const urgent_use& use, std::uint32_t routers, milliseconds time,
+                      std::span<engine_view> decode_engines, std::size_t prefill_engines, placement_settings& settings);
+
 }  // namespace persimmon
--- a/src/decisions/placement_queue.cpp
+++ b/src/decisions/placement_queue.cpp
@@ -241,4 +241,24 @@
   }
 }
 
+// ---------------------------------------------------------------------------------------------------------------------
+// 4. room for urgent requests
+// ---------------------------------------------------------------------------------------------------------------------
+
+void ReserveForUrgent(const urgent_use& use, std::uint32_t routers, milliseconds time,
+                      std::span<engine_view> decode_engines, std::size_t prefill_engines,
+                      placement_settings& settings) {
+  if (use.requests_per_s <= 0) {
+    return;
+  }
+  const double seconds = std::chrono::duration<double>(time).count() * routers;
+  const auto block = static_cast<std::uint32_t>(use.memory_tokens_per_s / use.requests_per_s);
+  const auto blocks = static_cast<std::size_t>(std::lround(use.requests_per_s * seconds));
+  for (std::size_t i = 0; i < blocks && !decode_engines.empty(); ++i) {
+    decode_engines[i % decode_engines.size()].headroom_tokens += block;
+  }
+  const double backlog = use.prompt_tokens_per_s * seconds / std::max<double>(1, static_cast<double>(prefill_engines));
+  settings.max_prefill_backlog -= static_cast<std::uint32_t>(std::min<double>(settings.max_prefill_backlog, backlog));
+}
+
 }  // namespace persimmon
--- a/tests/support/engine_model.h
+++ b/tests/support/engine_model.h
@@ -8,7 +8,10 @@
 //   4. simulation
 #pragma once
 
+#include <fmt/format.h>
+
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <cstdint>
 #include <deque>
@@ -41,6 +44,31 @@
   std::uint32_t ReportPeriodMs() const { return std::max(30U, 8 * (routers - 1)); }
 };
 
+// Requests of one route.
+struct model_class {
+  double rate = 20;              // requests per second
+  std::int64_t target_ms = 900;  // until the first event
+  std::uint32_t priority = 0;    // lower is more urgent
+  std::uint32_t accounts = 1;    // each request belongs to a random one
+
+  // After which a caller without an event abandons its request (targets of event intervals are 300 ms or less).
+  std::int64_t AbandonMs() const { return std::max<std::int64_t>(2'400, 4 * target_ms); }
+};
+
+struct model_burst {
+  std::int64_t from_ms = 0;
+  std::int64_t to_ms = 0;
+  double factor = 1;  // of the rate
+};
+
+// Routers and engines that are lost at the same time.
+struct model_failure {
+  std::int64_t at_ms = -1;  // -1: no failure
+  std::uint32_t routers = 0;
+  std::uint32_t prefill = 0;
+  std::uint32_t decode = 0;
+};
+
 struct model_load {
   double rate = 20;           // requests per second
   double burst_factor = 1.8;  // of the rate, during the burst
@@ -48,16 +76,46 @@
   std::int64_t burst_to_ms = 15'000;
   std::int64_t end_ms = 25'000;  // of the arrivals
   std::uint64_t seed = 1;
+  std::vector<model_class> classes;   // empty: one, with `rate` and the default target
+  std::vector<model_burst> bursts;    // further bursts
+  std::uint32_t max_prompt = 9'000;   // tokens
+  std::uint32_t median_output = 900;  // tokens
+  model_failure failure;
+  // Of the policy kAdmissionOrder.
+  std::int64_t urgent_reserve_ms = 500;  // use of more urgent requests for which room is kept; 0: none
 };
 
 enum class placement_policy : std::uint8_t {
-  kProduct,             // the policy of the product
+  kProduct,             // the policy of the product for services without levels of urgency
+  kAdmissionOrder,      // the policy of the product for services that use the adaptive policy
   kIndependentRouters,  // routers on their own: late requests do not wait for peers; no local prefill, no headroom; the
                         // maximum of each stream is reserved from its start
   kRoundRobin,          // engines in rotation, without reservations and without a queue
   kPerfectInformation,  // a single router that knows all output lengths and the current state of all engines
 };
 
+// Requests of one class, or of one account of it.
+struct class_totals {
+  int requests = 0;
+  int served = 0;
+  int in_time = 0;
+  int large = 0;
+  int large_served = 0;
+
+  class_totals& operator+=(const class_totals& other) {
+    requests += other.requests;
+    served += other.served;
+    in_time += other.in_time;
+    large += other.large;
+    large_served += other.large_served;
+    return *this;
+  }
+
+  double ServedShare() const { return requests == 0 ? 0 : static_cast<double>(served) / requests; }
+  double InTimeShare() const { return requests == 0 ? 0 : static_cast<double>(in_time) / requests; }
+  double LargeServedShare() const { return large == 0 ? 0 : static_cast<double>(large_served) / large; }
+};
+
 struct model_totals {
   int requests = 0;
   int in_time = 0;  // first event within the target; no pause over 300 ms, i.e. not preempted
@@ -66,6 +124,8 @@
   int served = 0;
   int preempted = 0;
   double wasted_tokens = 0;
+  std::map<std::size_t, class_totals> classes;                             // by index in the load
+  std::map<std::pair<std::size_t, std::uint32_t>, class_totals> accounts;  // by index of the class and account
 
   model_totals& operator+=(const model_totals& other) {
     requests += other.requests;
@@ -75,6 +135,12 @@
     served += other.served;
     preempted += other.preempted;
     wasted_tokens += other.wasted_tokens;
+    for (const auto& [index, totals] : other.classes) {
+      classes[index] += totals;
+    }
+    for (const auto& [account, totals] : other.accounts) {
+      accounts[account] += totals;
+    }
     return *this;
   }
 
@@ -86,10 +152,9 @@
 namespace detail {
 
 constexpr std::int64_t kStepMs = 5;
-constexpr std::int64_t kTargetMs = 900;
-constexpr std::int64_t kCallerTimeoutMs = 3'600;   // without a first event
 constexpr std::int64_t kLateWaitMs = 2'500;        // as the router's setting late_wait
 constexpr std::int64_t kTransferLimitMs = 300;     // as the router's setting transfer_time
+constexpr std::int64_t kResumeStartLimitMs = 500;  // as the router's constant kResumeStartLimit
 constexpr std::int64_t kRefusedPauseMs = 40;       // as the router's setting refused_pause
 constexpr double kLargePrompt = 5'200;             // a tenth of the prompts sampled below is longer
 constexpr std::uint32_t kLocalPrefillChunk = 512;  // prompt tokens prefilled between two output tokens
@@ -104,7 +169,11 @@
   std::uint32_t output = 0;
   std::uint32_t hint = 0;
   std::uint32_t router = 0;
+  std::size_t class_index = 0;
+  model_class kind;
+  std::uint32_t account = 0;
   bool is_retry = false;
+  bool is_resumed = false;  // has lost its engine
   std::int64_t first_event_ms = -1;
   bool was_preempted = false;
   stream_memory memory;                  // estimated at the start
@@ -158,6 +227,7 @@
 
 struct model_router {
   placement_queue queue;
+  bool is_lost = false;
   output_length_model output_lengths;
   std::vector<engine_usage> own;       // by engine: prefill engines first
   std::vector<engine_usage> reported;  // as last sent to the other routers
@@ -176,6 +246,9 @@
  public:
   engine_model(const model_deployment& deployment, const model_load& load, placement_policy policy)
       : deployment_(deployment), load_(load), policy_(policy), random_(load.seed) {
+    if (load_.classes.empty()) {
+      load_.classes.push_back({.rate = load.rate});
+    }
     if (policy == placement_policy::kPerfectInformation) {
       deployment_.routers = 1;
     }
@@ -190,13 +263,22 @@
 
   model_totals Simulate() {
     constexpr std::int64_t kSettleMs = 20'000;  // for the last streams to end
+    constexpr std::int64_t kSilenceMs = 1'500;  // after which peers remove the load of a lost router
     for (now_ = 0; now_ < load_.end_ms + kSettleMs; now_ += detail::kStepMs) {
+      if (now_ == load_.failure.at_ms) {
+        LoseRoutersAndEngines();
+      }
       GenerateArrivals();
       RunPrefill();
       RunDecode();
       for (std::uint32_t i = 0; i < routers_.size(); ++i) {
-        SendReport(i);
-        Place(i);
+        if (!routers_[i].is_lost) {
+          SendReport(i);
+          Place(i);
+        } else if (now_ == load_.failure.at_ms + kSilenceMs) {
+          routers_[i].reported = routers_[i].own;
+          routers_[i].reported_waiting = 0;
+        }
       }
     }
     return totals_;
@@ -205,6 +287,10 @@
  private:
   using request_ptr = detail::request_ptr;
 
+  bool IsProduct() const {
+    return policy_ == placement_policy::kProduct || policy_ == placement_policy::kAdmissionOrder;
+  }
+
   std::size_t DecodeIndex(std::uint32_t engine) const { return deployment_.prefill + engine; }
 
   bool HasOutdatedViews() const {
@@ -213,30 +299,48 @@
     for (const detail::decode_engine& engine : decode_) {
       streams += static_cast<double>(engine.runs.size()) / static_cast<double>(decode_.size());
     }
-    return policy_ == placement_policy::kProduct &&
+    return IsProduct() &&
            persimmon::HasOutdatedViews(streams, kMeanStreamTime, milliseconds(deployment_.ReportPeriodMs()));
   }
 
   // --- callers ---
 
+  double BurstFactor() const {
+    double factor = now_ >= load_.burst_from_ms && now_ < load_.burst_to_ms ? load_.burst_factor : 1;
+    for (const model_burst& burst : load_.bursts) {
+      factor = now_ >= burst.from_ms && now_ < burst.to_ms ? burst.factor : factor;
+    }
+    return factor;
+  }
+
   void GenerateArrivals() {
-    if (now_ < load_.end_ms) {
-      const bool is_burst = now_ >= load_.burst_from_ms && now_ < load_.burst_to_ms;
-      const double mean = load_.rate * (is_burst ? load_.burst_factor : 1) * detail::kStepMs / 1e3;
+    for (std::size_t index = 0; index < load_.classes.size() && now_ < load_.end_ms; ++index) {
+      const model_class& kind = load_.classes[index];
+      const double mean = kind.rate * BurstFactor() * detail::kStepMs / 1e3;
       const int count = std::poisson_distribution<int>(mean)(random_);
       for (int i = 0; i < count; ++i) {
         auto request = std::make_shared<detail::model_request>();
+        request->class_index = index;
+        request->kind = kind;
+        if (kind.accounts > 1) {
+          request->account = std::uniform_int_distribution<std::uint32_t>(0, kind.accounts - 1)(random_);
+        }
         request->id = ++next_id_;
         request->arrival_ms = request->attempt_ms = now_;
         // As in the deployments: nine in ten prompts have 1,750 to 5,200 tokens; half of the responses are longer than
         // estimated.
-        request->prompt = SampleLogNormal(2'950, 0.44, 200, 9'000);
-        request->output = SampleLogNormal(900, 0.4, 50, 2'400);
+        request->prompt = SampleLogNormal(2'950, 0.44, 200, load_.max_prompt);
+        request->output = SampleLogNormal(load_.median_output, 0.4, 50, 2'400);
         request->hint = policy_ == placement_policy::kPerfectInformation
                             ? request->output
                             : SampleLogNormal(request->output, 0.35, 50, 2'400);
         ++totals_.requests;
-        totals_.large += request->prompt > detail::kLargePrompt ? 1 : 0;
+        const bool is_large = request->prompt > detail::kLargePrompt;
+        totals_.large += is_large ? 1 : 0;
+        for (class_totals* totals : TotalsOf(*request)) {
+          ++totals->requests;
+          totals->large += is_large ? 1 : 0;
+        }
         Submit(request);
       }
     }
@@ -247,6 +351,10 @@
     }
   }
 
+  std::array<class_totals*, 2> TotalsOf(const detail::model_request& request) {
+    return {&totals_.classes[request.class_index], &totals_.accounts[{request.class_index, request.account}]};
+  }
+
   std::uint32_t SampleLogNormal(double median, double sigma, std::uint32_t lowest, std::uint32_t highest) {
     const double value = std::lognormal_distribution<double>(std::log(median), sigma)(random_);
     return static_cast<std::uint32_t>(std::clamp<double>(value, lowest, highest));
@@ -254,7 +362,9 @@
 
   void Submit(const request_ptr& request) {
     request->attempt_ms = now_;
-    request->router = std::uniform_int_distribution<std::uint32_t>(0, deployment_.routers - 1)(random_);
+    do {
+      request->router = std::uniform_int_distribution<std::uint32_t>(0, deployment_.routers - 1)(random_);
+    } while (routers_[request->router].is_lost);
     if (policy_ == placement_policy::kRoundRobin) {
       StartRoundRobin(request);
       return;
@@ -268,13 +378,32 @@
     } else {
       request->memory = {request->prompt, ExpectRemaining(*request, 0)};
     }
+    Queue(request);
+  }
+
+  void Queue(const request_ptr& request) {
+    detail::model_router& router = routers_[request->router];
     placement_request queued_request;
     queued_request.request = request_id{std::to_string(request->id)};
     queued_request.memory = request->memory;
     const auto prefill_ms = static_cast<std::int64_t>(request->prompt / deployment_.prefill_tokens_per_ms);
     queued_request.latest_start =
-        detail::AtMs(request->arrival_ms + detail::kTargetMs - prefill_ms - detail::kTransferLimitMs);
-    queued_request.expiry = detail::AtMs(request->attempt_ms + detail::kLateWaitMs);
+        detail::AtMs(request->arrival_ms + request->kind.target_ms - prefill_ms - detail::kTransferLimitMs);
+    std::int64_t late_wait_ms = detail::kLateWaitMs;
+    if (policy_ == placement_policy::kAdmissionOrder) {
+      late_wait_ms = late_wait_ms * request->kind.AbandonMs() / 3'600;
+      queued_request.urgency = {request->kind.priority, request->kind.priority};
+      queued_request.is_retry = request->is_retry;
+      if (request->kind.accounts > 1) {
+        queued_request.account = account_name{fmt::format("{}-{}", request->class_index, request->account)};
+      }
+    }
+    if (request->is_resumed) {
+      queued_request.is_resumed = true;
+      queued_request.latest_start =
+          std::max(queued_request.latest_start, detail::AtMs(now_ + detail::kResumeStartLimitMs));
+    }
+    queued_request.expiry = detail::AtMs((request->is_resumed ? now_ : request->attempt_ms) + late_wait_ms);
     if (router.queue.Add(queued_request, detail::AtMs(now_))) {
       router.waiting[request->id] = request;
     } else {
@@ -291,6 +420,86 @@
     }
   }
 
+  // --- failures ---
+
+  // The last routers and engines of each kind are lost. Callers of a lost router see a broken connection and try again
+  // once. Requests of a lost engine are assigned again by their router.
+  void LoseRoutersAndEngines() {
+    for (std::uint32_t i = deployment_.routers - load_.failure.routers; i < deployment_.routers; ++i) {
+      routers_[i].is_lost = true;
+    }
+    std::vector<request_ptr> ended;
+    const auto drop = [&](const request_ptr& request, bool is_engine_lost) {
+      if (routers_[request->router].is_lost || is_engine_lost) {
+        ended.push_back(request);
+        return true;
+      }
+      return false;
+    };
+    for (std::uint32_t i = 0; i < deployment_.decode; ++i) {
+      const bool is_lost = i >= deployment_.decode - load_.failure.decode;
+      std::erase_if(decode_[i].runs, [&](const auto& run) {
+        const bool is_dropped = drop(run.request, is_lost);
+        if (is_dropped && !run.request->prefill && run.generated == 0 && run.local_prefill_left > 0) {
+          UpdatePendingPrompt(*run.request, static_cast<std::uint32_t>(DecodeIndex(i)), -1);
+        }
+        return is_dropped;
+      });
+      std::erase_if(decode_[i].preempted, [&](const auto& run) { return drop(run.request, is_lost); });
+    }
+    for (std::uint32_t i = 0; i < deployment_.prefill; ++i) {
+      const bool is_lost = i >= deployment_.prefill - load_.failure.prefill;
+      std::vector<request_ptr> prompts;
+      for (const auto& [request, tokens] : prefill_[i].prompts) {
+        if (is_lost || std::find(ended.begin(), ended.end(), request) != ended.end()) {
+          prompts.push_back(request);
+        }
+      }
+      std::erase_if(prefill_[i].prompts, [&](const auto& item) {
+        return std::find(prompts.begin(), prompts.end(), item.first) != prompts.end();
+      });
+      for (const request_ptr& request : prompts) {
+        if (!routers_[request->router].is_lost) {
+          UpdatePendingPrompt(*request, i, -1);
+        }
+        request->prefill.reset();
+        if (std::find(ended.begin(), ended.end(), request) == ended.end()) {
+          ended.push_back(request);
+          std::erase_if(decode_[request->decode].runs, [&](const auto& run) { return run.request == request; });
+        }
+      }
+    }
+    for (const request_ptr& request : ended) {
+      detail::model_router& router = routers_[request->router];
+      if (router.is_lost) {
+        Refuse(request);
+        continue;
+      }
+      router.own[DecodeIndex(request->decode)].streams.erase(request->id);
+      request->is_resumed = true;
+      request->prefill.reset();
+      Queue(request);
+    }
+    for (detail::model_router& router : routers_) {
+      if (router.is_lost) {
+        for (const auto& [id, request] : router.waiting) {
+          Refuse(request);
+        }
+        router.waiting.clear();
+        router.queue = placement_queue();
+        router.own.assign(router.own.size(), {});
+      }
+    }
+  }
+
+  bool IsEngineLost(std::size_t engine) const {
+    const bool is_prefill = engine < deployment_.prefill;
+    const std::size_t index = is_prefill ? engine : engine - deployment_.prefill;
+    const std::size_t left =
+        is_prefill ? deployment_.prefill - load_.failure.prefill : deployment_.decode - load_.failure.decode;
+    return load_.failure.at_ms >= 0 && now_ >= load_.failure.at_ms && index >= left;
+  }
+
   // --- engines ---
 
   void RunPrefill() {
@@ -366,7 +575,7 @@
     std::erase_if(engine.runs, [&](const detail::decode_run& run) {
       const bool is_complete = run.generated >= run.request->output;
       const bool is_abandoned = run.request->first_event_ms < 0 &&
-                                now_ - run.request->attempt_ms > detail::kCallerTimeoutMs && run.starts_ms >= 0 &&
+                                now_ - run.request->attempt_ms > run.request->kind.AbandonMs() && run.starts_ms >= 0 &&
                                 run.local_prefill_left <= 0;
       if (is_complete || is_abandoned) {
         FinishRun(*run.request, index, is_complete);
@@ -387,18 +596,34 @@
       routers_[request.router].output_lengths.RecordAnswer(request.hint, request.output);
     }
     ++totals_.served;
-    const bool is_in_time = request.first_event_ms - request.arrival_ms <= detail::kTargetMs && !request.was_preempted;
+    const bool is_in_time =
+        request.first_event_ms - request.arrival_ms <= request.kind.target_ms && !request.was_preempted;
+    for (class_totals* totals : TotalsOf(request)) {
+      ++totals->served;
+      totals->in_time += is_in_time ? 1 : 0;
+      totals->large_served += request.prompt > detail::kLargePrompt ? 1 : 0;
+    }
     totals_.in_time += is_in_time ? 1 : 0;
     totals_.large_in_time += is_in_time && request.prompt > detail::kLargePrompt ? 1 : 0;
   }
 
-  // Preempts the newest stream that has outgrown its reservation. It is prefilled again when there is enough memory.
+  // The number by which engines order requests; all the same where routers send none.
+  std::uint32_t EnginePriority(const detail::model_request& request) const {
+    return policy_ == placement_policy::kAdmissionOrder ? request.kind.priority : 0;
+  }
+
+  // Preempts the newest of the least urgent streams that have outgrown their reservation. It is prefilled again when
+  // there is enough memory.
   void Preempt(std::uint32_t index) {
     detail::decode_engine& engine = decode_[index];
     while (engine.UsedMemory() > deployment_.memory_tokens) {
-      const auto outgrown = std::find_if(engine.runs.rbegin(), engine.runs.rend(), [](const detail::decode_run& run) {
-        return run.request->prompt + run.generated > run.request->reserved;
-      });
+      auto outgrown = engine.runs.rend();
+      for (auto run = engine.runs.rbegin(); run != engine.runs.rend(); ++run) {
+        const bool is_outgrown = run->request->prompt + run->generated > run->request->reserved;
+        const bool is_less_urgent =
+            outgrown == engine.runs.rend() || EnginePriority(*outgrown->request) < EnginePriority(*run->request);
+        outgrown = is_outgrown && is_less_urgent ? run : outgrown;
+      }
       if (outgrown == engine.runs.rend()) {
         break;
       }
@@ -408,7 +633,11 @@
       run.local_prefill_left = run.request->prompt + run.generated;
       totals_.wasted_tokens += run.local_prefill_left;
       ++totals_.preempted;
-      engine.preempted.push_back(run);
+      const auto position =
+          std::find_if(engine.preempted.begin(), engine.preempted.end(), [&](const detail::decode_run& other) {
+            return EnginePriority(*run.request) < EnginePriority(*other.request);
+          });
+      engine.preempted.insert(position, run);
     }
     while (!engine.preempted.empty() &&
            engine.UsedMemory() + detail::decode_engine::MemoryUse(engine.preempted.front()) <=
@@ -464,6 +693,7 @@
     view.name = endpoint_name{std::to_string(engine)};
     view.kv_tokens = deployment_.memory_tokens;
     view.slots = deployment_.slots;
+    view.can_receive = !IsEngineLost(engine);
     for (std::uint32_t i = 0; i < routers_.size(); ++i) {
       const detail::engine_usage& usage = i == router ? routers_[i].own[engine] : routers_[i].reported[engine];
       for (const auto& [id, stream] : usage.streams) {
@@ -476,7 +706,7 @@
     if (refused != routers_[router].refused.end() && now_ < refused->second.second) {
       view.refused_tokens = refused->second.first;
     }
-    if (policy_ == placement_policy::kProduct) {
+    if (IsProduct()) {
       view.headroom_tokens = routers_[router].output_lengths.Headroom(view.running);
     }
     return view;
@@ -496,7 +726,7 @@
     for (std::uint32_t i = 0; i < routers_.size(); ++i) {
       peers_waiting += i == index ? 0 : routers_[i].reported_waiting;
     }
-    const bool yields_to_peers = policy_ == placement_policy::kProduct && peers_waiting > 0;
+    const bool yields_to_peers = IsProduct() && peers_waiting > 0;
     placement_settings placement;
     placement.local_prefill_limit =
         policy_ == placement_policy::kIndependentRouters ? 0 : placement.local_prefill_limit;
@@ -510,7 +740,13 @@
       for (std::uint32_t i = 0; i < deployment_.decode; ++i) {
         decode.push_back(View(index, DecodeIndex(i)));
       }
-      return ChooseEngines(decode, prefill, request.memory, {}, random_(), placement);
+      placement_settings terms = placement;
+      if (policy_ == placement_policy::kAdmissionOrder) {
+        const urgent_use use = router.queue.UseAbove(request.urgency, detail::AtMs(now_));
+        ReserveForUrgent(use, deployment_.routers, milliseconds(load_.urgent_reserve_ms), decode, prefill.size(),
+                         terms);
+      }
+      return ChooseEngines(decode, prefill, request.memory, {}, random_(), terms);
     };
     while (true) {
       const placement_step step = router.queue.TakeNext(choose, yields_to_peers);
@@ -545,7 +781,11 @@
     if (prefill) {
       request->prefill = static_cast<std::uint32_t>(*prefill);
       UpdatePendingPrompt(*request, *request->prefill, 1);
-      prefill_[*prefill].prompts.emplace_back(request, request->prompt);
+      auto& prompts = prefill_[*prefill].prompts;
+      const auto position = std::find_if(prompts.begin() + (prompts.empty() ? 0 : 1), prompts.end(), [&](auto& other) {
+        return EnginePriority(*request) < EnginePriority(*other.first);
+      });
+      prompts.emplace(position, request, request->prompt);
     } else {
       run.local_prefill_left = request->prompt;
       run.starts_ms = now_;
@@ -605,6 +845,33 @@
   return deployment;
 }
 
+// A grown deployment with two classes of requests, and bursts that exceed its capacity.
+inline model_deployment TwoClassDeployment() {
+  model_deployment deployment;
+  deployment.routers = 24;
+  deployment.prefill = 10;
+  deployment.decode = 35;
+  deployment.memory_tokens = 29'249;
+  deployment.slots = 32;
+  deployment.prefill_tokens_per_ms = 33;
+  deployment.token_ms = 3.7;
+  deployment.token_ms_per_stream = 0.0193;
+  deployment.event_tokens = 12;
+  return deployment;
+}
+
+inline model_load TwoClassLoad(std::uint64_t seed) {
+  model_load load;
+  load.classes = {{.rate = 3.6, .target_ms = 800, .priority = 0}, {.rate = 47.8, .target_ms = 2'000, .priority = 1}};
+  load.burst_factor = 1.9;
+  load.bursts = {{20'000, 24'000, 2.2}};
+  load.end_ms = 28'000;
+  load.max_prompt = 6'600;
+  load.median_output = 770;  // mean 830
+  load.seed = seed;
+  return load;
+}
+
 inline model_load SmallLoad(std::uint64_t seed) {
   model_load load;
   load.seed = seed;
