Read the work time that endpoints report

Endpoints of some deployments state the current duration of work on their VM as the fourth number of the load header. It is read into the response metadata, and its presence turns the adaptive policy on for the service. A malformed number is ignored and logged, like a malformed request limit.

Checked by three new tests of platform_adapter_test.

--- a/src/direct/endpoint_tracker.cpp
+++ b/src/direct/endpoint_tracker.cpp
@@ -101,6 +101,13 @@
   if (metadata.closed_for) {
     CloseEndpoint(endpoint, *metadata.closed_for);
   }
+  if (metadata.has_unreadable_work_time) {
+    Events().Line(kComponent, "work_time_unreadable").Add("endpoint", endpoint.name.value);
+  }
+  const endpoint_entry* entry = directory_->Endpoints().Find(endpoint.name);
+  if (metadata.work_time_percent && !metadata.is_misdirected && entry != nullptr) {
+    RecordWorkTimeReport(entry->service);
+  }
   if (!metadata.is_misdirected) {
     limits_->RecordResponse(endpoint.name, endpoint.started_ms, metadata, sent);
   }
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -257,6 +257,36 @@
 }
 
 // An endpoint that states a limit in another form must neither lose its limit nor get one of zero.
+response_metadata ParseLoad(const char* value) {
+  return ParseResponseHeaders({200, {{"Persimmonchute-Server-Load", value}}});
+}
+
+TEST(response_headers_test, ServerLoad_WithAWorkTime_IsReadWhole) {
+  const response_metadata metadata = ParseLoad("3,1,6,250");
+  EXPECT_EQ(metadata.running, 3U);
+  EXPECT_EQ(metadata.waiting, 1U);
+  EXPECT_EQ(metadata.slots, 6U);
+  EXPECT_EQ(metadata.work_time_percent, 250U);
+  EXPECT_EQ(ParseLoad("3, 1, 6, 99.6").work_time_percent, 100U);
+}
+
+// Guards against the adaptive policy in deployments whose endpoints state no work time.
+TEST(response_headers_test, ServerLoad_WithoutAWorkTime_StatesNone) {
+  for (const char* value : {"3,1,6", "3,1", ""}) {
+    EXPECT_FALSE(ParseLoad(value).work_time_percent) << value;
+    EXPECT_FALSE(ParseLoad(value).has_unreadable_work_time) << value;
+  }
+}
+
+// Guards against predictions from a number that cannot be a work time.
+TEST(response_headers_test, ServerLoad_WithAMalformedWorkTime_IsIgnoredAndReported) {
+  for (const char* value : {"3,1,6,x", "3,1,6,-5", "3,1,6,0", "3,1,6,12x", "3,1,6,inf", "3,1,6,10001"}) {
+    EXPECT_FALSE(ParseLoad(value).work_time_percent) << value;
+    EXPECT_TRUE(ParseLoad(value).has_unreadable_work_time) << value;
+    EXPECT_EQ(ParseLoad(value).slots, 6U) << value;
+  }
+}
+
 TEST(response_headers_test, RequestLimit_OfAResponse_IsTheLowestReadableNumber) {
   const auto read = [](const header_list& headers) { return platform::ParseResponseHeaders({200, headers}); };
   EXPECT_EQ(read({{"server-limit", " 7.25 "}}).request_limit, 7.25);
