--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -23,6 +23,9 @@
   duration("endpoints", "down_pause_ms", settings.down_pause);
   duration("endpoints", "down_pause_limit_ms", settings.down_pause_limit);
   bind.Real("plain", "second_try_share", settings.second_try_share, 0.05, 10);
+  bind.Real("plain", "probe_share", settings.probe_share, 0, 0.5);
+  duration("plain", "slow_memory_ms", settings.slow_memory);
+  duration("plain", "load_memory_ms", settings.load_memory);
   duration("plain", "retry_after_ms", settings.plain_retry_after);
   duration("model", "reserve_timeout_ms", settings.reserve_timeout);
   duration("model", "reservation_time_ms", settings.reservation_time);
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -35,6 +35,10 @@
   // [plain]
   double second_try_share = 0.75;  // fraction of the target latency after which an idempotent call is retried on
                                    // another endpoint
+  // Only with the adaptive policy; see estimate_settings.
+  double probe_share = 0.03;                           // share of the calls that disregard the estimates
+  milliseconds slow_memory = milliseconds(400);        // time constant of what is known about the speed of an endpoint
+  milliseconds load_memory = milliseconds(150);        // time constant of a reported number of requests
   milliseconds plain_retry_after = milliseconds(300);  // base Retry-After of a refusal; jitter adds up to 100%
 
   // [model]
