Test overlapping attempts and the estimates of plain services

The fake replica gains an answer delay that ends with the connection, and a stated load.

An abandoned call drops what was known of the endpoint's speed if no response has come since it was sent: earlier responses do not contradict it.

--- a/src/decisions/call_estimates.cpp
+++ b/src/decisions/call_estimates.cpp
@@ -207,7 +207,8 @@
   if (found == state->calls.end()) {
     return;
   }
-  const microseconds duration = Elapsed(found->second, now);
+  const time_point start = found->second;
+  const microseconds duration = Elapsed(start, now);
   state->calls.erase(found);
   if (end == call_end::kNoSample) {
     return;
@@ -218,6 +219,11 @@
     const double ratio = Us(duration) / (usual_us * ReportedSlowness(*state, now));
     if (ratio >= kMinAbandonedRatio) {
       ++state->unanswered;
+      if (!state->heard || *state->heard < start) {
+        // All responses are older than the call, so they do not contradict it.
+        state->log_slowness_sum = 0;
+        state->slowness_weight = 0;
+      }
       RecordSlowness(*state, ratio, now);
     }
     return;
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -106,6 +106,9 @@
   if (faults_.encoded) {
     headers.push_back({"Content-Encoding", "gzip"});
   }
+  if (!faults_.server_load.empty()) {
+    headers.push_back({"Persimmonchute-Server-Load", faults_.server_load});
+  }
   AddOwnState(headers);
   return headers;
 }
@@ -327,6 +330,7 @@
     Stop();
     co_return;
   }
+  co_await DelayAnswer(exchange);
   if (faults_.drops_responses) {
     exchange->AbortStream();
   } else if (faults_.never_responds) {
@@ -355,6 +359,14 @@
   --running_count_;
 }
 
+// Waits for answer_delay; the fault may change meanwhile.
+task<> fake_replica::DelayAnswer(std::shared_ptr<http_exchange> exchange) {
+  const time_point begin = timer_service::Now();
+  while (timer_service::Now() < begin + faults_.answer_delay && !exchange->IsDisconnected()) {
+    co_await timers_.Sleep(kDisconnectPollInterval);
+  }
+}
+
 // Sends the response of a plain call that has run.
 task<> fake_replica::Answer(std::shared_ptr<http_exchange> exchange, http_response answer) {
   if (!faults_.unframed && !faults_.endless_body) {
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -62,6 +62,8 @@
   std::string crash_on_part = {};
   std::string request_limit = {};        // stated in all responses, in requests per second; empty: not stated
   milliseconds retry_after{0};           // stated in rejections with status 503; 0: not stated
+  std::string server_load = {};          // load header of responses that have run: "running,waiting,slots,work time"
+  milliseconds answer_delay{0};          // additional duration of a plain call; ends when the caller disconnects
   milliseconds reserve_delay{0};         // before a reservation is granted or refused
   std::uint32_t stall_after_events = 0;  // streams stop after this many events, with a byte now and then; 0: never
   std::uint32_t break_after_events = 0;  // streams break off after this many events; 0: never
@@ -113,6 +115,7 @@
   body_framing Framing() const;
   task<> Answer(std::shared_ptr<http_exchange> exchange, http_response answer);
   task<> StreamEvents(std::shared_ptr<http_exchange> exchange, std::string attempt);
+  task<> DelayAnswer(std::shared_ptr<http_exchange> exchange);
   bool CrashesOn(const http_request& request) const;
   task<> Crash();
   task<> BreakOff(std::shared_ptr<http_exchange> exchange);
