Compare the first answers of a service with themselves, not with a default

A service that answers in 1 ms looked twice as fast as the assumed 30 ms, so the endpoint that answered first got nearly all calls for a while.

--- a/src/decisions/call_estimates.cpp
+++ b/src/decisions/call_estimates.cpp
@@ -214,9 +214,8 @@
     return;
   }
   responses_.Record(duration, now);
-  const double usual_us = Us(UsualWork(state, now));
   if (end == call_end::kAbandoned) {
-    const double ratio = Us(duration) / (usual_us * ReportedSlowness(*state, now));
+    const double ratio = Us(duration) / (Us(UsualWork(state, now)) * ReportedSlowness(*state, now));
     if (ratio >= kMinAbandonedRatio) {
       ++state->unanswered;
       if (!state->heard || *state->heard < start) {
@@ -235,9 +234,10 @@
   const double rounds = 1 + state->report.waiting.value_or(0) / std::max(slots, 1.0);
   const double work_time = state->report.work_time_percent.value_or(100) / 100.0;
   const double work_us = Us(duration) / rounds / work_time;
-  RecordSlowness(*state, work_us / usual_us, now);
   state->work.Record(FromUs(work_us), now);
   work_.Record(FromUs(work_us), now);
+  // After the sample has been recorded, so that the first ones are not compared with a default.
+  RecordSlowness(*state, work_us / Us(UsualWork(state, now)), now);
 }
 
 void call_estimates::RecordReport(const endpoint_incarnation& endpoint, const server_load& report, time_point now) {
--- a/tests/call_estimates_test.cpp
+++ b/tests/call_estimates_test.cpp
@@ -201,6 +201,16 @@
   EXPECT_NEAR(shares[0], 0.5, 0.05);
 }
 
+// Guards against an endpoint that gets all calls because it has answered first, faster than the assumed duration.
+TEST(call_choice_test, FirstAnswers_AreNotComparedWithADefault) {
+  call_estimates estimates{estimate_settings{}};
+  for (int i = 0; i < 3; ++i) {
+    Answer(estimates, "a", milliseconds(1), kIdle, kStart);
+  }
+  const auto shares = Shares(estimates, {View("a"), View("b")}, kStart);
+  EXPECT_NEAR(shares[0], 0.5, 0.05);
+}
+
 TEST(call_choice_test, AmongEqualEndpoints_TheOwnZoneIsPreferred) {
   const call_estimates estimates = TwoIdleEndpoints();
   const auto shares = Shares(estimates, {View("a", "zone-a"), View("b", "zone-b")}, kStart, zone_name{"zone-b"});
