Limit the endpoints that one choice estimates

With 1,400 endpoints of one service a choice took 860 us, 1.8% of a core at 21 requests/s. A random selection of 16 endpoints is estimated now: 22 us on the busy build VM. Services of up to 16 endpoints are chosen from as before.

--- a/src/decisions/call_estimates.cpp
+++ b/src/decisions/call_estimates.cpp
@@ -24,6 +24,9 @@
 constexpr double kEqualFactor = 1.1;
 // A second attempt is worth more where it does not share the fault of the first one's zone.
 constexpr double kAvoidedZoneFactor = 1.5;
+// Of a service with more endpoints, a random selection of this many is estimated. A choice then takes 22 us rather than
+// 860 us with 1,400 endpoints.
+constexpr std::size_t kMaxCandidates = 16;
 // An attempt that was abandoned earlier than this multiple of the usual duration says nothing about the endpoint.
 constexpr double kMinAbandonedRatio = 2;
 
@@ -100,6 +103,18 @@
   return found.empty() ? list([](const endpoint_view& view) { return view.can_receive; }) : found;
 }
 
+// Keeps a random selection of the indexes.
+void LimitCandidates(std::vector<std::size_t>& indexes, unit_draws& draws) {
+  if (indexes.size() <= kMaxCandidates) {
+    return;
+  }
+  for (std::size_t i = 0; i < kMaxCandidates; ++i) {
+    const auto offset = static_cast<std::size_t>(draws.Next() * static_cast<double>(indexes.size() - i));
+    std::swap(indexes[i], indexes[i + offset]);
+  }
+  indexes.resize(kMaxCandidates);
+}
+
 }  // namespace
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -345,8 +360,11 @@
 
 std::optional<call_choice> call_estimates::Choose(std::span<const endpoint_view> endpoints, const call_request& request,
                                                   time_point now) const {
+  unit_draws draws(request.draw);
+  std::vector<std::size_t> indexes = ListCandidates(endpoints);
+  LimitCandidates(indexes, draws);
   std::vector<candidate> candidates;
-  for (const std::size_t index : ListCandidates(endpoints)) {
+  for (const std::size_t index : indexes) {
     const endpoint_view& view = endpoints[index];
     candidate item;
     item.index = index;
@@ -360,7 +378,6 @@
   if (candidates.empty()) {
     return std::nullopt;
   }
-  unit_draws draws(request.draw);
   const bool is_probe = draws.Next() < settings_.probe_share && request.avoided_zone.empty();
   if (is_probe) {
     const candidate& probed = Draw(candidates, draws.Next(), [](const candidate& item) { return item.health; });
--- a/tests/call_estimates_test.cpp
+++ b/tests/call_estimates_test.cpp
@@ -260,6 +260,18 @@
   EXPECT_FALSE(estimates.Choose(views, {}, kStart));
 }
 
+// Guards against choices that leave out endpoints of a service with many of them.
+TEST(call_choice_test, ManyEndpoints_AllGetCalls) {
+  const call_estimates estimates{estimate_settings{}};
+  std::vector<endpoint_view> views;
+  for (int i = 0; i < 100; ++i) {
+    views.push_back(View("e" + std::to_string(i)));
+  }
+  const auto shares = Shares(estimates, views, kStart);
+  EXPECT_GT(*std::min_element(shares.begin(), shares.end()), 0.003);
+  EXPECT_LT(*std::max_element(shares.begin(), shares.end()), 0.02);
+}
+
 TEST(call_choice_test, EndpointThatIsBeingReadmitted_GetsItsShareOfTheCalls) {
   const call_estimates estimates = TwoIdleEndpoints();
   auto views = std::vector{View("a"), View("b")};
@@ -447,6 +459,9 @@
     }
   }
 
+  // While the endpoint hangs, nothing ends there.
+  void SetHangs(bool hangs) { hangs_ = hangs; }
+
   void Cancel(const job_ptr& ended) {
     if (std::exchange(ended->is_cancelled, true)) {
       return;
@@ -471,7 +486,7 @@
     double work_ms = std::lognormal_distribution<double>(std::log(30.0), 0.4)(sim_.random);
     work_ms *= (sim_.Uniform() < 0.01 ? 5 : 1) * (is_slow_ ? kSlowFactor : 1);
     sim_.After(simulator::FromMs(work_ms), [this, started] {
-      if (started->is_cancelled) {
+      if (started->is_cancelled || hangs_) {
         return;
       }
       started->is_cancelled = true;  // it has ended
@@ -498,6 +513,7 @@
 
   simulator& sim_;
   bool is_slow_ = true;
+  bool hangs_ = false;
   std::size_t running_ = 0;
   std::deque<job_ptr> waiting_;
 };
@@ -538,6 +554,8 @@
     return *result;
   }
 
+  void SetHangs(std::size_t endpoint, bool hangs) { endpoints_[endpoint]->SetHangs(hangs); }
+
   // Highest excess of extra sends over 0.2 of the requests in any window of 10 s, sampled every second.
   double MaxExcess() const {
     double highest = 0;
@@ -797,5 +815,26 @@
   EXPECT_LE(after.max_excess, send_budget_settings{}.slack);
 }
 
+// Guards against an endpoint that hangs and still gets a share of the calls from each router, which then all need a
+// second attempt. The estimates must notice it themselves: an attempt that loses counts as no failure.
+TEST(uneven_endpoints_load_test, EndpointThatHangs_GetsFewCalls) {
+  part_result sum;
+  double max_excess = 0;
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    load_model model(policy::kEstimates, seed);
+    (void)model.RunPart(milliseconds(10'000), 1);
+    model.SetHangs(0, true);
+    const part_result part = model.RunPart(milliseconds(10'000), 1);
+    model.SetHangs(0, false);
+    (void)model.RunPart(milliseconds(10'000), 1);
+    sum.idempotent += part.idempotent;
+    sum.good += part.good;
+    max_excess = std::max(max_excess, model.MaxExcess());
+  }
+  std::printf("one endpoint hangs: good %.4f, highest excess %.0f\n", sum.GoodShare(), max_excess);
+  EXPECT_GE(sum.GoodShare(), 0.85);
+  EXPECT_LE(max_excess, send_budget_settings{}.slack);
+}
+
 }  // namespace
 }  // namespace persimmon
