Weigh cached prompts and engine speeds in the placement of prompts

All engines counted as equally fast, and an engine that still held the beginning of a prompt was not preferred.

The router now keeps a hint per engine of the parts that it has had read there and learns the speeds of engines from prefill times and token intervals. For services that use the adaptive policy, a prompt goes to the engine that is expected to have read it first, the backlog limit applies to time, and a decode engine that holds most of the prompt reads the rest itself. A prefill is checked before it is sent: the caller must still wait for its result and the decode reservation must last until its end. After a request that ended without a response although its prompt was read, the other routers learn at which engine.

--- a/include/persimmon/kv_placement.h
+++ b/include/persimmon/kv_placement.h
@@ -67,6 +67,10 @@
   std::uint32_t pending_tokens = 0;    // prompt tokens queued or in prefill, of this router and its peers
   std::uint32_t headroom_tokens = 0;   // to leave free for responses that get longer than estimated
   std::uint32_t refused_tokens = 0;    // size of a recently refused reservation; 0: none
+  // Used only with placement_settings::weighs_speeds.
+  std::uint32_t cached_tokens = 0;   // of the prompt to be placed, which the engine probably need not read
+  double prefill_tokens_per_ms = 0;  // 0: unknown, taken as usual
+  double decode_pace = 1;            // speed of its streams relative to the mean of the service
 
   bool operator==(const engine_view&) const = default;
 };
@@ -83,7 +87,10 @@
   std::uint32_t max_prefill_backlog = 7'000;  // an engine with more pending prompt tokens gets no further prompts
   // Longest prompt that a decode engine prefills while all prefill engines are busy.
   std::uint32_t local_prefill_limit = 2'400;
-  double prefill_tokens_per_ms = 33;  // speed of an engine, until it is measured
+  double prefill_tokens_per_ms = 33;  // usual speed of an engine
+  // Weighs the speeds of engines and the prompts that they cache. Otherwise all engines count as equal.
+  bool weighs_speeds = false;
+  double transfer_ms = 20;  // time to fetch the KV cache of a prefill
 
   bool operator==(const placement_settings&) const = default;
 };
@@ -100,9 +107,16 @@
                                               const zone_name& preferred_zone, std::uint64_t draw,
                                               const placement_settings& settings);
 
-// The engine with the fewest pending prompt tokens; an engine in another zone counts as more loaded.
+// Work, in tokens of an engine of usual speed, until the engine has read the prompt after those that are pending there.
+double PredictPrefillWork(const engine_view& engine, std::uint32_t prompt_tokens, const placement_settings& settings);
+
+// The engine that will have read the prompt first; an engine in another zone counts as more loaded. Without
+// weighs_speeds: the engine with the fewest pending prompt tokens. `draw` decides between equal ones; with
+// weighs_speeds, ends that differ by less than a twentieth of the prompt are equal, because all routers would otherwise
+// choose the same engine until they learn of each other's choices.
 std::optional<std::size_t> ChoosePrefillEngine(std::span<const engine_view> engines, const zone_name& preferred_zone,
-                                               std::uint64_t draw, const placement_settings& settings);
+                                               std::uint64_t draw, const placement_settings& settings,
+                                               std::uint32_t prompt_tokens = 0);
 
 // Why a request has to wait for its engines.
 enum class wait_reason : std::uint8_t {
@@ -131,6 +145,11 @@
 //
 // While all prefill engines are busy, as at the start of a burst, a decode engine prefills short prompts locally, one
 // at a time. Its other streams stall meanwhile, so a long prompt would make all of them late.
+//
+// With weighs_speeds, the backlog limit applies to the time that an engine needs for it, so that a slow engine gets
+// fewer prompts. An engine that caches part of the prompt may exceed it by that part, up to a quarter of the limit: the
+// request then holds decode memory no longer than one that is placed at the limit elsewhere. A decode engine that
+// caches so much of the prompt that it ends earlier than a prefill engine and the transfer prefills the rest itself.
 engine_choice ChooseEngines(std::span<const engine_view> decode, std::span<const engine_view> prefill,
                             const stream_memory& stream, const zone_name& preferred_zone, std::uint64_t draw,
                             const placement_settings& settings);
--- a/src/decisions/kv_placement.cpp
+++ b/src/decisions/kv_placement.cpp
@@ -64,6 +64,75 @@
   return preferred_zone.empty() || engine.zone == preferred_zone ? 0 : settings.cross_zone_tokens;
 }
 
+// Time that the engine takes for a token, relative to one of usual speed.
+double Slowness(const engine_view& engine, const placement_settings& settings) {
+  return engine.prefill_tokens_per_ms > 0 ? settings.prefill_tokens_per_ms / engine.prefill_tokens_per_ms : 1;
+}
+
+// Ends of a prefill that differ by less than this fraction of its own time count as equal.
+constexpr double kEqualEndShare = 0.05;
+
+// An engine that caches part of the prompt may exceed the backlog limit by at most this fraction.
+constexpr double kCachedBacklogShare = 0.25;
+
+// A decode engine reads prompts at half the speed of a prefill engine, because its streams go on meanwhile.
+constexpr double kDecodeSlowness = 2;
+
+// True if the engine gets no further prompts because of the time that its pending ones take.
+bool HasPrefillBacklog(const engine_view& engine, const placement_settings& settings) {
+  if (!settings.weighs_speeds) {
+    return engine.pending_tokens > settings.max_prefill_backlog;
+  }
+  const double allowed =
+      settings.max_prefill_backlog + std::min<double>(engine.cached_tokens * Slowness(engine, settings),
+                                                      settings.max_prefill_backlog * kCachedBacklogShare);
+  return engine.pending_tokens * Slowness(engine, settings) > allowed;
+}
+
+// The engine that will have read the prompt first, of those for which the predicate is true.
+template <class predicate>
+std::optional<std::size_t> FindPrefillEngine(std::span<const engine_view> engines, const zone_name& preferred_zone,
+                                             std::uint64_t draw, const placement_settings& settings,
+                                             std::uint32_t prompt_tokens, predicate is_suitable) {
+  const auto cost = [&](const engine_view& engine) {
+    const double work = settings.weighs_speeds ? PredictPrefillWork(engine, prompt_tokens, settings)
+                                               : static_cast<double>(engine.pending_tokens);
+    return work + ZonePenalty(engine, preferred_zone, settings);
+  };
+  std::optional<std::size_t> best;
+  double best_cost = 0;
+  for (std::size_t offset = 0; offset < engines.size(); ++offset) {
+    const std::size_t i = (draw + offset) % engines.size();
+    if (!engines[i].can_receive || engines[i].running >= engines[i].slots || !is_suitable(engines[i])) {
+      continue;
+    }
+    if (!best || cost(engines[i]) < best_cost) {
+      best = i;
+      best_cost = cost(engines[i]);
+    }
+  }
+  if (!best || !settings.weighs_speeds) {
+    return best;
+  }
+  // The first one in the order of `draw` that is equal to the best.
+  const double equal_cost = best_cost + prompt_tokens * kEqualEndShare;
+  for (std::size_t offset = 0; offset < engines.size(); ++offset) {
+    const std::size_t i = (draw + offset) % engines.size();
+    const bool is_candidate =
+        engines[i].can_receive && engines[i].running < engines[i].slots && is_suitable(engines[i]);
+    if (is_candidate && cost(engines[i]) <= equal_cost) {
+      return i;
+    }
+  }
+  return best;
+}
+
+// The decode engine that ends a prefill of its own first, and when, in tokens of an engine of usual speed.
+struct local_prefill {
+  std::optional<std::size_t> engine;
+  double work = 0;
+};
+
 // Returns the one with more free memory, after the zone penalty, of two random suitable engines.
 template <class predicate>
 std::optional<std::size_t> ChooseByFreeMemory(std::span<const engine_view> engines, const zone_name& preferred_zone,
@@ -79,13 +148,37 @@
     return std::nullopt;
   }
   const auto score = [&](std::size_t index) {
-    return static_cast<double>(FreeTokens(engines[index])) - ZonePenalty(engines[index], preferred_zone, settings);
+    const engine_view& engine = engines[index];
+    const double free = static_cast<double>(FreeTokens(engine)) - ZonePenalty(engine, preferred_zone, settings);
+    // Free memory is used up faster by faster streams. A score below zero must not rise by a slow pace.
+    const double pace = settings.weighs_speeds ? engine.decode_pace : 1;
+    return free > 0 ? free * pace : free / pace;
   };
   const std::size_t first = candidates[draw % candidates.size()];
   const std::size_t second = candidates[(draw >> 32U) % candidates.size()];
   return score(second) > score(first) ? second : first;
 }
 
+// Of the engines that cache part of the prompt and are not reading another one.
+local_prefill FindCachedPrefill(std::span<const engine_view> engines, const stream_memory& stream,
+                                const zone_name& preferred_zone, const placement_settings& settings) {
+  local_prefill best;
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    const engine_view& engine = engines[i];
+    const std::uint32_t read_tokens = stream.held_tokens - std::min(stream.held_tokens, engine.cached_tokens);
+    if (engine.cached_tokens == 0 || engine.pending_tokens > 0 || read_tokens > settings.local_prefill_limit ||
+        !ReservationAt(engine, stream, settings)) {
+      continue;
+    }
+    const double work = kDecodeSlowness * PredictPrefillWork(engine, stream.held_tokens, settings) +
+                        ZonePenalty(engine, preferred_zone, settings);
+    if (!best.engine || work < best.work) {
+      best = {i, work};
+    }
+  }
+  return best;
+}
+
 }  // namespace
 
 // The sum grows until a stream ends, so it has its maxima at the ends of streams.
@@ -131,22 +224,16 @@
                             [&](const engine_view& engine) { return ReservationAt(engine, stream, settings); });
 }
 
+double PredictPrefillWork(const engine_view& engine, std::uint32_t prompt_tokens, const placement_settings& settings) {
+  const std::uint32_t read_tokens = prompt_tokens - std::min(prompt_tokens, engine.cached_tokens);
+  return (static_cast<double>(engine.pending_tokens) + read_tokens) * Slowness(engine, settings);
+}
+
 std::optional<std::size_t> ChoosePrefillEngine(std::span<const engine_view> engines, const zone_name& preferred_zone,
-                                               std::uint64_t draw, const placement_settings& settings) {
-  std::optional<std::size_t> best;
-  double best_cost = 0;
-  for (std::size_t offset = 0; offset < engines.size(); ++offset) {
-    const std::size_t i = (draw + offset) % engines.size();
-    if (!engines[i].can_receive || engines[i].running >= engines[i].slots) {
-      continue;
-    }
-    const double cost = engines[i].pending_tokens + ZonePenalty(engines[i], preferred_zone, settings);
-    if (!best || cost < best_cost) {
-      best = i;
-      best_cost = cost;
-    }
-  }
-  return best;
+                                               std::uint64_t draw, const placement_settings& settings,
+                                               std::uint32_t prompt_tokens) {
+  return FindPrefillEngine(engines, preferred_zone, draw, settings, prompt_tokens,
+                           [](const engine_view&) { return true; });
 }
 
 const char* WaitReasonName(wait_reason reason) {
@@ -175,10 +262,26 @@
   const bool has_prefill_engine =
       std::any_of(prefill.begin(), prefill.end(), [](const engine_view& engine) { return engine.can_receive; });
   if (!has_prefill_engine) {
-    return assign(*decode_engine, std::nullopt);
+    const local_prefill local =
+        settings.weighs_speeds ? FindCachedPrefill(decode, stream, preferred_zone, settings) : local_prefill{};
+    return assign(local.engine.value_or(*decode_engine), std::nullopt);
+  }
+  // With weighs_speeds, an engine with a backlog does not hide another one that has room and ends later.
+  const auto prefill_engine = FindPrefillEngine(
+      prefill, decode[*decode_engine].zone, draw, settings, stream.held_tokens,
+      [&](const engine_view& engine) { return !settings.weighs_speeds || !HasPrefillBacklog(engine, settings); });
+  if (settings.weighs_speeds) {
+    const local_prefill local = FindCachedPrefill(decode, stream, preferred_zone, settings);
+    const double separate_work =
+        prefill_engine ? PredictPrefillWork(prefill[*prefill_engine], stream.held_tokens, settings) +
+                             ZonePenalty(prefill[*prefill_engine], decode[*decode_engine].zone, settings) +
+                             settings.transfer_ms * settings.prefill_tokens_per_ms
+                       : 0;
+    if (local.engine && (!prefill_engine || local.work < separate_work)) {
+      return assign(*local.engine, std::nullopt);
+    }
   }
-  const auto prefill_engine = ChoosePrefillEngine(prefill, decode[*decode_engine].zone, draw, settings);
-  if (!prefill_engine || prefill[*prefill_engine].pending_tokens > settings.max_prefill_backlog) {
+  if (!prefill_engine || HasPrefillBacklog(prefill[*prefill_engine], settings)) {
     const auto local_engine =
         ChooseByFreeMemory(decode, preferred_zone, draw, settings, [&](const engine_view& engine) {
           return stream.held_tokens <= settings.local_prefill_limit && engine.pending_tokens == 0 &&
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -5,6 +5,7 @@
 #include "direct/ingress.h"
 #include "direct/origin_tracker.h"
 #include "direct/part_tracker.h"
+#include "direct/prompt_tracker.h"
 
 namespace persimmon {
 namespace {
@@ -33,6 +34,7 @@
   auto& tracker = services.Register<endpoint_tracker>("board", services, *settings);
   services.Register<suspect_tracker>("crashes", services, *client);
   services.Register<part_tracker>("parts", services);
+  services.Register<prompt_tracker>("prompts", services, *settings);
   services.Register<send_budgets>("budgets", services, *settings);
   services.Register<origin_tracker>("origins", services, *settings, table);
   services.Register<plain_calls>("plain", services, *settings, *client);
--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -33,6 +33,11 @@
   bind.Number("model", "prefill_backlog_tokens", settings.max_prefill_backlog, 0, 1'000'000);
   bind.Number("model", "own_prompt_limit_tokens", settings.local_prefill_limit, 0, 1'000'000);
   duration("model", "stall_limit_ms", settings.stall_limit);
+  bind.Flag("cache", "weigh_caches", settings.weigh_caches);
+  duration("cache", "max_age_ms", settings.cache_max_age);
+  duration("cache", "prefilled_lifetime_ms", settings.prefilled_lifetime);
+  bind.Number("cache", "prefilled_datagrams_per_s", settings.prefilled_datagrams, 0, 1'000);
+  duration("cache", "fetch_time_ms", settings.fetch_time);
   bind.Flag("stages", "order_stages", settings.order_stages);
   bind.Real("stages", "prefill_weight", settings.prefill_weight, 0.1, 10);
   duration("stages", "stage_settle_ms", settings.stage_settle);
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -58,6 +58,16 @@
   milliseconds stall_limit = milliseconds(2'000);  // a resumable stream without data for this long is resumed on
                                                    // another engine
 
+  // [cache]; only for services that use the adaptive policy
+  bool weigh_caches = true;  // weigh cached prompts and the speeds of engines, and check prefills before they are sent
+  milliseconds cache_max_age = milliseconds(30'000);  // of a hint on a cached part, since its last use
+  // How long a prompt that was read for a request without a response is remembered; callers retry within seconds.
+  milliseconds prefilled_lifetime = milliseconds(5'000);
+  // Datagrams per second for telling other routers of such prompts. 20 take about 2 KB/s of the 13 KB/s that the
+  // control traffic of a router may use.
+  std::int64_t prefilled_datagrams = 20;
+  milliseconds fetch_time = milliseconds(20);  // for a decode engine to fetch the KV cache of a prefill
+
   // [stages]
   bool order_stages = true;  // switch engines between prefill and decode to follow the traffic
   // Multiplier for the number of prefill engines that a constant load needs. A burst loads the prefill engines first:
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -100,6 +100,7 @@
   suspect_tracker_ = &kernel_.Find<suspect_tracker>("crashes");
   part_tracker_ = &kernel_.Find<part_tracker>("parts");
   origins_ = &kernel_.Find<origin_tracker>("origins");
+  prompts_ = &kernel_.Find<prompt_tracker>("prompts");
 }
 
 void generation_calls::Stop() { dispatch_timer_.Cancel(); }
@@ -257,6 +258,7 @@
   placement_settings settings;
   settings.max_prefill_backlog = static_cast<std::uint32_t>(settings_.max_prefill_backlog);
   settings.local_prefill_limit = static_cast<std::uint32_t>(settings_.local_prefill_limit);
+  prompts_->ApplySettings(queue.record.name, settings);
   const auto choose = [&](const placement_request& request) {
     const waiting_request& waiting = *queue.waiting.at(request.request);
     auto views = endpoint_tracker_->EngineViews(engines, profile, waiting.avoid, [&](const chosen_endpoint& engine) {
@@ -272,6 +274,8 @@
     queue.length_expectation =
         settings.counts_maxima ? output_length_model::expectation::kMedian : output_length_model::expectation::kMean;
     auto prefill_views = endpoint_tracker_->EngineViews(prefill_engines, profile, {});
+    prompts_->FillViews(*waiting.call, endpoint_role::kDecode, engines, views);
+    prompts_->FillViews(*waiting.call, endpoint_role::kPrefill, prefill_engines, prefill_views);
     if (waiting.call->prefills == 0) {
       ApplyBudget(budgets_->CheckProvisional(queue.record.name), prefill_views);
     }
@@ -289,16 +293,19 @@
     const waiting_ptr waiting = queue.waiting.at(step.placed->request);
     stream_memory memory = step.placed->memory;
     memory.reserved_tokens = step.engines.reserved_tokens;
-    engine_assignment assignment{engines[step.engines.decode], std::nullopt, {}, std::nullopt, memory, 0, now, {}};
+    engine_assignment assignment;
+    assignment.engine = engines[step.engines.decode];
+    assignment.memory = memory;
+    assignment.chosen_at = now;
     assignment.stream_id = endpoint_tracker_->AddStream(assignment.engine.name, memory);
     if (step.engines.prefill) {
       assignment.prefill = prefill_engines[*step.engines.prefill];
       if (waiting->call->prefills == 0) {
         assignment.first_prefill = budgets_->BeginProvisional(queue.record.name);
       }
-      endpoint_tracker_->AddPrefill(assignment.prefill->name, memory.held_tokens, 1);
+      AddPrefill(*waiting->call, assignment, *assignment.prefill, endpoint_role::kPrefill);
     } else {
-      endpoint_tracker_->AddPrefill(assignment.engine.name, memory.held_tokens, 0);
+      AddPrefill(*waiting->call, assignment, assignment.engine, endpoint_role::kDecode);
     }
     asio::co_spawn(kernel_.Context(), Reserve(queue.record.name, waiting, std::move(assignment)), asio::detached);
   }
@@ -351,7 +358,7 @@
     waiting->result_mailbox.Push(std::move(assignment));
     co_return;
   }
-  ReleaseAssignment(*waiting->call, assignment);
+  ReleaseAssignment(assignment);
   if (still_waits) {
     queue.queue.Requeue(waiting->request, now);
     Dispatch(queue);
@@ -380,17 +387,18 @@
   const bool still_waits = queue.waiting.contains(waiting->request.request);
   if (reservation) {
     assignment.reservation = reservation.value();
+    assignment.reserved_until = sent + lifetime;
     if (still_waits && !waiting->call->IsCallerDisconnected()) {
       waiting->call->waited = waiting->call->Age(now);
       queue.waiting.erase(waiting->request.request);
       waiting->result_mailbox.Push(std::move(assignment));
     } else {
-      ReleaseAssignment(*waiting->call, assignment);
+      ReleaseAssignment(assignment);
       ReleaseReservation(assignment);
     }
     co_return;
   }
-  ReleaseAssignment(*waiting->call, assignment);
+  ReleaseAssignment(assignment);
   if (!response) {
     endpoint_tracker_->RecordUnreachable(assignment.engine);
   } else {
@@ -428,15 +436,22 @@
 }
 
 // Removes an assignment from the endpoint loads. Only for an assignment whose prefill has not been sent.
-void generation_calls::ReleaseAssignment(const direct_call& call, const engine_assignment& assignment) {
+void generation_calls::ReleaseAssignment(const engine_assignment& assignment) {
   endpoint_tracker_->RemoveStream(assignment.engine.name, assignment.stream_id);
-  ReleasePrefill(call, assignment, assignment.prefill ? assignment.prefill->name : assignment.engine.name);
+  ReleasePrefill(assignment, assignment.prefill ? assignment.prefill->name : assignment.engine.name);
+}
+
+// Adds the part of the prompt that is not cached to the load of the engine that reads it.
+void generation_calls::AddPrefill(const direct_call& call, engine_assignment& assignment, const chosen_endpoint& engine,
+                                  endpoint_role role) {
+  assignment.prediction = prompts_->Predict(call, role, engine, 0);
+  assignment.pending_tokens = prompt_tracker::ReadTokens(call, assignment.prediction.cached_tokens);
+  endpoint_tracker_->AddPrefill(engine.name, assignment.pending_tokens, assignment.prefill ? 1 : 0);
 }
 
 // Removes the prompt from the load of the engine that prefills it.
-void generation_calls::ReleasePrefill(const direct_call& call, const engine_assignment& assignment,
-                                      const endpoint_name& prefill_engine) {
-  endpoint_tracker_->AddPrefill(prefill_engine, -static_cast<std::int64_t>(call.Metadata().prompt_tokens),
+void generation_calls::ReleasePrefill(const engine_assignment& assignment, const endpoint_name& prefill_engine) {
+  endpoint_tracker_->AddPrefill(prefill_engine, -static_cast<std::int64_t>(assignment.pending_tokens),
                                 assignment.prefill ? -1 : 0);
 }
 
@@ -478,9 +493,11 @@
 // 2. prefill
 // ---------------------------------------------------------------------------------------------------------------------
 
-task<std::optional<platform::kv_source>> generation_calls::Prefill(direct_call_ptr call,
-                                                                   engine_assignment& assignment) {
+task<std::optional<platform::kv_source>> generation_calls::Prefill(direct_call_ptr call, engine_assignment& assignment,
+                                                                   time_point wait_start) {
   const engine_profile profile = call->Service().engine.value_or(engine_profile{});
+  const auto reserved_until =
+      assignment.reservation.empty() ? std::nullopt : std::optional<time_point>(assignment.reserved_until);
   std::vector<endpoint_name> avoid;
   if (!assignment.prefill) {
     co_return platform::kv_source{};
@@ -498,8 +515,20 @@
         co_return std::nullopt;
       }
       const auto engines = endpoint_tracker_->ListEndpoints(call->Service().name, endpoint_role::kPrefill);
-      const auto views = endpoint_tracker_->EngineViews(engines, profile, avoid);
-      const auto index = ChoosePrefillEngine(views, assignment.engine.zone, RandomNumber(), {});
+      auto views = endpoint_tracker_->EngineViews(engines, profile, avoid);
+      placement_settings settings;
+      prompts_->ApplySettings(call->Service().name, settings);
+      prompts_->FillViews(*call, endpoint_role::kPrefill, engines, views);
+      const auto index =
+          ChoosePrefillEngine(views, assignment.engine.zone, RandomNumber(), settings, call->Metadata().prompt_tokens);
+      if (index) {
+        const prefill_prediction prediction = prompts_->Predict(*call, endpoint_role::kPrefill, engines[*index], 0);
+        assignment.verdict = prompts_->Check(*call, assignment.engine, prediction, wait_start, reserved_until);
+        if (assignment.verdict != prefill_verdict::kSend) {
+          call->reason = PrefillVerdictName(assignment.verdict);
+          co_return std::nullopt;
+        }
+      }
       const std::string& service = call->Service().name;
       const bool is_first = call->prefills == 0;
       const bool is_allowed = is_first ? budgets_->CheckProvisional(service) == send_budget::provisional_check::kAllowed
@@ -510,7 +539,19 @@
       }
       first_prefill = is_first ? budgets_->BeginProvisional(service) : provisional_send();
       engine = engines[*index];
-      endpoint_tracker_->AddPrefill(engine.name, call->Metadata().prompt_tokens, 1);
+      AddPrefill(*call, assignment, engine, endpoint_role::kPrefill);
+    } else {
+      // Other prompts may have been sent to the engine while memory was being reserved.
+      assignment.prediction = prompts_->Predict(*call, endpoint_role::kPrefill, engine, assignment.pending_tokens);
+      assignment.verdict = prompts_->Check(*call, assignment.engine, assignment.prediction, wait_start, reserved_until);
+      if (assignment.verdict != prefill_verdict::kSend) {
+        ReleasePrefill(assignment, engine.name);
+        if (call->prefills > 0) {
+          budgets_->ReturnExtraSends(*call, 1);
+        }
+        call->reason = PrefillVerdictName(assignment.verdict);
+        co_return std::nullopt;
+      }
     }
     avoid.push_back(engine.name);
     const permit_result taken = co_await endpoint_tracker_->AcquirePermit(engine, settings_.reserve_timeout);
@@ -519,7 +560,8 @@
     const time_point end = std::min(call->Deadline(), begin + kPrefillTimeout);
     suspect_tracker_->RecordStart(call->Fingerprint(), engine);
     const engine_run_ptr run = part_tracker_->BeginRun(*call, engine);
-    auto request = platform::MakePrefillRequest(call->Forwarded(), engine.name, call->TimeLeft(timer_service::Now()));
+    const time_point sent_at = timer_service::Now();
+    auto request = platform::MakePrefillRequest(call->Forwarded(), engine.name, call->TimeLeft(sent_at));
     result<http_response_head> head(error{error_code::kUnavailable, "the engine's limit allows no request now"});
     if (taken.permit && !call->IsCallerDisconnected()) {
       head =
@@ -542,7 +584,7 @@
       }
     }
     call->ClearDisconnectHandler();
-    ReleasePrefill(*call, assignment, engine.name);
+    ReleasePrefill(assignment, engine.name);
     first_prefill.End();
     const std::int64_t elapsed_ms = ElapsedMs(begin, timer_service::Now());
     auto handle = !failure && head.value().status == 200 ? platform::ParsePrefillHandle(body)
@@ -557,6 +599,8 @@
     DispatchAll();
     if (handle) {
       endpoint_tracker_->RecordAnswer(engine);
+      prompts_->RecordPrefill(*call, engine, assignment.prediction,
+                              std::chrono::duration_cast<microseconds>(timer_service::Now() - sent_at));
       Events()
           .Line(kComponent, "prefilled")
           .Request(call->Metadata().attempt)
@@ -564,6 +608,9 @@
           .Add("tokens", call->Metadata().prompt_tokens)
           .Add("completed_before", call->prefills)
           .Add("chosen_ms_before", ElapsedMs(assignment.chosen_at, begin))
+          .Add("cached_tokens", assignment.prediction.cached_tokens)
+          .Add("pending_tokens", assignment.prediction.pending_tokens)
+          .Add("speed", fmt::format("{:.1f}", assignment.prediction.tokens_per_ms))
           .Add("took_ms", elapsed_ms);
       ++call->prefills;
       co_return platform::kv_source{engine.address.Text(), handle.value()};
@@ -624,7 +671,7 @@
     const permit_result taken = co_await endpoint_tracker_->AcquirePermit(assignment.engine, max_wait);
     if (!taken.permit) {
       if (!assignment.prefill) {
-        ReleasePrefill(*call, assignment, assignment.engine.name);
+        ReleasePrefill(assignment, assignment.engine.name);
       }
       Events()
           .Line(kComponent, "decode_not_permitted")
@@ -636,6 +683,7 @@
     permit = *taken.permit;
   }
   const time_point begin = timer_service::Now();
+  stream.decode_sent = begin;
   http_call upstream(client_);
   call->SetDisconnectHandler([&upstream] { upstream.Cancel(); });
   platform::decode_terms terms{std::move(source), assignment.reservation, stream.events.LastId()};
@@ -648,7 +696,7 @@
                                      MakeAttemptFilter(call->Metadata().attempt),
                                      endpoint_tracker_->MakeSendCheck(assignment.engine, permit));
   if (!assignment.prefill) {
-    ReleasePrefill(*call, assignment, assignment.engine.name);
+    ReleasePrefill(assignment, assignment.engine.name);
     DispatchAll();
   }
   decode_result outcome = decode_result::kBroken;
@@ -804,6 +852,7 @@
   const std::string continued_after =
       stream.events.LastId().empty() ? call->Metadata().resume_after : stream.events.LastId();
   std::size_t incomplete_bytes = 0;  // of an event whose end has not arrived
+  bool has_first_event = false;      // of this run
   decode_result outcome = decode_result::kBroken;
   while (true) {
     const bool may_resume = resumable && call->sends < call->Route().max_attempts;
@@ -840,6 +889,12 @@
     }
     if (!forwarded.empty()) {
       const time_point read_at = timer_service::Now();
+      if (!assignment.prefill && !has_first_event) {
+        prompts_->RecordOwnRead(*call, assignment.engine, assignment.prediction,
+                                std::chrono::duration_cast<microseconds>(read_at - stream.decode_sent) -
+                                    token_interval_ * profile.tokens_per_event);
+      }
+      has_first_event = true;
       longest_pause = std::max(longest_pause, std::chrono::duration_cast<microseconds>(read_at - last_event));
       last_event = read_at;
       if (call->first_event == milliseconds(0)) {
@@ -864,6 +919,9 @@
       part_tracker_->Board().RecordEnd(run);
       RecordTokenInterval(std::chrono::duration_cast<microseconds>(last_event - begin),
                           (stream.events.EventCount() - events_before) * profile.tokens_per_event);
+      prompts_->RecordTokenInterval(call->Service().name, assignment.engine,
+                                    std::chrono::duration_cast<microseconds>(last_event - begin),
+                                    (stream.events.EventCount() - events_before) * profile.tokens_per_event);
       output_lengths.RecordAnswer(estimated_output, output_tokens());
       RecordStreamTime(QueueFor(call->Service()), std::chrono::duration_cast<microseconds>(last_event - begin));
       break;
@@ -908,6 +966,7 @@
   call->engine_version = std::move(version.value());
   const bool continues_stream = !call->Metadata().resume_after.empty();
   stream_state stream;
+  stream.wait_start = call->Arrival();
   std::vector<endpoint_name> avoid;
   bool may_have_run = false;
   decode_result result = decode_result::kNotRun;
@@ -937,7 +996,7 @@
     }
     if (call->IsCallerDisconnected()) {
       if (chosen != nullptr) {
-        ReleaseAssignment(*call, *chosen);
+        ReleaseAssignment(*chosen);
         ReleaseReservation(*chosen);
       }
       result = decode_result::kCallerDisconnected;
@@ -954,21 +1013,34 @@
     }
     engine_assignment assignment = std::get<engine_assignment>(std::move(assigned));
     const auto release_decode = [&] { endpoint_tracker_->RemoveStream(assignment.engine.name, assignment.stream_id); };
-    auto source = co_await Prefill(call, assignment);
+    auto source = co_await Prefill(call, assignment, stream.wait_start);
     if (!source) {
       release_decode();
       ReleaseReservation(assignment);
       DispatchAll();
+      const bool needs_engine = assignment.verdict == prefill_verdict::kDecodeEngineGone;
+      if (needs_engine || assignment.verdict == prefill_verdict::kReservationEnds) {
+        budgets_->ReturnExtraSends(*call, call->sends > 0 ? 1 : 0);
+        if (needs_engine) {
+          avoid.push_back(assignment.engine.name);
+        }
+        continue;
+      }
       result = call->IsCallerDisconnected() ? decode_result::kCallerDisconnected : decode_result::kNotRun;
       break;
     }
+    if (!source->handle.empty()) {
+      const auto address = ParseHostPort(source->address);
+      stream.prefilled_at =
+          address ? endpoint_tracker_->FindByAddress(call->Service().name, address.value()) : std::nullopt;
+    }
     // During the prefill the engine may have started to drain, or engines may have crashed under a part of the prompt.
     const bool is_current = endpoint_tracker_->IsCurrent(assignment.engine);
     const bool is_refused = part_tracker_->RemainingRefusal(*call).has_value();
     if (call->IsCallerDisconnected() || !is_current || is_refused) {
       release_decode();
       if (!assignment.prefill) {
-        ReleasePrefill(*call, assignment, assignment.engine.name);
+        ReleasePrefill(assignment, assignment.engine.name);
       }
       ReleaseReservation(assignment);
       if (!source->handle.empty()) {
@@ -988,6 +1060,7 @@
     }
     suspect_tracker_->RecordStart(call->Fingerprint(), assignment.engine);
     const engine_run_ptr run = part_tracker_->BeginRun(*call, assignment.engine);
+    const std::size_t events_before = stream.events.EventCount();
     result = co_await Decode(call, assignment, std::move(source), stream, *run);
     bool may_crash_another = false;
     if (result == decode_result::kBroken) {
@@ -1004,6 +1077,10 @@
     }
     release_decode();
     DispatchAll();
+    if (stream.events.EventCount() > events_before) {
+      prompts_->RecordStreamEnd(*call, assignment.engine);
+      stream.wait_start = timer_service::Now();
+    }
     if (result == decode_result::kNotRun) {
       if (!used_source.handle.empty()) {
         DropCache(call->Service().name, used_source);
@@ -1030,6 +1107,9 @@
 
 task<call_outcome> generation_calls::Finish(direct_call_ptr call, decode_result result, stream_state& stream,
                                             bool may_have_run) {
+  if (stream.prefilled_at && !stream.started) {
+    prompts_->RecordNoResponse(*call, *stream.prefilled_at);
+  }
   if (result == decode_result::kCallerDisconnected || call->IsCallerDisconnected()) {
     co_return call->EndAsCallerDisconnected();
   }
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -17,6 +17,7 @@
 #include "direct/endpoint_tracker.h"
 #include "direct/origin_tracker.h"
 #include "direct/part_tracker.h"
+#include "direct/prompt_tracker.h"
 #include "direct/send_budgets.h"
 #include "direct/suspect_tracker.h"
 #include "persimmon/event_stream.h"
@@ -54,10 +55,14 @@
     std::optional<chosen_endpoint> prefill;  // absent: the decode engine prefills the prompt itself
     std::string reservation;                 // empty: the engine states a limit, and a permit takes its place
     std::optional<send_permit> permit;
-    stream_memory memory;                       // at the start of the decode
-    endpoint_tracker::stream_id stream_id = 0;  // of the load on the decode engine
-    time_point chosen_at;                       // when the engines were chosen
-    provisional_send first_prefill;             // set until the first prefill of the request has ended
+    stream_memory memory;                              // at the start of the decode
+    endpoint_tracker::stream_id stream_id = 0;         // of the load on the decode engine
+    time_point chosen_at;                              // when the engines were chosen
+    provisional_send first_prefill;                    // set until the first prefill of the request has ended
+    prefill_prediction prediction;                     // of the engine that reads the prompt
+    std::uint32_t pending_tokens = 0;                  // counted as load of the engine that reads the prompt
+    time_point reserved_until;                         // end of the reservation; only with a reservation
+    prefill_verdict verdict = prefill_verdict::kSend;  // why Prefill has sent nothing
   };
 
   // Reason why no engine was assigned to a request.
@@ -82,7 +87,10 @@
   // State of one stream across all engines that it runs on.
   struct stream_state {
     event_splitter events;
-    bool started = false;  // the response head has been forwarded
+    bool started = false;                         // the response head has been forwarded
+    time_point decode_sent;                       // of the current run
+    time_point wait_start;                        // since when the caller has been waiting for the next event
+    std::optional<chosen_endpoint> prefilled_at;  // engine that has completed the latest prefill
   };
 
   enum class decode_result : std::uint8_t {
@@ -107,7 +115,8 @@
   void ScheduleDispatch();
 
   // Returns an empty source if the assignment has no prefill engine, and nothing if the prefill failed.
-  task<std::optional<platform::kv_source>> Prefill(direct_call_ptr call, engine_assignment& assignment);
+  task<std::optional<platform::kv_source>> Prefill(direct_call_ptr call, engine_assignment& assignment,
+                                                   time_point wait_start);
   task<decode_result> Decode(direct_call_ptr call, const engine_assignment& assignment,
                              std::optional<platform::kv_source> source, stream_state& stream, engine_run& run);
   task<decode_result> ForwardStream(direct_call_ptr call, http_call& upstream, const engine_assignment& assignment,
@@ -120,9 +129,10 @@
   static void RecordStreamTime(service_queue& queue, microseconds duration);
   void RecordTokenInterval(microseconds streamed, std::size_t tokens);
   void ReleaseReservation(const engine_assignment& assignment);
-  void ReleaseAssignment(const direct_call& call, const engine_assignment& assignment);
-  void ReleasePrefill(const direct_call& call, const engine_assignment& assignment,
-                      const endpoint_name& prefill_engine);
+  void ReleaseAssignment(const engine_assignment& assignment);
+  void AddPrefill(const direct_call& call, engine_assignment& assignment, const chosen_endpoint& engine,
+                  endpoint_role role);
+  void ReleasePrefill(const engine_assignment& assignment, const endpoint_name& prefill_engine);
   void DropCache(const std::string& service, const platform::kv_source& source);
   task<> SendControl(chosen_endpoint engine, http_request request, const char* purpose);
 
@@ -136,6 +146,7 @@
   suspect_tracker* suspect_tracker_ = nullptr;
   part_tracker* part_tracker_ = nullptr;
   origin_tracker* origins_ = nullptr;
+  prompt_tracker* prompts_ = nullptr;
   std::map<std::string, std::unique_ptr<service_queue>> queues_;
   std::map<std::string, milliseconds> largest_budgets_;  // largest time budget seen of callers, by route
   std::set<endpoint_name> engines_being_checked_;        // engines that CheckEngine polls
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -185,7 +185,8 @@
                                                                                  "part_evidence_list",
                                                                                  "endpoint_limit_list",
                                                                                  "ask_permit",
-                                                                                 "permit_answer"};
+                                                                                 "permit_answer",
+                                                                                 "prompt_prefilled"};
 
 }  // namespace
 
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -687,17 +687,31 @@
   }
 };
 
+// An engine has read the prompt of a request that then ended without a response. Its caller may retry at any router.
+struct prompt_prefilled {
+  std::uint64_t prompt = 0;      // hash of the service and the id of the last part
+  std::uint64_t engine = 0;      // XXH64 of its name
+  std::uint64_t started_ms = 0;  // start time of its process
+  std::uint32_t tokens = 0;
+
+  bool operator==(const prompt_prefilled&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(prompt, engine, started_ms, tokens);
+  }
+};
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 9. frames
 // ---------------------------------------------------------------------------------------------------------------------
 
 // The index of a type in this list is its type number on the wire. Append new messages at the end only.
-using message =
-    std::variant<hello, heartbeat, slot_open, reserve_slot, slot_granted, slot_refused, start_prefill, prefill_progress,
-                 start_decode, tokens, resume_stream, call_service, service_answer, cancel, attempt_status,
-                 query_attempt, load_report, fetch_config, config_snapshot, lend_tokens, tokens_lent, claim_batch,
-                 claim_results, router_state, hold_stream_origins, stream_origins_held, find_stream_origin,
-                 stream_origin_found, part_evidence_list, endpoint_limit_list, ask_permit, permit_answer>;
+using message = std::variant<hello, heartbeat, slot_open, reserve_slot, slot_granted, slot_refused, start_prefill,
+                             prefill_progress, start_decode, tokens, resume_stream, call_service, service_answer,
+                             cancel, attempt_status, query_attempt, load_report, fetch_config, config_snapshot,
+                             lend_tokens, tokens_lent, claim_batch, claim_results, router_state, hold_stream_origins,
+                             stream_origins_held, find_stream_origin, stream_origin_found, part_evidence_list,
+                             endpoint_limit_list, ask_permit, permit_answer, prompt_prefilled>;
 
 // Name of the message type, for logs and golden files.
 const char* MessageName(const message& value);
