Look up what a placement needs of cached prompts once per request

Each engine view looked up the prompt's key and copied the list of routers, and each prefill copied the list of endpoints, which grows with the deployment. The key is now looked up once per request, the number of routers comes from RouterCount, and the number of engines from the latest placement.

--- a/src/direct/prompt_tracker.cpp
+++ b/src/direct/prompt_tracker.cpp
@@ -85,34 +85,37 @@
   return found == services_.end() ? nullptr : &found->second;
 }
 
-cache_memory prompt_tracker::MemoryOf(const engine_view& view, std::size_t engines) const {
+cache_memory prompt_tracker::MemoryOf(const engine_view& view, const service_state& state, endpoint_role role) const {
   const std::uint64_t used = std::transform_reduce(
       view.streams.begin(), view.streams.end(), std::uint64_t{view.pending_tokens}, std::plus<>(),
       [](const stream_memory& stream) { return std::max(stream.held_tokens, stream.reserved_tokens); });
   const std::uint64_t free = view.kv_tokens - std::min<std::uint64_t>(view.kv_tokens, used);
-  return {static_cast<std::uint32_t>(free), std::max(1U, static_cast<std::uint32_t>(group_->LiveMembers().size())),
-          std::max(1U, static_cast<std::uint32_t>(engines))};
+  return {static_cast<std::uint32_t>(free), std::max(1U, group_->RouterCount()),
+          role == endpoint_role::kPrefill ? state.prefill_engines : state.decode_engines};
 }
 
 engine_view prompt_tracker::ViewOf(const direct_call& call, const chosen_endpoint& engine) const {
   return endpoint_tracker_->EngineViews({engine}, call.Service().engine.value_or(engine_profile{}), {}).front();
 }
 
+// The prompt of the call as another request without a response has left it at an engine; null if there is none.
+const prefilled_prompts::entry* prompt_tracker::FindPrefilled(const direct_call& call) const {
+  return HasKey(call) ? prefilled_.Find(KeyOf(call), timer_service::Now()) : nullptr;
+}
+
 std::uint32_t prompt_tracker::PredictCached(const direct_call& call, endpoint_role role, const chosen_endpoint& engine,
-                                            const engine_view& view, std::size_t engines) const {
+                                            const engine_view& view, const prefilled_prompts::entry* prefilled) const {
   const platform::request_metadata& metadata = call.Metadata();
-  const time_point now = timer_service::Now();
   const service_state* state = FindState(call.Service().name);
   std::uint32_t cached = 0;
   if (state != nullptr) {
-    cached =
-        CacheOf(*state, role).PredictCachedTokens(Incarnation(engine), metadata.parts, MemoryOf(view, engines), now);
+    cached = CacheOf(*state, role)
+                 .PredictCachedTokens(Incarnation(engine), metadata.parts, MemoryOf(view, *state, role),
+                                      timer_service::Now());
   }
-  if (HasKey(call)) {
-    const prefilled_prompts::entry* read = prefilled_.Find(KeyOf(call), now);
-    if (read != nullptr && read->engine == EndpointKey(engine.name) && read->started_ms == engine.started_ms) {
-      cached = std::max(cached, read->tokens);
-    }
+  if (prefilled != nullptr && prefilled->started_ms == engine.started_ms &&
+      prefilled->engine == EndpointKey(engine.name)) {
+    cached = std::max(cached, prefilled->tokens);
   }
   return std::min(cached, metadata.prompt_tokens);
 }
@@ -129,18 +132,19 @@
 }
 
 void prompt_tracker::FillViews(const direct_call& call, endpoint_role role, const std::vector<chosen_endpoint>& engines,
-                               std::vector<engine_view>& views) const {
+                               std::vector<engine_view>& views) {
   if (!IsUsedFor(call.Service().name)) {
     return;
   }
   const time_point now = timer_service::Now();
-  const service_state* state = FindState(call.Service().name);
+  const prefilled_prompts::entry* prefilled = FindPrefilled(call);
+  service_state& state = StateOf(call.Service().name);
+  auto& count = role == endpoint_role::kPrefill ? state.prefill_engines : state.decode_engines;
+  count = std::max(1U, static_cast<std::uint32_t>(engines.size()));
   for (std::size_t i = 0; i < views.size(); ++i) {
-    views[i].cached_tokens = PredictCached(call, role, engines[i], views[i], engines.size());
-    if (state != nullptr) {
-      views[i].prefill_tokens_per_ms = state->speeds.TokensPerMs(Incarnation(engines[i]), now);
-      views[i].decode_pace = state->speeds.DecodePace(Incarnation(engines[i]), now);
-    }
+    views[i].cached_tokens = PredictCached(call, role, engines[i], views[i], prefilled);
+    views[i].prefill_tokens_per_ms = state.speeds.TokensPerMs(Incarnation(engines[i]), now);
+    views[i].decode_pace = state.speeds.DecodePace(Incarnation(engines[i]), now);
   }
 }
 
@@ -151,11 +155,10 @@
     return {};
   }
   const engine_view view = ViewOf(call, engine);
-  const std::size_t engines = endpoint_tracker_->ListEndpoints(service, role).size();
   const service_state* state = FindState(service);
   const double speed = state == nullptr ? placement_settings{}.prefill_tokens_per_ms
                                         : state->speeds.TokensPerMs(Incarnation(engine), timer_service::Now());
-  return {PredictCached(call, role, engine, view, engines),
+  return {PredictCached(call, role, engine, view, FindPrefilled(call)),
           view.pending_tokens - std::min(view.pending_tokens, own_pending), speed};
 }
 
@@ -223,9 +226,9 @@
 }
 
 void prompt_tracker::RecordHeld(const direct_call& call, endpoint_role role, const chosen_endpoint& engine) {
-  const std::size_t engines = endpoint_tracker_->ListEndpoints(call.Service().name, role).size();
-  CacheOf(StateOf(call.Service().name), role)
-      .RecordParts(Incarnation(engine), call.Metadata().parts, MemoryOf(ViewOf(call, engine), engines),
+  service_state& state = StateOf(call.Service().name);
+  CacheOf(state, role)
+      .RecordParts(Incarnation(engine), call.Metadata().parts, MemoryOf(ViewOf(call, engine), state, role),
                    timer_service::Now());
 }
 
--- a/src/direct/prompt_tracker.h
+++ b/src/direct/prompt_tracker.h
@@ -45,7 +45,7 @@
   // Lets the placement weigh speeds and cached prompts.
   void ApplySettings(const std::string& service, placement_settings& settings) const;
   void FillViews(const direct_call& call, endpoint_role role, const std::vector<chosen_endpoint>& engines,
-                 std::vector<engine_view>& views) const;
+                 std::vector<engine_view>& views);
 
   // `own_pending`: prompt tokens of this call that are already part of the engine's load.
   prefill_prediction Predict(const direct_call& call, endpoint_role role, const chosen_endpoint& engine,
@@ -87,6 +87,8 @@
     prompt_cache prefill;  // of the engines of each role
     prompt_cache decode;
     engine_speeds speeds;
+    std::uint32_t prefill_engines = 1;  // at the latest placement
+    std::uint32_t decode_engines = 1;
   };
 
   static engine_incarnation Incarnation(const chosen_endpoint& engine) { return {engine.name, engine.started_ms}; }
@@ -96,10 +98,11 @@
   }
   service_state& StateOf(const std::string& service);
   const service_state* FindState(const std::string& service) const;
-  cache_memory MemoryOf(const engine_view& view, std::size_t engines) const;
+  cache_memory MemoryOf(const engine_view& view, const service_state& state, endpoint_role role) const;
+  const prefilled_prompts::entry* FindPrefilled(const direct_call& call) const;
   engine_view ViewOf(const direct_call& call, const chosen_endpoint& engine) const;
   std::uint32_t PredictCached(const direct_call& call, endpoint_role role, const chosen_endpoint& engine,
-                              const engine_view& view, std::size_t engines) const;
+                              const engine_view& view, const prefilled_prompts::entry* prefilled) const;
   void RecordHeld(const direct_call& call, endpoint_role role, const chosen_endpoint& engine);
   bool CheckHint(const direct_call& call, endpoint_role role, const chosen_endpoint& engine,
                  const prefill_measurement& measured);
--- a/tests/cached_prompts_test.cpp
+++ b/tests/cached_prompts_test.cpp
@@ -1,6 +1,7 @@
 // link: persimmon_direct persimmon_fake_parts
 // Placement by cached prompts and the check of prefills, at the router without agents, with fakes of the platform and
-// the endpoints. The fake engines read prompts without delay, so that no measured time contradicts a hint.
+// the endpoints. If not stated otherwise, the fake engines read prompts without delay, so that no measured time
+// contradicts a hint.
 //
 // Sections
 //   1. cached prompts
@@ -63,8 +64,9 @@
 
 class cached_prompts_test : public testing::Test {
  protected:
-  explicit cached_prompts_test(const std::string& adaptive = "on", int hold_ms = 2'000)
-      : harness_([&adaptive](direct_settings& settings) { settings.adaptive = adaptive; }) {
+  explicit cached_prompts_test(const std::string& adaptive = "on", int hold_ms = 2'000, std::uint32_t tokens_per_ms = 0)
+      : harness_([&adaptive](direct_settings& settings) { settings.adaptive = adaptive; }),
+        tokens_per_ms_(tokens_per_ms) {
     for (int i = 0; i < kPrefillEngines; ++i) {
       prefill_.push_back(&AddEngine("prefill-" + std::to_string(i), "prefill"));
     }
@@ -79,6 +81,7 @@
     options.service = "llm";
     options.stage = stage;
     options.memory_tokens = 10'000;
+    options.tokens_per_ms = stage == "prefill" ? tokens_per_ms_ : 0;
     return harness_.AddReplica(options);
   }
 
@@ -136,6 +139,7 @@
   std::string Metrics() { return harness_.Kernel().Find<telemetry>("telemetry").Metrics().RenderText(); }
 
   router_harness harness_;
+  std::uint32_t tokens_per_ms_;  // prefill rate of the prefill engines; 0: without delay
   std::vector<fake_replica*> prefill_;
   fake_replica* decode_ = nullptr;
 };
@@ -217,6 +221,21 @@
   EXPECT_EQ(repeated, kPrompts);
 }
 
+class uncached_engines_test : public cached_prompts_test {
+ protected:
+  uncached_engines_test() : cached_prompts_test("on", 2'000, 33) {}
+};
+
+// Guards against keeping hints on engines that have evicted a prompt, or that cache nothing, as these.
+TEST_F(uncached_engines_test, Retry_ThatTakesAsLongAsTheWholePrompt_DropsTheHint) {
+  SendRejected("first", "d2");
+  EXPECT_EQ(Metrics().find("persimmon_cache_hints_contradicted_total"), std::string::npos);
+  EXPECT_EQ(Send("retry", "d2")->Status(), 200);
+  EXPECT_EQ(EngineOf("retry"), EngineOf("first"));
+  EXPECT_NE(Metrics().find("persimmon_cache_hints_contradicted_total{service=\"llm\"} 1"), std::string::npos)
+      << Metrics();
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 2. other routers
 // ---------------------------------------------------------------------------------------------------------------------
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -207,12 +207,30 @@
   EXPECT_EQ(parts(",x:1,:5,12345678901234567890:1,7:1,8:1"), std::vector<std::uint64_t>{7});
 }
 
+// Guards against hints on a prompt whose parts were read only in part, and against a wrong last part.
+TEST(request_metadata_test, PartsOfAPrompt_AreReadWithTheirTokensUpToTheFirstMalformedOne) {
+  const auto read = [](const char* value) {
+    return platform::ParseRequestHeaders({{"Persimmonchute-Prompt-Prefix", value}});
+  };
+  const std::vector<prompt_part> all = {{0x5c1e07a2, 800}, {0x91bd3f06, 410}, {0xe4402b7d, 250}};
+  EXPECT_EQ(read("5c1e07a2:800, 91BD3F06:410,e4402b7d:250").parts, all);
+  EXPECT_TRUE(read("5c1e07a2:800, 91BD3F06:410,e4402b7d:250").has_all_parts);
+  EXPECT_EQ(read("7:1,x:1,8:1").parts, (std::vector<prompt_part>{{7, 1}}));
+  EXPECT_FALSE(read("7:1,x:1,8:1").has_all_parts);
+  EXPECT_FALSE(read("7:1,8").has_all_parts);
+  EXPECT_FALSE(read("7:1,8:").has_all_parts);
+  EXPECT_TRUE(read("").parts.empty());
+  EXPECT_FALSE(read("").has_all_parts);
+}
+
 TEST(request_metadata_test, PartsOfAPrompt_BeyondTheLimit_AreIgnored) {
   std::string many;
   for (int i = 0; i < 3'000; ++i) {
     many += "a:1,";
   }
   EXPECT_LE(platform::ParseRequestHeaders({{"Persimmonchute-Prompt-Prefix", many}}).shared_parts.size(), 32U);
+  EXPECT_LE(platform::ParseRequestHeaders({{"Persimmonchute-Prompt-Prefix", many}}).parts.size(), 33U);
+  EXPECT_FALSE(platform::ParseRequestHeaders({{"Persimmonchute-Prompt-Prefix", many}}).has_all_parts);
 }
 
 TEST(request_metadata_test, MalformedNumbers_CountAsAbsent) {
