--- a/src/direct/direct_call.h
+++ b/src/direct/direct_call.h
@@ -53,7 +53,6 @@
   const platform::request_metadata& Metadata() const { return metadata_; }
   const route_record& Route() const { return route_; }
   const service_record& Service() const { return service_; }
-  const routing_table& Table() const { return *table_; }
   const http_request& Forwarded() const { return forwarded_; }
   time_point Arrival() const { return arrival_; }
   time_point Deadline() const { return deadline_; }  // time budget or route timeout, whichever ends first
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -186,7 +186,8 @@
                                                                                  "endpoint_limit_list",
                                                                                  "ask_permit",
                                                                                  "permit_answer",
-                                                                                 "return_tokens"};
+                                                                                 "return_tokens",
+                                                                                 "prompt_prefilled"};
 
 }  // namespace
 
