Make the exported desired state in the same pass that reads it

Reading and hashing the state separately parsed the text and hashed every key twice. The exported text has only valid accounts.

--- a/src/direct/directory.cpp
+++ b/src/direct/directory.cpp
@@ -188,7 +188,8 @@
 
 void deployment_directory::ApplyDesiredState(const table_row& row) {
   finding_list findings;
-  auto parsed = platform::ParseDesiredState(row.value, findings);
+  std::string exported;
+  auto parsed = platform::ParseDesiredState(row.value, findings, &exported);
   for (std::size_t i = 0; i < findings.size() && i < kMaxLoggedFindings; ++i) {
     Events().Line(kComponent, "finding").Add("place", findings[i].place).Add("message", findings[i].message);
   }
@@ -204,7 +205,7 @@
     return;
   }
   routes_ = std::make_shared<const routing_table>(std::move(parsed.value()));
-  desired_text_ = platform::HashKeysInDesiredState(row.value);
+  desired_text_ = std::move(exported);
   Events()
       .Line(kComponent, "revision_in_force")
       .Add("revision", routes_->Revision())
