Let rejections count in the estimates, and document the design

A full endpoint that rejects calls without stating its load looked free, because a rejection was no sample. It now stands for a queue of two rounds. An attempt that has lost early no longer counts as a response time, which would shorten the delay of second attempts. An extra send is returned once only if another attempt turns out to be not sent meanwhile. Only responses of the endpoint itself count as reports.

--- a/include/persimmon/call_estimates.h
+++ b/include/persimmon/call_estimates.h
@@ -89,7 +89,8 @@
 
 enum class call_end : std::uint8_t {
   kAnswered,   // complete response; its duration is a sample
-  kNoSample,   // rejected, failed or not sent: the duration says nothing about the speed of the endpoint
+  kNoSample,   // failed or not sent: the duration says nothing about the speed of the endpoint
+  kRejected,   // not run; only a full endpoint rejects calls
   kAbandoned,  // ended by the router before the response: the duration is a lower bound
 };
 
--- a/src/decisions/call_estimates.cpp
+++ b/src/decisions/call_estimates.cpp
@@ -24,6 +24,8 @@
 constexpr double kEqualFactor = 1.1;
 // A second attempt is worth more where it does not share the fault of the first one's zone.
 constexpr double kAvoidedZoneFactor = 1.5;
+// Assumed queue of an endpoint that rejects a call without stating its load, in rounds of its slots.
+constexpr std::uint32_t kFullRounds = 2;
 // Of a service with more endpoints, a random selection of this many is estimated. A choice then takes 22 us rather than
 // 860 us with 1,400 endpoints.
 constexpr std::size_t kMaxCandidates = 16;
@@ -228,10 +230,18 @@
   if (end == call_end::kNoSample) {
     return;
   }
-  responses_.Record(duration, now);
+  if (end == call_end::kRejected) {
+    if (!state->reported || *state->reported < start) {
+      const std::uint32_t slots = state->report.slots.value_or(settings_.default_slots);
+      RecordReport(endpoint, {slots, kFullRounds * slots, slots, state->report.work_time_percent}, now);
+    }
+    return;
+  }
   if (end == call_end::kAbandoned) {
     const double ratio = Us(duration) / (Us(UsualWork(state, now)) * ReportedSlowness(*state, now));
+    // An attempt that has lost early would make the response times look short.
     if (ratio >= kMinAbandonedRatio) {
+      responses_.Record(duration, now);
       ++state->unanswered;
       if (!state->heard || *state->heard < start) {
         // All responses are older than the call, so they do not contradict it.
@@ -242,6 +252,7 @@
     }
     return;
   }
+  responses_.Record(duration, now);
   state->unanswered = 0;
   state->heard = now;
   // The report has come with this response. Its queue stands for the one that the call has waited in.
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -33,8 +33,9 @@
   milliseconds down_pause_limit = milliseconds(4'000);
 
   // [plain]
-  double second_try_share = 0.75;  // fraction of the target latency after which an idempotent call is retried on
-                                   // another endpoint
+  // Fraction of the target latency after which an idempotent call is also sent to another endpoint. The first attempt
+  // then ends; with the adaptive policy it goes on, and the fraction is a minimum (attempt_schedule).
+  double second_try_share = 0.75;
   // Only with the adaptive policy; see estimate_settings.
   double probe_share = 0.03;                           // share of the calls that disregard the estimates
   milliseconds slow_memory = milliseconds(400);        // time constant of what is known about the speed of an endpoint
--- a/src/direct/hedged_calls.cpp
+++ b/src/direct/hedged_calls.cpp
@@ -152,7 +152,8 @@
     Launch(state, *chosen, *taken.permit);
     co_return start_result::kStarted;
   }
-  if (is_extra) {
+  // An attempt that turned out to be not sent may have returned the extra send meanwhile (RunAttempt).
+  if (is_extra && call->extra_sends > 0) {
     budgets_->ReturnExtraSends(*call, 1);
   }
   if (taken.permit) {
--- a/src/direct/plain_attempts.cpp
+++ b/src/direct/plain_attempts.cpp
@@ -144,7 +144,8 @@
                                     attempt_outcome& outcome) {
   const auto metadata = platform::ParseResponseHeaders(head);
   endpoint_tracker_->RecordResponse(attempt->endpoint, metadata, attempt->begin);
-  if (attempt->is_adaptive && !metadata.is_misdirected) {
+  const bool is_genuine = (metadata.has_seal || metadata.proves_not_run) && !metadata.is_misdirected;
+  if (attempt->is_adaptive && is_genuine) {
     const server_load report{metadata.running, metadata.waiting, metadata.slots, metadata.work_time_percent};
     Estimates(attempt->call->Service().name)
         .RecordReport(IncarnationOf(attempt->endpoint), report, timer_service::Now());
@@ -278,6 +279,8 @@
     end = call_end::kAnswered;
   } else if (is_cut && !outcome.is_streamed && !outcome.is_dropped) {
     end = call_end::kAbandoned;
+  } else if (outcome.result == attempt_result::kNotRun) {
+    end = call_end::kRejected;
   }
   const std::string& service = attempt.call->Service().name;
   const time_point now = timer_service::Now();
--- a/tests/call_estimates_test.cpp
+++ b/tests/call_estimates_test.cpp
@@ -153,6 +153,27 @@
   EXPECT_LT(estimates.PredictFinish(endpoint_name{"a"}, 0, later + milliseconds(4'000)), milliseconds(40));
 }
 
+// Guards against an endpoint that rejects all calls, and therefore never reports a response time, looking free.
+TEST(call_estimates_test, Rejection_ShowsThatTheEndpointIsFull) {
+  call_estimates estimates = TwoIdleEndpoints();
+  const auto id = estimates.RecordStart(Endpoint("a"), kStart);
+  const time_point later = kStart + milliseconds(2);
+  estimates.RecordEnd(Endpoint("a"), id, call_end::kRejected, later);
+  EXPECT_GT(estimates.PredictFinish(endpoint_name{"a"}, 0, later), milliseconds(80));
+  EXPECT_LT(estimates.PredictFinish(endpoint_name{"a"}, 0, later + milliseconds(4'000)), milliseconds(60));
+}
+
+// Guards against a short delay of second attempts after many first attempts have lost early.
+TEST(call_estimates_test, AttemptThatLostEarly_DoesNotCountAsAResponseTime) {
+  call_estimates estimates = TwoIdleEndpoints();
+  const auto before = estimates.ResponseTime(0.05);
+  for (int i = 0; i < 50; ++i) {
+    const auto id = estimates.RecordStart(Endpoint("a"), kStart);
+    estimates.RecordEnd(Endpoint("a"), id, call_end::kAbandoned, kStart + milliseconds(3));
+  }
+  EXPECT_EQ(estimates.ResponseTime(0.05), before);
+}
+
 // Guards against calling an endpoint that hangs as often as one that is slow for a moment.
 TEST(call_estimates_test, EndpointThatRepeatedlyDoesNotAnswer_IsRememberedLonger) {
   call_estimates estimates = TwoIdleEndpoints();
@@ -299,7 +320,7 @@
         break;
       default:
         if (!calls.empty()) {
-          const auto end = static_cast<call_end>(*rc::gen::inRange(0, 3));
+          const auto end = static_cast<call_end>(*rc::gen::inRange(0, 4));
           estimates.RecordEnd(Endpoint(calls.back().first), calls.back().second, end, now);
           calls.pop_back();
         }
@@ -725,7 +746,7 @@
     }
     const endpoint_incarnation endpoint = Endpoint(names_[ended.endpoint]);
     owner.estimates.RecordReport(endpoint, load, sim_.now);
-    owner.estimates.RecordEnd(endpoint, ended.id, status == 200 ? call_end::kAnswered : call_end::kNoSample, sim_.now);
+    owner.estimates.RecordEnd(endpoint, ended.id, EndOf(status), sim_.now);
     served->schedule.RecordEnd(status == 503 ? attempt_end::kRejected : attempt_end::kFailed, sim_.now);
     if (status == 200) {
       End(served, status);
@@ -734,6 +755,10 @@
     }
   }
 
+  static call_end EndOf(int status) {
+    return status == 200 ? call_end::kAnswered : status == 503 ? call_end::kRejected : call_end::kNoSample;
+  }
+
   void End(const call_ptr& served, int status) {
     if (std::exchange(served->is_done, true)) {
       return;
--- a/tests/hedged_calls_test.cpp
+++ b/tests/hedged_calls_test.cpp
@@ -403,8 +403,13 @@
 // Guards against sends to endpoints that cannot answer in time, and against an endless refusal: the reports age.
 TEST_F(hedged_call_test, Call_ThatNoEndpointCanAnswerInTime_IsRefusedAtOnceUntilTheReportsAreOld) {
   SetBoth({.server_load = "6,24,6,900", .answer_delay = milliseconds(80)});
-  for (int i = 0; i < 40 && (first_.TotalRuns() == 0 || second_.TotalRuns() == 0); ++i) {
-    ASSERT_TRUE(harness_.Finish(harness_.Send("GET", "/pages/1", "warm-" + std::to_string(i))));
+  // Sent together, so that both endpoints get some and both reports are recent.
+  std::vector<caller_exchange_ptr> calls;
+  for (int i = 0; i < 16; ++i) {
+    calls.push_back(harness_.Send("POST", "/submit/1", "warm-" + std::to_string(i), {}, "quiz"));
+  }
+  for (const auto& call : calls) {
+    ASSERT_TRUE(harness_.Finish(call));
   }
   ASSERT_GT(first_.TotalRuns(), 0);
   ASSERT_GT(second_.TotalRuns(), 0);
