Let decode engines read only a short rest of a cached prompt themselves

A decode engine read up to 2,400 tokens of a cached prompt itself as soon as that ended earlier than a separate prefill. With a popular prefix this applies to every request that shares it, and stalls the streams of all decode engines.

--- a/include/persimmon/kv_placement.h
+++ b/include/persimmon/kv_placement.h
@@ -149,7 +149,7 @@
 // With weighs_speeds, the backlog limit applies to the time that an engine needs for it, so that a slow engine gets
 // fewer prompts. An engine that caches part of the prompt may exceed it by that part, up to a quarter of the limit: the
 // request then holds decode memory no longer than one that is placed at the limit elsewhere. A decode engine that
-// caches so much of the prompt that it ends earlier than a prefill engine and the transfer prefills the rest itself.
+// caches nearly all of the prompt and ends earlier than a prefill engine and the transfer prefills the rest itself.
 engine_choice ChooseEngines(std::span<const engine_view> decode, std::span<const engine_view> prefill,
                             const stream_memory& stream, const zone_name& preferred_zone, std::uint64_t draw,
                             const placement_settings& settings);
--- a/src/decisions/kv_placement.cpp
+++ b/src/decisions/kv_placement.cpp
@@ -78,6 +78,10 @@
 // A decode engine reads prompts at half the speed of a prefill engine, because its streams go on meanwhile.
 constexpr double kDecodeSlowness = 2;
 
+// While a prefill engine has room, a decode engine reads at most this part of local_prefill_limit: its streams stall
+// for 50 ms. With the whole limit, requests that share a popular prefix would stall the streams of all decode engines.
+constexpr std::uint32_t kCachedRestDivisor = 4;
+
 // True if the engine gets no further prompts because of the time that its pending ones take.
 bool HasPrefillBacklog(const engine_view& engine, const placement_settings& settings) {
   if (!settings.weighs_speeds) {
@@ -161,12 +165,13 @@
 
 // Of the engines that cache part of the prompt and are not reading another one.
 local_prefill FindCachedPrefill(std::span<const engine_view> engines, const stream_memory& stream,
-                                const zone_name& preferred_zone, const placement_settings& settings) {
+                                const zone_name& preferred_zone, const placement_settings& settings,
+                                std::uint32_t max_read_tokens) {
   local_prefill best;
   for (std::size_t i = 0; i < engines.size(); ++i) {
     const engine_view& engine = engines[i];
     const std::uint32_t read_tokens = stream.held_tokens - std::min(stream.held_tokens, engine.cached_tokens);
-    if (engine.cached_tokens == 0 || engine.pending_tokens > 0 || read_tokens > settings.local_prefill_limit ||
+    if (engine.cached_tokens == 0 || engine.pending_tokens > 0 || read_tokens > max_read_tokens ||
         !ReservationAt(engine, stream, settings)) {
       continue;
     }
@@ -262,8 +267,9 @@
   const bool has_prefill_engine =
       std::any_of(prefill.begin(), prefill.end(), [](const engine_view& engine) { return engine.can_receive; });
   if (!has_prefill_engine) {
-    const local_prefill local =
-        settings.weighs_speeds ? FindCachedPrefill(decode, stream, preferred_zone, settings) : local_prefill{};
+    const local_prefill local = settings.weighs_speeds ? FindCachedPrefill(decode, stream, preferred_zone, settings,
+                                                                           settings.local_prefill_limit)
+                                                       : local_prefill{};
     return assign(local.engine.value_or(*decode_engine), std::nullopt);
   }
   // With weighs_speeds, an engine with a backlog does not hide another one that has room and ends later.
@@ -271,7 +277,9 @@
       prefill, decode[*decode_engine].zone, draw, settings, stream.held_tokens,
       [&](const engine_view& engine) { return !settings.weighs_speeds || !HasPrefillBacklog(engine, settings); });
   if (settings.weighs_speeds) {
-    const local_prefill local = FindCachedPrefill(decode, stream, preferred_zone, settings);
+    const std::uint32_t max_read_tokens =
+        prefill_engine ? settings.local_prefill_limit / kCachedRestDivisor : settings.local_prefill_limit;
+    const local_prefill local = FindCachedPrefill(decode, stream, preferred_zone, settings, max_read_tokens);
     const double separate_work =
         prefill_engine ? PredictPrefillWork(prefill[*prefill_engine], stream.held_tokens, settings) +
                              ZonePenalty(prefill[*prefill_engine], decode[*decode_engine].zone, settings) +
--- a/tests/prompt_cache_test.cpp
+++ b/tests/prompt_cache_test.cpp
@@ -206,8 +206,8 @@
       << "a restarted engine has the speed of the earlier incarnation";
 }
 
-// A prompt that waits behind others takes long on a fast engine too. On average, half of the prompt in progress has been
-// read when another one is sent.
+// A prompt that waits behind others takes long on a fast engine too. On average, half of the prompt in progress has
+// been read when another one is sent.
 TEST(engine_speeds_test, Speed_MeasuredBehindOtherPrompts_CountsTheirWork) {
   engine_speeds speeds;
   for (int i = 0; i < 10; ++i) {
@@ -356,6 +356,16 @@
   EXPECT_TRUE(Choose().prefill) << "the engine has no memory";
 }
 
+// Guards against stalling the streams of all decode engines by requests that share a popular prefix.
+TEST_F(weighed_choice_test, DecodeEngine_ThatCachesAPopularPrefix_ReadsTheRestOnlyWhilePrefillEnginesAreBusy) {
+  decode_ = {MakeView("d1", 0, 6'000)};
+  prefill_ = {MakeView("p1", 5'000, 6'000), MakeView("p2", 5'000, 6'000)};
+  EXPECT_TRUE(Choose().prefill);
+  prefill_ = {MakeView("p1", 9'000, 6'000), MakeView("p2", 9'000, 6'000)};
+  EXPECT_EQ(Choose().waits_for, wait_reason::kNone);
+  EXPECT_EQ(Choose().prefill, std::nullopt);
+}
+
 TEST_F(weighed_choice_test, FasterDecodeEngine_IsPreferredButNotAlways) {
   decode_ = {MakeView("d1"), MakeView("d2"), MakeView("d3")};
   decode_[0].decode_pace = 1.5;
