--- a/include/persimmon/call_admission.h
+++ b/include/persimmon/call_admission.h
@@ -51,8 +51,12 @@
   // grow, because otherwise a burst after a calm time would meet windows without effect.
   void RecordResponse(const call_feedback& feedback, std::uint32_t calls, time_point now);
 
-  // True if one more call may be sent besides `calls` in progress. One call is always allowed.
-  bool HasRoom(std::uint32_t calls) const { return calls < 1 || calls + 1 <= window_; }
+  // Number of calls that may be sent besides `calls` in progress. One call is always allowed.
+  std::uint32_t Room(std::uint32_t calls) const {
+    const auto allowed = static_cast<std::uint32_t>(window_);
+    return allowed > calls ? allowed - calls : 0;
+  }
+  bool HasRoom(std::uint32_t calls) const { return Room(calls) > 0; }
   double Calls() const { return window_; }
 
  private:
--- a/src/direct/plain_attempts.cpp
+++ b/src/direct/plain_attempts.cpp
@@ -25,6 +25,11 @@
 
 bool ImpliesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
+// The time for which a stream occupies an endpoint is decided by its events, so streams do not wait for room.
+bool IsGated(const plain_attempt& attempt) {
+  return attempt.is_adaptive && attempt.call->Route().kind != call_kind::kStreaming;
+}
+
 endpoint_incarnation IncarnationOf(const chosen_endpoint& endpoint) { return {endpoint.name, endpoint.started_ms}; }
 
 }  // namespace
@@ -32,6 +37,7 @@
 void plain_attempts::Start() {
   auth_ = &kernel_.Find<caller_auth>("auth");
   endpoint_tracker_ = &kernel_.Find<endpoint_tracker>("board");
+  gate_.Start();
   suspect_tracker_ = &kernel_.Find<suspect_tracker>("crashes");
   metrics_ = &kernel_.Find<telemetry>("telemetry").Metrics();
   cleanup_timer_ = kernel_.Timers().SubscribeEvery(kCleanupPeriod, 0.1, [this] {
@@ -60,14 +66,32 @@
   return endpoint_tracker_->TimeUntilOpen(endpoints) + jittered;
 }
 
+// Excludes endpoints without room. If none has room, changes nothing and returns false.
+bool plain_attempts::ExcludeBusy(const std::vector<chosen_endpoint>& endpoints,
+                                 std::vector<endpoint_view>& views) const {
+  std::vector<bool> has_room(views.size());
+  bool any_has_room = false;
+  for (std::size_t i = 0; i < views.size(); ++i) {
+    has_room[i] = gate_.Room(endpoints[i]) > 0;
+    any_has_room = any_has_room || (views[i].can_receive && has_room[i]);
+  }
+  for (std::size_t i = 0; i < views.size() && any_has_room; ++i) {
+    views[i].can_receive = views[i].can_receive && has_room[i];
+  }
+  return any_has_room;
+}
+
 std::optional<plain_attempts::choice> plain_attempts::Choose(const direct_call& call,
                                                              const std::vector<endpoint_name>& avoid, bool is_adaptive,
                                                              const zone_name& avoided_zone) {
   const auto endpoints = endpoint_tracker_->ListEndpoints(call.Service().name, std::nullopt);
-  const auto views = endpoint_tracker_->PlainViews(endpoints, avoid);
+  auto views = endpoint_tracker_->PlainViews(endpoints, avoid);
   const time_point now = timer_service::Now();
   std::optional<call_choice> chosen;
   if (is_adaptive) {
+    if (call.Route().kind != call_kind::kStreaming && !ExcludeBusy(endpoints, views) && call.sends > 0) {
+      return std::nullopt;  // a further attempt would add to the load that makes the first one slow
+    }
     const call_request request{settings_.deployment.zone, avoided_zone, RandomNumber()};
     chosen = Estimates(call.Service().name).Choose(views, request, now);
   } else {
@@ -153,6 +177,9 @@
     const server_load report{metadata.running, metadata.waiting, metadata.slots, metadata.work_time_percent};
     Estimates(attempt->call->Service().name)
         .RecordReport(IncarnationOf(attempt->endpoint), report, timer_service::Now());
+    if (IsGated(*attempt)) {
+      gate_.RecordResponse(attempt->endpoint, {metadata.proves_not_run, metadata.waiting, metadata.slots});
+    }
   }
   outcome.response = {head.status, platform::ForwardedHeaders(head.headers), {}};
   // A response without a seal or with a content encoding is not the endpoint's own. From some statuses the caller
@@ -232,6 +259,9 @@
   endpoint_tracker_->AddCall(attempt.endpoint.name, 1);
   suspect_tracker_->RecordStart(attempt.call->Fingerprint(), attempt.endpoint);
   attempt.begin = timer_service::Now();
+  if (IsGated(attempt)) {
+    gate_.RecordStart(attempt.endpoint);
+  }
   // The duration of a stream is decided by its events, so it says nothing about the speed of the endpoint.
   if (attempt.is_adaptive && attempt.call->Route().kind != call_kind::kStreaming) {
     attempt.estimate_id =
@@ -252,6 +282,9 @@
   }
   RecordEstimate(attempt, outcome);
   RecordHealth(attempt, outcome);
+  if (IsGated(attempt)) {
+    gate_.RecordEnd(call->Service().name, attempt.endpoint);
+  }
 }
 
 void plain_attempts::RecordHealth(const plain_attempt& attempt, attempt_outcome& outcome) {
--- a/src/direct/plain_attempts.h
+++ b/src/direct/plain_attempts.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "core/metrics.h"
+#include "direct/call_gate.h"
 #include "direct/caller_auth.h"
 #include "direct/direct_call.h"
 #include "direct/endpoint_tracker.h"
@@ -93,13 +94,23 @@
     microseconds predicted{0};        // time until the response; 0 without the adaptive policy
   };
 
-  plain_attempts(kernel& services, const direct_settings& settings) : kernel_(services), settings_(settings) {}
+  plain_attempts(kernel& services, const direct_settings& settings)
+      : kernel_(services), settings_(settings), gate_(services, settings) {}
 
   void Start();
-  void Stop() { cleanup_timer_.Cancel(); }
+  void Stop() {
+    cleanup_timer_.Cancel();
+    gate_.Stop();
+  }
+
+  // Waits until an endpoint of the service has room for the call; see call_gate::Enter.
+  task<std::optional<call_refusal>> AwaitRoom(direct_call_ptr call) {
+    return gate_.Enter(call, Estimates(call->Service().name).ResponseTime(0.5));
+  }
 
   // `avoid`: endpoints that must not get the call. With the adaptive policy, the choice rests on the estimates and
-  // prefers endpoints outside `avoided_zone`.
+  // prefers endpoints outside `avoided_zone`; endpoints without room get a call only if it is the first send of the
+  // request and none has room.
   std::optional<choice> Choose(const direct_call& call, const std::vector<endpoint_name>& avoid, bool is_adaptive,
                                const zone_name& avoided_zone = {});
 
@@ -120,6 +131,7 @@
 
  private:
   call_estimates& Estimates(const std::string& service);
+  bool ExcludeBusy(const std::vector<chosen_endpoint>& endpoints, std::vector<endpoint_view>& views) const;
   task<> ReadResponse(plain_attempt_ptr attempt, const http_response_head& head, attempt_outcome& outcome);
   task<> ReadBody(plain_attempt_ptr attempt, bool is_forwardable, bool is_stream, attempt_outcome& outcome);
   task<> FinishStream(plain_attempt_ptr attempt, attempt_outcome& outcome);
@@ -131,6 +143,7 @@
 
   kernel& kernel_;
   const direct_settings& settings_;
+  call_gate gate_;
   caller_auth* auth_ = nullptr;
   endpoint_tracker* endpoint_tracker_ = nullptr;
   suspect_tracker* suspect_tracker_ = nullptr;
--- a/src/direct/plain_calls.cpp
+++ b/src/direct/plain_calls.cpp
@@ -38,6 +38,15 @@
         .Increment();
     co_return co_await call->Refuse("too_late", attempts_.RetryAfter(*call));
   }
+  if (is_adaptive && route.kind != call_kind::kStreaming) {
+    auto refused = co_await attempts_.AwaitRoom(call);
+    if (call->IsCallerDisconnected()) {
+      co_return call->EndAsCallerDisconnected();
+    }
+    if (refused) {
+      co_return co_await call->Refuse(std::move(*refused));
+    }
+  }
   if (is_adaptive && route.kind == call_kind::kIdempotent && route.max_attempts > 1) {
     co_return co_await hedged_calls_.Serve(call);
   }
