Bound the room for urgent requests and count refused reservations as no start

With one decode engine, the room kept for urgent requests was all its memory, and a less urgent request was refused although nothing else ran (found by adaptive_urgency_test). At most a quarter of the memory and of the backlog is kept now. A request whose reservation was refused repeatedly counted as started each time when it was the only one, so that predicted waits were too short; and a second without a start predicted an endless wait.

--- a/include/persimmon/placement_queue.h
+++ b/include/persimmon/placement_queue.h
@@ -46,6 +46,9 @@
   urgency_level urgency;
   account_name account;   // empty: none
   bool is_retry = false;  // of a caller that was refused before; goes before other late requests
+  // Set in the result of TakeNext.
+  bool has_blocked_start = false;  // it was placed while requests waited in vain
+  bool has_starved_start = false;  // it went first because its level or account was starved
 
   bool operator==(const placement_request&) const = default;
 };
@@ -122,7 +125,8 @@
   // False if the request must be refused: it is late and has expired, or a limit is reached.
   bool Add(const placement_request& request, time_point now);
 
-  // Returns a placed request to the queue after its reservation was refused, ordered as before. Limits do not apply.
+  // Returns a placed request, as in the result of TakeNext, to the queue after its reservation was refused, ordered as
+  // before. Limits do not apply.
   void Requeue(const placement_request& request, time_point now);
 
   // False if the request is not in the queue.
@@ -214,7 +218,8 @@
 // Hides from a less urgent request as much decode memory and prefill backlog as the more urgent ones use within `time`,
 // so that they find room in a burst. `use` is that of this router; `routers` share the engines. Decode memory is hidden
 // in blocks of the mean size of an urgent request, one each on the first engines of the views, because a remainder on
-// every engine would hold no request. The order of the views is the same on all routers.
+// every engine would hold no request; at most a quarter of the memory and of the backlog. The order of the views is the
+// same on all routers.
 void ReserveForUrgent(const urgent_use& use, std::uint32_t routers, milliseconds time,
                       std::span<engine_view> decode_engines, std::size_t prefill_engines, placement_settings& settings);
 
--- a/include/persimmon/return_schedule.h
+++ b/include/persimmon/return_schedule.h
@@ -20,10 +20,10 @@
 
 // The state of the queue when a caller is refused.
 struct return_terms {
-  double backlog = 0;                  // requests that wait
-  std::optional<double> starts_per_s;  // measured while requests wait; absent: not measured yet
-  milliseconds time_left{0};           // of the caller
-  double draw = 0;                     // random, in [0, 1)
+  double backlog = 0;                                 // requests that wait
+  std::optional<double> starts_per_s = std::nullopt;  // measured while requests wait; absent: not measured yet
+  milliseconds time_left{0};                          // of the caller
+  double draw = 0;                                    // random, in [0, 1)
 
   bool operator==(const return_terms&) const = default;
 };
--- a/src/decisions/placement_queue.cpp
+++ b/src/decisions/placement_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 namespace persimmon {
 namespace {
@@ -14,6 +15,10 @@
 // Of the window, so that a single early request is not taken for a high rate.
 constexpr double kMinMeasuredShare = 0.1;
 
+constexpr double kMinBlockedSeconds = 1;  // until a rate of starts counts as measured
+// Of all memory and of the backlog. The rest suffices for less urgent requests, also with few engines.
+constexpr double kMaxReservedShare = 0.25;
+
 }  // namespace
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -108,12 +113,13 @@
 
 std::optional<double> placement_queue::StartsPerSecond(time_point now) const {
   const double seconds = blocked_seconds_.At(now, settings_.share_window);
-  return seconds < 1 ? std::nullopt : std::optional(starts_while_blocked_.At(now, settings_.share_window) / seconds);
+  return seconds < kMinBlockedSeconds ? std::nullopt
+                                      : std::optional(starts_while_blocked_.At(now, settings_.share_window) / seconds);
 }
 
 std::optional<microseconds> placement_queue::PredictWait(const placement_request& request, std::size_t peers_in_time,
                                                          std::uint32_t routers, time_point now) const {
-  const auto rate = StartsPerSecond(now);
+  const double blocked_seconds = blocked_seconds_.At(now, settings_.share_window);
   const bool is_late = request.latest_start < now;
   const order_key key{is_late && !request.is_retry, request.urgency, is_late ? request.expiry : request.latest_start,
                       next_sequence_};
@@ -123,12 +129,12 @@
   const double before = is_late ? static_cast<double>(in_time_.size()) + count_before(late_) +
                                       static_cast<double>(peers_in_time) / std::max(1U, routers)
                                 : count_before(in_time_);
-  if (!rate || before < 1) {
+  if (blocked_seconds < kMinBlockedSeconds || before < 1) {
     return std::nullopt;
   }
-  constexpr double kMaxWaitSeconds = 3'600;
-  const double seconds = *rate > 0 ? std::min(before / *rate, kMaxWaitSeconds) : kMaxWaitSeconds;
-  return microseconds(static_cast<std::int64_t>(seconds * 1e6));
+  // One more start is assumed, because a short time without any does not show that none will follow.
+  const double starts = starts_while_blocked_.At(now, settings_.share_window) + 1;
+  return microseconds(static_cast<std::int64_t>(before * blocked_seconds / starts * 1e6));
 }
 
 void placement_queue::CountRefusal(const placement_request& request, time_point now) {
@@ -160,7 +166,9 @@
 void placement_queue::Requeue(const placement_request& request, time_point now) {
   Insert(request, now);
   RecordStart(request, -1);
-  starts_while_blocked_.Add(is_blocked_ ? -1 : 0, now_, settings_.share_window);
+  starts_while_blocked_.Add(request.has_blocked_start ? -1 : 0, now_, settings_.share_window);
+  started_as_starved_.Add(request.has_starved_start ? -Tokens(request) : 0, now_, settings_.share_window);
+  is_blocked_ = true;
 }
 
 bool placement_queue::Remove(const request_id& request) {
@@ -274,10 +282,10 @@
     step.placed = *next;
     Remove(step.placed->request);
     RecordStart(*step.placed, 1);
+    step.placed->has_blocked_start = is_blocked_;
     starts_while_blocked_.Add(is_blocked_ ? 1 : 0, now_, settings_.share_window);
-    if (starved != nullptr) {
-      started_as_starved_.Add(Tokens(*step.placed), now_, settings_.share_window);
-    }
+    step.placed->has_starved_start = starved != nullptr;
+    started_as_starved_.Add(starved != nullptr ? Tokens(*step.placed) : 0, now_, settings_.share_window);
   }
   return step;
 }
@@ -306,17 +314,20 @@
 void ReserveForUrgent(const urgent_use& use, std::uint32_t routers, milliseconds time,
                       std::span<engine_view> decode_engines, std::size_t prefill_engines,
                       placement_settings& settings) {
-  if (use.requests_per_s <= 0) {
+  if (use.requests_per_s <= 0 || use.memory_tokens_per_s <= 0 || decode_engines.empty()) {
     return;
   }
   const double seconds = std::chrono::duration<double>(time).count() * routers;
-  const auto block = static_cast<std::uint32_t>(use.memory_tokens_per_s / use.requests_per_s);
-  const auto blocks = static_cast<std::size_t>(std::lround(use.requests_per_s * seconds));
-  for (std::size_t i = 0; i < blocks && !decode_engines.empty(); ++i) {
-    decode_engines[i % decode_engines.size()].headroom_tokens += block;
+  const double memory = std::accumulate(decode_engines.begin(), decode_engines.end(), 0.0,
+                                        [](double sum, const engine_view& engine) { return sum + engine.kv_tokens; });
+  const double block = use.memory_tokens_per_s / use.requests_per_s;
+  const double blocks = std::min(std::round(use.requests_per_s * seconds), kMaxReservedShare * memory / block);
+  for (std::size_t i = 0; i < static_cast<std::size_t>(blocks); ++i) {
+    decode_engines[i % decode_engines.size()].headroom_tokens += static_cast<std::uint32_t>(block);
   }
   const double backlog = use.prompt_tokens_per_s * seconds / std::max<double>(1, static_cast<double>(prefill_engines));
-  settings.max_prefill_backlog -= static_cast<std::uint32_t>(std::min<double>(settings.max_prefill_backlog, backlog));
+  settings.max_prefill_backlog -=
+      static_cast<std::uint32_t>(std::min(kMaxReservedShare * settings.max_prefill_backlog, backlog));
 }
 
 }  // namespace persimmon
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -318,6 +318,7 @@
       return;
     }
     const waiting_ptr waiting = queue.waiting.at(step.placed->request);
+    waiting->request = *step.placed;
     stream_memory memory = step.placed->memory;
     memory.reserved_tokens = step.engines.reserved_tokens;
     engine_assignment assignment{engines[step.engines.decode], std::nullopt, {}, std::nullopt, memory, 0, now, {}};
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -956,6 +956,28 @@
   }
 }
 
+// Guards against a request that waits for seconds only to be refused, and against callers that all come back at once or
+// later than they can.
+TEST_P(adaptive_urgency_test, Request_WhosePredictedWaitIsTooLong_IsRefusedAtOnceWithItsOwnReturnTime) {
+  // Nothing starts for 1.5 s, so that each request before another one is predicted to take as long.
+  std::vector<caller_exchange_ptr> waiting = {Send("/chat/1", "waiting-0")};
+  harness_.RunFor(milliseconds(1'500));
+  waiting.push_back(Send("/chat/1", "waiting-1"));
+  waiting.push_back(Send("/chat/1", "waiting-2"));
+  std::set<std::string> return_times;
+  for (const char* attempt : {"one", "other"}) {
+    const auto call = Send("/chat/1", attempt);
+    ASSERT_TRUE(call->done);
+    EXPECT_EQ(call->Status(), 503);
+    EXPECT_NE(call->body.find("wait_too_long"), std::string::npos) << call->body;
+    const double seconds = std::stod(call->Header("Retry-After"));
+    EXPECT_GT(seconds, 0);
+    EXPECT_LE(seconds, 14.0 / 3);
+    return_times.insert(call->Header("Retry-After"));
+  }
+  EXPECT_EQ(return_times.size(), 2U);
+}
+
 using fixed_urgency_test = urgency_test;
 INSTANTIATE_TEST_SUITE_P(settings, fixed_urgency_test, testing::Values("off"));
 
--- a/tests/placement_queue_test.cpp
+++ b/tests/placement_queue_test.cpp
@@ -11,6 +11,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <set>
 
@@ -299,6 +301,107 @@
   EXPECT_LT(queue_.UseAbove({2, 0}, At(600'000)).memory_tokens_per_s, 1);
 }
 
+class reserve_test : public testing::Test {
+ protected:
+  // Hidden memory by engine.
+  static std::vector<std::uint32_t> Reserve(std::size_t engines, std::uint32_t memory, const urgent_use& use) {
+    std::vector<engine_view> views(engines);
+    for (engine_view& view : views) {
+      view.kv_tokens = memory;
+    }
+    placement_settings settings;
+    ReserveForUrgent(use, 2, milliseconds(1'000), views, 4, settings);
+    std::vector<std::uint32_t> hidden;
+    std::transform(views.begin(), views.end(), std::back_inserter(hidden),
+                   [](const engine_view& view) { return view.headroom_tokens; });
+    hidden.push_back(placement_settings{}.max_prefill_backlog - settings.max_prefill_backlog);
+    return hidden;
+  }
+};
+
+// The last number is the hidden prefill backlog of each of four engines.
+TEST_F(reserve_test, ReserveForUrgent_HidesWhatAllRoutersUse_InWholeRequests) {
+  EXPECT_EQ(Reserve(4, 30'000, {1.5, 4'500, 6'000}), (std::vector<std::uint32_t>{4'000, 4'000, 4'000, 0, 1'750}));
+  EXPECT_EQ(Reserve(4, 30'000, {0.1, 300, 400}), (std::vector<std::uint32_t>{0, 0, 0, 0, 150}));
+  EXPECT_EQ(Reserve(4, 30'000, {}), (std::vector<std::uint32_t>{0, 0, 0, 0, 0}));
+  EXPECT_EQ(Reserve(0, 0, {1.5, 4'500, 6'000}), (std::vector<std::uint32_t>{0})) << "no decode engine";
+  EXPECT_EQ(Reserve(1, 30'000, {1.5, 0, 0}), (std::vector<std::uint32_t>{0, 0})) << "requests without tokens";
+}
+
+// Guards against a small deployment in which less urgent requests find no memory, although no urgent one waits.
+TEST_F(reserve_test, ReserveForUrgent_WithFewEngines_LeavesThreeQuarters) {
+  EXPECT_EQ(Reserve(1, 4'500, {10, 30'000, 40'000}), (std::vector<std::uint32_t>{0, 1'750}));
+  EXPECT_EQ(Reserve(2, 20'000, {10, 30'000, 40'000}), (std::vector<std::uint32_t>{4'000, 4'000, 1'750}));
+}
+
+// Guards against a rate of starts from times in which capacity was idle: it would predict long waits after a calm time.
+TEST_F(urgency_queue_test, StartsPerSecond_IsMeasuredWhileRequestsWaitInVain) {
+  int id = 0;
+  const auto run = [&](std::int64_t from, std::int64_t to, bool has_waiting) {
+    for (std::int64_t now = from; now < to; now += 100) {
+      queue_.TakeExpired(At(now));
+      ASSERT_TRUE(queue_.Add(Request(++id, 1, now + 100'000), At(now)));
+      const bool is_free = !has_waiting || now % 500 == 0;
+      EXPECT_EQ(queue_.TakeNext(is_free ? HasCapacity : NoMemory, false).placed.has_value(), is_free);
+    }
+  };
+  run(0, 5'000, false);
+  EXPECT_EQ(queue_.StartsPerSecond(At(5'000)), std::nullopt);
+  EXPECT_EQ(queue_.PredictWait(Request(-1, 1, 100'000), 0, 1, At(5'000)), std::nullopt);
+  run(5'000, 10'000, true);
+  const auto rate = queue_.StartsPerSecond(At(10'000));
+  ASSERT_TRUE(rate);
+  EXPECT_NEAR(*rate, 2, 0.2);
+  // 40 requests wait. A late one waits for all of them and for those of peers, an urgent one for none.
+  ASSERT_EQ(queue_.Size(), 40U);
+  const auto wait = [&](const placement_request& request, std::size_t peers) {
+    return std::chrono::duration<double>(queue_.PredictWait(request, peers, 10, At(10'000)).value_or(microseconds(0)));
+  };
+  // One start is added to those of 5 s, of which 3.9 s are left after the decay.
+  const double cautious_rate = *rate + 1 / 3.9;
+  EXPECT_NEAR(wait(Request(-1, 1, -1), 0).count(), 40 / cautious_rate, 0.3);
+  EXPECT_NEAR(wait(Request(-1, 1, -1), 100).count(), 50 / cautious_rate, 0.3);
+  EXPECT_EQ(wait(Request(-1, 0, 20'000), 100).count(), 0);
+}
+
+// Guards against refusing all requests because no engine was available for a second.
+TEST_F(urgency_queue_test, PredictWait_AfterAShortTimeWithoutStarts_IsShort) {
+  ASSERT_TRUE(queue_.Add(Request(1, 1, 100'000), At(0)));
+  for (std::int64_t now = 0; now <= 1'500; now += 100) {
+    queue_.TakeExpired(At(now));
+    EXPECT_FALSE(queue_.TakeNext(NoMemory, false).placed);
+  }
+  const auto wait = queue_.PredictWait(Request(2, 1, 200'000), 0, 1, At(1'500));
+  ASSERT_TRUE(wait);
+  EXPECT_LE(*wait, milliseconds(1'500));
+}
+
+// A single request whose reservation is refused again and again must not count as started each time.
+TEST_F(urgency_queue_test, Requeue_OfTheOnlyRequest_IsNoStart) {
+  ASSERT_TRUE(queue_.Add(Request(1, 1, 100'000), At(0)));
+  for (std::int64_t now = 0; now < 3'000; now += 100) {
+    queue_.TakeExpired(At(now));
+    const placement_step step = queue_.TakeNext(HasCapacity, false);
+    ASSERT_TRUE(step.placed);
+    EXPECT_FALSE(queue_.TakeNext(HasCapacity, false).placed);
+    queue_.Requeue(*step.placed, At(now));
+  }
+  EXPECT_NEAR(queue_.StartsPerSecond(At(2'900)).value_or(99), 0, 0.01);
+}
+
+// A refused reservation must not count as a start, or the predicted wait would be too short.
+TEST_F(urgency_queue_test, Requeue_OfAPlacedRequest_IsNoStart) {
+  for (std::int64_t now = 0; now < 3'000; now += 100) {
+    queue_.TakeExpired(At(now));
+    ASSERT_TRUE(queue_.Add(Request(static_cast<int>(now), 1, 100'000), At(now)));
+    const placement_step step = queue_.TakeNext(now == 0 ? NoMemory : HasCapacity, false);
+    if (step.placed) {
+      queue_.Requeue(*step.placed, At(now));
+    }
+  }
+  EXPECT_NEAR(queue_.StartsPerSecond(At(2'900)).value_or(99), 0, 0.01);
+}
+
 TEST(engine_priority_test, EnginePriority_OfAnyLevels_KeepsTheirOrder) {
   EXPECT_EQ(EnginePriority({}, {}), std::nullopt);
   EXPECT_EQ(EnginePriority({{1, 1}}, {1, 1}), std::nullopt);
--- a/tests/support/engine_model.h
+++ b/tests/support/engine_model.h
@@ -250,7 +250,12 @@
 class engine_model {
  public:
   engine_model(const model_deployment& deployment, const model_load& load, placement_policy policy)
-      : deployment_(deployment), load_(load), policy_(policy), random_(load.seed) {
+      : deployment_(deployment),
+        load_(load),
+        policy_(policy),
+        random_(load.seed),
+        arrival_random_(load.seed + 1'000),
+        has_classes_(!load.classes.empty()) {
     if (load_.classes.empty()) {
       load_.classes.push_back({.rate = load.rate});
     }
@@ -322,13 +327,13 @@
     for (std::size_t index = 0; index < load_.classes.size() && now_ < load_.end_ms; ++index) {
       const model_class& kind = load_.classes[index];
       const double mean = kind.rate * BurstFactor() * detail::kStepMs / 1e3;
-      const int count = std::poisson_distribution<int>(mean)(random_);
+      const int count = std::poisson_distribution<int>(mean)(ArrivalRandom());
       for (int i = 0; i < count; ++i) {
         auto request = std::make_shared<detail::model_request>();
         request->class_index = index;
         request->kind = kind;
         if (kind.accounts > 1) {
-          request->account = std::uniform_int_distribution<std::uint32_t>(0, kind.accounts - 1)(random_);
+          request->account = std::uniform_int_distribution<std::uint32_t>(0, kind.accounts - 1)(ArrivalRandom());
         }
         request->id = ++next_id_;
         request->arrival_ms = request->attempt_ms = now_;
@@ -356,12 +361,15 @@
     }
   }
 
+  // With classes, the arrivals are the same for all policies.
+  std::mt19937_64& ArrivalRandom() { return has_classes_ ? arrival_random_ : random_; }
+
   std::array<class_totals*, 2> TotalsOf(const detail::model_request& request) {
     return {&totals_.classes[request.class_index], &totals_.accounts[{request.class_index, request.account}]};
   }
 
   std::uint32_t SampleLogNormal(double median, double sigma, std::uint32_t lowest, std::uint32_t highest) {
-    const double value = std::lognormal_distribution<double>(std::log(median), sigma)(random_);
+    const double value = std::lognormal_distribution<double>(std::log(median), sigma)(ArrivalRandom());
     return static_cast<std::uint32_t>(std::clamp<double>(value, lowest, highest));
   }
 
@@ -850,6 +858,8 @@
   model_load load_;
   placement_policy policy_;
   std::mt19937_64 random_;
+  std::mt19937_64 arrival_random_;
+  bool has_classes_ = false;
   std::int64_t now_ = 0;
   std::uint64_t next_id_ = 0;
   std::uint32_t next_prefill_ = 0;
