--- a/tests/prompt_cache_test.cpp
+++ b/tests/prompt_cache_test.cpp
@@ -13,6 +13,7 @@
 #include <rapidcheck/gtest.h>
 
 #include <cstdio>
+#include <random>
 
 #include "decision_support.h"
 #include "persimmon/kv_placement.h"
@@ -476,6 +477,74 @@
   return result;
 }
 
+struct decode_load_result {
+  double mean_interval_ms = 0;    // between tokens, over all streams
+  std::vector<int> streams;       // started at each engine
+  std::vector<double> intervals;  // of each engine
+};
+
+// Streams of one router at decode engines of unequal speed, at about 40% of their memory.
+decode_load_result SimulateDecode(bool weighs, std::uint64_t seed) {
+  constexpr std::int64_t kEndMs = 60'000;
+  constexpr std::uint32_t kPromptTokens = 3'200;
+  constexpr std::uint32_t kOutputTokens = 900;
+  struct running_stream {
+    std::int64_t end_ms = 0;
+    std::int64_t start_ms = 0;
+  };
+  decode_load_result result;
+  result.intervals = {3, 3, 4, 4, 6, 8};
+  result.streams.resize(result.intervals.size());
+  std::vector<std::vector<running_stream>> running(result.intervals.size());
+  std::mt19937_64 random(seed);
+  engine_speeds speeds;
+  placement_settings settings;
+  settings.weighs_speeds = weighs;
+  int placed = 0;
+  for (std::int64_t now = 0; now < kEndMs; now += 10) {
+    std::vector<engine_view> views;
+    for (std::size_t i = 0; i < running.size(); ++i) {
+      std::erase_if(running[i], [&](const running_stream& stream) {
+        const bool has_ended = stream.end_ms <= now;
+        if (has_ended) {
+          speeds.RecordTokenInterval({Endpoint(static_cast<int>(i)), 1}, result.intervals[i], At(now));
+        }
+        return has_ended;
+      });
+      views.push_back(MakeView(Endpoint(static_cast<int>(i)).value));
+      views.back().decode_pace = speeds.DecodePace({Endpoint(static_cast<int>(i)), 1}, At(now));
+      for (const running_stream& stream : running[i]) {
+        const auto written =
+            static_cast<std::uint32_t>(static_cast<double>(now - stream.start_ms) / result.intervals[i]);
+        views.back().streams.push_back({kPromptTokens + written, kOutputTokens - written, 0});
+      }
+    }
+    for (int count = std::poisson_distribution<int>(0.05)(random); count > 0; --count) {
+      const auto engine = ChooseDecodeEngine(views, {kPromptTokens, kOutputTokens, 0}, {}, random(), settings);
+      if (engine) {
+        const double interval = result.intervals[*engine];
+        running[*engine].push_back({now + static_cast<std::int64_t>(kOutputTokens * interval), now});
+        views[*engine].streams.push_back({kPromptTokens, kOutputTokens, 0});
+        ++result.streams[*engine];
+        result.mean_interval_ms += (interval - result.mean_interval_ms) / ++placed;
+      }
+    }
+  }
+  return result;
+}
+
+TEST(decode_load_test, UnevenDecodeEngines_WriteFasterWithoutLeavingSlowOnesIdle) {
+  const decode_load_result with = SimulateDecode(true, 1);
+  const decode_load_result without = SimulateDecode(false, 1);
+  std::printf("token interval: %.2f ms with, %.2f ms without; streams of the slowest engine %d and %d\n",
+              with.mean_interval_ms, without.mean_interval_ms, with.streams.back(), without.streams.back());
+  EXPECT_LT(with.mean_interval_ms, without.mean_interval_ms);
+  for (const int streams : with.streams) {
+    EXPECT_GT(streams, 10) << "a slow engine gets none";
+  }
+  EXPECT_LT(with.streams[0], with.streams[1] * 2) << "one engine gets all";
+}
+
 TEST(prompt_load_test, PopularPrefix_UnderOverload_IsServedInTimeMoreOften) {
   const load_comparison result = Compare({}, 40);
   EXPECT_GT(result.with, result.without);
