--- a/src/direct/call_gate.cpp
+++ b/src/direct/call_gate.cpp
@@ -98,8 +98,9 @@
   }
   placement_request request;
   request.request = request_id{fmt::format("{}", ++next_number_)};
-  request.latest_start = call->Arrival() + call->Route().target_latency - work_time;
   request.expiry = now + longest;
+  // The queue lets a request expire only once it is late, but the caller may have less time left than the target.
+  request.latest_start = std::min(call->Arrival() + call->Route().target_latency - work_time, request.expiry);
   request.urgency = UrgencyOf(call->Route(), call->Account() ? &*call->Account() : nullptr);
   request.account = call->Account() ? call->Account()->name : account_name();
   if (!queue.queue.Add(request, now)) {
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -674,7 +674,9 @@
     if (!head) {
       failure = head.error();
     } else {
-      endpoint_tracker_->RecordResponse(engine, platform::ParseResponseHeaders(head.value()), begin);
+      const auto metadata = platform::ParseResponseHeaders(head.value());
+      endpoint_tracker_->RecordResponse(engine, metadata, begin);
+      prompts_->RecordWorkTime(call->Service().name, engine, metadata.work_time_percent);
     }
     if (!failure) {
       auto read = co_await ReadBufferedBody(upstream, end);
@@ -816,6 +818,7 @@
   } else {
     const auto metadata = platform::ParseResponseHeaders(head.value());
     endpoint_tracker_->RecordResponse(assignment.engine, metadata, begin);
+    prompts_->RecordWorkTime(call->Service().name, assignment.engine, metadata.work_time_percent);
     const bool is_success = head.value().status >= 200 && head.value().status < 300;
     if (metadata.proves_not_run) {
       detail = fmt::format("status {}", head.value().status);
