--- a/src/direct/caller_auth.cpp
+++ b/src/direct/caller_auth.cpp
@@ -1,6 +1,9 @@
 #include "direct/caller_auth.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
 
 #include "core/api_key.h"
 #include "core/random.h"
@@ -22,6 +25,13 @@
 // Retry-After while a key may be new; other routers are asked for a newer desired state twice in this time.
 constexpr milliseconds kMayBeNewRetryAfter(800);
 constexpr milliseconds kUnconfirmedRetryAfter(1'000);
+// Other routers are asked for a confirmation once this part of revoke_time has passed since the latest one. The rest
+// is enough for two rounds.
+constexpr double kAskAfterShare = 0.6;
+constexpr int kAskRounds = 8;             // per revoke_time
+constexpr std::size_t kAskedRouters = 3;  // in one round
+constexpr milliseconds kMinAskPeriod(20);
+constexpr milliseconds kMaxConfirmationAge(3'600'000);  // longer than any useful revoke_time
 
 milliseconds WithJitter(milliseconds base) {
   return std::chrono::duration_cast<milliseconds>(base * (1 + RandomUnit()));
@@ -38,21 +48,82 @@
   directory_ = &kernel_.Find<deployment_directory>("directory");
   group_ = &kernel_.Find<router_group>("group");
   metrics_ = &kernel_.Find<telemetry>("telemetry").Metrics();
+  if (settings_.deployment.strict_revoke) {
+    asio::co_spawn(kernel_.Context(), FollowPeers(), asio::detached);
+  }
+}
+
+std::optional<time_point> caller_auth::ConfirmedAt() const {
+  auto confirmed_at = std::max(directory_->ConfirmedAt(), confirmed_by_peer_at_);  // an absent time is the least
+  if (newer_revision_ != 0 && newer_revision_ <= directory_->Routes()->Revision()) {
+    confirmed_at = std::max(confirmed_at, std::optional<time_point>(newer_confirmed_at_));
+  }
+  return confirmed_at;
 }
 
 // With strict revocation, a router cut off from the store must not serve keys that may have been revoked.
 bool caller_auth::IsConfirmed() const {
   const auto& deployment = settings_.deployment;
-  if (!deployment.strict_revoke) {
-    return true;
+  const auto confirmed_at = deployment.strict_revoke ? ConfirmedAt() : std::nullopt;
+  return !deployment.strict_revoke || (confirmed_at && timer_service::Now() - *confirmed_at <= deployment.revoke_time);
+}
+
+std::string caller_auth::ExportConfirmation() const {
+  const auto confirmed_at = ConfirmedAt();
+  if (!confirmed_at) {
+    return {};
+  }
+  // Rounded up, so that a confirmation that is passed on repeatedly does not become newer.
+  const std::int64_t age_ms = ElapsedMs(*confirmed_at, timer_service::Now()) + 1;
+  return nlohmann::json{{"revision", directory_->Routes()->Revision()}, {"age_ms", age_ms}}.dump();
+}
+
+// Asks other routers while the store does not confirm the desired state. They pass on what others have told them, so
+// that one router that reaches the store is enough.
+task<> caller_auth::FollowPeers() {
+  const milliseconds revoke_time = settings_.deployment.revoke_time;
+  while (!stopped_) {
+    co_await kernel_.Timers().Sleep(std::max(revoke_time / kAskRounds, kMinAskPeriod));
+    const auto confirmed_at = ConfirmedAt();
+    const bool is_recent = confirmed_at && timer_service::Now() - *confirmed_at < kAskAfterShare * revoke_time;
+    if (stopped_ || is_recent || !directory_->Routes()->Accounts()) {
+      continue;
+    }
+    std::vector<host_port> addresses = group_->ControlAddresses();
+    for (std::size_t i = 0; i < std::min(kAskedRouters, addresses.size()); ++i) {
+      std::swap(addresses[i], addresses[i + RandomNumber() % (addresses.size() - i)]);
+      asio::co_spawn(kernel_.Context(), AskPeer(addresses[i]), asio::detached);
+    }
+  }
+}
+
+task<> caller_auth::AskPeer(host_port address) {
+  const time_point asked_at = timer_service::Now();
+  const milliseconds timeout = std::max(settings_.deployment.revoke_time / kAskRounds, kMinAskPeriod);
+  http_request request{"GET", "/confirmation", {}, {}, {}};
+  const auto response = co_await client_.Fetch(address, std::move(request), timeout);
+  if (!response || response.value().status != 200) {
+    co_return;
+  }
+  const auto body = nlohmann::json::parse(response.value().body, nullptr, false);
+  const bool is_valid = body.is_object() && body.contains("revision") && body["revision"].is_number_unsigned() &&
+                        body.contains("age_ms") && body["age_ms"].is_number_unsigned();
+  if (!is_valid) {
+    co_return;
+  }
+  const auto revision = body["revision"].get<revision_number>();
+  const auto age = std::min(milliseconds(body["age_ms"].get<std::uint32_t>()), kMaxConfirmationAge);
+  const time_point at = asked_at - age;
+  if (revision <= directory_->Routes()->Revision()) {
+    confirmed_by_peer_at_ = std::max(confirmed_by_peer_at_, std::optional<time_point>(at));
+  } else if (newer_revision_ == 0 || at > newer_confirmed_at_) {
+    newer_revision_ = revision;
+    newer_confirmed_at_ = at;
   }
-  const auto answered = directory_->LastStoreAnswer();
-  return answered && timer_service::Now() - *answered <= deployment.revoke_time;
 }
 
-caller_auth::key_check caller_auth::Check(const direct_call& call,
-                                          const std::shared_ptr<const routing_table>& routes) const {
-  const auto& accounts = routes->Accounts();
+caller_auth::key_check caller_auth::Check(const direct_call& call, const routing_table& routes) const {
+  const auto& accounts = routes.Accounts();
   if (!accounts) {
     return {};
   }
@@ -63,7 +134,7 @@
   // A lookup by hash does not reveal a key through its timing, because callers cannot choose the hash of a key.
   const caller_account* account = has_key ? accounts->FindByKeyHash(call.key_hash) : nullptr;
   if (account != nullptr && HoldsKey(*account, call.key_hash)) {
-    return {key_verdict::kAccepted, std::shared_ptr<const caller_account>(routes, account)};
+    return {key_verdict::kAccepted, account};
   }
   if (call.Route().anonymous) {
     return {};
@@ -71,7 +142,7 @@
   if (!has_key) {
     return {key_verdict::kMissing, nullptr};
   }
-  const bool may_be_new = !directory_->FollowsDesiredState() || group_->NewestPeerRevision() > routes->Revision();
+  const bool may_be_new = !directory_->FollowsDesiredState() || group_->NewestPeerRevision() > routes.Revision();
   return {may_be_new ? key_verdict::kMayBeNew : key_verdict::kUnknown, nullptr};
 }
 
@@ -97,12 +168,12 @@
     const std::string_view key = ParseBearerKey(platform::FindAuthorization(call.Exchange().Request().headers));
     call.key_hash = key.empty() ? std::string() : HashApiKey(key);
   }
-  key_check checked = Check(call, routes);
+  const key_check checked = Check(call, *routes);
   switch (checked.verdict) {
     case key_verdict::kAccepted:
       call.checked_revision = routes->Revision();
-      if (checked.account || call.Account() != nullptr) {
-        call.SetAccount(std::move(checked.account));
+      if (checked.account != nullptr || call.Account()) {
+        call.SetAccount(checked.account);
       }
       return std::nullopt;
     case key_verdict::kMissing:
@@ -141,18 +212,17 @@
   if (call.HasKeyHeaders() || call.has_response) {
     return !call.HasKeyHeaders();
   }
-  const key_check checked = Check(call, routes);
-  const caller_account* named = call.Account();
+  const key_check checked = Check(call, *routes);
   const bool has_same_name =
-      checked.account ? named != nullptr && named->name == checked.account->name : named == nullptr;
+      checked.account == nullptr ? !call.Account() : call.Account() && call.Account()->name == checked.account->name;
   return checked.verdict == key_verdict::kAccepted && has_same_name;
 }
 
 void caller_auth::CountResult(const direct_call& call) {
-  if (!call.Table().Accounts()) {
+  if (!call.HasAccounts()) {
     return;
   }
-  const char* result = call.Account() != nullptr ? "accepted" : "anonymous";
+  const char* result = call.Account() ? "accepted" : "anonymous";
   for (const char* refusal : {kKeyMissing, kKeyUnknown, kKeyMayBeNew, kKeyRevoked, kKeysUnconfirmed, kOverLimit}) {
     if (call.reason == refusal) {
       result = refusal;
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -6,6 +6,7 @@
 #include "direct/ingress.h"
 #include "direct/origin_tracker.h"
 #include "direct/part_tracker.h"
+#include "direct/prompt_tracker.h"
 
 namespace persimmon {
 namespace {
@@ -31,10 +32,11 @@
   auto& directory = services.Register<deployment_directory>("directory", services, *settings, table);
   services.Register<limit_tracker>("limits", services);
   services.Register<account_tracker>("accounts", services);
-  services.Register<caller_auth>("auth", services, *settings);
+  services.Register<caller_auth>("auth", services, *settings, *client);
   auto& tracker = services.Register<endpoint_tracker>("board", services, *settings);
   services.Register<suspect_tracker>("crashes", services, *client);
   services.Register<part_tracker>("parts", services);
+  services.Register<prompt_tracker>("prompts", services, *settings);
   services.Register<send_budgets>("budgets", services, *settings);
   services.Register<origin_tracker>("origins", services, *settings, table);
   services.Register<plain_calls>("plain", services, *settings, *client);
--- a/src/direct/direct_settings.cpp
+++ b/src/direct/direct_settings.cpp
@@ -23,6 +23,9 @@
   duration("endpoints", "down_pause_ms", settings.down_pause);
   duration("endpoints", "down_pause_limit_ms", settings.down_pause_limit);
   bind.Real("plain", "second_try_share", settings.second_try_share, 0.05, 10);
+  bind.Real("plain", "probe_share", settings.probe_share, 0, 0.5);
+  duration("plain", "slow_memory_ms", settings.slow_memory);
+  duration("plain", "load_memory_ms", settings.load_memory);
   duration("plain", "retry_after_ms", settings.plain_retry_after);
   duration("model", "reserve_timeout_ms", settings.reserve_timeout);
   duration("model", "reservation_time_ms", settings.reservation_time);
@@ -30,9 +33,17 @@
   duration("model", "transfer_time_ms", settings.transfer_time);
   duration("model", "late_wait_ms", settings.late_wait);
   duration("model", "late_retry_ms", settings.overload_retry_after);
+  bind.Duration("model", "urgent_reserve_ms", settings.urgent_reserve, milliseconds(0), kMinute);
+  bind.Duration("model", "share_window_ms", settings.share_window, milliseconds(1'000), kMinute);
+  bind.Flag("model", "refuse_at_once", settings.refuse_at_once);
   bind.Number("model", "prefill_backlog_tokens", settings.max_prefill_backlog, 0, 1'000'000);
   bind.Number("model", "own_prompt_limit_tokens", settings.local_prefill_limit, 0, 1'000'000);
   duration("model", "stall_limit_ms", settings.stall_limit);
+  bind.Flag("cache", "weigh_caches", settings.weigh_caches);
+  duration("cache", "max_age_ms", settings.cache_max_age);
+  duration("cache", "prefilled_lifetime_ms", settings.prefilled_lifetime);
+  bind.Number("cache", "prefilled_datagrams_per_s", settings.prefilled_datagrams, 0, 1'000);
+  duration("cache", "fetch_time_ms", settings.fetch_time);
   bind.Flag("stages", "order_stages", settings.order_stages);
   bind.Real("stages", "prefill_weight", settings.prefill_weight, 0.1, 10);
   duration("stages", "stage_settle_ms", settings.stage_settle);
--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -33,8 +33,13 @@
   milliseconds down_pause_limit = milliseconds(4'000);
 
   // [plain]
-  double second_try_share = 0.75;  // fraction of the target latency after which an idempotent call is retried on
-                                   // another endpoint
+  // Fraction of the target latency after which an idempotent call is also sent to another endpoint. The first attempt
+  // then ends; with the adaptive policy it goes on, and the fraction is a minimum (attempt_schedule).
+  double second_try_share = 0.75;
+  // Only with the adaptive policy; see estimate_settings.
+  double probe_share = 0.03;                           // share of the calls that disregard the estimates
+  milliseconds slow_memory = milliseconds(400);        // time constant of what is known about the speed of an endpoint
+  milliseconds load_memory = milliseconds(150);        // time constant of a reported number of requests
   milliseconds plain_retry_after = milliseconds(300);  // base Retry-After of a refusal; jitter adds up to 100%
 
   // [model]
@@ -47,9 +52,18 @@
   milliseconds transfer_time = milliseconds(300);
   // How long a request that can no longer meet its target may wait for capacity. Callers are expected to disconnect
   // after 3.6 s without an event.
+  // With the adaptive policy, this holds for routes whose callers do so after 3.6 s, and is scaled for others.
   milliseconds late_wait = milliseconds(2'500);
   // Base Retry-After of a refusal for lack of capacity; jitter adds up to 100%.
   milliseconds overload_retry_after = milliseconds(1'500);
+  // Only with the adaptive policy: less urgent requests leave as much decode memory and prefill backlog free as more
+  // urgent ones use in this time; 0: none. In simulated bursts, 2 s served 94% of the urgent requests in time, 0.5 s
+  // 91% and 0 s 86%.
+  milliseconds urgent_reserve = milliseconds(2'000);
+  // Only with the adaptive policy: time over which it is measured how often levels of urgency and accounts are served.
+  milliseconds share_window = milliseconds(10'000);
+  // Only with the adaptive policy: refuse a request at once if its predicted wait is longer than it may wait.
+  bool refuse_at_once = true;
   std::int64_t max_prefill_backlog = 7'000;  // a prefill engine with more pending prompt tokens gets no new prompts
   // Longest prompt, in tokens, that a decode engine prefills itself while the prefill engines are busy. Such a prefill
   // pauses the engine's streams. At 12 tokens per millisecond, the rate of a slow engine that also decodes, it takes
@@ -58,6 +72,16 @@
   milliseconds stall_limit = milliseconds(2'000);  // a resumable stream without data for this long is resumed on
                                                    // another engine
 
+  // [cache]; only for services that use the adaptive policy
+  bool weigh_caches = true;  // weigh cached prompts and the speeds of engines, and check prefills before they are sent
+  milliseconds cache_max_age = milliseconds(30'000);  // of a hint on a cached part, since its last use
+  // How long a prompt that was read for a request without a response is remembered; callers retry within seconds.
+  milliseconds prefilled_lifetime = milliseconds(5'000);
+  // Datagrams per second for telling other routers of such prompts. 20 take about 2 KB/s of the 13 KB/s that the
+  // control traffic of a router may use.
+  std::int64_t prefilled_datagrams = 20;
+  milliseconds fetch_time = milliseconds(20);  // for a decode engine to fetch the KV cache of a prefill
+
   // [stages]
   bool order_stages = true;  // switch engines between prefill and decode to follow the traffic
   // Multiplier for the number of prefill engines that a constant load needs. A burst loads the prefill engines first:
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -62,6 +62,9 @@
   return std::any_of(engines.begin(), engines.end(), [&](const auto& engine) { return IsUsableFor(call, engine); });
 }
 
+// The setting late_wait is for requests whose callers abandon them after this time; it is scaled for others.
+constexpr milliseconds kLateWaitAbandonTime(3'600);
+
 std::string FormatError(const error& failure) {
   return fmt::format("{}: {}", ErrorName(failure.code), failure.message);
 }
@@ -73,11 +76,13 @@
 // ---------------------------------------------------------------------------------------------------------------------
 
 struct generation_calls::service_queue {
-  service_queue(const service_record& record, const placement_queue_settings& settings)
-      : record(record), queue(settings) {}
+  service_queue(const service_record& record, const placement_queue_settings& settings,
+                const return_schedule_settings& return_settings)
+      : record(record), queue(settings), returns(return_settings) {}
 
   service_record record;
   placement_queue queue;
+  return_schedule returns;
   std::map<request_id, waiting_ptr> waiting;  // all requests without a reservation
   output_length_model output_lengths;
   output_length_model::expectation length_expectation = output_length_model::expectation::kMedian;
@@ -94,6 +99,7 @@
 
 void generation_calls::Start() {
   auth_ = &kernel_.Find<caller_auth>("auth");
+  directory_ = &kernel_.Find<deployment_directory>("directory");
   endpoint_tracker_ = &kernel_.Find<endpoint_tracker>("board");
   budgets_ = &kernel_.Find<send_budgets>("budgets");
   group_ = &kernel_.Find<router_group>("group");
@@ -101,6 +107,7 @@
   suspect_tracker_ = &kernel_.Find<suspect_tracker>("crashes");
   part_tracker_ = &kernel_.Find<part_tracker>("parts");
   origins_ = &kernel_.Find<origin_tracker>("origins");
+  prompts_ = &kernel_.Find<prompt_tracker>("prompts");
 }
 
 void generation_calls::Stop() { dispatch_timer_.Cancel(); }
@@ -118,7 +125,10 @@
   if (!queue) {
     placement_queue_settings settings;
     settings.local_prefill_limit = static_cast<std::uint32_t>(settings_.local_prefill_limit);
-    queue = std::make_unique<service_queue>(service, settings);
+    settings.share_window = settings_.share_window;
+    // A caller that is refused at once has not waited in the queue yet, so it comes back later than others.
+    const return_schedule_settings return_settings{.shortest = 2 * settings_.overload_retry_after};
+    queue = std::make_unique<service_queue>(service, settings, return_settings);
   }
   queue->record = service;
   return *queue;
@@ -161,12 +171,28 @@
     // even if it has missed its target.
     request.latest_start = std::max(request.latest_start, now + kResumeStartLimit);
   }
+  milliseconds late_wait = settings_.late_wait;
+  if (endpoint_tracker_->UsesAdaptivePolicy(call.Service().name)) {
+    late_wait = settings_.late_wait * AbandonTime(route).count() / kLateWaitAbandonTime.count();
+    request.urgency = call.urgency;
+    request.account = call.Account() ? call.Account()->name : account_name();
+    request.is_retry = !is_first_attempt;
+  }
   // The caller of a broken stream measures its wait for the next event from the last event, so late_wait starts again.
   const time_point wait_start = is_resumed ? now : call.Arrival();
-  request.expiry = std::min(wait_start + settings_.late_wait, call.Deadline() - kMinTimeLeft);
+  request.expiry = std::min(wait_start + late_wait, call.Deadline() - kMinTimeLeft);
   return request;
 }
 
+std::optional<std::uint32_t> generation_calls::PriorityOf(const direct_call& call) const {
+  const std::string& service = call.Service().name;
+  if (!endpoint_tracker_->UsesAdaptivePolicy(service)) {
+    return std::nullopt;
+  }
+  const auto routes = directory_->Routes();
+  return EnginePriority(routes->UrgencyLevels(service), call.urgency);
+}
+
 task<generation_calls::assignment_result> generation_calls::AwaitAssignment(direct_call_ptr call,
                                                                             std::vector<endpoint_name> avoid,
                                                                             bool is_resumed) {
@@ -187,8 +213,11 @@
   if (now + until_open >= waiting->request.expiry) {
     co_return assignment_result(rejection{"endpoints_closed", until_open + CapacityRetryAfter()});
   }
+  if (auto refused = FindRefusal(queue, *call, waiting->request, now)) {
+    co_return assignment_result(std::move(*refused));
+  }
   if (!queue.queue.Add(waiting->request, now)) {
-    co_return assignment_result(rejection{"over_capacity", CapacityRetryAfter()});
+    co_return assignment_result(rejection{"over_capacity", AssignReturn(queue, *call, now)});
   }
   queue.waiting[waiting->request.request] = waiting;
   call->SetDisconnectHandler([this, waiting, service = call->Service().name] {
@@ -246,7 +275,7 @@
   for (const placement_request& request : queue.queue.TakeExpired(now)) {
     const auto found = queue.waiting.find(request.request);
     if (found != queue.waiting.end()) {
-      found->second->result_mailbox.Push(rejection{"overdue", CapacityRetryAfter()});
+      found->second->result_mailbox.Push(rejection{"overdue", AssignReturn(queue, *found->second->call, now)});
       queue.waiting.erase(found);
     }
   }
@@ -255,9 +284,11 @@
   const auto engines = endpoint_tracker_->ListEndpoints(queue.record.name, endpoint_role::kDecode);
   const auto prefill_engines = endpoint_tracker_->ListEndpoints(queue.record.name, endpoint_role::kPrefill);
   RejectUnservable(queue, engines);
+  const bool is_adaptive = endpoint_tracker_->UsesAdaptivePolicy(queue.record.name);
   placement_settings settings;
   settings.max_prefill_backlog = static_cast<std::uint32_t>(settings_.max_prefill_backlog);
   settings.local_prefill_limit = static_cast<std::uint32_t>(settings_.local_prefill_limit);
+  prompts_->ApplySettings(queue.record.name, settings);
   const auto choose = [&](const placement_request& request) {
     const waiting_request& waiting = *queue.waiting.at(request.request);
     auto views = endpoint_tracker_->EngineViews(engines, profile, waiting.avoid, [&](const chosen_endpoint& engine) {
@@ -273,10 +304,17 @@
     queue.length_expectation =
         settings.counts_maxima ? output_length_model::expectation::kMedian : output_length_model::expectation::kMean;
     auto prefill_views = endpoint_tracker_->EngineViews(prefill_engines, profile, {});
+    prompts_->FillViews(*waiting.call, endpoint_role::kDecode, engines, views);
+    prompts_->FillViews(*waiting.call, endpoint_role::kPrefill, prefill_engines, prefill_views);
     if (waiting.call->prefills == 0) {
       ApplyBudget(budgets_->CheckProvisional(queue.record.name), prefill_views);
     }
-    return ChooseEngines(views, prefill_views, request.memory, settings_.deployment.zone, RandomNumber(), settings);
+    placement_settings terms = settings;
+    if (is_adaptive) {
+      ReserveForUrgent(queue.queue.UseAbove(request.urgency, now), std::max(1U, group_->RouterCount()),
+                       settings_.urgent_reserve, views, prefill_views.size(), terms);
+    }
+    return ChooseEngines(views, prefill_views, request.memory, settings_.deployment.zone, RandomNumber(), terms);
   };
   const bool peers_wait = group_->PeersWaiting(queue.record.name) > 0;
   while (true) {
@@ -288,18 +326,22 @@
       return;
     }
     const waiting_ptr waiting = queue.waiting.at(step.placed->request);
+    waiting->request = *step.placed;
     stream_memory memory = step.placed->memory;
     memory.reserved_tokens = step.engines.reserved_tokens;
-    engine_assignment assignment{engines[step.engines.decode], std::nullopt, {}, std::nullopt, memory, 0, now, {}};
+    engine_assignment assignment;
+    assignment.engine = engines[step.engines.decode];
+    assignment.memory = memory;
+    assignment.chosen_at = now;
     assignment.stream_id = endpoint_tracker_->AddStream(assignment.engine.name, memory);
     if (step.engines.prefill) {
       assignment.prefill = prefill_engines[*step.engines.prefill];
       if (waiting->call->prefills == 0) {
         assignment.first_prefill = budgets_->BeginProvisional(queue.record.name);
       }
-      endpoint_tracker_->AddPrefill(assignment.prefill->name, memory.held_tokens, 1);
+      AddPrefill(*waiting->call, assignment, *assignment.prefill, endpoint_role::kPrefill);
     } else {
-      endpoint_tracker_->AddPrefill(assignment.engine.name, memory.held_tokens, 0);
+      AddPrefill(*waiting->call, assignment, assignment.engine, endpoint_role::kDecode);
     }
     asio::co_spawn(kernel_.Context(), Reserve(queue.record.name, waiting, std::move(assignment)), asio::detached);
   }
@@ -354,7 +396,7 @@
     waiting->result_mailbox.Push(std::move(assignment));
     co_return;
   }
-  ReleaseAssignment(*waiting->call, assignment);
+  ReleaseAssignment(assignment);
   if (still_waits) {
     queue.queue.Requeue(waiting->request, now);
     Dispatch(queue);
@@ -383,17 +425,18 @@
   const bool still_waits = queue.waiting.contains(waiting->request.request);
   if (reservation) {
     assignment.reservation = reservation.value();
+    assignment.reserved_until = sent + lifetime;
     if (still_waits && !waiting->call->IsCallerDisconnected()) {
       waiting->call->waited = waiting->call->Age(now);
       queue.waiting.erase(waiting->request.request);
       waiting->result_mailbox.Push(std::move(assignment));
     } else {
-      ReleaseAssignment(*waiting->call, assignment);
+      ReleaseAssignment(assignment);
       ReleaseReservation(assignment);
     }
     co_return;
   }
-  ReleaseAssignment(*waiting->call, assignment);
+  ReleaseAssignment(assignment);
   if (!response) {
     endpoint_tracker_->RecordUnreachable(assignment.engine);
   } else {
@@ -418,6 +461,64 @@
   return std::chrono::duration_cast<milliseconds>(settings_.overload_retry_after * (1 + RandomUnit()));
 }
 
+milliseconds generation_calls::AssignReturn(service_queue& queue, const direct_call& call, time_point now) {
+  if (!endpoint_tracker_->UsesAdaptivePolicy(queue.record.name)) {
+    return CapacityRetryAfter();
+  }
+  return queue.returns.Assign(
+      {static_cast<double>(queue.queue.Size()), queue.queue.StartsPerSecond(now), call.TimeLeft(now), RandomUnit()},
+      now);
+}
+
+std::optional<generation_calls::rejection> generation_calls::FindRefusal(service_queue& queue, direct_call& call,
+                                                                         const placement_request& request,
+                                                                         time_point now) {
+  if (!endpoint_tracker_->UsesAdaptivePolicy(queue.record.name)) {
+    return std::nullopt;
+  }
+  const auto wait = queue.queue.PredictWait(request, group_->PeersWaiting(queue.record.name),
+                                            std::max(1U, group_->RouterCount()), now);
+  if (wait) {
+    call.predicted_wait = std::chrono::duration_cast<milliseconds>(*wait);
+  }
+  // The caller of a stream that has begun cannot repeat it elsewhere.
+  if (!wait || request.is_resumed || !settings_.refuse_at_once || now + *wait <= request.expiry) {
+    return std::nullopt;
+  }
+  queue.queue.CountRefusal(request, now);
+  return rejection{"wait_too_long", AssignReturn(queue, call, now)};
+}
+
+// Counts a call of a service with levels of urgency, and logs one that was not served in time.
+void generation_calls::RecordOutcome(const direct_call& call, call_outcome outcome) {
+  if (!endpoint_tracker_->UsesAdaptivePolicy(call.Service().name)) {
+    return;
+  }
+  const bool has_begun = call.first_event > milliseconds(0);
+  const bool is_in_time = has_begun && call.first_event <= call.Route().target_latency;
+  const char* result = outcome == call_outcome::kRefused ? "refused"
+                       : is_in_time                      ? "in_time"
+                       : has_begun                       ? "late"
+                                                         : "unserved";
+  const std::string level = fmt::format("{}.{}", call.urgency.priority, call.urgency.route_priority);
+  metrics_
+      ->AddCounter("persimmon_model_calls_total",
+                   "Model calls by urgency (priority of the account, then of the route) and result.",
+                   {{"service", call.Service().name}, {"urgency", level}, {"result", result}})
+      .Increment();
+  if (!is_in_time) {
+    Events()
+        .Line(kComponent, "not_in_time")
+        .Request(call.Metadata().attempt)
+        .Add("urgency", level)
+        .Add("result", result)
+        .Add("reason", call.reason)
+        .Add("predicted_wait_ms", call.predicted_wait ? call.predicted_wait->count() : -1)
+        .Add("waited_ms", call.waited.count())
+        .Add("first_event_ms", call.first_event.count());
+  }
+}
+
 void generation_calls::ScheduleDispatch() {
   if (dispatch_scheduled_ || WaitingCount() == 0) {
     return;
@@ -431,15 +532,22 @@
 }
 
 // Removes an assignment from the endpoint loads. Only for an assignment whose prefill has not been sent.
-void generation_calls::ReleaseAssignment(const direct_call& call, const engine_assignment& assignment) {
+void generation_calls::ReleaseAssignment(const engine_assignment& assignment) {
   endpoint_tracker_->RemoveStream(assignment.engine.name, assignment.stream_id);
-  ReleasePrefill(call, assignment, assignment.prefill ? assignment.prefill->name : assignment.engine.name);
+  ReleasePrefill(assignment, assignment.prefill ? assignment.prefill->name : assignment.engine.name);
+}
+
+// Adds the part of the prompt that is not cached to the load of the engine that reads it.
+void generation_calls::AddPrefill(const direct_call& call, engine_assignment& assignment, const chosen_endpoint& engine,
+                                  endpoint_role role) {
+  assignment.prediction = prompts_->Predict(call, role, engine, 0);
+  assignment.pending_tokens = prompt_tracker::ReadTokens(call, assignment.prediction.cached_tokens);
+  endpoint_tracker_->AddPrefill(engine.name, assignment.pending_tokens, assignment.prefill ? 1 : 0);
 }
 
 // Removes the prompt from the load of the engine that prefills it.
-void generation_calls::ReleasePrefill(const direct_call& call, const engine_assignment& assignment,
-                                      const endpoint_name& prefill_engine) {
-  endpoint_tracker_->AddPrefill(prefill_engine, -static_cast<std::int64_t>(call.Metadata().prompt_tokens),
+void generation_calls::ReleasePrefill(const engine_assignment& assignment, const endpoint_name& prefill_engine) {
+  endpoint_tracker_->AddPrefill(prefill_engine, -static_cast<std::int64_t>(assignment.pending_tokens),
                                 assignment.prefill ? -1 : 0);
 }
 
@@ -481,9 +589,11 @@
 // 2. prefill
 // ---------------------------------------------------------------------------------------------------------------------
 
-task<std::optional<platform::kv_source>> generation_calls::Prefill(direct_call_ptr call,
-                                                                   engine_assignment& assignment) {
+task<std::optional<platform::kv_source>> generation_calls::Prefill(direct_call_ptr call, engine_assignment& assignment,
+                                                                   time_point wait_start) {
   const engine_profile profile = call->Service().engine.value_or(engine_profile{});
+  const auto reserved_until =
+      assignment.reservation.empty() ? std::nullopt : std::optional<time_point>(assignment.reserved_until);
   std::vector<endpoint_name> avoid;
   if (!assignment.prefill) {
     co_return platform::kv_source{};
@@ -505,8 +615,20 @@
         co_return std::nullopt;
       }
       const auto engines = endpoint_tracker_->ListEndpoints(call->Service().name, endpoint_role::kPrefill);
-      const auto views = endpoint_tracker_->EngineViews(engines, profile, avoid);
-      const auto index = ChoosePrefillEngine(views, assignment.engine.zone, RandomNumber(), {});
+      auto views = endpoint_tracker_->EngineViews(engines, profile, avoid);
+      placement_settings settings;
+      prompts_->ApplySettings(call->Service().name, settings);
+      prompts_->FillViews(*call, endpoint_role::kPrefill, engines, views);
+      const auto index =
+          ChoosePrefillEngine(views, assignment.engine.zone, RandomNumber(), settings, call->Metadata().prompt_tokens);
+      if (index) {
+        const prefill_prediction prediction = prompts_->Predict(*call, endpoint_role::kPrefill, engines[*index], 0);
+        assignment.verdict = prompts_->Check(*call, assignment.engine, prediction, wait_start, reserved_until);
+        if (assignment.verdict != prefill_verdict::kSend) {
+          call->reason = PrefillVerdictName(assignment.verdict);
+          co_return std::nullopt;
+        }
+      }
       const std::string& service = call->Service().name;
       const bool is_first = call->prefills == 0;
       const bool is_allowed = is_first ? budgets_->CheckProvisional(service) == send_budget::provisional_check::kAllowed
@@ -517,7 +639,19 @@
       }
       first_prefill = is_first ? budgets_->BeginProvisional(service) : provisional_send();
       engine = engines[*index];
-      endpoint_tracker_->AddPrefill(engine.name, call->Metadata().prompt_tokens, 1);
+      AddPrefill(*call, assignment, engine, endpoint_role::kPrefill);
+    } else {
+      // Other prompts may have been sent to the engine while memory was being reserved.
+      assignment.prediction = prompts_->Predict(*call, endpoint_role::kPrefill, engine, assignment.pending_tokens);
+      assignment.verdict = prompts_->Check(*call, assignment.engine, assignment.prediction, wait_start, reserved_until);
+      if (assignment.verdict != prefill_verdict::kSend) {
+        ReleasePrefill(assignment, engine.name);
+        if (call->prefills > 0) {
+          budgets_->ReturnExtraSends(*call, 1);
+        }
+        call->reason = PrefillVerdictName(assignment.verdict);
+        co_return std::nullopt;
+      }
     }
     avoid.push_back(engine.name);
     const permit_result taken = co_await endpoint_tracker_->AcquirePermit(engine, settings_.reserve_timeout);
@@ -526,7 +660,9 @@
     const time_point end = std::min(call->Deadline(), begin + kPrefillTimeout);
     suspect_tracker_->RecordStart(call->Fingerprint(), engine);
     const engine_run_ptr run = part_tracker_->BeginRun(*call, engine);
-    auto request = platform::MakePrefillRequest(call->Forwarded(), engine.name, call->TimeLeft(timer_service::Now()));
+    const time_point sent_at = timer_service::Now();
+    auto request =
+        platform::MakePrefillRequest(call->Forwarded(), engine.name, call->TimeLeft(sent_at), PriorityOf(*call));
     result<http_response_head> head(error{error_code::kUnavailable, "the engine's limit allows no request now"});
     if (taken.permit && !call->IsCallerDisconnected()) {
       auto may_send = auth_->MakeSendCheck(call, endpoint_tracker_->MakeSendCheck(engine, *taken.permit));
@@ -538,7 +674,9 @@
     if (!head) {
       failure = head.error();
     } else {
-      endpoint_tracker_->RecordResponse(engine, platform::ParseResponseHeaders(head.value()), begin);
+      const auto metadata = platform::ParseResponseHeaders(head.value());
+      endpoint_tracker_->RecordResponse(engine, metadata, begin);
+      prompts_->RecordWorkTime(call->Service().name, engine, metadata.work_time_percent);
     }
     if (!failure) {
       auto read = co_await ReadBufferedBody(upstream, end);
@@ -549,7 +687,7 @@
       }
     }
     call->ClearDisconnectHandler();
-    ReleasePrefill(*call, assignment, engine.name);
+    ReleasePrefill(assignment, engine.name);
     first_prefill.End();
     const std::int64_t elapsed_ms = ElapsedMs(begin, timer_service::Now());
     auto handle = !failure && head.value().status == 200 ? platform::ParsePrefillHandle(body)
@@ -564,6 +702,8 @@
     DispatchAll();
     if (handle) {
       endpoint_tracker_->RecordAnswer(engine);
+      prompts_->RecordPrefill(*call, engine, assignment.prediction,
+                              std::chrono::duration_cast<microseconds>(timer_service::Now() - sent_at));
       Events()
           .Line(kComponent, "prefilled")
           .Request(call->Metadata().attempt)
@@ -571,6 +711,9 @@
           .Add("tokens", call->Metadata().prompt_tokens)
           .Add("completed_before", call->prefills)
           .Add("chosen_ms_before", ElapsedMs(assignment.chosen_at, begin))
+          .Add("cached_tokens", assignment.prediction.cached_tokens)
+          .Add("pending_tokens", assignment.prediction.pending_tokens)
+          .Add("speed", fmt::format("{:.1f}", assignment.prediction.tokens_per_ms))
           .Add("took_ms", elapsed_ms);
       ++call->prefills;
       co_return platform::kv_source{engine.address.Text(), handle.value()};
@@ -631,7 +774,7 @@
     const permit_result taken = co_await endpoint_tracker_->AcquirePermit(assignment.engine, max_wait);
     if (!taken.permit) {
       if (!assignment.prefill) {
-        ReleasePrefill(*call, assignment, assignment.engine.name);
+        ReleasePrefill(assignment, assignment.engine.name);
       }
       Events()
           .Line(kComponent, "decode_not_permitted")
@@ -643,9 +786,10 @@
     permit = *taken.permit;
   }
   const time_point begin = timer_service::Now();
+  stream.decode_sent = begin;
   http_call upstream(client_);
   call->SetDisconnectHandler([&upstream] { upstream.Cancel(); });
-  platform::decode_terms terms{std::move(source), assignment.reservation, stream.events.LastId()};
+  platform::decode_terms terms{std::move(source), assignment.reservation, stream.events.LastId(), PriorityOf(*call)};
   auto request = platform::MakeDecodeRequest(call->Forwarded(), assignment.engine.name, call->TimeLeft(begin), terms);
   ++call->sends;
   call->endpoints += (call->endpoints.empty() ? "" : ",") + assignment.engine.name.value;
@@ -655,7 +799,7 @@
   auto head = co_await upstream.Send(assignment.engine.address, std::move(request), end,
                                      MakeAttemptFilter(call->Metadata().attempt), std::move(may_send));
   if (!assignment.prefill) {
-    ReleasePrefill(*call, assignment, assignment.engine.name);
+    ReleasePrefill(assignment, assignment.engine.name);
     DispatchAll();
   }
   decode_result outcome = decode_result::kBroken;
@@ -674,6 +818,7 @@
   } else {
     const auto metadata = platform::ParseResponseHeaders(head.value());
     endpoint_tracker_->RecordResponse(assignment.engine, metadata, begin);
+    prompts_->RecordWorkTime(call->Service().name, assignment.engine, metadata.work_time_percent);
     const bool is_success = head.value().status >= 200 && head.value().status < 300;
     if (metadata.proves_not_run) {
       detail = fmt::format("status {}", head.value().status);
@@ -812,6 +957,7 @@
   const std::string continued_after =
       stream.events.LastId().empty() ? call->Metadata().resume_after : stream.events.LastId();
   std::size_t incomplete_bytes = 0;  // of an event whose end has not arrived
+  bool has_first_event = false;      // of this run
   decode_result outcome = decode_result::kBroken;
   while (true) {
     const bool may_resume = resumable && call->sends < call->Route().max_attempts;
@@ -848,6 +994,12 @@
     }
     if (!forwarded.empty()) {
       const time_point read_at = timer_service::Now();
+      if (!assignment.prefill && !has_first_event) {
+        prompts_->RecordOwnRead(*call, assignment.engine, assignment.prediction,
+                                std::chrono::duration_cast<microseconds>(read_at - stream.decode_sent) -
+                                    token_interval_ * profile.tokens_per_event);
+      }
+      has_first_event = true;
       longest_pause = std::max(longest_pause, std::chrono::duration_cast<microseconds>(read_at - last_event));
       last_event = read_at;
       if (call->first_event == milliseconds(0)) {
@@ -872,6 +1024,9 @@
       part_tracker_->Board().RecordEnd(run);
       RecordTokenInterval(std::chrono::duration_cast<microseconds>(last_event - begin),
                           (stream.events.EventCount() - events_before) * profile.tokens_per_event);
+      prompts_->RecordTokenInterval(call->Service().name, assignment.engine,
+                                    std::chrono::duration_cast<microseconds>(last_event - begin),
+                                    (stream.events.EventCount() - events_before) * profile.tokens_per_event);
       output_lengths.RecordAnswer(estimated_output, output_tokens());
       RecordStreamTime(QueueFor(call->Service()), std::chrono::duration_cast<microseconds>(last_event - begin));
       break;
@@ -905,6 +1060,13 @@
 // ---------------------------------------------------------------------------------------------------------------------
 
 task<call_outcome> generation_calls::Serve(direct_call_ptr call) {
+  call->urgency = UrgencyOf(call->Route(), call->Account() ? &*call->Account() : nullptr);
+  const call_outcome outcome = co_await Run(call);
+  RecordOutcome(*call, outcome);
+  co_return outcome;
+}
+
+task<call_outcome> generation_calls::Run(direct_call_ptr call) {
   budgets_->RecordRequest(*call);
   if (const auto refused = suspect_tracker_->RemainingRefusal(call->Fingerprint())) {
     co_return co_await call->Refuse("crashes_endpoints", *refused);
@@ -916,6 +1078,7 @@
   call->engine_version = std::move(version.value());
   const bool continues_stream = !call->Metadata().resume_after.empty();
   stream_state stream;
+  stream.wait_start = call->Arrival();
   std::vector<endpoint_name> avoid;
   bool may_have_run = false;
   decode_result result = decode_result::kNotRun;
@@ -953,7 +1116,7 @@
     }
     if (call->IsCallerDisconnected()) {
       if (chosen != nullptr) {
-        ReleaseAssignment(*call, *chosen);
+        ReleaseAssignment(*chosen);
         ReleaseReservation(*chosen);
       }
       result = decode_result::kCallerDisconnected;
@@ -973,14 +1136,27 @@
     }
     engine_assignment assignment = std::get<engine_assignment>(std::move(assigned));
     const auto release_decode = [&] { endpoint_tracker_->RemoveStream(assignment.engine.name, assignment.stream_id); };
-    auto source = co_await Prefill(call, assignment);
+    auto source = co_await Prefill(call, assignment, stream.wait_start);
     if (!source) {
       release_decode();
       ReleaseReservation(assignment);
       DispatchAll();
+      const bool needs_engine = assignment.verdict == prefill_verdict::kDecodeEngineGone;
+      if (needs_engine || assignment.verdict == prefill_verdict::kReservationEnds) {
+        budgets_->ReturnExtraSends(*call, call->sends > 0 ? 1 : 0);
+        if (needs_engine) {
+          avoid.push_back(assignment.engine.name);
+        }
+        continue;
+      }
       result = call->IsCallerDisconnected() ? decode_result::kCallerDisconnected : decode_result::kNotRun;
       break;
     }
+    if (!source->handle.empty()) {
+      const auto address = ParseHostPort(source->address);
+      stream.prefilled_at =
+          address ? endpoint_tracker_->FindByAddress(call->Service().name, address.value()) : std::nullopt;
+    }
     // During the prefill the engine may have started to drain, engines may have crashed under a part of the prompt, or
     // the caller's key may have been revoked.
     const bool is_current = endpoint_tracker_->IsCurrent(assignment.engine);
@@ -988,7 +1164,7 @@
     if (call->IsCallerDisconnected() || !is_current || is_refused) {
       release_decode();
       if (!assignment.prefill) {
-        ReleasePrefill(*call, assignment, assignment.engine.name);
+        ReleasePrefill(assignment, assignment.engine.name);
       }
       ReleaseReservation(assignment);
       if (!source->handle.empty()) {
@@ -1008,6 +1184,7 @@
     }
     suspect_tracker_->RecordStart(call->Fingerprint(), assignment.engine);
     const engine_run_ptr run = part_tracker_->BeginRun(*call, assignment.engine);
+    const std::size_t events_before = stream.events.EventCount();
     result = co_await Decode(call, assignment, std::move(source), stream, *run);
     bool may_crash_another = false;
     if (result == decode_result::kBroken) {
@@ -1024,6 +1201,10 @@
     }
     release_decode();
     DispatchAll();
+    if (stream.events.EventCount() > events_before) {
+      prompts_->RecordStreamEnd(*call, assignment.engine);
+      stream.wait_start = timer_service::Now();
+    }
     if (result == decode_result::kNotRun) {
       if (!used_source.handle.empty()) {
         DropCache(call->Service().name, used_source);
@@ -1050,6 +1231,9 @@
 
 task<call_outcome> generation_calls::Finish(direct_call_ptr call, decode_result result, stream_state& stream,
                                             bool may_have_run) {
+  if (stream.prefilled_at && !stream.started) {
+    prompts_->RecordNoResponse(*call, *stream.prefilled_at);
+  }
   if (result == decode_result::kCallerDisconnected || call->IsCallerDisconnected()) {
     co_return call->EndAsCallerDisconnected();
   }
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -26,6 +26,13 @@
   return std::string(FindHeader(request.headers, name));
 }
 
+// True if a header may hold the API key of a caller.
+bool HasKey(const http_request& request) {
+  return std::any_of(request.headers.begin(), request.headers.end(), [](const header_field& field) {
+    return !FindHeader({field}, "Authorization").empty() || field.value.find("Bearer") != std::string::npos;
+  });
+}
+
 bool HasPart(const http_request& request, const std::string& part) {
   const std::string parts = "," + Header(request, "Persimmonchute-Prompt-Prefix");
   return parts.find("," + part + ":") != std::string::npos;
@@ -106,6 +113,9 @@
   if (faults_.encoded) {
     headers.push_back({"Content-Encoding", "gzip"});
   }
+  if (!faults_.server_load.empty()) {
+    headers.push_back({"Persimmonchute-Server-Load", faults_.server_load});
+  }
   AddOwnState(headers);
   return headers;
 }
@@ -186,6 +196,8 @@
         .Add("endpoint", options_.name)
         .Add("service", options_.service)
         .Add("result", result)
+        .Add("account", Header(request, "Persimmonchute-Tenant"))
+        .Add("has_key", HasKey(request))
         .Add("retry_after_ms", std::string_view(result).starts_with("rejected") ? faults_.retry_after.count() : 0);
   }
 }
@@ -327,6 +339,7 @@
     Stop();
     co_return;
   }
+  co_await DelayAnswer(exchange);
   if (faults_.drops_responses) {
     exchange->AbortStream();
   } else if (faults_.never_responds) {
@@ -355,6 +368,14 @@
   --running_count_;
 }
 
+// Waits for answer_delay; the fault may change meanwhile.
+task<> fake_replica::DelayAnswer(std::shared_ptr<http_exchange> exchange) {
+  const time_point begin = timer_service::Now();
+  while (timer_service::Now() < begin + faults_.answer_delay && !exchange->IsDisconnected()) {
+    co_await timers_.Sleep(kDisconnectPollInterval);
+  }
+}
+
 // Sends the response of a plain call that has run.
 task<> fake_replica::Answer(std::shared_ptr<http_exchange> exchange, http_response answer) {
   if (!faults_.unframed && !faults_.endless_body) {
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -9,8 +9,10 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <chrono>
 #include <nlohmann/json.hpp>
 
+#include "core/api_key.h"
 #include "platform/records.h"
 #include "platform/requests.h"
 #include "platform/settings.h"
@@ -43,6 +45,18 @@
   EXPECT_TRUE(settings.first_start);
 }
 
+TEST(deployment_settings_test, StrictRevocation_IsOffUnlessStated) {
+  finding_list findings;
+  EXPECT_FALSE(ParseDeploymentSettings(kSettings, findings).strict_revoke);
+  const std::string strict = std::string(kSettings) + "bounds.strict_revoke=true\nbounds.revoke_ms=2500\n";
+  const deployment_settings settings = ParseDeploymentSettings(strict, findings);
+  EXPECT_TRUE(settings.strict_revoke);
+  EXPECT_EQ(settings.revoke_time, milliseconds(2'500));
+  EXPECT_TRUE(findings.empty()) << FormatFindings(findings);
+  ParseDeploymentSettings(std::string(kSettings) + "bounds.strict_revoke=perhaps\n", findings);
+  EXPECT_NE(FormatFindings(findings).find("bounds.strict_revoke"), std::string::npos);
+}
+
 TEST(deployment_settings_test, FaultyFile_ReportsEveryFindingTogether) {
   finding_list findings;
   ParseDeploymentSettings("node_name=a\nzone=z\nlisten.front=nowhere\nbounds.grace_s=soon\n", findings);
@@ -136,6 +150,166 @@
   (void)ParseDesiredState(*rc::gen::arbitrary<std::string>(), findings);
 }
 
+// SHA-256 of "key-1", from sha256sum.
+constexpr const char* kHashOfKey1 = "be2974546978e3739e6d6da85c4be9f334ce32df2b9fd4b6ff1b55c0d57e9d44";
+
+json MakeAccounts() {
+  return json::array({{{"name", "alpha"},
+                       {"api_keys", {"key-1", "key-2"}},
+                       {"priority", 0},
+                       {"unit", "token_stream"},
+                       {"plain_tokens", 40},
+                       {"per_s", 25'000.4},
+                       {"burst", 90'000}},
+                      {{"name", "beta"}, {"api_keys", {"key-3"}}, {"unit", "call"}, {"per_s", 0.25}},
+                      {{"name", "gamma"}}});
+}
+
+// The text that a router sends to others for this desired state.
+std::string Export(const json& state) {
+  finding_list findings;
+  std::string exported;
+  EXPECT_TRUE(ParseDesiredState(state.dump(), findings, &exported));
+  return exported;
+}
+
+TEST(accounts_test, StateWithoutAccounts_HasNone) {
+  finding_list findings;
+  EXPECT_FALSE(ParseDesiredState(MakeState().dump(), findings).value().Accounts());
+  EXPECT_EQ(Export(MakeState()), MakeState().dump());
+}
+
+TEST(accounts_test, ValidAccounts_AreReadWithHashesAndAmountsOfTheirUnit) {
+  json state = MakeState();
+  state["tenants"] = MakeAccounts();
+  state["routes"][1]["anonymous"] = true;
+  finding_list findings;
+  const auto table = ParseDesiredState(state.dump(), findings);
+  ASSERT_TRUE(table);
+  EXPECT_TRUE(findings.empty()) << FormatFindings(findings);
+  EXPECT_FALSE(table.value().FindRoute("a.example", "/x/1")->anonymous);
+  EXPECT_TRUE(table.value().FindRoute("a.example", "/y/1")->anonymous);
+  ASSERT_TRUE(table.value().Accounts());
+  const caller_account* alpha = table.value().Accounts()->FindByKeyHash(kHashOfKey1);
+  ASSERT_NE(alpha, nullptr);
+  EXPECT_EQ(alpha->name.value, "alpha");
+  EXPECT_EQ(alpha->key_hashes.size(), 2U);
+  EXPECT_EQ(alpha->priority, std::optional<std::uint32_t>(0));
+  EXPECT_EQ(alpha->unit, usage_unit::kTokens);
+  EXPECT_EQ(alpha->plain_tokens, 40U);
+  EXPECT_EQ(alpha->limit, (account_limit{25'000, 90'000}));
+  const caller_account* beta = table.value().Accounts()->Find(account_name{"beta"});
+  ASSERT_NE(beta, nullptr);
+  EXPECT_EQ(beta->priority, std::nullopt);
+  EXPECT_EQ(beta->unit, usage_unit::kRequests);
+  EXPECT_EQ(beta->limit, (account_limit{250, 0})) << "a quarter of a request";
+  EXPECT_EQ(table.value().Accounts()->Find(account_name{"gamma"})->limit, account_limit{});
+}
+
+// Guards against a limit so low that it is rounded to zero, which means no limit.
+TEST(accounts_test, SmallestLimit_StaysALimit) {
+  json state = MakeState();
+  state["tenants"] = json::array({{{"name", "a"}, {"per_s", 1e-9}, {"unit", "token_stream"}}});
+  finding_list findings;
+  const auto table = ParseDesiredState(state.dump(), findings);
+  EXPECT_EQ(table.value().Accounts()->Find(account_name{"a"})->limit.tokens_per_second, 1U);
+}
+
+// Routers import the state of others, and must then check keys in the same way.
+TEST(accounts_test, StateWithHashedKeys_IsReadLikeTheOriginal) {
+  json state = MakeState();
+  state["tenants"] = MakeAccounts();
+  finding_list findings;
+  const std::string exported = Export(state);
+  EXPECT_EQ(exported.find("key-"), std::string::npos) << exported;
+  EXPECT_EQ(ParseDesiredState(exported, findings).value(), ParseDesiredState(state.dump(), findings).value());
+  EXPECT_EQ(Export(json::parse(exported)), exported);
+  EXPECT_TRUE(findings.empty()) << FormatFindings(findings);
+}
+
+TEST(accounts_test, InvalidAccount_IsSkippedAndReportedWithoutItsKeys) {
+  json state = MakeState();
+  state["tenants"] = MakeAccounts();
+  state["tenants"][0]["per_s"] = "secret-1";
+  state["tenants"].push_back("secret-2");
+  state["tenants"].push_back({{"name", "two\r\nlines"}, {"api_keys", {"secret-3"}}});
+  state["tenants"].push_back({{"name", "beta"}, {"api_keys", {"secret-4"}}});
+  state["tenants"].push_back({{"name", "delta"}, {"api_keys", {"secret-5", 7, ""}}});
+  state["tenants"].push_back({{"name", "epsilon"}, {"api_keys", "secret-6"}});
+  state["tenants"].push_back({{"api_keys", {"secret-7"}}, {"api_key", "secret-8"}, {"api_key_hashes", {"secret-9"}}});
+  finding_list findings;
+  const auto table = ParseDesiredState(state.dump(), findings);
+  const auto& accounts = table.value().Accounts();
+  ASSERT_TRUE(accounts);
+  std::vector<std::string> names;
+  for (const caller_account& account : accounts->Accounts()) {
+    names.push_back(account.name.value);
+  }
+  EXPECT_EQ(names, (std::vector<std::string>{"beta", "gamma", "delta"}));
+  EXPECT_EQ(accounts->Find(account_name{"delta"})->key_hashes.size(), 1U);
+  const std::string text = FormatFindings(findings);
+  for (const char* place : {"tenant 0: per_s", "tenant 3", "tenant 4: name", "tenant 5: name", "tenant 6: api_keys",
+                            "tenant 7: api_keys", "tenant 8: name", "tenant 8: api_key_hashes"}) {
+    EXPECT_NE(text.find(place), std::string::npos) << place << " in " << text;
+  }
+  EXPECT_EQ(text.find("secret"), std::string::npos) << text;
+  EXPECT_EQ(Export(state).find("secret"), std::string::npos) << Export(state);
+}
+
+// The largest deployment has 4,700 accounts, 7,700 requests per second and 370 routers. Guards against a check that
+// searches all accounts: then the checks of one second of all routers take far longer than a tenth of it.
+TEST(accounts_test, AccountsOfTheLargestDeployment_AreCheckedInAFractionOfItsRequestRate) {
+  constexpr int kAccounts = 4'700;
+  constexpr int kRequests = 7'700;
+  const auto key = [](int number) { return "key-" + std::to_string(number); };
+  json state = MakeState();
+  for (int i = 0; i < kAccounts; ++i) {
+    const std::string name = "account-" + std::to_string(i);
+    state["tenants"].push_back({{"name", name}, {"api_keys", {key(2 * i), key(2 * i + 1)}}});
+  }
+  finding_list findings;
+  const auto table = ParseDesiredState(state.dump(), findings);
+  const account_directory& accounts = *table.value().Accounts();
+  const auto begin = std::chrono::steady_clock::now();
+  for (int i = 0; i < kRequests; ++i) {
+    const int number = i % (2 * kAccounts);
+    const caller_account* account = accounts.FindByKeyHash(HashApiKey(key(number)));
+    ASSERT_NE(account, nullptr);
+    ASSERT_EQ(account->name.value, "account-" + std::to_string(number / 2));
+  }
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, milliseconds(100));
+  EXPECT_EQ(accounts.FindByKeyHash(HashApiKey(key(2 * kAccounts))), nullptr);
+}
+
+// A faulty list must not open the services to everyone.
+TEST(accounts_test, AccountsThatAreNoList_HoldNoKey) {
+  json state = MakeState();
+  state["tenants"] = {{"alpha", {{"api_keys", {"key-1"}}}}};
+  finding_list findings;
+  const auto table = ParseDesiredState(state.dump(), findings);
+  ASSERT_TRUE(table.value().Accounts());
+  EXPECT_TRUE(table.value().Accounts()->Accounts().empty());
+  EXPECT_NE(FormatFindings(findings).find("tenants"), std::string::npos);
+  EXPECT_EQ(Export(state).find("key-1"), std::string::npos);
+}
+
+// Guards against a stop of all routers by one faulty desired state.
+RC_GTEST_PROP(accounts_property, ParseDesiredState_ForAnyAccounts_NeverStopsTheProcess, ()) {
+  const auto any_value = rc::gen::element<json>(nullptr, 1, -2.5, "key-1", "", json::array(), json::array({"key-1", 2}),
+                                                json::object(), true, 1e300);
+  json account = json::object();
+  for (const char* field :
+       {"name", "api_keys", "api_key_hashes", "priority", "unit", "plain_tokens", "per_s", "burst"}) {
+    account[field] = *any_value;
+  }
+  json state = MakeState();
+  state["tenants"] = json::array({account, *any_value});
+  finding_list findings;
+  std::string exported;
+  RC_ASSERT(ParseDesiredState(state.dump(), findings, &exported).has_value());
+  RC_ASSERT(exported.find("key-1") == std::string::npos || account["name"] == "key-1" || account["unit"] == "key-1");
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 3. endpoint entries
 // ---------------------------------------------------------------------------------------------------------------------
@@ -207,12 +381,30 @@
   EXPECT_EQ(parts(",x:1,:5,12345678901234567890:1,7:1,8:1"), std::vector<std::uint64_t>{7});
 }
 
+// Guards against hints on a prompt whose parts were read only in part, and against a wrong last part.
+TEST(request_metadata_test, PartsOfAPrompt_AreReadWithTheirTokensUpToTheFirstMalformedOne) {
+  const auto read = [](const char* value) {
+    return platform::ParseRequestHeaders({{"Persimmonchute-Prompt-Prefix", value}});
+  };
+  const std::vector<prompt_part> all = {{0x5c1e07a2, 800}, {0x91bd3f06, 410}, {0xe4402b7d, 250}};
+  EXPECT_EQ(read("5c1e07a2:800, 91BD3F06:410,e4402b7d:250").parts, all);
+  EXPECT_TRUE(read("5c1e07a2:800, 91BD3F06:410,e4402b7d:250").has_all_parts);
+  EXPECT_EQ(read("7:1,x:1,8:1").parts, (std::vector<prompt_part>{{7, 1}}));
+  EXPECT_FALSE(read("7:1,x:1,8:1").has_all_parts);
+  EXPECT_FALSE(read("7:1,8").has_all_parts);
+  EXPECT_FALSE(read("7:1,8:").has_all_parts);
+  EXPECT_TRUE(read("").parts.empty());
+  EXPECT_FALSE(read("").has_all_parts);
+}
+
 TEST(request_metadata_test, PartsOfAPrompt_BeyondTheLimit_AreIgnored) {
   std::string many;
   for (int i = 0; i < 3'000; ++i) {
     many += "a:1,";
   }
   EXPECT_LE(platform::ParseRequestHeaders({{"Persimmonchute-Prompt-Prefix", many}}).shared_parts.size(), 32U);
+  EXPECT_LE(platform::ParseRequestHeaders({{"Persimmonchute-Prompt-Prefix", many}}).parts.size(), 33U);
+  EXPECT_FALSE(platform::ParseRequestHeaders({{"Persimmonchute-Prompt-Prefix", many}}).has_all_parts);
 }
 
 TEST(request_metadata_test, MalformedNumbers_CountAsAbsent) {
@@ -222,6 +414,31 @@
   EXPECT_FALSE(metadata.time_budget);
 }
 
+// Limits count a request without stated tokens differently from one that states none.
+TEST(request_metadata_test, TotalTokens_AreTheSumOrAbsent) {
+  const auto total = [](const header_list& headers) { return ParseRequestHeaders(headers).total_tokens; };
+  EXPECT_EQ(total({{"Persimmonchute-Token-Count", "1460, 80"}}), std::optional<std::uint64_t>(1'540));
+  EXPECT_EQ(total({{"Persimmonchute-Token-Count", "4294967295,4294967295"}}),
+            std::optional<std::uint64_t>(8'589'934'590));
+  EXPECT_EQ(total({{"Persimmonchute-Token-Count", "7"}}), std::optional<std::uint64_t>(7));
+  EXPECT_EQ(total({{"Persimmonchute-Token-Count", "0,0"}}), std::optional<std::uint64_t>(0));
+  EXPECT_EQ(total({{"Persimmonchute-Token-Count", "many"}}), std::nullopt);
+  EXPECT_EQ(total({}), std::nullopt);
+}
+
+TEST(forwarded_request_test, AccountHeaders_AreRemovedOnlyOnDemandInAnyCase) {
+  http_request request;
+  request.headers = {{"AUTHORIZATION", "Bearer k"}, {"persimmonchute-tenant", "x"}, {"X-Kept", "1"}};
+  EXPECT_EQ(MakeForwardedRequest(request).headers, request.headers);
+  http_request forwarded = MakeForwardedRequest(request, account_headers::kRemove);
+  EXPECT_EQ(forwarded.headers, (header_list{{"X-Kept", "1"}}));
+  SetAccountHeader(forwarded, "alpha");
+  SetAccountHeader(forwarded, "beta");
+  EXPECT_EQ(forwarded.headers, (header_list{{"X-Kept", "1"}, {"Persimmonchute-Tenant", "beta"}}));
+  SetAccountHeader(forwarded, "");
+  EXPECT_EQ(forwarded.headers, (header_list{{"X-Kept", "1"}}));
+}
+
 // The router may state that a call has not run only if the endpoint has stated it.
 TEST(answer_terms_test, OnlyTheEndpointsOwnStatement_ProvesThatACallHasNotRun) {
   EXPECT_FALSE(ParseResponseHeaders({503, {}}).proves_not_run);
@@ -257,6 +474,36 @@
 }
 
 // An endpoint that states a limit in another form must neither lose its limit nor get one of zero.
+response_metadata ParseLoad(const char* value) {
+  return ParseResponseHeaders({200, {{"Persimmonchute-Server-Load", value}}});
+}
+
+TEST(response_headers_test, ServerLoad_WithAWorkTime_IsReadWhole) {
+  const response_metadata metadata = ParseLoad("3,1,6,250");
+  EXPECT_EQ(metadata.running, 3U);
+  EXPECT_EQ(metadata.waiting, 1U);
+  EXPECT_EQ(metadata.slots, 6U);
+  EXPECT_EQ(metadata.work_time_percent, 250U);
+  EXPECT_EQ(ParseLoad("3, 1, 6, 99.6").work_time_percent, 100U);
+}
+
+// Guards against the adaptive policy in deployments whose endpoints state no work time.
+TEST(response_headers_test, ServerLoad_WithoutAWorkTime_StatesNone) {
+  for (const char* value : {"3,1,6", "3,1", ""}) {
+    EXPECT_FALSE(ParseLoad(value).work_time_percent) << value;
+    EXPECT_FALSE(ParseLoad(value).has_unreadable_work_time) << value;
+  }
+}
+
+// Guards against predictions from a number that cannot be a work time.
+TEST(response_headers_test, ServerLoad_WithAMalformedWorkTime_IsIgnoredAndReported) {
+  for (const char* value : {"3,1,6,x", "3,1,6,-5", "3,1,6,0", "3,1,6,12x", "3,1,6,inf", "3,1,6,10001"}) {
+    EXPECT_FALSE(ParseLoad(value).work_time_percent) << value;
+    EXPECT_TRUE(ParseLoad(value).has_unreadable_work_time) << value;
+    EXPECT_EQ(ParseLoad(value).slots, 6U) << value;
+  }
+}
+
 TEST(response_headers_test, RequestLimit_OfAResponse_IsTheLowestReadableNumber) {
   const auto read = [](const header_list& headers) { return platform::ParseResponseHeaders({200, headers}); };
   EXPECT_EQ(read({{"server-limit", " 7.25 "}}).request_limit, 7.25);
