--- a/tests/caller_accounts_test.cpp
+++ b/tests/caller_accounts_test.cpp
@@ -361,6 +361,7 @@
   }
   const std::size_t reached_before = Reached().size();
   std::vector<caller_exchange_ptr> calls;
+  calls.reserve(4);
   for (int i = 0; i < 4; ++i) {
     calls.push_back(harness_.Send("GET", "/pages/1", "a" + std::to_string(i), Key("key-a1")));
   }
