Make the tests of immediate retries independent of the speed of the VM

Under AddressSanitizer on a busy VM, ConnectionReset_OfTheFirstAttempt took longer than the 90 ms after which a slow attempt is joined. The second attempt of these tests is now due only after the deadline, so that nothing but an immediate retry can answer.

--- a/tests/call_estimates_test.cpp
+++ b/tests/call_estimates_test.cpp
@@ -284,8 +284,10 @@
 // Guards against choices that leave out endpoints of a service with many of them.
 TEST(call_choice_test, ManyEndpoints_AllGetCalls) {
   const call_estimates estimates{estimate_settings{}};
+  constexpr std::size_t kViews = 100;
   std::vector<endpoint_view> views;
-  for (int i = 0; i < 100; ++i) {
+  views.reserve(kViews);
+  for (std::size_t i = 0; i < kViews; ++i) {
     views.push_back(View("e" + std::to_string(i)));
   }
   const auto shares = Shares(estimates, views, kStart);
--- a/tests/hedged_calls_test.cpp
+++ b/tests/hedged_calls_test.cpp
@@ -21,8 +21,7 @@
 
 // Work that nobody wants any more must have ended at the endpoint within half a second.
 constexpr milliseconds kReleaseLimit(500);
-constexpr milliseconds kTarget(900);      // of the route, as in MakeDesiredState
-constexpr milliseconds kSecondAfter(90);  // kTarget * second_try_share of these tests
+constexpr milliseconds kSecondAfter(90);  // second_try_share of these tests times the target of the route
 constexpr milliseconds kSlowAnswer(300);  // longer than kSecondAfter
 constexpr milliseconds kVerySlow(30'000);
 
@@ -137,14 +136,22 @@
   EXPECT_EQ(Counter("persimmon_second_attempts_won_total", {{"service", "app"}}), 4U);
 }
 
-TEST_F(hedged_call_test, ServerErrorOfTheFirstAttempt_IsRetriedAtOnce) {
+// Slowness alone starts no second attempt before the deadline, so that only an immediate retry can answer.
+class retry_test : public hedged_call_test {
+ protected:
+  retry_test()
+      : hedged_call_test([](direct_settings& settings) {
+          UseAdaptivePolicy(settings);
+          settings.second_try_share = 10;
+        }) {}
+};
+
+TEST_F(retry_test, ServerErrorOfTheFirstAttempt_IsRetriedAtOnce) {
   SetBoth({.returns_500 = true});
   const auto call = harness_.Send("GET", "/pages/1", "a1");
   ASSERT_TRUE(harness_.RunUntil([this] { return Runs("a1") == 1; }));
   (first_.Runs("a1") == 1 ? second_ : first_).Faults().returns_500 = false;
-  const time_point begin = timer_service::Now();
   ASSERT_TRUE(harness_.Finish(call));
-  EXPECT_LT(timer_service::Now() - begin, kSecondAfter);
   EXPECT_EQ(call->Status(), 200);
   EXPECT_EQ(Runs("a1"), 2);
 }
@@ -185,15 +192,13 @@
   EXPECT_EQ(Runs("a1"), 2);
 }
 
-TEST_F(hedged_call_test, ConnectionReset_OfTheFirstAttempt_IsRetriedAtOnce) {
+TEST_F(retry_test, ConnectionReset_OfTheFirstAttempt_IsRetriedAtOnce) {
   first_.Faults().drops_responses = true;
   for (const char* attempt : {"a1", "a2", "a3", "a4"}) {
-    const time_point begin = timer_service::Now();
     const auto call = harness_.Send("GET", "/pages/1", attempt);
     ASSERT_TRUE(harness_.Finish(call));
     EXPECT_EQ(call->Status(), 200);
     EXPECT_EQ(second_.Runs(attempt), 1);
-    EXPECT_LT(timer_service::Now() - begin, kSecondAfter);
   }
 }
 
@@ -269,14 +274,12 @@
 }
 
 // A rejected attempt proves that the call has not run there, and another endpoint may serve it.
-TEST_F(hedged_call_test, RejectedAttempt_IsSentElsewhereAtOnce) {
+TEST_F(retry_test, RejectedAttempt_IsSentElsewhereAtOnce) {
   first_.Faults().full = true;
   for (const char* attempt : {"a1", "a2", "a3", "a4"}) {
-    const time_point begin = timer_service::Now();
     const auto call = harness_.Send("GET", "/pages/1", attempt);
     ASSERT_TRUE(harness_.Finish(call));
     EXPECT_EQ(call->Status(), 200);
-    EXPECT_LT(timer_service::Now() - begin, kSecondAfter);
   }
 }
 
@@ -404,8 +407,10 @@
 TEST_F(hedged_call_test, Call_ThatNoEndpointCanAnswerInTime_IsRefusedAtOnceUntilTheReportsAreOld) {
   SetBoth({.server_load = "6,24,6,900", .answer_delay = milliseconds(80)});
   // Sent together, so that both endpoints get some and both reports are recent.
+  constexpr std::size_t kCalls = 16;
   std::vector<caller_exchange_ptr> calls;
-  for (int i = 0; i < 16; ++i) {
+  calls.reserve(kCalls);
+  for (std::size_t i = 0; i < kCalls; ++i) {
     calls.push_back(harness_.Send("POST", "/submit/1", "warm-" + std::to_string(i), {}, "quiz"));
   }
   for (const auto& call : calls) {
@@ -455,7 +460,7 @@
   SetBoth({.server_load = "1,0,6", .answer_delay = kVerySlow});
   const auto call = harness_.Send("GET", "/pages/1", "a1");
   ASSERT_TRUE(harness_.RunUntil([this] { return Runs("a1") == 2; }));
-  EXPECT_TRUE(harness_.RunUntil([this] { return ActiveRuns() == 1; }, milliseconds(50)));
+  EXPECT_TRUE(harness_.RunUntil([this] { return ActiveRuns() == 1; }, kReleaseLimit));
   SetBoth({});
   ASSERT_TRUE(harness_.Finish(call));
   EXPECT_EQ(call->Status(), 200);
