--- a/tests/hedged_calls_test.cpp
+++ b/tests/hedged_calls_test.cpp
@@ -111,8 +111,7 @@
   EXPECT_EQ(Counter("persimmon_second_attempts_won_total", {{"service", "app"}}), 0U);
 }
 
-// Guards against work that goes on at an endpoint after another one has answered, and against counting the cancelled
-// attempt as a failure of its endpoint.
+// Guards against work that goes on at an endpoint after another one has answered.
 TEST_F(hedged_call_test, SecondAttempt_ThatAnswersFirst_IsDeliveredAndTheFirstIsCancelled) {
   for (int i = 0; i < 4; ++i) {
     const std::string attempt = "a" + std::to_string(i);
@@ -126,14 +125,35 @@
     EXPECT_EQ(Runs(attempt), 2);
     EXPECT_TRUE(AllEndInTime());
   }
-  harness_.RunFor(milliseconds(300));  // longer than the period in which the health is judged
-  for (const auto& view :
-       harness_.EndpointTracker().PlainViews(harness_.EndpointTracker().ListEndpoints("app", std::nullopt), {})) {
+  EXPECT_TRUE(harness_.EndpointTracker().LocalUses().empty());
+  EXPECT_EQ(Counter("persimmon_second_attempts_won_total", {{"service", "app"}}), 4U);
+}
+
+class random_choice_test : public hedged_call_test {
+ protected:
+  random_choice_test()
+      : hedged_call_test([](direct_settings& settings) {
+          UseAdaptivePolicy(settings);
+          settings.probe_share = 1;  // so that an endpoint that looks slow is chosen again
+        }) {}
+};
+
+// Guards against ejecting an endpoint because its attempts have lost.
+TEST_F(random_choice_test, EndpointWhoseAttemptsLose_KeepsItsHealth) {
+  constexpr int kLostAttempts = 6;  // twice the failures in a row that eject an endpoint
+  first_.Faults().answer_delay = kVerySlow;
+  for (int i = 0; i < 100 && first_.TotalRuns() < kLostAttempts; ++i) {
+    const auto call = harness_.Send("GET", "/pages/1", "a" + std::to_string(i));
+    ASSERT_TRUE(harness_.Finish(call));
+    EXPECT_EQ(call->Status(), 200);
+  }
+  ASSERT_EQ(first_.TotalRuns(), kLostAttempts);
+  harness_.RunFor(milliseconds(400));  // longer than the period in which the health is judged
+  const auto endpoints = harness_.EndpointTracker().ListEndpoints("app", std::nullopt);
+  for (const auto& view : harness_.EndpointTracker().PlainViews(endpoints, {})) {
     EXPECT_EQ(view.health_share, 1.0) << view.name.value;
     EXPECT_TRUE(view.can_receive) << view.name.value;
   }
-  EXPECT_TRUE(harness_.EndpointTracker().LocalUses().empty());
-  EXPECT_EQ(Counter("persimmon_second_attempts_won_total", {{"service", "app"}}), 4U);
 }
 
 // Slowness alone starts no second attempt before the deadline, so that only an immediate retry can answer.
@@ -292,15 +312,6 @@
   EXPECT_EQ(Runs("a1"), 0);
 }
 
-TEST_F(hedged_call_test, UnreachableEndpoint_CostsNeitherAnAttemptNorTheBudget) {
-  first_.Stop();
-  for (int i = 0; i < 5; ++i) {
-    const auto call = harness_.Send("GET", "/pages/1", "a" + std::to_string(i));
-    ASSERT_TRUE(harness_.Finish(call));
-    EXPECT_EQ(call->Status(), 200) << i;
-  }
-}
-
 // ---------------------------------------------------------------------------------------------------------------------
 // 2. limits: attempts, budget, deadline
 // ---------------------------------------------------------------------------------------------------------------------
@@ -364,6 +375,15 @@
   EXPECT_EQ(Runs("a1"), 1);
 }
 
+TEST_F(no_budget_test, UnreachableEndpoint_CostsNeitherAnAttemptNorTheBudget) {
+  first_.Stop();
+  for (int i = 0; i < 5; ++i) {
+    const auto call = harness_.Send("GET", "/pages/1", "a" + std::to_string(i));
+    ASSERT_TRUE(harness_.Finish(call));
+    EXPECT_EQ(call->Status(), 200) << i;
+  }
+}
+
 TEST_F(no_budget_test, FailedCall_WithoutBudget_IsAnsweredWithTheEndpointsError) {
   SetBoth({.returns_500 = true});
   const auto call = harness_.Send("GET", "/pages/1", "a1");
@@ -372,6 +392,39 @@
   EXPECT_EQ(Runs("a1"), 1);
 }
 
+class one_extra_send_test : public hedged_call_test {
+ protected:
+  one_extra_send_test()
+      : hedged_call_test([](direct_settings& settings) {
+          UseAdaptivePolicy(settings);
+          settings.deployment.budget_slack = 1.5;  // of which a router uses 80%
+          settings.deployment.budget_ratio = 0;
+        }) {}
+};
+
+// Guards against a budget that is used up by second attempts that were not sent.
+TEST_F(one_extra_send_test, SecondAttempt_ThatCannotBeSent_LeavesTheBudgetToTheNext) {
+  caller_exchange_ptr call;
+  fake_replica* slow = SendSlowCall(call, "a1");
+  OtherThan(slow).Stop();
+  const auto is_paused = [&] {
+    const auto endpoints = harness_.EndpointTracker().ListEndpoints("app", std::nullopt);
+    for (const auto& view : harness_.EndpointTracker().PlainViews(endpoints, {})) {
+      if (view.name.value == OtherThan(slow).Name()) {
+        return !view.can_receive;
+      }
+    }
+    return false;
+  };
+  ASSERT_TRUE(harness_.RunUntil(is_paused));
+  fake_replica& third = harness_.AddReplica(PlainReplica("app-3"));
+  ASSERT_TRUE(harness_.RunUntil([this] { return harness_.Directory().Endpoints().Size() == 3; }));
+  slow->Faults() = {.returns_500 = true};
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 200);
+  EXPECT_EQ(third.Runs("a1"), 1);
+}
+
 TEST_F(hedged_call_test, ExtraSends_WhenEveryCallFails_StayWithinTheBudget) {
   SetBoth({.returns_500 = true});
   constexpr int kCalls = 100;
