--- a/include/persimmon/account_limits.h
+++ b/include/persimmon/account_limits.h
@@ -13,8 +13,8 @@
 //   r*t + b             one home router
 //   + 0.15*b            overdraft by one request
 //   + 0.5 s * r         tokens lent before the period and spent in it; 1 s * r if requests return tokens
-//   + b/4 + r/2*d       for each change of the home router, where d is the time in which both act
-//   + s*(r*t + b/2)     for a minority behind a network partition, where s is 0.2 of its part of the routers
+//   + 0.15*b + 0.3*r*d       for each change of the home router, where d is the time in which both act
+//   + s*(r*t + b/2)     for a minority behind a network partition, where s is 0.1 of its part of the routers
 //   + 0.02*r*t + 80,000 local shares of routers that cannot reach the home router, and overdraft of a minority
 // Section "Bounds" of docs/design/account-limits.md compares the sum with what is allowed.
 #pragma once
@@ -49,9 +49,9 @@
   // be known by then.
   milliseconds max_local_retry = milliseconds(500);
   // Shares of a limit that a home router lends.
-  double takeover_share = 0.5;                          // while its predecessor may still lend
+  double takeover_share = 0.3;                          // while its predecessor may still lend
   double unknown_count_share = 0.02;                    // while it is unknown how many routers there are
-  double minority_share = 0.2;                          // times the part of the routers on a side without most of them
+  double minority_share = 0.1;                          // times the part of the routers on a side without most of them
   milliseconds answer_retention = milliseconds(1'000);  // of answers, to give repeated questions the same one
 
   bool operator==(const account_limit_settings&) const = default;
--- a/include/persimmon/request_limits.h
+++ b/include/persimmon/request_limits.h
@@ -203,6 +203,7 @@
   };
   bool IsAlive(const member& other, time_point now) const;
   bool IsEligible(const member& other, time_point now) const;
+  bool MayBeHome(const member& other, time_point now) const;
   bool IsSettled(time_point now) const { return !is_leaving_ && now - own_since_ >= settings_.settle_time; }
 
   request_limit_settings settings_;
--- a/src/decisions/request_limits.cpp
+++ b/src/decisions/request_limits.cpp
@@ -42,7 +42,7 @@
 void permit_schedule::SetRate(double rate, double share, time_point now) {
   constexpr double kMaxRate = 1e6;  // keeps the interval above 0
   const double assigned = std::clamp(rate * share, settings_.min_rate, kMaxRate);
-  interval_ = microseconds(std::llround(1e6 / assigned));
+  interval_ = microseconds(static_cast<std::int64_t>(std::ceil(1e6 / assigned)));
   if (rate != rate_ && rate_ > 0) {
     // Permits of another rate do not delay those of the new one by more than one request.
     next_ = std::min(next_, now + interval_);
@@ -107,6 +107,18 @@
   return IsAlive(other, now) && now - other.since >= settings_.settle_time;
 }
 
+bool limit_members::MayBeHome(const member& other, time_point now) const {
+  if (!IsSettled(now)) {
+    // A router that has just started does not know how long the others have run.
+    return IsAlive(other, now);
+  }
+  // Of routers that start together, each settles a little before it has heard the others for the settle time. Without
+  // this, each of them would be home router of everything meanwhile.
+  const bool may_be_settled = now - own_since_ < settings_.settle_time + settings_.join_time &&
+                              other.since <= own_since_ + settings_.join_time && IsAlive(other, now);
+  return may_be_settled || IsEligible(other, now);
+}
+
 void limit_members::RecordHeard(const std::string& address, std::uint64_t incarnation, bool leaving, time_point now) {
   const auto [found, is_new] = others_.try_emplace(address);
   member& other = found->second;
@@ -158,8 +170,7 @@
     consider(own_address_);
   }
   for (const auto& [address, other] : others_) {
-    // A router that has just started does not know how long the others have run.
-    if (IsSettled(now) ? IsEligible(other, now) : IsAlive(other, now)) {
+    if (MayBeHome(other, now)) {
       consider(address);
     }
   }
--- a/src/direct/account_tracker.cpp
+++ b/src/direct/account_tracker.cpp
@@ -25,6 +25,13 @@
   directory_ = &kernel_.Find<deployment_directory>("directory");
   group_ = &kernel_.Find<router_group>("group");
   limit_tracker_ = &kernel_.Find<limit_tracker>("limits");
+  if (!find_limit) {
+    find_limit = [this](const account_name& account) -> std::optional<account_limit> {
+      const auto& accounts = directory_->Routes()->Accounts();
+      const caller_account* found = accounts ? accounts->Find(account) : nullptr;
+      return found == nullptr ? std::nullopt : std::optional(found->limit);
+    };
+  }
   own_address_ = group_->Self().address.Text();
   limits_ = std::make_unique<account_limits>(own_address_, DirectAccountSettings(), RandomNumber() >> 1U);
   metrics_registry& metrics = kernel_.Find<telemetry>("telemetry").Metrics();
@@ -58,12 +65,6 @@
 // Requests of callers
 // ---------------------------------------------------------------------------------------------------------------------
 
-std::optional<account_limit> account_tracker::FindLimit(const account_name& account) const {
-  const auto& accounts = directory_->Routes()->Accounts();
-  const caller_account* found = accounts ? accounts->Find(account) : nullptr;
-  return found == nullptr ? std::nullopt : std::optional(found->limit);
-}
-
 account_home account_tracker::FindHome(const account_name& account, time_point now) const {
   limit_members& members = limit_tracker_->Members();
   members.Tick(now);
@@ -75,7 +76,7 @@
   auto stage = account_limits::take_stage::kFirst;
   while (true) {
     // The limit may be changed while the request waits.
-    const account_limit current = FindLimit(account).value_or(limit);
+    const account_limit current = find_limit(account).value_or(limit);
     if (current.tokens_per_second == 0) {
       co_return usage_grant{true, milliseconds(0)};
     }
@@ -203,7 +204,7 @@
 void account_tracker::Lend(const host_port& borrower, const lend_tokens& asked) {
   const time_point now = timer_service::NowWithSuspension();
   const account_home home = FindHome(asked.account, now);
-  const loan lent = limits_->Lend(borrower.Text(), asked.account, FindLimit(asked.account), asked.sequence,
+  const loan lent = limits_->Lend(borrower.Text(), asked.account, find_limit(asked.account), asked.sequence,
                                   asked.amount, home.own_share, now);
   (lent.amount > 0 ? loans_given_ : loans_denied_)->Increment();
   const auto retry_ms = std::clamp<std::int64_t>(lent.retry_in.count(), 0, UINT32_MAX);
--- a/src/direct/account_tracker.h
+++ b/src/direct/account_tracker.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,9 +36,13 @@
   void Start();
   void Stop();
 
+  // Limit of an account, or nothing if the account is unknown: this router lends it nothing then. Set before Start; by
+  // default that of the desired state in force.
+  std::function<std::optional<account_limit>(const account_name&)> find_limit;
+
   // Takes the amount of one request from the account's limit. Waits at most 120 ms for an answer of the account's home
-  // router. An account without a limit is always granted. `limit` counts only if the desired state in force does not
-  // contain the account.
+  // router. An account without a limit is always granted. `limit` counts only if find_limit does not
+  // know the account.
   task<usage_grant> Take(account_name account, account_limit limit, std::uint64_t amount);
 
   // Returns the amount of a request that was certainly not sent to any endpoint.
@@ -52,7 +57,6 @@
   // Wakes requests that wait for an answer, of one account each.
   using wakeup_timer = std::shared_ptr<asio::steady_timer>;
 
-  std::optional<account_limit> FindLimit(const account_name& account) const;
   account_home FindHome(const account_name& account, time_point now) const;
   usage_grant Refuse(const account_name& account, std::uint64_t amount, const account_take& taken,
                      const account_home& home);
--- a/tests/account_limits_test.cpp
+++ b/tests/account_limits_test.cpp
@@ -196,6 +196,7 @@
   double faults_per_s = 0;     // kills, pauses, leaves and partitions
   double partition_share = 0;  // of the routers, cut off from the others from 8 s on; 0: by chance
   double returned = 0.05;      // part of the requests that return their tokens within 0.9 s
+  bool cold_start = false;     // all routers start within half a second
   double lowered_at = 1e9;     // all limits fall to a fifth
   std::size_t listed = 10;     // members in a heartbeat
   unsigned seed = 1;
@@ -217,6 +218,9 @@
       weights_.push_back((weights_.empty() ? 0 : weights_.back()) + Weight(i));
       routers_.emplace_back();
       Restart(i, true);
+      if (options_.cold_start) {
+        Kill(i, 0.5 * Unit());
+      }
     }
   }
 
@@ -719,19 +723,18 @@
 }
 
 TEST_F(account_model_test, FiveRouters_WithKillsPausesLeavesAndPartitions_KeepTheLimits) {
-  double worst = 0;
   for (unsigned seed = 1; seed <= 60; ++seed) {
     account_model model({.accounts = 6,
                          .busy_accounts = 6,
+                         .limits = {47'000, 230'000},
+                         .demand = 4,
                          .requests = seed % 2 == 0 ? spread::kUniform : spread::kMostlyOneRouter,
                          .seconds = 25,
                          .faults_per_s = 0.7,
                          .seed = seed});
     model.Run();
     EXPECT_LE(model.WorstUse(), 1) << "seed " << seed;
-    worst = std::max(worst, model.WorstUse());
   }
-  RecordProperty("worst_use", std::to_string(worst));
 }
 
 TEST_F(account_model_test, TwentyFourRouters_WithKillsPausesLeavesAndPartitions_KeepTheLimits) {
@@ -750,6 +753,16 @@
   EXPECT_LE(model.WorstUse(), 1);
 }
 
+// Each of several routers that start together was home router of all accounts for a moment, with a bucket of its own.
+TEST_F(account_model_test, RoutersThatStartTogether_KeepTheLimitsAndUseThemSoon) {
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    account_model model({.routers = 24, .demand = 4, .seconds = 12, .loss = 0.01, .cold_start = true, .seed = seed});
+    model.Run();
+    EXPECT_LE(model.WorstUse(), 1) << "seed " << seed;
+    EXPECT_GE(model.LeastUse(5, 12), kWantedUse) << "seed " << seed;
+  }
+}
+
 // A minority that is cut off for long lends its share in addition to the majority.
 TEST_F(account_model_test, LongPartition_KeepsTheLimits) {
   for (const double share : {0.2, 0.4, 0.5, 0.6}) {
--- a/tests/endpoint_limit_test.cpp
+++ b/tests/endpoint_limit_test.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <thread>
 
+#include "direct/limit_tracker.h"
 #include "direct/router_group.h"
 #include "support/router_harness.h"
 
@@ -207,6 +208,38 @@
   EXPECT_EQ(CountStatus(200), calls_.size()) << "the others have room for all";
 }
 
+// What a router sends without waiting, such as cancellations, must delay the requests of all routers. Nothing failed
+// when the body of the function that accounts for it was empty.
+TEST_F(endpoint_limit_test, RequestsSentWithoutWaiting_DelayThoseOfAllRouters) {
+  fake_replica& limited = AddPlain("app-1");
+  limited.Faults().request_limit = "0.5";
+  StartRouters(2);
+  auto& tracker = harness_.Kernel().Find<limit_tracker>("limits");
+  auto& other = others_.front()->services.Find<limit_tracker>("limits");
+  const auto* entry = harness_.Directory().Endpoints().ListReady("app").front();
+  const limited_endpoint endpoint{EndpointKey(entry->name), entry->started_ms};
+  calls_.push_back(harness_.Send("GET", "/pages/1", "a1"));
+  FinishCalls();
+  ASSERT_TRUE(RunUntil([&] { return tracker.IsLimited(endpoint) && other.IsLimited(endpoint); }));
+  const auto is_granted = [&](limit_tracker& asker, kernel& services) {
+    std::optional<permit_result> result;
+    asio::co_spawn(
+        services.Context(), [&]() -> task<> { result = co_await asker.Acquire(endpoint, milliseconds(0)); },
+        asio::detached);
+    EXPECT_TRUE(RunUntil([&result] { return result.has_value(); }));
+    return result && result->permit.has_value();
+  };
+  RunFor(milliseconds(2'500));
+  ASSERT_TRUE(is_granted(tracker, harness_.Kernel()));  // the next one may be sent after 2 s
+  RunFor(milliseconds(2'100));
+  tracker.Charge(endpoint);
+  tracker.Charge(endpoint);
+  RunFor(milliseconds(50));
+  // Without the charges, both routers would get a permit at once.
+  EXPECT_FALSE(is_granted(other, others_.front()->services));
+  EXPECT_FALSE(is_granted(tracker, harness_.Kernel()));
+}
+
 // Second attempts are requests too.
 TEST_F(endpoint_limit_test, EndpointsThatStateLimits_AndFailEveryCall_GetNoMoreWithTheRetries) {
   fake_replica& first = AddPlain("app-1");
--- a/tests/request_limits_test.cpp
+++ b/tests/request_limits_test.cpp
@@ -141,6 +141,20 @@
   }
 }
 
+// What the agent sends without waiting (exclusive_limit::Charge) must delay its next requests. Nothing failed when the
+// body of permit_schedule::Charge was empty.
+TEST_F(permit_schedule_test, RequestsSentWithoutWaiting_DelayTheNextOnes) {
+  exclusive_limit limit(settings_);
+  limit.RecordStatement({5, At(0), At(0)});
+  ASSERT_TRUE(limit.Take(microseconds(0), At(10)).granted);
+  for (int i = 0; i < 4; ++i) {
+    limit.Charge(At(10));
+  }
+  // Five requests at 5 per second, of which 250 ms are made up.
+  EXPECT_EQ(limit.Take(microseconds(0), At(10)), (permit_slot{false, milliseconds(750)}));
+  EXPECT_EQ(limit.PredictWait(At(10)), milliseconds(750));
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 3. home routers and permits
 // ---------------------------------------------------------------------------------------------------------------------
