Make the model test of routers that start together fail without its fix

With 4 times the limit asked for, the requests of the short time in which each router was home router stayed within the bound.

--- a/tests/account_limits_test.cpp
+++ b/tests/account_limits_test.cpp
@@ -756,7 +756,14 @@
 // Each of several routers that start together was home router of all accounts for a moment, with a bucket of its own.
 TEST_F(account_model_test, RoutersThatStartTogether_KeepTheLimitsAndUseThemSoon) {
   for (unsigned seed = 1; seed <= 10; ++seed) {
-    account_model model({.routers = 24, .demand = 4, .seconds = 12, .loss = 0.01, .cold_start = true, .seed = seed});
+    account_model model({.routers = 24,
+                         .accounts = 3,
+                         .busy_accounts = 3,
+                         .demand = 30,
+                         .seconds = 12,
+                         .loss = 0.01,
+                         .cold_start = true,
+                         .seed = seed});
     model.Run();
     EXPECT_LE(model.WorstUse(), 1) << "seed " << seed;
     EXPECT_GE(model.LeastUse(5, 12), kWantedUse) << "seed " << seed;
