--- a/tests/placement_queue_test.cpp
+++ b/tests/placement_queue_test.cpp
@@ -171,7 +171,7 @@
     std::map<std::uint32_t, int> started;
     int id = 0;
     for (int second = 0; second < seconds; ++second) {
-      const std::int64_t now = second * 1'000;
+      const std::int64_t now = std::int64_t{second} * 1'000;
       queue_.TakeExpired(At(now));
       for (int i = 0; i < 4; ++i) {
         queue_.Add(make(++id, now), At(now));
@@ -252,7 +252,7 @@
   std::map<std::string, int> started;
   int id = 0;
   for (int second = 0; second < 400; ++second) {
-    const std::int64_t now = second * 1'000;
+    const std::int64_t now = std::int64_t{second} * 1'000;
     queue_.TakeExpired(At(now));
     for (int i = 0; i < 4; ++i) {
       const bool is_last = i == 0;
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -242,6 +242,21 @@
   EXPECT_EQ(FindHeader(decode.headers, "Persimmonchute-Kv-Hold"), "r");
 }
 
+// Guards against callers that set their own priority at the engines, and engines that get one where none is in use.
+TEST(request_priority_test, RequestToAnEngine_HasThePriorityOfTheRouterAlone) {
+  constexpr const char* kHeader = "Persimmonchute-Request-Priority";
+  http_request request;
+  request.headers = {{kHeader, "0"}};
+  const http_request forwarded = MakeForwardedRequest(request);
+  const endpoint_name engine{"i-1"};
+  decode_terms terms;
+  EXPECT_EQ(FindHeader(MakePrefillRequest(forwarded, engine, milliseconds(500)).headers, kHeader), "");
+  EXPECT_EQ(FindHeader(MakeDecodeRequest(forwarded, engine, milliseconds(500), terms).headers, kHeader), "");
+  terms.priority = 9;
+  EXPECT_EQ(FindHeader(MakePrefillRequest(forwarded, engine, milliseconds(500), 4).headers, kHeader), "4");
+  EXPECT_EQ(FindHeader(MakeDecodeRequest(forwarded, engine, milliseconds(500), terms).headers, kHeader), "9");
+}
+
 // A time in another form, or one that no endpoint means, must not close it for good.
 TEST(response_headers_test, RetryAfter_InSecondsWith503_ClosesTheEndpoint_OtherFormsDoNot) {
   const auto closed_for = [](int status, const std::string& value) {
