Let the router with agents keep account limits with the same class

account_guard had its own bookkeeping of questions to home routers and their expiry. It now uses account_limits with settings that keep its loans as they were.

No test had run an account with a limit through routers with agents; the new one in router_test does (2 routers, 12 requests). It and Completion_WhenDecodeVmIsKilled of router_test pass, and the 12 tests of one router of account_limits_test.

--- a/include/persimmon/account_limits.h
+++ b/include/persimmon/account_limits.h
@@ -60,6 +60,9 @@
 // Settings of routers without agents.
 account_limit_settings DirectAccountSettings();
 
+// Settings of routers with agents: loans for the demand of half a second, over channels that lose no messages.
+account_limit_settings AgentAccountSettings(milliseconds answer_time);
+
 // Hash key of the account, for limit_members.
 std::uint64_t AccountKey(const account_name& account);
 
--- a/src/decisions/account_limits.cpp
+++ b/src/decisions/account_limits.cpp
@@ -31,6 +31,16 @@
   return settings;
 }
 
+account_limit_settings AgentAccountSettings(milliseconds answer_time) {
+  account_limit_settings settings;
+  settings.answer_time = answer_time;
+  settings.max_asks = 1;
+  settings.silent_time = milliseconds(0);
+  settings.misdirected_time = milliseconds(0);
+  settings.max_local_retry = milliseconds(86'400'000);
+  return settings;
+}
+
 std::uint64_t AccountKey(const account_name& account) { return XXH64(account.value.data(), account.value.size(), 0); }
 
 double OwnAccountShare(const limit_members& members, const account_name& account,
--- a/src/router/guards.cpp
+++ b/src/router/guards.cpp
@@ -39,7 +39,9 @@
 // ---------------------------------------------------------------------------------------------------------------------
 
 account_guard::account_guard(kernel& services, const router_settings& settings)
-    : kernel_(services), settings_(settings) {}
+    : kernel_(services),
+      settings_(settings),
+      limits_(settings.name, AgentAccountSettings(kLoanTimeout), RandomNumber() >> 1U) {}
 
 void account_guard::Start() {
   kernel_.Find<config_store>("config").Subscribe(
@@ -48,8 +50,7 @@
       [this](const channel_ptr& from, const message& value) { HandleMessage(from, value); });
   expiry_timer_ = kernel_.Timers().SubscribeEvery(kExpiryPeriod, 0, [this] {
     ExpireLoans();
-    lender_.ExpireBuckets(timer_service::Now());
-    table_.ExpireAccounts(timer_service::Now());
+    limits_.Expire([](const account_name&) { return 1.0; }, timer_service::Now());
   });
 }
 
@@ -89,12 +90,13 @@
   return admitted_account{record, std::make_shared<in_progress_guard>(count)};
 }
 
-router_name account_guard::FindHomeRouter(const account_name& account) const {
+account_home account_guard::FindHome(const account_name& account) const {
   std::vector<router_name> routers;
   for (const std::string& name : kernel_.Find<peer_directory>("peers").KnownRouters()) {
     routers.push_back(router_name{name});
   }
-  return HomeRouter(account, routers).value_or(router_name{settings_.name});
+  const std::string home = HomeRouter(account, routers).value_or(router_name{settings_.name}).value;
+  return account_home{home, home == settings_.name ? 1.0 : 0.0, routers.size()};
 }
 
 task<guard_result<void>> account_guard::TakeTokens(account_record account, std::uint64_t amount) {
@@ -103,14 +105,15 @@
   if (limit.tokens_per_second == 0) {
     co_return outcome::success();
   }
-  auto& peers = kernel_.Find<peer_directory>("peers");
+  auto stage = account_limits::take_stage::kFirst;
   while (true) {
     const time_point now = timer_service::Now();
-    const router_name home = FindHomeRouter(account.name);
-    const std::size_t routers = peers.KnownRouters().size();
-    const take_result taken = table_.TakeTokens(account.name, limit, amount, now < end, routers, now);
-    if (taken.borrow > 0) {
-      RequestLoan(account, home, taken);
+    if (now >= end) {
+      stage = account_limits::take_stage::kLast;
+    }
+    const account_take taken = limits_.Take(account.name, limit, amount, FindHome(account.name), stage, now);
+    if (taken.request) {
+      RequestLoan(*taken.request);
     }
     if (taken.verdict == take_verdict::kTaken) {
       co_return outcome::success();
@@ -123,24 +126,15 @@
       co_return refusal{refusal_code::kAccountLimit, outcome_kind::kNotRun, "The account is at its limit.",
                         std::max(taken.retry_in, milliseconds(1))};
     }
-    if (taken.borrow == 0 || home.value != settings_.name) {
-      co_await kernel_.Timers().Sleep(kLoanPollPeriod);
-    }
+    stage = account_limits::take_stage::kRetry;
+    co_await kernel_.Timers().Sleep(kLoanPollPeriod);
   }
 }
 
-void account_guard::RequestLoan(const account_record& account, const router_name& home, const take_result& need) {
-  const time_point now = timer_service::Now();
-  if (home.value == settings_.name) {
-    const loan granted = lender_.LendTokens(account.name, MakeAccountLimit(account), need.borrow, now);
-    table_.RecordLoan(account.name, need.sequence, granted, now);
-    return;
-  }
-  pending_loans_[account.name] = {need.sequence, now};
-  const lend_tokens loan_request{account.name, need.sequence, need.borrow};
-  if (!kernel_.Find<peer_directory>("peers").Send(home.value, loan_request)) {
-    pending_loans_.erase(account.name);
-    table_.RecordLoanFailure(account.name, need.sequence);
+void account_guard::RequestLoan(const loan_request& request) {
+  const lend_tokens asked{request.account, request.sequence, request.amount};
+  if (!kernel_.Find<peer_directory>("peers").Send(request.home, asked)) {
+    limits_.RecordFailure(request.account, request.sequence);
   }
 }
 
@@ -148,38 +142,23 @@
   const time_point now = timer_service::Now();
   if (const auto* lend = std::get_if<lend_tokens>(&value)) {
     const auto account = by_name_.find(lend->account);
-    loan granted;
-    if (account != by_name_.end()) {
-      granted = lender_.LendTokens(lend->account, MakeAccountLimit(account->second), lend->amount, now);
-    }
+    const auto limit = account == by_name_.end() ? std::nullopt : std::optional(MakeAccountLimit(account->second));
+    const loan granted = limits_.Lend(from->Peer().name, lend->account, limit, lend->sequence, lend->amount, 1, now);
     from->Send(tokens_lent{lend->account, lend->sequence, granted.amount,
                            static_cast<std::uint32_t>(std::min<std::int64_t>(granted.retry_in.count(), UINT32_MAX))});
   } else if (const auto* lent = std::get_if<tokens_lent>(&value)) {
-    const auto found = pending_loans_.find(lent->account);
-    if (found == pending_loans_.end() || found->second.sequence != lent->sequence) {
-      return;
-    }
-    pending_loans_.erase(found);
-    table_.RecordLoan(lent->account, lent->sequence, loan{lent->amount, milliseconds(lent->retry_in_ms)}, now);
+    limits_.RecordLoan(lent->account, lent->sequence, loan{lent->amount, milliseconds(lent->retry_in_ms)}, now);
   }
 }
 
 void account_guard::ExpireLoans() {
-  const time_point now = timer_service::Now();
-  for (auto item = pending_loans_.begin(); item != pending_loans_.end();) {
-    if (now - item->second.requested_at > kLoanTimeout) {
-      table_.RecordLoanFailure(item->first, item->second.sequence);
-      item = pending_loans_.erase(item);
-    } else {
-      ++item;
-    }
-  }
+  limits_.TakeOverdue(timer_service::Now());  // a channel does not lose messages, so none is repeated
 }
 
 void account_guard::ReturnTokens(const account_name& account, std::uint64_t amount) {
   const auto found = by_name_.find(account);
   if (found != by_name_.end() && found->second.tokens_per_second != 0) {
-    table_.ReturnTokens(account, amount, timer_service::Now());
+    limits_.Return(account, amount, FindHome(account), timer_service::Now());
   }
 }
 
--- a/src/router/guards.h
+++ b/src/router/guards.h
@@ -16,7 +16,7 @@
 #include "core/kernel.h"
 #include "core/mailbox.h"
 #include "net/part_board.h"
-#include "persimmon/limits.h"
+#include "persimmon/account_limits.h"
 #include "persimmon/suspects.h"
 #include "router/caller_api.h"
 #include "router/endpoint_directory.h"
@@ -74,25 +74,18 @@
   void ReturnTokens(const account_name& account, std::uint64_t amount);
 
  private:
-  struct pending_loan {
-    std::uint64_t sequence = 0;
-    time_point requested_at;
-  };
-
   void ApplyConfiguration(const configuration& config);
-  void RequestLoan(const account_record& account, const router_name& home, const take_result& need);
+  void RequestLoan(const loan_request& request);
   void HandleMessage(const channel_ptr& from, const message& value);
   void ExpireLoans();
-  router_name FindHomeRouter(const account_name& account) const;
+  account_home FindHome(const account_name& account) const;
 
   kernel& kernel_;
   const router_settings& settings_;
-  token_lender lender_{limit_settings{}};
-  account_token_table table_{limit_settings{}};
+  account_limits limits_;
   std::unordered_map<std::string, account_record> by_key_hash_;
   std::unordered_map<account_name, account_record> by_name_;
   std::unordered_map<account_name, std::shared_ptr<std::uint32_t>> in_progress_;
-  std::unordered_map<account_name, pending_loan> pending_loans_;
   timer_subscription expiry_timer_;
 };
 
--- a/tests/account_limits_test.cpp
+++ b/tests/account_limits_test.cpp
@@ -175,6 +175,39 @@
   EXPECT_EQ(home_.BucketCount(), 0U);
 }
 
+// Routers with agents use the same class with loans for half a second of demand.
+TEST_F(account_limits_test, AgentSettings_LendByDemandAndDoNotRepeatMessages) {
+  account_limits borrower("self", AgentAccountSettings(milliseconds(250)), 1);
+  account_limits home("home", AgentAccountSettings(milliseconds(250)), 1);
+  const account_home at_home{"home", 0, 2};
+  std::uint64_t spent = 0;
+  std::size_t messages = 0;
+  for (int i = 0; i < 400; ++i) {
+    const time_point now = At(i / 100.0);
+    for (const take_stage stage : {take_stage::kFirst, take_stage::kRetry}) {
+      const account_take taken = borrower.Take(account_, limit_, 1'000, at_home, stage, now);
+      if (taken.request) {
+        ++messages;
+        const loan lent = home.Lend("self", account_, limit_, taken.request->sequence, taken.request->amount, 1, now);
+        EXPECT_TRUE(borrower.RecordLoan(account_, taken.request->sequence, lent, now));
+      }
+      if (taken.verdict != take_verdict::kBorrow) {
+        spent += taken.verdict == take_verdict::kTaken ? 1'000 : 0;
+        break;
+      }
+    }
+  }
+  // 95% of the limit can be lent, and the bucket is half full at first.
+  EXPECT_LE(spent, 0.95 * 47'000 * 4.5);
+  EXPECT_GE(spent, 0.8 * 47'000 * 4);
+  EXPECT_LE(messages, 100U);
+  borrower.Take(account_, limit_, 40'000, at_home, take_stage::kFirst, At(20));
+  EXPECT_TRUE(borrower.TakeOverdue(At(20.2)).failed.empty());
+  const auto overdue = borrower.TakeOverdue(At(20.3));
+  EXPECT_TRUE(overdue.repeated.empty());
+  EXPECT_EQ(overdue.failed.size(), 1U);
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 2. model of a group of routers
 // ---------------------------------------------------------------------------------------------------------------------
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -124,6 +124,31 @@
   deployment deployment_;
 };
 
+// Guards against routers that each grant the whole limit of an account: one of them borrows from the other.
+TEST_F(router_test, Account_AtItsLimit_IsRefusedAtBothRouters) {
+  deployment_.AddRecord("account",
+                        {{"kind", "account"},
+                         {"name", "test-account"},
+                         {"schema", 2},
+                         {"api_key_sha256", kApiKeyHash},
+                         {"limits", {{"tokens_per_second", 10}, {"burst_tokens", 200}, {"connections", 0}}}});
+  StartDeployment(1, 1, 0, 2);
+  const auto begin = steady_clock::now();
+  int complete[] = {0, 0};
+  int refused[] = {0, 0};
+  for (int i = 0; i < 12; ++i) {
+    const streamed_answer answer = Complete(HttpPort(static_cast<std::size_t>(i % 2)), "a question", 40);
+    complete[i % 2] += answer.complete ? 1 : 0;
+    refused[i % 2] += answer.error_code == "account_limit" ? 1 : 0;
+  }
+  const double seconds = std::chrono::duration<double>(steady_clock::now() - begin).count();
+  EXPECT_EQ(complete[0] + complete[1] + refused[0] + refused[1], 12);
+  EXPECT_GE(complete[0] + complete[1], 2);
+  EXPECT_GE(refused[0], 1);
+  EXPECT_GE(refused[1], 1);
+  EXPECT_LE(40 * (complete[0] + complete[1]), 200 + 10 * (seconds + 1));
+}
+
 // Guards against a gap, a repeated token or a false end in a stream whose endpoint was lost (G2, G3).
 TEST_F(router_test, Completion_WhenDecodeVmIsKilled_ContinuesElsewhereWithoutGap) {
   StartDeployment(2, 2, 0, 1);
