--- a/tests/support/router_harness.h
+++ b/tests/support/router_harness.h
@@ -77,17 +77,16 @@
   const json engine = {{"slots", 16},          {"kv_capacity_tokens", options.memory_tokens},
                        {"stride", 10},         {"handle_ttl_s", 0.5},
                        {"role_switch_s", 0.1}, {"hold_ms", options.hold_ms}};
-  json state = {
-      {"version", options.version},
-      {"routes", routes},
-      {"services",
-       {{{"name", "app"}, {"health_path", "/health"}, {"max_conns", 100}},
-        {{"name", "llm"}, {"health_path", "/health"}, {"max_conns", 100}, {"engine", engine}}}},
-      {"limits",
-       {{"max_header_bytes", 8'192},
-        {"max_body_bytes", 100'000},
-        {"header_timeout_ms", 3'000},
-        {"idle_timeout_ms", 15'000}}}};
+  json state = {{"version", options.version},
+                {"routes", routes},
+                {"services",
+                 {{{"name", "app"}, {"health_path", "/health"}, {"max_conns", 100}},
+                  {{"name", "llm"}, {"health_path", "/health"}, {"max_conns", 100}, {"engine", engine}}}},
+                {"limits",
+                 {{"max_header_bytes", 8'192},
+                  {"max_body_bytes", 100'000},
+                  {"header_timeout_ms", 3'000},
+                  {"idle_timeout_ms", 15'000}}}};
   if (!options.tenants.is_null()) {
     json open = route("/open/", "idempotent", "app", false, options.attempts);
     open["anonymous"] = true;
