--- a/src/direct/direct_settings.h
+++ b/src/direct/direct_settings.h
@@ -59,7 +59,7 @@
   // Only with the adaptive policy: less urgent requests leave as much decode memory and prefill backlog free as more
   // urgent ones use in this time; 0: none. In simulated bursts, 2 s served 94% of the urgent requests in time, 0.5 s
   // 91% and 0 s 86%.
-  milliseconds urgent_reserve = milliseconds(2'000);
+  milliseconds urgent_reserve = milliseconds(500);
   // Only with the adaptive policy: time over which it is measured how often levels of urgency and accounts are served.
   milliseconds share_window = milliseconds(10'000);
   // Only with the adaptive policy: refuse a request at once if its predicted wait is longer than it may wait.
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -36,6 +36,9 @@
 // A request with at least this fraction of the route's largest time budget counts as a first attempt. First attempts
 // have 12 to 14 s.
 constexpr double kFirstAttemptBudgetShare = 0.85;
+// Of the time that a caller has left. A late request that is refused then can still come back and be served; one that
+// waits longer uses up the time of its caller while requests in time go first.
+constexpr double kMaxLateWaitShare = 0.4;
 constexpr milliseconds kReportTimeout(400);  // of a request for the report of an engine
 // Pause of an engine that executes an order; afterwards the router requests its report again.
 constexpr milliseconds kBusyPause(1'000);
@@ -181,6 +184,10 @@
   // The caller of a broken stream measures its wait for the next event from the last event, so late_wait starts again.
   const time_point wait_start = is_resumed ? now : call.Arrival();
   request.expiry = std::min(wait_start + late_wait, call.Deadline() - kMinTimeLeft);
+  if (endpoint_tracker_->UsesAdaptivePolicy(call.Service().name) && !is_resumed) {
+    const auto longest = std::chrono::duration_cast<milliseconds>(call.TimeLeft(now) * kMaxLateWaitShare);
+    request.expiry = std::min(request.expiry, std::max(now + longest, request.latest_start));
+  }
   return request;
 }
 
--- a/tests/support/engine_model.h
+++ b/tests/support/engine_model.h
@@ -85,7 +85,7 @@
   // Of the policy kAdmissionOrder.
   bool refuses_at_once = true;
   bool schedules_returns = true;
-  std::int64_t urgent_reserve_ms = 2'000;  // use of more urgent requests for which room is kept; 0: none
+  std::int64_t urgent_reserve_ms = 500;  // use of more urgent requests for which room is kept; 0: none
 };
 
 enum class placement_policy : std::uint8_t {
