Export the desired state in a turn of its own

Change: the export is made in a later turn of the event loop. platform_adapter_test 33 of 33, caller_accounts_test 31 of 31.

--- a/src/direct/directory.cpp
+++ b/src/direct/directory.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
 #include "core/event_log.h"
@@ -188,8 +189,8 @@
 
 void deployment_directory::ApplyDesiredState(const table_row& row) {
   finding_list findings;
-  std::string exported;
-  auto parsed = platform::ParseDesiredState(row.value, findings, &exported);
+  platform::state_exporter exporter;
+  auto parsed = platform::ParseDesiredState(row.value, findings, &exporter);
   for (std::size_t i = 0; i < findings.size() && i < kMaxLoggedFindings; ++i) {
     Events().Line(kComponent, "finding").Add("place", findings[i].place).Add("message", findings[i].message);
   }
@@ -205,7 +206,10 @@
     return;
   }
   routes_ = std::make_shared<const routing_table>(std::move(parsed.value()));
-  desired_text_ = std::move(exported);
+  exporter_ = std::move(exporter);
+  // With thousands of routes and a small share of a processor, parsing and exporting take 100 ms each. Streams may
+  // pause for one of them, but not for both.
+  asio::post(kernel_.Context(), [this] { MakeExport(); });
   Events()
       .Line(kComponent, "revision_in_force")
       .Add("revision", routes_->Revision())
@@ -294,7 +298,14 @@
   }
 }
 
-std::string deployment_directory::ExportState() const {
+void deployment_directory::MakeExport() {
+  if (exporter_) {
+    desired_text_ = std::exchange(exporter_, nullptr)();
+  }
+}
+
+std::string deployment_directory::ExportState() {
+  MakeExport();
   return json{{"desired_state", desired_text_}, {"endpoints", endpoint_texts_}}.dump(-1, ' ', false,
                                                                                      json::error_handler_t::replace);
 }
--- a/src/direct/directory.h
+++ b/src/direct/directory.h
@@ -15,6 +15,7 @@
 #include "direct/direct_settings.h"
 #include "persimmon/endpoint_registry.h"
 #include "persimmon/routes.h"
+#include "platform/records.h"
 #include "platform/table_client.h"
 
 namespace persimmon {
@@ -49,10 +50,11 @@
 
   // Serialize and restore the state as JSON, for a router that starts while the store is unreachable. Errors:
   // kProtocol.
-  std::string ExportState() const;
+  std::string ExportState();
   result<void> ImportState(const std::string& text);
 
  private:
+  void MakeExport();
   struct feed_state {
     bool is_unreachable = false;
     time_point unreachable_since;
@@ -87,6 +89,7 @@
   std::shared_ptr<const routing_table> routes_ = std::make_shared<routing_table>();
   endpoint_registry registry_;
   std::string desired_text_;  // JSON of the active desired state with hashes in place of API keys, for ExportState
+  platform::state_exporter exporter_;                  // makes desired_text_; empty once it has been made
   std::map<std::string, std::string> endpoint_texts_;  // JSON entry by endpoint name, for ExportState
   std::array<feed_state, 2> feeds_;
   std::vector<std::function<void()>> listeners_;
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -168,9 +168,9 @@
 // The text that a router sends to others for this desired state.
 std::string Export(const json& state) {
   finding_list findings;
-  std::string exported;
-  EXPECT_TRUE(ParseDesiredState(state.dump(), findings, &exported));
-  return exported;
+  state_exporter exporter;
+  EXPECT_TRUE(ParseDesiredState(state.dump(), findings, &exporter));
+  return exporter();
 }
 
 TEST(accounts_test, StateWithoutAccounts_HasNone) {
@@ -305,8 +305,9 @@
   json state = MakeState();
   state["tenants"] = json::array({account, *any_value});
   finding_list findings;
-  std::string exported;
-  RC_ASSERT(ParseDesiredState(state.dump(), findings, &exported).has_value());
+  state_exporter exporter;
+  RC_ASSERT(ParseDesiredState(state.dump(), findings, &exporter).has_value());
+  const std::string exported = exporter();
   RC_ASSERT(exported.find("key-1") == std::string::npos || account["name"] == "key-1" || account["unit"] == "key-1");
 }
 
