--- a/src/direct/plain_attempts.h
+++ b/src/direct/plain_attempts.h
@@ -104,7 +104,7 @@
   }
 
   // Waits until an endpoint of the service has room for the call; see call_gate::Enter.
-  task<std::optional<call_refusal>> AwaitRoom(direct_call_ptr call) {
+  task<std::optional<call_refusal>> AwaitRoom(const direct_call_ptr& call) {
     return gate_.Enter(call, Estimates(call->Service().name).ResponseTime(0.5));
   }
 
