--- a/tests/caller_accounts_test.cpp
+++ b/tests/caller_accounts_test.cpp
@@ -306,7 +306,7 @@
   ASSERT_TRUE(harness_.RunUntil([&] { return !Reached().empty(); }));
   ApplyAccounts(json::array());
   ASSERT_TRUE(harness_.Finish(call));
-  EXPECT_EQ(call->Status(), 502);
+  EXPECT_EQ(call->Status(), 504);  // the first attempt goes on until the deadline and may have run
   EXPECT_EQ(Reached().size(), 1U);
 }
 
@@ -361,6 +361,7 @@
   }
   const std::size_t reached_before = Reached().size();
   std::vector<caller_exchange_ptr> calls;
+  calls.reserve(4);
   for (int i = 0; i < 4; ++i) {
     calls.push_back(harness_.Send("GET", "/pages/1", "a" + std::to_string(i), Key("key-a1")));
   }
