Return the amount of requests that endpoints have rejected

Cause: an amount was returned only if no endpoint had received the request, so an account paid for requests that endpoints rejected. A refusal states that the request has not run. Change: refused requests use nothing.

--- a/include/persimmon/account_limits.h
+++ b/include/persimmon/account_limits.h
@@ -124,7 +124,7 @@
   account_take Take(const account_name& account, const account_limit& limit, std::uint64_t amount,
                     const account_home& home, take_stage stage, time_point now);
 
-  // Returns tokens of a request that was not sent to any endpoint. The result is to be sent to the home router, as
+  // Returns tokens of a request that has not run at any endpoint. The result is to be sent to the home router, as
   // return_tokens.
   std::optional<loan_request> Return(const account_name& account, std::uint64_t amount, const account_home& home,
                                      time_point now);
--- a/src/direct/account_tracker.h
+++ b/src/direct/account_tracker.h
@@ -2,7 +2,7 @@
 // the kernel.
 //
 // A router borrows tokens from the home router of the account by datagrams: lend_tokens and its answer, tokens_lent. A
-// lost one is repeated once. Tokens of requests that were not sent go back as return_tokens.
+// lost one is repeated once. Tokens of requests that have not run go back as return_tokens.
 #pragma once
 
 #include <cstdint>
@@ -45,7 +45,7 @@
   // know the account.
   task<usage_grant> Take(account_name account, account_limit limit, std::uint64_t amount);
 
-  // Returns the amount of a request that was certainly not sent to any endpoint.
+  // Returns the amount of a request that has certainly not run at any endpoint.
   void Return(const account_name& account, std::uint64_t amount);
 
  private:
--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -272,7 +272,8 @@
     co_return co_await call->Refuse(std::move(refusal));
   }
   const call_outcome outcome = co_await Serve(call);
-  if (!call->was_sent) {
+  // A refusal states that no endpoint has run the request, although some may have received and rejected it.
+  if (!call->was_sent || outcome == call_outcome::kRefused) {
     accounts_->Return(name, amount);
   }
   co_return outcome;
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -687,7 +687,7 @@
   }
 };
 
-// Returns tokens of requests that were not sent to any endpoint to the home router of the account. Not answered: if the
+// Returns tokens of requests that have not run at any endpoint to the home router of the account. Not answered: if the
 // datagram is lost, so are the tokens.
 struct return_tokens {
   account_name account;
--- a/tests/caller_accounts_test.cpp
+++ b/tests/caller_accounts_test.cpp
@@ -663,6 +663,16 @@
   EXPECT_EQ(FinishedCall("/pages/1", "b1", Key("key-b"))->Status(), 200) << "another account is not limited";
 }
 
+// Endpoints that reject requests must not use up the limit of the account: nothing has run.
+TEST_F(limited_account_test, RequestsThatEndpointsReject_UseNothing) {
+  for (fake_replica* replica : plain_) {
+    replica->Faults().full = true;
+  }
+  for (int i = 0; i < 5 * kBurst; ++i) {
+    EXPECT_EQ(FinishedCall("/pages/1", "a" + std::to_string(i), Key("key-a1"))->Status(), 503);
+  }
+}
+
 // A request that no endpoint has received must not use up the limit.
 TEST_F(limited_account_test, RequestsThatAreNotSent_UseNothing) {
   for (fake_replica* replica : plain_) {
