--- a/review/standins.py
+++ b/review/standins.py
@@ -277,19 +277,20 @@
 class Router:
     """A process of the program, started with the command of deploy/system.toml in the repository's root."""
 
-    def __init__(self, record, store, index=1, before_start=None, memory_mb=110, max_fds=4100, bounds=None):
+    def __init__(self, record, store, index=1, before_start=None, memory_mb=110, max_fds=4100, bounds=None,
+                 host="127.0.0.1", ports=None, seeds=()):
         program = ROOT / "target/bin/persimmon-router"
         if not program.exists():
             raise CannotRun(f"{program} is missing; build the deploy file first")
         self.record, self.before_start = record, before_start
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
-        front, ready, control, internal = free_ports(4)
-        self.front, self.ready, self.control = front, ready, control
+        front, ready, control, internal = ports or free_ports(4)
+        self.host, self.front, self.ready, self.control = host, front, ready, control
         lines = {"node_name": f"front-a-{index}", "role": "router", "machine_class": "front", "serves": "front,control",
-                 "ip": "127.0.0.1", "zone": "zone-a", "region": "region", "zones.zone-a": "region",
-                 "listen.front": f"127.0.0.1:{front}", "listen.ready": f"127.0.0.1:{ready}",
-                 "listen.control": f"127.0.0.1:{control}", "internal_ports": f"{internal},{internal}",
-                 "seeds": f"127.0.0.1:{control}", "bootstrap": "true", "limits.cores": 1,
+                 "ip": host, "zone": "zone-a", "region": "region", "zones.zone-a": "region",
+                 "listen.front": f"{host}:{front}", "listen.ready": f"{host}:{ready}",
+                 "listen.control": f"{host}:{control}", "internal_ports": f"{internal},{internal}",
+                 "seeds": ",".join(f"{seed}:{control}" for seed in seeds or (host,)), "bootstrap": "true", "limits.cores": 1,
                  "limits.memory_mb": memory_mb, "limits.max_fds": max_fds, "discovery": "platform", "entry": "vip",
                  "heartbeat_ms": 1200, "platform.address": store.address, "platform.form": "table"}
         lines.update({f"bounds.{name}": value for name, value in {**BOUNDS, **(bounds or {})}.items()})
@@ -305,7 +306,7 @@
             ["target/bin/persimmon-router", "--config", "config/platform/router.ini"], cwd=ROOT, stdout=self.output,
             stderr=self.output, preexec_fn=self.before_start,
             env={"PATH": os.environ["PATH"], "PERSIMMONCHUTE_SETTINGS": str(self.settings)})
-        self.record.write(f"router started, pid {self.child.pid}, clients at 127.0.0.1:{self.front}")
+        self.record.write(f"router started, pid {self.child.pid}, clients at {self.host}:{self.front}")
 
     def is_running(self):
         return self.child is not None and self.child.poll() is None
@@ -320,7 +321,7 @@
 
     async def is_ready(self):
         try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.ready)
+            reader, writer = await asyncio.open_connection(self.host, self.ready)
             writer.write(encode("GET /readiness HTTP/1.1", [("Host", "ready")]))
             message = await asyncio.wait_for(read_message(reader, True), 1)
             writer.close()
@@ -344,9 +345,9 @@
                 self.child.kill()
             self.child.wait()
             self.output.close()
-        keep = os.environ.get("KEEP_LOGS")
-        if keep:
-            shutil.copy(self.folder / "router.log", keep)
+        keep = os.environ.get("KEEP_LOGS")  # an existing folder for the routers' logs
+        if keep and self.child is not None:
+            shutil.copy(self.folder / "router.log", Path(keep) / f"{self.lines['node_name']}.log")
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
@@ -371,7 +372,7 @@
         """Returns the response; raises OSError, IncompleteReadError or TimeoutError if there is no whole one."""
         if self.writer is None:
             self.reader, self.writer = await asyncio.wait_for(
-                asyncio.open_connection("127.0.0.1", self.router.front, limit=1 << 20), 1)
+                asyncio.open_connection(self.router.host, self.router.front, limit=1 << 20), 1)
         self.writer.write(encode(f"{method} {path} HTTP/1.1", request_headers(attempt, deadline_ms, **more),
                                  body if body is not None or method == "GET" else b""))
         response = await asyncio.wait_for(read_message(self.reader, True), seconds)
