Bound the memory of request bodies over all connections

Cause: only max_body_bytes per request and the number of connections were limited, and each body existed up to three times during its call.

Change: bodies are immutable and shared by all requests that are made from them. The bodies of all connections get 30% of limits.memory_mb; a body takes its whole amount before it is read, in the order of arrival, and reading from its connection stops meanwhile. Bodies up to 64 KiB have a quarter of the amount for themselves. The read timeout starts anew with the grant; without a grant within one read timeout the request is refused with 503 and Retry-After, which is true: nothing has run.

Why it works: no half-read body waits for another one, so each grant ends within the read timeout and the time of the call.

--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -27,6 +27,9 @@
 constexpr milliseconds kFirstEventTime(700);  // 90th percentile of the time to the first event outside bursts
 constexpr int kTooManyRequests = 429;
 constexpr double kStreamMargin = 1.25;  // multiplier for the expected duration, for responses longer than estimated
+// Of the memory of the process, for the bodies of requests. The rest holds the state of the deployment, responses and
+// what the allocator cannot reuse.
+constexpr double kBodyMemoryShare = 0.3;
 // From callers; leaves file descriptors for endpoints if the process may open 4,100.
 constexpr std::size_t kMaxConnections = 3'000;
 
@@ -50,8 +53,7 @@
   group.on_change = [this] { generation_calls_->DispatchAll(); };
   const auto& deployment = settings_.deployment;
   const auto start_server = [this](const host_port& address, auto handler) {
-    http_limits limits;
-    limits.connections = kMaxConnections;
+    http_limits limits = BaseLimits();
     auto server = std::make_unique<http_server>(kernel_.Context(), address, limits, handler);
     if (auto started = server->Start(); !started) {
       AbortProgram(started.error().message);
@@ -121,14 +123,23 @@
   });
 }
 
+// Limits that the settings of the process decide.
+http_limits ingress::BaseLimits() const {
+  http_limits limits;
+  limits.connections = kMaxConnections;
+  if (const auto memory = settings_.deployment.memory_bytes) {
+    limits.body_memory_bytes = static_cast<std::size_t>(kBodyMemoryShare * static_cast<double>(*memory));
+  }
+  return limits;
+}
+
 void ingress::ApplyLimits() {
   const caller_limits& configured = directory_->Routes()->Limits();
-  http_limits limits;
+  http_limits limits = BaseLimits();
   limits.header_bytes = configured.header_bytes;
   limits.body_bytes = configured.body_bytes;
   limits.read_timeout = configured.header_timeout;
   limits.idle_timeout = configured.idle_timeout;
-  limits.connections = kMaxConnections;
   caller_server_->SetLimits(limits);
 }
 
@@ -154,6 +165,10 @@
         .Set(static_cast<double>(caller_server_->RequestsInProgress()));
     metrics_->AddGauge("persimmon_waiting_requests", "Model requests that wait for a reservation.")
         .Set(static_cast<double>(generation_calls_->WaitingCount()));
+    metrics_->AddGauge("persimmon_body_memory_bytes", "Memory of the bodies of requests in progress.")
+        .Set(static_cast<double>(caller_server_->BodyMemoryInUse()));
+    metrics_->AddGauge("persimmon_waiting_bodies", "Requests whose body waits for memory.")
+        .Set(static_cast<double>(caller_server_->WaitingBodies()));
     metrics_->AddGauge("persimmon_dropped_log_lines", "Log lines dropped because of the limits.")
         .Set(static_cast<double>(Events().DroppedLines()));
     response = {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_->RenderText()};
--- a/src/direct/ingress.h
+++ b/src/direct/ingress.h
@@ -40,6 +40,7 @@
   task<> HandleReadiness(std::shared_ptr<http_exchange> exchange);
   task<> DrainRequests(std::function<void()> finished);
   task<> FetchStateFromPeers();
+  http_limits BaseLimits() const;
   void ApplyLimits();
   void AwaitReload();
   bool IsReady() const;
--- a/src/direct/suspect_tracker.cpp
+++ b/src/direct/suspect_tracker.cpp
@@ -56,7 +56,7 @@
 
 fingerprint_number suspect_tracker::Fingerprint(const http_request& request) {
   const std::uint64_t target_hash = XXH64(request.target.data(), request.target.size(), request.method.size());
-  return XXH64(request.body.data(), request.body.size(), target_hash);
+  return XXH64(request.body.Text().data(), request.body.Text().size(), target_hash);
 }
 
 std::optional<milliseconds> suspect_tracker::RemainingRefusal(fingerprint_number fingerprint) const {
--- a/src/fakes/fake_engine.cpp
+++ b/src/fakes/fake_engine.cpp
@@ -351,7 +351,7 @@
   }
 
   task<> ServePrefill(exchange_ptr exchange) {
-    const json input = json::parse(exchange->Request().body);
+    const json input = json::parse(exchange->Request().body.Text());
     if (!HasRole("prefill")) {
       auto refusal = JsonReply(409, {{"error", "wrong_role"}});
       (void)co_await exchange->Respond(std::move(refusal));
@@ -517,7 +517,7 @@
   }
 
   task<> ServeDecode(exchange_ptr exchange) {
-    const json input = json::parse(exchange->Request().body);
+    const json input = json::parse(exchange->Request().body.Text());
     auto source = ParseHostPort(input.at("source").get<std::string>());
     const std::string id = input.at("id").get<std::string>();
     if (!HasRole("decode") || !source || decodes.count(id) != 0) {
@@ -730,13 +730,13 @@
       return ListCacheEvents(target);
     }
     if (request.method == "POST" && target == "/v1/cancel") {
-      return CancelRequest(json::parse(request.body));
+      return CancelRequest(json::parse(request.body.Text()));
     }
     if (request.method == "POST" && target == "/v1/commands") {
-      return ApplyCommand(json::parse(request.body));
+      return ApplyCommand(json::parse(request.body.Text()));
     }
     if (request.method == "POST" && target == "/faults") {
-      return ApplyFaults(json::parse(request.body));
+      return ApplyFaults(json::parse(request.body.Text()));
     }
     if (request.method == "GET" && target == "/arrivals") {
       return JsonReply(200, {{"arrivals_ms", arrivals_ms}});
--- a/src/fakes/fake_platform.cpp
+++ b/src/fakes/fake_platform.cpp
@@ -421,7 +421,7 @@
     }
     if (faults_.late_writes > 0 && request.target == "/rows-tx") {
       --faults_.late_writes;
-      const std::string body = request.body;
+      const std::string body = request.body.Text();
       exchange->AbortStream();
       co_await timers_.Sleep(faults_.write_lag);
       (void)CommitTransaction(body);
@@ -463,16 +463,16 @@
     return ReadRows(target.value().query);
   }
   if (request.method == "POST" && request.target == "/rows-tx") {
-    return CommitTransaction(request.body);
+    return CommitTransaction(request.body.Text());
   }
   if (is_get && request.target == "/vms") {
     return ListVms();
   }
   if (request.method == "PUT" && path.size() == 2 && path[0] == "vms") {
-    return PutVm(path[1], request.body);
+    return PutVm(path[1], request.body.Text());
   }
   if (request.method == "POST" && request.target == "/faults") {
-    return SetFaults(request.body);
+    return SetFaults(request.body.Text());
   }
   if (is_get && request.target == "/counters") {
     return ReportCounters();
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -231,7 +231,7 @@
   } else if (request.target == "/order") {
     response = ApplyOrder(request);
   } else if (request.target == "/faults") {
-    response = SetFaults(request.body);
+    response = SetFaults(request.body.Text());
   } else if (request.target == "/health") {
     response = {200, {{"Persimmonchute-Instance-Id", options_.name}}, {}};
   } else if (faults_.full || faults_.rejects_work) {
@@ -252,7 +252,7 @@
 }
 
 http_response fake_replica::Reserve(const http_request& request) {
-  const json body = json::parse(request.body, nullptr, false);
+  const json body = json::parse(request.body.Text(), nullptr, false);
   const std::uint32_t tokens = body.is_object() ? body.value("tokens", 0U) : 0;
   if (faults_.full || ReservedTokens() + tokens > options_.memory_tokens) {
     return NotExecuted(503);
@@ -301,7 +301,7 @@
 }
 
 http_response fake_replica::ApplyOrder(const http_request& request) {
-  const json body = json::parse(request.body, nullptr, false);
+  const json body = json::parse(request.body.Text(), nullptr, false);
   const std::uint64_t fencing_token = body.value("fencing_token", 0ULL);
   if (fencing_token < highest_fencing_token_) {
     return {412, {}, {}};
--- a/src/fakes/fake_service.cpp
+++ b/src/fakes/fake_service.cpp
@@ -99,7 +99,7 @@
   task<> Serve(exchange_ptr exchange) {
     const http_request& request = exchange->Request();
     if (request.method == "POST" && request.target == "/faults") {
-      auto reply = ApplyFaults(request.body);
+      auto reply = ApplyFaults(request.body.Text());
       (void)co_await exchange->Respond(std::move(reply));
       co_return;
     }
@@ -114,14 +114,14 @@
       co_return;
     }
     arrivals_ms.push_back(std::chrono::duration_cast<milliseconds>(timer_service::Now().time_since_epoch()).count());
-    const std::string call = fmt::format("{} {} {}", request.method, request.target, request.body);
+    const std::string call = fmt::format("{} {} {}", request.method, request.target, request.body.Text());
     RecordCall(call, std::string(FindHeader(request.headers, "X-Request-Id")));
-    CrashIfTriggered(request.body);
+    CrashIfTriggered(request.body.Text());
     const auto pause = microseconds(static_cast<std::int64_t>(static_cast<double>(delay.count()) * slow_factor * 1e3));
     if (pause > microseconds(0)) {
       co_await timers.Sleep(pause);
     }
-    const auto hash = fmt::format("{:016x}", XXH64(request.body.data(), request.body.size(), 0));
+    const auto hash = fmt::format("{:016x}", XXH64(request.body.Text().data(), request.body.Text().size(), 0));
     const json body = {
         {"service", options.name}, {"path", request.target}, {"calls", calls[call]}, {"body_hash", hash}};
     auto reply = JsonResponse(200, body.dump());
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -247,10 +247,8 @@
       request.method = "POST";
       request.target = "/v1/completions";
       request.headers.push_back({"Content-Type", "application/json"});
-      request.body = fmt::format(R"({{"model":"{}","max_tokens":{},"stream":{},"prompt":")", settings.traffic.model,
-                                 plan.output_tokens, plan.stream);
-      request.body += prompt;
-      request.body += "\"}";
+      request.body = fmt::format(R"({{"model":"{}","max_tokens":{},"stream":{},"prompt":"{}"}})",
+                                 settings.traffic.model, plan.output_tokens, plan.stream, prompt);
       return request;
     }
     request.method = plan.kind == request_kind::kPost ? "POST" : "GET";
@@ -303,7 +301,7 @@
     const host_port target = ChooseTarget();
     http_request request = BuildRequest(plan, prompt);
     const std::string path = request.target;
-    const std::string body = request.body;
+    const std::string body = request.body.Text();
     const double limit = plan.disconnect_after_s > 0 ? plan.disconnect_after_s : settings.timeout_s;
     const milliseconds time_limit = ToMilliseconds(limit);
     auto answer = co_await client.Fetch(target, std::move(request), time_limit);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -23,6 +23,7 @@
 #include <set>
 
 #include "core/log.h"
+#include "core/mailbox.h"
 #include "net/acceptor.h"
 
 namespace persimmon {
@@ -36,7 +37,11 @@
 constexpr std::size_t kReadBufferBytes = 16'384;
 constexpr std::size_t kMaxPipelinedBytes = 65'536;  // of pipelined requests, buffered while a response is prepared
 constexpr std::size_t kMaxUnparsedBytes = 65'536;   // of a chunk header or a trailer, buffered until its end arrives
-constexpr milliseconds kLingerTimeout(1'000);       // time for which the input of a rejected caller is still read
+// Longer bodies have their own part of the memory for bodies, so that short requests do not wait for uploads.
+constexpr std::size_t kLongBodyBytes = 65'536;
+constexpr double kLongBodyShare = 0.75;
+constexpr milliseconds kBodyRetryAfter(1'000);  // Retry-After of a request whose body gets no memory
+constexpr milliseconds kLingerTimeout(1'000);   // time for which the input of a rejected caller is still read
 constexpr std::size_t kMaxLingerBytes = 64U << 20U;
 constexpr milliseconds kAcceptRetryDelay(100);   // after a failed accept, for example if no file descriptor is free
 constexpr unsigned kFirstFinalStatus = 200;      // lower ones belong to interim responses
@@ -112,6 +117,11 @@
   return false;
 }
 
+const std::string& shared_body::Text() const {
+  static const std::string empty;
+  return content_ ? content_->bytes : empty;
+}
+
 const char* BodyFramingName(body_framing framing) {
   switch (framing) {
     case body_framing::kLength:
@@ -139,7 +149,9 @@
         address(std::move(address)),
         limits(limits),
         handler(std::move(handler)),
-        acceptor(context) {}
+        acceptor(context) {
+    SetBodyMemory();
+  }
 
   asio::io_context& context;
   timer_service timers;
@@ -151,6 +163,15 @@
   std::size_t requests = 0;
   bool draining = false;
   bool disable_keep_alive = false;  // each response closes its connection
+  const std::shared_ptr<buffer_budget> long_bodies = std::make_shared<buffer_budget>(0);
+  const std::shared_ptr<buffer_budget> short_bodies = std::make_shared<buffer_budget>(0);
+
+  // Divides the memory for bodies.
+  void SetBodyMemory() {
+    const auto for_long = static_cast<std::size_t>(kLongBodyShare * static_cast<double>(limits.body_memory_bytes));
+    long_bodies->SetLimit(for_long);
+    short_bodies->SetLimit(limits.body_memory_bytes - for_long);
+  }
 
   task<> Accept();
   void AddConnection(tcp::socket socket);
@@ -292,8 +313,8 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
-    parser.eager(true);
-    co_await ReadMessage(parser, failure);
+    buffer_budget::lease body_memory;
+    co_await ReadMessage(parser, body_memory, failure);
     if (failure) {
       co_await RejectInput(failure);
       reading_ = false;
@@ -307,7 +328,8 @@
     request.method = std::string(parser.get().method_string());
     request.target = std::string(parser.get().target());
     request.headers = CopyHeaders(parser.get());
-    request.body = std::move(parser.get().body());
+    body_memory.Shrink(parser.get().body().size());
+    request.body = shared_body(std::move(parser.get().body()), std::move(body_memory));
     request.remote = remote_;
     co_return request;
   }
@@ -318,36 +340,52 @@
     buffer_.commit(count);
   }
 
-  // Reads a complete message within the read timeout. Beast's own timeout closes the socket, so no 408 could be sent;
-  // this one only cancels the read.
-  task<> ReadMessage(http::request_parser<http::string_body>& parser, sys_error& failure) {
+  // Reads a complete message within the read timeout. The time in which the body waits for memory does not count.
+  // Beast's own timeout closes the socket, so no 408 could be sent; this one only cancels the read.
+  task<> ReadMessage(http::request_parser<http::string_body>& parser, buffer_budget::lease& body_memory,
+                     sys_error& failure) {
     bool timed_out = false;
-    const auto limit = server_->timers.SubscribeOnce(server_->limits.read_timeout, [this, &timed_out] {
-      timed_out = true;
-      sys_error ignored;
-      stream_.socket().cancel(ignored);
-    });
-    bool continued = false;
+    const auto start_timeout = [this, &timed_out] {
+      return server_->timers.SubscribeOnce(server_->limits.read_timeout, [this, &timed_out] {
+        timed_out = true;
+        sys_error ignored;
+        stream_.socket().cancel(ignored);
+      });
+    };
+    auto timeout = start_timeout();
+    bool body_started = false;
     while (!parser.is_done()) {
       const std::size_t used = buffer_.size() == 0 ? 0 : parser.put(buffer_.data(), failure);
       buffer_.consume(used);
-      if (failure == http::error::need_more) {
+      const bool needs_more = failure == http::error::need_more;
+      if (needs_more) {
         failure = {};
         if (parser.is_header_done() && buffer_.size() >= kMaxUnparsedBytes) {
           failure = http::error::header_limit;
-          co_return;
         }
-      } else if (failure || parser.is_done() || used > 0) {
-        if (failure) {
+      }
+      if (failure || parser.is_done()) {
+        co_return;
+      }
+      if (const std::size_t missing = MissingBodyMemory(parser, body_memory.Bytes())) {
+        timeout.Cancel();
+        if (!co_await TakeBodyMemory(missing, body_memory)) {
+          failure = asio::error::no_buffer_space;
           co_return;
         }
-        continue;
+        parser.get().body().reserve(missing);
+        timeout = start_timeout();
       }
-      if (parser.is_header_done() && !std::exchange(continued, true) && ExpectsContinue(parser.get())) {
-        static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-        co_await asio::async_write(stream_, asio::buffer(kContinue), RedirectError(failure));
+      if (parser.is_header_done() && !std::exchange(body_started, true)) {
+        parser.eager(true);  // not before, because the parser allocates the memory for a body with its first byte
+        if (ExpectsContinue(parser.get())) {
+          static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+          co_await asio::async_write(stream_, asio::buffer(kContinue), RedirectError(failure));
+        }
+      } else if (used > 0 && !needs_more) {
+        continue;
       }
-      if (!failure) {
+      if (!failure && (needs_more || buffer_.size() == 0)) {
         co_await ReadSome(failure);
       }
       if (timed_out) {
@@ -361,6 +399,40 @@
     }
   }
 
+  // Memory that the body needs before more of it is read; 0 if it has enough. The length of a chunked body is unknown:
+  // it starts as a short one and takes the maximum length when it turns out to be longer.
+  std::size_t MissingBodyMemory(const http::request_parser<http::string_body>& parser, std::size_t taken) const {
+    if (!parser.is_header_done()) {
+      return 0;
+    }
+    std::size_t needed = kLongBodyBytes;
+    if (const auto length = parser.content_length()) {
+      needed = static_cast<std::size_t>(*length);
+    } else if (parser.get().body().size() >= kLongBodyBytes) {
+      needed = std::max(server_->limits.body_bytes, taken);
+    }
+    return needed > taken ? needed : 0;
+  }
+
+  // Waits up to the read timeout. Replaces the amount that has been taken before. Returns false if there is no memory.
+  task<bool> TakeBodyMemory(std::size_t bytes, buffer_budget::lease& taken) {
+    const auto budget = bytes > kLongBodyBytes ? server_->long_bodies : server_->short_bodies;
+    struct request_guard {  // also for a coroutine that is destroyed while it waits
+      ~request_guard() { budget->Cancel(id); }
+      std::shared_ptr<buffer_budget> budget;
+      buffer_budget::request_id id;
+    };
+    mailbox<buffer_budget::lease> grants(server_->context);
+    const request_guard guard{
+        budget, budget->Request(bytes, [&grants](buffer_budget::lease lease) { grants.Push(std::move(lease)); })};
+    auto granted = co_await grants.Receive(server_->limits.read_timeout);
+    if (!granted || closed_) {
+      co_return false;
+    }
+    taken = std::move(*granted);
+    co_return true;
+  }
+
   template <class message>
   static bool ExpectsContinue(const message& request) {
     return beast::iequals(request[http::field::expect], "100-continue");
@@ -381,6 +453,8 @@
       status = 431;
     } else if (failure == beast::error::timeout) {
       status = 408;
+    } else if (failure == asio::error::no_buffer_space) {
+      status = 503;
     } else if (failure.category() == http::make_error_code(http::error::bad_method).category() &&
                failure != http::error::end_of_stream && failure != http::error::partial_message) {
       status = 400;
@@ -390,10 +464,13 @@
     }
     Log().Info("Rejected a request from {}: {}.", remote_, failure.message());
     keep_alive_ = false;
-    const char* code = status == 413 ? "body_too_large" : "bad_request";
+    const char* code = status == 413 ? "body_too_large" : status == 503 ? "body_memory" : "bad_request";
     auto body = fmt::format(
         R"({{"error":{{"code":"{}","outcome":"not_run","message":"The request could not be read."}}}})", code);
     auto response = JsonResponse(status, std::move(body));
+    if (status == 503) {
+      response.headers.push_back({"Retry-After", std::to_string(ceil<std::chrono::seconds>(kBodyRetryAfter).count())});
+    }
     auto sent = co_await Write(std::move(response));
     if (sent) {
       co_await Linger();
@@ -599,7 +676,10 @@
   return outcome::success();
 }
 
-void http_server::SetLimits(const http_limits& limits) { state_->limits = limits; }
+void http_server::SetLimits(const http_limits& limits) {
+  state_->limits = limits;
+  state_->SetBodyMemory();
+}
 
 void http_server::DisableKeepAlive() { state_->disable_keep_alive = true; }
 
@@ -628,6 +708,14 @@
 
 std::size_t http_server::RequestsInProgress() const { return state_->requests; }
 
+std::size_t http_server::BodyMemoryInUse() const {
+  return state_->long_bodies->InUse() + state_->short_bodies->InUse();
+}
+
+std::size_t http_server::WaitingBodies() const {
+  return state_->long_bodies->WaitingCount() + state_->short_bodies->WaitingCount();
+}
+
 std::uint16_t http_server::Port() const {
   sys_error ignored;
   return state_->acceptor.local_endpoint(ignored).port();
@@ -648,6 +736,12 @@
   bool sending = false;         // a request body is being written
 };
 
+// A request as it is written. The message refers to the bytes of the body.
+struct call_message {
+  http::request<http::span_body<const char>> message;
+  shared_body body;
+};
+
 // Shared, because the write of a body may outlast its call.
 using client_connection_ptr = std::shared_ptr<client_connection>;
 
@@ -775,8 +869,9 @@
     return nullptr;
   }
 
-  static http::request<http::string_body> MakeMessage(const host_port& address, http_request request) {
-    http::request<http::string_body> message;
+  static call_message MakeMessage(const host_port& address, http_request request) {
+    call_message made{{}, std::move(request.body)};
+    auto& message = made.message;
     message.version(11);
     message.method_string(request.method);
     message.target(request.target);
@@ -784,9 +879,9 @@
     if (message.find(http::field::host) == message.end()) {
       message.set(http::field::host, address.Text());
     }
-    message.body() = std::move(request.body);
+    message.body() = beast::span<const char>(made.body.Text().data(), made.body.Text().size());
     message.prepare_payload();
-    return message;
+    return made;
   }
 
   // Returns a connection to the pool once its response has been read. Surplus input belongs to no request; a
@@ -803,9 +898,9 @@
   }
 
   task<result<void>> Send(client_connection& connection, const host_port& address, http_request request) {
-    http::request<http::string_body> message = MakeMessage(address, std::move(request));
+    const call_message sent = MakeMessage(address, std::move(request));
     sys_error failure;
-    co_await http::async_write(connection.stream, message, RedirectError(failure));
+    co_await http::async_write(connection.stream, sent.message, RedirectError(failure));
     if (failure) {
       co_return MakeError(failure, "write to " + address.Text());
     }
@@ -950,11 +1045,9 @@
 constexpr std::size_t kMaxUnmatchedBytes = 1U << 20U;  // of one such response that are read and dropped
 constexpr std::size_t kMaxUnmatchedResponses = 4;      // responses read per call before the connection is abandoned
 
-using call_message = http::request<http::string_body>;
-
 void WriteInBackground(const client_connection_ptr& connection, const std::shared_ptr<call_message>& message) {
   connection->sending = true;
-  http::async_write(connection->stream, *message, [connection, message](sys_error failure, std::size_t) {
+  http::async_write(connection->stream, message->message, [connection, message](sys_error failure, std::size_t) {
     connection->sending = static_cast<bool>(failure);  // a partly sent body leaves the connection unusable
   });
 }
@@ -1102,8 +1195,9 @@
     co_return error{error_code::kUnavailable, fmt::format("{} no longer receives requests", address.Text())};
   }
   state->SetDeadline(deadline);
-  if (message->body().size() <= kMaxForegroundBodyBytes) {
-    const std::size_t written = co_await http::async_write(state->connection->stream, *message, RedirectError(failure));
+  if (message->body.Text().size() <= kMaxForegroundBodyBytes) {
+    const std::size_t written =
+        co_await http::async_write(state->connection->stream, message->message, RedirectError(failure));
     if (failure || state->cancelled) {
       error described = state->MakeCallError(failure, "write to");
       if (written == 0 && described.code == error_code::kClosed) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -18,6 +18,7 @@
 #include "core/settings.h"
 #include "core/timers.h"
 #include "net/wire.h"
+#include "persimmon/buffer_budget.h"
 #include "persimmon/error.h"
 #include "persimmon/types.h"
 
@@ -29,6 +30,31 @@
 
 using header_list = std::vector<header_field>;
 
+// Immutable bytes of a request body. Copies share the bytes, so that a body exists once however often it is sent.
+class shared_body {
+ public:
+  shared_body() = default;
+  shared_body(std::string bytes) : shared_body(std::move(bytes), {}) {}  // NOLINT(google-explicit-constructor)
+  shared_body(const char* text) : shared_body(std::string(text)) {}      // NOLINT(google-explicit-constructor)
+
+  // `memory`: the amount that the bytes use; it is returned with the last copy.
+  shared_body(std::string bytes, buffer_budget::lease memory)
+      : content_(bytes.empty() ? nullptr : std::make_shared<content>(std::move(bytes), std::move(memory))) {}
+
+  const std::string& Text() const;
+
+  bool operator==(const shared_body& other) const { return Text() == other.Text(); }
+
+ private:
+  struct content {
+    content(std::string text, buffer_budget::lease lease) : bytes(std::move(text)), memory(std::move(lease)) {}
+    std::string bytes;
+    buffer_budget::lease memory;
+  };
+
+  std::shared_ptr<const content> content_;  // null: empty
+};
+
 // Value of a header; names are compared case-insensitively. Returns an empty view if the header is absent.
 std::string_view FindHeader(const header_list& headers, std::string_view name);
 
@@ -36,7 +62,7 @@
   std::string method;  // "GET", "POST", ...
   std::string target;  // path and query
   header_list headers;
-  std::string body;
+  shared_body body;
   std::string remote;  // address of the caller, IP:PORT; set by the server
 
   bool operator==(const http_request&) const = default;
@@ -80,6 +106,9 @@
   milliseconds idle_timeout = milliseconds(60'000);   // between requests on one connection
   milliseconds write_timeout = milliseconds(10'000);  // for one response or one chunk
   std::size_t connections = 4096;                     // maximum of open connections; more are closed immediately
+  // For the request bodies of all connections together. While it is used up, further bodies are not read. A body that
+  // gets no memory within the read timeout is rejected with 503.
+  std::size_t body_memory_bytes = 256U << 20U;
 
   bool operator==(const http_limits&) const = default;
 };
@@ -150,7 +179,9 @@
   void Stop();
 
   std::size_t RequestsInProgress() const;
-  std::uint16_t Port() const;  // the bound port; differs from the configured one if that is 0
+  std::size_t BodyMemoryInUse() const;  // bytes
+  std::size_t WaitingBodies() const;    // requests whose body is not read yet because the memory is used up
+  std::uint16_t Port() const;           // the bound port; differs from the configured one if that is 0
 
  private:
   std::shared_ptr<state> state_;
--- a/src/router/caller_api.cpp
+++ b/src/router/caller_api.cpp
@@ -129,7 +129,7 @@
 // ---------------------------------------------------------------------------------------------------------------------
 
 result<model_request> ParseModelRequest(const http_request& request) {
-  const json body = json::parse(request.body, nullptr, false);
+  const json body = json::parse(request.body.Text(), nullptr, false);
   if (body.is_discarded() || !body.is_object()) {
     return error{error_code::kInvalid, "the body is not a JSON object"};
   }
--- a/src/router/model_calls.cpp
+++ b/src/router/model_calls.cpp
@@ -84,7 +84,7 @@
   job->pool = pool.name;
   job->content = content;
   job->prefix_hashes = HashPromptBlocks(content.prompt);
-  job->fingerprint = suspect_guard::MakeFingerprint(job->account, context.exchange->Request().body);
+  job->fingerprint = suspect_guard::MakeFingerprint(job->account, context.exchange->Request().body.Text());
   job->priority = content.priority + context.account.record.priority;
   job->arrival = context.arrival;
   job->first_token_target = pool.first_token_target;
--- a/src/router/service_calls.cpp
+++ b/src/router/service_calls.cpp
@@ -114,11 +114,11 @@
   call_service call;
   call.request = context.request;
   call.traceparent = context.traceparent;
-  call.fingerprint = suspect_guard::MakeFingerprint(context.account.record.name, request.target + request.body);
+  call.fingerprint = suspect_guard::MakeFingerprint(context.account.record.name, request.target + request.body.Text());
   call.timeout_ms = static_cast<std::uint32_t>(pool.call_timeout.count());
   call.method = request.method;
   call.target = request.target;
-  call.body = request.body;
+  call.body = request.body.Text();
   for (const header_field& field : request.headers) {
     if (ShouldForward(field)) {
       call.headers.push_back(field);
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -546,7 +546,7 @@
   for (const http_request& request : engine.Requests()) {
     if (request.target == "/hold-take") {
       ++reservations;
-      EXPECT_EQ(support::json::parse(request.body).value("ttl_ms", 0), 400);
+      EXPECT_EQ(support::json::parse(request.body.Text()).value("ttl_ms", 0), 400);
     }
   }
   EXPECT_EQ(reservations, 1);
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -63,7 +63,7 @@
       co_return;
     }
     http_response response{
-        200, {{"Content-Type", "text/plain"}}, fmt::format("{} {}", target, exchange->Request().body)};
+        200, {{"Content-Type", "text/plain"}}, fmt::format("{} {}", target, exchange->Request().body.Text())};
     auto sent = co_await exchange->Respond(std::move(response));
     responses_ += sent ? 1 : 0;
   }
--- a/tests/load_test.cpp
+++ b/tests/load_test.cpp
@@ -99,7 +99,7 @@
   }
 
   task<> AnswerModel(std::shared_ptr<http_exchange> exchange) {
-    const json::value body = json::parse(exchange->Request().body);
+    const json::value body = json::parse(exchange->Request().body.Text());
     const json::object& fields = body.as_object();
     const std::string prompt(fields.at("prompt").as_string().c_str());
     const auto tokens = MakeTokens(prompt, static_cast<std::uint32_t>(fields.at("max_tokens").as_int64()));
@@ -136,7 +136,7 @@
     const int calls = mode_ == stub_mode::kServiceTwice ? 2 : 1;
     http_response response =
         JsonResponse(200, fmt::format(R"({{"service":"s","path":"{}","calls":{},"body_hash":"{}"}})", path, calls,
-                                      HashText(request.body)));
+                                      HashText(request.body.Text())));
     (void)co_await exchange->Respond(std::move(response));
   }
 
