--- a/src/fakes/fake_link_main.cpp
+++ b/src/fakes/fake_link_main.cpp
@@ -76,7 +76,7 @@
     persimmon::http_response response =
         persimmon::JsonResponse(404, R"({"error":"unknown path: only POST /faults is supported"})");
     if (request.method == "POST" && request.target == "/faults") {
-      response = ApplyFaults(link, request.body);
+      response = ApplyFaults(link, request.body.Text());
     }
     (void)co_await exchange->Respond(std::move(response));
   };
