Record a version before streams begin there, and read the record before one goes on

Cause: FindVersion said "any version" if the router knew of one at most, however old its list of endpoints was. Ruled out: a wrong record (record_written 0.3 s after the join, with both versions), and lost copies (the holders were never asked).

Change: no stream begins at a version before the record in the store names it. A router that knows one version reads the record after the request has arrived; without the store, all routers that may be running must name the same version. The stream is then bound to that version. Calls that arrive together share a check. Related: a stream that might go on anywhere could wait for an engine of a version that joined meanwhile; it is bound now.

Why it works: the read is linearizable and begins after the stream began, and the record names the version before it began. In an outage for everybody no router learns of a version, so the routers' answers are enough, and streams go on.

--- a/include/persimmon/stream_origins.h
+++ b/include/persimmon/stream_origins.h
@@ -37,7 +37,8 @@
   // Sets the versions of the registered engines.
   void SetServing(version_set versions, time_point now);
 
-  // Adds versions that the store's record of the service lists. Their engines may have been removed at any time before.
+  // Adds versions that a new record of the service in the store lists. Their engines may have been removed at any time
+  // before, and those of a version that has been seen may have come back meanwhile.
   void AddRecorded(const version_set& versions, time_point now);
 
   // Versions that serve, or that did within the retention: the longest time for which callers resume a stream.
--- a/src/decisions/stream_origins.cpp
+++ b/src/decisions/stream_origins.cpp
@@ -23,7 +23,7 @@
 
 void service_versions::AddRecorded(const version_set& versions, time_point now) {
   for (const std::string& version : versions) {
-    last_seen_.try_emplace(version, now);
+    last_seen_.insert_or_assign(version, now);
   }
 }
 
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -111,6 +111,7 @@
   part_tracker_ = &kernel_.Find<part_tracker>("parts");
   origins_ = &kernel_.Find<origin_tracker>("origins");
   prompts_ = &kernel_.Find<prompt_tracker>("prompts");
+  origins_->on_usable = [this] { DispatchAll(); };
 }
 
 void generation_calls::Stop() { dispatch_timer_.Cancel(); }
@@ -299,7 +300,7 @@
   const auto choose = [&](const placement_request& request) {
     const waiting_request& waiting = *queue.waiting.at(request.request);
     auto views = endpoint_tracker_->EngineViews(engines, profile, waiting.avoid, [&](const chosen_endpoint& engine) {
-      return IsUsableFor(*waiting.call, engine);
+      return IsUsableFor(*waiting.call, engine) && origins_->MayBegin(queue.record.name, engine.version);
     });
     double streams = 0;
     for (engine_view& view : views) {
--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -20,14 +20,22 @@
 
 constexpr const char* kComponent = "router.origins";
 constexpr const char* kVersionTable = "persimmon_versions";
-constexpr milliseconds kCopyDelay(20);            // from the first event to the copies, to send several in one datagram
-constexpr milliseconds kWatchPeriod(100);         // checks for changed routers and copies that are not acknowledged
-constexpr milliseconds kAnswerTime(60);           // for the answer of a holder, before it is asked again
-constexpr int kQueryRounds = 3;                   // a datagram may be lost
-constexpr milliseconds kRecordsWait(400);         // for the records after a start, while a resumed stream waits
-constexpr milliseconds kRecordPeriod(500);        // between checks of the records
-constexpr milliseconds kRankDelay(1'500);         // later start of each further router that keeps a record
-constexpr std::size_t kRecordKeepers = 3;         // routers that write the record of a service, by rank
+constexpr milliseconds kCopyDelay(20);      // from the first event to the copies, to send several in one datagram
+constexpr milliseconds kWatchPeriod(100);   // checks for changed routers and copies that are not acknowledged
+constexpr milliseconds kAnswerTime(60);     // for the answer of a holder, before it is asked again
+constexpr int kQueryRounds = 3;             // a datagram may be lost
+constexpr milliseconds kRecordsWait(400);   // for the records after a start, while a resumed stream waits
+constexpr milliseconds kRecordPeriod(500);  // between checks of the records
+constexpr milliseconds kRankDelay(1'500);   // later start of each further router that keeps a record
+constexpr std::size_t kRecordKeepers = 3;   // routers that remove versions from the record, by rank
+// The same for a version that is to be added. Streams begin there only afterwards, so any router adds it in the end.
+constexpr milliseconds kAddRankDelay(300);
+constexpr std::size_t kMaxAddRank = 5;
+// Streams begin at versions that cannot be recorded if no other version has served for this long.
+constexpr milliseconds kUnusableLimit(5'000);
+constexpr milliseconds kConfirmTime(400);  // for a check of the versions, while a resumed stream waits
+constexpr milliseconds kStoreTime(150);    // of it, for the answer of the store before the routers are asked
+constexpr milliseconds kCheckPoll(3);
 constexpr std::size_t kMaxCopiesPerMessage = 60;  // 20 bytes each; fits a datagram
 constexpr milliseconds kMinResumeTime(30'000);    // lower limit of ResumeTime
 constexpr std::size_t kMaxRecordedVersions = 64;  // of one service, against records of other writers
@@ -60,7 +68,7 @@
 }  // namespace
 
 origin_tracker::origin_tracker(kernel& services, const direct_settings& settings, table_client table)
-    : kernel_(services), settings_(settings), table_(std::move(table)) {}
+    : kernel_(services), settings_(settings), table_(std::move(table)), record_wakeup_(services.Context()) {}
 
 void origin_tracker::Start() {
   directory_ = &kernel_.Find<deployment_directory>("directory");
@@ -129,15 +137,30 @@
         .Add("serving", JoinVersions(serving))
         .Add("before", JoinVersions(versions.Serving()));
     versions.SetServing(std::move(serving), now);
+    record_wakeup_.Push(true);
   }
 }
 
+bool origin_tracker::MayBegin(const std::string& service, const std::string& version) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return false;
+  }
+  const service_state& state = found->second;
+  return state.usable.contains(version) ||
+         (state.unusable_since && timer_service::Now() - *state.unusable_since >= kUnusableLimit);
+}
+
 void origin_tracker::RecordFirstEvent(const direct_call& call, const std::string& version) {
   const platform::request_metadata& metadata = call.Metadata();
-  const std::string& attempt = metadata.resumed_attempt.empty() ? metadata.attempt : metadata.resumed_attempt;
+  RecordOrigin(call, metadata.resumed_attempt.empty() ? metadata.attempt : metadata.resumed_attempt, version);
+}
+
+void origin_tracker::RecordOrigin(const direct_call& call, const std::string& attempt, const std::string& version) {
   if (attempt.empty()) {
     return;
   }
+  const platform::request_metadata& metadata = call.Metadata();
   const std::uint64_t key = VersionKey(call.Service().name, version);
   const milliseconds budget = std::max(metadata.time_budget.value_or(call.Route().timeout), call.Route().timeout);
   origins_->Record({OriginKey(attempt), key, call.Arrival() + budget});
@@ -157,15 +180,25 @@
     co_await kernel_.Timers().Sleep(kCopyDelay);
   }
   const std::string& service = call->Service().name;
-  const version_set candidates = Candidates(service);
-  if (has_records_ && candidates.size() <= 1) {
-    co_return version_result(std::nullopt);
-  }
+  const origin_key resumed = OriginKey(metadata.resumed_attempt);
   std::optional<std::uint64_t> origin;
   if (!metadata.resumed_attempt.empty()) {
-    origin = co_await FindOrigin(OriginKey(metadata.resumed_attempt));
+    origin = origins_->Find(resumed, timer_service::Now());
   }
   std::optional<std::string> version;
+  bool is_single = false;
+  if (!origin && Candidates(service).size() <= 1) {
+    is_single = co_await ConfirmSingleVersion(service);
+  }
+  const version_set candidates = Candidates(service);
+  if (is_single && candidates.size() == 1) {
+    version = *candidates.begin();
+    RecordOrigin(*call, metadata.resumed_attempt, *version);
+    co_return version_result(version);
+  }
+  if (!origin && !metadata.resumed_attempt.empty()) {
+    origin = co_await FindOrigin(resumed);
+  }
   for (const std::string& candidate : candidates) {
     if (origin && VersionKey(service, candidate) == *origin) {
       version = candidate;
@@ -178,6 +211,7 @@
       .Add("version", version.value_or(""))
       .Add("known", origin.has_value())
       .Add("candidates", JoinVersions(candidates))
+      .Add("confirmed", is_single)
       .Add("routers", group_->LiveMembers().size());
   if (!version) {
     co_return error{error_code::kUnavailable, "the version that began the stream is unknown"};
@@ -185,15 +219,137 @@
   co_return version_result(version);
 }
 
+// The list of endpoints of a router that has been cut off or suspended is old, and so is what it concludes from it. The
+// record of the versions is not, if it is read now: no stream begins at a version before it is recorded.
+task<bool> origin_tracker::ConfirmSingleVersion(std::string service) {
+  const time_point asked = timer_service::Now();
+  while (timer_service::Now() - asked < kConfirmTime) {
+    const version_check& check = services_[service].check;
+    if (check.began && *check.began >= asked) {
+      co_return check.is_confirmed;
+    }
+    if (!check.is_running) {
+      services_[service].check.is_running = true;
+      asio::co_spawn(kernel_.Context(), RunCheck(service), asio::detached);
+    }
+    co_await kernel_.Timers().Sleep(kCheckPoll);
+  }
+  co_return false;
+}
+
+task<> origin_tracker::RunCheck(std::string service) {
+  const time_point began = timer_service::Now();
+  const bool is_record_doubtful = restored_at_ && began - *restored_at_ < ResumeTime();
+  std::optional<bool> is_recorded;
+  if (directory_->IsStoreReachable() && !is_record_doubtful) {
+    // The read goes on when the time is up, because the store may still answer it.
+    auto done = std::make_shared<mailbox<bool>>(kernel_.Context());
+    asio::co_spawn(kernel_.Context(), CheckRecord(service, done), asio::detached);
+    is_recorded = co_await done->Receive(kStoreTime);
+  }
+  bool is_confirmed = is_recorded.value_or(false);
+  if (!is_confirmed) {
+    is_confirmed = co_await AskRouters(service);
+  }
+  service_state& state = services_[service];
+  state.check.is_running = false;
+  state.check.began = began;
+  state.check.is_confirmed = is_confirmed && Candidates(service).size() <= 1;
+  Events()
+      .Line(kComponent, "versions_checked")
+      .Add("service", service)
+      .Add("confirmed", state.check.is_confirmed)
+      .Add("by", is_recorded.value_or(false) ? "store" : "routers")
+      .Add("versions", JoinVersions(Candidates(service)))
+      .Add("took_ms", ElapsedMs(began, timer_service::Now()));
+}
+
+// Pushes true if the record could be read. It may name further versions.
+task<> origin_tracker::CheckRecord(std::string service, std::shared_ptr<mailbox<bool>> done) {
+  auto row = co_await table_.ReadRow(kVersionTable, service);
+  // A store that has come back from an older copy may lack the record of a version.
+  const bool is_valid = row && (records_era_ == 0 || table_.Era() == records_era_);
+  if (is_valid && row.value()) {
+    ApplyRecord(service, *row.value());
+  }
+  done->Push(is_valid);
+}
+
+// True if all routers that may be running know of no other version.
+task<bool> origin_tracker::AskRouters(std::string service) {
+  auto waiting = std::make_shared<version_query>(kernel_.Context());
+  waiting->service = ServiceKey(service);
+  for (const host_port& router : group_->OtherRouters()) {
+    waiting->unanswered.insert(router);
+  }
+  if (!group_->HearsAllRouters()) {
+    co_return false;
+  }
+  version_queries_.push_back(waiting);
+  std::optional<bool> answer;
+  if (waiting->unanswered.empty()) {
+    answer = true;
+  }
+  for (int round = 0; round < kQueryRounds && !answer; ++round) {
+    group_->SendAll({waiting->unanswered.begin(), waiting->unanswered.end()}, message(find_versions{waiting->service}));
+    answer = co_await waiting->result_mailbox.Receive(kAnswerTime);
+  }
+  std::erase(version_queries_, waiting);
+  co_return answer.value_or(false);
+}
+
+versions_known origin_tracker::MakeVersions(const std::string& service) const {
+  versions_known known{ServiceKey(service), {}, {}};
+  for (const std::string& version : Candidates(service)) {
+    known.candidates.push_back(VersionKey(service, version));
+    if (services_.at(service).usable.contains(version)) {
+      known.recorded.push_back(known.candidates.back());
+    }
+  }
+  return known;
+}
+
+void origin_tracker::ReceiveVersions(const host_port& sender, const versions_known& known) {
+  const auto contains = [](const std::vector<std::uint64_t>& keys, std::uint64_t key) {
+    return std::find(keys.begin(), keys.end(), key) != keys.end();
+  };
+  std::vector<std::uint64_t> own;
+  for (auto& [name, state] : services_) {
+    if (ServiceKey(name) != known.service) {
+      continue;
+    }
+    for (const std::string& version : Candidates(name)) {
+      own.push_back(VersionKey(name, version));
+      if (contains(known.recorded, own.back())) {
+        state.recorded.insert(version);
+        if (state.usable.insert(version).second && on_usable) {
+          on_usable();
+        }
+      }
+    }
+  }
+  for (const auto& asked : version_queries_) {
+    if (asked->service != known.service || asked->unanswered.erase(sender) == 0) {
+      continue;
+    }
+    const bool knows_other = std::any_of(known.candidates.begin(), known.candidates.end(),
+                                         [&](std::uint64_t key) { return !contains(own, key); });
+    if (knows_other || asked->unanswered.empty()) {
+      asked->result_mailbox.Push(!knows_other);
+    }
+  }
+}
+
 task<std::optional<std::uint64_t>> origin_tracker::FindOrigin(origin_key attempt) {
   if (const auto known = origins_->Find(attempt, timer_service::Now())) {
     co_return known;
   }
-  for (int round = 0; round < kQueryRounds; ++round) {
-    auto answer = co_await AskHolders(attempt);
-    if (answer) {
-      co_return *answer == 0 ? std::nullopt : answer;
-    }
+  std::optional<std::uint64_t> answer;
+  for (int round = 0; round < kQueryRounds && !answer; ++round) {
+    answer = co_await AskHolders(attempt);
+  }
+  if (answer && *answer != 0) {
+    co_return answer;
   }
   co_return std::nullopt;
 }
@@ -286,6 +442,14 @@
   } else if (const auto* find = std::get_if<find_stream_origin>(&received)) {
     const auto version = origins_->Find(find->attempt, timer_service::Now());
     group_->Send(sender, message(stream_origin_found{find->attempt, version.value_or(0)}));
+  } else if (const auto* asked = std::get_if<find_versions>(&received)) {
+    for (const auto& [name, state] : services_) {
+      if (ServiceKey(name) == asked->service) {
+        group_->Send(sender, message(MakeVersions(name)));
+      }
+    }
+  } else if (const auto* known = std::get_if<versions_known>(&received)) {
+    ReceiveVersions(sender, *known);
   } else if (const auto* found = std::get_if<stream_origin_found>(&received)) {
     const auto waiting = queries_.find(found->attempt);
     if (waiting == queries_.end()) {
@@ -322,28 +486,87 @@
       co_await ReadRecords();
     }
     const time_point now = timer_service::Now();
-    const bool is_restored = table_.Era() != records_era_ && records_era_ != 0;
-    for (auto& [name, state] : services_) {
-      if (is_restored) {
-        state.recorded.clear();  // the record may be an older one
-      }
-      const bool is_outdated = Candidates(name) != state.recorded;
-      state.outdated_since = is_outdated ? state.outdated_since.value_or(now) : std::optional<time_point>();
-    }
-    records_era_ = table_.Era();
-    if (has_records_ && directory_->IsInForce() && directory_->IsStoreReachable()) {
-      std::vector<std::string> due;
-      for (const auto& [name, state] : services_) {
-        const std::size_t rank = state.outdated_since ? OwnRank(name) : kRecordKeepers;
-        if (rank < kRecordKeepers && now - *state.outdated_since >= kRankDelay * static_cast<int>(rank)) {
-          due.push_back(name);
-        }
+    UpdateRecordStates(now);
+    const bool can_write = has_records_ && directory_->IsInForce() && directory_->IsStoreReachable();
+    std::vector<std::string> due;
+    for (const auto& [name, state] : services_) {
+      if (!can_write || !state.outdated_since) {
+        continue;
       }
-      for (const std::string& name : due) {
-        co_await WriteRecord(name);
+      const bool is_addition = !std::includes(state.recorded.begin(), state.recorded.end(),
+                                              state.versions.Serving().begin(), state.versions.Serving().end());
+      const std::size_t rank = OwnRank(name);
+      const milliseconds delay = is_addition ? kAddRankDelay * static_cast<int>(std::min(rank, kMaxAddRank))
+                                             : kRankDelay * static_cast<int>(std::min(rank, kRecordKeepers));
+      if ((is_addition || rank < kRecordKeepers) && now - *state.outdated_since >= delay) {
+        due.push_back(name);
       }
     }
-    co_await kernel_.Timers().Sleep(kRecordPeriod);
+    for (const std::string& name : due) {
+      co_await WriteRecord(name);
+    }
+    AskForRecorded();
+    co_await record_wakeup_.Receive(due.empty() && !is_addition_due_ ? kRecordPeriod : kAddRankDelay / 2);
+  }
+}
+
+void origin_tracker::UpdateRecordStates(time_point now) {
+  const bool is_restored = table_.Era() != records_era_ && records_era_ != 0;
+  if (is_restored) {
+    restored_at_ = now;
+  }
+  records_era_ = table_.Era();
+  is_addition_due_ = false;
+  for (auto& [name, state] : services_) {
+    if (is_restored) {
+      state.recorded.clear();  // the record may be an older one
+    }
+    const version_set candidates = Candidates(name);
+    const version_set& serving = state.versions.Serving();
+    std::erase_if(state.usable, [&](const std::string& version) { return !candidates.contains(version); });
+    const bool is_outdated = candidates != state.recorded;
+    state.outdated_since = is_outdated ? state.outdated_since.value_or(now) : std::optional<time_point>();
+    const bool is_usable = std::any_of(serving.begin(), serving.end(),
+                                       [&](const std::string& version) { return state.usable.contains(version); });
+    state.unusable_since =
+        is_usable || serving.empty() ? std::optional<time_point>() : state.unusable_since.value_or(now);
+    is_addition_due_ =
+        is_addition_due_ || !std::includes(state.usable.begin(), state.usable.end(), serving.begin(), serving.end());
+  }
+}
+
+// A router that cannot read the store, for example because it has started in an outage, learns from the others which
+// versions are recorded.
+void origin_tracker::AskForRecorded() {
+  if (!is_addition_due_ || directory_->IsStoreReachable()) {
+    return;
+  }
+  for (const auto& [name, state] : services_) {
+    group_->SendAll(group_->OtherRouters(), message(find_versions{ServiceKey(name)}));
+  }
+}
+
+void origin_tracker::ApplyRecord(const std::string& service, const table_row& row) {
+  service_state& state = services_[service];
+  const version_set versions = ParseRecord(row.value);
+  const std::pair version(row.era, row.version);
+  if (std::exchange(state.record_version, version) != version) {
+    state.versions.AddRecorded(versions, timer_service::Now());
+  }
+  AddUsable(service, versions);
+}
+
+// Notes the content of the record.
+void origin_tracker::AddUsable(const std::string& service, const version_set& versions) {
+  service_state& state = services_[service];
+  state.recorded = versions;
+  bool is_changed = false;
+  for (const std::string& version : versions) {
+    is_changed = state.usable.insert(version).second || is_changed;
+    service_of_version_.try_emplace(VersionKey(service, version), service);
+  }
+  if (is_changed && on_usable) {
+    on_usable();
   }
 }
 
@@ -354,14 +577,11 @@
     co_return;
   }
   for (const table_row& row : snapshot.value().rows) {
-    const version_set versions = ParseRecord(row.value);
-    service_state& state = services_[row.key];
-    state.versions.AddRecorded(versions, timer_service::Now());
-    state.recorded = versions;
-    for (const std::string& version : versions) {
-      service_of_version_.try_emplace(VersionKey(row.key, version), row.key);
-    }
-    Events().Line(kComponent, "record_read").Add("service", row.key).Add("versions", JoinVersions(versions));
+    ApplyRecord(row.key, row);
+    Events()
+        .Line(kComponent, "record_read")
+        .Add("service", row.key)
+        .Add("versions", JoinVersions(services_[row.key].recorded));
   }
   has_records_ = true;
 }
@@ -376,15 +596,11 @@
   }
   service_state& state = services_[service];
   const version_set known = row.value() ? ParseRecord(row.value()->value) : version_set();
-  for (const std::string& version : known) {
-    if (!state.recorded.contains(version)) {
-      state.versions.AddRecorded({version}, timer_service::Now());
-      service_of_version_.try_emplace(VersionKey(service, version), service);
-    }
+  if (row.value()) {
+    ApplyRecord(service, *row.value());
   }
   const version_set versions = Candidates(service);
   if (versions == known) {
-    state.recorded = known;
     co_return;
   }
   std::vector<table_write> writes(1);
@@ -396,7 +612,11 @@
   auto written = co_await table_.Commit(std::move(writes));
   const bool is_written = written && written.value().committed;
   if (is_written) {
-    services_[service].recorded = versions;
+    state.record_version = {written.value().era, written.value().version};
+    AddUsable(service, versions);
+    group_->SendAll(group_->OtherRouters(), message(MakeVersions(service)));
+  } else if (written) {
+    record_wakeup_.Push(true);
   }
   Events()
       .Line(kComponent, is_written ? "record_written" : "record_not_written")
--- a/src/direct/origin_tracker.h
+++ b/src/direct/origin_tracker.h
@@ -1,11 +1,12 @@
 // Finds the software version at which a stream that a caller takes up again may go on. A service of the kernel.
 //
-// Three sources answer that, in this order: the service has had only one version for as long as callers resume streams;
-// this router has forwarded the first event or holds a copy; one of the routers that hold copies does. Otherwise the
-// version is unknown, and the stream must not go on.
+// These sources answer that, in this order: this router has forwarded the first event or holds a copy; the service has
+// had only one version for as long as callers resume streams; one of the routers that hold copies knows; the store
+// does. Otherwise the version is unknown, and the stream must not go on.
 //
-// The versions of each service are also recorded in the store, so that a router that restarts knows whether the service
-// had another version before. The record is written only when the set of versions changes.
+// The versions of each service are recorded in the store before the first stream begins at one of them. So a router
+// whose list of endpoints is old, or that has restarted, learns from the record, read after the caller's request has
+// arrived, whether there is another version. Without the store, all routers that may be running must answer instead.
 #pragma once
 
 #include <map>
@@ -34,15 +35,32 @@
   // Records the version that has sent the first event of the call's stream.
   void RecordFirstEvent(const direct_call& call, const std::string& version);
 
-  // Returns the version at which the call's stream must go on; nothing if it is new or any version may serve it.
+  // Called after a version has become usable.
+  std::function<void()> on_usable;
+
+  // True if streams may begin at the version: it is recorded, so that every router can know of it.
+  bool MayBegin(const std::string& service, const std::string& version) const;
+
+  // Returns the version at which the call's stream must go on; nothing if it is new.
   // Errors: kUnavailable if the version is unknown.
   task<result<std::optional<std::string>>> FindVersion(direct_call_ptr call);
 
  private:
+  // A check of whether the versions of a service are all that there are. Calls share it.
+  struct version_check {
+    bool is_running = false;
+    std::optional<time_point> began;  // start of the latest check that has ended
+    bool is_confirmed = false;        // its result
+  };
+
   struct service_state {
     service_versions versions;
-    version_set recorded;                      // in the store, as read or written last
-    std::optional<time_point> outdated_since;  // since when the record differs from the versions
+    version_set recorded;                                    // in the store, as read or written last
+    std::pair<std::uint64_t, std::uint64_t> record_version;  // era and version of its row
+    version_set usable;                                      // have been recorded, also in an earlier era of the store
+    std::optional<time_point> outdated_since;                // since when the record differs from the versions
+    std::optional<time_point> unusable_since;                // since when no version that serves is usable
+    version_check check;
   };
 
   struct query {
@@ -51,11 +69,28 @@
     mailbox<std::uint64_t> result_mailbox;  // a version key; 0: known nowhere
   };
 
+  struct version_query {
+    explicit version_query(asio::io_context& context) : result_mailbox(context) {}
+    std::uint64_t service = 0;
+    std::set<host_port> unanswered;
+    mailbox<bool> result_mailbox;  // true: all routers know the same version; false: one knows another
+  };
+
   // Longest time for which callers resume a stream, from the start of its first attempt.
   milliseconds ResumeTime() const;
   version_set Candidates(const std::string& service) const;
   // Services with several candidates, whose origins other routers must know.
   std::set<std::string> SharedServices() const;
+  // Confirms that the only known version of a service was the only one when the call began.
+  task<bool> ConfirmSingleVersion(std::string service);
+  task<> RunCheck(std::string service);
+  task<> CheckRecord(std::string service, std::shared_ptr<mailbox<bool>> done);
+  task<bool> AskRouters(std::string service);
+  void ReceiveVersions(const host_port& sender, const versions_known& known);
+  versions_known MakeVersions(const std::string& service) const;
+  void ApplyRecord(const std::string& service, const table_row& row);
+  void AddUsable(const std::string& service, const version_set& versions);
+  void RecordOrigin(const direct_call& call, const std::string& attempt, const std::string& version);
   task<std::optional<std::uint64_t>> FindOrigin(origin_key attempt);
   task<std::optional<std::uint64_t>> AskHolders(origin_key attempt);
   void UpdateVersions();
@@ -65,6 +100,8 @@
   void Receive(const host_port& sender, const message& received);
   void ReceiveCopies(const host_port& sender, const hold_stream_origins& copies);
   task<> KeepRecords();
+  void UpdateRecordStates(time_point now);
+  void AskForRecorded();
   task<> ReadRecords();
   task<> WriteRecord(std::string service);
   std::size_t OwnRank(const std::string& service) const;
@@ -75,6 +112,10 @@
   deployment_directory* directory_ = nullptr;
   router_group* group_ = nullptr;
   std::optional<stream_origin_table> origins_;  // set by Start, when the own address is known
+  std::vector<std::shared_ptr<version_query>> version_queries_;
+  bool is_addition_due_ = false;           // a version that serves is not usable yet
+  std::optional<time_point> restored_at_;  // when the store came back from an older copy, which may lack records
+  mailbox<bool> record_wakeup_;            // the versions of a service have changed
   std::map<std::string, service_state> services_;
   std::map<std::uint64_t, std::string> service_of_version_;  // by version key, of all versions seen
   std::map<origin_key, std::vector<std::shared_ptr<query>>> queries_;
--- a/src/direct/router_group.cpp
+++ b/src/direct/router_group.cpp
@@ -278,6 +278,23 @@
   return members;
 }
 
+std::vector<host_port> router_group::OtherRouters() const {
+  std::vector<host_port> addresses;
+  addresses.reserve(peers_.size());
+  for (const auto& [address, other] : peers_) {
+    addresses.push_back(address);
+  }
+  return addresses;
+}
+
+bool router_group::HearsAllRouters() const {
+  const time_point now = timer_service::Now();
+  const bool all_heard = std::all_of(peers_.begin(), peers_.end(), [now](const auto& item) {
+    return now - item.second.last_heard <= kSilenceTimeout;
+  });
+  return all_heard && silent_routers_.empty() && RouterCount() > 0;
+}
+
 revision_number router_group::NewestPeerRevision() const {
   revision_number newest = 0;
   for (const auto& [address, other] : peers_) {
--- a/src/direct/router_group.h
+++ b/src/direct/router_group.h
@@ -91,6 +91,13 @@
   bool IsLeaving() const { return leaving_; }
   member Self() const { return {own_address_, incarnation_}; }
 
+  // Addresses of the other routers that have been heard and may still be running, also of those that are leaving.
+  std::vector<host_port> OtherRouters() const;
+
+  // True if all other routers that may still be running have been heard lately. False if there are other routers and
+  // none has been heard yet.
+  bool HearsAllRouters() const;
+
   // Sends a message of another type than router_state to a router. It may be lost.
   void Send(const host_port& receiver, const message& value) { socket_->Send(receiver, value); }
   void SendAll(const std::vector<host_port>& receivers, const message& value) { socket_->SendAll(receivers, value); }
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -187,7 +187,9 @@
                                                                                  "ask_permit",
                                                                                  "permit_answer",
                                                                                  "return_tokens",
-                                                                                 "prompt_prefilled"};
+                                                                                 "prompt_prefilled",
+                                                                                 "find_versions",
+                                                                                 "versions_known"};
 
 }  // namespace
 
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -593,6 +593,30 @@
   }
 };
 
+// Asks another router which versions of a service it knows. It answers with versions_known.
+struct find_versions {
+  std::uint64_t service = 0;  // XXH64 of its name
+
+  bool operator==(const find_versions&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(service);
+  }
+};
+
+// Versions of a service that a router knows, by VersionKey. Also sent to all routers once a version is recorded.
+struct versions_known {
+  std::uint64_t service = 0;              // XXH64 of its name
+  std::vector<std::uint64_t> recorded;    // in the store, so that streams may begin there
+  std::vector<std::uint64_t> candidates;  // that may have begun a stream which callers still take up
+
+  bool operator==(const versions_known&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(service, recorded, candidates);
+  }
+};
+
 // One crash of an engine under a request with a suspected part of a prompt.
 struct part_crash_entry {
   std::uint64_t crash = 0;  // identifies the endpoint and its incarnation
@@ -720,12 +744,13 @@
 // ---------------------------------------------------------------------------------------------------------------------
 
 // The index of a type in this list is its type number on the wire. Append new messages at the end only.
-using message = std::variant<hello, heartbeat, slot_open, reserve_slot, slot_granted, slot_refused, start_prefill,
-                             prefill_progress, start_decode, tokens, resume_stream, call_service, service_answer,
-                             cancel, attempt_status, query_attempt, load_report, fetch_config, config_snapshot,
-                             lend_tokens, tokens_lent, claim_batch, claim_results, router_state, hold_stream_origins,
-                             stream_origins_held, find_stream_origin, stream_origin_found, part_evidence_list,
-                             endpoint_limit_list, ask_permit, permit_answer, return_tokens, prompt_prefilled>;
+using message =
+    std::variant<hello, heartbeat, slot_open, reserve_slot, slot_granted, slot_refused, start_prefill, prefill_progress,
+                 start_decode, tokens, resume_stream, call_service, service_answer, cancel, attempt_status,
+                 query_attempt, load_report, fetch_config, config_snapshot, lend_tokens, tokens_lent, claim_batch,
+                 claim_results, router_state, hold_stream_origins, stream_origins_held, find_stream_origin,
+                 stream_origin_found, part_evidence_list, endpoint_limit_list, ask_permit, permit_answer, return_tokens,
+                 prompt_prefilled, find_versions, versions_known>;
 
 // Name of the message type, for logs and golden files.
 const char* MessageName(const message& value);
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -1266,6 +1266,7 @@
   void Restart() { ++state_.incarnation; }
 
   std::map<std::uint64_t, std::uint64_t> origins;  // version keys by attempt; received and known
+  std::vector<std::string> versions;               // of the model service that it knows; empty: it does not answer
   int copies_received = 0;
   bool answers = true;
 
@@ -1288,6 +1289,12 @@
     } else if (const auto* find = std::get_if<find_stream_origin>(&received)) {
       const auto found = origins.find(find->attempt);
       Send(message(stream_origin_found{find->attempt, found == origins.end() ? 0 : found->second}));
+    } else if (const auto* asked = std::get_if<find_versions>(&received); asked && !versions.empty()) {
+      versions_known known{asked->service, {}, {}};
+      for (const std::string& version : versions) {
+        known.candidates.push_back(VersionKey("llm", version));
+      }
+      Send(message(known));
     }
   }
 
@@ -1426,6 +1433,88 @@
   EXPECT_EQ(RecordRow()->version, version);
 }
 
+// Guards against an old list of endpoints: a router that has not heard of a new version yet joins it with another one.
+TEST_F(version_record_test, ResumedStream_WhenTheRecordNamesAnUnknownVersion_IsRefused) {
+  ASSERT_TRUE(harness_.Start());
+  ASSERT_TRUE(harness_.RunUntil([this] { return RecordedVersions() == std::vector<std::string>{"new"}; }));
+  harness_.Platform().Tables().Commit(
+      {{{kTable, "llm"}, R"({"schema":1,"versions":["new","newer"]})", false, std::nullopt}});
+  EXPECT_EQ(StatusOfResumed(), 503);
+  EXPECT_EQ(engine_->TotalRuns(), 0);
+}
+
+// Guards against streams at a version of which other routers cannot know yet.
+TEST_F(version_record_test, NewVersion_UntilItIsRecorded_GetsNoStreams) {
+  ASSERT_TRUE(harness_.Start());
+  ASSERT_TRUE(harness_.RunUntil([this] { return RecordedVersions() == std::vector<std::string>{"new"}; }));
+  harness_.Platform().Faults().refused_path = "/rows-tx";
+  replica_options options = Engine("dec-2", "decode");
+  options.version = "newer";
+  fake_replica& joined = harness_.AddReplica(options);
+  ASSERT_TRUE(harness_.RunUntil([this] { return harness_.Directory().Endpoints().Size() == 3; }));
+  engine_->Faults().full = true;
+  const auto call = harness_.SendModel("/digest/1", "a1");
+  harness_.RunFor(milliseconds(300));
+  EXPECT_EQ(joined.TotalRuns(), 0);
+  harness_.Platform().Faults().refused_path.clear();
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 200);
+  EXPECT_EQ(joined.TotalRuns(), 1);
+}
+
+// The same for a router that loses the store: its list of endpoints is as old as the outage.
+class version_outage_test : public testing::Test {
+ protected:
+  version_outage_test() : peer_(harness_) {
+    replica_options options = Engine("pre-1", "prefill");
+    options.version = "old";
+    harness_.AddReplica(options);
+    options = Engine("dec-1", "decode");
+    options.version = "old";
+    engine_ = &harness_.AddReplica(options);
+    harness_.WriteDesiredState({.timeout_ms = 14'000});
+  }
+
+  void SetUp() override {
+    ASSERT_TRUE(harness_.Start());
+    ASSERT_TRUE(harness_.Finish(harness_.SendModel("/digest/1", "a1")));
+    harness_.Platform().Faults().outage = true;
+    ASSERT_TRUE(harness_.RunUntil([this] { return !harness_.Directory().IsStoreReachable(); }));
+    peer_.Announce();
+  }
+
+  int StatusOfResumed() {
+    const auto call = harness_.SendModel("/digest/1", "b1", 1'000, 100, milliseconds(10'000),
+                                         {{"Resumes", "unknown"}, {"Last-Event-Id", "1"}});
+    EXPECT_TRUE(harness_.Finish(call));
+    return call->Status();
+  }
+
+  router_harness harness_;
+  peer_router peer_;
+  fake_replica* engine_ = nullptr;
+};
+
+// Guards against joining two versions at a router that has not heard of the newer one.
+TEST_F(version_outage_test, ResumedStream_WhenAnotherRouterKnowsANewVersion_IsRefused) {
+  peer_.versions = {"old", "new"};
+  EXPECT_EQ(StatusOfResumed(), 503);
+  EXPECT_EQ(engine_->TotalRuns(), 1);
+}
+
+// A router that is cut off from the others too cannot know.
+TEST_F(version_outage_test, ResumedStream_WhenAnotherRouterIsSilent_IsRefusedInTime) {
+  const time_point begin = timer_service::Now();
+  EXPECT_EQ(StatusOfResumed(), 503);
+  EXPECT_LT(timer_service::Now() - begin, kReleaseLimit);
+}
+
+// Guards against refusing everybody: while the store is away for all routers, no new version can begin a stream.
+TEST_F(version_outage_test, ResumedStream_WhenAllRoutersKnowTheSameVersion_GoesOn) {
+  peer_.versions = {"old"};
+  EXPECT_EQ(StatusOfResumed(), 200);
+}
+
 // An unreadable record must not stop the router, and is written anew.
 TEST_F(version_record_test, Record_ThatIsUnreadable_IsReplaced) {
   harness_.Platform().Tables().Commit({{{kTable, "llm"}, "no json", false, std::nullopt}});
