Keep the origins of streams in the store while a service has several versions

Cause: the version of a stream stood only in the memory of routers. Ruled out: the record of versions (it named both), and engines (those of the streams' versions were there).

Change: each router writes the origins of its streams to rows of its own every 0.2 s (50 writes a second at most for all routers), and reads all rows when it starts, later what has changed if neither it nor the holders know an origin. Rows are removed once they are old.

Why it works: the store outlives the routers; a stream is unknown only if it began within the last batch or the store was away. With one version nothing is written.

Evidence: two new tests fail without the change.

--- a/include/persimmon/stream_origins.h
+++ b/include/persimmon/stream_origins.h
@@ -117,6 +117,12 @@
   // Records that a holder has acknowledged copies.
   void RecordHeld(const origin_holder& holder, const std::vector<origin_key>& attempts);
 
+  // Returns the origins of streams that this router forwards and that have not been returned before.
+  std::vector<stream_origin> TakeUnlogged(const std::function<bool(std::uint64_t version)>& needs_log, time_point now);
+
+  // TakeUnlogged returns all origins once more, because what has been logged is lost.
+  void ForgetLogged();
+
   void RemoveExpired(time_point now);
 
   std::size_t Size() const { return origins_.size(); }
@@ -132,6 +138,8 @@
     std::uint64_t version = 0;
     time_point expiry;
     std::uint64_t generation = 0;  // of the holders for which the copies were placed
+    bool is_own = false;           // of a stream that this router forwards
+    bool is_logged = false;
     std::vector<copy_state> copies;
   };
 
--- a/src/decisions/stream_origins.cpp
+++ b/src/decisions/stream_origins.cpp
@@ -61,8 +61,11 @@
 void stream_origin_table::Record(const stream_origin& origin) {
   const auto found = origins_.find(origin.attempt);
   if (found == origins_.end()) {
-    Insert(origin);
-  } else if (origin.expiry > found->second.expiry) {
+    Insert(origin).is_own = true;
+    return;
+  }
+  found->second.is_own = true;
+  if (origin.expiry > found->second.expiry) {
     found->second.expiry = origin.expiry;
     found->second.copies.clear();  // the holders have the earlier expiry
     found->second.generation = 0;
@@ -160,6 +163,24 @@
   }
 }
 
+std::vector<stream_origin> stream_origin_table::TakeUnlogged(
+    const std::function<bool(std::uint64_t version)>& needs_log, time_point now) {
+  std::vector<stream_origin> unlogged;
+  for (auto& [attempt, state] : origins_) {
+    if (state.is_own && !state.is_logged && now < state.expiry && needs_log(state.version)) {
+      state.is_logged = true;
+      unlogged.push_back({attempt, state.version, state.expiry});
+    }
+  }
+  return unlogged;
+}
+
+void stream_origin_table::ForgetLogged() {
+  for (auto& [attempt, state] : origins_) {
+    state.is_logged = false;
+  }
+}
+
 void stream_origin_table::RemoveExpired(time_point now) {
   const auto end = by_expiry_.upper_bound(now);
   for (auto item = by_expiry_.begin(); item != end; ++item) {
--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -36,6 +36,8 @@
 constexpr milliseconds kConfirmTime(400);  // for a check of the versions, while a resumed stream waits
 constexpr milliseconds kStoreTime(150);    // of it, for the answer of the store before the routers are asked
 constexpr milliseconds kCheckPoll(3);
+constexpr milliseconds kLogPeriod(200);           // between two writes of origins by this router
+constexpr milliseconds kLogPeriodPerRouter(20);   // the same, by the number of routers: 50 writes per second in all
 constexpr std::size_t kMaxCopiesPerMessage = 60;  // 20 bytes each; fits a datagram
 constexpr milliseconds kMinResumeTime(30'000);    // lower limit of ResumeTime
 constexpr std::size_t kMaxRecordedVersions = 64;  // of one service, against records of other writers
@@ -74,11 +76,13 @@
   directory_ = &kernel_.Find<deployment_directory>("directory");
   group_ = &kernel_.Find<router_group>("group");
   origins_.emplace(group_->Self().address.Text(), stream_origin_settings{});
+  log_.emplace(table_, group_->Self().address.Text(), group_->Self().incarnation);
   group_->SubscribeMessages([this](const host_port& sender, const message& received) { Receive(sender, received); });
   directory_->Subscribe([this] { UpdateVersions(); });
   watch_timer_ = kernel_.Timers().SubscribeEvery(kWatchPeriod, 0.1, [this] {
     origins_->RemoveExpired(timer_service::Now());
     SendCopies();
+    ScheduleLog();
   });
   has_records_ = settings_.deployment.first_start;
   asio::co_spawn(kernel_.Context(), KeepRecords(), asio::detached);
@@ -351,7 +355,37 @@
   if (answer && *answer != 0) {
     co_return answer;
   }
-  co_return std::nullopt;
+  co_return co_await FindLogged(attempt);
+}
+
+// Looks for the origin in the store. All calls that wait share one read.
+task<std::optional<std::uint64_t>> origin_tracker::FindLogged(origin_key attempt) {
+  const time_point asked = timer_service::Now();
+  while (directory_->IsStoreReachable() && timer_service::Now() - asked < kStoreTime) {
+    if (log_read_.began && *log_read_.began >= asked) {
+      break;
+    }
+    if (!std::exchange(log_read_.is_running, true)) {
+      asio::co_spawn(kernel_.Context(), ReadLog(), asio::detached);
+    }
+    co_await kernel_.Timers().Sleep(kCheckPoll);
+  }
+  co_return origins_->Find(attempt, timer_service::Now());
+}
+
+task<> origin_tracker::ReadLog() {
+  const time_point began = timer_service::Now();
+  auto read = co_await log_->Read(ResumeTime());
+  if (read) {
+    for (const stream_origin& origin : read.value()) {
+      origins_->RecordCopy(origin);
+    }
+  } else {
+    Events().Line(kComponent, "origins_unreadable").Add("reason", read.error().message);
+  }
+  log_read_.is_running = false;
+  log_read_.began = began;
+  log_read_.is_confirmed = read.has_value();
 }
 
 // Returns the version key that the first holder with one answers, 0 if all answer that they know none, and nothing if
@@ -506,6 +540,10 @@
       co_await WriteRecord(name);
     }
     AskForRecorded();
+    const bool has_shared = !SharedServices().empty();
+    if (std::exchange(has_shared_, has_shared) && !has_shared && can_write) {
+      co_await RemoveOldLogs();
+    }
     co_await record_wakeup_.Receive(due.empty() && !is_addition_due_ ? kRecordPeriod : kAddRankDelay / 2);
   }
 }
@@ -514,6 +552,7 @@
   const bool is_restored = table_.Era() != records_era_ && records_era_ != 0;
   if (is_restored) {
     restored_at_ = now;
+    origins_->ForgetLogged();
   }
   records_era_ = table_.Era();
   is_addition_due_ = false;
@@ -546,6 +585,21 @@
   }
 }
 
+// Routers that are gone leave their rows behind.
+task<> origin_tracker::RemoveOldLogs() {
+  if (OwnRank(kVersionTable) != 0) {
+    co_return;
+  }
+  std::vector<std::string> live;
+  for (const router_group::member& member : group_->LiveMembers()) {
+    live.push_back(member.address.Text());
+  }
+  auto removed = co_await log_->RemoveOthers(std::move(live));
+  if (!removed) {
+    Events().Line(kComponent, "old_origins_not_removed").Add("reason", removed.error().message);
+  }
+}
+
 void origin_tracker::ApplyRecord(const std::string& service, const table_row& row) {
   service_state& state = services_[service];
   const version_set versions = ParseRecord(row.value);
@@ -583,7 +637,39 @@
         .Add("service", row.key)
         .Add("versions", JoinVersions(services_[row.key].recorded));
   }
-  has_records_ = true;
+  log_read_.is_running = true;
+  co_await ReadLog();
+  has_records_ = log_read_.is_confirmed;
+}
+
+void origin_tracker::ScheduleLog() {
+  const time_point now = timer_service::Now();
+  if (is_log_written_ || now < next_log_write_ || !directory_->IsStoreReachable()) {
+    return;
+  }
+  const std::set<std::string> shared = SharedServices();
+  if (!shared.empty()) {
+    const auto needs_log = [&](std::uint64_t version) {
+      const auto service = service_of_version_.find(version);
+      return service == service_of_version_.end() || shared.contains(service->second);
+    };
+    for (const stream_origin& origin : origins_->TakeUnlogged(needs_log, now)) {
+      log_->Add(origin);
+    }
+  }
+  if (log_->HasWork(now)) {
+    is_log_written_ = true;
+    next_log_write_ = now + std::max(kLogPeriod, kLogPeriodPerRouter * static_cast<int>(group_->RouterCount()));
+    asio::co_spawn(kernel_.Context(), WriteLog(), asio::detached);
+  }
+}
+
+task<> origin_tracker::WriteLog() {
+  auto written = co_await log_->Write();
+  if (!written) {
+    Events().Line(kComponent, "origins_not_written").Add("reason", written.error().message);
+  }
+  is_log_written_ = false;
 }
 
 // Reads the record first: another router may have written it meanwhile, or may know of a version that this one does
--- a/src/direct/origin_tracker.h
+++ b/src/direct/origin_tracker.h
@@ -7,6 +7,9 @@
 // The versions of each service are recorded in the store before the first stream begins at one of them. So a router
 // whose list of endpoints is old, or that has restarted, learns from the record, read after the caller's request has
 // arrived, whether there is another version. Without the store, all routers that may be running must answer instead.
+//
+// While a service has several versions, the origins of its streams are also written to the store (origin_log.h), so
+// that they outlive the loss of all routers.
 #pragma once
 
 #include <map>
@@ -20,6 +23,7 @@
 #include "core/mailbox.h"
 #include "direct/direct_call.h"
 #include "direct/directory.h"
+#include "direct/origin_log.h"
 #include "direct/router_group.h"
 #include "persimmon/stream_origins.h"
 
@@ -92,6 +96,10 @@
   void AddUsable(const std::string& service, const version_set& versions);
   void RecordOrigin(const direct_call& call, const std::string& attempt, const std::string& version);
   task<std::optional<std::uint64_t>> FindOrigin(origin_key attempt);
+  task<std::optional<std::uint64_t>> FindLogged(origin_key attempt);
+  task<> ReadLog();
+  void ScheduleLog();
+  task<> WriteLog();
   task<std::optional<std::uint64_t>> AskHolders(origin_key attempt);
   void UpdateVersions();
   void UpdateHolders();
@@ -101,6 +109,7 @@
   void ReceiveCopies(const host_port& sender, const hold_stream_origins& copies);
   task<> KeepRecords();
   void UpdateRecordStates(time_point now);
+  task<> RemoveOldLogs();
   void AskForRecorded();
   task<> ReadRecords();
   task<> WriteRecord(std::string service);
@@ -112,6 +121,11 @@
   deployment_directory* directory_ = nullptr;
   router_group* group_ = nullptr;
   std::optional<stream_origin_table> origins_;  // set by Start, when the own address is known
+  std::optional<origin_log> log_;               // as origins_
+  version_check log_read_;
+  bool is_log_written_ = false;  // a write is in progress
+  bool has_shared_ = false;      // a service had several candidates at the previous check of the records
+  time_point next_log_write_;
   std::vector<std::shared_ptr<version_query>> version_queries_;
   bool is_addition_due_ = false;           // a version that serves is not usable yet
   std::optional<time_point> restored_at_;  // when the store came back from an older copy, which may lack records
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -7,6 +7,7 @@
 //   3. directory and readiness
 //   4. graceful shutdown
 //   5. stage orders
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "direct/stage_orders.h"
@@ -1319,6 +1320,23 @@
       << "a router that has restarted has lost its copy";
 }
 
+// Guards against losing the version of a stream with all routers.
+TEST_F(stream_version_test, NewStream_WhileTwoVersionsServe_IsWrittenToTheStore) {
+  const std::string version = BeginStream("a1");
+  const std::string attempt = fmt::format("{:016x}", OriginKey("a1"));
+  const std::string key = fmt::format("{:016x}", VersionKey("llm", version.substr(0, 3)));
+  EXPECT_TRUE(harness_.RunUntil(
+      [&] {
+        const auto& tables = harness_.Platform().Tables();
+        const auto rows = tables.ChangesAfter("persimmon_origins", 0);
+        return std::any_of(rows->begin(), rows->end(), [&](const auto& row) {
+          const json content = json::parse(tables.Read(row)->value);
+          return content["origins"].value(key, json::array()) == json::array({attempt});
+        });
+      },
+      milliseconds(500)));
+}
+
 TEST_F(stream_version_test, ResumedStream_OfAnotherRouter_GoesOnAtTheVersionThatBeganIt) {
   peer_router peer(harness_);
   for (int i = 0; i < 10; ++i) {
@@ -1462,6 +1480,39 @@
   EXPECT_EQ(joined.TotalRuns(), 1);
 }
 
+// Guards against the loss of all origins with all routers: streams that were taken up afterwards were refused.
+TEST_F(version_record_test, ResumedStream_AfterAllRoutersWereLost_GoesOnAtTheVersionInTheStore) {
+  harness_.Platform().Tables().Commit(
+      {{{kTable, "llm"}, R"({"schema":1,"versions":["new","old"]})", false, std::nullopt}});
+  const json origins = {{fmt::format("{:016x}", VersionKey("llm", "new")), {fmt::format("{:016x}", OriginKey("a1"))}},
+                        {fmt::format("{:016x}", VersionKey("llm", "old")), {fmt::format("{:016x}", OriginKey("a2"))}}};
+  harness_.Platform().Tables().Commit({{{"persimmon_origins", "127.0.0.9:7000/1/0"},
+                                        json{{"schema", 1}, {"origins", origins}}.dump(),
+                                        false,
+                                        std::nullopt}});
+  ASSERT_TRUE(harness_.Start());
+  const auto resume = [this](const char* attempt, const char* resumed) {
+    const auto call = harness_.SendModel("/digest/1", attempt, 1'000, 100, milliseconds(10'000),
+                                         {{"Resumes", resumed}, {"Last-Event-Id", "2"}});
+    EXPECT_TRUE(harness_.Finish(call));
+    return call->Status();
+  };
+  EXPECT_EQ(resume("b1", "a1"), 200);
+  EXPECT_EQ(resume("b2", "a2"), 503) << "no engine of its version serves";
+  EXPECT_EQ(resume("b3", "a3"), 503) << "nobody knows which version began it";
+  EXPECT_EQ(engine_->TotalRuns(), 1);
+}
+
+// Guards against calls to the store that a deployment with one version does not need.
+TEST_F(version_record_test, NewStream_WhileOneVersionServes_IsNotWrittenToTheStore) {
+  ASSERT_TRUE(harness_.Start());
+  ASSERT_TRUE(harness_.RunUntil([this] { return RecordedVersions() == std::vector<std::string>{"new"}; }));
+  const std::uint64_t version = harness_.Platform().Tables().Version();
+  ASSERT_TRUE(harness_.Finish(harness_.SendModel("/digest/1", "a1")));
+  harness_.RunFor(milliseconds(500));
+  EXPECT_EQ(harness_.Platform().Tables().Version(), version);
+}
+
 // The same for a router that loses the store: its list of endpoints is as old as the outage.
 class version_outage_test : public testing::Test {
  protected:
