--- a/src/direct/caller_auth.cpp
+++ b/src/direct/caller_auth.cpp
@@ -9,6 +9,7 @@
 #include "core/random.h"
 #include "core/telemetry.h"
 #include "net/channel.h"
+#include "platform/json_text.h"
 
 namespace persimmon {
 namespace {
@@ -105,7 +106,7 @@
   if (!response || response.value().status != 200) {
     co_return;
   }
-  const auto body = nlohmann::json::parse(response.value().body, nullptr, false);
+  const auto body = platform::ParseJson(response.value().body);
   const bool is_valid = body.is_object() && body.contains("revision") && body["revision"].is_number_unsigned() &&
                         body.contains("age_ms") && body["age_ms"].is_number_unsigned();
   if (!is_valid) {
--- a/src/direct/directory.cpp
+++ b/src/direct/directory.cpp
@@ -7,6 +7,7 @@
 
 #include "core/event_log.h"
 #include "core/random.h"
+#include "platform/json_text.h"
 #include "platform/records.h"
 
 namespace persimmon {
@@ -311,7 +312,7 @@
 }
 
 result<void> deployment_directory::ImportState(const std::string& text) {
-  const json body = json::parse(text, nullptr, false);
+  const json body = platform::ParseJson(text);
   const bool is_valid = body.is_object() && body.contains("desired_state") && body["desired_state"].is_string() &&
                         body.contains("endpoints") && body["endpoints"].is_object();
   if (!is_valid) {
--- a/src/direct/origin_log.cpp
+++ b/src/direct/origin_log.cpp
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/event_log.h"
+#include "platform/json_text.h"
 
 namespace persimmon {
 namespace {
@@ -43,7 +44,7 @@
 
 // Entries that cannot be read name no origin; the others hold.
 std::vector<stream_origin> ParseRow(const std::string& text, time_point expiry) {
-  const json value = json::parse(text, nullptr, false);
+  const json value = platform::ParseJson(text);
   std::vector<stream_origin> origins;
   if (!value.is_object() || !value.contains("origins") || !value["origins"].is_object()) {
     return origins;
--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -12,6 +12,7 @@
 #include "core/event_log.h"
 #include "core/random.h"
 #include "persimmon/selection.h"
+#include "platform/json_text.h"
 
 namespace persimmon {
 namespace {
@@ -43,7 +44,7 @@
 constexpr std::size_t kMaxRecordedVersions = 64;  // of one service, against records of other writers
 
 version_set ParseRecord(const std::string& text) {
-  const json value = json::parse(text, nullptr, false);
+  const json value = platform::ParseJson(text);
   version_set versions;
   if (value.is_object() && value.contains("versions") && value["versions"].is_array()) {
     for (const json& version : value["versions"]) {
--- a/src/direct/stage_orders.cpp
+++ b/src/direct/stage_orders.cpp
@@ -6,6 +6,7 @@
 
 #include "core/event_log.h"
 #include "core/random.h"
+#include "platform/json_text.h"
 #include "platform/requests.h"
 
 namespace persimmon {
@@ -27,7 +28,7 @@
 std::string MakeLeaseValue(const std::string& holder) { return json{{"holder", holder}}.dump(); }
 
 std::string ReadLeaseHolder(const std::string& text) {
-  const json value = json::parse(text, nullptr, false);
+  const json value = platform::ParseJson(text);
   return value.is_object() && value.contains("holder") && value["holder"].is_string()
              ? value["holder"].get<std::string>()
              : std::string();
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -19,6 +19,7 @@
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <deque>
+#include <limits>
 #include <map>
 #include <set>
 
@@ -311,7 +312,8 @@
     }
     reading_ = true;
     http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    parser.header_limit(static_cast<std::uint32_t>(
+        std::min<std::size_t>(limits.header_bytes, std::numeric_limits<std::uint32_t>::max())));
     parser.body_limit(limits.body_bytes);
     buffer_budget::lease body_memory;
     co_await ReadMessage(parser, body_memory, failure);
