Check that a leaving engine still runs when a body without framing ends

Cause: the check that tells a crash from the end of such a body was left out for leaving engines, because one may stop right after its last stream. Ruled out: the splitter (the cut was between two events) and the framing to the caller (chunks).

Change: the check is made for all engines. If the engine is gone, another one continues after the last event where the route allows it, and the caller sees a broken stream elsewhere.

Why it works: an engine that goes on at the last event of a whole stream sends no further event, so a whole stream stays whole.

--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -934,12 +934,13 @@
   if (const char* broken = events.FindBrokenEnd(may_be_empty)) {
     co_return broken;
   }
-  // A crash ends a body without length or chunks like its end does. A leaving engine may stop after its last stream.
-  if (upstream.Framing() != body_framing::kConnectionEnd || !endpoint_tracker_->IsCurrent(engine)) {
+  // The end of a process ends a body without length or chunks like its own end does. A leaving engine may stop in the
+  // middle of a stream too, or right after its last one; where the route allows it, another engine tells which.
+  if (upstream.Framing() != body_framing::kConnectionEnd) {
     co_return std::string();
   }
-  const bool has_crashed = co_await suspect_tracker_->HasCrashed(engine, call.Service().health_path);
-  co_return has_crashed ? "the engine has crashed at the end of a body without framing" : "";
+  const bool is_gone = co_await suspect_tracker_->HasCrashed(engine, call.Service().health_path);
+  co_return is_gone ? "the engine is gone at the end of a body without framing" : "";
 }
 
 task<generation_calls::decode_result> generation_calls::ForwardStream(direct_call_ptr call, http_call& upstream,
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -449,6 +449,7 @@
   if (faults_.cut_after_bytes) {
     std::string part = whole.substr(0, *faults_.cut_after_bytes);
     (void)co_await exchange->WriteChunk(std::move(part));
+    co_await timers_.Sleep(faults_.cut_delay);
     co_await BreakOff(exchange);
     co_return;
   }
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -69,6 +69,8 @@
   std::uint32_t break_after_events = 0;  // streams break off after this many events; 0: never
   std::optional<std::size_t> cut_after_bytes = {};  // streams break off after this many bytes of their body
 
+  milliseconds cut_delay{0};  // between these bytes and the break
+
   bool operator==(const replica_faults&) const = default;
 };
 
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -358,6 +358,15 @@
     second_.Faults() = faults;
   }
 
+  // Waits until the router knows that the engine leaves.
+  void ReportDraining(const fake_replica& engine) {
+    harness_.Platform().Tables().Commit({{{"servers", engine.Name()}, engine.EntryText(true, 2), false, std::nullopt}});
+    EXPECT_TRUE(harness_.RunUntil([&] {
+      const auto* entry = harness_.Directory().Endpoints().Find(endpoint_name{engine.Name()});
+      return entry != nullptr && entry->draining;
+    }));
+  }
+
   // True if the engines hold no memory and no runs.
   bool IsAllFreed() const {
     return first_.ReservedTokens() + second_.ReservedTokens() == 0 && first_.ActiveRuns() + second_.ActiveRuns() == 0;
@@ -696,6 +705,57 @@
   EXPECT_EQ(call->body, WholeStream("a1", 5));
 }
 
+// Guards against taking the end of a leaving engine's process for the end of the stream: an engine may be gone two
+// seconds after its notice, in the middle of a stream.
+TEST_F(model_call_test, UnframedStream_WhoseLeavingEngineIsGoneBetweenEvents_GoesOnAtAnotherEngine) {
+  const std::size_t first_event = WholeStream("a1", 1).size();
+  SetBoth({.unframed = true,
+           .breaks_in_order = true,
+           .stops_at_cut = true,
+           .cut_after_bytes = first_event,
+           .cut_delay = milliseconds(150)});
+  const auto call = harness_.SendModel("/digest/1", "a1");
+  ASSERT_TRUE(harness_.RunUntil([&] { return Runs("a1") == 1; }));
+  fake_replica& engine = first_.Runs("a1") == 1 ? first_ : second_;
+  (&engine == &first_ ? second_ : first_).Faults() = {};
+  ReportDraining(engine);
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_FALSE(call->failure);
+  EXPECT_EQ(call->body, WholeStream("a1", 5));
+}
+
+// The same where nothing may continue the stream: the caller must see that it is not whole.
+TEST_F(model_call_test, UnframedStream_WhoseLeavingEngineIsGoneOnAnotherRoute_LooksBrokenToTheCaller) {
+  const std::size_t first_event = WholeStream("a1", 1).size();
+  SetBoth({.unframed = true,
+           .breaks_in_order = true,
+           .stops_at_cut = true,
+           .cut_after_bytes = first_event,
+           .cut_delay = milliseconds(150)});
+  const auto call = harness_.SendModel("/chat/1", "a1");
+  ASSERT_TRUE(harness_.RunUntil([&] { return Runs("a1") == 1; }));
+  ReportDraining(first_.Runs("a1") == 1 ? first_ : second_);
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_TRUE(call->failure);
+}
+
+// An engine that leaves stops when its last stream has ended. The stream is whole, which another engine confirms.
+TEST_F(model_call_test, UnframedStream_AfterWhoseEndTheLeavingEngineStops_ReachesTheCallerWhole) {
+  SetBoth({.unframed = true,
+           .breaks_in_order = true,
+           .stops_at_cut = true,
+           .cut_after_bytes = WholeStream("a1", 5).size(),
+           .cut_delay = milliseconds(150)});
+  const auto call = harness_.SendModel("/digest/1", "a1");
+  ASSERT_TRUE(harness_.RunUntil([&] { return Runs("a1") == 1; }));
+  fake_replica& engine = first_.Runs("a1") == 1 ? first_ : second_;
+  (&engine == &first_ ? second_ : first_).Faults() = {};
+  ReportDraining(engine);
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_FALSE(call->failure);
+  EXPECT_EQ(call->body, WholeStream("a1", 5));
+}
+
 TEST_F(model_call_test, Stream_ThatBreaksOffOnAnotherRoute_LooksBrokenToTheCaller) {
   first_.Faults().break_after_events = 2;
   second_.Faults().break_after_events = 2;
