Check that a plain endpoint still runs when an answer without framing ends

Cause: the end of a process ends such a body like its own end does; only model streams were checked for it.

If the endpoint is gone, the answer is not whole: another endpoint is tried where the call may be repeated, else 502.

Evidence: two of the three new tests fail before (status 200 with 10 bytes of the answer). Also: request_memory_test waits for the requests of its server before it ends, because AddressSanitizer reported frames of the test as leaks.

--- a/src/direct/plain_attempts.cpp
+++ b/src/direct/plain_attempts.cpp
@@ -215,6 +215,13 @@
     complete = piece.value().empty();
     (void)events.Add(is_stream ? std::string_view(piece.value()) : std::string_view());
     const char* broken = complete && is_stream ? events.FindBrokenEnd(!call->Metadata().resume_after.empty()) : nullptr;
+    if (complete && is_forwardable && attempt->upstream.Framing() == body_framing::kConnectionEnd) {
+      const bool is_gone = co_await suspect_tracker_->HasCrashed(attempt->endpoint, call->Service().health_path);
+      if (is_gone) {
+        outcome.broken = error{error_code::kClosed, "the endpoint is gone at the end of a body without framing"};
+        break;
+      }
+    }
     if (broken != nullptr || events.IsOversized()) {
       outcome.broken = error{error_code::kClosed, broken != nullptr ? broken : "an event exceeds the maximum length"};
       break;
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -383,6 +383,13 @@
     co_return;
   }
   auto sent = co_await exchange->StartStream(answer.status, std::move(answer.headers), Framing());
+  if (faults_.cut_after_bytes) {
+    std::string part = answer.body.substr(0, *faults_.cut_after_bytes);
+    (void)co_await exchange->WriteChunk(std::move(part));
+    co_await timers_.Sleep(faults_.cut_delay);
+    co_await BreakOff(exchange);
+    co_return;
+  }
   do {
     std::string part = faults_.endless_body ? std::string(kEndlessPartBytes, 'x') : answer.body;
     if (sent) {
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -220,6 +220,42 @@
   EXPECT_EQ(call->Status(), 502);
 }
 
+// Guards against passing on the beginning of an answer as a whole one, with a length of our own: the end of the
+// endpoint's process ends a body without framing too.
+TEST_F(plain_call_test, UnframedAnswer_WhoseEndpointIsGoneAtItsEnd_IsNotPassedOn) {
+  for (fake_replica* endpoint : {&first_, &second_}) {
+    endpoint->Faults() = {.unframed = true, .breaks_in_order = true, .stops_at_cut = true, .cut_after_bytes = 10};
+  }
+  const auto call = harness_.Send("POST", "/submit/1", "a1");
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 502);
+  EXPECT_EQ(first_.Runs("a1") + second_.Runs("a1"), 1);
+}
+
+// The same for a call that may be repeated: another endpoint answers it.
+TEST_F(plain_call_test, UnframedAnswer_OfAnIdempotentCallWhoseEndpointIsGone_ComesFromAnotherEndpoint) {
+  for (fake_replica* endpoint : {&first_, &second_}) {
+    endpoint->Faults() = {.unframed = true, .breaks_in_order = true, .stops_at_cut = true, .cut_after_bytes = 10};
+  }
+  const auto call = harness_.Send("GET", "/pages/1", "a1");
+  ASSERT_TRUE(harness_.RunUntil([&] { return first_.Runs("a1") + second_.Runs("a1") == 1; }));
+  (first_.Runs("a1") == 1 ? second_ : first_).Faults() = {};
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 200);
+  EXPECT_TRUE(call->body.ends_with(" to a1")) << call->body;
+}
+
+// An unframed answer of an endpoint that still runs is whole.
+TEST_F(plain_call_test, UnframedAnswer_OfALivingEndpoint_IsPassedOn) {
+  for (fake_replica* endpoint : {&first_, &second_}) {
+    endpoint->Faults() = {.unframed = true};
+  }
+  const auto call = harness_.Send("POST", "/submit/1", "a1");
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_EQ(call->Status(), 200);
+  EXPECT_TRUE(call->body.ends_with(" to a1")) << call->body;
+}
+
 // Guards against buffering an answer that may not be passed on for as long as its endpoint sends it.
 TEST_F(plain_call_test, AnswerWithoutSeal_ThatNeverEnds_IsGivenUpEarly) {
   SetBoth({.omits_seal = true, .endless_body = true});
--- a/tests/request_memory_test.cpp
+++ b/tests/request_memory_test.cpp
@@ -82,6 +82,7 @@
   ~request_memory_test() override {
     if (server_) {
       server_->Stop();
+      (void)loop_.RunUntil([this] { return server_->BodyMemoryInUse() == 0 && server_->RequestsInProgress() == 0; });
       loop_.RunFor(milliseconds(5));
     }
   }
