Take completed prefills off the table of running requests, and drop suspects in one pass

Cause: a completed prefill was never taken off the table of running requests, so the crash made each prompt since the engine's start a suspect; and dropping suspects beyond the limit took quadratic time. Ruled out: the health check (50 ms) and the reports to peers (eight at most).

Change: both. The gauge persimmon_watched_requests shows the table's size.

--- a/src/decisions/suspects.cpp
+++ b/src/decisions/suspects.cpp
@@ -13,6 +13,24 @@
   return std::max(milliseconds(0), std::chrono::duration_cast<milliseconds>(now - observed_at));
 }
 
+// Removes the items with the earliest times until `limit` are left.
+template <class table, class item>
+void RemoveOldest(table& items, std::size_t limit, time_point item::*time) {
+  if (items.size() <= limit) {
+    return;
+  }
+  std::vector<std::pair<time_point, fingerprint_number>> by_time;
+  by_time.reserve(items.size());
+  for (const auto& [key, value] : items) {
+    by_time.emplace_back(value.*time, key);
+  }
+  const auto excess = static_cast<std::ptrdiff_t>(items.size() - limit);
+  std::nth_element(by_time.begin(), by_time.begin() + excess, by_time.end());
+  for (auto oldest = by_time.begin(); oldest != by_time.begin() + excess; ++oldest) {
+    items.erase(oldest->second);
+  }
+}
+
 }  // namespace
 
 std::uint32_t suspect_table::TotalCrashes(const suspect_entry& entry) {
@@ -168,16 +186,8 @@
 }
 
 void suspect_table::EnforceLimits() {
-  while (suspects_.size() > settings_.max_suspects) {
-    suspects_.erase(std::min_element(suspects_.begin(), suspects_.end(), [](const auto& left, const auto& right) {
-      return left.second.last_crash_at < right.second.last_crash_at;
-    }));
-  }
-  while (cleared_.size() > settings_.max_suspects) {
-    cleared_.erase(std::min_element(cleared_.begin(), cleared_.end(), [](const auto& left, const auto& right) {
-      return left.second.cleared_at < right.second.cleared_at;
-    }));
-  }
+  RemoveOldest(suspects_, settings_.max_suspects, &suspect_entry::last_crash_at);
+  RemoveOldest(cleared_, settings_.max_suspects, &clearing::cleared_at);
 }
 
 }  // namespace persimmon
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -710,6 +710,7 @@
     DispatchAll();
     if (handle) {
       endpoint_tracker_->RecordAnswer(engine);
+      suspect_tracker_->RecordEnd(call->Fingerprint(), engine, false);  // it may still crash the decode engine
       prompts_->RecordPrefill(*call, engine, assignment.prediction,
                               std::chrono::duration_cast<microseconds>(timer_service::Now() - sent_at));
       Events()
--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -165,6 +165,8 @@
         .Set(static_cast<double>(caller_server_->RequestsInProgress()));
     metrics_->AddGauge("persimmon_waiting_requests", "Model requests that wait for a reservation.")
         .Set(static_cast<double>(generation_calls_->WaitingCount()));
+    metrics_->AddGauge("persimmon_watched_requests", "Requests that run at endpoints, for the case that one crashes.")
+        .Set(static_cast<double>(kernel_.Find<suspect_tracker>("crashes").RunningCount()));
     metrics_->AddGauge("persimmon_body_memory_bytes", "Memory of the bodies of requests in progress.")
         .Set(static_cast<double>(caller_server_->BodyMemoryInUse()));
     metrics_->AddGauge("persimmon_waiting_bodies", "Requests whose body waits for memory.")
--- a/src/direct/suspect_tracker.h
+++ b/src/direct/suspect_tracker.h
@@ -36,6 +36,9 @@
   void RecordDisconnect(fingerprint_number fingerprint, const chosen_endpoint& endpoint,
                         const std::string& health_path);
 
+  // Requests that run at an endpoint, as far as this router knows.
+  std::size_t RunningCount() const { return suspects_.RunningCount(); }
+
   // Called when an endpoint has crashed, at least once for each crash.
   std::function<void(const chosen_endpoint&)> on_crash;
 
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 
 #include "direct/stage_orders.h"
+#include "direct/suspect_tracker.h"
 #include "persimmon/stream_origins.h"
 #include "support/router_harness.h"
 
@@ -741,6 +742,16 @@
   EXPECT_EQ(call->body, WholeStream("a1", 5));
 }
 
+// Guards against a table that grows with every stream and is emptied only by a crash of the engine.
+TEST_F(model_call_test, Streams_ThatHaveEnded_AreNoLongerWatchedForCrashes) {
+  const auto& suspects = harness_.Kernel().Find<suspect_tracker>("crashes");
+  for (int i = 0; i < 5; ++i) {
+    ASSERT_TRUE(harness_.Finish(harness_.SendModel("/chat/1", "a" + std::to_string(i))));
+  }
+  EXPECT_EQ(prefill_.Prefills(), 5);
+  EXPECT_TRUE(harness_.RunUntil([&] { return suspects.RunningCount() == 0; }, kReleaseLimit));
+}
+
 // Guards against taking the end of a leaving engine's process for the end of the stream: an engine may be gone two
 // seconds after its notice, in the middle of a stream.
 TEST_F(model_call_test, UnframedStream_WhoseLeavingEngineIsGoneBetweenEvents_GoesOnAtAnotherEngine) {
--- a/tests/suspects_test.cpp
+++ b/tests/suspects_test.cpp
@@ -131,5 +131,35 @@
   }
 }
 
+// Guards against a crash that stops the router, because removing many suspects takes quadratic time. 0.5 s is the time
+// in which a request must be answered after its time-out, on 0.19 cores.
+TEST(suspect_table_test, RecordCrash_WithManyRunningRequests_EndsWithinMilliseconds) {
+  constexpr fingerprint_number kRequests = 30'000;
+  suspect_table table{suspect_settings{}};
+  for (fingerprint_number request = 1; request <= kRequests; ++request) {
+    table.RecordStart(request, endpoint_name{"one"});
+  }
+  const auto begin = std::chrono::steady_clock::now();
+  EXPECT_EQ(table.RecordCrash(endpoint_name{"one"}, time_point(std::chrono::hours(1))).size(), kRequests);
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, milliseconds(95));
+  EXPECT_EQ(table.SuspectCount(), suspect_settings{}.max_suspects);
+  EXPECT_EQ(table.RunningCount(), 0U);
+}
+
+// The limit drops the suspects with the oldest crashes.
+TEST(suspect_table_test, RecordCrash_BeyondTheLimit_KeepsTheNewestSuspects) {
+  suspect_table table{suspect_settings{.max_suspects = 2}};
+  time_point now{std::chrono::hours(1)};
+  for (fingerprint_number request = 1; request <= 5; ++request) {
+    table.RecordStart(request, endpoint_name{"one"});
+    now += milliseconds(1);
+    (void)table.RecordCrash(endpoint_name{"one"}, now);
+  }
+  EXPECT_EQ(table.SuspectCount(), 2U);
+  EXPECT_EQ(table.CheckSuspect(3, now).verdict, suspect_verdict::kClear);
+  EXPECT_EQ(table.CheckSuspect(4, now).verdict, suspect_verdict::kSuspect);
+  EXPECT_EQ(table.CheckSuspect(5, now).verdict, suspect_verdict::kSuspect);
+}
+
 }  // namespace
 }  // namespace persimmon
