Keep a router's state within a datagram, and let a router notice that nobody hears it

Cause: the loads of all endpoints were part of the state, which then exceeded a datagram and was dropped with its heartbeat; the others took the router for gone and one became home of its replicas, while the loaded one went on. Ruled out: lost datagrams (no link was disturbed).

Change: the state has a bounded size, and the loads follow in lists of key ranges, as many datagrams as needed, only those that differ between two heartbeats. A router that no other one has listed for 3 s assigns limits as if it were alone, which also covers a link that loses everything one way.

Why it works: the heartbeat no longer depends on the load. An unheard router and its successor assign 1.5 times the limit at most.

The models of limits now tell their routers at the start that they are listed, as running ones are.

--- a/include/persimmon/request_limits.h
+++ b/include/persimmon/request_limits.h
@@ -44,6 +44,9 @@
   // the others, nor they it.
   milliseconds settle_time = milliseconds(2'000);
   milliseconds silence_time = milliseconds(1'500);  // a router that was not heard for this long may be gone
+  // A router that no other one has listed for this long may be unheard, and assigns as if it were alone. Shorter than
+  // silence_time and takeover_time together, in which its successor assigns a part of the rate only.
+  milliseconds unheard_time = milliseconds(3'000);
   milliseconds listed_time = milliseconds(900);     // but not while another one has listed it within this time
   milliseconds max_tick_delay = milliseconds(800);  // a longer one means that the process was paused
   // For this long after another router was home router of an endpoint, its successor assigns less, because both may
@@ -169,7 +172,8 @@
       : settings_(settings), own_address_(std::move(own_address)), own_since_(now), last_tick_(now) {}
 
   void RecordHeard(const std::string& address, std::uint64_t incarnation, bool leaving, time_point now);
-  void RecordListed(const std::string& address, time_point now);  // another router has heard it lately
+  // Another router has heard the one with this address lately, which may be this router itself.
+  void RecordListed(const std::string& address, time_point now);
   void RecordOwnLeave() { is_leaving_ = true; }
   void SetRouterCount(std::uint32_t count) { router_count_ = count; }  // with silent ones; 0: unknown
 
@@ -211,6 +215,7 @@
   time_point own_since_;  // start, or end of the latest pause
   time_point last_tick_;
   time_point last_expiry_;
+  std::optional<time_point> own_listed_;  // when another router listed this one last
   bool is_leaving_ = false;
   std::uint32_t router_count_ = 0;
   std::map<std::string, member> others_;  // by address
--- a/src/decisions/request_limits.cpp
+++ b/src/decisions/request_limits.cpp
@@ -135,6 +135,10 @@
 }
 
 void limit_members::RecordListed(const std::string& address, time_point now) {
+  if (address == own_address_) {
+    own_listed_ = now;
+    return;
+  }
   const auto found = others_.find(address);
   if (found != others_.end()) {
     found->second.last_listed = now;
@@ -192,6 +196,10 @@
         other.last_eligible && now - *other.last_eligible <= settings_.takeover_time && Rank(key, address) > own_rank;
     role.takes_over = role.takes_over || was_home_lately || (has_just_settled && IsEligible(other, now));
   }
+  // The others take a router that nobody hears for gone, and the next one by rank assigns the limit.
+  if (!own_listed_ || now - *own_listed_ > settings_.unheard_time) {
+    alive = 1;
+  }
   if (router_count_ != 0) {
     role.side = static_cast<double>(alive) / std::max(alive, router_count_);
   }
--- a/src/direct/router_group.cpp
+++ b/src/direct/router_group.cpp
@@ -4,6 +4,8 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <limits>
+#include <utility>
 
 #include "core/event_log.h"
 #include "core/random.h"
@@ -27,6 +29,44 @@
 // that long, and both sides must not share the limits anew.
 constexpr milliseconds kSilentCountTime(120'000);
 
+constexpr std::size_t kMaxWaitingServices = 32;  // listed in one state, those with the most requests
+constexpr std::size_t kMaxUseBytes = 1'200;      // of the loads in one datagram
+constexpr std::size_t kUseBytes = 24;            // of one load without its streams, when it is encoded
+constexpr std::size_t kStreamBytes = sizeof(stream_memory);
+constexpr std::size_t kMaxStreams = 80;  // of one load; further ones are added up
+
+// Adds up the streams that exceed the limit, so that a load fits a datagram. The sum overestimates their peak.
+void LimitStreams(endpoint_use& use) {
+  for (std::size_t i = kMaxStreams; i < use.streams.size(); ++i) {
+    stream_memory& sum = use.streams[kMaxStreams - 1];
+    sum.held_tokens += use.streams[i].held_tokens;
+    sum.remaining_tokens += use.streams[i].remaining_tokens;
+    sum.reserved_tokens += use.streams[i].reserved_tokens;
+  }
+  use.streams.resize(std::min(use.streams.size(), kMaxStreams));
+}
+
+// Divides the loads into lists that fit a datagram each and together cover all keys.
+std::vector<endpoint_use_list> DivideUses(std::vector<endpoint_use> uses) {
+  std::sort(uses.begin(), uses.end(),
+            [](const endpoint_use& left, const endpoint_use& right) { return left.endpoint < right.endpoint; });
+  std::vector<endpoint_use_list> lists(1);
+  std::size_t bytes = 0;
+  for (endpoint_use& use : uses) {
+    LimitStreams(use);
+    const std::size_t added = kUseBytes + kStreamBytes * use.streams.size();
+    if (bytes + added > kMaxUseBytes && bytes > 0) {
+      lists.back().last = use.endpoint - 1;
+      lists.emplace_back().first = use.endpoint;
+      bytes = 0;
+    }
+    lists.back().uses.push_back(std::move(use));
+    bytes += added;
+  }
+  lists.back().last = std::numeric_limits<std::uint64_t>::max();
+  return lists;
+}
+
 }  // namespace
 
 std::uint64_t EndpointKey(const endpoint_name& name) { return XXH64(name.value.data(), name.value.size(), 0); }
@@ -45,6 +85,10 @@
                                                   Receive(sender, *state);
                                                   return;
                                                 }
+                                                if (const auto* list = std::get_if<endpoint_use_list>(&received)) {
+                                                  ReceiveUses(sender, *list);
+                                                  return;
+                                                }
                                                 for (const message_handler& handler : message_handlers_) {
                                                   handler(sender, received);
                                                 }
@@ -95,7 +139,7 @@
                                                [this] { SendState(false); });
 }
 
-void router_group::SendState(bool with_members) {
+void router_group::SendState(bool is_heartbeat) {
   const time_point now = timer_service::Now();
   send_scheduled_ = false;
   last_sent_ = now;
@@ -106,14 +150,18 @@
   state.revision = local_revision ? local_revision() : 0;
   state.leaving = leaving_;
   state.control = settings_.deployment.control;
-  state.uses = local_uses ? local_uses() : std::vector<endpoint_use>();
   state.suspects = local_suspects ? local_suspects() : std::vector<suspect_report>();
   state.waiting = local_waiting ? local_waiting() : std::vector<waiting_count>();
+  if (state.waiting.size() > kMaxWaitingServices) {
+    std::partial_sort(state.waiting.begin(), state.waiting.begin() + kMaxWaitingServices, state.waiting.end(),
+                      [](const auto& left, const auto& right) { return left.requests > right.requests; });
+    state.waiting.resize(kMaxWaitingServices);
+  }
   std::vector<host_port> recipients;
   for (const auto& [address, other] : peers_) {
     recipients.push_back(address);
   }
-  if (with_members) {
+  if (is_heartbeat) {
     std::vector<host_port> heard;
     for (const auto& [address, other] : peers_) {
       if (now - other.last_heard <= kSilenceTimeout) {
@@ -125,6 +173,7 @@
       state.members.push_back(heard[(first + i) % heard.size()]);
     }
   }
+  const std::vector<host_port> peers = recipients;
   for (auto& [address, last_tried] : candidates_) {
     if (now - last_tried >= kCandidateRetryPeriod) {
       last_tried = now;
@@ -132,6 +181,21 @@
     }
   }
   socket_->SendAll(recipients, message(std::move(state)));
+  SendUses(peers, is_heartbeat || std::exchange(sends_all_uses_, false));
+}
+
+// Divides the loads by ranges of keys. What has not changed since it was sent last is repeated with heartbeats only.
+void router_group::SendUses(const std::vector<host_port>& recipients, bool all) {
+  std::vector<endpoint_use_list> lists = DivideUses(local_uses ? local_uses() : std::vector<endpoint_use>());
+  for (const endpoint_use_list& list : lists) {
+    if (all || std::find(sent_uses_.begin(), sent_uses_.end(), list) == sent_uses_.end()) {
+      endpoint_use_list sent = list;
+      sent.incarnation = incarnation_;
+      sent.sequence = sequence_;
+      socket_->SendAll(recipients, message(std::move(sent)));
+    }
+  }
+  sent_uses_ = std::move(lists);
 }
 
 void router_group::Receive(const host_port& sender, const router_state& state) {
@@ -149,8 +213,13 @@
     // engines until they end.
     Events().Line(kComponent, "router_leaves").Add("router", state.name);
   }
-  const bool uses_changed = is_new || known->second.state.uses != state.uses;
-  peers_.insert_or_assign(sender, peer_state{state, now});
+  peer_state& peer = peers_[sender];
+  const bool had_uses = is_new && !peer.uses.empty();
+  if (is_new) {
+    peer = peer_state();
+  }
+  peer.state = state;
+  peer.last_heard = now;
   candidates_.erase(sender);
   silent_routers_.erase(sender);
   for (const host_port& member : state.members) {
@@ -162,6 +231,7 @@
     on_suspects(state.name + "/" + std::to_string(state.incarnation), state.suspects);
   }
   if (is_new) {
+    sends_all_uses_ = true;
     ScheduleSend();  // gives the new router this router's state at once
     for (const router_handler& handler : router_handlers_) {
       handler(sender);
@@ -170,8 +240,7 @@
   if (on_state) {
     on_state(sender, state);
   }
-  MergePauses(state, now);
-  if (uses_changed) {
+  if (had_uses || (is_new && on_change)) {
     peer_uses_outdated_ = true;
     if (on_change) {
       on_change();
@@ -179,15 +248,43 @@
   }
 }
 
+void router_group::ReceiveUses(const host_port& sender, const endpoint_use_list& list) {
+  const auto found = peers_.find(sender);
+  if (found == peers_.end() || found->second.state.incarnation != list.incarnation ||
+      list.sequence < found->second.uses_sequence || list.first > list.last) {
+    return;
+  }
+  peer_state& peer = found->second;
+  peer.uses_sequence = list.sequence;
+  std::map<std::uint64_t, endpoint_use> uses;
+  for (const endpoint_use& use : list.uses) {
+    if (use.endpoint >= list.first && use.endpoint <= list.last) {
+      uses.emplace(use.endpoint, use);
+    }
+  }
+  MergePauses(list.uses, timer_service::Now());
+  const auto begin = peer.uses.lower_bound(list.first);
+  const auto end = peer.uses.upper_bound(list.last);
+  if (std::equal(begin, end, uses.begin(), uses.end())) {
+    return;
+  }
+  peer.uses.erase(begin, end);
+  peer.uses.merge(uses);
+  peer_uses_outdated_ = true;
+  if (on_change) {
+    on_change();
+  }
+}
+
 void router_group::ExpireSilentPeers() {
   const time_point now = timer_service::Now();
   bool changed = false;
   std::erase_if(silent_routers_, [now](const auto& item) { return now >= item.second; });
   std::erase_if(paused_until_, [now](const auto& item) { return now >= item.second; });
   for (auto& [address, other] : peers_) {
-    if (now - other.last_heard > kSilenceTimeout && !(other.state.uses.empty() && other.state.waiting.empty())) {
+    if (now - other.last_heard > kSilenceTimeout && !(other.uses.empty() && other.state.waiting.empty())) {
       Events().Line(kComponent, "router_silent").Add("router", other.state.name);
-      other.state.uses.clear();
+      other.uses.clear();
       other.state.waiting.clear();
       changed = true;
     }
@@ -213,8 +310,8 @@
   peer_uses_outdated_ = false;
   peer_uses_.clear();
   for (const auto& [address, other] : peers_) {
-    for (const endpoint_use& use : other.state.uses) {
-      endpoint_use& sum = peer_uses_[use.endpoint];
+    for (const auto& [key, use] : other.uses) {
+      endpoint_use& sum = peer_uses_[key];
       sum.streams.insert(sum.streams.end(), use.streams.begin(), use.streams.end());
       sum.prefill_tokens += use.prefill_tokens;
       sum.prefills += use.prefills;
@@ -225,8 +322,8 @@
 
 // Keeps the end of each pause separate from the load sums, because later messages of the same router omit a pause that
 // has ended.
-void router_group::MergePauses(const router_state& state, time_point now) {
-  for (const endpoint_use& use : state.uses) {
+void router_group::MergePauses(const std::vector<endpoint_use>& uses, time_point now) {
+  for (const endpoint_use& use : uses) {
     if (use.pause_ms != 0) {
       time_point& until = paused_until_[use.endpoint];
       until = std::max(until, now + milliseconds(use.pause_ms));
--- a/src/direct/router_group.h
+++ b/src/direct/router_group.h
@@ -1,8 +1,9 @@
 // State of the other routers of the deployment: liveness, their load on each endpoint, and the requests that crash
 // endpoints. A service of the kernel.
 //
-// Each router sends its full state by UDP to its peers after a change, and otherwise as a heartbeat. A lost message is
-// harmless, because the next one is complete.
+// Each router sends its state by UDP to its peers after a change, and otherwise as a heartbeat. A lost message is
+// harmless, because the next one is complete. The state has a bounded size. The loads of endpoints, which grow with the
+// traffic, follow it in as many datagrams as they need; after a change only those that differ are sent.
 //
 // Discovery uses these terms:
 //   seed       address of a router in the settings
@@ -111,14 +112,18 @@
   struct peer_state {
     router_state state;
     time_point last_heard;
+    std::map<std::uint64_t, endpoint_use> uses;  // by endpoint key
+    std::uint64_t uses_sequence = 0;             // of the latest list
   };
 
   void Receive(const host_port& sender, const router_state& state);
-  void SendState(bool with_members);
+  void ReceiveUses(const host_port& sender, const endpoint_use_list& list);
+  void SendState(bool is_heartbeat);
+  void SendUses(const std::vector<host_port>& recipients, bool all);
   void ScheduleSend();
   void ExpireSilentPeers();
   void SumUses() const;
-  void MergePauses(const router_state& state, time_point now);
+  void MergePauses(const std::vector<endpoint_use>& uses, time_point now);
 
   kernel& kernel_;
   const direct_settings& settings_;
@@ -138,6 +143,8 @@
   timer_subscription send_timer_;
   time_point last_sent_;
   bool send_scheduled_ = false;
+  bool sends_all_uses_ = false;               // with the next message, because a router has joined
+  std::vector<endpoint_use_list> sent_uses_;  // as sent last
   bool leaving_ = false;
 };
 
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -189,7 +189,8 @@
                                                                                  "return_tokens",
                                                                                  "prompt_prefilled",
                                                                                  "find_versions",
-                                                                                 "versions_known"};
+                                                                                 "versions_known",
+                                                                                 "endpoint_use_list"};
 
 }  // namespace
 
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -516,7 +516,8 @@
   }
 };
 
-// State of a router, sent to all other routers when it changes.
+// What a router must always be able to tell: that it lives, which configuration it has, which requests crash endpoints.
+// Its parts are bounded, so that it fits a datagram under any load. Sent to all other routers when it changes.
 struct router_state {
   std::string name;
   std::uint64_t incarnation = 0;   // random; changes with each restart
@@ -525,14 +526,29 @@
   bool leaving = false;            // it is shutting down; receivers remove it as soon as its messages stop
   host_port control;               // address from which its configuration can be fetched
   std::vector<host_port> members;  // UDP addresses of the routers it has recently received messages from
-  std::vector<endpoint_use> uses;  // endpoints without work in progress are omitted
   std::vector<suspect_report> suspects;
   std::vector<waiting_count> waiting;  // services without queued requests are omitted
 
   bool operator==(const router_state&) const = default;
   template <class archive>
   void serialize(archive& ar) {
-    ar(name, incarnation, sequence, revision, leaving, control, members, uses, suspects, waiting);
+    ar(name, incarnation, sequence, revision, leaving, control, members, suspects, waiting);
+  }
+};
+
+// Work in progress of one router on all endpoints whose keys are in a range; those without work are omitted. Several of
+// them cover all keys, so that each one replaces what is known of its range.
+struct endpoint_use_list {
+  std::uint64_t incarnation = 0;  // of the router
+  std::uint64_t sequence = 0;     // of the router_state that was sent with it
+  std::uint64_t first = 0;        // smallest key of the range
+  std::uint64_t last = 0;         // largest key of the range
+  std::vector<endpoint_use> uses;
+
+  bool operator==(const endpoint_use_list&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(incarnation, sequence, first, last, uses);
   }
 };
 
@@ -750,7 +766,7 @@
                  query_attempt, load_report, fetch_config, config_snapshot, lend_tokens, tokens_lent, claim_batch,
                  claim_results, router_state, hold_stream_origins, stream_origins_held, find_stream_origin,
                  stream_origin_found, part_evidence_list, endpoint_limit_list, ask_permit, permit_answer, return_tokens,
-                 prompt_prefilled, find_versions, versions_known>;
+                 prompt_prefilled, find_versions, versions_known, endpoint_use_list>;
 
 // Name of the message type, for logs and golden files.
 const char* MessageName(const message& value);
--- a/tests/account_limits_test.cpp
+++ b/tests/account_limits_test.cpp
@@ -407,6 +407,7 @@
           started.heard[other] = 0;
         }
       }
+      started.members->RecordListed(addresses_[index], At(at));
     }
     started.members->SetRouterCount(static_cast<std::uint32_t>(options_.routers));
     started.members->Tick(At(now_));
--- a/tests/request_limits_test.cpp
+++ b/tests/request_limits_test.cpp
@@ -229,6 +229,32 @@
   EXPECT_EQ(self_.OwnShare(endpoint_.key, At(30)), 0.25);
 }
 
+// Guards against two routers that both assign the whole limit: the others do not hear this one, and it hears them all.
+TEST_F(limit_members_test, RouterThatNobodyHears_AssignsAsIfItWereAlone) {
+  Hear(20.4, true);  // so that this router is the home
+  const auto hear_third = [this](double at, bool lists_self) {
+    self_.Tick(At(at));
+    self_.SetRouterCount(3);
+    self_.RecordHeard("10.0.0.3:7", 1, false, At(at));
+    if (lists_self) {
+      self_.RecordListed(kSelf, At(at));
+    }
+  };
+  for (double at = 20.5; at < 30; at += 0.4) {
+    hear_third(at, true);
+  }
+  while (self_.HomeOf(endpoint_.key, At(30)) != kSelf) {
+    ++endpoint_.key;
+  }
+  EXPECT_EQ(self_.OwnShare(endpoint_.key, At(30)), 1);
+  for (double at = 30; at < 34; at += 0.4) {
+    hear_third(at, false);
+  }
+  EXPECT_LT(self_.OwnShare(endpoint_.key, At(34)), 0.2) << "with the successor's whole limit, more than 1.5 times it";
+  hear_third(34.1, true);
+  EXPECT_EQ(self_.OwnShare(endpoint_.key, At(34.2)), 1);
+}
+
 class request_limits_test : public testing::Test {
  protected:
   const limited_endpoint endpoint_{1, 1};
@@ -362,6 +388,7 @@
           started.heard[other] = 0;
         }
       }
+      started.limits->Members().RecordListed(Address(index), At(at));
     }
     started.limits->Members().SetRouterCount(static_cast<std::uint32_t>(options_.routers));
     started.limits->Members().Tick(At(now_));
--- a/tests/router_group_test.cpp
+++ b/tests/router_group_test.cpp
@@ -178,6 +178,54 @@
 // 4. large groups
 // ---------------------------------------------------------------------------------------------------------------------
 
+// Guards against a router whose messages are dropped under load, because they exceed a datagram: the others take it for
+// gone. 400 streams on 144 endpoints.
+TEST_F(router_group_test, RouterWithManyStreams_IsHeardAndItsLoadsAreKnown) {
+  AddRouters(3);
+  ASSERT_TRUE(RunUntil([this] { return AllRouterCountsAre(3); }, milliseconds(5'000)));
+  constexpr std::uint32_t kEndpoints = 144;
+  constexpr std::uint32_t kStreams = 400;
+  const auto name_of = [](std::uint32_t i) { return endpoint_name{"engine-" + std::to_string(i % kEndpoints)}; };
+  std::map<std::uint64_t, endpoint_use> uses;
+  for (std::uint32_t i = 0; i < kStreams; ++i) {
+    endpoint_use& use = uses[EndpointKey(name_of(i))];
+    use.endpoint = EndpointKey(name_of(i));
+    use.streams.push_back({1'000 + i, 500, 0});
+  }
+  for (const auto& [key, use] : uses) {
+    members_[0]->uses.push_back(use);
+  }
+  Group(0).local_revision = [] { return revision_number(2); };
+  Group(0).ScheduleUpdate();
+  const auto streams_at = [&](std::size_t index) {
+    std::size_t count = 0;
+    for (std::uint32_t i = 0; i < kEndpoints; ++i) {
+      count += Group(index).PeerUse(name_of(i)).streams.size();
+    }
+    return count;
+  };
+  EXPECT_TRUE(RunUntil([&] { return streams_at(1) == kStreams && streams_at(2) == kStreams; }, milliseconds(2'000)));
+  EXPECT_EQ(Group(1).NewestPeerRevision(), 2U);
+  RunFor(milliseconds(2'000));  // longer than a silent router counts as live
+  EXPECT_EQ(Group(1).LiveMembers().size(), 3U);
+  EXPECT_EQ(streams_at(1), kStreams);
+  members_[0]->uses.clear();
+  Group(0).ScheduleUpdate();
+  EXPECT_TRUE(RunUntil([&] { return streams_at(1) == 0 && streams_at(2) == 0; }, milliseconds(2'000)));
+}
+
+// One engine with more streams than a datagram holds.
+TEST_F(router_group_test, EndpointWithManyStreams_IsKnownWithAllTheirMemory) {
+  AddRouters(2);
+  ASSERT_TRUE(RunUntil([this] { return AllRouterCountsAre(2); }, milliseconds(5'000)));
+  endpoint_use use;
+  use.endpoint = EndpointKey(kEngine);
+  use.streams.assign(1'000, stream_memory{10, 0, 0});
+  members_[0]->uses = {use};
+  Group(0).ScheduleUpdate();
+  EXPECT_TRUE(RunUntil([this] { return PeerTokens(1) == 10'000; }, milliseconds(2'000)));
+}
+
 // Shared limits are divided by the number of routers, so each router must know all others in a group of any size.
 TEST_F(router_group_test, LargeGroup_FromOneSeed_AllKnowEachOtherAndTheirLoads) {
   constexpr std::uint32_t kRouters = 24;
