Close idle connections that nobody uses, and accept callers when no descriptor is left

Cause: pooled connections were removed only when the same address was used again, so each replaced replica left twelve descriptors open. Also, 3,000 callers were allowed where 2,875 descriptors exist, and a failed accept only waited.

Change: an idle connection is watched and closed when the server closes it, and when it is too old; all idle ones together take a fifth of limits.max_fds at most, callers 70%. Without a descriptor for a new caller, idle connections to endpoints are closed, else the caller's connection that has been idle for the longest time.

--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -15,6 +15,9 @@
 // entries of all endpoints, some 300 bytes each.
 constexpr std::size_t kMaxControlBodyBytes = 4U << 20U;
 
+// Of the descriptors, for idle connections to endpoints. 18 engines with 12 each take 216 of 3,900.
+constexpr double kIdleConnectionShare = 0.2;
+
 }  // namespace
 
 detail::stop_function RegisterDirectRouter(kernel& services, direct_settings initial) {
@@ -24,6 +27,9 @@
   limits.idle_connections = static_cast<std::size_t>(settings->idle_connections);
   limits.reuse_limit = settings->reuse_limit;
   limits.body_bytes = kMaxControlBodyBytes;
+  if (const auto descriptors = settings->deployment.descriptors) {
+    limits.total_idle_connections = static_cast<std::size_t>(kIdleConnectionShare * static_cast<double>(*descriptors));
+  }
   const auto client = std::make_shared<http_client>(services.Context(), limits);
   const table_client table(services.Context(), {settings->deployment.store}, settings->store_timeout);
 
--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -30,8 +30,11 @@
 // Of the memory of the process, for the bodies of requests. The rest holds the state of the deployment, responses and
 // what the allocator cannot reuse.
 constexpr double kBodyMemoryShare = 0.3;
-// From callers; leaves file descriptors for endpoints if the process may open 4,100.
+// From callers.
 constexpr std::size_t kMaxConnections = 3'000;
+// The same as a share of the descriptors; the rest is for endpoints, the store and other routers.
+constexpr double kCallerConnectionShare = 0.7;
+constexpr std::size_t kFreedConnections = 16;  // idle ones to endpoints, closed when no descriptor is left
 
 bool IsGeneration(const direct_call& call) {
   return call.Service().engine.has_value() && call.Route().kind == call_kind::kStreaming;
@@ -55,6 +58,7 @@
   const auto start_server = [this](const host_port& address, auto handler) {
     http_limits limits = BaseLimits();
     auto server = std::make_unique<http_server>(kernel_.Context(), address, limits, handler);
+    server->SetDescriptorSource([this] { return client_.CloseOldestIdleConnections(kFreedConnections); });
     if (auto started = server->Start(); !started) {
       AbortProgram(started.error().message);
     }
@@ -127,6 +131,10 @@
 http_limits ingress::BaseLimits() const {
   http_limits limits;
   limits.connections = kMaxConnections;
+  if (const auto descriptors = settings_.deployment.descriptors) {
+    limits.connections = std::min(limits.connections,
+                                  static_cast<std::size_t>(kCallerConnectionShare * static_cast<double>(*descriptors)));
+  }
   if (const auto memory = settings_.deployment.memory_bytes) {
     limits.body_memory_bytes = static_cast<std::size_t>(kBodyMemoryShare * static_cast<double>(*memory));
   }
@@ -165,6 +173,8 @@
         .Set(static_cast<double>(caller_server_->RequestsInProgress()));
     metrics_->AddGauge("persimmon_waiting_requests", "Model requests that wait for a reservation.")
         .Set(static_cast<double>(generation_calls_->WaitingCount()));
+    metrics_->AddGauge("persimmon_idle_connections", "Idle connections to endpoints and routers.")
+        .Set(static_cast<double>(client_.IdleConnections()));
     metrics_->AddGauge("persimmon_watched_requests", "Requests that run at endpoints, for the case that one crashes.")
         .Set(static_cast<double>(kernel_.Find<suspect_tracker>("crashes").RunningCount()));
     metrics_->AddGauge("persimmon_body_memory_bytes", "Memory of the bodies of requests in progress.")
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -44,11 +44,12 @@
 constexpr milliseconds kBodyRetryAfter(1'000);  // Retry-After of a request whose body gets no memory
 constexpr milliseconds kLingerTimeout(1'000);   // time for which the input of a rejected caller is still read
 constexpr std::size_t kMaxLingerBytes = 64U << 20U;
-constexpr milliseconds kAcceptRetryDelay(100);   // after a failed accept, for example if no file descriptor is free
-constexpr unsigned kFirstFinalStatus = 200;      // lower ones belong to interim responses
-constexpr std::size_t kMaxInterimResponses = 8;  // before a final response; a server may send them without end
-constexpr milliseconds kLateReadLimit(100);      // time for which data is still read after a deadline
-constexpr unsigned kHttp10 = 10;                 // HTTP/1.0 in Beast's encoding
+constexpr milliseconds kIdleExpiryPeriod(1'000);  // between two checks for idle connections that are too old
+constexpr milliseconds kAcceptRetryDelay(100);    // after a failed accept, for example if no file descriptor is free
+constexpr unsigned kFirstFinalStatus = 200;       // lower ones belong to interim responses
+constexpr std::size_t kMaxInterimResponses = 8;   // before a final response; a server may send them without end
+constexpr milliseconds kLateReadLimit(100);       // time for which data is still read after a deadline
+constexpr unsigned kHttp10 = 10;                  // HTTP/1.0 in Beast's encoding
 
 const logger& Log() {
   static const logger log("net.http");
@@ -164,6 +165,7 @@
   std::size_t requests = 0;
   bool draining = false;
   bool disable_keep_alive = false;  // each response closes its connection
+  std::function<std::size_t()> free_descriptors;
   const std::shared_ptr<buffer_budget> long_bodies = std::make_shared<buffer_budget>(0);
   const std::shared_ptr<buffer_budget> short_bodies = std::make_shared<buffer_budget>(0);
 
@@ -176,6 +178,7 @@
 
   task<> Accept();
   void AddConnection(tcp::socket socket);
+  bool FreeDescriptors();
   void AcceptEstablished();
 };
 
@@ -221,6 +224,8 @@
     stream_.socket().close(ignored);
   }
 
+  time_point IdleSince() const { return idle_since_; }
+
   // True if no request is being read or processed.
   bool IsIdle() { return !serving_ && !reading_ && !HasInput(); }
   bool IsDisconnected() const { return disconnected_ || closed_; }
@@ -303,6 +308,7 @@
     sys_error failure;
     const http_limits& limits = server_->limits;
     if (buffer_.size() == 0) {
+      idle_since_ = timer_service::Now();
       stream_.expires_after(limits.idle_timeout);
       co_await ReadSome(failure);
       stream_.expires_never();
@@ -569,6 +575,7 @@
   std::string remote_;
   std::function<void()> on_disconnect_;
   std::uint64_t watch_generation_ = 0;
+  time_point idle_since_;
   bool keep_alive_ = true;
   bool chunked_ = true;            // false: the end of the connection ends the body of a stream
   bool in_unframed_body_ = false;  // a body without chunks has been started and is incomplete
@@ -635,13 +642,33 @@
     }
     if (failure) {
       Log().Warning("Accept failed: {}.", failure.message());
-      co_await timers.Sleep(kAcceptRetryDelay);
+      if (failure != asio::error::no_descriptors || !FreeDescriptors()) {
+        co_await timers.Sleep(kAcceptRetryDelay);
+      }
       continue;
     }
     AddConnection(std::move(socket));
   }
 }
 
+// Closes connections that nobody uses now, so that a new caller is accepted. Returns false if there are none.
+bool http_server::state::FreeDescriptors() {
+  if (free_descriptors && free_descriptors() > 0) {
+    return true;
+  }
+  detail::http_connection* oldest = nullptr;
+  for (const auto& connection : connections) {
+    if (connection->IsIdle() && (oldest == nullptr || connection->IdleSince() < oldest->IdleSince())) {
+      oldest = connection.get();
+    }
+  }
+  if (oldest == nullptr) {
+    return false;
+  }
+  oldest->Close();
+  return true;
+}
+
 void http_server::state::AddConnection(tcp::socket socket) {
   if (connections.size() >= limits.connections) {
     Log().Warning("Closed a connection: the limit of {} connections is reached.", limits.connections);
@@ -683,6 +710,10 @@
   state_->SetBodyMemory();
 }
 
+void http_server::SetDescriptorSource(std::function<std::size_t()> free_descriptors) {
+  state_->free_descriptors = std::move(free_descriptors);
+}
+
 void http_server::DisableKeepAlive() { state_->disable_keep_alive = true; }
 
 void http_server::Drain() {
@@ -734,8 +765,9 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   time_point idle_since;
-  microseconds reuse_limit{0};  // maximum idle time before reuse
-  bool sending = false;         // a request body is being written
+  microseconds reuse_limit{0};    // maximum idle time before reuse
+  std::uint64_t idle_period = 0;  // increases when the connection is taken from the pool
+  bool sending = false;           // a request body is being written
 };
 
 // A request as it is written. The message refers to the bytes of the body.
@@ -831,12 +863,14 @@
 
 }  // namespace
 
-struct http_client::state {
+struct http_client::state : std::enable_shared_from_this<http_client::state> {
   state(asio::io_context& context, http_client_limits limits) : context(context), limits(limits) {}
 
   asio::io_context& context;
   http_client_limits limits;
-  std::map<host_port, std::deque<client_connection_ptr>> idle;
+  std::map<host_port, std::deque<client_connection_ptr>> idle;  // none is empty
+  std::size_t idle_count = 0;
+  time_point last_expiry;
 
   task<result<client_connection_ptr>> Connect(host_port address) {
     if (auto pooled = TakeFromPool(address)) {
@@ -860,10 +894,11 @@
 
   // Takes the most recently used pooled connection to the address that is still usable; null if there is none.
   client_connection_ptr TakeFromPool(const host_port& address) {
-    auto& pooled = idle[address];
-    while (!pooled.empty()) {
-      auto connection = std::move(pooled.back());
-      pooled.pop_back();
+    for (auto pooled = idle.find(address); pooled != idle.end(); pooled = idle.find(address)) {
+      auto connection = pooled->second.back();
+      Remove(pooled, connection);
+      sys_error ignored;
+      connection->stream.socket().cancel(ignored);  // ends the watch
       if (IsUsable(*connection)) {
         return connection;
       }
@@ -871,6 +906,63 @@
     return nullptr;
   }
 
+  void Remove(std::map<host_port, std::deque<client_connection_ptr>>::iterator pooled,
+              const client_connection_ptr& connection) {
+    ++connection->idle_period;
+    idle_count -= std::erase(pooled->second, connection);
+    if (pooled->second.empty()) {
+      idle.erase(pooled);
+    }
+  }
+
+  // Closes an idle connection when the server closes it or sends data that belongs to no request.
+  void WatchIdle(const host_port& address, const client_connection_ptr& connection) {
+    connection->stream.socket().async_wait(
+        tcp::socket::wait_read, [weak = weak_from_this(), address, period = connection->idle_period,
+                                 watched = std::weak_ptr(connection)](sys_error) {
+          const auto self = weak.lock();
+          const auto closed = watched.lock();
+          if (!self || !closed || closed->idle_period != period) {
+            return;
+          }
+          if (const auto pooled = self->idle.find(address); pooled != self->idle.end()) {
+            self->Remove(pooled, closed);
+          }
+        });
+  }
+
+  // The front of each pool has been idle for the longest time.
+  bool CloseOldest() {
+    auto oldest = idle.end();
+    for (auto pooled = idle.begin(); pooled != idle.end(); ++pooled) {
+      if (oldest == idle.end() || pooled->second.front()->idle_since < oldest->second.front()->idle_since) {
+        oldest = pooled;
+      }
+    }
+    if (oldest == idle.end()) {
+      return false;
+    }
+    Remove(oldest, client_connection_ptr(oldest->second.front()));
+    return true;
+  }
+
+  // Closes connections that have been idle for too long to be used again.
+  void CloseExpired(time_point now) {
+    if (now - last_expiry < kIdleExpiryPeriod) {
+      return;
+    }
+    last_expiry = now;
+    for (auto pooled = idle.begin(); pooled != idle.end();) {
+      const auto current = pooled++;
+      const auto connections = current->second;
+      for (const client_connection_ptr& connection : connections) {
+        if (now - connection->idle_since > connection->reuse_limit) {
+          Remove(current, connection);
+        }
+      }
+    }
+  }
+
   static call_message MakeMessage(const host_port& address, http_request request) {
     call_message made{{}, std::move(request.body)};
     auto& message = made.message;
@@ -889,14 +981,23 @@
   // Returns a connection to the pool once its response has been read. Surplus input belongs to no request; a
   // connection with such input or with an unfinished request body is closed instead.
   void ReturnToPool(const host_port& address, client_connection_ptr connection, std::string_view keep_alive_header) {
-    auto& pooled = idle[address];
-    if (pooled.size() < limits.idle_connections && connection->buffer.size() == 0 && !connection->sending) {
-      connection->idle_since = timer_service::Now();
-      connection->reuse_limit =
-          std::min<microseconds>(limits.reuse_limit, ParseKeepAliveTimeout(keep_alive_header) / 2);
-      connection->stream.expires_never();
-      pooled.push_back(std::move(connection));
+    const auto pooled = idle.find(address);
+    const bool has_room = pooled == idle.end() || pooled->second.size() < limits.idle_connections;
+    if (!has_room || limits.idle_connections == 0 || limits.total_idle_connections == 0 ||
+        connection->buffer.size() > 0 || connection->sending) {
+      return;
     }
+    const time_point now = timer_service::Now();
+    CloseExpired(now);
+    if (idle_count >= limits.total_idle_connections) {
+      CloseOldest();
+    }
+    connection->idle_since = now;
+    connection->reuse_limit = std::min<microseconds>(limits.reuse_limit, ParseKeepAliveTimeout(keep_alive_header) / 2);
+    connection->stream.expires_never();
+    WatchIdle(address, connection);
+    idle[address].push_back(std::move(connection));
+    ++idle_count;
   }
 
   task<result<void>> Send(client_connection& connection, const host_port& address, http_request request) {
@@ -915,7 +1016,23 @@
 
 http_client::~http_client() = default;
 
-void http_client::CloseIdleConnections(const host_port& address) { state_->idle.erase(address); }
+void http_client::CloseIdleConnections(const host_port& address) {
+  const auto pooled = state_->idle.find(address);
+  if (pooled != state_->idle.end()) {
+    state_->idle_count -= pooled->second.size();
+    state_->idle.erase(pooled);
+  }
+}
+
+std::size_t http_client::CloseOldestIdleConnections(std::size_t count) {
+  std::size_t closed = 0;
+  while (closed < count && state_->CloseOldest()) {
+    ++closed;
+  }
+  return closed;
+}
+
+std::size_t http_client::IdleConnections() const { return state_->idle_count; }
 
 task<result<http_response>> http_client::Fetch(host_port address, http_request request) {
   const milliseconds timeout = state_->limits.response_timeout;
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -167,6 +167,10 @@
   // Replaces the limits, also for open connections. An operation in progress keeps the timeout it was started with.
   void SetLimits(const http_limits& limits);
 
+  // Sets a function that frees descriptors when none is left for a new connection, and returns how many. If it frees
+  // none, the server closes the connection that has been idle for the longest time.
+  void SetDescriptorSource(std::function<std::size_t()> free_descriptors);
+
   // Disables keep-alive: each further response closes its connection, so that callers reconnect to other servers before
   // Drain. New connections are still accepted.
   void DisableKeepAlive();
@@ -200,6 +204,9 @@
   milliseconds idle_timeout = milliseconds(5'000);      // between two reads of a body
   std::size_t body_bytes = 64U << 20U;
   std::size_t idle_connections = 16;  // pooled per address
+  // Pooled for all addresses together; the one that has been idle for the longest time is closed first. Endpoints come
+  // and go under new addresses, so a limit per address does not bound the descriptors.
+  std::size_t total_idle_connections = 1'024;
   // An idle connection is not reused after this time, or after half of the timeout in the server's Keep-Alive header,
   // because the server may close it while a request is in flight.
   milliseconds reuse_limit = milliseconds(60'000);
@@ -227,6 +234,12 @@
   // Closes the pooled connections to the address.
   void CloseIdleConnections(const host_port& address);
 
+  // Closes the pooled connections that have been idle for the longest time. Returns how many there were, at most
+  // `count`.
+  std::size_t CloseOldestIdleConnections(std::size_t count);
+
+  std::size_t IdleConnections() const;
+
   // Like Fetch, but passes each line of the body to the handler as it arrives; the returned body is empty. A last line
   // without a line end is passed on only if a length or chunks prove that it is whole; otherwise kClosed. If the
   // handler returns false, the connection is closed and the result is kCancelled. A response whose status is not 200 is
