Reject requests whose transfer coding is not chunked

Cause: the parser knows chunks only and takes any other coding for no body. RFC 9112, section 6.3, asks for 400 and the end of the connection.

Five codings get 400 with it, and no request runs.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -372,6 +372,9 @@
           failure = http::error::header_limit;
         }
       }
+      if (!failure && parser.is_header_done() && HasOtherCoding(parser.get())) {
+        failure = http::error::bad_transfer_encoding;
+      }
       if (failure || parser.is_done()) {
         co_return;
       }
@@ -407,6 +410,15 @@
     }
   }
 
+  // True if the length of the body cannot be known (RFC 9112, section 6.3): what follows would be taken for further
+  // requests.
+  template <class message>
+  static bool HasOtherCoding(const message& request) {
+    const auto codings = request.equal_range(http::field::transfer_encoding);
+    return std::any_of(codings.first, codings.second,
+                       [](const auto& field) { return !beast::iequals(field.value(), "chunked"); });
+  }
+
   // Memory that the body needs before more of it is read; 0 if it has enough. The length of a chunked body is unknown:
   // it starts as a short one and takes the maximum length when it turns out to be longer.
   std::size_t MissingBodyMemory(const http::request_parser<http::string_body>& parser, std::size_t taken) const {
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -238,6 +238,18 @@
   EXPECT_EQ(caller->Received(), "");
 }
 
+// Guards against a body that is taken for further requests, because its transfer coding is not known.
+TEST_F(http_server_test, Serve_WhenTransferCodingIsNotChunked_Answers400AndCloses) {
+  StartServer();
+  for (const char* coding : {"gzip", "identity", "chunked, gzip", "gzip, chunked", "xchunked"}) {
+    const auto caller = Connect();
+    caller->Send(fmt::format("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: {}\r\n\r\n{}", coding, kGet));
+    EXPECT_TRUE(caller->AwaitEnd()) << coding;
+    EXPECT_TRUE(caller->Received().starts_with("HTTP/1.1 400")) << coding << ": " << caller->Received();
+  }
+  EXPECT_EQ(requests_, 0);
+}
+
 TEST_F(http_server_test, Serve_WhenInputIsBroken_Answers400) {
   StartServer();
   const std::vector<std::string> inputs = {
