--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -566,8 +566,9 @@
     std::erase_if(state.usable, [&](const std::string& version) { return !candidates.contains(version); });
     const bool is_outdated = candidates != state.recorded;
     state.outdated_since = is_outdated ? state.outdated_since.value_or(now) : std::optional<time_point>();
-    const bool is_usable = std::any_of(serving.begin(), serving.end(),
-                                       [&](const std::string& version) { return state.usable.contains(version); });
+    const bool is_usable =
+        std::any_of(serving.begin(), serving.end(),
+                    [&usable = state.usable](const std::string& version) { return usable.contains(version); });
     state.unusable_since =
         is_usable || serving.empty() ? std::optional<time_point>() : state.unusable_since.value_or(now);
     is_addition_due_ =
