Check idle connections once a second instead of keeping a wait for each

Cause: watched each idle connection with a pending wait, and a pending wait is work for the event loop.

Change: idle connections are checked when one is returned to the pool, once a second, 64 at a time. The limit for all addresses stays.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -44,12 +44,13 @@
 constexpr milliseconds kBodyRetryAfter(1'000);  // Retry-After of a request whose body gets no memory
 constexpr milliseconds kLingerTimeout(1'000);   // time for which the input of a rejected caller is still read
 constexpr std::size_t kMaxLingerBytes = 64U << 20U;
-constexpr milliseconds kIdleExpiryPeriod(1'000);  // between two checks for idle connections that are too old
-constexpr milliseconds kAcceptRetryDelay(100);    // after a failed accept, for example if no file descriptor is free
-constexpr unsigned kFirstFinalStatus = 200;       // lower ones belong to interim responses
-constexpr std::size_t kMaxInterimResponses = 8;   // before a final response; a server may send them without end
-constexpr milliseconds kLateReadLimit(100);       // time for which data is still read after a deadline
-constexpr unsigned kHttp10 = 10;                  // HTTP/1.0 in Beast's encoding
+constexpr milliseconds kIdleCheckPeriod(1'000);  // between two checks of idle connections
+constexpr std::size_t kMaxIdleChecks = 64;       // connections in one check, which takes a system call for each
+constexpr milliseconds kAcceptRetryDelay(100);   // after a failed accept, for example if no file descriptor is free
+constexpr unsigned kFirstFinalStatus = 200;      // lower ones belong to interim responses
+constexpr std::size_t kMaxInterimResponses = 8;  // before a final response; a server may send them without end
+constexpr milliseconds kLateReadLimit(100);      // time for which data is still read after a deadline
+constexpr unsigned kHttp10 = 10;                 // HTTP/1.0 in Beast's encoding
 
 const logger& Log() {
   static const logger log("net.http");
@@ -777,9 +778,8 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   time_point idle_since;
-  microseconds reuse_limit{0};    // maximum idle time before reuse
-  std::uint64_t idle_period = 0;  // increases when the connection is taken from the pool
-  bool sending = false;           // a request body is being written
+  microseconds reuse_limit{0};  // maximum idle time before reuse
+  bool sending = false;         // a request body is being written
 };
 
 // A request as it is written. The message refers to the bytes of the body.
@@ -875,14 +875,15 @@
 
 }  // namespace
 
-struct http_client::state : std::enable_shared_from_this<http_client::state> {
+struct http_client::state {
   state(asio::io_context& context, http_client_limits limits) : context(context), limits(limits) {}
 
   asio::io_context& context;
   http_client_limits limits;
   std::map<host_port, std::deque<client_connection_ptr>> idle;  // none is empty
   std::size_t idle_count = 0;
-  time_point last_expiry;
+  time_point last_check;
+  host_port last_checked;  // address of the pool
 
   task<result<client_connection_ptr>> Connect(host_port address) {
     if (auto pooled = TakeFromPool(address)) {
@@ -909,8 +910,6 @@
     for (auto pooled = idle.find(address); pooled != idle.end(); pooled = idle.find(address)) {
       auto connection = pooled->second.back();
       Remove(pooled, connection);
-      sys_error ignored;
-      connection->stream.socket().cancel(ignored);  // ends the watch
       if (IsUsable(*connection)) {
         return connection;
       }
@@ -920,29 +919,12 @@
 
   void Remove(std::map<host_port, std::deque<client_connection_ptr>>::iterator pooled,
               const client_connection_ptr& connection) {
-    ++connection->idle_period;
     idle_count -= std::erase(pooled->second, connection);
     if (pooled->second.empty()) {
       idle.erase(pooled);
     }
   }
 
-  // Closes an idle connection when the server closes it or sends data that belongs to no request.
-  void WatchIdle(const host_port& address, const client_connection_ptr& connection) {
-    connection->stream.socket().async_wait(
-        tcp::socket::wait_read, [weak = weak_from_this(), address, period = connection->idle_period,
-                                 watched = std::weak_ptr(connection)](sys_error) {
-          const auto self = weak.lock();
-          const auto closed = watched.lock();
-          if (!self || !closed || closed->idle_period != period) {
-            return;
-          }
-          if (const auto pooled = self->idle.find(address); pooled != self->idle.end()) {
-            self->Remove(pooled, closed);
-          }
-        });
-  }
-
   // The front of each pool has been idle for the longest time.
   bool CloseOldest() {
     auto oldest = idle.end();
@@ -958,18 +940,26 @@
     return true;
   }
 
-  // Closes connections that have been idle for too long to be used again.
-  void CloseExpired(time_point now) {
-    if (now - last_expiry < kIdleExpiryPeriod) {
+  // Closes connections that are too old to be used again, or that the server has closed: their addresses may never be
+  // used again. Checks a limited number of connections at a time, address by address.
+  void CloseUnusable(time_point now) {
+    if (now - last_check < kIdleCheckPeriod) {
       return;
     }
-    last_expiry = now;
-    for (auto pooled = idle.begin(); pooled != idle.end();) {
-      const auto current = pooled++;
-      const auto connections = current->second;
+    last_check = now;
+    std::size_t checked = 0;
+    for (std::size_t addresses = idle.size(); addresses > 0 && checked < kMaxIdleChecks; --addresses) {
+      auto pooled = idle.upper_bound(last_checked);
+      pooled = pooled == idle.end() ? idle.begin() : pooled;
+      if (pooled == idle.end()) {
+        return;
+      }
+      last_checked = pooled->first;
+      const auto connections = pooled->second;
+      checked += connections.size();
       for (const client_connection_ptr& connection : connections) {
-        if (now - connection->idle_since > connection->reuse_limit) {
-          Remove(current, connection);
+        if (!IsUsable(*connection)) {
+          Remove(pooled, connection);
         }
       }
     }
@@ -1000,14 +990,13 @@
       return;
     }
     const time_point now = timer_service::Now();
-    CloseExpired(now);
+    CloseUnusable(now);
     if (idle_count >= limits.total_idle_connections) {
       CloseOldest();
     }
     connection->idle_since = now;
     connection->reuse_limit = std::min<microseconds>(limits.reuse_limit, ParseKeepAliveTimeout(keep_alive_header) / 2);
     connection->stream.expires_never();
-    WatchIdle(address, connection);
     idle[address].push_back(std::move(connection));
     ++idle_count;
   }
