--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -395,6 +395,15 @@
     second_.Faults() = faults;
   }
 
+  // Each engine stops after this many bytes of an unframed stream.
+  void StopBothAfter(std::size_t bytes) {
+    SetBoth({.unframed = true,
+             .breaks_in_order = true,
+             .stops_at_cut = true,
+             .cut_after_bytes = bytes,
+             .cut_delay = milliseconds(150)});
+  }
+
   // Waits until the router knows that the engine leaves.
   void ReportDraining(const fake_replica& engine) {
     harness_.Platform().Tables().Commit({{{"servers", engine.Name()}, engine.EntryText(true, 2), false, std::nullopt}});
@@ -756,11 +765,7 @@
 // seconds after its notice, in the middle of a stream.
 TEST_F(model_call_test, UnframedStream_WhoseLeavingEngineIsGoneBetweenEvents_GoesOnAtAnotherEngine) {
   const std::size_t first_event = WholeStream("a1", 1).size();
-  SetBoth({.unframed = true,
-           .breaks_in_order = true,
-           .stops_at_cut = true,
-           .cut_after_bytes = first_event,
-           .cut_delay = milliseconds(150)});
+  StopBothAfter(first_event);
   const auto call = harness_.SendModel("/digest/1", "a1");
   ASSERT_TRUE(harness_.RunUntil([&] { return Runs("a1") == 1; }));
   fake_replica& engine = first_.Runs("a1") == 1 ? first_ : second_;
@@ -774,11 +779,7 @@
 // The same where nothing may continue the stream: the caller must see that it is not whole.
 TEST_F(model_call_test, UnframedStream_WhoseLeavingEngineIsGoneOnAnotherRoute_LooksBrokenToTheCaller) {
   const std::size_t first_event = WholeStream("a1", 1).size();
-  SetBoth({.unframed = true,
-           .breaks_in_order = true,
-           .stops_at_cut = true,
-           .cut_after_bytes = first_event,
-           .cut_delay = milliseconds(150)});
+  StopBothAfter(first_event);
   const auto call = harness_.SendModel("/chat/1", "a1");
   ASSERT_TRUE(harness_.RunUntil([&] { return Runs("a1") == 1; }));
   ReportDraining(first_.Runs("a1") == 1 ? first_ : second_);
@@ -788,11 +789,7 @@
 
 // An engine that leaves stops when its last stream has ended. The stream is whole, which another engine confirms.
 TEST_F(model_call_test, UnframedStream_AfterWhoseEndTheLeavingEngineStops_ReachesTheCallerWhole) {
-  SetBoth({.unframed = true,
-           .breaks_in_order = true,
-           .stops_at_cut = true,
-           .cut_after_bytes = WholeStream("a1", 5).size(),
-           .cut_delay = milliseconds(150)});
+  StopBothAfter(WholeStream("a1", 5).size());
   const auto call = harness_.SendModel("/digest/1", "a1");
   ASSERT_TRUE(harness_.RunUntil([&] { return Runs("a1") == 1; }));
   fake_replica& engine = first_.Runs("a1") == 1 ? first_ : second_;
