Share one wait for checks of versions and reads of origins, and drop two redundancies

Found by reading the whole change; callers see nothing of it.

- ConfirmSingleVersion and FindLogged had the same loop (wait for a check that began after the call, start it unless one runs), and the read at the start bypassed it, so that it could run beside another read of the log, which is meant for one call at a time.
All three use AwaitCheck.
- router_group::Receive kept a flag whose condition is that the router is new.
- The server reserved 64 KB for the body of each short chunked request, and repeated what the parser does for a stated length.
Now it reserves only when a chunked body turns out to be long.

--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -227,15 +227,19 @@
 // The list of endpoints of a router that has been cut off or suspended is old, and so is what it concludes from it. The
 // record of the versions is not, if it is read now: no stream begins at a version before it is recorded.
 task<bool> origin_tracker::ConfirmSingleVersion(std::string service) {
+  shared_check& check = services_[service].check;  // services are never removed
+  std::function<task<>()> start = [this, service] { return RunCheck(service); };
+  co_return co_await AwaitCheck(check, kConfirmTime, std::move(start));
+}
+
+task<bool> origin_tracker::AwaitCheck(shared_check& check, milliseconds limit, std::function<task<>()> start) {
   const time_point asked = timer_service::Now();
-  while (timer_service::Now() - asked < kConfirmTime) {
-    const version_check& check = services_[service].check;
+  while (timer_service::Now() - asked < limit) {
     if (check.began && *check.began >= asked) {
       co_return check.is_confirmed;
     }
-    if (!check.is_running) {
-      services_[service].check.is_running = true;
-      asio::co_spawn(kernel_.Context(), RunCheck(service), asio::detached);
+    if (!std::exchange(check.is_running, true)) {
+      asio::co_spawn(kernel_.Context(), start(), asio::detached);
     }
     co_await kernel_.Timers().Sleep(kCheckPoll);
   }
@@ -257,9 +261,7 @@
     is_confirmed = co_await AskRouters(service);
   }
   service_state& state = services_[service];
-  state.check.is_running = false;
-  state.check.began = began;
-  state.check.is_confirmed = is_confirmed && Candidates(service).size() <= 1;
+  state.check.End(began, is_confirmed && Candidates(service).size() <= 1);
   Events()
       .Line(kComponent, "versions_checked")
       .Add("service", service)
@@ -361,15 +363,9 @@
 
 // Looks for the origin in the store. All calls that wait share one read.
 task<std::optional<std::uint64_t>> origin_tracker::FindLogged(origin_key attempt) {
-  const time_point asked = timer_service::Now();
-  while (directory_->IsStoreReachable() && timer_service::Now() - asked < kStoreTime) {
-    if (log_read_.began && *log_read_.began >= asked) {
-      break;
-    }
-    if (!std::exchange(log_read_.is_running, true)) {
-      asio::co_spawn(kernel_.Context(), ReadLog(), asio::detached);
-    }
-    co_await kernel_.Timers().Sleep(kCheckPoll);
+  if (directory_->IsStoreReachable()) {
+    std::function<task<>()> start = [this] { return ReadLog(); };
+    (void)co_await AwaitCheck(log_read_, kStoreTime, std::move(start));
   }
   co_return origins_->Find(attempt, timer_service::Now());
 }
@@ -384,9 +380,7 @@
   } else {
     Events().Line(kComponent, "origins_unreadable").Add("reason", read.error().message);
   }
-  log_read_.is_running = false;
-  log_read_.began = began;
-  log_read_.is_confirmed = read.has_value();
+  log_read_.End(began, read.has_value());
 }
 
 // Returns the version key that the first holder with one answers, 0 if all answer that they know none, and nothing if
@@ -639,9 +633,8 @@
         .Add("service", row.key)
         .Add("versions", JoinVersions(services_[row.key].recorded));
   }
-  log_read_.is_running = true;
-  co_await ReadLog();
-  has_records_ = log_read_.is_confirmed;
+  std::function<task<>()> start = [this] { return ReadLog(); };
+  has_records_ = co_await AwaitCheck(log_read_, 2 * settings_.store_timeout, std::move(start));
 }
 
 void origin_tracker::ScheduleLog() {
--- a/src/direct/origin_tracker.h
+++ b/src/direct/origin_tracker.h
@@ -12,6 +12,7 @@
 // that they outlive the loss of all routers.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -50,11 +51,17 @@
   task<result<std::optional<std::string>>> FindVersion(direct_call_ptr call);
 
  private:
-  // A check of whether the versions of a service are all that there are. Calls share it.
-  struct version_check {
+  // A read or a question whose answer must be newer than the call that waits for it. Calls that wait share it.
+  struct shared_check {
     bool is_running = false;
     std::optional<time_point> began;  // start of the latest check that has ended
     bool is_confirmed = false;        // its result
+
+    void End(time_point start, bool confirmed) {
+      is_running = false;
+      began = start;
+      is_confirmed = confirmed;
+    }
   };
 
   struct service_state {
@@ -64,7 +71,7 @@
     version_set usable;                                      // have been recorded, also in an earlier era of the store
     std::optional<time_point> outdated_since;                // since when the record differs from the versions
     std::optional<time_point> unusable_since;                // since when no version that serves is usable
-    version_check check;
+    shared_check check;                                      // whether the known versions are all that there are
   };
 
   struct query {
@@ -85,6 +92,9 @@
   version_set Candidates(const std::string& service) const;
   // Services with several candidates, whose origins other routers must know.
   std::set<std::string> SharedServices() const;
+  // Waits for a check that begins after the call, and starts it unless one is running. Returns its result, or false if
+  // it does not end in time.
+  task<bool> AwaitCheck(shared_check& check, milliseconds limit, std::function<task<>()> start);
   // Confirms that the only known version of a service was the only one when the call began.
   task<bool> ConfirmSingleVersion(std::string service);
   task<> RunCheck(std::string service);
@@ -122,7 +132,7 @@
   router_group* group_ = nullptr;
   std::optional<stream_origin_table> origins_;  // set by Start, when the own address is known
   std::optional<origin_log> log_;               // as origins_
-  version_check log_read_;
+  shared_check log_read_;
   bool is_log_written_ = false;  // a write is in progress
   bool has_shared_ = false;      // a service had several candidates at the previous check of the records
   time_point next_log_write_;
--- a/src/direct/router_group.cpp
+++ b/src/direct/router_group.cpp
@@ -214,7 +214,6 @@
     Events().Line(kComponent, "router_leaves").Add("router", state.name);
   }
   peer_state& peer = peers_[sender];
-  const bool had_uses = is_new && !peer.uses.empty();
   if (is_new) {
     peer = peer_state();
   }
@@ -240,7 +239,7 @@
   if (on_state) {
     on_state(sender, state);
   }
-  if (had_uses || (is_new && on_change)) {
+  if (is_new) {
     peer_uses_outdated_ = true;
     if (on_change) {
       on_change();
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -385,7 +385,9 @@
           failure = asio::error::no_buffer_space;
           co_return;
         }
-        parser.get().body().reserve(missing);
+        if (!parser.content_length() && missing > kLongBodyBytes) {
+          parser.get().body().reserve(missing);  // growing would need up to three times the length for a moment
+        }
         timeout = start_timeout();
       }
       if (parser.is_header_done() && !std::exchange(body_started, true)) {
