Count a request that is being reserved as waiting until its engine accepts it

What callers saw: of requests that arrive while the engines are full, some were let in although they could not be served before their expiry, and were refused only seconds later ("overdue"), depending on the millisecond of arrival.

Cause: TakeNext removed a placed request from the queue and counted it as started before the engine had answered the reservation. A full engine refuses it, and Requeue put it back. In between PredictWait missed it twice: as one that goes before, and as a start that raised the measured rate.

The same assumption elsewhere: - InTimeCount, which is sent to peers: late requests of peers could take the capacity, and the reported state changed with each repeated reservation. - The time in which requests wait in vain ended when the last one was being reserved, so slow refusals were not measured. - The backlog of Retry-After (AssignReturn) and the limits of the queue. - A caller that left during the reservation stayed counted as served. - Requeue took a new place behind others with an equal time. UseAbove and the shares still count at TakeNext and are undone, because several requests are placed before the first answer, and their bound must hold for them.

Why it works: a placed request stays in the queue's account until Start, Requeue or Remove. It counts as waiting only while requests wait in vain, as otherwise a burst that finds free engines would be refused by a rate of an earlier overload (PredictWait_WithCapacity_...).

Tests: PredictWait_WhileARequestIsBeingReserved_StillCountsIt failed before (0.70 s instead of 2.80 s). InTimeCount_WhileAWaitingRequestIsBeingReserved_... and PredictWait_WhileReservationsFailSlowly_... fail if the blocked time ends with the last queued request, as before.

--- a/include/persimmon/placement_queue.h
+++ b/include/persimmon/placement_queue.h
@@ -55,7 +55,7 @@
 
 // Result of TakeNext.
 struct placement_step {
-  std::optional<placement_request> placed;   // removed from the queue; absent: nothing can be placed now
+  std::optional<placement_request> placed;   // is now being reserved; absent: nothing can be placed now
   engine_choice engines;                     // of the placed request
   wait_reason blocked = wait_reason::kNone;  // why the head of the queue waits
   std::uint64_t blocked_group = 0;           // its engine group
@@ -115,7 +115,8 @@
 // 3. queue
 // ---------------------------------------------------------------------------------------------------------------------
 
-// The queue of one service on one router.
+// The queue of one service on one router. A placed request is being reserved until Start, Requeue or Remove is called:
+// its engine may refuse it, so it still stands before those behind it, and it has not been started.
 class placement_queue {
  public:
   using engine_chooser = std::function<engine_choice(const placement_request&)>;
@@ -125,27 +126,35 @@
   // False if the request must be refused: it is late and has expired, or a limit is reached.
   bool Add(const placement_request& request, time_point now);
 
-  // Returns a placed request, as in the result of TakeNext, to the queue after its reservation was refused, ordered as
-  // before. Limits do not apply.
-  void Requeue(const placement_request& request, time_point now);
+  // Counts a request that is being reserved as started: its engine has accepted it.
+  void Start(const request_id& request, time_point now);
 
-  // False if the request is not in the queue.
+  // Returns a request that is being reserved to the queue after its reservation was refused, ordered as before. Limits
+  // do not apply.
+  void Requeue(const request_id& request, time_point now);
+
+  // False if the request is neither in the queue nor being reserved.
   bool Remove(const request_id& request);
 
-  // Removes and returns the requests to refuse now. Moves those that have become late behind the others.
+  // Removes and returns the queued requests to refuse now. Moves those that have become late behind the others.
   std::vector<placement_request> TakeExpired(time_point now);
 
-  // Removes and returns the next request for which `choose` finds engines. Only the most urgent one is tried, because
-  // small requests would otherwise starve a large one. But while it waits for a prefill engine, a short prompt may be
-  // prefilled by a decode engine, which does not delay it. `peers_have_in_time_requests` means that requests that can
-  // still meet their target are waiting on other routers; late requests then let them go first, unless they are
-  // resumed. A request that can use only a part of the engines does not hold back those that can use others.
-  // Late requests of the most urgent of several levels do not let peers go first, because most of those that wait there
-  // are less urgent. While the most urgent request of those in time is blocked, late ones that are more urgent are
-  // tried, because capacity is reserved for them.
+  // Returns the next request for which `choose` finds engines; it is being reserved from then on. Only the most urgent
+  // one is tried, because small requests would otherwise starve a large one. But while it waits for a prefill engine, a
+  // short prompt may be prefilled by a decode engine, which does not delay it. `peers_have_in_time_requests` means that
+  // requests that can still meet their target are waiting on other routers; late requests then let them go first,
+  // unless they are resumed. A request that can use only a part of the engines does not hold back those that can use
+  // others. Late requests of the most urgent of several levels do not let peers go first, because most of those that
+  // wait there are less urgent. While the most urgent request of those in time is blocked, late ones that are more
+  // urgent are tried, because capacity is reserved for them.
   placement_step TakeNext(const engine_chooser& choose, bool peers_have_in_time_requests);
 
-  std::size_t InTimeCount() const { return in_time_.size(); }
+  // Requests that wait, and those of them that can still meet their target. Requests that are being reserved count as
+  // waiting only while others wait in vain: otherwise there is capacity, and they usually start within a round trip.
+  std::size_t WaitingCount() const;
+  std::size_t InTimeCount() const;
+
+  // Requests that TakeNext can place.
   std::size_t Size() const { return in_time_.size() + late_.size(); }
 
   // Requests that were started per second while others had to wait; absent until it has been measured for a second.
@@ -172,6 +181,14 @@
     auto operator<=>(const order_key&) const = default;
   };
   using request_map = std::map<order_key, placement_request>;
+
+  // A request for which a reservation is in progress.
+  struct reserving_request {
+    placement_request request;
+    std::uint64_t sequence = 0;
+    bool has_waited_in_vain = false;
+  };
+
   using request_filter = std::function<bool(const placement_request&)>;
 
   struct level_use {
@@ -182,7 +199,15 @@
 
   void Advance(time_point now);
   static double Tokens(const placement_request& request);
-  void Insert(const placement_request& request, time_point now);
+  bool IsLate(const placement_request& request) const { return request.latest_start < now_; }
+  // Key of the request in the part of the queue to which it belongs at that time.
+  static order_key KeyOf(const placement_request& request, std::uint64_t sequence, time_point now);
+  void Insert(const placement_request& request, std::uint64_t sequence);
+  // Moves a request from the queue to those that are being reserved and returns it with the fields that TakeNext sets.
+  placement_request BeginReservation(const request_id& request, bool has_starved_start);
+  // Removes a request that is being reserved and will not be started. Absent if it is not being reserved.
+  std::optional<reserving_request> EndReservation(const request_id& request);
+  void UpdateBlocked();
   void RecordStart(const placement_request& request, double sign);
   void RecordRefusal(const placement_request& request);
   service_share& ShareOf(const account_name& account);
@@ -197,11 +222,13 @@
   placement_queue_settings settings_;
   request_map in_time_;
   request_map late_;
+  std::map<request_id, reserving_request> reserving_;
   std::uint64_t next_sequence_ = 0;
   time_point now_;  // of the latest call that states the time
   std::optional<time_point> first_start_;
   // Measures the rate of starts: time in which requests wait in vain, and the requests started during it.
   bool is_blocked_ = false;
+  std::uint64_t waited_sequence_ = 0;  // requests with a smaller sequence number have waited in vain
   decaying_sum blocked_seconds_;
   decaying_sum starts_while_blocked_;
   service_share all_;
--- a/src/decisions/placement_queue.cpp
+++ b/src/decisions/placement_queue.cpp
@@ -108,7 +108,21 @@
     blocked_seconds_.Add(std::chrono::duration<double>(now - now_).count(), now, settings_.share_window);
   }
   now_ = std::max(now_, now);
-  is_blocked_ = is_blocked_ && Size() > 0;
+  UpdateBlocked();
+}
+
+void placement_queue::UpdateBlocked() {
+  is_blocked_ = is_blocked_ && (Size() > 0 || std::any_of(reserving_.begin(), reserving_.end(), [](const auto& item) {
+                                  return item.second.has_waited_in_vain;
+                                }));
+}
+
+std::size_t placement_queue::WaitingCount() const { return Size() + (is_blocked_ ? reserving_.size() : 0); }
+
+std::size_t placement_queue::InTimeCount() const {
+  const auto reserving = std::count_if(reserving_.begin(), reserving_.end(),
+                                       [&](const auto& item) { return !IsLate(item.second.request); });
+  return in_time_.size() + (is_blocked_ ? static_cast<std::size_t>(reserving) : 0);
 }
 
 std::optional<double> placement_queue::StartsPerSecond(time_point now) const {
@@ -121,14 +135,20 @@
                                                          std::uint32_t routers, time_point now) const {
   const double blocked_seconds = blocked_seconds_.At(now, settings_.share_window);
   const bool is_late = request.latest_start < now;
-  const order_key key{is_late && !request.is_retry, request.urgency, is_late ? request.expiry : request.latest_start,
-                      next_sequence_};
+  const order_key key = KeyOf(request, next_sequence_, now);
   const auto count_before = [&](const request_map& requests) {
     return static_cast<double>(std::distance(requests.begin(), requests.lower_bound(key)));
   };
-  const double before = is_late ? static_cast<double>(in_time_.size()) + count_before(late_) +
-                                      static_cast<double>(peers_in_time) / std::max(1U, routers)
-                                : count_before(in_time_);
+  const auto is_before = [&](const auto& item) {
+    const bool is_other_late = item.second.request.latest_start < now;
+    return is_other_late == is_late ? KeyOf(item.second.request, item.second.sequence, now) < key : is_late;
+  };
+  double before = is_late ? static_cast<double>(in_time_.size()) + count_before(late_) +
+                                static_cast<double>(peers_in_time) / std::max(1U, routers)
+                          : count_before(in_time_);
+  if (is_blocked_) {
+    before += static_cast<double>(std::count_if(reserving_.begin(), reserving_.end(), is_before));
+  }
   if (blocked_seconds < kMinBlockedSeconds || before < 1) {
     return std::nullopt;
   }
@@ -142,48 +162,87 @@
   RecordRefusal(request);
 }
 
-void placement_queue::Insert(const placement_request& request, time_point now) {
-  Advance(now);
+placement_queue::order_key placement_queue::KeyOf(const placement_request& request, std::uint64_t sequence,
+                                                  time_point now) {
   const bool is_late = request.latest_start < now;
-  request_map& requests = is_late ? late_ : in_time_;
-  requests.emplace(order_key{is_late && !request.is_retry, request.urgency,
-                             is_late ? request.expiry : request.latest_start, next_sequence_++},
-                   request);
+  return {is_late && !request.is_retry, request.urgency, is_late ? request.expiry : request.latest_start, sequence};
+}
+
+void placement_queue::Insert(const placement_request& request, std::uint64_t sequence) {
+  request_map& requests = IsLate(request) ? late_ : in_time_;
+  requests.emplace(KeyOf(request, sequence, now_), request);
 }
 
 bool placement_queue::Add(const placement_request& request, time_point now) {
   Advance(now);
-  const bool is_late = request.latest_start < now;
-  const bool is_refused = is_late && (request.expiry <= now || late_.size() >= settings_.late_limit);
-  if (is_refused || Size() >= settings_.request_limit) {
+  const bool is_refused =
+      IsLate(request) && (request.expiry <= now || WaitingCount() - InTimeCount() >= settings_.late_limit);
+  if (is_refused || WaitingCount() >= settings_.request_limit) {
     RecordRefusal(request);
     return false;
   }
-  Insert(request, now);
+  Insert(request, next_sequence_++);
   return true;
 }
 
-void placement_queue::Requeue(const placement_request& request, time_point now) {
-  Insert(request, now);
-  RecordStart(request, -1);
-  starts_while_blocked_.Add(request.has_blocked_start ? -1 : 0, now_, settings_.share_window);
-  started_as_starved_.Add(request.has_starved_start ? -Tokens(request) : 0, now_, settings_.share_window);
-  is_blocked_ = true;
+void placement_queue::Start(const request_id& request, time_point now) {
+  Advance(now);
+  const auto found = reserving_.find(request);
+  if (found != reserving_.end()) {
+    starts_while_blocked_.Add(found->second.request.has_blocked_start ? 1 : 0, now_, settings_.share_window);
+    reserving_.erase(found);
+    UpdateBlocked();
+  }
+}
+
+placement_request placement_queue::BeginReservation(const request_id& request, bool has_starved_start) {
+  const auto is_same = [&](const auto& item) { return item.second.request == request; };
+  request_map& requests = std::any_of(in_time_.begin(), in_time_.end(), is_same) ? in_time_ : late_;
+  const auto found = std::find_if(requests.begin(), requests.end(), is_same);
+  reserving_request reserving{found->second, found->first.sequence, found->first.sequence < waited_sequence_};
+  reserving.request.has_blocked_start = is_blocked_;
+  reserving.request.has_starved_start = has_starved_start;
+  requests.erase(found);
+  RecordStart(reserving.request, 1);
+  started_as_starved_.Add(has_starved_start ? Tokens(reserving.request) : 0, now_, settings_.share_window);
+  return reserving_.insert_or_assign(reserving.request.request, reserving).first->second.request;
+}
+
+std::optional<placement_queue::reserving_request> placement_queue::EndReservation(const request_id& request) {
+  const auto found = reserving_.find(request);
+  if (found == reserving_.end()) {
+    return std::nullopt;
+  }
+  const reserving_request ended = found->second;
+  reserving_.erase(found);
+  RecordStart(ended.request, -1);
+  started_as_starved_.Add(ended.request.has_starved_start ? -Tokens(ended.request) : 0, now_, settings_.share_window);
+  return ended;
+}
+
+void placement_queue::Requeue(const request_id& request, time_point now) {
+  Advance(now);
+  if (const auto refused = EndReservation(request)) {
+    Insert(refused->request, refused->sequence);
+    is_blocked_ = true;
+    waited_sequence_ = next_sequence_;
+  }
 }
 
 bool placement_queue::Remove(const request_id& request) {
   const auto is_same = [&](const auto& item) { return item.second.request == request; };
-  return std::erase_if(in_time_, is_same) + std::erase_if(late_, is_same) > 0;
+  const bool was_queued = std::erase_if(in_time_, is_same) + std::erase_if(late_, is_same) > 0;
+  return was_queued || EndReservation(request).has_value();
 }
 
 std::vector<placement_request> placement_queue::TakeExpired(time_point now) {
   Advance(now);
   // Within a level, the requests are in the order of their latest start.
   for (auto next = in_time_.begin(); next != in_time_.end();) {
-    if (next->second.latest_start < now) {
-      const placement_request request = next->second;
+    if (IsLate(next->second)) {
+      const auto [key, request] = *next;
       next = in_time_.erase(next);
-      Insert(request, now);
+      Insert(request, key.sequence);
     } else {
       const urgency_level level = next->second.urgency;
       next = std::find_if(next, in_time_.end(), [&](const auto& item) { return item.second.urgency != level; });
@@ -279,13 +338,7 @@
     step.engines = choose(*next);
   }
   if (step.engines.waits_for == wait_reason::kNone) {
-    step.placed = *next;
-    Remove(step.placed->request);
-    RecordStart(*step.placed, 1);
-    step.placed->has_blocked_start = is_blocked_;
-    starts_while_blocked_.Add(is_blocked_ ? 1 : 0, now_, settings_.share_window);
-    step.placed->has_starved_start = starved != nullptr;
-    started_as_starved_.Add(starved != nullptr ? Tokens(*step.placed) : 0, now_, settings_.share_window);
+    step.placed = BeginReservation(next->request, starved != nullptr);
   }
   return step;
 }
@@ -298,7 +351,11 @@
     const bool can_skip = !step.placed && step.blocked != wait_reason::kNone && step.blocked_group != 0 &&
                           step.blocked != wait_reason::kPrefillBusy;
     if (!can_skip) {
-      is_blocked_ = is_blocked_ ? Size() > 0 : !step.placed && Size() > 0;
+      if (!step.placed && Size() > 0) {
+        is_blocked_ = true;
+        waited_sequence_ = next_sequence_;
+      }
+      UpdateBlocked();
       const bool reports_first = !step.placed && step.blocked == wait_reason::kNone && first_blocked;
       return reports_first ? *first_blocked : step;
     }
--- a/src/direct/call_gate.cpp
+++ b/src/direct/call_gate.cpp
@@ -163,6 +163,7 @@
     if (!step.placed) {
       return;
     }
+    queue.queue.Start(step.placed->request, timer_service::Now());
     end(step.placed->request, true);
   }
 }
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -268,6 +268,10 @@
 
 void generation_calls::Dispatch(service_queue& queue) {
   PlaceWaiting(queue);
+  ReportWaiting(queue);
+}
+
+void generation_calls::ReportWaiting(service_queue& queue) {
   const bool has_waiting = queue.queue.InTimeCount() > 0;
   if (has_waiting != queue.reported_waiting) {
     queue.reported_waiting = has_waiting;
@@ -390,6 +394,15 @@
   }
 }
 
+void generation_calls::Assign(service_queue& queue, const waiting_ptr& waiting, engine_assignment assignment,
+                              time_point now) {
+  waiting->call->waited = waiting->call->Age(now);
+  queue.queue.Start(waiting->request.request, now);
+  queue.waiting.erase(waiting->request.request);
+  waiting->result_mailbox.Push(std::move(assignment));
+  ReportWaiting(queue);
+}
+
 // For a stream on an engine that states a limit, a permit takes the place of the reservation, which would count as a
 // request of its own.
 task<> generation_calls::TakePermit(std::string service, waiting_ptr waiting, engine_assignment assignment) {
@@ -399,14 +412,12 @@
   const bool still_waits = queue.waiting.contains(waiting->request.request);
   if (taken.permit && still_waits && !waiting->call->IsCallerDisconnected()) {
     assignment.permit = taken.permit;
-    waiting->call->waited = waiting->call->Age(now);
-    queue.waiting.erase(waiting->request.request);
-    waiting->result_mailbox.Push(std::move(assignment));
+    Assign(queue, waiting, std::move(assignment), now);
     co_return;
   }
   ReleaseAssignment(assignment);
   if (still_waits) {
-    queue.queue.Requeue(waiting->request, now);
+    queue.queue.Requeue(waiting->request.request, now);
     Dispatch(queue);
     ScheduleDispatch();
   }
@@ -435,9 +446,7 @@
     assignment.reservation = reservation.value();
     assignment.reserved_until = sent + lifetime;
     if (still_waits && !waiting->call->IsCallerDisconnected()) {
-      waiting->call->waited = waiting->call->Age(now);
-      queue.waiting.erase(waiting->request.request);
-      waiting->result_mailbox.Push(std::move(assignment));
+      Assign(queue, waiting, std::move(assignment), now);
     } else {
       ReleaseAssignment(assignment);
       ReleaseReservation(assignment);
@@ -458,7 +467,7 @@
       .Add("status", response ? response.value().status : 0)
       .Add("detail", response ? "" : FormatError(response.error()));
   if (still_waits) {
-    queue.queue.Requeue(waiting->request, now);
+    queue.queue.Requeue(waiting->request.request, now);
     Dispatch(queue);
     ScheduleDispatch();
   }
@@ -473,9 +482,9 @@
   if (!endpoint_tracker_->UsesAdaptivePolicy(queue.record.name)) {
     return CapacityRetryAfter();
   }
-  return queue.returns.Assign(
-      {static_cast<double>(queue.queue.Size()), queue.queue.StartsPerSecond(now), call.TimeLeft(now), RandomUnit()},
-      now);
+  return queue.returns.Assign({static_cast<double>(queue.queue.WaitingCount()), queue.queue.StartsPerSecond(now),
+                               call.TimeLeft(now), RandomUnit()},
+                              now);
 }
 
 std::optional<generation_calls::rejection> generation_calls::FindRefusal(service_queue& queue, direct_call& call,
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -110,6 +110,10 @@
   std::optional<std::uint32_t> PriorityOf(const direct_call& call) const;
   void Dispatch(service_queue& queue);
   void PlaceWaiting(service_queue& queue);
+  // Tells the other routers if the state that they know of the waiting requests has changed.
+  void ReportWaiting(service_queue& queue);
+  // Hands the assignment to the waiting request.
+  void Assign(service_queue& queue, const waiting_ptr& waiting, engine_assignment assignment, time_point now);
   void RejectUnservable(service_queue& queue, const std::vector<chosen_endpoint>& engines);
   void RecordBlocked(service_queue& queue, wait_reason reason, time_point now);
   void RemoveWaiting(service_queue& queue, const waiting_ptr& waiting);
--- a/tests/placement_queue_test.cpp
+++ b/tests/placement_queue_test.cpp
@@ -118,7 +118,7 @@
   ASSERT_TRUE(queue_.Add(Request(1, 300), At(0)));
   ASSERT_TRUE(queue_.Add(Request(2, 700), At(0)));
   const placement_step step = queue_.TakeNext(HasCapacity, false);
-  queue_.Requeue(*step.placed, At(10));
+  queue_.Requeue(step.placed->request, At(10));
   EXPECT_EQ(Next(HasCapacity), "1");
 }
 
@@ -296,7 +296,7 @@
   EXPECT_DOUBLE_EQ(queue_.UseAbove({2, 0}, At(0)).prompt_tokens_per_s, 1'000);
   EXPECT_DOUBLE_EQ(queue_.UseAbove({2, 0}, At(0)).memory_tokens_per_s, 1'300);
   EXPECT_DOUBLE_EQ(queue_.UseAbove({3, 0}, At(0)).requests_per_s, 2 / 3.0);
-  queue_.Requeue(*second.placed, At(0));
+  queue_.Requeue(second.placed->request, At(0));
   EXPECT_DOUBLE_EQ(queue_.UseAbove({3, 0}, At(0)).requests_per_s, 1 / 3.0) << "it was not started after all";
   EXPECT_LT(queue_.UseAbove({2, 0}, At(600'000)).memory_tokens_per_s, 1);
 }
@@ -342,7 +342,11 @@
       queue_.TakeExpired(At(now));
       ASSERT_TRUE(queue_.Add(Request(++id, 1, now + 100'000), At(now)));
       const bool is_free = !has_waiting || now % 500 == 0;
-      EXPECT_EQ(queue_.TakeNext(is_free ? HasCapacity : NoMemory, false).placed.has_value(), is_free);
+      const placement_step step = queue_.TakeNext(is_free ? HasCapacity : NoMemory, false);
+      ASSERT_EQ(step.placed.has_value(), is_free);
+      if (step.placed) {
+        queue_.Start(step.placed->request, At(now));
+      }
     }
   };
   run(0, 5'000, false);
@@ -376,6 +380,83 @@
   EXPECT_LE(*wait, milliseconds(1'500));
 }
 
+// Guards against a request that is let in to wait longer than it may, because one before it is being reserved.
+TEST_F(urgency_queue_test, PredictWait_WhileARequestIsBeingReserved_StillCountsIt) {
+  for (std::int64_t now = 0; now <= 1'500; now += 100) {
+    queue_.TakeExpired(At(now));
+    if (now == 0) {
+      ASSERT_TRUE(queue_.Add(Request(1, 1, 100'000), At(now)));
+      ASSERT_TRUE(queue_.Add(Request(2, 1, 110'000), At(now)));
+    }
+    ASSERT_FALSE(queue_.TakeNext(NoMemory, false).placed);
+  }
+  const auto wait = [&] { return queue_.PredictWait(Request(3, 1, 200'000), 0, 1, At(1'500)); };
+  const auto before = wait();
+  ASSERT_TRUE(before);
+  const placement_step step = queue_.TakeNext(HasCapacity, false);
+  ASSERT_TRUE(step.placed);
+  EXPECT_EQ(wait(), before);
+  queue_.Requeue(step.placed->request, At(1'500));
+  EXPECT_EQ(wait(), before);
+}
+
+// Guards against refusals in a burst that finds free engines, by a rate that was measured in an earlier overload.
+TEST_F(urgency_queue_test, PredictWait_WithCapacity_IgnoresRequestsThatAreBeingReserved) {
+  ASSERT_TRUE(queue_.Add(Request(1, 1, 100'000), At(0)));
+  for (std::int64_t now = 0; now <= 2'000; now += 100) {
+    queue_.TakeExpired(At(now));
+    ASSERT_FALSE(queue_.TakeNext(NoMemory, false).placed);
+  }
+  ASSERT_EQ(Next(HasCapacity), "1");
+  queue_.Start(request_id{"1"}, At(2'000));
+  for (int id = 2; id < 8; ++id) {
+    EXPECT_EQ(queue_.PredictWait(Request(id, 1, 200'000), 0, 1, At(2'100)), std::nullopt);
+    ASSERT_TRUE(queue_.Add(Request(id, 1, 100'000), At(2'100)));
+    ASSERT_EQ(Next(HasCapacity), std::to_string(id));
+    ASSERT_EQ(Next(HasCapacity), "");
+  }
+  EXPECT_EQ(queue_.InTimeCount(), 0U) << "peers need not yield to them";
+}
+
+// Guards against late requests of peers that take the capacity for which a request is being reserved again and again.
+TEST_F(urgency_queue_test, InTimeCount_WhileAWaitingRequestIsBeingReserved_StillCountsIt) {
+  ASSERT_TRUE(queue_.Add(Request(1, 1, 1'000), At(0)));
+  ASSERT_FALSE(queue_.TakeNext(NoMemory, false).placed);
+  ASSERT_EQ(Next(HasCapacity), "1");
+  ASSERT_EQ(Next(HasCapacity), "");
+  EXPECT_EQ(queue_.Size(), 0U);
+  EXPECT_EQ(queue_.InTimeCount(), 1U);
+  EXPECT_EQ(queue_.WaitingCount(), 1U);
+  queue_.TakeExpired(At(1'001));
+  EXPECT_EQ(queue_.InTimeCount(), 0U) << "it has become late";
+  EXPECT_EQ(queue_.WaitingCount(), 1U);
+  queue_.Start(request_id{"1"}, At(1'002));
+  EXPECT_EQ(queue_.WaitingCount(), 0U);
+}
+
+// Guards against too short predictions while engines answer reservations late: that time is waited in vain too.
+TEST_F(urgency_queue_test, PredictWait_WhileReservationsFailSlowly_CountsTheirTime) {
+  ASSERT_TRUE(queue_.Add(Request(1, 1, 100'000), At(0)));
+  for (std::int64_t now = 0; now < 4'000; now += 400) {
+    queue_.TakeExpired(At(now));
+    ASSERT_EQ(Next(HasCapacity), "1");
+    ASSERT_EQ(Next(HasCapacity), "");
+    queue_.Requeue(request_id{"1"}, At(now + 390));
+  }
+  const auto wait = queue_.PredictWait(Request(2, 1, 200'000), 0, 1, At(4'000));
+  ASSERT_TRUE(wait);
+  EXPECT_GE(*wait, milliseconds(2'900)) << "3.6 s, of which those long ago count less";
+}
+
+// A caller that leaves during the reservation of its request has not been served.
+TEST_F(urgency_queue_test, Remove_OfARequestThatIsBeingReserved_IsNoStart) {
+  ASSERT_TRUE(queue_.Add(Request(1, 1, 900), At(0)));
+  ASSERT_EQ(Next(HasCapacity), "1");
+  EXPECT_TRUE(queue_.Remove(request_id{"1"}));
+  EXPECT_FALSE(queue_.Remove(request_id{"1"}));
+  EXPECT_DOUBLE_EQ(queue_.UseAbove({2, 0}, At(0)).requests_per_s, 0);
+}
+
 // A single request whose reservation is refused again and again must not count as started each time.
 TEST_F(urgency_queue_test, Requeue_OfTheOnlyRequest_IsNoStart) {
   ASSERT_TRUE(queue_.Add(Request(1, 1, 100'000), At(0)));
@@ -384,7 +465,7 @@
     const placement_step step = queue_.TakeNext(HasCapacity, false);
     ASSERT_TRUE(step.placed);
     EXPECT_FALSE(queue_.TakeNext(HasCapacity, false).placed);
-    queue_.Requeue(*step.placed, At(now));
+    queue_.Requeue(step.placed->request, At(now));
   }
   EXPECT_NEAR(queue_.StartsPerSecond(At(2'900)).value_or(99), 0, 0.01);
 }
@@ -396,7 +477,7 @@
     ASSERT_TRUE(queue_.Add(Request(static_cast<int>(now), 1, 100'000), At(now)));
     const placement_step step = queue_.TakeNext(now == 0 ? NoMemory : HasCapacity, false);
     if (step.placed) {
-      queue_.Requeue(*step.placed, At(now));
+      queue_.Requeue(step.placed->request, At(now));
     }
   }
   EXPECT_NEAR(queue_.StartsPerSecond(At(2'900)).value_or(99), 0, 0.01);
@@ -463,7 +544,7 @@
   std::map<std::string, placement_request> waiting;
   std::vector<placement_request> placed;
   std::int64_t now = 0;
-  const auto operations = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5));
+  const auto operations = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6));
   int next_id = 0;
   for (const int operation : operations) {
     now += *rc::gen::inRange(0, 300);
@@ -481,9 +562,12 @@
         placed.push_back(*step.placed);
       }
     } else if (operation == 2 && !placed.empty()) {
-      queue_.Requeue(placed.back(), At(now));
+      queue_.Requeue(placed.back().request, At(now));
       waiting[placed.back().request.value] = placed.back();
       placed.pop_back();
+    } else if (operation == 5 && !placed.empty()) {
+      queue_.Start(placed.back().request, At(now));
+      placed.pop_back();
     } else if (operation == 3) {
       for (const placement_request& request : queue_.TakeExpired(At(now))) {
         RC_ASSERT(request.expiry <= At(now));
@@ -495,6 +579,8 @@
       waiting.erase(id);
     }
     RC_ASSERT(queue_.Size() == waiting.size());
+    RC_ASSERT(queue_.WaitingCount() >= waiting.size() && queue_.WaitingCount() <= waiting.size() + placed.size());
+    RC_ASSERT(queue_.InTimeCount() <= queue_.WaitingCount());
   }
 }
 
@@ -504,7 +590,7 @@
   std::vector<placement_request> placed;
   std::int64_t now = 0;
   int next_id = 0;
-  for (const int operation : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5))) {
+  for (const int operation : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 6))) {
     now += *rc::gen::inRange(0, 300);
     if (operation == 0) {
       auto request = Request(++next_id, *rc::gen::inRange<std::uint32_t>(0, 3), now + *rc::gen::inRange(-200, 800),
@@ -524,9 +610,12 @@
         placed.push_back(*step.placed);
       }
     } else if (operation == 2 && !placed.empty()) {
-      queue_.Requeue(placed.back(), At(now));
+      queue_.Requeue(placed.back().request, At(now));
       waiting.insert(placed.back().request.value);
       placed.pop_back();
+    } else if (operation == 5 && !placed.empty()) {
+      queue_.Start(placed.back().request, At(now));
+      placed.pop_back();
     } else if (operation == 3) {
       for (const placement_request& request : queue_.TakeExpired(At(now))) {
         RC_ASSERT(request.expiry <= At(now));
@@ -538,6 +627,8 @@
       waiting.erase(id);
     }
     RC_ASSERT(queue_.Size() == waiting.size());
+    RC_ASSERT(queue_.WaitingCount() >= waiting.size() && queue_.WaitingCount() <= waiting.size() + placed.size());
+    RC_ASSERT(queue_.InTimeCount() <= queue_.WaitingCount());
   }
 }
 
--- a/tests/support/engine_model.h
+++ b/tests/support/engine_model.h
@@ -443,7 +443,7 @@
         detail::model_router& router = routers_[request->router];
         const time_point now = detail::AtMs(now_);
         pause = router.returns
-                    .Assign({static_cast<double>(router.queue.Size()), router.queue.StartsPerSecond(now),
+                    .Assign({static_cast<double>(router.queue.WaitingCount()), router.queue.StartsPerSecond(now),
                              milliseconds(detail::kTimeBudgetMs - (now_ - request->arrival_ms)),
                              std::uniform_real_distribution<double>()(random_)},
                             now)
@@ -797,9 +797,10 @@
       if (!CanReserve(engine, *request)) {
         router.refused[static_cast<std::uint32_t>(DecodeIndex(engine))] = {request->reserved,
                                                                            now_ + detail::kRefusedPauseMs};
-        router.queue.Requeue(*step.placed, detail::AtMs(now_));
+        router.queue.Requeue(step.placed->request, detail::AtMs(now_));
         continue;
       }
+      router.queue.Start(step.placed->request, detail::AtMs(now_));
       router.waiting.erase(id);
       Start(request, engine, step.engines.prefill);
     }
--- a/tests/support/prompt_model.h
+++ b/tests/support/prompt_model.h
@@ -319,6 +319,7 @@
       if (!step.placed) {
         return;
       }
+      router.queue.Start(step.placed->request, now);
       const std::uint64_t id = std::stoull(step.placed->request.value);
       Start(router, router.waiting.at(id), *step.engines.prefill, views[*step.engines.prefill]);
       router.waiting.erase(id);
