Measure no blocked time after the last waiting request has left

What callers saw: after a caller that waited alone had left, requests could be refused at once ("wait_too_long") although engines were free before: seconds in which nobody waited counted as waited in vain, without a start.

Cause: Remove took the last request without ending the blocked time. The next call with a time added all of the time since. The periodic dispatch does not run while nobody waits, so nothing else ended it.

Found by reading, while tracing the listed test. Evidence: StartsPerSecond_AfterTheLastWaitingRequestLeft_MeasuresNoIdleTime failed before (a rate of 0 after 5 s in which nobody waited, instead of no measured rate), for a queued request and for one that is being reserved.

--- a/src/decisions/placement_queue.cpp
+++ b/src/decisions/placement_queue.cpp
@@ -232,7 +232,9 @@
 bool placement_queue::Remove(const request_id& request) {
   const auto is_same = [&](const auto& item) { return item.second.request == request; };
   const bool was_queued = std::erase_if(in_time_, is_same) + std::erase_if(late_, is_same) > 0;
-  return was_queued || EndReservation(request).has_value();
+  const bool was_waiting = was_queued || EndReservation(request).has_value();
+  UpdateBlocked();
+  return was_waiting;
 }
 
 std::vector<placement_request> placement_queue::TakeExpired(time_point now) {
--- a/tests/placement_queue_test.cpp
+++ b/tests/placement_queue_test.cpp
@@ -448,6 +448,19 @@
   EXPECT_GE(*wait, milliseconds(2'900)) << "3.6 s, of which those long ago count less";
 }
 
+// Guards against refusals by a wait that is predicted from a time in which nobody waited.
+TEST_F(urgency_queue_test, StartsPerSecond_AfterTheLastWaitingRequestLeft_MeasuresNoIdleTime) {
+  for (const bool is_reserving : {false, true}) {
+    queue_ = placement_queue();
+    ASSERT_TRUE(queue_.Add(Request(1, 1, 100'000), At(0)));
+    ASSERT_FALSE(queue_.TakeNext(NoMemory, false).placed);
+    ASSERT_EQ(Next(is_reserving ? HasCapacity : NoMemory), is_reserving ? "1" : "");
+    ASSERT_TRUE(queue_.Remove(request_id{"1"}));
+    ASSERT_TRUE(queue_.Add(Request(2, 1, 100'000), At(5'000)));
+    EXPECT_EQ(queue_.StartsPerSecond(At(5'000)), std::nullopt);
+  }
+}
+
 // A caller that leaves during the reservation of its request has not been served.
 TEST_F(urgency_queue_test, Remove_OfARequestThatIsBeingReserved_IsNoStart) {
   ASSERT_TRUE(queue_.Add(Request(1, 1, 900), At(0)));
