Check whose response a request of the router itself has got

What callers saw: after an engine had written one response too many on a kept connection, a reservation, a report, a stage order, a release or a health check read it as its own, and the connection stayed one response behind. A request then ran with a reservation that another response named, and the next call on that connection never saw its response: 502 after 2.5 s ("may have run").

Cause: http_client::Fetch takes the next response on the connection for the one to its request. The connection is checked only when it is taken from the pool.

Change: Fetch takes a filter for the whole response. A response that it rejects fails the exchange with kProtocol, which means "may have taken effect", and closes the connection. endpoint_tracker::FetchControl uses it for everything that routers ask of endpoints: a response that names an attempt belongs to a call (all answers to calls name theirs, none to a control request does), a 200 to a reservation must name one, a 200 to a report must be one. A reservation that is not believed counts as refused, not as an unreachable engine. A health check that read another response is repeated once on another connection.

Ruled out: a pool of its own for these requests. With the checks, the only response of a call that can still be taken for one of them is a refusal without an id, and a reservation that is thought refused is asked for again; a second pool costs sound engines at least one more connection per router.

--- a/src/direct/endpoint_tracker.cpp
+++ b/src/direct/endpoint_tracker.cpp
@@ -4,11 +4,13 @@
 
 #include "core/event_log.h"
 #include "core/random.h"
+#include "core/telemetry.h"
 
 namespace persimmon {
 namespace {
 
 constexpr const char* kComponent = "router.board";
+constexpr int kOk = 200;
 constexpr milliseconds kHealthPeriod(250);
 // Time until an engine's registry entry shows its new stage: about one report interval.
 constexpr milliseconds kEntryUpdateDelay(1'500);
@@ -34,6 +36,7 @@
   directory_ = &kernel_.Find<deployment_directory>("directory");
   group_ = &kernel_.Find<router_group>("group");
   limits_ = &kernel_.Find<limit_tracker>("limits");
+  metrics_ = &kernel_.Find<telemetry>("telemetry").Metrics();
   health_timer_ = kernel_.Timers().SubscribeEvery(kHealthPeriod, 0.1, [this] {
     UpdateHealth();
     RemoveIdleStates();
@@ -113,6 +116,29 @@
   }
 }
 
+task<result<http_response>> endpoint_tracker::FetchControl(http_client& client, chosen_endpoint endpoint,
+                                                           http_request request, milliseconds timeout,
+                                                           http_client::response_filter fits) {
+  const std::string target = request.target;
+  http_client::response_filter matches = [fits = std::move(fits)](const http_response& response) {
+    return platform::CanAnswerControlRequest(response.headers) && (!fits || fits(response));
+  };
+  auto response = co_await client.Fetch(endpoint.address, std::move(request), timeout, std::move(matches));
+  if (!response && response.error().code == error_code::kProtocol) {
+    metrics_
+        ->AddCounter("persimmon_unexpected_responses_total",
+                     "Responses of endpoints to requests of the router itself that belong to other requests.", {})
+        .Increment();
+    Events()
+        .Line(kComponent, "unexpected_response")
+        .Add("endpoint", endpoint.name.value)
+        .Add("address", endpoint.address.Text())
+        .Add("target", target)
+        .Add("detail", response.error().message);
+  }
+  co_return response;
+}
+
 task<result<platform::engine_report>> endpoint_tracker::FetchReport(http_client& client, chosen_endpoint engine,
                                                                     milliseconds timeout) {
   const permit_result taken = co_await AcquirePermit(engine, timeout);
@@ -120,12 +146,16 @@
     co_return error{error_code::kUnavailable, "the engine's limit allows no request now"};
   }
   const time_point sent = timer_service::Now();
-  auto response = co_await client.Fetch(engine.address, platform::MakeReportRequest(engine.name), timeout);
+  http_client::response_filter is_report = [](const http_response& candidate) {
+    return candidate.status != kOk || platform::ParseReport(candidate.body).has_value();
+  };
+  auto request = platform::MakeReportRequest(engine.name);
+  auto response = co_await FetchControl(client, engine, std::move(request), timeout, std::move(is_report));
   if (!response) {
     co_return response.error();
   }
   RecordResponse(engine, platform::ParseResponseHeaders(response.value().Head()), sent);
-  if (response.value().status != 200) {
+  if (response.value().status != kOk) {
     co_return error{error_code::kUnavailable, "no valid report from the engine"};
   }
   co_return platform::ParseReport(response.value().body);
--- a/src/direct/endpoint_tracker.h
+++ b/src/direct/endpoint_tracker.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "core/kernel.h"
+#include "core/metrics.h"
 #include "direct/directory.h"
 #include "direct/limit_tracker.h"
 #include "direct/router_group.h"
@@ -51,8 +52,13 @@
   // Records what any response of the endpoint says about the endpoint itself. `sent`: when its request was sent.
   void RecordResponse(const chosen_endpoint& endpoint, const platform::response_metadata& metadata, time_point sent);
 
-  // Reads the report of an engine and records its response. Errors: those of Fetch; kUnavailable for a response other
-  // than a report; kProtocol.
+  // Sends a request that the router itself makes. Nothing in its response names it, so one that names an attempt, or
+  // that `fits` rejects, is taken for the response to another request. Null: every body fits. Errors: those of Fetch;
+  // kProtocol for a response to another request, where this one may have taken effect.
+  task<result<http_response>> FetchControl(http_client& client, chosen_endpoint endpoint, http_request request,
+                                           milliseconds timeout, http_client::response_filter fits = nullptr);
+
+  // Reads the report of an engine and records its response. Errors: those of FetchControl; kUnavailable for a refusal.
   task<result<platform::engine_report>> FetchReport(http_client& client, chosen_endpoint engine, milliseconds timeout);
 
   void RecordAnswer(const chosen_endpoint& endpoint);
@@ -159,6 +165,7 @@
   deployment_directory* directory_ = nullptr;
   router_group* group_ = nullptr;
   limit_tracker* limits_ = nullptr;
+  metrics_registry* metrics_ = nullptr;
   std::map<endpoint_name, endpoint_state> states_;
   std::map<endpoint_name, closure> closures_;
   stream_id next_stream_ = 0;
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -21,6 +21,7 @@
 namespace {
 
 constexpr const char* kComponent = "router.model";
+constexpr int kOk = 200;
 constexpr const char* kPartRefused = "part_crashes_engines";  // reason of a refusal
 constexpr milliseconds kDispatchPeriod(20);  // while requests wait: checks expiry and capacity freed by other routers
 constexpr milliseconds kPrefillTimeout(2'500);  // of one prefill including queueing; then another engine is tried
@@ -421,13 +422,17 @@
   const std::uint32_t tokens = assignment.memory.reserved_tokens;
   const time_point sent = timer_service::Now();
   auto request = platform::MakeReserveRequest(assignment.engine.name, tokens, lifetime);
-  auto response = co_await client_.Fetch(assignment.engine.address, std::move(request), settings_.reserve_timeout);
+  http_client::response_filter is_grant_or_refusal = [](const http_response& candidate) {
+    return candidate.status != kOk || platform::ParseReservation(candidate.body).has_value();
+  };
+  auto response = co_await endpoint_tracker_->FetchControl(client_, assignment.engine, std::move(request),
+                                                           settings_.reserve_timeout, std::move(is_grant_or_refusal));
   if (response) {
     endpoint_tracker_->RecordResponse(assignment.engine, platform::ParseResponseHeaders(response.value().Head()), sent);
   }
   const time_point now = timer_service::Now();
   service_queue& queue = *queues_[service];
-  auto reservation = response && response.value().status == 200
+  auto reservation = response && response.value().status == kOk
                          ? platform::ParseReservation(response.value().body)
                          : result<std::string>(error{error_code::kUnavailable, ""});
   const bool still_waits = queue.waiting.contains(waiting->request.request);
@@ -445,7 +450,7 @@
     co_return;
   }
   ReleaseAssignment(assignment);
-  if (!response) {
+  if (!response && response.error().code != error_code::kProtocol) {
     endpoint_tracker_->RecordUnreachable(assignment.engine);
   } else {
     endpoint_tracker_->RecordReservationRefused(assignment.engine.name, tokens);
@@ -586,7 +591,7 @@
     Events().Line(kComponent, "control_skipped").Add("purpose", purpose).Add("address", engine.address.Text());
     co_return;
   }
-  auto response = co_await client_.Fetch(engine.address, std::move(request), kControlTimeout);
+  auto response = co_await endpoint_tracker_->FetchControl(client_, engine, std::move(request), kControlTimeout);
   if (!response) {
     // The engine frees the memory by itself when the reservation or the handle expires.
     Events().Line(kComponent, "control_failed").Add("purpose", purpose).Add("detail", FormatError(response.error()));
--- a/src/direct/stage_orders.cpp
+++ b/src/direct/stage_orders.cpp
@@ -182,7 +182,7 @@
   auto request = platform::MakeStageOrderRequest(engine.name, stage, settings_.deployment.name, fencing_token,
                                                  report.value().orders_accepted);
   const time_point sent = timer_service::Now();
-  auto response = co_await client_.Fetch(engine.address, std::move(request), kOrderTimeout);
+  auto response = co_await endpoint_tracker_->FetchControl(client_, engine, std::move(request), kOrderTimeout);
   if (response) {
     endpoint_tracker_->RecordResponse(engine, platform::ParseResponseHeaders(response.value().Head()), sent);
   }
--- a/src/direct/suspect_tracker.cpp
+++ b/src/direct/suspect_tracker.cpp
@@ -14,6 +14,7 @@
 
 constexpr const char* kComponent = "router.crashes";
 constexpr milliseconds kHealthCheckDelay(50);     // a crashing endpoint still accepts connections briefly
+constexpr int kMaxHealthChecks = 2;               // further ones follow a response to another request
 constexpr milliseconds kHealthCheckTimeout(400);  // for the response of a live endpoint
 // A request that did not cause the crashes is very unlikely to be running during this many consecutive crashes without
 // ever receiving a response.
@@ -80,10 +81,19 @@
 task<bool> suspect_tracker::HasCrashed(chosen_endpoint endpoint, std::string health_path) {
   co_await kernel_.Timers().Sleep(kHealthCheckDelay);
   // The check is short and rare, and a crash must be known at once.
-  kernel_.Find<endpoint_tracker>("board").ChargeLimit(endpoint);
-  http_request request{"GET", health_path.empty() ? "/" : health_path, {}, {}, {}};
-  auto response = co_await client_.Fetch(endpoint.address, std::move(request), kHealthCheckTimeout);
-  co_return !response && response.error().code == error_code::kUnavailable;
+  auto& tracker = kernel_.Find<endpoint_tracker>("board");
+  error_code code = error_code::kProtocol;
+  // A response to another request may have been written before a crash.
+  for (int checks = 0; checks < kMaxHealthChecks && code == error_code::kProtocol; ++checks) {
+    tracker.ChargeLimit(endpoint);
+    http_request request{"GET", health_path.empty() ? "/" : health_path, {}, {}, {}};
+    auto response = co_await tracker.FetchControl(client_, endpoint, std::move(request), kHealthCheckTimeout);
+    if (response) {
+      co_return false;
+    }
+    code = response.error().code;
+  }
+  co_return code == error_code::kUnavailable;
 }
 
 task<bool> suspect_tracker::CheckDisconnect(fingerprint_number fingerprint, chosen_endpoint endpoint,
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -1043,6 +1043,11 @@
 }
 
 task<result<http_response>> http_client::Fetch(host_port address, http_request request, milliseconds response_timeout) {
+  co_return co_await Fetch(std::move(address), std::move(request), response_timeout, nullptr);
+}
+
+task<result<http_response>> http_client::Fetch(host_port address, http_request request, milliseconds response_timeout,
+                                               response_filter matches) {
   const auto state = state_;
   const bool head_request = request.method == "HEAD";
   auto connected = co_await state->Connect(address);
@@ -1070,6 +1075,11 @@
   response.status = static_cast<int>(parser->get().result_int());
   response.headers = CopyHeaders(parser->get());
   response.body = std::move(parser->get().body());
+  if (matches && !matches(response)) {
+    co_return error{error_code::kProtocol,
+                    fmt::format("{} sent a response with status {} that does not belong to the request", address.Text(),
+                                response.status)};
+  }
   if (parser->get().keep_alive()) {
     state->ReturnToPool(address, std::move(connection), FindHeader(response.headers, "Keep-Alive"));
   }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -231,6 +231,14 @@
   task<result<http_response>> Fetch(host_port address, http_request request);
   task<result<http_response>> Fetch(host_port address, http_request request, milliseconds response_timeout);
 
+  // Returns true if a response can be the one to the request.
+  using response_filter = std::function<bool(const http_response&)>;
+
+  // Like Fetch above, but fails with kProtocol if `matches` rejects the response. The connection is closed then,
+  // because it may be one response behind. Null: every response matches.
+  task<result<http_response>> Fetch(host_port address, http_request request, milliseconds response_timeout,
+                                    response_filter matches);
+
   // Closes the pooled connections to the address.
   void CloseIdleConnections(const host_port& address);
 
