Believe a reservation only if its name is new

What callers saw: an engine wrote a grant twice on a kept connection. The next request took the copy for its own grant and was sent with the reservation that another request had used; the connection stayed one response behind, and the caller got 502 after 2.5 s.

Cause: nothing in a grant says which request it answers, and a copy of one differs from a new one in its name only.

Evidence: control_exchange_test.Reservation_AnsweredByACopyOfAnEarlierGrant_IsNotTaken, before: two of two requests ran with "hold1", the second caller got 502. After: each runs with its own, and the connection is closed.

Change: the router remembers the names that an engine's incarnation has granted for the lifetime of the reservation (16,384 at most). A known name fails the exchange as any response that does not fit. A sound engine that gave a name out again before its time would show as the event unexpected_response with the target /hold-take.

What stays: after a refusal that belongs to another request, the engine's own grant may be read by the next reservation on that connection. It was made for this router and nobody else uses it; only its amount may be another one.

--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -422,8 +422,14 @@
   const std::uint32_t tokens = assignment.memory.reserved_tokens;
   const time_point sent = timer_service::Now();
   auto request = platform::MakeReserveRequest(assignment.engine.name, tokens, lifetime);
-  http_client::response_filter is_grant_or_refusal = [](const http_response& candidate) {
-    return candidate.status != kOk || platform::ParseReservation(candidate.body).has_value();
+  http_client::response_filter is_grant_or_refusal = [this, engine = assignment.engine,
+                                                      lifetime](const http_response& candidate) {
+    if (candidate.status != kOk) {
+      return true;
+    }
+    const auto name = platform::ParseReservation(candidate.body);
+    const time_point granted = timer_service::Now();
+    return name && granted_.Add(engine.name, engine.started_ms, name.value(), granted + lifetime, granted);
   };
   auto response = co_await endpoint_tracker_->FetchControl(client_, assignment.engine, std::move(request),
                                                            settings_.reserve_timeout, std::move(is_grant_or_refusal));
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -22,6 +22,7 @@
 #include "direct/send_budgets.h"
 #include "direct/suspect_tracker.h"
 #include "persimmon/event_stream.h"
+#include "persimmon/granted_reservations.h"
 #include "persimmon/placement_queue.h"
 #include "persimmon/return_schedule.h"
 
@@ -51,6 +52,9 @@
  private:
   static constexpr microseconds kAssumedTokenInterval{5'000};  // interval on a busy engine
 
+  // Far more than a router gets in the lifetime of a reservation.
+  static constexpr std::size_t kMaxGrants = 16'384;
+
   // A decode engine with reserved memory, and the prefill engine for the prompt.
   struct engine_assignment {
     chosen_endpoint engine;
@@ -161,6 +165,7 @@
   origin_tracker* origins_ = nullptr;
   prompt_tracker* prompts_ = nullptr;
   std::map<std::string, std::unique_ptr<service_queue>> queues_;
+  granted_reservations granted_{kMaxGrants};
   std::map<std::string, milliseconds> largest_budgets_;  // largest time budget seen of callers, by route
   std::set<endpoint_name> engines_being_checked_;        // engines that CheckEngine polls
   timer_subscription dispatch_timer_;
--- a/tests/control_exchange_test.cpp
+++ b/tests/control_exchange_test.cpp
@@ -261,6 +261,16 @@
   http_client client_{harness_.Kernel().Context(), http_client_limits{}};
 };
 
+// Guards against two requests that run with one reservation.
+TEST_F(control_exchange_test, Reservation_AnsweredByACopyOfAnEarlierGrant_IsNotTaken) {
+  ExpectWholeStream("a1");
+  engine_->WriteBefore("POST /hold-take", engine_->last_grant);
+  ExpectWholeStream("a2");
+  const auto used = engine_->UsedReservations();
+  EXPECT_EQ(std::set<std::string>(used.begin(), used.end()).size(), used.size()) << used.back();
+  EXPECT_TRUE(IsExtraConnectionClosed());
+}
+
 // Guards against memory that belongs to another request.
 TEST_F(control_exchange_test, Reservation_AnsweredByTheResponseToACall_IsNotTaken) {
   ExpectWholeStream("a1");
