Log the first and last event id of a run, and whether the ids follow one another

It now has first_id and last_id of the run, and ids_follow: false if an id of the run is not greater than the one before or differs from it by another step than the ids so far. No change of behaviour.

--- a/include/persimmon/event_stream.h
+++ b/include/persimmon/event_stream.h
@@ -4,12 +4,16 @@
 // and the next endpoint is asked to continue after the id of the last one.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
 namespace persimmon {
 
+// The id of an event as a number; nothing if it is no decimal number of at most 18 digits.
+std::optional<std::uint64_t> ParseEventNumber(std::string_view id);
+
 class event_splitter {
  public:
   // A longer event is a protocol error.
@@ -35,14 +39,27 @@
   // Id of the last complete event; empty before the first one with an id.
   const std::string& LastId() const { return last_id_; }
 
+  // Starts to observe the ids of another endpoint's events.
+  void BeginRun();
+
+  // Id of the first event of the run; empty: none yet.
+  const std::string& RunFirstId() const { return run_first_id_; }
+
+  // True unless an id of the run is not greater than the one before, or by another step than the ones so far.
+  bool IdsFollow() const { return ids_follow_; }
+
   std::size_t EventCount() const { return events_; }
   bool IsOversized() const { return incomplete_.size() > kMaxEventBytes; }
 
  private:
   void RecordEvent(std::string_view event);
+  void RecordId(std::string_view id);
 
   std::string incomplete_;
   std::string last_id_;
+  std::string run_first_id_;
+  std::uint64_t step_ = 0;  // between the ids so far; 0: not known
+  bool ids_follow_ = true;
   std::size_t events_ = 0;
 };
 
--- a/src/decisions/event_stream.cpp
+++ b/src/decisions/event_stream.cpp
@@ -1,7 +1,18 @@
 #include "persimmon/event_stream.h"
 
+#include <charconv>
+
 namespace persimmon {
 
+std::optional<std::uint64_t> ParseEventNumber(std::string_view id) {
+  constexpr std::size_t kMaxDigits = 18;  // of a number that fits into 64 bits, also with a step added
+  std::uint64_t number = 0;
+  const char* end = id.data() + id.size();
+  const auto [parsed_end, failure] = std::from_chars(id.data(), end, number);
+  const bool is_number = !id.empty() && id.size() <= kMaxDigits && failure == std::errc() && parsed_end == end;
+  return is_number ? std::optional(number) : std::nullopt;
+}
+
 std::string event_splitter::Add(std::string_view bytes) {
   // The blank line that ends an event may be split between two calls.
   const std::size_t search_begin = incomplete_.size() < 3 ? 0 : incomplete_.size() - 3;
@@ -43,9 +54,29 @@
     if (line.starts_with("id:")) {
       line.remove_prefix(3);
       line.remove_prefix(line.starts_with(' ') ? 1 : 0);
-      last_id_ = std::string(line);
+      RecordId(line);
     }
   }
 }
 
+void event_splitter::BeginRun() {
+  run_first_id_.clear();
+  ids_follow_ = true;
+}
+
+void event_splitter::RecordId(std::string_view id) {
+  const auto number = ParseEventNumber(id);
+  const auto last = ParseEventNumber(last_id_);
+  if (number && last) {
+    const bool is_greater = *number > *last;
+    const std::uint64_t step = is_greater ? *number - *last : 0;
+    ids_follow_ = ids_follow_ && is_greater && (step_ == 0 || step == step_);
+    step_ = is_greater ? step : step_;
+  }
+  if (run_first_id_.empty()) {
+    run_first_id_ = std::string(id);
+  }
+  last_id_ = std::string(id);
+}
+
 }  // namespace persimmon
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -962,6 +962,7 @@
   // a slow caller takes an event is not the engine's.
   time_point last_progress = begin;
   const std::size_t events_before = stream.events.EventCount();
+  stream.events.BeginRun();
   microseconds longest_pause(0);
   // Id of the event after which this run continues.
   const std::string continued_after =
@@ -1054,6 +1055,9 @@
       .Add("version", assignment.engine.version)
       .Add("resumes", call->Metadata().resumed_attempt)
       .Add("continued_after", continued_after)
+      .Add("first_id", stream.events.RunFirstId())
+      .Add("last_id", stream.events.LastId())
+      .Add("ids_follow", stream.events.IdsFollow())
       .Add("whole", outcome == decode_result::kDone)
       .Add("framing", BodyFramingName(upstream.Framing()))
       .Add("incomplete_bytes", incomplete_bytes)
