Check that each event follows the one before, before a byte of it reaches the caller

A resumable stream whose events have no ids, or ids that are no numbers, was begun again from the start after its caller had had events.

Cause: the router believed any 2xx with a seal to be what it had asked for. Ids were kept as text and never compared.

Change: event_sequence (pure) holds one rule for good events: ids are decimal numbers that rise by one step, from the id after which the run continues. The step comes from the stream; where nothing is known, n + 1 is accepted at once, and another first id waits until the second event confirms the same step. event_splitter returns only events that follow, for model streams and for plain services alike; a run that breaks the rule ends before the event, and the next engine or a visible break follows. Streams of routes that are not resumable are now passed on by whole events, too. A stream without comparable ids is not continued by the router.

--- a/include/persimmon/event_stream.h
+++ b/include/persimmon/event_stream.h
@@ -1,27 +1,35 @@
-// Splits a stream of server-sent events into complete events and tracks the id of the last one.
+// Splits a stream of server-sent events into complete events and checks that each follows the one before.
 //
-// When another endpoint continues a stream, no event may be lost or repeated. So only complete events are passed on,
-// and the next endpoint is asked to continue after the id of the last one.
+// When another endpoint continues a stream, no event may be lost or repeated. So only complete events that follow are
+// passed on, and the next endpoint is asked to continue after the id of the last one.
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 
-namespace persimmon {
+#include "persimmon/event_sequence.h"
 
-// The id of an event as a number; nothing if it is no decimal number of at most 18 digits.
-std::optional<std::uint64_t> ParseEventNumber(std::string_view id);
+namespace persimmon {
 
 class event_splitter {
  public:
   // A longer event is a protocol error.
   static constexpr std::size_t kMaxEventBytes = 1U << 20U;
 
-  // Adds bytes and returns the complete events, including buffered bytes. Buffers the incomplete event at the end.
+  // The stream continues after the event with this id, which its caller has. Empty: it begins here.
+  void TakeUp(std::string_view id) { sequence_.TakeUp(id); }
+
+  // Starts the run of one endpoint, after the last complete event. Before the first run, it need not be called.
+  void BeginRun(const event_numbering& known);
+
+  // Adds bytes and returns the complete events that follow the ones before, including buffered bytes. Buffers the
+  // incomplete event at the end, and one whose id the next one has to confirm. After a fault, nothing is returned.
   std::string Add(std::string_view bytes);
 
+  // Reason why the bytes of the run are not the next events of the stream. Null: they are, so far.
+  const char* FindFault() const { return fault_; }
+
   // Bytes of the incomplete event.
   const std::string& Incomplete() const { return incomplete_; }
 
@@ -34,33 +42,40 @@
   const char* FindBrokenEnd(bool may_be_empty) const;
 
   // Discards the incomplete event, after its endpoint was lost.
-  void DropIncomplete() { incomplete_.clear(); }
+  void DropIncomplete();
 
   // Id of the last complete event; empty before the first one with an id.
   const std::string& LastId() const { return last_id_; }
 
-  // Starts to observe the ids of another endpoint's events.
-  void BeginRun();
+  // Id of the event that is being read, or that has the fault; empty: it has none.
+  const std::string& CurrentId() const { return event_id_; }
 
   // Id of the first event of the run; empty: none yet.
   const std::string& RunFirstId() const { return run_first_id_; }
 
-  // True unless an id of the run is not greater than the one before, or by another step than the ones so far.
-  bool IdsFollow() const { return ids_follow_; }
+  // True if another endpoint can continue the stream: it has had no event yet, or its ids tell which event is next.
+  bool IsContinuable() const { return events_ == 0 || sequence_.IsNumbered(); }
 
+  const event_sequence& Sequence() const { return sequence_; }
   std::size_t EventCount() const { return events_; }
   bool IsOversized() const { return incomplete_.size() > kMaxEventBytes; }
 
  private:
-  void RecordEvent(std::string_view event);
-  void RecordId(std::string_view id);
+  void ReadLine(std::string_view line);
+  bool EndBlock();
+  void BeginBlock();
 
+  event_sequence sequence_;
   std::string incomplete_;
+  std::size_t line_begin_ = 0;  // of the first line of `incomplete_` that has not been read
+  std::size_t scanned_ = 0;     // bytes of `incomplete_` in which the end of that line was not found
+  bool is_event_ = false;       // the current block has a field of an event
+  std::string event_id_;
   std::string last_id_;
   std::string run_first_id_;
-  std::uint64_t step_ = 0;  // between the ids so far; 0: not known
-  bool ids_follow_ = true;
   std::size_t events_ = 0;
+  std::size_t unconfirmed_events_ = 0;
+  const char* fault_ = nullptr;
 };
 
 }  // namespace persimmon
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -68,6 +68,13 @@
 // The setting late_wait is for requests whose callers abandon them after this time; it is scaled for others.
 constexpr milliseconds kLateWaitAbandonTime(3'600);
 
+// Why a run was given up, with the ids of the event and of the one before.
+std::string DescribeFault(const event_splitter& events) {
+  constexpr std::size_t kMaxIdBytes = 40;
+  return fmt::format("{}: '{}' after '{}'", events.FindFault(), events.CurrentId().substr(0, kMaxIdBytes),
+                     events.LastId().substr(0, kMaxIdBytes));
+}
+
 std::string FormatError(const error& failure) {
   return fmt::format("{}: {}", ErrorName(failure.code), failure.message);
 }
@@ -962,7 +969,7 @@
   // a slow caller takes an event is not the engine's.
   time_point last_progress = begin;
   const std::size_t events_before = stream.events.EventCount();
-  stream.events.BeginRun();
+  stream.events.BeginRun({});
   microseconds longest_pause(0);
   // Id of the event after which this run continues.
   const std::string continued_after =
@@ -971,7 +978,7 @@
   bool has_first_event = false;      // of this run
   decode_result outcome = decode_result::kBroken;
   while (true) {
-    const bool may_resume = resumable && call->sends < call->Route().max_attempts;
+    const bool may_resume = resumable && call->sends < call->Route().max_attempts && stream.events.IsContinuable();
     const time_point stalled_at = last_progress + settings_.stall_limit;
     auto piece = co_await upstream.Read(may_resume ? std::min(call->Deadline(), stalled_at) : call->Deadline());
     std::string forwarded = piece ? stream.events.Add(piece.value()) : std::string();
@@ -981,26 +988,14 @@
     std::string failure;
     if (!piece) {
       failure = FormatError(piece.error());
+    } else if (stream.events.FindFault() != nullptr) {
+      failure = DescribeFault(stream.events);
     } else if (stream.events.IsOversized()) {
       failure = "an event exceeds the maximum length";
     } else if (is_end) {
       failure = co_await CheckStreamEnd(*call, upstream, assignment.engine, stream.events, !continued_after.empty());
     }
-    if (!failure.empty()) {
-      endpoint_tracker_->RecordFailure(assignment.engine);
-      Events()
-          .Line(kComponent, "stream_broken")
-          .Request(call->Metadata().attempt)
-          .Add("endpoint", assignment.engine.name.value)
-          .Add("events", stream.events.EventCount())
-          .Add("framing", BodyFramingName(upstream.Framing()))
-          .Add("detail", failure);
-      break;
-    }
-    if (!resumable) {
-      // No other endpoint can continue the stream, so the bytes of an incomplete event are forwarded as they arrive.
-      forwarded = std::move(piece.value());
-    } else if (is_end) {
+    if (is_end && failure.empty()) {
       forwarded += stream.events.Incomplete();  // line breaks after the last event
     }
     if (!forwarded.empty()) {
@@ -1027,6 +1022,17 @@
       }
       last_progress = timer_service::Now();
     }
+    if (!failure.empty()) {
+      endpoint_tracker_->RecordFailure(assignment.engine);
+      Events()
+          .Line(kComponent, "stream_broken")
+          .Request(call->Metadata().attempt)
+          .Add("endpoint", assignment.engine.name.value)
+          .Add("events", stream.events.EventCount())
+          .Add("framing", BodyFramingName(upstream.Framing()))
+          .Add("detail", failure);
+      break;
+    }
     if (is_end) {
       auto finished = co_await call->Exchange().FinishStream();
       outcome = finished ? decode_result::kDone : decode_result::kCallerDisconnected;
@@ -1057,7 +1063,7 @@
       .Add("continued_after", continued_after)
       .Add("first_id", stream.events.RunFirstId())
       .Add("last_id", stream.events.LastId())
-      .Add("ids_follow", stream.events.IdsFollow())
+      .Add("ids_follow", stream.events.Sequence().Fault() == nullptr)
       .Add("whole", outcome == decode_result::kDone)
       .Add("framing", BodyFramingName(upstream.Framing()))
       .Add("incomplete_bytes", incomplete_bytes)
@@ -1092,6 +1098,7 @@
   call->engine_version = std::move(version.value());
   const bool continues_stream = !call->Metadata().resume_after.empty();
   stream_state stream;
+  stream.events.TakeUp(call->Metadata().resume_after);
   stream.wait_start = call->Arrival();
   std::vector<endpoint_name> avoid;
   bool may_have_run = false;
@@ -1230,8 +1237,8 @@
       stream.events.DropIncomplete();
     }
     const bool attempts_left = call->sends < call->Route().max_attempts;
-    const bool can_retry =
-        (result == decode_result::kNotRun || (result == decode_result::kBroken && call->Route().resumable));
+    const bool can_continue = call->Route().resumable && stream.events.IsContinuable();
+    const bool can_retry = result == decode_result::kNotRun || (result == decode_result::kBroken && can_continue);
     if (may_crash_another) {
       call->reason = "suspected_part";
     }
--- a/src/direct/plain_attempts.cpp
+++ b/src/direct/plain_attempts.cpp
@@ -205,6 +205,8 @@
                                 attempt_outcome& outcome) {
   const direct_call_ptr call = attempt->call;
   event_splitter events;
+  events.TakeUp(call->Metadata().resume_after);
+  events.BeginRun({});
   bool complete = false;
   while (!complete && !outcome.broken) {
     auto piece = co_await attempt->upstream.Read(attempt->deadline);
@@ -213,8 +215,16 @@
       break;
     }
     complete = piece.value().empty();
-    (void)events.Add(is_stream ? std::string_view(piece.value()) : std::string_view());
-    const char* broken = complete && is_stream ? events.FindBrokenEnd(!call->Metadata().resume_after.empty()) : nullptr;
+    std::string bytes = std::move(piece.value());
+    const char* broken = nullptr;
+    if (is_stream) {
+      bytes = events.Add(bytes);
+      broken = events.FindFault();
+    }
+    if (is_stream && complete && broken == nullptr) {
+      broken = events.FindBrokenEnd(!call->Metadata().resume_after.empty());
+      bytes = events.Incomplete();  // line breaks after the last event
+    }
     if (complete && is_forwardable && attempt->upstream.Framing() == body_framing::kConnectionEnd) {
       const bool is_gone = co_await suspect_tracker_->HasCrashed(attempt->endpoint, call->Service().health_path);
       if (is_gone) {
@@ -226,7 +236,7 @@
       outcome.broken = error{error_code::kClosed, broken != nullptr ? broken : "an event exceeds the maximum length"};
       break;
     }
-    const bool is_long = outcome.response.body.size() + piece.value().size() > kMaxBufferedBytes;
+    const bool is_long = outcome.response.body.size() + bytes.size() > kMaxBufferedBytes;
     if (is_long && !outcome.is_streamed && !is_forwardable) {
       outcome.broken =
           error{error_code::kProtocol, fmt::format("a body that is not passed on exceeds {} bytes", kMaxBufferedBytes)};
@@ -242,9 +252,9 @@
       (void)co_await call->Exchange().StartStream(outcome.response.status, outcome.response.headers);
       attempt->deadline = call->Deadline();
     }
-    outcome.response.body += piece.value();
+    outcome.response.body += bytes;
     if (outcome.is_streamed) {
-      std::string bytes = std::exchange(outcome.response.body, {});
+      bytes = std::exchange(outcome.response.body, {});
       auto written = co_await call->Exchange().WriteChunk(std::move(bytes));
       if (!written) {
         outcome.broken = written.error();
--- a/tests/event_stream_test.cpp
+++ b/tests/event_stream_test.cpp
@@ -66,18 +66,18 @@
 }
 
 // Guards against a log that cannot tell a repeated or missing event.
-TEST(event_splitter_test, IdsFollow_AcrossRuns_IsFalseAfterARepeatedOrMissingEvent) {
+TEST(event_splitter_test, Fault_AcrossRuns_IsStatedAfterARepeatedOrMissingEvent) {
   for (const auto& [second_run, follows] :
        {std::pair("id: 3\ndata: c\n\n", true), std::pair("id: 1\ndata: a\n\n", false),
         std::pair("id: 4\ndata: d\n\n", false)}) {
     event_splitter events;
-    events.BeginRun();
+    events.BeginRun({});
     events.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     EXPECT_EQ(events.RunFirstId(), "1");
-    EXPECT_TRUE(events.IdsFollow());
-    events.BeginRun();
+    EXPECT_EQ(events.Sequence().Fault(), nullptr);
+    events.BeginRun({});
     events.Add(second_run);
-    EXPECT_EQ(events.IdsFollow(), follows) << second_run;
+    EXPECT_EQ(events.Sequence().Fault() == nullptr, follows) << second_run;
   }
 }
 
--- a/tests/stream_continuity_test.cpp
+++ b/tests/stream_continuity_test.cpp
@@ -153,6 +153,98 @@
   ExpectWhole(Call(kResumable, {cut, text, {Events(6, 12)}}), Text(Events(1, 12)));
 }
 
+// The same faults where the caller takes the stream up, and the router has no event of its own to compare with.
+TEST_F(stream_continuity_test, TakenUpStream_ThatDoesNotBeginAtTheNextEvent_IsNotPassedOn) {
+  for (const scripted_run& faulty :
+       {scripted_run{Events(1, 12)}, scripted_run{Events(7, 12)}, scripted_run{Events(5, 12)},
+        scripted_run{{"event: error\ndata: lost\n\n"}}, scripted_run{{kOtherHead}}}) {
+    ExpectBroken(Call(kResumable, {faulty, faulty, faulty}, "5"), "");
+    ExpectWhole(Call(kResumable, {faulty, faulty, {Events(6, 12)}}, "5"), Text(Events(6, 12)));
+    ExpectBroken(Call(kPlain, {faulty}, "5"), "");
+  }
+}
+
+// Guards against an event that is repeated, omitted or replaced within the run of one engine.
+TEST_F(stream_continuity_test, Run_WithAnEventThatDoesNotFollow_IsBrokenBeforeIt) {
+  const std::string good = Text(Events(1, 3));
+  for (const std::string& next : {Event(3), Event(2), Event(5), std::string("data: lost\n\n"), std::string(kOtherHead),
+                                  std::string("id: x\ndata: lost\n\n")}) {
+    ExpectBroken(Call(kFinal, {{{good, next, Event(4)}}}), good);
+    ExpectBroken(Call(kFinal, {{{good + next + Event(4)}}}), good);
+    ExpectBroken(Call(kPlain, {{{good, next, Event(4)}}}), good);
+    ExpectWhole(Call(kResumable, {{{good, next, Event(4)}}, {Events(4, 12)}}), Text(Events(1, 12)));
+  }
+}
+
+// Guards against passing on a broken event because the answer is too long to be buffered.
+TEST_F(stream_continuity_test, LongStreamOfAPlainService_WithARepeatedEvent_LooksBrokenToTheCaller) {
+  std::vector<std::string> events;
+  for (int id = 1; id <= 8; ++id) {
+    events.push_back(fmt::format("id: {}\ndata: {}\n\n", id, std::string(60'000, 'x')));
+  }
+  const std::string good = Text(events);
+  events.push_back(events[6]);
+  const auto call = Call(kPlain, {{events}});
+  EXPECT_TRUE(call->failure);
+  EXPECT_TRUE(good.starts_with(call->body)) << call->body.size();
+}
+
+// Guards against passing on the head of another answer that begins in the middle of an event.
+TEST_F(stream_continuity_test, HeadOfAnotherAnswer_InTheMiddleOfAnEvent_IsNotPassedOn) {
+  const std::string cut = "id: 3\ndata: pie";
+  for (const char* path : {kFinal, kPlain}) {
+    ExpectBroken(Call(path, {{{Text(Events(1, 2)), cut, kOtherHead, Event(4)}}}), Text(Events(1, 2)));
+  }
+  ExpectWhole(Call(kResumable, {{{Text(Events(1, 2)), cut, kOtherHead}}, {Events(3, 12)}}), Text(Events(1, 12)));
+}
+
+// Guards against a check that takes the step of the ids for 1.
+TEST_F(stream_continuity_test, Stream_WhoseServiceCountsByTen_IsServedContinuedAndTakenUp) {
+  const std::string whole = Text(Events(10, 120, 10));
+  ExpectWhole(Call(kFinal, {{Events(10, 120, 10)}}), whole);
+  ExpectWhole(Call(kPlain, {{Events(10, 120, 10)}}), whole);
+  for (const std::uint64_t last : {10, 20, 50}) {
+    const scripted_run cut{Events(10, last, 10), true};
+    ExpectWhole(Call(kResumable, {cut, {Events(last + 10, 120, 10)}}), whole);
+    ExpectWhole(Call(kResumable, {{Events(last + 10, 120, 10)}}, std::to_string(last)),
+                Text(Events(last + 10, 120, 10)));
+    ExpectBroken(Call(kResumable, {cut, {Events(last + 20, 120, 10)}, {Events(last, 120, 10)}}),
+                 Text(Events(10, last, 10)));
+    ExpectBroken(Call(kResumable, {{Events(last + 20, 120, 10)}, {Events(last, 120, 10)}, {Events(10, 120, 10)}},
+                      std::to_string(last)),
+                 "");
+  }
+}
+
+// Guards against a check that fails for line breaks of another kind or for events that arrive in parts.
+TEST_F(stream_continuity_test, ContinuedStream_WithOtherLineBreaksInParts_ReachesTheCallerWhole) {
+  const auto crlf = [](std::uint64_t id) { return fmt::format("id: {}\r\ndata: piece {}\r\n\r\n", id, id); };
+  const std::string first = crlf(1) + crlf(2);
+  const std::string rest = ": comment\r\n\r\n" + crlf(3) + crlf(4);
+  for (std::size_t cut = 1; cut < rest.size(); cut += 3) {
+    ExpectWhole(Call(kResumable, {{{first, "id: 3\r\n"}, true}, {{rest.substr(0, cut), rest.substr(cut)}}}),
+                first + rest);
+  }
+}
+
+// Guards against beginning a stream again from the start after its caller has had events.
+TEST_F(stream_continuity_test, ResumableStream_WithoutIds_IsNotBegunAgain) {
+  const std::string events = "data: a\n\ndata: b\n\n";
+  ExpectWhole(Call(kResumable, {{{events}}}), events);
+  ExpectBroken(Call(kResumable, {{{events}, true}, {{events}}}), events);
+  EXPECT_EQ(resumes_.size(), 2U);
+  ExpectWhole(Call(kResumable, {{{}, true}, {{events}}}), events);
+}
+
+// Nothing can be compared in such a stream, so no engine may continue it unseen.
+TEST_F(stream_continuity_test, ResumableStream_WhoseIdsAreNoNumbers_IsNotContinuedByTheRouter) {
+  const std::string events = "id: ab\ndata: a\n\nid: cd\ndata: b\n\n";
+  ExpectWhole(Call(kResumable, {{{events}}}), events);
+  ExpectBroken(Call(kResumable, {{{events}, true}, {{events}}}), events);
+  EXPECT_EQ(resumes_.size(), 2U);
+  ExpectWhole(Call(kResumable, {{{events}}}, "zz"), events);
+}
+
 // Row 7: the next engine had nothing to add.
 TEST_F(stream_continuity_test, Continuation_WithoutAnyEvent_IsNoEnd) {
   const scripted_run cut{Events(1, 5), true};
