Pass on only the fields of events, of bodies whose content type is that of events

Change: each line of a stream is a field of server-sent events (id, data, event, retry), the field that the platform adds to events, or a comment; all but data occur once in an event, so that two events without their separation are none. A 2xx of an engine, or a plain service's answer to Last-Event-Id, must be text/event-stream or state no type. A block of comments or of the reconnect time alone is no event and is passed on.

--- a/include/persimmon/event_stream.h
+++ b/include/persimmon/event_stream.h
@@ -12,11 +12,18 @@
 
 namespace persimmon {
 
+// True if a body of this content type can be a stream of events; an empty type: not stated.
+bool IsEventStreamType(std::string_view content_type);
+
 class event_splitter {
  public:
   // A longer event is a protocol error.
   static constexpr std::size_t kMaxEventBytes = 1U << 20U;
 
+  // `extension_field`: name of a field that events may have beside those of server-sent events. It must outlive the
+  // splitter.
+  explicit event_splitter(std::string_view extension_field = {}) : extension_field_(extension_field) {}
+
   // The stream continues after the event with this id, which its caller has. Empty: it begins here.
   void TakeUp(std::string_view id) { sequence_.TakeUp(id); }
 
@@ -62,14 +69,17 @@
 
  private:
   void ReadLine(std::string_view line);
+  void ReadField(std::string_view name, std::string_view value);
   bool EndBlock();
   void BeginBlock();
 
+  std::string_view extension_field_;
   event_sequence sequence_;
   std::string incomplete_;
   std::size_t line_begin_ = 0;  // of the first line of `incomplete_` that has not been read
   std::size_t scanned_ = 0;     // bytes of `incomplete_` in which the end of that line was not found
   bool is_event_ = false;       // the current block has a field of an event
+  std::uint8_t fields_ = 0;     // that may occur once and are in the current block, as bits
   std::string event_id_;
   std::string last_id_;
   std::string run_first_id_;
--- a/src/decisions/event_stream.cpp
+++ b/src/decisions/event_stream.cpp
@@ -1,6 +1,24 @@
 #include "persimmon/event_stream.h"
 
+#include <algorithm>
+
 namespace persimmon {
+namespace {
+
+// Fields that an event may have once.
+constexpr std::uint8_t kIdBit = 1;
+constexpr std::uint8_t kTypeBit = 2;
+constexpr std::uint8_t kExtensionBit = 4;
+
+}  // namespace
+
+bool IsEventStreamType(std::string_view content_type) {
+  constexpr std::string_view kMediaType = "text/event-stream";
+  const std::string_view media_type = content_type.substr(0, content_type.find_first_of("; \t"));
+  const auto lower = [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; };
+  return content_type.empty() || std::equal(media_type.begin(), media_type.end(), kMediaType.begin(), kMediaType.end(),
+                                            [&](char a, char b) { return lower(a) == b; });
+}
 
 void event_splitter::BeginRun(const event_numbering& known) {
   DropIncomplete();
@@ -56,22 +74,41 @@
 
 void event_splitter::BeginBlock() {
   is_event_ = false;
+  fields_ = 0;
   event_id_.clear();
 }
 
 void event_splitter::ReadLine(std::string_view line) {
   const std::size_t name_end = line.find(':');
-  const std::string_view name = line.substr(0, name_end);
-  // Comments and the time until a reconnect are no part of an event.
-  if (name.empty() || name == "retry") {
-    return;
+  if (name_end == 0) {
+    return;  // a comment
   }
-  is_event_ = true;
+  std::string_view value = name_end == std::string_view::npos ? std::string_view() : line.substr(name_end + 1);
+  value.remove_prefix(value.starts_with(' ') ? 1 : 0);
+  ReadField(line.substr(0, name_end), value);
+}
+
+// Events are made of the fields of server-sent events and the extension, each of them once except data.
+void event_splitter::ReadField(std::string_view name, std::string_view value) {
+  std::uint8_t single = 0;  // bit of a field that may occur once
   if (name == "id") {
-    line.remove_prefix(name_end == std::string_view::npos ? line.size() : name_end + 1);
-    line.remove_prefix(line.starts_with(' ') ? 1 : 0);
-    event_id_ = line;
+    single = kIdBit;
+    event_id_ = value;
+  } else if (name == "event") {
+    single = kTypeBit;
+  } else if (!name.empty() && name == extension_field_) {
+    single = kExtensionBit;
+  } else if (name == "retry") {
+    return;  // the time until a reconnect is no part of an event
+  } else if (name != "data") {
+    fault_ = "a line is no field of an event";
+    return;
+  }
+  if ((fields_ & single) != 0) {
+    fault_ = "an event has a field twice";
   }
+  fields_ = static_cast<std::uint8_t>(fields_ | single);
+  is_event_ = true;
 }
 
 // True if all bytes so far may be passed on.
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -836,13 +836,14 @@
     endpoint_tracker_->RecordResponse(assignment.engine, metadata, begin);
     prompts_->RecordWorkTime(call->Service().name, assignment.engine, metadata.work_time_percent);
     const bool is_success = head.value().status >= 200 && head.value().status < 300;
+    const bool is_event_stream = IsEventStreamType(FindHeader(head.value().headers, "Content-Type"));
     if (metadata.proves_not_run) {
       detail = fmt::format("status {}", head.value().status);
       outcome = decode_result::kNotRun;
       // Possible causes: the KV cache cannot be fetched, or the engine is switching its stage, during which it grants
       // reservations but rejects requests.
       asio::co_spawn(kernel_.Context(), CheckEngine(assignment.engine), asio::detached);
-    } else if (is_success && metadata.has_seal && !metadata.is_encoded) {
+    } else if (is_success && metadata.has_seal && !metadata.is_encoded && is_event_stream) {
       if (!stream.started) {
         stream.started = true;
         call->has_response = true;
@@ -867,8 +868,8 @@
       }
     } else {
       detail = fmt::format(
-          "cannot forward the response with status {}: retryable or unexpected status, no seal header, encoded body or "
-          "stream already started",
+          "cannot forward the response with status {}: retryable or unexpected status, no seal header, encoded body, "
+          "no stream of events or stream already started",
           head.value().status);
       endpoint_tracker_->RecordFailure(assignment.engine);
     }
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -88,7 +88,7 @@
 
   // State of one stream across all engines that it runs on.
   struct stream_state {
-    event_splitter events;
+    event_splitter events{platform::kEventWeightVersion};
     bool started = false;                         // the response head has been forwarded
     time_point decode_sent;                       // of the current run
     time_point wait_start;                        // since when the caller has been waiting for the next event
--- a/src/direct/plain_attempts.cpp
+++ b/src/direct/plain_attempts.cpp
@@ -17,12 +17,6 @@
 constexpr milliseconds kCleanupPeriod(10'000);
 constexpr double kLateShare = 0.95;  // of the response times; a slower call counts as late
 
-// True for a successful response that states no other content than events.
-bool IsEventStream(const http_response_head& head) {
-  const std::string_view type = FindHeader(head.headers, "Content-Type");
-  return head.status < kFirstRedirect && (type.empty() || type.starts_with("text/event-stream"));
-}
-
 bool ImpliesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
 // The time for which a stream occupies an endpoint is decided by its events, so streams do not wait for room.
@@ -187,7 +181,11 @@
   const bool is_forwardable =
       metadata.has_seal && !metadata.is_encoded && !metadata.proves_not_run && !ImpliesNotRun(outcome.response.status);
   // The framing does not prove that a stream of events is whole.
-  const bool is_stream = attempt->call->Route().kind == call_kind::kStreaming && IsEventStream(head);
+  const bool may_be_stream = attempt->call->Route().kind == call_kind::kStreaming && head.status < kFirstRedirect;
+  const bool is_stream = may_be_stream && IsEventStreamType(FindHeader(head.headers, "Content-Type"));
+  if (may_be_stream && !is_stream && !attempt->call->Metadata().resume_after.empty()) {
+    outcome.broken = error{error_code::kProtocol, "the continuation of a stream is no stream of events"};
+  }
   co_await ReadBody(attempt, is_forwardable, is_stream, outcome);
   if (metadata.proves_not_run) {
     outcome.result = attempt_result::kNotRun;
@@ -204,7 +202,7 @@
 task<> plain_attempts::ReadBody(plain_attempt_ptr attempt, bool is_forwardable, bool is_stream,
                                 attempt_outcome& outcome) {
   const direct_call_ptr call = attempt->call;
-  event_splitter events;
+  event_splitter events(platform::kEventWeightVersion);
   events.TakeUp(call->Metadata().resume_after);
   events.BeginRun({});
   bool complete = false;
--- a/tests/event_stream_test.cpp
+++ b/tests/event_stream_test.cpp
@@ -81,6 +81,20 @@
   }
 }
 
+// Guards against passing on text that is no event, or two events whose separation was lost.
+TEST(event_splitter_test, Add_ForALineThatIsNoField_ReturnsOnlyTheEventsBefore) {
+  for (const std::string text : {"HTTP/1.1 200 OK\r\n", "Content-Length: 3\n", "id: 3\nid: 4\n", "{\"a\": 1}\n",
+                                 "event: a\nevent: b\n", "other: 2\n", " data: a\n"}) {
+    event_splitter events("extension");
+    EXPECT_EQ(events.Add("extension: 1\nid: 1\ndata: a\n\n" + text), "extension: 1\nid: 1\ndata: a\n\n");
+    EXPECT_NE(events.FindFault(), nullptr) << text;
+    EXPECT_EQ(events.Add("id: 2\ndata: b\n\n"), "");
+    events.BeginRun({});
+    EXPECT_EQ(events.Add("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+    EXPECT_EQ(events.FindFault(), nullptr);
+  }
+}
+
 TEST(event_splitter_test, LastId_WithoutIds_StaysEmpty) {
   event_splitter events;
   events.Add("data: a\n\n");
--- a/tests/stream_continuity_test.cpp
+++ b/tests/stream_continuity_test.cpp
@@ -151,6 +151,9 @@
   const scripted_run text{Events(6, 12), false, "text/plain"};
   ExpectBroken(Call(kResumable, {cut, text, text}), Text(Events(1, 5)));
   ExpectWhole(Call(kResumable, {cut, text, {Events(6, 12)}}), Text(Events(1, 12)));
+  ExpectWhole(Call(kResumable, {cut, {Events(6, 12), false, "Text/Event-Stream; charset=utf-8"}}), Text(Events(1, 12)));
+  ExpectBroken(Call(kResumable, {text, text, text}, "5"), "");
+  ExpectBroken(Call(kPlain, {text}, "5"), "");
 }
 
 // The same faults where the caller takes the stream up, and the router has no event of its own to compare with.
@@ -227,6 +230,15 @@
   }
 }
 
+// Guards against taking a sound event for text that is no event.
+TEST_F(stream_continuity_test, Stream_WithAllFieldsOfEvents_ReachesTheCallerWhole) {
+  const std::string events =
+      "retry: 100\n\n: comment\npersimmonchute-weight-versions: 2\nid: 1\nevent: token\ndata: a\ndata\n\n\n\nid:2\n\n";
+  for (const char* path : {kFinal, kResumable, kPlain}) {
+    ExpectWhole(Call(path, {{{events}}}), events);
+  }
+}
+
 // Guards against beginning a stream again from the start after its caller has had events.
 TEST_F(stream_continuity_test, ResumableStream_WithoutIds_IsNotBegunAgain) {
   const std::string events = "data: a\n\ndata: b\n\n";
