Take a continuation without any event for the end only where the output is exhausted

Cause: the events of all runs together decided whether a run may be empty, so every continuation might be.

Change: a run without an event is broken, unless the events before it hold as many tokens as the caller allows at most. The tokens of an event are those of the service's record; a record without them counts with one, the least that an event has. Otherwise it cannot be told: the next engine, then a visible break.

One test stated the opposite: UnframedStream_AfterWhoseEndTheLeavingEngineStops_ReachesTheCallerWhole took another engine's empty run for the proof that a stream of 5 events was whole whose caller allows 10. A leaving engine may stop in the middle of a stream, so that is a false end if the other engine is faulty. The test now asks for the 5 events; the case in which more may follow is UnframedStream_OfALeavingEngineThatMayHaveMore_LooksBrokenToTheCaller, which fails on the code before. In the same way FindBrokenEnd_WithoutAnyEvent_* allows an empty run for an exhausted stream instead of for every continued one.

--- a/include/persimmon/event_stream.h
+++ b/include/persimmon/event_stream.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -44,9 +45,9 @@
   // framed. Line breaks between events belong to none.
   bool IsInsideEvent() const { return incomplete_.find_first_not_of("\r\n") != std::string::npos; }
 
-  // Reason why a stream that ends here has been broken off: it ends inside an event, or before its first one. Null if
-  // it may be whole. `may_be_empty`: the stream continues one that may have nothing left.
-  const char* FindBrokenEnd(bool may_be_empty) const;
+  // Reason why a run that ends here has been broken off: it ends inside an event, or without any. Null if it may be
+  // whole. `is_exhausted`: the events before the run are all that the caller asked for.
+  const char* FindBrokenEnd(bool is_exhausted) const;
 
   // Discards the incomplete event, after its endpoint was lost.
   void DropIncomplete();
@@ -65,6 +66,10 @@
 
   const event_sequence& Sequence() const { return sequence_; }
   std::size_t EventCount() const { return events_; }
+
+  // Events of the stream so far, with those before it was taken up. Absent: the ids do not tell.
+  std::optional<std::uint64_t> TotalCount() const;
+
   bool IsOversized() const { return incomplete_.size() > kMaxEventBytes; }
 
  private:
@@ -84,6 +89,7 @@
   std::string last_id_;
   std::string run_first_id_;
   std::size_t events_ = 0;
+  std::size_t run_events_ = 0;
   std::size_t unconfirmed_events_ = 0;
   const char* fault_ = nullptr;
 };
--- a/src/decisions/event_stream.cpp
+++ b/src/decisions/event_stream.cpp
@@ -24,6 +24,7 @@
   DropIncomplete();
   sequence_.BeginRun(known);
   run_first_id_.clear();
+  run_events_ = 0;
   fault_ = nullptr;
 }
 
@@ -64,12 +65,17 @@
   return complete;
 }
 
-const char* event_splitter::FindBrokenEnd(bool may_be_empty) const {
+std::optional<std::uint64_t> event_splitter::TotalCount() const {
+  const auto before = sequence_.CountBefore();
+  return before ? std::optional(*before + events_) : std::nullopt;
+}
+
+const char* event_splitter::FindBrokenEnd(bool is_exhausted) const {
   if (IsInsideEvent()) {
     return sequence_.IsUnconfirmed() ? "the body ends before its first event is confirmed"
                                      : "the body ends inside an event";
   }
-  return events_ == 0 && !may_be_empty ? "the body ends before its first event" : nullptr;
+  return run_events_ == 0 && !is_exhausted ? "the body ends before its first event" : nullptr;
 }
 
 void event_splitter::BeginBlock() {
@@ -125,6 +131,7 @@
     ++unconfirmed_events_;
     if (verdict == event_verdict::kFollows) {
       events_ += unconfirmed_events_;
+      run_events_ += unconfirmed_events_;
       unconfirmed_events_ = 0;
       if (!event_id_.empty()) {
         last_id_ = event_id_;
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -68,6 +68,15 @@
 // The setting late_wait is for requests whose callers abandon them after this time; it is scaled for others.
 constexpr milliseconds kLateWaitAbandonTime(3'600);
 
+// True if the events so far hold as many tokens as the caller allows at most, so that nothing can follow. A service
+// that does not state the tokens of an event counts with one, which is the least that an event has.
+bool IsOutputExhausted(const direct_call& call, const event_splitter& events) {
+  const std::uint64_t max_output = call.Metadata().max_output_tokens;
+  const std::uint64_t tokens_per_event = call.Service().engine.value_or(engine_profile{}).tokens_per_event;
+  const auto count = events.TotalCount();
+  return max_output > 0 && count && *count * tokens_per_event >= max_output;
+}
+
 // Why a run was given up, with the ids of the event and of the one before.
 std::string DescribeFault(const event_splitter& events) {
   constexpr std::size_t kMaxIdBytes = 40;
@@ -938,9 +947,8 @@
 
 // Returns why a stream whose body has ended was broken off, and an empty text if it is whole.
 task<std::string> generation_calls::CheckStreamEnd(const direct_call& call, const http_call& upstream,
-                                                   chosen_endpoint engine, const event_splitter& events,
-                                                   bool may_be_empty) {
-  if (const char* broken = events.FindBrokenEnd(may_be_empty)) {
+                                                   chosen_endpoint engine, const event_splitter& events) {
+  if (const char* broken = events.FindBrokenEnd(IsOutputExhausted(call, events))) {
     co_return broken;
   }
   // The end of a process ends a body without length or chunks like its own end does. A leaving engine may stop in the
@@ -994,7 +1002,7 @@
     } else if (stream.events.IsOversized()) {
       failure = "an event exceeds the maximum length";
     } else if (is_end) {
-      failure = co_await CheckStreamEnd(*call, upstream, assignment.engine, stream.events, !continued_after.empty());
+      failure = co_await CheckStreamEnd(*call, upstream, assignment.engine, stream.events);
     }
     if (is_end && failure.empty()) {
       forwarded += stream.events.Incomplete();  // line breaks after the last event
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -133,7 +133,7 @@
   task<decode_result> ForwardStream(direct_call_ptr call, http_call& upstream, const engine_assignment& assignment,
                                     stream_state& stream, engine_run& run);
   task<std::string> CheckStreamEnd(const direct_call& call, const http_call& upstream, chosen_endpoint engine,
-                                   const event_splitter& events, bool may_be_empty);
+                                   const event_splitter& events);
   task<call_outcome> Finish(direct_call_ptr call, decode_result result, stream_state& stream, bool may_have_run);
 
   task<> CheckEngine(chosen_endpoint engine);
--- a/src/direct/plain_attempts.cpp
+++ b/src/direct/plain_attempts.cpp
@@ -220,7 +220,7 @@
       broken = events.FindFault();
     }
     if (is_stream && complete && broken == nullptr) {
-      broken = events.FindBrokenEnd(!call->Metadata().resume_after.empty());
+      broken = events.FindBrokenEnd(false);
       bytes = events.Incomplete();  // line breaks after the last event
     }
     if (complete && is_forwardable && attempt->upstream.Framing() == body_framing::kConnectionEnd) {
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -787,10 +787,11 @@
   EXPECT_TRUE(call->failure);
 }
 
-// An engine that leaves stops when its last stream has ended. The stream is whole, which another engine confirms.
+// An engine that leaves stops when its last stream has ended. The stream has all tokens that were asked for, ten in
+// each event, so another engine's empty run confirms its end.
 TEST_F(model_call_test, UnframedStream_AfterWhoseEndTheLeavingEngineStops_ReachesTheCallerWhole) {
   StopBothAfter(WholeStream("a1", 5).size());
-  const auto call = harness_.SendModel("/digest/1", "a1");
+  const auto call = harness_.SendModel("/digest/1", "a1", 1'000, 50);
   ASSERT_TRUE(harness_.RunUntil([&] { return Runs("a1") == 1; }));
   fake_replica& engine = first_.Runs("a1") == 1 ? first_ : second_;
   (&engine == &first_ ? second_ : first_).Faults() = {};
@@ -800,6 +801,20 @@
   EXPECT_EQ(call->body, WholeStream("a1", 5));
 }
 
+// Guards against a false end: a leaving engine may stop in the middle of a stream, and an empty run proves nothing
+// then.
+TEST_F(model_call_test, UnframedStream_OfALeavingEngineThatMayHaveMore_LooksBrokenToTheCaller) {
+  StopBothAfter(WholeStream("a1", 5).size());
+  const auto call = harness_.SendModel("/digest/1", "a1", 1'000, 51);
+  ASSERT_TRUE(harness_.RunUntil([&] { return Runs("a1") == 1; }));
+  fake_replica& engine = first_.Runs("a1") == 1 ? first_ : second_;
+  (&engine == &first_ ? second_ : first_).Faults() = {};
+  ReportDraining(engine);
+  ASSERT_TRUE(harness_.Finish(call));
+  EXPECT_TRUE(call->failure);
+  EXPECT_EQ(call->body, WholeStream("a1", 5));
+}
+
 TEST_F(model_call_test, Stream_ThatBreaksOffOnAnotherRoute_LooksBrokenToTheCaller) {
   first_.Faults().break_after_events = 2;
   second_.Faults().break_after_events = 2;
--- a/tests/event_stream_test.cpp
+++ b/tests/event_stream_test.cpp
@@ -54,8 +54,8 @@
   }
 }
 
-// Guards against taking a body without any event for a whole stream.
-TEST(event_splitter_test, FindBrokenEnd_WithoutAnyEvent_AllowsItOnlyForAContinuedStream) {
+// Guards against taking a body without any event for a whole stream, also where it continues one.
+TEST(event_splitter_test, FindBrokenEnd_WithoutAnyEvent_AllowsItOnlyWhenTheOutputIsExhausted) {
   event_splitter events;
   EXPECT_NE(events.FindBrokenEnd(false), nullptr);
   EXPECT_EQ(events.FindBrokenEnd(true), nullptr);
@@ -63,6 +63,10 @@
   EXPECT_NE(events.FindBrokenEnd(true), nullptr);
   events.Add("\n");
   EXPECT_EQ(events.FindBrokenEnd(false), nullptr);
+  events.BeginRun({});
+  events.Add(": comment\n\n");
+  EXPECT_NE(events.FindBrokenEnd(false), nullptr);
+  EXPECT_EQ(events.FindBrokenEnd(true), nullptr);
 }
 
 // Guards against a log that cannot tell a repeated or missing event.
--- a/tests/stream_continuity_test.cpp
+++ b/tests/stream_continuity_test.cpp
@@ -260,8 +260,24 @@
 // Row 7: the next engine had nothing to add.
 TEST_F(stream_continuity_test, Continuation_WithoutAnyEvent_IsNoEnd) {
   const scripted_run cut{Events(1, 5), true};
-  ExpectBroken(Call(kResumable, {cut, {}, {}}), Text(Events(1, 5)));
-  ExpectWhole(Call(kResumable, {cut, {}, {Events(6, 12)}}), Text(Events(1, 12)));
+  const std::string first = Text(Events(1, 5));
+  for (const std::string comment : {"", ": comment\n\n"}) {
+    const scripted_run empty{{comment}};
+    ExpectBroken(Call(kResumable, {cut, empty, empty}), first + comment + comment);
+    ExpectWhole(Call(kResumable, {cut, empty, {Events(6, 12)}}), first + comment + Text(Events(6, 12)));
+    ExpectBroken(Call(kResumable, {empty, empty, empty}, "5"), comment + comment + comment);
+    ExpectBroken(Call(kPlain, {empty}, "5"), "");
+  }
+}
+
+// An event has 10 tokens. Guards against breaking off a stream that broke after its last event.
+TEST_F(stream_continuity_test, Continuation_WithoutAnyEvent_EndsAStreamWhoseOutputIsExhausted) {
+  for (const std::uint32_t tokens : {41, 50}) {
+    ExpectWhole(Call(kResumable, {{Events(1, 5), true}, {}}, "", tokens), Text(Events(1, 5)));
+  }
+  ExpectBroken(Call(kResumable, {{Events(1, 5), true}, {}, {}}, "", 51), Text(Events(1, 5)));
+  ExpectWhole(Call(kResumable, {{{Text(Events(1, 5)), "id: 6\nda"}, true}, {Events(6, 6)}}, "", 51),
+              Text(Events(1, 6)));
 }
 
 }  // namespace
