--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -69,6 +69,22 @@
 // The setting late_wait is for requests whose callers abandon them after this time; it is scaled for others.
 constexpr milliseconds kLateWaitAbandonTime(3'600);
 
+// True if the events so far hold as many tokens as the caller allows at most, so that nothing can follow. A service
+// that does not state the tokens of an event counts with one, which is the least that an event has.
+bool IsOutputExhausted(const direct_call& call, const event_splitter& events) {
+  const std::uint64_t max_output = call.Metadata().max_output_tokens;
+  const std::uint64_t tokens_per_event = call.Service().engine.value_or(engine_profile{}).tokens_per_event;
+  const auto count = events.TotalCount();
+  return max_output > 0 && count && *count * tokens_per_event >= max_output;
+}
+
+// Why a run was given up, with the ids of the event and of the one before.
+std::string DescribeFault(const event_splitter& events) {
+  constexpr std::size_t kMaxIdBytes = 40;
+  return fmt::format("{}: '{}' after '{}'", events.FindFault(), events.CurrentId().substr(0, kMaxIdBytes),
+                     events.LastId().substr(0, kMaxIdBytes));
+}
+
 std::string FormatError(const error& failure) {
   return fmt::format("{}: {}", ErrorName(failure.code), failure.message);
 }
@@ -849,13 +865,14 @@
     endpoint_tracker_->RecordResponse(assignment.engine, metadata, begin);
     prompts_->RecordWorkTime(call->Service().name, assignment.engine, metadata.work_time_percent);
     const bool is_success = head.value().status >= 200 && head.value().status < 300;
+    const bool is_event_stream = IsEventStreamType(FindHeader(head.value().headers, "Content-Type"));
     if (metadata.proves_not_run) {
       detail = fmt::format("status {}", head.value().status);
       outcome = decode_result::kNotRun;
       // Possible causes: the KV cache cannot be fetched, or the engine is switching its stage, during which it grants
       // reservations but rejects requests.
       asio::co_spawn(kernel_.Context(), CheckEngine(assignment.engine), asio::detached);
-    } else if (is_success && metadata.has_seal && !metadata.is_encoded) {
+    } else if (is_success && metadata.has_seal && !metadata.is_encoded && is_event_stream) {
       if (!stream.started) {
         stream.started = true;
         call->has_response = true;
@@ -880,8 +897,8 @@
       }
     } else {
       detail = fmt::format(
-          "cannot forward the response with status {}: retryable or unexpected status, no seal header, encoded body or "
-          "stream already started",
+          "cannot forward the response with status {}: retryable or unexpected status, no seal header, encoded body, "
+          "no stream of events or stream already started",
           head.value().status);
       endpoint_tracker_->RecordFailure(assignment.engine);
     }
@@ -950,9 +967,8 @@
 
 // Returns why a stream whose body has ended was broken off, and an empty text if it is whole.
 task<std::string> generation_calls::CheckStreamEnd(const direct_call& call, const http_call& upstream,
-                                                   chosen_endpoint engine, const event_splitter& events,
-                                                   bool may_be_empty) {
-  if (const char* broken = events.FindBrokenEnd(may_be_empty)) {
+                                                   chosen_endpoint engine, const event_splitter& events) {
+  if (const char* broken = events.FindBrokenEnd(IsOutputExhausted(call, events))) {
     co_return broken;
   }
   // The end of a process ends a body without length or chunks like its own end does. A leaving engine may stop in the
@@ -982,6 +998,7 @@
   // a slow caller takes an event is not the engine's.
   time_point last_progress = begin;
   const std::size_t events_before = stream.events.EventCount();
+  stream.events.BeginRun({});
   microseconds longest_pause(0);
   // Id of the event after which this run continues.
   const std::string continued_after =
@@ -990,7 +1007,7 @@
   bool has_first_event = false;      // of this run
   decode_result outcome = decode_result::kBroken;
   while (true) {
-    const bool may_resume = resumable && call->sends < call->Route().max_attempts;
+    const bool may_resume = resumable && call->sends < call->Route().max_attempts && stream.events.IsContinuable();
     const time_point stalled_at = last_progress + settings_.stall_limit;
     auto piece = co_await upstream.Read(may_resume ? std::min(call->Deadline(), stalled_at) : call->Deadline());
     std::string forwarded = piece ? stream.events.Add(piece.value()) : std::string();
@@ -1000,26 +1017,14 @@
     std::string failure;
     if (!piece) {
       failure = FormatError(piece.error());
+    } else if (stream.events.FindFault() != nullptr) {
+      failure = DescribeFault(stream.events);
     } else if (stream.events.IsOversized()) {
       failure = "an event exceeds the maximum length";
     } else if (is_end) {
-      failure = co_await CheckStreamEnd(*call, upstream, assignment.engine, stream.events, !continued_after.empty());
+      failure = co_await CheckStreamEnd(*call, upstream, assignment.engine, stream.events);
     }
-    if (!failure.empty()) {
-      endpoint_tracker_->RecordFailure(assignment.engine);
-      Events()
-          .Line(kComponent, "stream_broken")
-          .Request(call->Metadata().attempt)
-          .Add("endpoint", assignment.engine.name.value)
-          .Add("events", stream.events.EventCount())
-          .Add("framing", BodyFramingName(upstream.Framing()))
-          .Add("detail", failure);
-      break;
-    }
-    if (!resumable) {
-      // No other endpoint can continue the stream, so the bytes of an incomplete event are forwarded as they arrive.
-      forwarded = std::move(piece.value());
-    } else if (is_end) {
+    if (is_end && failure.empty()) {
       forwarded += stream.events.Incomplete();  // line breaks after the last event
     }
     if (!forwarded.empty()) {
@@ -1046,6 +1051,17 @@
       }
       last_progress = timer_service::Now();
     }
+    if (!failure.empty()) {
+      endpoint_tracker_->RecordFailure(assignment.engine);
+      Events()
+          .Line(kComponent, "stream_broken")
+          .Request(call->Metadata().attempt)
+          .Add("endpoint", assignment.engine.name.value)
+          .Add("events", stream.events.EventCount())
+          .Add("framing", BodyFramingName(upstream.Framing()))
+          .Add("detail", failure);
+      break;
+    }
     if (is_end) {
       auto finished = co_await call->Exchange().FinishStream();
       outcome = finished ? decode_result::kDone : decode_result::kCallerDisconnected;
@@ -1074,6 +1090,9 @@
       .Add("version", assignment.engine.version)
       .Add("resumes", call->Metadata().resumed_attempt)
       .Add("continued_after", continued_after)
+      .Add("first_id", stream.events.RunFirstId())
+      .Add("last_id", stream.events.LastId())
+      .Add("ids_follow", stream.events.Sequence().Fault() == nullptr)
       .Add("whole", outcome == decode_result::kDone)
       .Add("framing", BodyFramingName(upstream.Framing()))
       .Add("incomplete_bytes", incomplete_bytes)
@@ -1108,6 +1127,7 @@
   call->engine_version = std::move(version.value());
   const bool continues_stream = !call->Metadata().resume_after.empty();
   stream_state stream;
+  stream.events.TakeUp(call->Metadata().resume_after);
   stream.wait_start = call->Arrival();
   std::vector<endpoint_name> avoid;
   bool may_have_run = false;
@@ -1246,8 +1266,8 @@
       stream.events.DropIncomplete();
     }
     const bool attempts_left = call->sends < call->Route().max_attempts;
-    const bool can_retry =
-        (result == decode_result::kNotRun || (result == decode_result::kBroken && call->Route().resumable));
+    const bool can_continue = call->Route().resumable && stream.events.IsContinuable();
+    const bool can_retry = result == decode_result::kNotRun || (result == decode_result::kBroken && can_continue);
     if (may_crash_another) {
       call->reason = "suspected_part";
     }
--- a/src/direct/plain_attempts.cpp
+++ b/src/direct/plain_attempts.cpp
@@ -17,12 +17,6 @@
 constexpr milliseconds kCleanupPeriod(10'000);
 constexpr double kLateShare = 0.95;  // of the response times; a slower call counts as late
 
-// True for a successful response that states no other content than events.
-bool IsEventStream(const http_response_head& head) {
-  const std::string_view type = FindHeader(head.headers, "Content-Type");
-  return head.status < kFirstRedirect && (type.empty() || type.starts_with("text/event-stream"));
-}
-
 bool ImpliesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
 
 // The time for which a stream occupies an endpoint is decided by its events, so streams do not wait for room.
@@ -187,7 +181,11 @@
   const bool is_forwardable =
       metadata.has_seal && !metadata.is_encoded && !metadata.proves_not_run && !ImpliesNotRun(outcome.response.status);
   // The framing does not prove that a stream of events is whole.
-  const bool is_stream = attempt->call->Route().kind == call_kind::kStreaming && IsEventStream(head);
+  const bool may_be_stream = attempt->call->Route().kind == call_kind::kStreaming && head.status < kFirstRedirect;
+  const bool is_stream = may_be_stream && IsEventStreamType(FindHeader(head.headers, "Content-Type"));
+  if (may_be_stream && !is_stream && !attempt->call->Metadata().resume_after.empty()) {
+    outcome.broken = error{error_code::kProtocol, "the continuation of a stream is no stream of events"};
+  }
   co_await ReadBody(attempt, is_forwardable, is_stream, outcome);
   if (metadata.proves_not_run) {
     outcome.result = attempt_result::kNotRun;
@@ -204,7 +202,9 @@
 task<> plain_attempts::ReadBody(plain_attempt_ptr attempt, bool is_forwardable, bool is_stream,
                                 attempt_outcome& outcome) {
   const direct_call_ptr call = attempt->call;
-  event_splitter events;
+  event_splitter events(platform::kEventWeightVersion);
+  events.TakeUp(call->Metadata().resume_after);
+  events.BeginRun({});
   bool complete = false;
   while (!complete && !outcome.broken) {
     auto piece = co_await attempt->upstream.Read(attempt->deadline);
@@ -213,8 +213,16 @@
       break;
     }
     complete = piece.value().empty();
-    (void)events.Add(is_stream ? std::string_view(piece.value()) : std::string_view());
-    const char* broken = complete && is_stream ? events.FindBrokenEnd(!call->Metadata().resume_after.empty()) : nullptr;
+    std::string bytes = std::move(piece.value());
+    const char* broken = nullptr;
+    if (is_stream) {
+      bytes = events.Add(bytes);
+      broken = events.FindFault();
+    }
+    if (is_stream && complete && broken == nullptr) {
+      broken = events.FindBrokenEnd(false);
+      bytes = events.Incomplete();  // line breaks after the last event
+    }
     if (complete && is_forwardable && attempt->upstream.Framing() == body_framing::kConnectionEnd) {
       const bool is_gone = co_await suspect_tracker_->HasCrashed(attempt->endpoint, call->Service().health_path);
       if (is_gone) {
@@ -226,7 +234,7 @@
       outcome.broken = error{error_code::kClosed, broken != nullptr ? broken : "an event exceeds the maximum length"};
       break;
     }
-    const bool is_long = outcome.response.body.size() + piece.value().size() > kMaxBufferedBytes;
+    const bool is_long = outcome.response.body.size() + bytes.size() > kMaxBufferedBytes;
     if (is_long && !outcome.is_streamed && !is_forwardable) {
       outcome.broken =
           error{error_code::kProtocol, fmt::format("a body that is not passed on exceeds {} bytes", kMaxBufferedBytes)};
@@ -242,9 +250,9 @@
       (void)co_await call->Exchange().StartStream(outcome.response.status, outcome.response.headers);
       attempt->deadline = call->Deadline();
     }
-    outcome.response.body += piece.value();
+    outcome.response.body += bytes;
     if (outcome.is_streamed) {
-      std::string bytes = std::exchange(outcome.response.body, {});
+      bytes = std::exchange(outcome.response.body, {});
       auto written = co_await call->Exchange().WriteChunk(std::move(bytes));
       if (!written) {
         outcome.broken = written.error();
--- a/tests/event_stream_test.cpp
+++ b/tests/event_stream_test.cpp
@@ -54,8 +54,8 @@
   }
 }
 
-// Guards against taking a body without any event for a whole stream.
-TEST(event_splitter_test, FindBrokenEnd_WithoutAnyEvent_AllowsItOnlyForAContinuedStream) {
+// Guards against taking a body without any event for a whole stream, also where it continues one.
+TEST(event_splitter_test, FindBrokenEnd_WithoutAnyEvent_AllowsItOnlyWhenTheOutputIsExhausted) {
   event_splitter events;
   EXPECT_NE(events.FindBrokenEnd(false), nullptr);
   EXPECT_EQ(events.FindBrokenEnd(true), nullptr);
@@ -63,6 +63,40 @@
   EXPECT_NE(events.FindBrokenEnd(true), nullptr);
   events.Add("\n");
   EXPECT_EQ(events.FindBrokenEnd(false), nullptr);
+  events.BeginRun({});
+  events.Add(": comment\n\n");
+  EXPECT_NE(events.FindBrokenEnd(false), nullptr);
+  EXPECT_EQ(events.FindBrokenEnd(true), nullptr);
+}
+
+// Guards against a log that cannot tell a repeated or missing event.
+TEST(event_splitter_test, Fault_AcrossRuns_IsStatedAfterARepeatedOrMissingEvent) {
+  for (const auto& [second_run, follows] :
+       {std::pair("id: 3\ndata: c\n\n", true), std::pair("id: 1\ndata: a\n\n", false),
+        std::pair("id: 4\ndata: d\n\n", false)}) {
+    event_splitter events;
+    events.BeginRun({});
+    events.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    EXPECT_EQ(events.RunFirstId(), "1");
+    EXPECT_EQ(events.Sequence().Fault(), nullptr);
+    events.BeginRun({});
+    events.Add(second_run);
+    EXPECT_EQ(events.Sequence().Fault() == nullptr, follows) << second_run;
+  }
+}
+
+// Guards against passing on text that is no event, or two events whose separation was lost.
+TEST(event_splitter_test, Add_ForALineThatIsNoField_ReturnsOnlyTheEventsBefore) {
+  for (const std::string text : {"HTTP/1.1 200 OK\r\n", "Content-Length: 3\n", "id: 3\nid: 4\n", "{\"a\": 1}\n",
+                                 "event: a\nevent: b\n", "other: 2\n", " data: a\n"}) {
+    event_splitter events("extension");
+    EXPECT_EQ(events.Add("extension: 1\nid: 1\ndata: a\n\n" + text), "extension: 1\nid: 1\ndata: a\n\n");
+    EXPECT_NE(events.FindFault(), nullptr) << text;
+    EXPECT_EQ(events.Add("id: 2\ndata: b\n\n"), "");
+    events.BeginRun({});
+    EXPECT_EQ(events.Add("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+    EXPECT_EQ(events.FindFault(), nullptr);
+  }
 }
 
 TEST(event_splitter_test, LastId_WithoutIds_StaysEmpty) {
