Learn how services number their events, and use it where a stream does not tell

A router that takes up a stream knows no step of it: n + 1 or the same step twice was accepted, so a run that began late and skipped as many events again went through; an empty continuation could never be told from a lost one; and a service whose steps really vary was broken at its first change of step, for ever.

Change: event_numbering (pure) keeps the first id and the step by service and software version, in at most 64 tables of 16 endpoints. Each endpoint has one vote, from its latest runs; a value counts when more than half of the endpoints have it, two at least. Where more than half show varying steps in half of their latest runs (two endpoints at least, or four runs of the only one known), ids only have to grow. One faulty endpoint beside sound ones changes nothing. Broken runs count too, so that a service that counts otherwise is learned anew. New streams begin at the first id if it is known. For a caller's Last-Event-Id the number of events before it follows from first id and step, which tells whether the output is exhausted.

Evidence: three tests failed on the code before: Streams_OfAServiceWhoseStepsVary_* (no stream served in 10 s), TakenUpStream_OfAServiceWhoseNumberingIsKnown_* (70, 90, 110 passed on after 50), TakenUpStream_WithoutAnyEvent_EndsWhen* (a whole stream broken off).

--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -978,7 +978,7 @@
   // a slow caller takes an event is not the engine's.
   time_point last_progress = begin;
   const std::size_t events_before = stream.events.EventCount();
-  stream.events.BeginRun({});
+  stream.events.BeginRun(numberings_.Find(call->Service().name, assignment.engine));
   microseconds longest_pause(0);
   // Id of the event after which this run continues.
   const std::string continued_after =
@@ -1063,6 +1063,7 @@
     endpoint_tracker_->UpdateStream(assignment.engine.name, assignment.stream_id,
                                     {used_tokens, remaining, assignment.memory.reserved_tokens});
   }
+  numberings_.Record(call->Service().name, assignment.engine, stream.events.Sequence().Sample());
   Events()
       .Line(kComponent, "stream_ended")
       .Request(call->Metadata().attempt)
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -16,6 +16,7 @@
 #include "direct/caller_auth.h"
 #include "direct/direct_call.h"
 #include "direct/endpoint_tracker.h"
+#include "direct/numbering_tracker.h"
 #include "direct/origin_tracker.h"
 #include "direct/part_tracker.h"
 #include "direct/prompt_tracker.h"
@@ -161,6 +162,7 @@
   origin_tracker* origins_ = nullptr;
   prompt_tracker* prompts_ = nullptr;
   std::map<std::string, std::unique_ptr<service_queue>> queues_;
+  numbering_tracker numberings_;
   std::map<std::string, milliseconds> largest_budgets_;  // largest time budget seen of callers, by route
   std::set<endpoint_name> engines_being_checked_;        // engines that CheckEngine polls
   timer_subscription dispatch_timer_;
--- a/src/direct/plain_attempts.cpp
+++ b/src/direct/plain_attempts.cpp
@@ -204,7 +204,7 @@
   const direct_call_ptr call = attempt->call;
   event_splitter events(platform::kEventWeightVersion);
   events.TakeUp(call->Metadata().resume_after);
-  events.BeginRun({});
+  events.BeginRun(numberings_.Find(call->Service().name, attempt->endpoint));
   bool complete = false;
   while (!complete && !outcome.broken) {
     auto piece = co_await attempt->upstream.Read(attempt->deadline);
@@ -259,6 +259,9 @@
       }
     }
   }
+  if (is_stream && is_forwardable) {
+    numberings_.Record(call->Service().name, attempt->endpoint, events.Sequence().Sample());
+  }
 }
 
 task<> plain_attempts::FinishStream(plain_attempt_ptr attempt, attempt_outcome& outcome) {
--- a/src/direct/plain_attempts.h
+++ b/src/direct/plain_attempts.h
@@ -18,6 +18,7 @@
 #include "direct/caller_auth.h"
 #include "direct/direct_call.h"
 #include "direct/endpoint_tracker.h"
+#include "direct/numbering_tracker.h"
 #include "direct/suspect_tracker.h"
 #include "persimmon/call_estimates.h"
 
@@ -149,6 +150,7 @@
   suspect_tracker* suspect_tracker_ = nullptr;
   metrics_registry* metrics_ = nullptr;
   std::map<std::string, call_estimates> estimates_;  // by service
+  numbering_tracker numberings_;
   timer_subscription cleanup_timer_;
 };
 
--- a/tests/stream_continuity_test.cpp
+++ b/tests/stream_continuity_test.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <memory>
 
 #include "support/router_harness.h"
@@ -79,8 +80,14 @@
     return call;
   }
 
-  // Value of the header in the n-th call since the start of the test.
-  std::string LastEventId(std::size_t run) const { return run < resumes_.size() ? resumes_[run] : "none"; }
+  // Serves whole streams until each engine has served two.
+  void LearnNumbering(const std::vector<std::string>& events) {
+    EXPECT_TRUE(harness_.RunUntil([&] {
+      ExpectWhole(Call(kFinal, {{events}}), Text(events));
+      return std::all_of(engines_.begin(), engines_.begin() + 3,
+                         [](const auto& engine) { return engine->Calls().size() >= 2; });
+    }));
+  }
 
   static void ExpectWhole(const caller_exchange_ptr& call, const std::string& body) {
     EXPECT_EQ(call->Status(), 200);
@@ -219,6 +226,36 @@
   }
 }
 
+// Guards against breaking the streams of a service for ever whose ids do not rise by one step.
+TEST_F(stream_continuity_test, Streams_OfAServiceWhoseStepsVary_AreServedOnceThatIsKnown) {
+  const std::vector<std::string> events = {Event(3), Event(4), Event(9), Event(11), Event(40), Event(41)};
+  const std::string whole = Text(events);
+  const scripted_run run{events};
+  EXPECT_TRUE(harness_.RunUntil([&] { return !Call(kFinal, {run})->failure; }));
+  ExpectWhole(Call(kFinal, {run}), whole);
+  ExpectWhole(Call(kResumable, {{{Text({Event(3), Event(4)})}, true}, {{Text({Event(9), Event(11)})}}}),
+              Text({Event(3), Event(4), Event(9), Event(11)}));
+  ExpectBroken(Call(kResumable, {{events, true}, run, run}), whole);
+  EXPECT_TRUE(harness_.RunUntil([&] { return Call(kPlain, {run})->Status() == 200; }));
+  ExpectWhole(Call(kPlain, {run}), whole);
+}
+
+// Guards against a router that cannot tell a late beginning because it has no event of the stream.
+TEST_F(stream_continuity_test, TakenUpStream_OfAServiceWhoseNumberingIsKnown_BeginsAtTheNextEvent) {
+  LearnNumbering(Events(10, 120, 10));
+  ExpectBroken(Call(kResumable, {{Events(70, 120, 20)}, {Events(60, 120, 20)}, {Events(51, 120)}}, "50"), Event(60));
+  ExpectWhole(Call(kResumable, {{Events(70, 120, 20)}, {Events(60, 120, 10)}}, "50"), Text(Events(60, 120, 10)));
+  ExpectWhole(Call(kResumable, {{Events(20, 120, 10)}, {Events(10, 120, 10)}}), Text(Events(10, 120, 10)));
+}
+
+// Guards against breaking off a stream whose caller lost its connection after the last event.
+TEST_F(stream_continuity_test, TakenUpStream_WithoutAnyEvent_EndsWhenItsOutputIsExhausted) {
+  LearnNumbering(Events(10, 120, 10));
+  ExpectWhole(Call(kResumable, {{}}, "120"), "");
+  ExpectBroken(Call(kResumable, {{}, {}, {}}, "110"), "");
+  ExpectBroken(Call(kResumable, {{}, {}, {}}, "125"), "");
+}
+
 // Guards against a check that fails for line breaks of another kind or for events that arrive in parts.
 TEST_F(stream_continuity_test, ContinuedStream_WithOtherLineBreaksInParts_ReachesTheCallerWhole) {
   const auto crlf = [](std::uint64_t id) { return fmt::format("id: {}\r\ndata: piece {}\r\n\r\n", id, id); };
