--- a/tests/event_stream_test.cpp
+++ b/tests/event_stream_test.cpp
@@ -99,6 +99,137 @@
   }
 }
 
+// A stream whose events have ids first, first + step, ... of which the caller has some.
+struct true_stream {
+  std::uint64_t first = 1;
+  std::uint64_t step = 1;
+  std::uint64_t count = 1;
+  std::uint64_t caller_has = 0;
+
+  std::string Event(std::uint64_t index) const { return MakeEvent(first + index * step); }
+  static std::string MakeEvent(std::uint64_t id) {
+    return "id: " + std::to_string(id) + "\ndata: " + std::to_string(id) + "\n\n";
+  }
+  // Events that the caller does not have, up to one.
+  std::string Rest(std::uint64_t end) const {
+    std::string text;
+    for (std::uint64_t index = caller_has; index < end; ++index) {
+      text += Event(index);
+    }
+    return text;
+  }
+};
+
+true_stream MakeTrueStream() {
+  true_stream stream;
+  stream.first = *rc::gen::inRange<std::uint64_t>(0, 12);
+  stream.step = *rc::gen::element<std::uint64_t>(1, 1, 2, 10);
+  stream.count = *rc::gen::inRange<std::uint64_t>(2, 8);
+  stream.caller_has = *rc::gen::inRange<std::uint64_t>(0, stream.count + 1);
+  return stream;
+}
+
+// Passes runs on as a router does until one ends as complete. Returns what the caller gets.
+struct delivery {
+  std::string text;
+  bool is_complete = false;
+};
+
+delivery Deliver(const true_stream& stream, const event_numbering& known,
+                 const std::vector<std::pair<std::string, bool>>& runs) {
+  delivery result;
+  event_splitter events;
+  events.TakeUp(stream.caller_has > 0 ? std::to_string(stream.first + (stream.caller_has - 1) * stream.step) : "");
+  for (const auto& [text, ends_in_order] : runs) {
+    events.BeginRun(known);
+    for (std::size_t begin = 0; begin < text.size();) {
+      const auto size = *rc::gen::inRange<std::size_t>(1, 30);
+      result.text += events.Add(std::string_view(text).substr(begin, size));
+      begin += size;
+    }
+    const auto total = events.TotalCount();
+    const bool is_exhausted = total && *total >= stream.count;
+    if (ends_in_order && events.FindFault() == nullptr && events.FindBrokenEnd(is_exhausted) == nullptr) {
+      result.is_complete = true;
+      return result;
+    }
+  }
+  return result;
+}
+
+bool IsPrefixOfRest(const true_stream& stream, const std::string& text) {
+  for (std::uint64_t end = stream.caller_has; end <= stream.count; ++end) {
+    if (text == stream.Rest(end)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Guards against any event twice, out of order, missing or foreign, whatever the runs of a stream contain, and against
+// an end that an empty run proves although events are missing.
+RC_GTEST_PROP(stream_property, Runs_OfAnyEvents_GiveTheCallerAPrefixOfTheStream, ()) {
+  const true_stream stream = MakeTrueStream();
+  const auto blocks =
+      rc::gen::map(rc::gen::pair(rc::gen::inRange(0, 14), rc::gen::inRange<std::uint64_t>(0, stream.count)),
+                   [&](const std::pair<int, std::uint64_t>& choice) -> std::string {
+                     switch (choice.first) {
+                       case 0:
+                         return "data: without an id\n\n";
+                       case 1:
+                         return "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+                       case 2:
+                         return "id: x\ndata: x\n\n";
+                       case 3:
+                         return "id: 5\nda";
+                       default:
+                         return stream.Event(choice.second);
+                     }
+                   });
+  std::vector<std::pair<std::string, bool>> runs;
+  const auto run_count = *rc::gen::inRange(1, 5);
+  std::uint64_t next = stream.caller_has;
+  for (int run = 0; run < run_count; ++run) {
+    std::string text;
+    // A sound start, so that runs get further than their first event. A new stream may have no ids, so its first event
+    // cannot be told from a foreign one.
+    const auto sound = *rc::gen::inRange<std::uint64_t>(next == 0 ? 1 : 0, 3);
+    for (std::uint64_t i = 0; i < sound && next < stream.count; ++i) {
+      text += stream.Event(next++);
+    }
+    for (const std::string& block : *rc::gen::resize(4, rc::gen::container<std::vector<std::string>>(blocks))) {
+      text += block;
+    }
+    runs.emplace_back(text, *rc::gen::arbitrary<bool>());
+  }
+  runs.emplace_back("", true);
+  const delivery result = Deliver(stream, {.first = stream.first, .step = stream.step}, runs);
+  RC_ASSERT(IsPrefixOfRest(stream, result.text));
+  const bool ended_empty = result.is_complete && result.text.empty();
+  RC_ASSERT(!ended_empty || stream.caller_has == stream.count);
+  RC_CLASSIFY(result.text == stream.Rest(stream.count), "whole");
+}
+
+// The same where nothing is known of the service: runs that begin at any event of a stream that was taken up.
+RC_GTEST_PROP(stream_property, Runs_OfAStreamThatIsNotKnown_GiveTheCallerAPrefixOfTheStream, ()) {
+  true_stream stream = MakeTrueStream();
+  stream.caller_has = *rc::gen::inRange<std::uint64_t>(1, stream.count + 1);
+  std::vector<std::pair<std::string, bool>> runs;
+  const auto run_count = *rc::gen::inRange(1, 5);
+  for (int run = 0; run < run_count; ++run) {
+    std::string text;
+    const auto begin = *rc::gen::inRange<std::uint64_t>(0, stream.count);
+    const auto end = *rc::gen::inRange<std::uint64_t>(begin, stream.count + 1);
+    for (std::uint64_t index = begin; index < end; ++index) {
+      text += stream.Event(index);
+    }
+    runs.emplace_back(text, *rc::gen::arbitrary<bool>());
+  }
+  const delivery result = Deliver(stream, {}, runs);
+  RC_ASSERT(IsPrefixOfRest(stream, result.text));
+  RC_ASSERT(!result.is_complete || !result.text.empty());
+}
+
 TEST(event_splitter_test, LastId_WithoutIds_StaysEmpty) {
   event_splitter events;
   events.Add("data: a\n\n");
