Draw the runs of the stream properties from the whole range, and check empty last runs

The first property passed although the comparison of steps was taken out of event_sequence (a mutation): RapidCheck drew almost only foreign events, because inRange grows with the size of the case.

--- a/tests/event_stream_test.cpp
+++ b/tests/event_stream_test.cpp
@@ -120,12 +120,17 @@
   }
 };
 
+// A number of the whole range in every case. By default RapidCheck begins with the smallest ones.
+std::uint64_t PickNumber(std::uint64_t begin, std::uint64_t end) {
+  return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(begin, end));
+}
+
 true_stream MakeTrueStream() {
   true_stream stream;
-  stream.first = *rc::gen::inRange<std::uint64_t>(0, 12);
+  stream.first = PickNumber(0, 12);
   stream.step = *rc::gen::element<std::uint64_t>(1, 1, 2, 10);
-  stream.count = *rc::gen::inRange<std::uint64_t>(2, 8);
-  stream.caller_has = *rc::gen::inRange<std::uint64_t>(0, stream.count + 1);
+  stream.count = PickNumber(2, 8);
+  stream.caller_has = PickNumber(0, stream.count + 1);
   return stream;
 }
 
@@ -133,6 +138,7 @@
 struct delivery {
   std::string text;
   bool is_complete = false;
+  bool is_last_run_empty = false;
 };
 
 delivery Deliver(const true_stream& stream, const event_numbering& known,
@@ -142,8 +148,9 @@
   events.TakeUp(stream.caller_has > 0 ? std::to_string(stream.first + (stream.caller_has - 1) * stream.step) : "");
   for (const auto& [text, ends_in_order] : runs) {
     events.BeginRun(known);
+    const std::size_t size_before = result.text.size();
     for (std::size_t begin = 0; begin < text.size();) {
-      const auto size = *rc::gen::inRange<std::size_t>(1, 30);
+      const auto size = PickNumber(1, 30);
       result.text += events.Add(std::string_view(text).substr(begin, size));
       begin += size;
     }
@@ -151,6 +158,7 @@
     const bool is_exhausted = total && *total >= stream.count;
     if (ends_in_order && events.FindFault() == nullptr && events.FindBrokenEnd(is_exhausted) == nullptr) {
       result.is_complete = true;
+      result.is_last_run_empty = result.text.size() == size_before;
       return result;
     }
   }
@@ -187,17 +195,18 @@
                      }
                    });
   std::vector<std::pair<std::string, bool>> runs;
-  const auto run_count = *rc::gen::inRange(1, 5);
+  const auto run_count = PickNumber(1, 5);
   std::uint64_t next = stream.caller_has;
-  for (int run = 0; run < run_count; ++run) {
+  for (std::uint64_t run = 0; run < run_count; ++run) {
     std::string text;
     // A sound start, so that runs get further than their first event. A new stream may have no ids, so its first event
     // cannot be told from a foreign one.
-    const auto sound = *rc::gen::inRange<std::uint64_t>(next == 0 ? 1 : 0, 3);
+    const auto sound = PickNumber(next == 0 ? 1 : 0, 3);
     for (std::uint64_t i = 0; i < sound && next < stream.count; ++i) {
       text += stream.Event(next++);
     }
-    for (const std::string& block : *rc::gen::resize(4, rc::gen::container<std::vector<std::string>>(blocks))) {
+    const auto block_count = PickNumber(0, 5);
+    for (const std::string& block : *rc::gen::container<std::vector<std::string>>(block_count, blocks)) {
       text += block;
     }
     runs.emplace_back(text, *rc::gen::arbitrary<bool>());
@@ -205,21 +214,20 @@
   runs.emplace_back("", true);
   const delivery result = Deliver(stream, {.first = stream.first, .step = stream.step}, runs);
   RC_ASSERT(IsPrefixOfRest(stream, result.text));
-  const bool ended_empty = result.is_complete && result.text.empty();
-  RC_ASSERT(!ended_empty || stream.caller_has == stream.count);
+  RC_ASSERT(!result.is_last_run_empty || result.text == stream.Rest(stream.count));
   RC_CLASSIFY(result.text == stream.Rest(stream.count), "whole");
 }
 
 // The same where nothing is known of the service: runs that begin at any event of a stream that was taken up.
 RC_GTEST_PROP(stream_property, Runs_OfAStreamThatIsNotKnown_GiveTheCallerAPrefixOfTheStream, ()) {
   true_stream stream = MakeTrueStream();
-  stream.caller_has = *rc::gen::inRange<std::uint64_t>(1, stream.count + 1);
+  stream.caller_has = PickNumber(1, stream.count + 1);
   std::vector<std::pair<std::string, bool>> runs;
-  const auto run_count = *rc::gen::inRange(1, 5);
-  for (int run = 0; run < run_count; ++run) {
+  const auto run_count = PickNumber(1, 5);
+  for (std::uint64_t run = 0; run < run_count; ++run) {
     std::string text;
-    const auto begin = *rc::gen::inRange<std::uint64_t>(0, stream.count);
-    const auto end = *rc::gen::inRange<std::uint64_t>(begin, stream.count + 1);
+    const auto begin = PickNumber(0, stream.count);
+    const auto end = PickNumber(begin, stream.count + 1);
     for (std::uint64_t index = begin; index < end; ++index) {
       text += stream.Event(index);
     }
@@ -227,7 +235,7 @@
   }
   const delivery result = Deliver(stream, {}, runs);
   RC_ASSERT(IsPrefixOfRest(stream, result.text));
-  RC_ASSERT(!result.is_complete || !result.text.empty());
+  RC_ASSERT(!result.is_last_run_empty || result.text == stream.Rest(stream.count));
 }
 
 TEST(event_splitter_test, LastId_WithoutIds_StaysEmpty) {
