Test that agents pass on no token of a decode that begins at another offset

The check exists: an agent compares each token's offset with the one it expects and fails the attempt (invalid_stream).

--- a/src/fakes/fake_engine.cpp
+++ b/src/fakes/fake_engine.cpp
@@ -243,6 +243,7 @@
   std::string crash_text;
   std::optional<std::size_t> cut_after_bytes;  // decode streams break off after this many bytes of their body
   std::string cut_framing;                     // of such streams: "chunks", "last_chunk" or "connection_end"
+  std::int64_t token_offset_shift = 0;         // added to the offset of each token
 
   bool HasRole(std::string_view role) const { return std::find(roles.begin(), roles.end(), role) != roles.end(); }
 
@@ -494,8 +495,8 @@
 
   void GenerateToken(const decode_ptr& job) {
     if (job->next_offset < job->end_offset) {
-      job->pending_output +=
-          JsonLine({{"offset", job->next_offset}, {"token", FakeToken(job->prompt, job->next_offset)}});
+      job->pending_output += JsonLine(
+          {{"offset", job->next_offset + token_offset_shift}, {"token", FakeToken(job->prompt, job->next_offset)}});
       ++job->next_offset;
       ++job->memory_tokens;
     }
@@ -699,6 +700,7 @@
       cut_after_bytes = bytes.is_null() ? std::nullopt : std::optional(bytes.get<std::size_t>());
     }
     cut_framing = input.value("cut_framing", cut_framing);
+    token_offset_shift = input.value("token_offset_shift", token_offset_shift);
     for (const auto& [kv, job] : prefills) {
       job->changed.NotifyAll();
     }
--- a/tests/agent_test.cpp
+++ b/tests/agent_test.cpp
@@ -376,6 +376,24 @@
   }
 }
 
+// Guards against tokens of an engine that ignores the offset at which a decode continues, or begins too late.
+TEST_F(agent_test, DecodeStream_ThatDoesNotBeginAtItsOffset_FailsWithoutAnyToken) {
+  StartModelEndpoint({"--kv_lifetime_ms=60000"});
+  const std::string prompt = MakePrompt(20);
+  for (const int shift : {-3, -1, 1}) {
+    Post(engine_port_, "/faults", {{"token_offset_shift", shift}});
+    const std::string attempt = "d" + std::to_string(shift);
+    StartPrefill(Router(), "prefill-" + attempt, prompt);
+    StartDecode(Router(), attempt, AwaitTicket(Router(), "prefill-" + attempt), 8, 3);
+    ASSERT_TRUE(RunUntil([&] {
+      const auto* part = Router().Last<tokens>(attempt);
+      return part != nullptr && part->state != work_state::kRunning;
+    }));
+    EXPECT_EQ(Router().Last<tokens>(attempt)->state, work_state::kFailed) << shift;
+    EXPECT_EQ(Router().ReceivedTokens(attempt), std::vector<std::string>()) << shift;
+  }
+}
+
 TEST_F(agent_test, Transfer_WhenStalledOnce_IsRepeated) {
   StartModelEndpoint({"--piece_timeout_ms=200", "--kv_lifetime_ms=60000"});
   Post(engine_port_, "/faults", {{"stall_transfers", true}});
