--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -1078,6 +1078,8 @@
       .Add("framing", BodyFramingName(upstream.Framing()))
       .Add("incomplete_bytes", incomplete_bytes)
       .Add("events", stream.events.EventCount())
+      .Add("max_output_tokens", max_output)
+      .Add("exhausted", IsOutputExhausted(*call, stream.events))
       .Add("used_tokens", used_tokens)
       .Add("estimated_tokens", assignment.memory.held_tokens + assignment.memory.remaining_tokens)
       .Add("own_prompt", !assignment.prefill)
--- a/src/direct/plain_attempts.cpp
+++ b/src/direct/plain_attempts.cpp
@@ -231,7 +231,8 @@
       }
     }
     if (broken != nullptr || events.IsOversized()) {
-      outcome.broken = error{error_code::kClosed, broken != nullptr ? broken : "an event exceeds the maximum length"};
+      const auto code = events.FindFault() != nullptr ? error_code::kProtocol : error_code::kClosed;
+      outcome.broken = error{code, broken != nullptr ? broken : "an event exceeds the maximum length"};
       break;
     }
     const bool is_long = outcome.response.body.size() + bytes.size() > kMaxBufferedBytes;
