Test answers that replicas cut at any byte

A replica on a plain socket cuts its answer after every byte of its head and of a short body, and closes in order or resets; with a length, chunks or neither; for non-idempotent and idempotent calls, prefills and decodes (the heads only; bodies are in stream_cut_test). The caller never gets a success that is not the whole answer, nor a refusal for a request that has run, and a request that may not be repeated runs once. An unframed body that ends in order without a crash of the replica can't be told from a whole one.

--- /dev/null
+++ b/tests/answer_cut_test.cpp
@@ -0,0 +1,377 @@
+// link: persimmon_direct persimmon_fake_parts
+// Answers of replicas that stop at any byte of their head or of a short body. Guards against a cut answer that is
+// passed on as whole, and against telling callers that a request has not run although it has.
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+#include <memory>
+#include <string>
+
+#include "support/router_harness.h"
+
+namespace persimmon {
+namespace {
+
+using asio::ip::tcp;
+using support::caller_exchange_ptr;
+using support::json;
+using support::router_harness;
+using support::WholeStream;
+
+constexpr std::uint32_t kEvents = 2;  // per stream
+
+// How an answer marks its end, and how the connection of a cut answer ends.
+struct answer_form {
+  const char* name;
+  body_framing framing;
+  bool resets;
+};
+
+constexpr answer_form kForms[] = {
+    {"with a length, closed in order", body_framing::kLength, false},
+    {"with a length, reset", body_framing::kLength, true},
+    {"in chunks, closed in order", body_framing::kChunks, false},
+    {"in chunks, reset", body_framing::kChunks, true},
+    {"with neither, closed in order", body_framing::kConnectionEnd, false},
+    {"with neither, reset", body_framing::kConnectionEnd, true},
+};
+
+struct raw_answer {
+  std::string head;
+  std::string body;  // with its framing
+
+  std::size_t Size() const { return head.size() + body.size(); }
+};
+
+raw_answer MakeAnswer(body_framing framing, const std::string& fields, const std::string& body) {
+  raw_answer answer{"HTTP/1.1 200 OK\r\n" + fields, body};
+  if (framing == body_framing::kLength) {
+    answer.head += fmt::format("Content-Length: {}\r\n", body.size());
+  } else if (framing == body_framing::kChunks) {
+    answer.head += "Transfer-Encoding: chunked\r\n";
+    answer.body = fmt::format("{:x}\r\n{}\r\n0\r\n\r\n", body.size(), body);
+  } else {
+    answer.head += "Connection: close\r\n";
+  }
+  answer.head += "\r\n";
+  return answer;
+}
+
+std::string PlainBody(const std::string& attempt) { return "body of " + attempt; }
+
+std::string OwnFields(const std::string& attempt) {
+  return fmt::format("Persimmonchute-Attempt-Id: {0}\r\nPersimmonchute-Server-Seal: seal.{0}\r\n", attempt);
+}
+
+raw_answer PlainAnswer(body_framing framing, const std::string& attempt) {
+  return MakeAnswer(framing, OwnFields(attempt) + "Content-Type: text/plain\r\n", PlainBody(attempt));
+}
+
+raw_answer StreamAnswer(body_framing framing, const std::string& attempt) {
+  return MakeAnswer(framing, OwnFields(attempt) + "Content-Type: text/event-stream\r\n", WholeStream(attempt, kEvents));
+}
+
+raw_answer PrefillAnswer(body_framing framing, const std::string& attempt) {
+  return MakeAnswer(framing,
+                    fmt::format("Persimmonchute-Attempt-Id: {}\r\nContent-Type: application/json\r\n", attempt),
+                    json{{"handle", "handle1"}, {"tokens", 100}, {"version", 1}}.dump());
+}
+
+// What the replicas of a test share: the answer to cut, and what reached them.
+struct cut_plan {
+  answer_form form = kForms[0];
+  std::string stage;                         // whose answers are cut: "", "prefill" or "decode"
+  std::map<std::string, std::size_t> cuts;   // bytes of the first answer to an attempt; further answers are whole
+  std::map<std::string, int> runs;           // by attempt; prefills do not count
+  std::map<std::string, int> cut_answers{};  // by attempt
+};
+
+// A replica on a plain socket, so that its answers can stop at any byte.
+class raw_replica : public std::enable_shared_from_this<raw_replica> {
+ public:
+  raw_replica(asio::io_context& context, std::string name, std::string stage, std::shared_ptr<cut_plan> plan)
+      : acceptor_(context, {asio::ip::make_address("127.0.0.1"), 0}),
+        name_(std::move(name)),
+        stage_(std::move(stage)),
+        plan_(std::move(plan)) {}
+
+  void Start() { asio::co_spawn(acceptor_.get_executor(), Accept(shared_from_this()), asio::detached); }
+  void Stop() { acceptor_.close(); }
+
+  void Register(fakes::table_store& tables) const {
+    json entry = {{"service", stage_.empty() ? "app" : "llm"},
+                  {"address", fmt::format("127.0.0.1:{}", acceptor_.local_endpoint().port())},
+                  {"zone", "zone-a"},
+                  {"slots", 64},
+                  {"state", "ready"},
+                  {"born", 1},
+                  {"seq", 1}};
+    if (!stage_.empty()) {
+      entry["stage"] = stage_;
+    }
+    tables.Commit({{{"servers", name_}, entry.dump(), false, std::nullopt}});
+  }
+
+ private:
+  static std::string Field(const std::string& head, const std::string& name) {
+    const std::size_t begin = head.find("\r\n" + name + ": ");
+    const std::size_t value = begin + name.size() + 4;
+    return begin == std::string::npos ? "" : head.substr(value, head.find("\r\n", value) - value);
+  }
+
+  static task<> Accept(std::shared_ptr<raw_replica> self) {
+    while (true) {
+      boost::system::error_code failure;
+      tcp::socket socket = co_await self->acceptor_.async_accept(asio::redirect_error(asio::use_awaitable, failure));
+      if (failure) {
+        co_return;
+      }
+      asio::co_spawn(self->acceptor_.get_executor(), Serve(self, std::move(socket)), asio::detached);
+    }
+  }
+
+  static task<> Serve(std::shared_ptr<raw_replica> self, tcp::socket socket) {
+    boost::system::error_code failure;
+    std::string input;
+    while (true) {
+      const std::size_t head_size = co_await asio::async_read_until(socket, asio::dynamic_buffer(input), "\r\n\r\n",
+                                                                    asio::redirect_error(asio::use_awaitable, failure));
+      if (failure) {
+        co_return;
+      }
+      const std::string head = input.substr(0, head_size);
+      const std::string stated_length = Field(head, "Content-Length");
+      std::size_t length = 0;
+      std::from_chars(stated_length.data(), stated_length.data() + stated_length.size(), length);
+      if (input.size() < head_size + length) {
+        const std::size_t missing = head_size + length - input.size();
+        co_await asio::async_read(socket, asio::dynamic_buffer(input), asio::transfer_exactly(missing),
+                                  asio::redirect_error(asio::use_awaitable, failure));
+      }
+      input.erase(0, head_size + length);
+      std::optional<std::size_t> cut;
+      const raw_answer answer = self->MakeAnswerTo(head, cut);
+      const std::string bytes = (answer.head + answer.body).substr(0, cut.value_or(answer.Size()));
+      co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, failure));
+      if (failure || cut || answer.head.find("Connection: close") != std::string::npos) {
+        if (cut && self->plan_->form.resets) {
+          socket.set_option(asio::socket_base::linger(true, 0), failure);
+        }
+        socket.close(failure);
+        co_return;
+      }
+    }
+  }
+
+  raw_answer MakeAnswerTo(const std::string& head, std::optional<std::size_t>& cut) {
+    const std::string attempt = Field(head, "Persimmonchute-Attempt-Id");
+    if (head.starts_with("POST /hold-take ")) {
+      return MakeAnswer(body_framing::kLength, "", json{{"hold", fmt::format("hold{}", ++holds_)}}.dump());
+    }
+    if (attempt.empty()) {
+      return MakeAnswer(body_framing::kLength, "", "{}");
+    }
+    const bool is_prefill = Field(head, "Persimmonchute-Stage") == "prefill";
+    plan_->runs[attempt] += is_prefill ? 0 : 1;
+    body_framing framing = body_framing::kLength;
+    if (plan_->stage == stage_) {
+      framing = plan_->form.framing;
+      const auto planned = plan_->cuts.extract(attempt);
+      if (!planned.empty()) {
+        cut = planned.mapped();
+        ++plan_->cut_answers[attempt];
+      }
+    }
+    return is_prefill       ? PrefillAnswer(framing, attempt)
+           : stage_.empty() ? PlainAnswer(framing, attempt)
+                            : StreamAnswer(framing, attempt);
+  }
+
+  tcp::acceptor acceptor_;
+  std::string name_;
+  std::string stage_;
+  std::shared_ptr<cut_plan> plan_;
+  int holds_ = 0;
+};
+
+class answer_cut_test : public testing::Test {
+ protected:
+  using sender = std::function<caller_exchange_ptr(const std::string& attempt)>;
+  using checker =
+      std::function<void(const support::caller_exchange& call, const std::string& attempt, std::size_t cut)>;
+
+  struct cut_call {
+    std::string attempt;
+    std::size_t cut = 0;
+    caller_exchange_ptr exchange;
+  };
+
+  answer_cut_test()
+      : harness_([](direct_settings& settings) {
+          settings.deployment.budget_slack = 100'000;
+          settings.adaptive = "off";
+          settings.down_pause = milliseconds(1);  // so that all requests reach a replica
+          settings.down_pause_limit = milliseconds(1);
+        }) {
+    for (const auto& [name, stage] : std::map<std::string, std::string>{{"app-1", ""},
+                                                                        {"app-2", ""},
+                                                                        {"dec-1", "decode"},
+                                                                        {"dec-2", "decode"},
+                                                                        {"pre-1", "prefill"},
+                                                                        {"pre-2", "prefill"}}) {
+      replicas_.push_back(std::make_shared<raw_replica>(harness_.Kernel().Context(), name, stage, plan_));
+      replicas_.back()->Start();
+      replicas_.back()->Register(harness_.Platform().Tables());
+    }
+    harness_.WriteDesiredState({.timeout_ms = 14'000, .memory_tokens = 1'000'000});
+  }
+  ~answer_cut_test() override {
+    for (const auto& replica : replicas_) {
+      replica->Stop();
+    }
+  }
+
+  void SetUp() override {
+    harness_.StartWithoutWaiting();
+    ASSERT_TRUE(harness_.RunUntil([this] {
+      return harness_.Directory().IsInForce() && harness_.Directory().Endpoints().Size() == replicas_.size();
+    }));
+  }
+
+  // Sends a request for each cut before `end` bytes of the answer and checks what the caller got.
+  void CutEverywhere(const answer_form& form, const std::string& stage, std::size_t end, const sender& send,
+                     const checker& check) {
+    constexpr std::size_t kAtOnce = 16;
+    plan_->form = form;
+    plan_->stage = stage;
+    for (std::size_t begin = 0; begin < end; begin += kAtOnce) {
+      std::vector<cut_call> calls;
+      for (std::size_t cut = begin; cut < std::min(end, begin + kAtOnce); ++cut) {
+        calls.push_back(Start(send, cut));
+      }
+      for (cut_call& call : calls) {
+        SCOPED_TRACE(fmt::format("{}, cut after {} of {} bytes", form.name, call.cut, end));
+        ASSERT_TRUE(harness_.Finish(call.exchange));
+        // A request may have been refused, or served without the replica in question, because many were cut at once.
+        while (plan_->cut_answers[call.attempt] == 0) {
+          CheckRefusal(*call.exchange, call.attempt);
+          harness_.RunFor(milliseconds(20));
+          call = Start(send, call.cut);
+          ASSERT_TRUE(harness_.Finish(call.exchange));
+        }
+        CheckRefusal(*call.exchange, call.attempt);
+        check(*call.exchange, call.attempt, call.cut);
+      }
+    }
+  }
+
+  cut_call Start(const sender& send, std::size_t cut) {
+    const std::string attempt = fmt::format("a{:05}", ++next_attempt_);
+    plan_->cuts[attempt] = cut;
+    return {attempt, cut, send(attempt)};
+  }
+
+  // A caller that is told that its request has not run sends it again.
+  void CheckRefusal(const support::caller_exchange& call, const std::string& attempt) {
+    const bool is_refused = call.Status() == 408 || call.Status() == 421 || call.Status() == 429 ||
+                            call.Status() == 503 || !call.Header("Persimmonchute-Not-Executed").empty();
+    EXPECT_TRUE(!is_refused || plan_->runs[attempt] == 0) << call.Status() << " " << call.body;
+  }
+
+  // True if nothing tells the cut body from a whole one.
+  static bool LooksWhole(const answer_form& form, std::size_t head_size, std::size_t cut) {
+    return form.framing == body_framing::kConnectionEnd && !form.resets && cut >= head_size;
+  }
+
+  static bool IsSuccess(const support::caller_exchange& call) { return call.Status() == 200 && !call.failure; }
+
+  router_harness harness_;
+  std::shared_ptr<cut_plan> plan_ = std::make_shared<cut_plan>();
+  std::vector<std::shared_ptr<raw_replica>> replicas_;
+  int next_attempt_ = 0;
+};
+
+// Guards against a 200 with an empty or short body that is framed as whole, and against a second run.
+TEST_F(answer_cut_test, NonIdempotentCall_CutAtAnyByte_IsNoSuccessAndRunsOnce) {
+  for (const answer_form& form : kForms) {
+    const raw_answer answer = PlainAnswer(form.framing, "a00000");
+    CutEverywhere(
+        form, "", answer.Size(), [&](const std::string& id) { return harness_.Send("POST", "/submit/1", id, {}, "x"); },
+        [&](const auto& call, const std::string& attempt, std::size_t cut) {
+          EXPECT_EQ(plan_->runs[attempt], 1);
+          EXPECT_TRUE(!IsSuccess(call) || LooksWhole(form, answer.head.size(), cut)) << call.body;
+        });
+  }
+}
+
+// Guards against passing on the cut answer although another endpoint has the whole one.
+TEST_F(answer_cut_test, IdempotentCall_CutAtAnyByte_GetsTheWholeAnswerOfAnotherEndpoint) {
+  for (const answer_form& form : kForms) {
+    const raw_answer answer = PlainAnswer(form.framing, "a00000");
+    CutEverywhere(
+        form, "", answer.Size(), [&](const std::string& id) { return harness_.Send("GET", "/pages/1", id); },
+        [&](const auto& call, const std::string& attempt, std::size_t cut) {
+          if (!LooksWhole(form, answer.head.size(), cut)) {
+            EXPECT_TRUE(IsSuccess(call)) << call.Status();
+            EXPECT_EQ(call.body, PlainBody(attempt));
+            EXPECT_EQ(plan_->runs[attempt], 2);
+          }
+        });
+  }
+}
+
+// Guards against using a handle from a cut answer, and against an unserved request whose prefill alone was cut.
+TEST_F(answer_cut_test, Prefill_CutAtAnyByte_IsRepeatedElsewhere) {
+  for (const answer_form& form : kForms) {
+    const raw_answer answer = PrefillAnswer(form.framing, "a00000");
+    CutEverywhere(
+        form, "prefill", answer.Size(), [&](const std::string& id) { return harness_.SendModel("/chat/1", id); },
+        [&](const auto& call, const std::string& attempt, std::size_t cut) {
+          // A body that is no handle counts as a rejection, after which both engines may be paused.
+          if (IsSuccess(call) || !LooksWhole(form, answer.head.size(), cut)) {
+            EXPECT_EQ(call.Status(), 200);
+            EXPECT_EQ(call.body, WholeStream(attempt, kEvents));
+            EXPECT_EQ(plan_->runs[attempt], 1);
+          } else {
+            EXPECT_EQ(plan_->runs[attempt], 0);
+          }
+        });
+  }
+}
+
+// The cuts of the body are tested with stream_cut_test.
+TEST_F(answer_cut_test, Decode_CutInItsHead_IsNoSuccessAndRunsOnce) {
+  for (const answer_form& form : kForms) {
+    CutEverywhere(
+        form, "decode", StreamAnswer(form.framing, "a00000").head.size() + 1,
+        [&](const std::string& id) { return harness_.SendModel("/chat/1", id); },
+        [&](const auto& call, const std::string& attempt, std::size_t) {
+          EXPECT_EQ(plan_->runs[attempt], 1);
+          EXPECT_FALSE(IsSuccess(call)) << call.body;
+        });
+  }
+}
+
+TEST_F(answer_cut_test, ResumableDecode_CutInItsHead_GetsTheWholeStreamOfAnotherEngine) {
+  for (const answer_form& form : kForms) {
+    CutEverywhere(
+        form, "decode", StreamAnswer(form.framing, "a00000").head.size() + 1,
+        [&](const std::string& id) { return harness_.SendModel("/digest/1", id); },
+        [&](const auto& call, const std::string& attempt, std::size_t) {
+          EXPECT_TRUE(IsSuccess(call)) << call.Status();
+          EXPECT_EQ(call.body, WholeStream(attempt, kEvents));
+        });
+  }
+}
+
+}  // namespace
+}  // namespace persimmon
