Use each connection of an agent to its engine's control interface once

What could be seen: an engine writes a second copy of the answer to a poll of its state. The agent takes it for the consent to its next command, although the engine has refused it in favour of a newer agent, and goes on as if it were the engine's agent.

Cause: no answer of the engine names its request, and ParseCommandReply takes each 200 for a consent. Streams of the engine and calls of services have used each connection once for this reason; the control interface had been left out.

Cost: two connections per poll of 250 ms and one per command and cancellation, all within the VM. An id in the engine's answers was ruled out: engines that do not echo it would still have to be told apart in this way.

--- a/src/agent/engine_client.cpp
+++ b/src/agent/engine_client.cpp
@@ -18,6 +18,8 @@
   http_client_limits limits;
   limits.connect_timeout = kControlTimeout;
   limits.response_timeout = kControlTimeout;
+  // No answer names its request, and an engine may write one twice. Some ten exchanges a second, all within a VM.
+  limits.idle_connections = 0;
   limits.body_bytes = kMaxControlBodyBytes;
   return limits;
 }
