Let refusals of the fake replica state the refused request

Tests against the old form could not tell a rule that demands the id from one that does not. Refusals of reservations stay without an id.

--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -135,9 +135,12 @@
                                : body_framing::kChunks;
 }
 
-http_response fake_replica::NotExecuted(int status) const {
+http_response fake_replica::NotExecuted(int status, const std::string& attempt) const {
   http_response response{
       status, {{"Persimmonchute-Not-Executed", "1"}, {"Persimmonchute-Instance-Id", options_.name}}, {}};
+  if (!attempt.empty()) {
+    response.headers.push_back({"Persimmonchute-Attempt-Id", attempt});
+  }
   if (status == 503 && faults_.retry_after.count() > 0) {
     const double seconds = static_cast<double>(faults_.retry_after.count()) / 1e3;
     response.headers.push_back({"Retry-After", fmt::format("{:.3f}", seconds)});
@@ -215,8 +218,9 @@
   if (is_control) {
     LogArrival(request, "control");
   }
+  const std::string attempt = is_control ? std::string() : Header(request, "Persimmonchute-Attempt-Id");
   if (!expected.empty() && expected != options_.name) {
-    response = NotExecuted(421);
+    response = NotExecuted(421, attempt);
   } else if (request.target == "/report") {
     response =
         JsonResponse(200, json{{"stage", options_.stage}, {"busy", faults_.switching_stage}, {"seq", orders_}}.dump());
@@ -236,7 +240,7 @@
     response = {200, {{"Persimmonchute-Instance-Id", options_.name}}, {}};
   } else if (faults_.full || faults_.rejects_work) {
     LogArrival(request, Header(request, "Persimmonchute-Stage") == "prefill" ? "rejected_prefill" : "rejected");
-    response = NotExecuted(503);
+    response = NotExecuted(503, attempt);
   } else if (Header(request, "Persimmonchute-Stage") == "prefill") {
     co_return co_await ServePrefill(exchange);
   } else {
@@ -281,7 +285,7 @@
   const http_request& request = exchange->Request();
   LogArrival(request, options_.stage == "prefill" ? "prefill" : "rejected_prefill");
   if (options_.stage != "prefill") {
-    auto refused = NotExecuted(421);
+    auto refused = NotExecuted(421, Header(request, "Persimmonchute-Attempt-Id"));
     co_await Respond(exchange, std::move(refused));
     co_return;
   }
@@ -327,7 +331,7 @@
   const std::string budget = Header(exchange->Request(), "Persimmonchute-Deadline-Ms");
   if (options_.stage == "prefill" || faults_.switching_stage || !ConsumeReservation(exchange->Request())) {
     LogArrival(exchange->Request(), "rejected");
-    auto refused = NotExecuted(options_.stage == "prefill" ? 421 : 503);
+    auto refused = NotExecuted(options_.stage == "prefill" ? 421 : 503, attempt);
     co_await Respond(exchange, std::move(refused));
     co_return;
   }
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -125,7 +125,8 @@
   task<> ServePrefill(std::shared_ptr<http_exchange> exchange);
   task<> SimulatePrefill(const http_request& request, double rate);
   http_response ApplyOrder(const http_request& request);
-  http_response NotExecuted(int status) const;
+  // `attempt`: id of the refused request, which the refusal states; empty: none, as for reservations.
+  http_response NotExecuted(int status, const std::string& attempt = {}) const;
   void AddOwnState(header_list& headers) const;
   task<> Respond(std::shared_ptr<http_exchange> exchange, http_response response);
   http_response SetFaults(const std::string& body);
