Kill all routers, and cut one off from all others, in the soak while versions serve

Other routers are killed, and all cut streams are taken up at the router that hears nobody; ORDER is judged.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -16,6 +16,7 @@
 import base64
 import bisect
 import collections
+import ctypes
 import http.client
 import json
 import os
@@ -23,6 +24,7 @@
 import shutil
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -86,6 +88,26 @@
         peaks = [line.split()[1] for line in status.splitlines() if line.startswith("VmHWM:")]
         return int(peaks[0]) / 1024 if peaks else 0
 
+    def drop_datagrams(self, port, is_dropped):
+        """Drops all datagrams that arrive at a UDP port of the process, as a cut of the network does, or ends that. A
+        socket filter needs no privilege for a child process."""
+        rows = [line.split() for line in Path(f"/proc/{self.child.pid}/net/udp").read_text().splitlines()[1:]]
+        inodes = {f"socket:[{row[9]}]" for row in rows if int(row[1].split(":")[1], 16) == port}
+        system = ctypes.CDLL(None, use_errno=True)
+        process = os.pidfd_open(self.child.pid)
+        own = [int(path.name) for path in Path(f"/proc/{self.child.pid}/fd").iterdir() if os.readlink(path) in inodes]
+        if not own:
+            raise RuntimeError(f"{self.name} has no socket at UDP port {port}")
+        for descriptor in own:
+            copy = system.syscall(438, process, descriptor, 0)  # pidfd_getfd
+            if copy < 0:
+                raise OSError(ctypes.get_errno(), f"cannot reach the socket of {self.name}")
+            drop_all = ctypes.create_string_buffer(struct.pack("HBBI", 6, 0, 0, 0))  # BPF_RET with 0 bytes
+            with socket.socket(fileno=copy) as sock:
+                sock.setsockopt(socket.SOL_SOCKET, 26 if is_dropped else 27,  # SO_ATTACH_FILTER, SO_DETACH_FILTER
+                                struct.pack("HP", 1, ctypes.addressof(drop_all)))
+        os.close(process)
+
     def end(self):
         if self.is_running():
             self.child.send_signal(signal.SIGCONT)
@@ -106,6 +128,9 @@
         self.versions = {}   # of engines, by name
         self.deadly_share = 0.0  # share of streaming requests whose prompts have the deadly part
         self.event_interval_ms = 20
+        self.budget_ms = 3000    # that callers state for all their tries of a request
+        self.resume_delay = 0.0  # seconds until callers take streams up
+        self.resumes_at = None   # router at which callers take streams up; None: any
         self.announce_delay_ms = 0  # from the first answer in which an endpoint states that it leaves to its entry
         self.next_replica = 0
         self.revision = 0
@@ -359,7 +384,8 @@
         await self.exchange(answer)
         last = answer.last_event()
         if answer.kind == "digest" and not answer.is_complete and 0 < last < LAST_EVENT:
-            router = self.random.randrange(self.deployment.router_count) + 1
+            await asyncio.sleep(self.deployment.resume_delay)
+            router = self.deployment.resumes_at or self.random.randrange(self.deployment.router_count) + 1
             again = Answer(f"r{router}-again-{answer.attempt}", router, "digest", time.time(), answer)
             again.first_part, again.key = answer.first_part, answer.key
             self.answers.append(again)
@@ -380,8 +406,10 @@
         reader, writer = pool.pop()[:2] if pool else await asyncio.open_connection(host, int(port))
         method = "GET" if answer.kind in ("pages", "open") else "POST"
         body = b"" if method == "GET" else b"body of " + answer.attempt.encode()
+        waited_ms = int((answer.begin - answer.resumed.begin) * 1000) if answer.resumed else 0
         head = [f"{method} /{answer.kind}/1 HTTP/1.1", f"Host: {HOST}", f"Persimmonchute-Attempt-Id: {answer.attempt}",
-                "Persimmonchute-Deadline-Ms: 3000", f"Content-Length: {len(body)}"]
+                f"Persimmonchute-Deadline-Ms: {max(3000, self.deployment.budget_ms - waited_ms)}",
+                f"Content-Length: {len(body)}"]
         if answer.kind in ("chat", "digest"):
             head += ["Persimmonchute-Model: m", "Persimmonchute-Token-Count: 2000,120",
                      "Persimmonchute-Length-Hint: 120",
@@ -670,6 +698,63 @@
                 await breaking
                 await asyncio.sleep(self.random.uniform(0.5, 2))
 
+    async def join_version(self, count):
+        """Engines of a further software version join; the others stay."""
+        self.deployment.version = f"v{int(self.deployment.version[1:]) + 1}"
+        self.note(f"{count} engines of {self.deployment.version} join")
+        for _ in range(count):
+            self.deployment.start_replica("decode")
+            await asyncio.sleep(self.random.uniform(0, 0.2))
+
+    async def kill_routers(self, indexes):
+        """Routers lose power at the same moment and start again at once."""
+        self.note(f"routers {', '.join(map(str, indexes))} killed")
+        for index in indexes:
+            self.deployment.disturb(index, 1.5)
+            self.deployment.routers[index].send(signal.SIGKILL)
+        for index in indexes:
+            await asyncio.to_thread(self.deployment.routers[index].child.wait)
+            self.deployment.start_router(index)
+
+    async def versions_all_killed(self, seconds):
+        """All routers are killed at once while two versions serve, and streams are taken up when they are in touch."""
+        end = time.time() + seconds
+        await self.join_version(len(self.deployment.living_replicas("decode")))
+        while time.time() < end - self.deployment.resume_delay - 3:
+            await asyncio.sleep(self.random.uniform(2, 2.5))  # origins are in the store after 0.2 s
+            await self.kill_routers(list(self.deployment.routers))
+            await asyncio.sleep(self.deployment.resume_delay)
+        await asyncio.sleep(max(0, end - time.time()))
+
+    async def versions_unheard(self, seconds):
+        """One router hears neither the store nor its peers while versions join. Streams of the others are cut and taken
+        up there."""
+        end = time.time() + seconds
+        index = self.deployment.resumes_at = self.pick_router()
+        others = [other for other in self.deployment.routers if other != index]
+        link = self.deployment.address("link_control", index)
+        while time.time() < end - 7:
+            begin = time.time()
+            self.note(f"router {index} hears nobody")
+            older = self.deployment.living_replicas("decode")
+            self.deployment.routers[index].drop_datagrams(PORT["internal"], True)
+            await asyncio.to_thread(post, link, "/faults", {"refuse": True, "cut": True})
+            await asyncio.sleep(self.random.uniform(0.1, 2))
+            await self.join_version(4)
+            for _ in range(3):
+                await asyncio.sleep(self.random.uniform(1.2, 1.6))
+                await self.kill_routers(self.random.sample(others, 2))
+            await asyncio.sleep(0.5)
+            self.note(f"router {index} hears all")
+            self.deployment.routers[index].drop_datagrams(PORT["internal"], False)
+            await asyncio.to_thread(post, link, "/faults", {"refuse": False})
+            self.deployment.disturbed[index].append((begin, time.time() + 1))
+            await asyncio.sleep(1.5)
+            for name in self.random.sample(older, 4):
+                self.note(f"{name} leaves")
+                self.deployment.leaving.add(name)
+                self.deployment.replicas[name].send(signal.SIGTERM)
+
     def make_reply_faults(self, stage):
         """All ways in which an endpoint of the stage answers wrongly, in random order."""
         early = [{"early_refusal": kind, "early_status": status} for kind in REFUSALS for status in (503, 429, 421)]
@@ -856,7 +941,7 @@
 SCENARIOS = ["mixed", "rejected_decodes", "rejected_prefills", "restarts_while_rejecting", "unannounced_leaves",
              "silent_store", "leaves_by_own_word",
              "closed_endpoints", "restored_store", "broken_streams", "endless_bytes",
-             "version_roll", "faulty_replies", "deadly_parts",
+             "version_roll", "versions_all_killed", "versions_unheard", "faulty_replies", "deadly_parts",
              "limited_endpoints", "accounts"]
 
 
@@ -1254,8 +1339,10 @@
     if arguments.scenario == "accounts":
         deployment.accounts = {f"key-start-{number}": ACCOUNTS[number % len(ACCOUNTS)] for number in range(8)}
         deployment.key_changes.append((0, 0, dict(deployment.accounts)))
-    if arguments.scenario == "version_roll":
+    if arguments.scenario.startswith("version"):
         deployment.event_interval_ms = 100  # long enough for streams to be cut by routers that end
+    if arguments.scenario == "versions_all_killed":
+        deployment.budget_ms, deployment.resume_delay = 12000, 5.0
     try:
         deployment.start()
         for index in deployment.routers:
