Count a confirmation of keys only as the answer to its own question

What could be seen: a second copy of another router's earlier confirmation is read as the answer to the next question. Its age counts from that question, so a confirmation becomes newer than it is, and a router that is cut off from the store serves keys longer than revoke_ms after they were revoked (strict revocation).

Cause: nothing in the answer says which question it belongs to.

Evidence: control_exchange_test, Confirmation_AnsweredByACopyOfAnEarlierOne_DoesNotCount (revoke_ms 400, store away, every answer a copy of one): before, still confirmed after 1.2 s.

Change: a question carries a random number, and its answer repeats it. Routers of an earlier version do not repeat it and confirm nothing to this one, which matters only to a router that is cut off from the store while the others are replaced; it then answers 503 as without other routers.

--- a/src/direct/caller_auth.cpp
+++ b/src/direct/caller_auth.cpp
@@ -1,8 +1,11 @@
 #include "direct/caller_auth.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <charconv>
 #include <nlohmann/json.hpp>
 
 #include "core/api_key.h"
@@ -21,6 +24,9 @@
 constexpr const char* kKeyRevoked = "key_revoked";
 constexpr const char* kKeysUnconfirmed = "keys_unconfirmed";
 
+constexpr std::string_view kQuestion = "/confirmation?id=";  // followed by a random number that the answer repeats
+
+constexpr int kOk = 200;
 constexpr int kUnauthorized = 401;
 constexpr int kUnavailable = 503;
 // Retry-After while a key may be new; other routers are asked for a newer desired state twice in this time.
@@ -38,6 +44,16 @@
   return std::chrono::duration_cast<milliseconds>(base * (1 + RandomUnit()));
 }
 
+std::optional<std::uint64_t> ReadQuestionId(std::string_view target) {
+  std::uint64_t id = 0;
+  if (!target.starts_with(kQuestion)) {
+    return std::nullopt;
+  }
+  const char* end = target.data() + target.size();
+  const auto parsed = std::from_chars(target.data() + kQuestion.size(), end, id);
+  return parsed.ec == std::errc{} && parsed.ptr == end ? std::optional(id) : std::nullopt;
+}
+
 bool HoldsKey(const caller_account& account, const std::string& key_hash) {
   return std::any_of(account.key_hashes.begin(), account.key_hashes.end(),
                      [&](const std::string& hash) { return ConstantTimeEquals(hash, key_hash); });
@@ -69,14 +85,19 @@
   return !deployment.strict_revoke || (confirmed_at && timer_service::Now() - *confirmed_at <= deployment.revoke_time);
 }
 
-std::string caller_auth::ExportConfirmation() const {
+std::string caller_auth::ExportConfirmation(std::string_view target) const {
+  const auto id = ReadQuestionId(target);
   const auto confirmed_at = ConfirmedAt();
   if (!confirmed_at) {
     return {};
   }
   // Rounded up, so that a confirmation that is passed on repeatedly does not become newer.
   const std::int64_t age_ms = ElapsedMs(*confirmed_at, timer_service::Now()) + 1;
-  return nlohmann::json{{"revision", directory_->Routes()->Revision()}, {"age_ms", age_ms}}.dump();
+  nlohmann::json confirmation = {{"revision", directory_->Routes()->Revision()}, {"age_ms", age_ms}};
+  if (id) {
+    confirmation["id"] = *id;
+  }
+  return confirmation.dump();
 }
 
 // Asks other routers while the store does not confirm the desired state. They pass on what others have told them, so
@@ -101,14 +122,20 @@
 task<> caller_auth::AskPeer(host_port address) {
   const time_point asked_at = timer_service::Now();
   const milliseconds timeout = std::max(settings_.deployment.revoke_time / kAskRounds, kMinAskPeriod);
-  http_request request{"GET", "/confirmation", {}, {}, {}};
-  const auto response = co_await client_.Fetch(address, std::move(request), timeout);
-  if (!response || response.value().status != 200) {
+  // The age counts from this question, so the answer to an earlier one would make a confirmation newer than it is.
+  const std::uint64_t id = RandomNumber();
+  http_request request{"GET", fmt::format("{}{}", kQuestion, id), {}, {}, {}};
+  http_client::response_filter matches = [id](const http_response& candidate) {
+    const auto body = platform::ParseJson(candidate.body);
+    return candidate.status != kOk || (body.is_object() && body.contains("id") && body["id"] == id);
+  };
+  const auto response = co_await client_.Fetch(address, std::move(request), timeout, std::move(matches));
+  if (!response || response.value().status != kOk) {
     co_return;
   }
   const auto body = platform::ParseJson(response.value().body);
-  const bool is_valid = body.is_object() && body.contains("revision") && body["revision"].is_number_unsigned() &&
-                        body.contains("age_ms") && body["age_ms"].is_number_unsigned();
+  const bool is_valid = body.contains("revision") && body["revision"].is_number_unsigned() && body.contains("age_ms") &&
+                        body["age_ms"].is_number_unsigned();
   if (!is_valid) {
     co_return;
   }
--- a/src/direct/caller_auth.h
+++ b/src/direct/caller_auth.h
@@ -42,8 +42,8 @@
   http_call::send_check MakeSendCheck(direct_call_ptr call, http_call::send_check check);
 
   // JSON for other routers: the revision of the desired state, and how long ago it was confirmed. Empty without
-  // confirmation.
-  std::string ExportConfirmation() const;
+  // confirmation. `target`: of the request, whose id the answer repeats.
+  std::string ExportConfirmation(std::string_view target) const;
 
   // Counts the result of the account checks of a call that has ended.
   void CountResult(const direct_call& call);
--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -186,8 +186,8 @@
     response = {200, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_->RenderText()};
   } else if (exchange->Request().target == "/state" && directory_->IsInForce()) {
     response = JsonResponse(200, directory_->ExportState());
-  } else if (exchange->Request().target == "/confirmation") {
-    std::string confirmation = auth_->ExportConfirmation();
+  } else if (exchange->Request().target.starts_with("/confirmation")) {
+    std::string confirmation = auth_->ExportConfirmation(exchange->Request().target);
     response = confirmation.empty() ? JsonResponse(503, R"({"error":{"code":"unconfirmed"}})")
                                     : JsonResponse(200, std::move(confirmation));
   }
--- a/tests/control_exchange_test.cpp
+++ b/tests/control_exchange_test.cpp
@@ -13,7 +13,10 @@
 #include <boost/asio/write.hpp>
 #include <set>
 
+#include "direct/caller_auth.h"
+#include "direct/router_group.h"
 #include "direct/suspect_tracker.h"
+#include "net/datagram.h"
 #include "support/router_harness.h"
 
 namespace persimmon {
@@ -110,6 +113,7 @@
   bool IsExtraConnectionClosed() const { return extra_connection_ && closed_.contains(*extra_connection_); }
 
   std::string last_grant;
+  std::function<std::string(const received_request&)> answer;  // set: replaces the answers of an engine
 
  private:
   task<> Accept() {
@@ -166,6 +170,9 @@
   }
 
   std::string MakeAnswer(const received_request& request) {
+    if (answer) {
+      return answer(request);
+    }
     if (request.line == "POST /hold-take") {
       last_grant = MakeJsonResponse(fmt::format(R"({{"hold":"hold{}"}})", ++holds_));
       return last_grant;
@@ -364,5 +371,81 @@
   EXPECT_TRUE(IsExtraConnectionClosed());
 }
 
+// A router that loses the store, with another one whose answers are those of a scripted server.
+class confirmation_exchange_test : public testing::Test {
+ protected:
+  static constexpr milliseconds kRevokeTime{400};
+
+  confirmation_exchange_test()
+      : harness_([](direct_settings& settings) {
+          settings.deployment.strict_revoke = true;
+          settings.deployment.revoke_time = kRevokeTime;
+        }),
+        control_(std::make_shared<scripted_engine>(harness_.Kernel().Context())),
+        socket_(harness_.Kernel().Context(), host_port{"127.0.0.1", 0}, [](const host_port&, const message&) {}) {
+    harness_.WriteDesiredState({.tenants = json::array()});
+    control_->answer = [this](const received_request& request) { return Answer(request.line); };
+    control_->Start();
+    EXPECT_TRUE(socket_.Start());
+  }
+  ~confirmation_exchange_test() override {
+    socket_.Stop();
+    control_->Stop();
+  }
+
+  std::string Answer(const std::string& line) {
+    if (repeats_ && !last_answer_.empty()) {
+      return last_answer_;
+    }
+    json body = {{"revision", 1}, {"age_ms", 0}};
+    if (const auto id = line.find("?id="); id != std::string::npos) {
+      body["id"] = std::stoull(line.substr(id + 4));
+    }
+    last_answer_ = MakeJsonResponse(body.dump());
+    return last_answer_;
+  }
+
+  void Announce() {
+    router_state state;
+    state.name = "router-2";
+    state.incarnation = 7;
+    state.sequence = ++sequence_;
+    state.revision = 1;
+    state.control = control_->Address();
+    socket_.Send({"127.0.0.1", harness_.Settings().deployment.first_internal_port}, message(state));
+  }
+
+  void RunFor(milliseconds duration) {
+    for (const time_point end = timer_service::Now() + duration; timer_service::Now() < end;) {
+      Announce();
+      harness_.RunFor(milliseconds(50));
+    }
+  }
+
+  bool IsConfirmed() {
+    const auto text = harness_.Kernel().Find<caller_auth>("auth").ExportConfirmation("/confirmation");
+    return !text.empty() && json::parse(text)["age_ms"].get<std::int64_t>() <= kRevokeTime.count();
+  }
+
+  router_harness harness_;
+  std::shared_ptr<scripted_engine> control_;
+  datagram_socket socket_;
+  std::string last_answer_;
+  bool repeats_ = false;
+  std::uint64_t sequence_ = 0;
+};
+
+// Guards against revoked keys that are served, because an earlier confirmation counts as a new one.
+TEST_F(confirmation_exchange_test, Confirmation_AnsweredByACopyOfAnEarlierOne_DoesNotCount) {
+  ASSERT_TRUE(harness_.Start());
+  harness_.Platform().Faults().outage = true;
+  RunFor(3 * kRevokeTime);
+  EXPECT_TRUE(IsConfirmed());
+  EXPECT_FALSE(last_answer_.empty());
+  repeats_ = true;
+  RunFor(3 * kRevokeTime);
+  EXPECT_FALSE(IsConfirmed());
+}
+
 }  // namespace
 }  // namespace persimmon
