List the soaks in which bytes of an endless event reach callers

Callers saw: a stream that holds text which is no event, 'xxxx...' of an engine whose first event never ends, before it is broken off visibly.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -320,7 +320,7 @@
         foreign = [event for event in events if event + "\n\n" not in known]
         foreign += [rest] if not any(event.startswith(rest) for event in known) else []
         if foreign:
-            return "MIXED", f"has bytes that are no event of it: {foreign[0]!r}"
+            return "MIXED", f"has bytes that are no event of it: {foreign[0][:120]!r}"
         return "ORDER", f"has the events {', '.join(event[4:event.index(chr(10))] for event in events)}"
 
     def last_event(self):
