Number the connections of the HTTP client and let a call choose among pooled ones

A call may now name the pooled connections that must not carry it; they stay in the pool for other calls. Needed so that an attempt id is sent over a connection only once.

persimmon_upstream_connections_total counts the connections that were opened, so that the price of such a rule can be measured.

--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -175,6 +175,9 @@
         .Set(static_cast<double>(generation_calls_->WaitingCount()));
     metrics_->AddGauge("persimmon_idle_connections", "Idle connections to endpoints and routers.")
         .Set(static_cast<double>(client_.IdleConnections()));
+    counter& opened = metrics_->AddCounter("persimmon_upstream_connections_total",
+                                           "Connections that were opened to endpoints and routers.");
+    opened.Increment(client_.OpenedConnections() - opened.Value());
     metrics_->AddGauge("persimmon_watched_requests", "Requests that run at endpoints, for the case that one crashes.")
         .Set(static_cast<double>(kernel_.Find<suspect_tracker>("crashes").RunningCount()));
     metrics_->AddGauge("persimmon_body_memory_bytes", "Memory of the bodies of requests in progress.")
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -779,6 +779,7 @@
   explicit client_connection(asio::io_context& context) : stream(context), buffer(kMaxUnparsedBytes) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
+  connection_number number = 0;
   time_point idle_since;
   microseconds reuse_limit{0};  // maximum idle time before reuse
   bool sending = false;         // a request body is being written
@@ -884,6 +885,7 @@
   http_client_limits limits;
   std::map<host_port, std::deque<client_connection_ptr>> idle;  // none is empty
   std::size_t idle_count = 0;
+  connection_number opened = 0;  // number of the connection that was established last
   time_point last_check;
   host_port last_checked;  // address of the pool
 
@@ -902,15 +904,29 @@
       co_return error{error_code::kUnavailable,
                       fmt::format("cannot connect to {}: {}", address.Text(), failure.message())};
     }
-    sys_error ignored;
-    connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+    SetUp(*connection);
     co_return std::move(connection);
   }
 
-  // Takes the most recently used pooled connection to the address that is still usable; null if there is none.
-  client_connection_ptr TakeFromPool(const host_port& address) {
+  // For a connection that has been established.
+  void SetUp(client_connection& connection) {
+    sys_error ignored;
+    connection.stream.socket().set_option(tcp::no_delay(true), ignored);
+    connection.number = ++opened;
+  }
+
+  // Takes the most recently used pooled connection to the address that is still usable and allowed; null if there is
+  // none.
+  client_connection_ptr TakeFromPool(const host_port& address, const http_call::reuse_check& may_reuse = nullptr) {
+    const auto is_allowed = [&may_reuse](const client_connection_ptr& connection) {
+      return !may_reuse || may_reuse(connection->number);
+    };
     for (auto pooled = idle.find(address); pooled != idle.end(); pooled = idle.find(address)) {
-      auto connection = pooled->second.back();
+      const auto found = std::find_if(pooled->second.rbegin(), pooled->second.rend(), is_allowed);
+      if (found == pooled->second.rend()) {
+        return nullptr;
+      }
+      auto connection = *found;
       Remove(pooled, connection);
       if (IsUsable(*connection)) {
         return connection;
@@ -1037,6 +1053,8 @@
 
 std::size_t http_client::IdleConnections() const { return state_->idle_count; }
 
+std::uint64_t http_client::OpenedConnections() const { return state_->opened; }
+
 task<result<http_response>> http_client::Fetch(host_port address, http_request request) {
   const milliseconds timeout = state_->limits.response_timeout;
   co_return co_await Fetch(std::move(address), std::move(request), timeout);
@@ -1184,6 +1202,7 @@
   std::string keep_alive;  // Keep-Alive header of the response
   body_framing framing = body_framing::kLength;
   bool reused = false;
+  connection_number number = 0;
   time_point deadline;                   // of the read in progress
   std::optional<time_point> late_since;  // first read that ended after its deadline
   bool unmatched = false;                // the connection carried a response that belongs to another request
@@ -1290,14 +1309,14 @@
 }
 
 task<result<http_response_head>> http_call::Send(host_port address, http_request request, time_point deadline,
-                                                 head_filter matches, send_check may_send) {
+                                                 head_filter matches, send_check may_send, reuse_check may_reuse) {
   const auto state = state_;
   const auto client = state->client;
   state->address = address;
   const bool head_request = request.method == "HEAD";
   auto message = std::make_shared<call_message>(http_client::state::MakeMessage(address, std::move(request)));
   sys_error failure;
-  state->connection = client->TakeFromPool(address);
+  state->connection = client->TakeFromPool(address, may_reuse);
   state->reused = state->connection != nullptr;
   if (!state->reused) {
     state->connection = std::make_shared<client_connection>(client->context);
@@ -1310,9 +1329,9 @@
       co_return error{state->cancelled ? error_code::kCancelled : error_code::kUnavailable,
                       fmt::format("cannot connect to {}: {}", address.Text(), failure.message())};
     }
-    sys_error ignored;
-    state->connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+    client->SetUp(*state->connection);
   }
+  state->number = state->connection->number;
   if (may_send && !may_send()) {
     co_return error{error_code::kUnavailable, fmt::format("{} no longer receives requests", address.Text())};
   }
@@ -1381,6 +1400,8 @@
 
 bool http_call::IsReused() const { return state_->reused; }
 
+connection_number http_call::Connection() const { return state_->number; }
+
 body_framing http_call::Framing() const { return state_->framing; }
 
 }  // namespace persimmon
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -217,6 +217,9 @@
 // True for hop-by-hop headers, which are never forwarded: the fixed list and those named in the Connection header.
 bool IsHopByHopHeader(const header_list& headers, std::string_view name);
 
+// Identifies a connection among all that a client has opened, from 1. 0: none.
+using connection_number = std::uint64_t;
+
 class http_call;
 
 class http_client {
@@ -240,6 +243,9 @@
 
   std::size_t IdleConnections() const;
 
+  // Number of connections that have been established since the start.
+  std::uint64_t OpenedConnections() const;
+
   // Like Fetch, but passes each line of the body to the handler as it arrives; the returned body is empty. A last line
   // without a line end is passed on only if a length or chunks prove that it is whole; otherwise kClosed. If the
   // handler returns false, the connection is closed and the result is kCancelled. A response whose status is not 200 is
@@ -280,11 +286,15 @@
   // Checked right before the request is written, because connecting takes time. If it returns false, nothing is sent.
   using send_check = std::function<bool()>;
 
+  // Returns true if the request may be sent over this pooled connection. Others stay in the pool.
+  using reuse_check = std::function<bool(connection_number)>;
+
   // Sends the request and returns the status and headers of its response, which may arrive before the request body has
-  // been sent. Errors: kUnavailable if nothing was sent; kTimeout and kClosed if the request may have taken effect;
-  // kProtocol for a response that is not valid HTTP; kCancelled.
+  // been sent. A null `may_reuse` allows any pooled connection. Errors: kUnavailable if nothing was sent; kTimeout and
+  // kClosed if the request may have taken effect; kProtocol for a response that is not valid HTTP; kCancelled.
   task<result<http_response_head>> Send(host_port address, http_request request, time_point deadline,
-                                        head_filter matches, send_check may_send = nullptr);
+                                        head_filter matches, send_check may_send = nullptr,
+                                        reuse_check may_reuse = nullptr);
 
   // Returns the next part of the body, or an empty string at its end. Errors: kTimeout, kClosed, kProtocol, kCancelled.
   task<result<std::string>> Read(time_point deadline);
@@ -292,8 +302,9 @@
   // Closes the connection. Pending operations fail with kCancelled.
   void Cancel();
 
-  bool IsReused() const;         // the request was sent over a pooled connection
-  body_framing Framing() const;  // of the response whose head Send has returned
+  bool IsReused() const;                 // the request was sent over a pooled connection
+  connection_number Connection() const;  // over which it was sent; 0 until there is one
+  body_framing Framing() const;          // of the response whose head Send has returned
 
  private:
   struct state;
--- a/tests/http_call_test.cpp
+++ b/tests/http_call_test.cpp
@@ -47,23 +47,34 @@
   }
 
   std::shared_ptr<call_result> Start(http_call& call, const std::string& body = "",
-                                     milliseconds limit = milliseconds(5'000)) {
+                                     milliseconds limit = milliseconds(5'000),
+                                     http_call::reuse_check may_reuse = nullptr) {
     auto observed = std::make_shared<call_result>();
     http_request request{"POST", "/x", {{"Id", "a1"}}, body, {}};
-    asio::co_spawn(loop_.Context(), Run(call, Address(), std::move(request), limit, observed), asio::detached);
+    asio::co_spawn(loop_.Context(), Run(call, Address(), std::move(request), limit, observed, std::move(may_reuse)),
+                   asio::detached);
     return observed;
   }
 
+  // Runs a call whose response leaves its connection open.
+  void Complete(http_call& call, raw_connection& server, const std::shared_ptr<call_result>& observed) {
+    server.Send("HTTP/1.1 200 OK\r\nId: a1\r\nContent-Length: 0\r\n\r\n");
+    server.AwaitSent();
+    ASSERT_TRUE(AwaitDone(observed));
+    ASSERT_GT(call.Connection(), 0U);
+  }
+
   bool AwaitDone(const std::shared_ptr<call_result>& observed) {
     return loop_.RunUntil([&] { return observed->done; });
   }
 
   static task<> Run(http_call& call, host_port address, http_request request, milliseconds limit,
-                    std::shared_ptr<call_result> observed) {
+                    std::shared_ptr<call_result> observed, http_call::reuse_check may_reuse = nullptr) {
     const time_point end = timer_service::Now() + limit;
-    observed->head.emplace(
-        co_await call.Send(std::move(address), std::move(request), end,
-                           [](const http_response_head& head) { return FindHeader(head.headers, "Id") == "a1"; }));
+    observed->head.emplace(co_await call.Send(
+        std::move(address), std::move(request), end,
+        [](const http_response_head& head) { return FindHeader(head.headers, "Id") == "a1"; }, nullptr,
+        std::move(may_reuse)));
     if (!*observed->head) {
       observed->failure = observed->head->error();
     } else {
@@ -218,6 +229,39 @@
   EXPECT_FALSE(second.IsReused());
 }
 
+// Guards against an id that is sent twice over one connection, where a copy of its first response would be taken for
+// the second one.
+TEST_F(http_call_test, KeptConnection_ThatIsNotAllowed_StaysInThePoolAndAnotherIsUsed) {
+  http_call first(client_);
+  auto observed = Start(first);
+  auto server = Accept();
+  ASSERT_TRUE(server->AwaitText("\r\n\r\n"));
+  Complete(first, *server, observed);
+  const connection_number used = first.Connection();
+  const http_call::reuse_check is_other = [used](connection_number number) { return number != used; };
+  http_call second(client_);
+  observed = Start(second, "", milliseconds(5'000), is_other);
+  auto other_server = Accept();
+  ASSERT_TRUE(other_server->AwaitText("\r\n\r\n"));
+  EXPECT_FALSE(second.IsReused());
+  EXPECT_NE(second.Connection(), used);
+  EXPECT_EQ(client_.IdleConnections(), 1U);
+  Complete(second, *other_server, observed);
+  EXPECT_EQ(client_.IdleConnections(), 2U);
+  EXPECT_EQ(client_.OpenedConnections(), 2U);
+  // A pooled connection that is allowed is used before a new one, also if it is not the most recent one.
+  const connection_number latest = second.Connection();
+  http_call third(client_);
+  observed = Start(third, "", milliseconds(5'000), [latest](connection_number number) { return number != latest; });
+  ASSERT_TRUE(loop_.RunUntil([&] {
+    server->Poll();
+    return server->Received().find("POST", 10) != std::string::npos;
+  }));
+  EXPECT_EQ(third.Connection(), used);
+  EXPECT_TRUE(third.IsReused());
+  EXPECT_EQ(client_.OpenedConnections(), 2U);
+}
+
 TEST(hop_header_test, HeadersNamedInConnection_AreNeverForwarded) {
   const header_list headers = {{"Connection", "close, X-Own"}, {"X-Own", "1"}, {"X-Kept", "1"}};
   EXPECT_TRUE(IsHopByHopHeader(headers, "x-own"));
