Believe "not run" only with the endpoint's own proof, by one rule for plain calls, prefills and decodes

What callers saw: 503 "not run, try again" for requests that an endpoint had run or was running, on non-idempotent routes too, and requests that were sent to a second and third decode engine while the first ran them.

Cause: MakeAttemptFilter took a response that names no attempt id for the request's own, and ParseResponseHeaders took 421 alone, and the statement at any status and beside a seal, for proof. A faulty endpoint that writes an earlier refusal once more, without its id, or that answers 421 to a request that it runs, was believed.

Change: JudgeReply (persimmon/reply_proof.h) alone says what a response proves. It belongs to a request only if it names the request's id (or none, if the request has none); others are read and dropped. "Not run" needs the statement, a refusal status, no seal, and a connection that has not carried the id. Everything else may have run: 502 and no repeat of what must not be repeated, another endpoint for the rest, as after a lost response. call_sender sends and judges for all three kinds of sends.

421: the protocol says that an endpoint that is not the expected one answers 421 and has not run the request, and that no other response than one with the statement states "not run". The second sentence decides; a sound 421 has the statement. 421 still marks the address.

Observability: reply_dropped, refusal_unproven, persimmon_replies_dropped_total and persimmon_unproven_refusals_total, both with the reason.

The properties of reply_proof_test check each condition, and that copies of earlier responses prove nothing on a connection that carries each id once.

answer_terms_test.OnlyTheEndpointsOwnStatement_... asserted the old rule (421 alone is proof). OnlyTheHeader_StatesThatACallHasNotRun replaces it, for five statuses with and without the header. The fake replica's refusals now repeat the attempt id, as the protocol says.

--- a/src/direct/direct_call.cpp
+++ b/src/direct/direct_call.cpp
@@ -96,6 +96,10 @@
   platform::SetAccountHeader(forwarded_, account_ ? account_->name.value : std::string());
 }
 
+bool direct_call::HasUsed(connection_number connection) const {
+  return std::find(used_connections_.begin(), used_connections_.end(), connection) != used_connections_.end();
+}
+
 task<void> direct_call::RespondWithError(int status, const std::string& code, std::optional<milliseconds> retry_after,
                                          bool not_run) {
   const nlohmann::json body = {
@@ -153,11 +157,4 @@
   }
 }
 
-http_call::head_filter MakeAttemptFilter(const std::string& attempt) {
-  return [attempt](const http_response_head& head) {
-    const std::string answered = platform::ParseResponseHeaders(head).attempt;
-    return attempt.empty() || answered.empty() || answered == attempt;
-  };
-}
-
 }  // namespace persimmon
--- a/src/direct/direct_call.h
+++ b/src/direct/direct_call.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/kernel.h"
 #include "net/http.h"
@@ -89,6 +90,10 @@
   // Sets the account, which names the caller to endpoints. Null: none.
   void SetAccount(const caller_account* account);
 
+  // Connections to endpoints that have carried a send of the request.
+  bool HasUsed(connection_number connection) const;
+  void RecordUse(connection_number connection) { used_connections_.push_back(connection); }
+
   std::string key_hash;                  // SHA-256 of the caller's API key; empty: it has sent none
   revision_number checked_revision = 0;  // of the desired state by which the account was determined
   bool is_send_refused = false;          // the account check has prevented the latest send
@@ -126,6 +131,7 @@
   time_point deadline_;
   bool caller_disconnected_ = false;
   std::function<void()> cancel_upstream_;
+  std::vector<connection_number> used_connections_;  // one per send
 };
 
 using direct_call_ptr = std::shared_ptr<direct_call>;
@@ -137,8 +143,4 @@
 // kMaxBufferedBytes.
 task<result<std::string>> ReadBufferedBody(http_call& upstream, time_point deadline);
 
-// Returns a filter that is true if the response head belongs to the request with this attempt id. A response without an
-// id is accepted.
-http_call::head_filter MakeAttemptFilter(const std::string& attempt);
-
 }  // namespace persimmon
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -96,7 +96,7 @@
 };
 
 generation_calls::generation_calls(kernel& services, const direct_settings& settings, http_client& client)
-    : kernel_(services), settings_(settings), client_(client) {}
+    : kernel_(services), settings_(settings), client_(client), sender_(services) {}
 
 generation_calls::~generation_calls() = default;
 
@@ -111,6 +111,7 @@
   part_tracker_ = &kernel_.Find<part_tracker>("parts");
   origins_ = &kernel_.Find<origin_tracker>("origins");
   prompts_ = &kernel_.Find<prompt_tracker>("prompts");
+  sender_.Start();
   origins_->on_usable = [this] { DispatchAll(); };
 }
 
@@ -671,20 +672,18 @@
     const time_point sent_at = timer_service::Now();
     auto request =
         platform::MakePrefillRequest(call->Forwarded(), engine.name, call->TimeLeft(sent_at), PriorityOf(*call));
-    result<http_response_head> head(error{error_code::kUnavailable, "the engine's limit allows no request now"});
+    result<endpoint_reply> reply(error{error_code::kUnavailable, "the engine's limit allows no request now"});
     if (taken.permit && !call->IsCallerDisconnected()) {
       auto may_send = auth_->MakeSendCheck(call, endpoint_tracker_->MakeSendCheck(engine, *taken.permit));
-      head = co_await upstream.Send(engine.address, std::move(request), end,
-                                    MakeAttemptFilter(call->Metadata().attempt), std::move(may_send));
+      reply = co_await sender_.Send(upstream, call, engine, std::move(request), end, std::move(may_send));
     }
     std::string body;
     std::optional<error> failure;
-    if (!head) {
-      failure = head.error();
+    if (!reply) {
+      failure = reply.error();
     } else {
-      const auto metadata = platform::ParseResponseHeaders(head.value());
-      endpoint_tracker_->RecordResponse(engine, metadata, begin);
-      prompts_->RecordWorkTime(call->Service().name, engine, metadata.work_time_percent);
+      endpoint_tracker_->RecordResponse(engine, reply.value().metadata, begin);
+      prompts_->RecordWorkTime(call->Service().name, engine, reply.value().metadata.work_time_percent);
     }
     if (!failure) {
       auto read = co_await ReadBufferedBody(upstream, end);
@@ -698,8 +697,10 @@
     ReleasePrefill(assignment, engine.name);
     first_prefill.End();
     const std::int64_t elapsed_ms = ElapsedMs(begin, timer_service::Now());
-    auto handle = !failure && head.value().status == 200 ? platform::ParsePrefillHandle(body)
-                                                         : result<std::string>(error{error_code::kUnavailable, ""});
+    result<std::string> handle(error{error_code::kUnavailable, ""});
+    if (!failure && reply.value().head.status == 200 && reply.value().verdict == reply_verdict::kResponse) {
+      handle = platform::ParsePrefillHandle(body);
+    }
     const bool was_sent = !failure || failure->code != error_code::kUnavailable;
     // After the first completed prefill, a further one has been counted before it was sent.
     if (!was_sent && call->prefills > 0) {
@@ -746,7 +747,7 @@
       if (taken.permit && !call->is_send_refused && endpoint_tracker_->IsPermitValid(engine, *taken.permit)) {
         endpoint_tracker_->RecordUnreachable(engine);
       }
-    } else if (failure) {
+    } else if (failure || IsUnprovenRefusal(reply.value().verdict)) {
       endpoint_tracker_->RecordFailure(engine);
     } else {
       endpoint_tracker_->RecordRequestRejected(engine);
@@ -756,7 +757,7 @@
         .Line(kComponent, "prefill_failed")
         .Request(call->Metadata().attempt)
         .Add("endpoint", engine.name.value)
-        .Add("status", failure ? 0 : head.value().status)
+        .Add("status", failure ? 0 : reply.value().head.status)
         .Add("completed_before", call->prefills)
         .Add("extra_sends", call->extra_sends)
         .Add("chosen_ms_before", ElapsedMs(assignment.chosen_at, begin))
@@ -805,17 +806,16 @@
   const bool may_resume = call->Route().resumable && call->sends < call->Route().max_attempts;
   const time_point end = may_resume ? std::min(call->Deadline(), begin + settings_.stall_limit) : call->Deadline();
   auto may_send = auth_->MakeSendCheck(call, endpoint_tracker_->MakeSendCheck(assignment.engine, permit));
-  auto head = co_await upstream.Send(assignment.engine.address, std::move(request), end,
-                                     MakeAttemptFilter(call->Metadata().attempt), std::move(may_send));
+  auto reply = co_await sender_.Send(upstream, call, assignment.engine, std::move(request), end, std::move(may_send));
   if (!assignment.prefill) {
     ReleasePrefill(assignment, assignment.engine.name);
     DispatchAll();
   }
   decode_result outcome = decode_result::kBroken;
   std::string detail;
-  if (!head) {
-    detail = FormatError(head.error());
-    if (head.error().code == error_code::kUnavailable) {
+  if (!reply) {
+    detail = FormatError(reply.error());
+    if (reply.error().code == error_code::kUnavailable) {
       if (!call->is_send_refused && endpoint_tracker_->IsPermitValid(assignment.engine, permit)) {
         endpoint_tracker_->RecordUnreachable(assignment.engine);
       }
@@ -825,32 +825,33 @@
       endpoint_tracker_->RecordFailure(assignment.engine);
     }
   } else {
-    const auto metadata = platform::ParseResponseHeaders(head.value());
+    const http_response_head& head = reply.value().head;
+    const platform::response_metadata& metadata = reply.value().metadata;
     endpoint_tracker_->RecordResponse(assignment.engine, metadata, begin);
     prompts_->RecordWorkTime(call->Service().name, assignment.engine, metadata.work_time_percent);
-    const bool is_success = head.value().status >= 200 && head.value().status < 300;
-    if (metadata.proves_not_run) {
-      detail = fmt::format("status {}", head.value().status);
+    const bool is_success = head.status >= 200 && head.status < 300;
+    if (reply.value().verdict == reply_verdict::kNotRun) {
+      detail = fmt::format("status {}", head.status);
       outcome = decode_result::kNotRun;
       // Possible causes: the KV cache cannot be fetched, or the engine is switching its stage, during which it grants
       // reservations but rejects requests.
       asio::co_spawn(kernel_.Context(), CheckEngine(assignment.engine), asio::detached);
+    } else if (IsUnprovenRefusal(reply.value().verdict)) {
+      detail = fmt::format("status {} without proof that the request has not run", head.status);
+      endpoint_tracker_->RecordFailure(assignment.engine);
     } else if (is_success && metadata.has_seal && !metadata.is_encoded) {
       if (!stream.started) {
         stream.started = true;
         call->has_response = true;
-        (void)co_await call->Exchange().StartStream(head.value().status,
-                                                    platform::ForwardedHeaders(head.value().headers));
+        (void)co_await call->Exchange().StartStream(head.status, platform::ForwardedHeaders(head.headers));
       }
       outcome = co_await ForwardStream(call, upstream, assignment, stream, run);
-    } else if (metadata.has_seal && !stream.started && head.value().status >= 400 && head.value().status != 429 &&
-               head.value().status != 503 && head.value().status != 408) {
+    } else if (metadata.has_seal && !stream.started && head.status >= 400) {
       // An error response of the engine itself is forwarded unchanged.
-      detail = fmt::format("status {}", head.value().status);
+      detail = fmt::format("status {}", head.status);
       auto body = co_await ReadBufferedBody(upstream, end);
       if (body) {
-        http_response failed{head.value().status, platform::ForwardedHeaders(head.value().headers),
-                             std::move(body.value())};
+        http_response failed{head.status, platform::ForwardedHeaders(head.headers), std::move(body.value())};
         stream.started = true;
         call->reason = "endpoint_failure";
         (void)co_await call->Exchange().Respond(std::move(failed));
@@ -860,9 +861,10 @@
       }
     } else {
       detail = fmt::format(
-          "cannot forward the response with status {}: retryable or unexpected status, no seal header, encoded body or "
-          "stream already started",
-          head.value().status);
+          "cannot forward the response with status {}: unexpected status, no seal header, encoded body or stream "
+          "already "
+          "started",
+          head.status);
       endpoint_tracker_->RecordFailure(assignment.engine);
     }
   }
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -13,6 +13,7 @@
 
 #include "core/mailbox.h"
 #include "core/metrics.h"
+#include "direct/call_sender.h"
 #include "direct/caller_auth.h"
 #include "direct/direct_call.h"
 #include "direct/endpoint_tracker.h"
@@ -150,6 +151,7 @@
   kernel& kernel_;
   const direct_settings& settings_;
   http_client& client_;
+  call_sender sender_;
   caller_auth* auth_ = nullptr;
   deployment_directory* directory_ = nullptr;
   endpoint_tracker* endpoint_tracker_ = nullptr;
--- a/src/direct/plain_attempts.cpp
+++ b/src/direct/plain_attempts.cpp
@@ -23,8 +23,6 @@
   return head.status < kFirstRedirect && (type.empty() || type.starts_with("text/event-stream"));
 }
 
-bool ImpliesNotRun(int status) { return status == 408 || status == 421 || status == 429 || status == 503; }
-
 // The time for which a stream occupies an endpoint is decided by its events, so streams do not wait for room.
 bool IsGated(const plain_attempt& attempt) {
   return attempt.is_adaptive && attempt.call->Route().kind != call_kind::kStreaming;
@@ -38,6 +36,7 @@
   auth_ = &kernel_.Find<caller_auth>("auth");
   endpoint_tracker_ = &kernel_.Find<endpoint_tracker>("board");
   gate_.Start();
+  sender_.Start();
   suspect_tracker_ = &kernel_.Find<suspect_tracker>("crashes");
   metrics_ = &kernel_.Find<telemetry>("telemetry").Metrics();
   cleanup_timer_ = kernel_.Timers().SubscribeEvery(kCleanupPeriod, 0.1, [this] {
@@ -149,14 +148,14 @@
     raw->is_send_refused = raw->call->is_send_refused;
     return is_allowed;
   };
-  auto head = co_await attempt->upstream.Send(attempt->endpoint.address, std::move(request), attempt->deadline,
-                                              MakeAttemptFilter(call->Metadata().attempt), std::move(may_send));
-  if (head) {
-    co_await ReadResponse(attempt, head.value(), outcome);
+  auto reply = co_await sender_.Send(attempt->upstream, call, attempt->endpoint, std::move(request), attempt->deadline,
+                                     std::move(may_send));
+  if (reply) {
+    co_await ReadResponse(attempt, reply.value(), outcome);
   } else {
-    outcome.broken = head.error();
+    outcome.broken = reply.error();
     outcome.result =
-        head.error().code == error_code::kUnavailable ? attempt_result::kNotSent : attempt_result::kMayHaveRun;
+        reply.error().code == error_code::kUnavailable ? attempt_result::kNotSent : attempt_result::kMayHaveRun;
   }
   RecordEnd(*attempt, outcome);
   if (outcome.is_streamed) {
@@ -168,34 +167,33 @@
   co_return outcome;
 }
 
-task<> plain_attempts::ReadResponse(plain_attempt_ptr attempt, const http_response_head& head,
-                                    attempt_outcome& outcome) {
-  const auto metadata = platform::ParseResponseHeaders(head);
+task<> plain_attempts::ReadResponse(plain_attempt_ptr attempt, const endpoint_reply& reply, attempt_outcome& outcome) {
+  const platform::response_metadata& metadata = reply.metadata;
   endpoint_tracker_->RecordResponse(attempt->endpoint, metadata, attempt->begin);
-  const bool is_genuine = (metadata.has_seal || metadata.proves_not_run) && !metadata.is_misdirected;
+  const bool is_not_run = reply.verdict == reply_verdict::kNotRun;
+  const bool is_genuine = (metadata.has_seal || is_not_run) && !metadata.is_misdirected;
   if (attempt->is_adaptive && is_genuine) {
     const server_load report{metadata.running, metadata.waiting, metadata.slots, metadata.work_time_percent};
     Estimates(attempt->call->Service().name)
         .RecordReport(IncarnationOf(attempt->endpoint), report, timer_service::Now());
     if (IsGated(*attempt)) {
-      gate_.RecordResponse(attempt->endpoint, {metadata.proves_not_run, metadata.waiting, metadata.slots});
+      gate_.RecordResponse(attempt->endpoint, {is_not_run, metadata.waiting, metadata.slots});
     }
   }
-  outcome.response = {head.status, platform::ForwardedHeaders(head.headers), {}};
-  // A response without a seal or with a content encoding is not the endpoint's own. From some statuses the caller
-  // would conclude that the call has not run, which the endpoint has not stated.
-  const bool is_forwardable =
-      metadata.has_seal && !metadata.is_encoded && !metadata.proves_not_run && !ImpliesNotRun(outcome.response.status);
+  outcome.response = {reply.head.status, platform::ForwardedHeaders(reply.head.headers), {}};
+  // A response without a seal or with a content encoding is not the endpoint's own. From an unproven refusal the caller
+  // would conclude that the call has not run.
+  const bool is_forwardable = metadata.has_seal && !metadata.is_encoded && reply.verdict == reply_verdict::kResponse;
   // The framing does not prove that a stream of events is whole.
-  const bool is_stream = attempt->call->Route().kind == call_kind::kStreaming && IsEventStream(head);
+  const bool is_stream = attempt->call->Route().kind == call_kind::kStreaming && IsEventStream(reply.head);
   co_await ReadBody(attempt, is_forwardable, is_stream, outcome);
-  if (metadata.proves_not_run) {
+  if (is_not_run) {
     outcome.result = attempt_result::kNotRun;
   } else if (outcome.broken) {
     outcome.result = attempt_result::kMayHaveRun;
   } else if (!is_forwardable) {
     outcome.result = attempt_result::kMayHaveRun;
-    outcome.failure = "answer_not_genuine";
+    outcome.failure = IsUnprovenRefusal(reply.verdict) ? "refusal_unproven" : "answer_not_genuine";
   } else {
     outcome.result = attempt_result::kAnswered;
   }
--- a/src/direct/plain_attempts.h
+++ b/src/direct/plain_attempts.h
@@ -15,6 +15,7 @@
 
 #include "core/metrics.h"
 #include "direct/call_gate.h"
+#include "direct/call_sender.h"
 #include "direct/caller_auth.h"
 #include "direct/direct_call.h"
 #include "direct/endpoint_tracker.h"
@@ -95,7 +96,7 @@
   };
 
   plain_attempts(kernel& services, const direct_settings& settings)
-      : kernel_(services), settings_(settings), gate_(services, settings) {}
+      : kernel_(services), settings_(settings), gate_(services, settings), sender_(services) {}
 
   void Start();
   void Stop() {
@@ -132,7 +133,7 @@
  private:
   call_estimates& Estimates(const std::string& service);
   bool ExcludeBusy(const std::vector<chosen_endpoint>& endpoints, std::vector<endpoint_view>& views) const;
-  task<> ReadResponse(plain_attempt_ptr attempt, const http_response_head& head, attempt_outcome& outcome);
+  task<> ReadResponse(plain_attempt_ptr attempt, const endpoint_reply& reply, attempt_outcome& outcome);
   task<> ReadBody(plain_attempt_ptr attempt, bool is_forwardable, bool is_stream, attempt_outcome& outcome);
   task<> FinishStream(plain_attempt_ptr attempt, attempt_outcome& outcome);
   void RecordStart(plain_attempt& attempt);
@@ -144,6 +145,7 @@
   kernel& kernel_;
   const direct_settings& settings_;
   call_gate gate_;
+  call_sender sender_;
   caller_auth* auth_ = nullptr;
   endpoint_tracker* endpoint_tracker_ = nullptr;
   suspect_tracker* suspect_tracker_ = nullptr;
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -245,8 +245,12 @@
   co_await Respond(exchange, std::move(response));
 }
 
-// Sends a response that the replica makes without running a request.
+// Sends a response that the replica makes without running a request. Refusals repeat the attempt id.
 task<> fake_replica::Respond(std::shared_ptr<http_exchange> exchange, http_response response) {
+  const std::string attempt = Header(exchange->Request(), "Persimmonchute-Attempt-Id");
+  if (!attempt.empty() && !FindHeader(response.headers, "Persimmonchute-Not-Executed").empty()) {
+    response.headers.push_back({"Persimmonchute-Attempt-Id", attempt});
+  }
   AddOwnState(response.headers);
   (void)co_await exchange->Respond(std::move(response));
 }
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -440,11 +440,14 @@
   EXPECT_EQ(forwarded.headers, (header_list{{"X-Kept", "1"}}));
 }
 
-// The router may state that a call has not run only if the endpoint has stated it.
-TEST(answer_terms_test, OnlyTheEndpointsOwnStatement_ProvesThatACallHasNotRun) {
-  EXPECT_FALSE(ParseResponseHeaders({503, {}}).proves_not_run);
-  EXPECT_TRUE(ParseResponseHeaders({503, {{"Persimmonchute-Not-Executed", "1"}}}).proves_not_run);
-  EXPECT_TRUE(ParseResponseHeaders({421, {}}).proves_not_run);
+// The router may state that a call has not run only if the endpoint has stated it; no status states it.
+TEST(answer_terms_test, OnlyTheHeader_StatesThatACallHasNotRun) {
+  for (const int status : {400, 408, 421, 429, 503}) {
+    EXPECT_FALSE(ParseResponseHeaders({status, {}}).states_not_run) << status;
+    EXPECT_TRUE(ParseResponseHeaders({status, {{"Persimmonchute-Not-Executed", "1"}}}).states_not_run) << status;
+  }
+  EXPECT_TRUE(ParseResponseHeaders({421, {}}).is_misdirected);
+  EXPECT_EQ(ParseResponseHeaders({503, {{"Persimmonchute-Attempt-Id", "a1"}}}).attempt, "a1");
   EXPECT_FALSE(ParseResponseHeaders({200, {}}).has_seal);
   EXPECT_TRUE(ParseResponseHeaders({200, {{"Content-Encoding", "gzip"}}}).is_encoded);
 }
--- a/tests/support/router_harness.h
+++ b/tests/support/router_harness.h
@@ -46,6 +46,7 @@
   std::uint64_t version = 1;
   int timeout_ms = 1'500;
   int attempts = 2;
+  int chat_attempts = 1;  // of the streams that must not be repeated
   std::uint32_t memory_tokens = 10'000;
   int hold_ms = 2'000;
   json tenants = nullptr;  // client accounts; null: none. With accounts there is an anonymous route /open/.
@@ -67,7 +68,8 @@
                 {"resumable", resumable}};
   };
   json routes = {route("/pages/", "idempotent", "app", false, options.attempts),
-                 route("/submit/", "non_idempotent", "app", false, 1), route("/chat/", "streaming", "llm", false, 1),
+                 route("/submit/", "non_idempotent", "app", false, 1),
+                 route("/chat/", "streaming", "llm", false, options.chat_attempts),
                  route("/digest/", "streaming", "llm", true, options.attempts),
                  route("/feed/", "streaming", "app", false, 1)};
   if (options.has_urgent_route) {
