Send an attempt id over a connection only once

What callers saw: 503 "not run" for a stream that an engine ran, where a prefill and a decode of the same id, or two rounds of it, used the same kept connection: a copy of the first response has the right id and is taken for the second one.

Cause: nothing tells such a copy from the response. The same holds for each request without an id on a kept connection.

Change: a call keeps the numbers of the connections that have carried it, and call_sender takes another pooled connection or opens a new one. A request without an id gets a new connection. A connection that has carried a refusal stays usable for other ids.

--- a/src/direct/call_sender.cpp
+++ b/src/direct/call_sender.cpp
@@ -26,8 +26,11 @@
   auto matches = [this, call, &endpoint, &upstream](const http_response_head& head) {
     return Matches(*call, endpoint, upstream, head);
   };
-  auto head =
-      co_await upstream.Send(endpoint.address, std::move(request), deadline, std::move(matches), std::move(may_send));
+  auto may_reuse = [call](connection_number connection) {
+    return !call->Metadata().attempt.empty() && !call->HasUsed(connection);
+  };
+  auto head = co_await upstream.Send(endpoint.address, std::move(request), deadline, std::move(matches),
+                                     std::move(may_send), std::move(may_reuse));
   if (!head) {
     co_return head.error();  // the connection is closed
   }
--- a/src/direct/call_sender.h
+++ b/src/direct/call_sender.h
@@ -24,8 +24,8 @@
 
   void Start();
 
-  // Sends the request. Responses to other requests and responses that name none are dropped. Errors: those of
-  // http_call::Send.
+  // Sends the request over a connection that has not carried its attempt id before; a request without an id gets a new
+  // connection. Responses to other requests and responses that name none are dropped. Errors: those of http_call::Send.
   task<result<endpoint_reply>> Send(http_call& upstream, direct_call_ptr call, chosen_endpoint endpoint,
                                     http_request request, time_point deadline, http_call::send_check may_send);
 
--- a/tests/false_refusal_test.cpp
+++ b/tests/false_refusal_test.cpp
@@ -282,6 +282,25 @@
   EXPECT_LE(second_.Connections(), 1U);
 }
 
+// Without an id nothing tells a request's response from a late one on a kept connection.
+TEST_F(plain_refusal_test, RequestWithoutAnId_IsSentOverANewConnection) {
+  SetAll([](const request_seen& request) {
+    steps result;
+    if (request.position > 1) {
+      result.push_back(SendAndRun(RefusalText({.status = 400})));
+    }
+    result.push_back(SendAndRun(fmt::format(
+        "HTTP/1.1 200 OK\r\nPersimmonchute-Server-Seal: s\r\nContent-Length: 2\r\n\r\n{:02}", request.connection)));
+    return result;
+  });
+  for (int i = 0; i < 4; ++i) {
+    EXPECT_EQ(Submit("")->Status(), 200);
+  }
+  for (const auto& endpoint : endpoints_) {
+    EXPECT_EQ(endpoint->Connections(), endpoint->Requests().size());
+  }
+}
+
 TEST_F(plain_refusal_test, DroppedAndUnprovenReplies_AreCounted) {
   SetAll(RefuseAndRun({}, false, PlainAnswer));
   Submit("a1");
@@ -433,5 +452,27 @@
   }
 }
 
+// Guards against a refusal of the prefill that is written once more on the connection of the decode, which has the
+// same id: an id is sent over a connection once.
+TEST_F(model_refusal_test, RefusalWithTheOwnId_OnAConnectionThatCarriedTheId_IsNotRead) {
+  scripted_endpoint& engine = Add("pre-1", "llm", "prefill");
+  engine.Register(harness_.Platform().Tables(), "dec-1", "decode");  // the same process serves both
+  ++entries_;
+  engine.SetScript([](const request_seen& request) {
+    return request.is_repeated ? RefuseAndRun({}, true, StreamText)(request) : AnswerSoundly(request);
+  });
+  StartRouter({.timeout_ms = 3'000});
+  for (const char* attempt : {"a1", "a2", "a3"}) {
+    const auto call = Chat("/chat/1", attempt);
+    EXPECT_EQ(call->Status(), 200);
+    EXPECT_EQ(call->body, WholeStream(attempt, 5));
+    EXPECT_EQ(engine.Runs(attempt), 1);
+  }
+  for (const request_seen& request : engine.Requests()) {
+    EXPECT_FALSE(request.is_repeated) << request.attempt;
+  }
+  EXPECT_LE(engine.Connections(), 3U);  // two for calls, one more for reservations
+}
+
 }  // namespace
 }  // namespace persimmon
