--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -452,6 +452,22 @@
   EXPECT_TRUE(ParseResponseHeaders({200, {{"Content-Encoding", "gzip"}}}).is_encoded);
 }
 
+// Guards against a copy of another request's refusal into which the id of this one was written too.
+TEST(answer_terms_test, ResponseWithTwoDifferentIds_NamesNeitherRequest) {
+  const auto names = [](const std::vector<std::string>& ids) {
+    header_list headers;
+    for (const std::string& id : ids) {
+      headers.push_back({"Persimmonchute-Attempt-Id", id});
+    }
+    return ParseResponseHeaders({503, headers}).attempt;
+  };
+  EXPECT_EQ(names({"a1", "a1"}), "a1");
+  for (const std::vector<std::string>& ids : {std::vector<std::string>{"a1", "a2"}, {"a2", "a1"}, {"a1", "a2", "a1"}}) {
+    EXPECT_NE(names(ids), "a1");
+    EXPECT_NE(names(ids), "a2");
+  }
+}
+
 TEST(decode_request_test, RequestToADecodeEngine_ReplacesTheCallersOwnPosition) {
   http_request request;
   request.headers = {{"Last-Event-Id", "3"}, {"Persimmonchute-Deadline-Ms", "9000"}};
