Take only the answer to the question for what another router knows of versions

What callers saw: with the store away, a stream that is taken up went on although another router knew of a second software version; its events may then be of two versions (ORDER).

Cause: AskRouters waits for a versions_known message of each other router. The same message announces recorded versions and answers other questions, and nothing in it says what it answers. One that was sent before the question, and which a suspended router reads from its socket only after it, counted as the answer.

Evidence: version_outage_test.ResumedStream_WhenOnlyAnEarlierAnnouncementArrives_IsRefused. The other router answers no question and only repeats an announcement of one version.

Change: new messages ask_versions and versions_answer with a random number. The protocol number stays, because both are appended; a router of an earlier version does not answer them, so that resumed streams are refused during an outage of the store while routers are replaced. The peer in direct_router_test answers the new question; its checks are unchanged.

Ruled out: that an origin of a stream (stream_origin_found) needs the same. It does not change, so any age is right.

--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -68,6 +68,10 @@
   return text;
 }
 
+bool Contains(const std::vector<std::uint64_t>& keys, std::uint64_t key) {
+  return std::find(keys.begin(), keys.end(), key) != keys.end();
+}
+
 }  // namespace
 
 origin_tracker::origin_tracker(kernel& services, const direct_settings& settings, table_client table)
@@ -286,6 +290,7 @@
 task<bool> origin_tracker::AskRouters(std::string service) {
   auto waiting = std::make_shared<version_query>(kernel_.Context());
   waiting->service = ServiceKey(service);
+  waiting->question = RandomNumber();
   for (const host_port& router : group_->OtherRouters()) {
     waiting->unanswered.insert(router);
   }
@@ -298,7 +303,8 @@
     answer = true;
   }
   for (int round = 0; round < kQueryRounds && !answer; ++round) {
-    group_->SendAll({waiting->unanswered.begin(), waiting->unanswered.end()}, message(find_versions{waiting->service}));
+    group_->SendAll({waiting->unanswered.begin(), waiting->unanswered.end()},
+                    message(ask_versions{waiting->service, waiting->question}));
     answer = co_await waiting->result_mailbox.Receive(kAnswerTime);
   }
   std::erase(version_queries_, waiting);
@@ -316,18 +322,13 @@
   return known;
 }
 
-void origin_tracker::ReceiveVersions(const host_port& sender, const versions_known& known) {
-  const auto contains = [](const std::vector<std::uint64_t>& keys, std::uint64_t key) {
-    return std::find(keys.begin(), keys.end(), key) != keys.end();
-  };
-  std::vector<std::uint64_t> own;
+void origin_tracker::ReceiveVersions(const versions_known& known) {
   for (auto& [name, state] : services_) {
     if (ServiceKey(name) != known.service) {
       continue;
     }
     for (const std::string& version : Candidates(name)) {
-      own.push_back(VersionKey(name, version));
-      if (contains(known.recorded, own.back())) {
+      if (Contains(known.recorded, VersionKey(name, version))) {
         state.recorded.insert(version);
         if (state.usable.insert(version).second && on_usable) {
           on_usable();
@@ -335,12 +336,24 @@
       }
     }
   }
+}
+
+// A message from before the question, which a router may read only after it, does not say what the sender knows now.
+void origin_tracker::ReceiveAnswer(const host_port& sender, const versions_answer& answer) {
+  std::vector<std::uint64_t> own;
+  for (const auto& [name, state] : services_) {
+    if (ServiceKey(name) == answer.known.service) {
+      for (const std::string& version : Candidates(name)) {
+        own.push_back(VersionKey(name, version));
+      }
+    }
+  }
   for (const auto& asked : version_queries_) {
-    if (asked->service != known.service || asked->unanswered.erase(sender) == 0) {
+    if (asked->question != answer.question || asked->unanswered.erase(sender) == 0) {
       continue;
     }
-    const bool knows_other = std::any_of(known.candidates.begin(), known.candidates.end(),
-                                         [&](std::uint64_t key) { return !contains(own, key); });
+    const bool knows_other = std::any_of(answer.known.candidates.begin(), answer.known.candidates.end(),
+                                         [&](std::uint64_t key) { return !Contains(own, key); });
     if (knows_other || asked->unanswered.empty()) {
       asked->result_mailbox.Push(!knows_other);
     }
@@ -478,7 +491,16 @@
       }
     }
   } else if (const auto* known = std::get_if<versions_known>(&received)) {
-    ReceiveVersions(sender, *known);
+    ReceiveVersions(*known);
+  } else if (const auto* question = std::get_if<ask_versions>(&received)) {
+    for (const auto& [name, state] : services_) {
+      if (ServiceKey(name) == question->service) {
+        group_->Send(sender, message(versions_answer{question->question, MakeVersions(name)}));
+      }
+    }
+  } else if (const auto* answer = std::get_if<versions_answer>(&received)) {
+    ReceiveVersions(answer->known);
+    ReceiveAnswer(sender, *answer);
   } else if (const auto* found = std::get_if<stream_origin_found>(&received)) {
     const auto waiting = queries_.find(found->attempt);
     if (waiting == queries_.end()) {
--- a/src/direct/origin_tracker.h
+++ b/src/direct/origin_tracker.h
@@ -83,6 +83,7 @@
   struct version_query {
     explicit version_query(asio::io_context& context) : result_mailbox(context) {}
     std::uint64_t service = 0;
+    std::uint64_t question = 0;
     std::set<host_port> unanswered;
     mailbox<bool> result_mailbox;  // true: all routers know the same version; false: one knows another
   };
@@ -100,7 +101,8 @@
   task<> RunCheck(std::string service);
   task<> CheckRecord(std::string service, std::shared_ptr<mailbox<bool>> done);
   task<bool> AskRouters(std::string service);
-  void ReceiveVersions(const host_port& sender, const versions_known& known);
+  void ReceiveVersions(const versions_known& known);
+  void ReceiveAnswer(const host_port& sender, const versions_answer& answer);
   versions_known MakeVersions(const std::string& service) const;
   void ApplyRecord(const std::string& service, const table_row& row);
   void AddUsable(const std::string& service, const version_set& versions);
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -190,7 +190,9 @@
                                                                                  "prompt_prefilled",
                                                                                  "find_versions",
                                                                                  "versions_known",
-                                                                                 "endpoint_use_list"};
+                                                                                 "endpoint_use_list",
+                                                                                 "ask_versions",
+                                                                                 "versions_answer"};
 
 }  // namespace
 
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -609,7 +609,7 @@
   }
 };
 
-// Asks another router which versions of a service it knows. It answers with versions_known.
+// Asks another router which versions of a service are recorded. It answers with versions_known.
 struct find_versions {
   std::uint64_t service = 0;  // XXH64 of its name
 
@@ -633,6 +633,29 @@
   }
 };
 
+// Asks another router which versions of a service it knows now. It answers with versions_answer.
+struct ask_versions {
+  std::uint64_t service = 0;   // XXH64 of its name
+  std::uint64_t question = 0;  // random; the answer repeats it
+
+  bool operator==(const ask_versions&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(service, question);
+  }
+};
+
+struct versions_answer {
+  std::uint64_t question = 0;
+  versions_known known;
+
+  bool operator==(const versions_answer&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(question, known);
+  }
+};
+
 // One crash of an engine under a request with a suspected part of a prompt.
 struct part_crash_entry {
   std::uint64_t crash = 0;  // identifies the endpoint and its incarnation
@@ -766,7 +789,7 @@
                  query_attempt, load_report, fetch_config, config_snapshot, lend_tokens, tokens_lent, claim_batch,
                  claim_results, router_state, hold_stream_origins, stream_origins_held, find_stream_origin,
                  stream_origin_found, part_evidence_list, endpoint_limit_list, ask_permit, permit_answer, return_tokens,
-                 prompt_prefilled, find_versions, versions_known, endpoint_use_list>;
+                 prompt_prefilled, find_versions, versions_known, endpoint_use_list, ask_versions, versions_answer>;
 
 // Name of the message type, for logs and golden files.
 const char* MessageName(const message& value);
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -1370,6 +1370,9 @@
   }
   void Restart() { ++state_.incarnation; }
 
+  // Announces versions of the model service.
+  void SendVersions(const std::vector<std::string>& announced) { Send(message(MakeVersions(announced))); }
+
   std::map<std::uint64_t, std::uint64_t> origins;  // version keys by attempt; received and known
   std::vector<std::string> versions;               // of the model service that it knows; empty: it does not answer
   int copies_received = 0;
@@ -1394,14 +1397,17 @@
     } else if (const auto* find = std::get_if<find_stream_origin>(&received)) {
       const auto found = origins.find(find->attempt);
       Send(message(stream_origin_found{find->attempt, found == origins.end() ? 0 : found->second}));
-    } else if (const auto* asked = std::get_if<find_versions>(&received); asked && !versions.empty()) {
-      versions_known known{asked->service, {}, {}};
-      for (const std::string& version : versions) {
-        known.candidates.push_back(VersionKey("llm", version));
-      }
-      Send(message(known));
+    } else if (const auto* asked = std::get_if<ask_versions>(&received); asked && !versions.empty()) {
+      Send(message(versions_answer{asked->question, MakeVersions(versions)}));
     }
   }
+  static versions_known MakeVersions(const std::vector<std::string>& named) {
+    versions_known known{ServiceKey("llm"), {}, {}};
+    for (const std::string& version : named) {
+      known.candidates.push_back(VersionKey("llm", version));
+    }
+    return known;
+  }
 
   router_harness& harness_;
   datagram_socket socket_;
@@ -1664,6 +1670,18 @@
   EXPECT_LT(timer_service::Now() - begin, kReleaseLimit);
 }
 
+// Guards against an announcement from before the question, delivered late, that counts as its answer.
+TEST_F(version_outage_test, ResumedStream_WhenOnlyAnEarlierAnnouncementArrives_IsRefused) {
+  const auto call = harness_.SendModel("/digest/1", "b1", 1'000, 100, milliseconds(10'000),
+                                       {{"Resumes", "unknown"}, {"Last-Event-Id", "1"}});
+  while (!call->done) {
+    peer_.SendVersions({"old"});
+    harness_.RunFor(milliseconds(5));
+  }
+  EXPECT_EQ(call->Status(), 503);
+  EXPECT_EQ(engine_->TotalRuns(), 1);
+}
+
 // Guards against refusing everybody: while the store is away for all routers, no new version can begin a stream.
 TEST_F(version_outage_test, ResumedStream_WhenAllRoutersKnowTheSameVersion_GoesOn) {
   peer_.versions = {"old"};
