--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -154,12 +154,9 @@
                                : body_framing::kChunks;
 }
 
-http_response fake_replica::NotExecuted(int status, const std::string& attempt) const {
+http_response fake_replica::NotExecuted(int status) const {
   http_response response{
       status, {{"Persimmonchute-Not-Executed", "1"}, {"Persimmonchute-Instance-Id", options_.name}}, {}};
-  if (!attempt.empty()) {
-    response.headers.push_back({"Persimmonchute-Attempt-Id", attempt});
-  }
   if (status == 503 && faults_.retry_after.count() > 0) {
     const double seconds = static_cast<double>(faults_.retry_after.count()) / 1e3;
     response.headers.push_back({"Retry-After", fmt::format("{:.3f}", seconds)});
@@ -256,9 +253,8 @@
   if (is_control) {
     LogArrival(request, "control");
   }
-  const std::string attempt = is_control ? std::string() : Header(request, "Persimmonchute-Attempt-Id");
   if (!expected.empty() && expected != options_.name) {
-    response = NotExecuted(421, attempt);
+    response = NotExecuted(421);
   } else if (request.target == "/report") {
     response =
         JsonResponse(200, json{{"stage", options_.stage}, {"busy", faults_.switching_stage}, {"seq", orders_}}.dump());
@@ -279,9 +275,10 @@
   } else if (faults_.full || faults_.rejects_work ||
              (faults_.early_refusal == "repeated" && !refused_ids_.contains(request.remote))) {
     LogArrival(request, Header(request, "Persimmonchute-Stage") == "prefill" ? "rejected_prefill" : "rejected");
+    const std::string attempt = Header(request, "Persimmonchute-Attempt-Id");
     carried_ids_[request.remote].push_back(attempt);
     refused_ids_[request.remote] = attempt;
-    response = NotExecuted(503, attempt);
+    response = NotExecuted(503);
   } else {
     co_await WriteEarlyRefusal(exchange);
     if (Header(request, "Persimmonchute-Stage") == "prefill") {
@@ -292,50 +289,12 @@
   co_await Respond(exchange, std::move(response));
 }
 
-// Writes what the fault early_refusal states.
-task<> fake_replica::WriteEarlyRefusal(std::shared_ptr<http_exchange> exchange) {
-  const std::string& remote = exchange->Request().remote;
-  const std::string own = Header(exchange->Request(), "Persimmonchute-Attempt-Id");
-  std::vector<std::string>& carried = carried_ids_[remote];
-  const bool has_carried = std::find(carried.begin(), carried.end(), own) != carried.end();
-  const auto other = std::find_if(carried.rbegin(), carried.rend(), [&own](const auto& id) { return id != own; });
-  const std::string earlier = other == carried.rend() ? "earlier-" + options_.name : *other;
-  carried.push_back(own);
-  const std::map<std::string, std::vector<std::string>> ids = {
-      {"no_id", {}}, {"earlier_id", {earlier}}, {"own_id", {own}}, {"both_ids", {own, earlier}}};
-  std::vector<std::string> stated;
-  if (faults_.early_refusal == "repeated") {
-    stated = {refused_ids_[remote]};
-    refused_ids_.erase(remote);
-  } else if (ids.contains(faults_.early_refusal)) {
-    stated = ids.at(faults_.early_refusal);
-  } else {
-    co_return;
-  }
-  std::string text = fmt::format("HTTP/1.1 {} Refused\r\nPersimmonchute-Not-Executed: 1\r\n", faults_.early_status);
-  for (const std::string& id : stated) {
-    text += "Persimmonchute-Attempt-Id: " + id + "\r\n";
-  }
-  text += "Content-Length: 0\r\n\r\n";
-  LogWrongReply(exchange->Request(), faults_.early_refusal, has_carried);
-  (void)co_await exchange->WriteRaw(std::move(text));
-}
-
-// Breaks off in the head of the response of a request that has run.
-task<> fake_replica::CutHead(std::shared_ptr<http_exchange> exchange, std::string attempt) {
-  std::string head = "HTTP/1.1 200 OK\r\n";
-  for (const header_field& field : ResponseHeaders(attempt)) {
-    head += field.name + ": " + field.value + "\r\n";
-  }
-  head += "Content-Type: text/event-stream\r\n";
-  head.resize(std::min<std::size_t>(head.size(), faults_.cut_head_after_bytes));
-  LogWrongReply(exchange->Request(), "cut_head");
-  (void)co_await exchange->WriteRaw(std::move(head));
-  exchange->AbortStream();
-}
-
-// Sends a response that the replica makes without running a request.
+// Sends a response that the replica makes without running a request. Refusals repeat the attempt id.
 task<> fake_replica::Respond(std::shared_ptr<http_exchange> exchange, http_response response) {
+  const std::string attempt = Header(exchange->Request(), "Persimmonchute-Attempt-Id");
+  if (!attempt.empty() && !FindHeader(response.headers, "Persimmonchute-Not-Executed").empty()) {
+    response.headers.push_back({"Persimmonchute-Attempt-Id", attempt});
+  }
   AddOwnState(response.headers);
   (void)co_await exchange->Respond(std::move(response));
 }
@@ -370,7 +329,7 @@
   const http_request& request = exchange->Request();
   LogArrival(request, options_.stage == "prefill" ? "prefill" : "rejected_prefill");
   if (options_.stage != "prefill") {
-    auto refused = NotExecuted(421, Header(request, "Persimmonchute-Attempt-Id"));
+    auto refused = NotExecuted(421);
     co_await Respond(exchange, std::move(refused));
     co_return;
   }
@@ -416,7 +375,7 @@
   const std::string budget = Header(exchange->Request(), "Persimmonchute-Deadline-Ms");
   if (options_.stage == "prefill" || faults_.switching_stage || !ConsumeReservation(exchange->Request())) {
     LogArrival(exchange->Request(), "rejected");
-    auto refused = NotExecuted(options_.stage == "prefill" ? 421 : 503, attempt);
+    auto refused = NotExecuted(options_.stage == "prefill" ? 421 : 503);
     co_await Respond(exchange, std::move(refused));
     co_return;
   }
@@ -463,6 +422,48 @@
   --running_count_;
 }
 
+// Writes what the fault early_refusal states.
+task<> fake_replica::WriteEarlyRefusal(std::shared_ptr<http_exchange> exchange) {
+  const std::string& remote = exchange->Request().remote;
+  const std::string own = Header(exchange->Request(), "Persimmonchute-Attempt-Id");
+  std::vector<std::string>& carried = carried_ids_[remote];
+  const bool has_carried = std::find(carried.begin(), carried.end(), own) != carried.end();
+  const auto other = std::find_if(carried.rbegin(), carried.rend(), [&own](const auto& id) { return id != own; });
+  const std::string earlier = other == carried.rend() ? "earlier-" + options_.name : *other;
+  carried.push_back(own);
+  const std::map<std::string, std::vector<std::string>> ids = {
+      {"no_id", {}}, {"earlier_id", {earlier}}, {"own_id", {own}}, {"both_ids", {own, earlier}}};
+  std::vector<std::string> stated;
+  if (faults_.early_refusal == "repeated") {
+    stated = {refused_ids_[remote]};
+    refused_ids_.erase(remote);
+  } else if (ids.contains(faults_.early_refusal)) {
+    stated = ids.at(faults_.early_refusal);
+  } else {
+    co_return;
+  }
+  std::string text = fmt::format("HTTP/1.1 {} Refused\r\nPersimmonchute-Not-Executed: 1\r\n", faults_.early_status);
+  for (const std::string& id : stated) {
+    text += "Persimmonchute-Attempt-Id: " + id + "\r\n";
+  }
+  text += "Content-Length: 0\r\n\r\n";
+  LogWrongReply(exchange->Request(), faults_.early_refusal, has_carried);
+  (void)co_await exchange->WriteRaw(std::move(text));
+}
+
+// Breaks off in the head of the response of a request that has run.
+task<> fake_replica::CutHead(std::shared_ptr<http_exchange> exchange, std::string attempt) {
+  std::string head = "HTTP/1.1 200 OK\r\n";
+  for (const header_field& field : ResponseHeaders(attempt)) {
+    head += field.name + ": " + field.value + "\r\n";
+  }
+  head += "Content-Type: text/event-stream\r\n";
+  head.resize(std::min<std::size_t>(head.size(), faults_.cut_head_after_bytes));
+  LogWrongReply(exchange->Request(), "cut_head");
+  (void)co_await exchange->WriteRaw(std::move(head));
+  exchange->AbortStream();
+}
+
 // Waits for answer_delay; the fault may change meanwhile.
 task<> fake_replica::DelayAnswer(std::shared_ptr<http_exchange> exchange) {
   const time_point begin = timer_service::Now();
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -138,8 +138,7 @@
   task<> ServePrefill(std::shared_ptr<http_exchange> exchange);
   task<> SimulatePrefill(const http_request& request, double rate);
   http_response ApplyOrder(const http_request& request);
-  // `attempt`: id of the refused request, which the refusal states; empty: none, as for reservations.
-  http_response NotExecuted(int status, const std::string& attempt = {}) const;
+  http_response NotExecuted(int status) const;
   task<> WriteEarlyRefusal(std::shared_ptr<http_exchange> exchange);
   task<> CutHead(std::shared_ptr<http_exchange> exchange, std::string attempt);
   void AddOwnState(header_list& headers) const;
