Close the connection of a refusal that proves nothing

What callers saw: nothing wrong yet, but the next request was sent over a connection on which the endpoint still ran the one before, waited for the rest of that run, and could time out although it had not been read.

Cause: a refusal without proof was read to its end and its connection went back to the pool, while the router treats its request as one that may still run.

--- a/src/direct/call_sender.cpp
+++ b/src/direct/call_sender.cpp
@@ -41,6 +41,7 @@
   call->RecordUse(upstream.Connection());
   if (IsUnprovenRefusal(reply.verdict)) {
     RecordUnproven(*call, endpoint, upstream, reply);
+    upstream.Cancel();  // the endpoint may be running the request; closing the connection ends that
   }
   co_return reply;
 }
--- a/tests/false_refusal_test.cpp
+++ b/tests/false_refusal_test.cpp
@@ -282,6 +282,16 @@
   EXPECT_LE(second_.Connections(), 1U);
 }
 
+// Guards against the next request waiting behind one that the endpoint still runs on the same connection.
+TEST_F(plain_refusal_test, UnprovenRefusals_CloseTheirConnections) {
+  SetAll(RefuseAndRun({.status = 421, .states_not_run = false}, true, PlainAnswer));
+  for (int i = 0; i < 6; ++i) {
+    EXPECT_EQ(Submit("a" + std::to_string(i))->Status(), 502);
+  }
+  EXPECT_EQ(Sends(), 6U);
+  EXPECT_EQ(first_.Connections() + second_.Connections(), 6U);
+}
+
 // Without an id nothing tells a request's response from a late one on a kept connection.
 TEST_F(plain_refusal_test, RequestWithoutAnId_IsSentOverANewConnection) {
   SetAll([](const request_seen& request) {
