Break a stream whose first event has no id where its service numbers its events

What callers saw: one event of foreign text (event: error) and an orderly end as a complete answer, or such an event followed by ids that leave out the beginning, also where the router knew the first id of the service.

Cause: the first event of a stream was believed without an id before the known numbering was looked at.

Evidence: event_sequence_test.FirstEventWithoutAnId_OfAServiceWhoseFirstIdIsKnown_IsBroken fails before. A service that begins each stream with an event without an id is not broken by it: its runs tell no first id (Sample_OfARunThatBeginsWithoutAnId_TellsNoFirstId, which fails without that part).

--- a/src/decisions/event_sequence.cpp
+++ b/src/decisions/event_sequence.cpp
@@ -40,6 +40,8 @@
   const auto number = ParseEventNumber(id);
   if (number) {
     Observe(*number);
+  } else if (!run_first_) {
+    begins_stream_ = false;  // the first number of the run is not that of its first event
   }
   if (kind_ == id_kind::kUnknown || kind_ == id_kind::kNone) {
     return CheckFirst(id);
@@ -54,6 +56,9 @@
 }
 
 event_verdict event_sequence::CheckFirst(std::string_view id) {
+  if (id.empty() && known_.first) {
+    return Break("the first event of the stream has no id");
+  }
   if (id.empty()) {
     kind_ = id_kind::kNone;
     return event_verdict::kFollows;
--- a/tests/event_sequence_test.cpp
+++ b/tests/event_sequence_test.cpp
@@ -73,6 +73,23 @@
   EXPECT_EQ(CheckAll(sequence, {"1", "2", "4"}), (verdicts{kFollows, kFollows, kBroken}));
 }
 
+// Guards against a stream that holds only the text of another answer, of a service that is known to number its events.
+TEST(event_sequence_test, FirstEventWithoutAnId_OfAServiceWhoseFirstIdIsKnown_IsBroken) {
+  event_sequence sequence;
+  sequence.BeginRun({.first = 1, .step = 1});
+  EXPECT_EQ(sequence.Check(""), event_verdict::kBroken);
+}
+
+// Guards against breaking the streams of a service that begins each with an event without an id.
+TEST(event_sequence_test, Sample_OfARunThatBeginsWithoutAnId_TellsNoFirstId) {
+  event_sequence sequence;
+  sequence.BeginRun({});
+  for (const char* id : {"", "1", "2", "3"}) {
+    EXPECT_EQ(sequence.Check(id), event_verdict::kFollows) << id;
+  }
+  EXPECT_EQ(sequence.Sample(), (numbering_sample{.step = 1}));
+}
+
 // Guards against taking an unconfirmed event of a lost engine for one that has been passed on.
 TEST(event_sequence_test, UnconfirmedEvent_OfALostRun_IsForgotten) {
   event_sequence sequence;
