Excuse only the runs that a refusal with the right id has hidden

The soak's checks of TWICE and REFUSED let an attempt pass altogether once one endpoint had refused it with its own id before its run. Each such refusal, which nobody can tell from a true one, now excuses one run.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -972,9 +972,9 @@
         self.left = {}      # endpoint: time at which the store accepted that it leaves
         self.accounts = []  # (time, attempt, endpoint, account), of the arrivals
         self.key_leaks = []  # (time, attempt, endpoint)
-        # Attempts that ran after a refusal with their own id, on a connection that had not carried the id. Nobody can
-        # tell that refusal from a true one, so a 503 or a run elsewhere is allowed.
-        self.deceived = set()
+        # Refusals with the attempt's own id, written before its run on a connection that had not carried the id. Nobody
+        # can tell one from a true refusal, so for each of them one run counts as refused.
+        self.deceptions = collections.Counter()
         self.revisions = collections.defaultdict(list)  # router: (time, revision) applied
         self.account_checks = collections.Counter()
         self.wrong_replies = collections.defaultdict(list)  # attempt: kinds
@@ -992,7 +992,7 @@
                 if event["event"] == "wrong_reply":
                     self.wrong_replies[event["request"]].append(event["kind"])
                     if event["kind"] == "own_id" and not event["has_carried"] and not name.startswith("prefill"):
-                        self.deceived.add(event["request"])
+                        self.deceptions[event["request"]] += 1
                 if event["event"] == "limit_set":
                     self.limits[name].append((seconds, float(event["limit"] or "inf")))
                 if event["event"] == "arrival" and event["result"] != "control":
@@ -1106,11 +1106,11 @@
         """Answers are whole, a refusal is true, and what may not be repeated runs at most once."""
         for answer in self.answers:
             runs = self.runs[answer.attempt]
-            is_judged = answer.attempt not in self.deceived
+            unproven_runs = runs - self.deceptions[answer.attempt]
             told = "".join(f", {kind}" for kind in self.wrong_replies.get(answer.attempt, []))
-            if answer.kind in ("submit", "chat") and runs > 1 and is_judged:
+            if answer.kind in ("submit", "chat") and unproven_runs > 1:
                 self.report("TWICE", f"{answer.attempt} ({answer.kind}) ran {runs} times{told}")
-            if answer.status in (408, 421, 429, 503) and runs > 0 and is_judged:
+            if answer.status in (408, 421, 429, 503) and unproven_runs > 0:
                 self.report("REFUSED", f"{answer.attempt} ({answer.kind}) got {answer.status} and ran {runs} "
                                        f"times{told}")
             fault = answer.find_fault() if answer.status == 200 else None
