--- a/tests/answer_cut_test.cpp
+++ b/tests/answer_cut_test.cpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <string>
 
+#include "support/registry_entry.h"
 #include "support/router_harness.h"
 
 namespace persimmon {
@@ -108,17 +109,8 @@
   void Stop() { acceptor_.close(); }
 
   void Register(fakes::table_store& tables) const {
-    json entry = {{"service", stage_.empty() ? "app" : "llm"},
-                  {"address", fmt::format("127.0.0.1:{}", acceptor_.local_endpoint().port())},
-                  {"zone", "zone-a"},
-                  {"slots", 64},
-                  {"state", "ready"},
-                  {"born", 1},
-                  {"seq", 1}};
-    if (!stage_.empty()) {
-      entry["stage"] = stage_;
-    }
-    tables.Commit({{{"servers", name_}, entry.dump(), false, std::nullopt}});
+    const host_port address{"127.0.0.1", acceptor_.local_endpoint().port()};
+    support::RegisterEndpoint(tables, name_, stage_.empty() ? "app" : "llm", address, stage_, 64);
   }
 
  private:
--- a/tests/support/scripted_endpoint.h
+++ b/tests/support/scripted_endpoint.h
@@ -22,6 +22,7 @@
 #include "core/timers.h"
 #include "fakes/fake_platform.h"
 #include "net/http.h"
+#include "support/registry_entry.h"
 
 namespace persimmon::support {
 
@@ -69,17 +70,7 @@
   // Writes its entry in the table service. `stage`: role of the entry, if the address has entries of several roles.
   void Register(fakes::table_store& tables) const { Register(tables, name_, stage_); }
   void Register(fakes::table_store& tables, const std::string& name, const std::string& stage) const {
-    nlohmann::json entry = {{"service", service_},
-                            {"address", Address().Text()},
-                            {"zone", "zone-a"},
-                            {"slots", 16},
-                            {"state", "ready"},
-                            {"born", 1},
-                            {"seq", 1}};
-    if (!stage.empty()) {
-      entry["stage"] = stage;
-    }
-    tables.Commit({{{"servers", name}, entry.dump(), false, std::nullopt}});
+    RegisterEndpoint(tables, name, service_, Address(), stage, 16);
   }
 
   host_port Address() const { return {"127.0.0.1", state_->acceptor.local_endpoint().port()}; }
--- a/tests/support/scripted_engine.h
+++ b/tests/support/scripted_engine.h
@@ -13,6 +13,7 @@
 #include "fakes/fake_platform.h"
 #include "net/http.h"
 #include "support/processes.h"
+#include "support/registry_entry.h"
 
 namespace persimmon::support {
 
@@ -46,17 +47,7 @@
   void Stop() { server_.Stop(); }
 
   void Register(fakes::table_store& tables) const {
-    nlohmann::json entry = {{"service", service_},
-                            {"address", fmt::format("127.0.0.1:{}", server_.Port())},
-                            {"zone", "zone-a"},
-                            {"slots", 16},
-                            {"state", "ready"},
-                            {"born", 1},
-                            {"seq", 1}};
-    if (!stage_.empty()) {
-      entry["stage"] = stage_;
-    }
-    tables.Commit({{{"servers", name_}, entry.dump(), false, std::nullopt}});
+    RegisterEndpoint(tables, name_, service_, {"127.0.0.1", server_.Port()}, stage_, 16);
   }
 
   const std::vector<http_request>& Calls() const { return calls_; }
