--- a/review/standins2.py
+++ b/review/standins2.py
@@ -193,7 +193,7 @@
     def come_back(self, age):
         """Comes back from the copy that is `age` seconds old."""
         at = time.time() - age
-        chosen = [copy for copy in self.copies if copy[0] <= at][-1]
+        chosen = ([copy for copy in self.copies if copy[0] <= at] or self.copies[:1])[-1]
         _, rows, history, version = chosen
         self.rows, self.history, self.version = dict(rows), list(history), version
         self.era += 1
@@ -639,7 +639,12 @@
     deployment = Deployment(folder)
 
     async def guarded():
-        return await asyncio.wait_for(case(deployment), seconds)
+        """Without cancelling the case, which might not end then."""
+        task = asyncio.create_task(case(deployment))
+        done, _ = await asyncio.wait({task}, timeout=seconds)
+        if not done:
+            raise TimeoutError(f"the case has not ended within {seconds} s")
+        return task.result()
 
     def end(*_):
         raise SystemExit(2)
@@ -647,7 +652,7 @@
     code = 2
     signal.signal(signal.SIGTERM, end)
     try:
-        code = 0 if asyncio.run(guarded()) else 1
+        code = 0 if asyncio.new_event_loop().run_until_complete(guarded()) else 1
     except (Exception, SystemExit, KeyboardInterrupt) as failure:  # the case could not run; the record says why
         deployment.record("could not run", reason=repr(failure))
         print(f"could not run: {failure!r}")
