Copy the origin of each stream to its holders, however many versions serve

Callers saw: one of five routers froze with 24 resumable streams, and the first engine of the next software version joined meanwhile.

Cause: with one version, only the router that forwarded a stream knew its origin; the others concluded it from the list of versions. The first engine of another version ended the conclusion, and the copies that replaced it had to come from the frozen router.

Ruled out: a conclusion from the time of the caller's request or its time budget. Streams that wait in the queue begin at a version that joined after they were sent; StreamsThatWaitedForASecondVersion_GoOnThere guards that.

A resumed stream asks the holders before anything is concluded from the list of versions. Copies that are due are kept apart, so that a pass does not visit origins that are held, and copies are placed anew in steps of 200 after a change of the routers.

--- a/include/persimmon/stream_origins.h
+++ b/include/persimmon/stream_origins.h
@@ -5,13 +5,15 @@
 //   2. origins of streams
 //
 // What engines of two software versions write does not fit together, so a stream may go on only at the version that
-// began it, and engines do not check this. While a service has one version, nothing needs to be known. Otherwise the
-// router that forwards the first event of a stream records its version and copies the record to a few other routers,
-// which are found by hashing the attempt. The number of copies does not grow with the number of routers.
+// began it, and engines do not check this. The router that forwards the first event of a stream records its version and
+// copies the record to a few other routers, which are found by hashing the attempt. It does so also while the service
+// has one version, because the next version may join when the router can no longer send copies. The number of copies
+// does not grow with the number of routers.
 #pragma once
 
 #include <compare>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -19,6 +21,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "persimmon/types.h"
@@ -83,6 +86,9 @@
   std::size_t copies = 3;            // holders of an attempt; two may end at the same time
   milliseconds resend_interval = milliseconds(100);
   std::uint32_t max_sends = 8;  // of one copy to one holder
+  // Origins that one call of TakeDueCopies places anew after a change of the holders. Placing one takes 10 us with 370
+  // routers.
+  std::size_t max_replaced = 200;
 
   bool operator==(const stream_origin_settings&) const = default;
 };
@@ -103,16 +109,15 @@
   // Returns the version key of the attempt's stream.
   std::optional<std::uint64_t> Find(origin_key attempt, time_point now) const;
 
-  // Sets the routers that can hold copies, with this one. Copies whose holder is missing are placed anew.
+  // Sets the routers that can hold copies, with this one. Copies whose holder is missing are placed anew, some with
+  // each call of TakeDueCopies.
   void SetHolders(std::vector<origin_holder> holders);
 
   // Returns the holders of an attempt without this router, the first choice first.
   std::vector<origin_holder> HoldersOf(origin_key attempt) const;
 
   // Returns the copies that are due at their holders: not acknowledged, and not sent within the resend interval.
-  // `needs_copies`: true for the versions whose streams must be known at other routers.
-  std::map<origin_holder, std::vector<stream_origin>> TakeDueCopies(
-      const std::function<bool(std::uint64_t version)>& needs_copies, time_point now);
+  std::map<origin_holder, std::vector<stream_origin>> TakeDueCopies(time_point now);
 
   // Records that a holder has acknowledged copies.
   void RecordHeld(const origin_holder& holder, const std::vector<origin_key>& attempts);
@@ -140,16 +145,21 @@
     std::uint64_t generation = 0;  // of the holders for which the copies were placed
     bool is_own = false;           // of a stream that this router forwards
     bool is_logged = false;
+    bool is_misplaced = false;  // in misplaced_
     std::vector<copy_state> copies;
   };
 
   origin_state& Insert(const stream_origin& origin);
   void PlaceCopies(origin_key attempt, origin_state& state) const;
+  // Places some of the origins anew whose holders may have changed.
+  void PlaceMisplaced();
 
   std::string own_address_;
   stream_origin_settings settings_;
   std::unordered_map<origin_key, origin_state> origins_;
   std::multimap<time_point, origin_key> by_expiry_;
+  std::unordered_set<origin_key> unsent_;  // some copies are neither acknowledged nor given up
+  std::deque<origin_key> misplaced_;       // the holders have changed since their copies were placed
   std::vector<origin_holder> holders_;
   std::uint64_t generation_ = 1;  // increases with every change of the holders
 };
--- a/src/decisions/stream_origins.cpp
+++ b/src/decisions/stream_origins.cpp
@@ -62,6 +62,7 @@
   const auto found = origins_.find(origin.attempt);
   if (found == origins_.end()) {
     Insert(origin).is_own = true;
+    unsent_.insert(origin.attempt);
     return;
   }
   found->second.is_own = true;
@@ -69,6 +70,7 @@
     found->second.expiry = origin.expiry;
     found->second.copies.clear();  // the holders have the earlier expiry
     found->second.generation = 0;
+    unsent_.insert(origin.attempt);
     by_expiry_.emplace(origin.expiry, origin.attempt);
   }
 }
@@ -91,9 +93,15 @@
 
 void stream_origin_table::SetHolders(std::vector<origin_holder> holders) {
   std::sort(holders.begin(), holders.end());
-  if (holders != holders_) {
-    holders_ = std::move(holders);
-    ++generation_;
+  if (holders == holders_) {
+    return;
+  }
+  holders_ = std::move(holders);
+  ++generation_;
+  for (auto& [attempt, state] : origins_) {
+    if (!std::exchange(state.is_misplaced, true)) {
+      misplaced_.push_back(attempt);
+    }
   }
 }
 
@@ -128,25 +136,48 @@
   state.generation = generation_;
 }
 
-std::map<origin_holder, std::vector<stream_origin>> stream_origin_table::TakeDueCopies(
-    const std::function<bool(std::uint64_t version)>& needs_copies, time_point now) {
+void stream_origin_table::PlaceMisplaced() {
+  for (std::size_t placed = 0; placed < settings_.max_replaced && !misplaced_.empty(); misplaced_.pop_front()) {
+    const auto found = origins_.find(misplaced_.front());
+    if (found == origins_.end()) {
+      continue;
+    }
+    found->second.is_misplaced = false;
+    if (found->second.generation != generation_) {
+      PlaceCopies(found->first, found->second);
+      unsent_.insert(found->first);
+      ++placed;
+    }
+  }
+}
+
+std::map<origin_holder, std::vector<stream_origin>> stream_origin_table::TakeDueCopies(time_point now) {
+  PlaceMisplaced();
   std::map<origin_holder, std::vector<stream_origin>> due;
-  for (auto& [attempt, state] : origins_) {
-    if (now >= state.expiry || !needs_copies(state.version)) {
+  for (auto item = unsent_.begin(); item != unsent_.end();) {
+    const auto found = origins_.find(*item);
+    if (found == origins_.end() || now >= found->second.expiry) {
+      item = unsent_.erase(item);
       continue;
     }
+    origin_state& state = found->second;
     if (state.generation != generation_) {
-      PlaceCopies(attempt, state);
+      PlaceCopies(found->first, state);
     }
+    bool is_unsent = false;
     for (copy_state& copy : state.copies) {
-      const bool was_sent = copy.sends > 0 && now - copy.sent_at < settings_.resend_interval;
-      if (copy.is_held || was_sent || copy.sends >= settings_.max_sends) {
+      if (copy.is_held || copy.sends >= settings_.max_sends) {
+        continue;
+      }
+      is_unsent = true;
+      if (copy.sends > 0 && now - copy.sent_at < settings_.resend_interval) {
         continue;
       }
       ++copy.sends;
       copy.sent_at = now;
-      due[copy.holder].push_back({attempt, state.version, state.expiry});
+      due[copy.holder].push_back({found->first, state.version, state.expiry});
     }
+    item = is_unsent ? std::next(item) : unsent_.erase(item);
   }
   return due;
 }
--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -173,9 +173,7 @@
   const std::uint64_t key = VersionKey(call.Service().name, version);
   const milliseconds budget = std::max(metadata.time_budget.value_or(call.Route().timeout), call.Route().timeout);
   origins_->Record({OriginKey(attempt), key, call.Arrival() + budget});
-  if (Candidates(call.Service().name).size() > 1) {
-    ScheduleCopies();
-  }
+  ScheduleCopies();
 }
 
 task<result<std::optional<std::string>>> origin_tracker::FindVersion(direct_call_ptr call) {
@@ -191,8 +189,13 @@
   const std::string& service = call->Service().name;
   const origin_key resumed = OriginKey(metadata.resumed_attempt);
   std::optional<std::uint64_t> origin;
+  std::optional<std::uint64_t> answer;  // of the holders of copies
   if (!metadata.resumed_attempt.empty()) {
     origin = origins_->Find(resumed, timer_service::Now());
+    if (!origin) {
+      answer = co_await AskHolders(resumed);
+      origin = answer && *answer != 0 ? answer : std::nullopt;
+    }
   }
   std::optional<std::string> version;
   bool is_single = false;
@@ -206,7 +209,7 @@
     co_return version_result(version);
   }
   if (!origin && !metadata.resumed_attempt.empty()) {
-    origin = co_await FindOrigin(resumed);
+    origin = co_await FindOrigin(resumed, answer);
   }
   for (const std::string& candidate : candidates) {
     if (origin && VersionKey(service, candidate) == *origin) {
@@ -360,12 +363,11 @@
   }
 }
 
-task<std::optional<std::uint64_t>> origin_tracker::FindOrigin(origin_key attempt) {
+task<std::optional<std::uint64_t>> origin_tracker::FindOrigin(origin_key attempt, std::optional<std::uint64_t> answer) {
   if (const auto known = origins_->Find(attempt, timer_service::Now())) {
-    co_return known;
+    co_return known;  // a copy has arrived meanwhile
   }
-  std::optional<std::uint64_t> answer;
-  for (int round = 0; round < kQueryRounds && !answer; ++round) {
+  for (int round = 1; round < kQueryRounds && !answer; ++round) {
     answer = co_await AskHolders(attempt);
   }
   if (answer && *answer != 0) {
@@ -402,6 +404,9 @@
   UpdateHolders();
   const auto holders = origins_->HoldersOf(attempt);
   if (holders.empty()) {
+    if (group_->RouterCount() == 1) {
+      co_return 0;  // this router is alone
+    }
     co_await kernel_.Timers().Sleep(kAnswerTime);  // other routers may not have been heard yet
     co_return std::nullopt;
   }
@@ -446,18 +451,12 @@
 }
 
 void origin_tracker::SendCopies() {
-  const std::set<std::string> shared = SharedServices();
-  if (shared.empty() || origins_->Size() == 0) {
+  if (origins_->Size() == 0) {
     return;
   }
   UpdateHolders();
   const time_point now = timer_service::Now();
-  const auto needs_copies = [&](std::uint64_t version) {
-    const auto service = service_of_version_.find(version);
-    // A version that this router has not seen is one more than it knows of.
-    return service == service_of_version_.end() || shared.contains(service->second);
-  };
-  for (const auto& [holder, origins] : origins_->TakeDueCopies(needs_copies, now)) {
+  for (const auto& [holder, origins] : origins_->TakeDueCopies(now)) {
     const auto address = ParseHostPort(holder.address);
     if (!address) {
       continue;
--- a/src/direct/origin_tracker.h
+++ b/src/direct/origin_tracker.h
@@ -1,12 +1,13 @@
 // Finds the software version at which a stream that a caller takes up again may go on. A service of the kernel.
 //
-// These sources answer that, in this order: this router has forwarded the first event or holds a copy; the service has
-// had only one version for as long as callers resume streams; one of the routers that hold copies knows; the store
-// does. Otherwise the version is unknown, and the stream must not go on.
+// These sources answer that, in this order: this router has forwarded the first event or holds a copy; one of the
+// routers that hold copies knows; the service has had only one version for as long as callers resume streams; the store
+// knows. Otherwise the version is unknown, and the stream must not go on.
 //
-// The versions of each service are recorded in the store before the first stream begins at one of them. So a router
-// whose list of endpoints is old, or that has restarted, learns from the record, read after the caller's request has
-// arrived, whether there is another version. Without the store, all routers that may be running must answer instead.
+// That there has been one version only is concluded for streams of which all copies are lost. The versions of each
+// service are recorded in the store before the first stream begins at one of them. So a router whose list of endpoints
+// is old, or that has restarted, learns from the record, read after the caller's request has arrived, whether there is
+// another version. Without the store, all routers that may be running must answer instead.
 //
 // While a service has several versions, the origins of its streams are also written to the store (origin_log.h), so
 // that they outlive the loss of all routers.
@@ -91,7 +92,7 @@
   // Longest time for which callers resume a stream, from the start of its first attempt.
   milliseconds ResumeTime() const;
   version_set Candidates(const std::string& service) const;
-  // Services with several candidates, whose origins other routers must know.
+  // Services with several candidates, whose origins are written to the store.
   std::set<std::string> SharedServices() const;
   // Waits for a check that begins after the call, and starts it unless one is running. Returns its result, or false if
   // it does not end in time.
@@ -107,7 +108,9 @@
   void ApplyRecord(const std::string& service, const table_row& row);
   void AddUsable(const std::string& service, const version_set& versions);
   void RecordOrigin(const direct_call& call, const std::string& attempt, const std::string& version);
-  task<std::optional<std::uint64_t>> FindOrigin(origin_key attempt);
+  // Asks the holders of copies again, up to kQueryRounds times in all, and then the store. `answer`: of the first
+  // round.
+  task<std::optional<std::uint64_t>> FindOrigin(origin_key attempt, std::optional<std::uint64_t> answer);
   task<std::optional<std::uint64_t>> FindLogged(origin_key attempt);
   task<> ReadLog();
   void ScheduleLog();
--- /dev/null
+++ b/tests/lost_router_streams_test.cpp
@@ -0,0 +1,158 @@
+// link: persimmon_direct persimmon_fake_parts
+// Streams that callers take up again after the router that forwarded them is gone: those that can be known go on, and
+// the others are refused.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "support/router_fleet.h"
+
+namespace persimmon {
+namespace {
+
+using fakes::fake_replica;
+using fakes::replica_options;
+using fakes::table_store;
+using support::caller_exchange_ptr;
+
+constexpr std::size_t kRouters = 4;
+constexpr int kStreams = 6;
+constexpr milliseconds kAway(300);         // how long the store is away in a drill
+constexpr milliseconds kCopied(200);       // after which a stream outlives its router
+constexpr milliseconds kInTouch(2'500);    // after a drill, until the routers have read the store again
+constexpr milliseconds kReadmission(500);  // until a new endpoint is known to all routers
+
+class lost_router_test : public testing::Test, protected support::router_fleet {
+ protected:
+  void SetUp() override {
+    AddEngine("pre-1", "prefill", "old");
+    AddEngine("old-1", "decode", "old");
+    AddEngine("old-2", "decode", "old");
+    harness_.WriteDesiredState({.timeout_ms = 14'000, .memory_tokens = 100'000});
+    ASSERT_TRUE(StartRouters(kRouters));
+    RunFor(kReadmission);
+  }
+
+  fake_replica& AddEngine(const std::string& name, const std::string& stage, const std::string& version) {
+    replica_options options;
+    options.name = name;
+    options.service = "llm";
+    options.stage = stage;
+    options.version = version;
+    options.memory_tokens = stage == "decode" ? 100'000 : 0;
+    options.event_interval = milliseconds(30);
+    engines_.push_back(&harness_.AddReplica(options));
+    return *engines_.back();
+  }
+
+  caller_exchange_ptr SendStream(const host_port& router, const std::string& attempt, header_list extra = {}) {
+    header_list headers = {{"Persimmonchute-Model", "m"},
+                           {"Persimmonchute-Token-Count", "1000,100"},
+                           {"Persimmonchute-Length-Hint", "100"},
+                           {"Persimmonchute-Prompt-Prefix", "5c:200"},
+                           {"Persimmonchute-Deadline-Ms", "14000"}};
+    headers.insert(headers.end(), extra.begin(), extra.end());
+    return harness_.SendTo(router, "POST", "/digest/1", attempt, std::move(headers), "prompt");
+  }
+
+  // Sends streams to the last router.
+  std::vector<caller_exchange_ptr> SendStreams() {
+    std::vector<caller_exchange_ptr> calls;
+    for (int i = 0; i < kStreams; ++i) {
+      calls.push_back(SendStream(others_.back()->settings.deployment.callers, "first-" + std::to_string(i)));
+    }
+    return calls;
+  }
+
+  void LeaveAfterFirstEvents(const std::vector<caller_exchange_ptr>& calls) {
+    ASSERT_TRUE(RunUntil([&calls] {
+      return std::all_of(calls.begin(), calls.end(), [](const auto& call) { return !call->body.empty(); });
+    }));
+    for (const caller_exchange_ptr& call : calls) {
+      call->call->Cancel();
+    }
+    RunFor(kCopied);
+  }
+
+  void BeginStreams() { LeaveAfterFirstEvents(SendStreams()); }
+
+  // Takes up a stream at the first router. Returns the status of the answer.
+  int Resume(const std::string& attempt, const std::string& resumed) {
+    const auto call =
+        SendStream(harness_.Settings().deployment.callers, attempt, {{"Resumes", resumed}, {"Last-Event-Id", "1"}});
+    EXPECT_TRUE(RunUntil([&call] { return call->done; }));
+    return call->Status();
+  }
+
+  // Takes up all streams of the last router and expects that they go on at the version that began them.
+  void ExpectAllGoOn(const std::string& version = "old") {
+    for (int i = 0; i < kStreams; ++i) {
+      const std::string attempt = "again-" + std::to_string(i);
+      EXPECT_EQ(Resume(attempt, "first-" + std::to_string(i)), 200) << attempt;
+      EXPECT_EQ(RunsOf(attempt, version), 1) << attempt;
+    }
+  }
+
+  // Runs of an attempt at the decode engines of a version.
+  int RunsOf(const std::string& attempt, const std::string& version) const {
+    int runs = 0;
+    for (const fake_replica* engine : engines_) {
+      runs += engine->Name().starts_with(version) ? engine->Runs(attempt) : 0;
+    }
+    return runs;
+  }
+
+  // The store is away for a moment and comes back as it was when `change` had not been called yet.
+  void Drill(const std::function<void()>& change = [] {}) {
+    table_store& tables = harness_.Platform().Tables();
+    tables.SaveCopy();
+    change();
+    harness_.Platform().Faults().outage = true;
+    RunFor(kAway);
+    tables.Restore();
+    harness_.Platform().Faults().outage = false;
+  }
+
+  std::vector<fake_replica*> engines_;
+};
+
+// Guards against the loss of all streams of a frozen router as a release begins: their origins were known to it alone,
+// because the service had had one version until then.
+TEST_F(lost_router_test, StreamsOfAFrozenRouter_AfterASecondVersionJoined_GoOn) {
+  BeginStreams();
+  others_.back()->is_frozen = true;
+  AddEngine("new-1", "decode", "new");
+  RunFor(kReadmission);
+  ExpectAllGoOn();
+}
+
+// Guards against a conclusion from the time of the caller's request: streams that wait may begin at a version that
+// joined later.
+TEST_F(lost_router_test, StreamsThatWaitedForASecondVersion_GoOnThere) {
+  for (fake_replica* engine : engines_) {
+    engine->Faults().full = engine->Name().starts_with("old");
+  }
+  std::vector<caller_exchange_ptr> calls = SendStreams();
+  RunFor(kCopied);
+  AddEngine("new-1", "decode", "new");
+  AddEngine("new-2", "decode", "new");
+  LeaveAfterFirstEvents(calls);
+  KillLastRouter();
+  for (fake_replica* engine : engines_) {
+    engine->Faults().full = false;
+  }
+  ExpectAllGoOn("new");
+}
+
+// Guards against the loss of all streams of a killed router after a drill: the record of versions was not trusted, and
+// the router that was gone could not be asked.
+TEST_F(lost_router_test, StreamsOfAKilledRouter_AfterADrill_GoOn) {
+  Drill();
+  RunFor(kInTouch);
+  BeginStreams();
+  KillLastRouter();
+  ExpectAllGoOn();
+}
+
+}  // namespace
+}  // namespace persimmon
