Trust the record of versions again once all routers have confirmed it

Ruled out: a shorter time of doubt, which guesses. A router confirms instead that the record of the present era holds all versions that it knows; what it begins later is recorded in that era first. Once each router that may have begun streams before the restore has confirmed, the record is complete. Routers that ended cannot confirm, nor can the process that replaces them.

Related: AskRouters took a router that had restarted at its address for the process before it, whose streams it does not know. It counts as one that cannot be asked now.

Evidence: lost_router_test.UnknownStream_AfterADrillThatAllRoutersHave Confirmed_GoesOn and UnknownStream_UntilAllRoutersHaveConfirmedTheRecord_ IsRefused failed on the code before (503 where 200 is expected).

--- a/include/persimmon/stream_origins.h
+++ b/include/persimmon/stream_origins.h
@@ -3,6 +3,7 @@
 // Sections
 //   1. versions of a service
 //   2. origins of streams
+//   3. confirmations of the record of versions
 //
 // What engines of two software versions write does not fit together, so a stream may go on only at the version that
 // began it, and engines do not check this. The router that forwards the first event of a stream records its version and
@@ -65,7 +66,7 @@
 
 origin_key OriginKey(std::string_view attempt);
 
-// A router that can hold copies. A router that restarts loses its copies and has another incarnation.
+// A router that can hold copies. A router that restarts loses them, and what it knew, and has another incarnation.
 struct origin_holder {
   std::string address;
   std::uint64_t incarnation = 0;
@@ -164,4 +165,37 @@
   std::uint64_t generation_ = 1;  // increases with every change of the holders
 };
 
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. confirmations of the record of versions
+// ---------------------------------------------------------------------------------------------------------------------
+
+// Tells whether the record of versions in the store can be trusted after the store has come back from an older copy.
+//
+// The copy may lack versions that other routers have recorded and at which they have begun streams. A router confirms
+// the record in an era of the store once it has found or written all versions there that it knows. What it begins
+// later is recorded in that era first. So the record is complete as soon as each router that may have begun streams
+// before has confirmed it. A router that has ended cannot; then the record stays doubtful for as long as callers resume
+// its streams.
+class record_confirmations {
+ public:
+  // The store has come back in a new era. `routers`: the other routers that may have begun streams before, with those
+  // that have ended. `knows_all`: false if there may be more of them.
+  void Begin(std::uint64_t era, time_point now, const std::vector<origin_holder>& routers, bool knows_all);
+
+  // Records that a router has confirmed the record in an era.
+  void RecordConfirmed(const origin_holder& router, std::uint64_t era);
+
+  // `retention`: the longest time for which callers resume a stream.
+  bool IsDoubtful(time_point now, milliseconds retention) const;
+
+  const std::set<origin_holder>& Unconfirmed() const { return unconfirmed_; }
+  std::uint64_t Era() const { return era_; }  // 0: the store has never come back from a copy
+
+ private:
+  std::uint64_t era_ = 0;
+  time_point began_;
+  std::set<origin_holder> unconfirmed_;
+  bool knows_all_ = true;
+};
+
 }  // namespace persimmon
--- a/src/decisions/stream_origins.cpp
+++ b/src/decisions/stream_origins.cpp
@@ -223,4 +223,26 @@
   by_expiry_.erase(by_expiry_.begin(), end);
 }
 
+// ---------------------------------------------------------------------------------------------------------------------
+// 3. confirmations of the record of versions
+// ---------------------------------------------------------------------------------------------------------------------
+
+void record_confirmations::Begin(std::uint64_t era, time_point now, const std::vector<origin_holder>& routers,
+                                 bool knows_all) {
+  era_ = era;
+  began_ = now;
+  unconfirmed_.insert(routers.begin(), routers.end());  // those of the era before still count
+  knows_all_ = knows_all;
+}
+
+void record_confirmations::RecordConfirmed(const origin_holder& router, std::uint64_t era) {
+  if (era >= era_) {
+    unconfirmed_.erase(router);
+  }
+}
+
+bool record_confirmations::IsDoubtful(time_point now, milliseconds retention) const {
+  return era_ != 0 && now - began_ < retention && !(unconfirmed_.empty() && knows_all_);
+}
+
 }  // namespace persimmon
--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -255,7 +255,7 @@
 
 task<> origin_tracker::RunCheck(std::string service) {
   const time_point began = timer_service::Now();
-  const bool is_record_doubtful = restored_at_ && began - *restored_at_ < ResumeTime();
+  const bool is_record_doubtful = confirmations_.IsDoubtful(began, ResumeTime());
   std::optional<bool> is_recorded;
   if (directory_->IsStoreReachable() && !is_record_doubtful) {
     // The read goes on when the time is up, because the store may still answer it.
@@ -274,6 +274,7 @@
       .Add("service", service)
       .Add("confirmed", state.check.is_confirmed)
       .Add("by", is_recorded.value_or(false) ? "store" : "routers")
+      .Add("record_doubtful", is_record_doubtful)
       .Add("versions", JoinVersions(Candidates(service)))
       .Add("took_ms", ElapsedMs(began, timer_service::Now()));
 }
@@ -289,7 +290,7 @@
   done->Push(is_valid);
 }
 
-// True if all routers that may be running know of no other version.
+// True if all routers that may have begun streams know of no other version.
 task<bool> origin_tracker::AskRouters(std::string service) {
   auto waiting = std::make_shared<version_query>(kernel_.Context());
   waiting->service = ServiceKey(service);
@@ -297,7 +298,8 @@
   for (const host_port& router : group_->OtherRouters()) {
     waiting->unanswered.insert(router);
   }
-  if (!group_->HearsAllRouters()) {
+  // What a router that has ended knew is lost with it.
+  if (!group_->HearsAllRouters(timer_service::Now() - ResumeTime())) {
     co_return false;
   }
   version_queries_.push_back(waiting);
@@ -500,6 +502,12 @@
   } else if (const auto* answer = std::get_if<versions_answer>(&received)) {
     ReceiveVersions(answer->known);
     ReceiveAnswer(sender, *answer);
+  } else if (const auto* record = std::get_if<ask_records>(&received)) {
+    if (const std::uint64_t era = ConfirmedEra(); era >= record->era) {
+      group_->Send(sender, message(records_confirmed{group_->Self().incarnation, era}));
+    }
+  } else if (const auto* confirmed = std::get_if<records_confirmed>(&received)) {
+    ReceiveConfirmation(sender, *confirmed);
   } else if (const auto* found = std::get_if<stream_origin_found>(&received)) {
     const auto waiting = queries_.find(found->attempt);
     if (waiting == queries_.end()) {
@@ -543,7 +551,8 @@
       if (!can_write || !state.outdated_since) {
         continue;
       }
-      const bool is_addition = !std::includes(state.recorded.begin(), state.recorded.end(),
+      const bool is_addition = state.confirmed_era < confirmations_.Era() ||
+                               !std::includes(state.recorded.begin(), state.recorded.end(),
                                               state.versions.Serving().begin(), state.versions.Serving().end());
       const std::size_t rank = OwnRank(name);
       const milliseconds delay = is_addition ? kAddRankDelay * static_cast<int>(std::min(rank, kMaxAddRank))
@@ -556,6 +565,7 @@
       co_await WriteRecord(name);
     }
     AskForRecorded();
+    AskForConfirmations(now);
     const bool has_shared = !SharedServices().empty();
     if (std::exchange(has_shared_, has_shared) && !has_shared && can_write) {
       co_await RemoveOldLogs();
@@ -567,7 +577,11 @@
 void origin_tracker::UpdateRecordStates(time_point now) {
   const bool is_restored = table_.Era() != records_era_ && records_era_ != 0;
   if (is_restored) {
-    restored_at_ = now;
+    std::vector<origin_holder> routers;
+    for (const router_group::member& member : group_->RoutersSince(now - ResumeTime())) {
+      routers.push_back({member.address.Text(), member.incarnation});
+    }
+    confirmations_.Begin(table_.Era(), now, routers, group_->RouterCount() > 0);
     origins_->ForgetLogged();
   }
   records_era_ = table_.Era();
@@ -579,7 +593,8 @@
     const version_set candidates = Candidates(name);
     const version_set& serving = state.versions.Serving();
     std::erase_if(state.usable, [&](const std::string& version) { return !candidates.contains(version); });
-    const bool is_outdated = candidates != state.recorded;
+    const bool is_unconfirmed = !candidates.empty() && state.confirmed_era < confirmations_.Era();
+    const bool is_outdated = candidates != state.recorded || is_unconfirmed;
     state.outdated_since = is_outdated ? state.outdated_since.value_or(now) : std::optional<time_point>();
     const bool is_usable =
         std::any_of(serving.begin(), serving.end(),
@@ -602,6 +617,37 @@
   }
 }
 
+std::uint64_t origin_tracker::ConfirmedEra() const {
+  std::uint64_t era = has_records_ ? table_.Era() : 0;
+  for (const auto& [name, state] : services_) {
+    if (!Candidates(name).empty()) {
+      era = std::min(era, state.confirmed_era);
+    }
+  }
+  return era;
+}
+
+void origin_tracker::AskForConfirmations(time_point now) {
+  if (!confirmations_.IsDoubtful(now, ResumeTime()) || now - asked_for_confirmations_ < kRecordPeriod) {
+    return;
+  }
+  asked_for_confirmations_ = now;
+  for (const origin_holder& router : confirmations_.Unconfirmed()) {
+    if (const auto address = ParseHostPort(router.address)) {
+      group_->Send(address.value(), message(ask_records{confirmations_.Era()}));
+    }
+  }
+}
+
+void origin_tracker::ReceiveConfirmation(const host_port& sender, const records_confirmed& confirmed) {
+  const time_point now = timer_service::Now();
+  const bool was_doubtful = confirmations_.IsDoubtful(now, ResumeTime());
+  confirmations_.RecordConfirmed({sender.Text(), confirmed.incarnation}, confirmed.era);
+  if (was_doubtful && !confirmations_.IsDoubtful(now, ResumeTime())) {
+    Events().Line(kComponent, "records_confirmed").Add("era", confirmations_.Era());
+  }
+}
+
 // Routers that are gone leave their rows behind.
 task<> origin_tracker::RemoveOldLogs() {
   if (OwnRank(kVersionTable) != 0) {
@@ -625,6 +671,10 @@
     state.versions.AddRecorded(versions, timer_service::Now());
   }
   AddUsable(service, versions);
+  const version_set candidates = Candidates(service);
+  if (std::includes(versions.begin(), versions.end(), candidates.begin(), candidates.end())) {
+    state.confirmed_era = row.era;
+  }
 }
 
 // Notes the content of the record.
@@ -715,6 +765,7 @@
   const bool is_written = written && written.value().committed;
   if (is_written) {
     state.record_version = {written.value().era, written.value().version};
+    state.confirmed_era = written.value().era;
     AddUsable(service, versions);
     group_->SendAll(group_->OtherRouters(), message(MakeVersions(service)));
   } else if (written) {
--- a/src/direct/origin_tracker.h
+++ b/src/direct/origin_tracker.h
@@ -70,6 +70,7 @@
     version_set recorded;                                    // in the store, as read or written last
     std::pair<std::uint64_t, std::uint64_t> record_version;  // era and version of its row
     version_set usable;                                      // have been recorded, also in an earlier era of the store
+    std::uint64_t confirmed_era = 0;                         // the latest in which the record held all candidates
     std::optional<time_point> outdated_since;                // since when the record differs from the versions
     std::optional<time_point> unusable_since;                // since when no version that serves is usable
     shared_check check;                                      // whether the known versions are all that there are
@@ -126,6 +127,10 @@
   void UpdateRecordStates(time_point now);
   task<> RemoveOldLogs();
   void AskForRecorded();
+  // The latest era of the store in which the records of all services held all versions that this router knows.
+  std::uint64_t ConfirmedEra() const;
+  void AskForConfirmations(time_point now);
+  void ReceiveConfirmation(const host_port& sender, const records_confirmed& confirmed);
   task<> ReadRecords();
   task<> WriteRecord(std::string service);
   std::size_t OwnRank(const std::string& service) const;
@@ -142,9 +147,10 @@
   bool has_shared_ = false;      // a service had several candidates at the previous check of the records
   time_point next_log_write_;
   std::vector<std::shared_ptr<version_query>> version_queries_;
-  bool is_addition_due_ = false;           // a version that serves is not usable yet
-  std::optional<time_point> restored_at_;  // when the store came back from an older copy, which may lack records
-  mailbox<bool> record_wakeup_;            // the versions of a service have changed
+  bool is_addition_due_ = false;        // a version that serves is not usable yet
+  record_confirmations confirmations_;  // since the store has come back from an older copy, which may lack records
+  time_point asked_for_confirmations_;
+  mailbox<bool> record_wakeup_;  // the versions of a service have changed
   std::map<std::string, service_state> services_;
   std::map<std::uint64_t, std::string> service_of_version_;  // by version key, of all versions seen
   std::map<origin_key, std::vector<std::shared_ptr<query>>> queries_;
--- a/src/direct/router_group.cpp
+++ b/src/direct/router_group.cpp
@@ -215,6 +215,12 @@
   }
   peer_state& peer = peers_[sender];
   if (is_new) {
+    if (known != peers_.end()) {
+      ended_.emplace_back(member{sender, peer.state.incarnation}, peer.last_heard);
+    }
+    std::erase_if(ended_, [&](const auto& item) {
+      return item.first == member{sender, state.incarnation};
+    });  // it is back
     peer = peer_state();
   }
   peer.state = state;
@@ -280,6 +286,7 @@
   bool changed = false;
   std::erase_if(silent_routers_, [now](const auto& item) { return now >= item.second; });
   std::erase_if(paused_until_, [now](const auto& item) { return now >= item.second; });
+  std::erase_if(ended_, [now](const auto& item) { return now - item.second > kSilentCountTime; });
   for (auto& [address, other] : peers_) {
     if (now - other.last_heard > kSilenceTimeout && !(other.uses.empty() && other.state.waiting.empty())) {
       Events().Line(kComponent, "router_silent").Add("router", other.state.name);
@@ -293,6 +300,7 @@
     if (now - item->second.last_heard > limit) {
       Events().Line(kComponent, "router_forgotten").Add("router", item->second.state.name);
       candidates_.emplace(item->first, now);
+      ended_.emplace_back(member{item->first, item->second.state.incarnation}, item->second.last_heard);
       if (!item->second.state.leaving) {
         silent_routers_[item->first] = now + kSilentCountTime;
       }
@@ -374,6 +382,19 @@
   return members;
 }
 
+std::vector<router_group::member> router_group::RoutersSince(time_point since) const {
+  std::vector<member> members;
+  for (const auto& [address, other] : peers_) {
+    members.push_back({address, other.state.incarnation});
+  }
+  for (const auto& [ended, last_heard] : ended_) {
+    if (last_heard >= since) {
+      members.push_back(ended);
+    }
+  }
+  return members;
+}
+
 std::vector<host_port> router_group::OtherRouters() const {
   std::vector<host_port> addresses;
   addresses.reserve(peers_.size());
@@ -383,12 +404,14 @@
   return addresses;
 }
 
-bool router_group::HearsAllRouters() const {
+bool router_group::HearsAllRouters(time_point since) const {
   const time_point now = timer_service::Now();
+  const bool has_ended =
+      std::any_of(ended_.begin(), ended_.end(), [since](const auto& item) { return item.second >= since; });
   const bool all_heard = std::all_of(peers_.begin(), peers_.end(), [now](const auto& item) {
     return now - item.second.last_heard <= kSilenceTimeout;
   });
-  return all_heard && silent_routers_.empty() && RouterCount() > 0;
+  return all_heard && !has_ended && silent_routers_.empty() && RouterCount() > 0;
 }
 
 revision_number router_group::NewestPeerRevision() const {
--- a/src/direct/router_group.h
+++ b/src/direct/router_group.h
@@ -89,15 +89,18 @@
     bool operator==(const member&) const = default;
   };
   std::vector<member> LiveMembers() const;
+  // The other routers that have been heard and have not ended before `since`, as far as is known. A router that has
+  // restarted is listed with each of its incarnations.
+  std::vector<member> RoutersSince(time_point since) const;
   bool IsLeaving() const { return leaving_; }
   member Self() const { return {own_address_, incarnation_}; }
 
   // Addresses of the other routers that have been heard and may still be running, also of those that are leaving.
   std::vector<host_port> OtherRouters() const;
 
-  // True if all other routers that may still be running have been heard lately. False if there are other routers and
-  // none has been heard yet.
-  bool HearsAllRouters() const;
+  // True if all other routers that may still be running have been heard lately, and none has ended since `since`. False
+  // if there are other routers and none has been heard yet.
+  bool HearsAllRouters(time_point since) const;
 
   // Sends a message of another type than router_state to a router. It may be lost.
   void Send(const host_port& receiver, const message& value) { socket_->Send(receiver, value); }
@@ -134,8 +137,9 @@
   std::uint64_t incarnation_ = 0;
   std::uint64_t sequence_ = 0;
   std::map<host_port, peer_state> peers_;
-  std::map<host_port, time_point> candidates_;                         // with the time of the last message to each
-  std::map<host_port, time_point> silent_routers_;                     // removed peers, counted until this time
+  std::map<host_port, time_point> candidates_;        // with the time of the last message to each
+  std::map<host_port, time_point> silent_routers_;    // removed peers, counted until this time
+  std::vector<std::pair<member, time_point>> ended_;  // removed or replaced incarnations, and when they were heard last
   mutable std::unordered_map<std::uint64_t, endpoint_use> peer_uses_;  // sums by endpoint key
   mutable bool peer_uses_outdated_ = false;                            // the sums are calculated when they are needed
   std::unordered_map<std::uint64_t, time_point> paused_until_;  // pauses reported by other routers, by endpoint key
--- a/src/net/wire.cpp
+++ b/src/net/wire.cpp
@@ -192,7 +192,9 @@
                                                                                  "versions_known",
                                                                                  "endpoint_use_list",
                                                                                  "ask_versions",
-                                                                                 "versions_answer"};
+                                                                                 "versions_answer",
+                                                                                 "ask_records",
+                                                                                 "records_confirmed"};
 
 }  // namespace
 
--- a/src/net/wire.h
+++ b/src/net/wire.h
@@ -656,6 +656,29 @@
   }
 };
 
+// Asks another router whether it has confirmed the records of versions in an era of the store: they hold all versions
+// that it knows. It answers with records_confirmed once it has.
+struct ask_records {
+  std::uint64_t era = 0;
+
+  bool operator==(const ask_records&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(era);
+  }
+};
+
+struct records_confirmed {
+  std::uint64_t incarnation = 0;  // of the router that has confirmed them
+  std::uint64_t era = 0;
+
+  bool operator==(const records_confirmed&) const = default;
+  template <class archive>
+  void serialize(archive& ar) {
+    ar(incarnation, era);
+  }
+};
+
 // One crash of an engine under a request with a suspected part of a prompt.
 struct part_crash_entry {
   std::uint64_t crash = 0;  // identifies the endpoint and its incarnation
@@ -789,7 +812,8 @@
                  query_attempt, load_report, fetch_config, config_snapshot, lend_tokens, tokens_lent, claim_batch,
                  claim_results, router_state, hold_stream_origins, stream_origins_held, find_stream_origin,
                  stream_origin_found, part_evidence_list, endpoint_limit_list, ask_permit, permit_answer, return_tokens,
-                 prompt_prefilled, find_versions, versions_known, endpoint_use_list, ask_versions, versions_answer>;
+                 prompt_prefilled, find_versions, versions_known, endpoint_use_list, ask_versions, versions_answer,
+                 ask_records, records_confirmed>;
 
 // Name of the message type, for logs and golden files.
 const char* MessageName(const message& value);
--- a/tests/lost_router_streams_test.cpp
+++ b/tests/lost_router_streams_test.cpp
@@ -154,5 +154,37 @@
   ExpectAllGoOn();
 }
 
+// Guards against distrust of the record for as long as callers take up streams, although all routers have found it
+// complete: a router that is gone can no longer be asked.
+TEST_F(lost_router_test, UnknownStream_AfterADrillThatAllRoutersHaveConfirmed_GoesOn) {
+  Drill();
+  RunFor(kInTouch);
+  KillLastRouter();
+  EXPECT_EQ(Resume("again", "unknown"), 200);
+}
+
+// Guards against a conclusion from a record that may lack what one of the routers knows.
+TEST_F(lost_router_test, UnknownStream_UntilAllRoutersHaveConfirmedTheRecord_IsRefused) {
+  others_.back()->is_frozen = true;
+  Drill();
+  RunFor(kInTouch);
+  EXPECT_EQ(Resume("again-1", "unknown"), 503);
+  EXPECT_EQ(RunsOf("again-1", "old"), 0);
+  others_.back()->is_frozen = false;
+  RunFor(kInTouch);
+  KillLastRouter();
+  EXPECT_EQ(Resume("again-2", "unknown"), 200);
+}
+
+// Guards against confirmations by the process that has replaced the one that knew more.
+TEST_F(lost_router_test, UnknownStream_AfterARouterRestartedWithinADrill_IsRefused) {
+  Drill([this] {
+    RestartLastRouter();
+    RunFor(kReadmission);
+  });
+  RunFor(kInTouch);
+  EXPECT_EQ(Resume("again", "unknown"), 503);
+}
+
 }  // namespace
 }  // namespace persimmon
--- a/tests/stream_origins_test.cpp
+++ b/tests/stream_origins_test.cpp
@@ -256,5 +256,40 @@
   EXPECT_EQ(table.Find(1'000, kStart + milliseconds(4'000)), std::optional<std::uint64_t>(7));
 }
 
+TEST(record_confirmations_test, Record_UntilEachRouterHasConfirmedIt_IsDoubtful) {
+  record_confirmations confirmations;
+  EXPECT_FALSE(confirmations.IsDoubtful(kStart, kRetention));
+  confirmations.Begin(2, kStart, {{"one", 1}, {"two", 1}}, true);
+  EXPECT_TRUE(confirmations.IsDoubtful(kStart, kRetention));
+  confirmations.RecordConfirmed({"one", 1}, 2);
+  confirmations.RecordConfirmed({"two", 2}, 2);  // the process that has replaced it knows less
+  confirmations.RecordConfirmed({"two", 1}, 1);  // in the era before
+  EXPECT_TRUE(confirmations.IsDoubtful(kStart, kRetention));
+  confirmations.RecordConfirmed({"two", 1}, 3);
+  EXPECT_FALSE(confirmations.IsDoubtful(kStart, kRetention));
+}
+
+TEST(record_confirmations_test, Record_ThatARouterNeverConfirms_IsDoubtfulForTheRetention) {
+  record_confirmations confirmations;
+  confirmations.Begin(2, kStart, {{"one", 1}}, true);
+  EXPECT_TRUE(confirmations.IsDoubtful(kStart + kRetention - milliseconds(1), kRetention));
+  EXPECT_FALSE(confirmations.IsDoubtful(kStart + kRetention, kRetention));
+}
+
+// Guards against a second restore that hides what the routers of the first one knew.
+TEST(record_confirmations_test, Record_AfterTwoRestores_NeedsTheRoutersOfBoth) {
+  record_confirmations confirmations;
+  confirmations.Begin(2, kStart, {{"one", 1}}, true);
+  confirmations.Begin(3, kStart + milliseconds(1'000), {{"two", 1}}, true);
+  confirmations.RecordConfirmed({"two", 1}, 3);
+  EXPECT_TRUE(confirmations.IsDoubtful(kStart + milliseconds(1'000), kRetention));
+}
+
+TEST(record_confirmations_test, Record_WhileOtherRoutersAreNotHeard_IsDoubtful) {
+  record_confirmations confirmations;
+  confirmations.Begin(2, kStart, {}, false);
+  EXPECT_TRUE(confirmations.IsDoubtful(kStart, kRetention));
+}
+
 }  // namespace
 }  // namespace persimmon
--- a/tests/support/router_fleet.h
+++ b/tests/support/router_fleet.h
@@ -46,10 +46,15 @@
     deployment.readiness = free_address();
     deployment.control = free_address();
     deployment.seeds = {{"127.0.0.1", 1}};
-    added->stop = RegisterDirectRouter(added->services, added->settings);
-    added->services.Start();
-    others_.push_back(std::move(added));
-    return *others_.back();
+    return StartRouter(std::move(added));
+  }
+
+  // Replaces the last router by a new process at its address.
+  void RestartLastRouter() {
+    auto added = std::make_unique<other_router>();
+    added->settings = others_.back()->settings;
+    KillLastRouter();
+    StartRouter(std::move(added));
   }
 
   // Starts `routers` in total, the first of them in the harness, and waits until they know each other and the
@@ -102,6 +107,13 @@
   std::vector<std::unique_ptr<other_router>> others_;
 
  private:
+  other_router& StartRouter(std::unique_ptr<other_router> added) {
+    added->stop = RegisterDirectRouter(added->services, added->settings);
+    added->services.Start();
+    others_.push_back(std::move(added));
+    return *others_.back();
+  }
+
   static std::size_t Poll(kernel& services) {
     services.Context().restart();
     return services.Context().poll();
