Bound the memory of incomplete answers over all calls together

Cause here: each part of an answer had a limit, an event of 1 MiB, a buffered body of 256 KiB, an answer to the router's own requests of 4 MiB, but nothing held over all connections.

Ruled out: heads, interim responses, chunk headers and trailers without end; untrusted_response_test shows them bounded per connection, and a connection to an endpoint now keeps 16 KiB in place of 64.

Answers of engines to the router's own requests may have 64 KiB, reports 256 KiB.

--- /dev/null
+++ b/include/persimmon/shared_limit.h
@@ -0,0 +1,63 @@
+// Bounds the memory that the incomplete answers of all calls of a process use together.
+//
+// The load that this answers: endpoints that send bytes without end on many connections at the same time. A limit per
+// answer does not bound their sum. An answer is never kept waiting for memory: one that needs more than the rest fails.
+// A small allowance per answer, above the size of a sound event, does not depend on what the others use.
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <utility>
+
+namespace persimmon {
+
+class shared_limit {
+ public:
+  // What one call uses. It is returned when the share is destroyed.
+  class share {
+   public:
+    share() = default;  // without a limit
+    explicit share(std::shared_ptr<shared_limit> limit) : limit_(std::move(limit)) {}
+    share(share&& other) noexcept : limit_(std::move(other.limit_)), bytes_(std::exchange(other.bytes_, 0)) {}
+    share& operator=(share&& other) noexcept {
+      std::swap(limit_, other.limit_);
+      std::swap(bytes_, other.bytes_);
+      return *this;
+    }
+    share(const share&) = delete;
+    share& operator=(const share&) = delete;
+    ~share() { (void)Resize(0); }
+
+    // Sets the bytes that the call uses. Returns false, and changes nothing, if they exceed the allowance and all calls
+    // together would use more than the limit.
+    bool Resize(std::size_t bytes) {
+      if (!limit_) {
+        return true;
+      }
+      const std::size_t others = limit_->in_use_ - bytes_;
+      const bool fits = others <= limit_->bytes_ && bytes <= limit_->bytes_ - others;
+      if (bytes > bytes_ && bytes > limit_->allowance_ && !fits) {
+        return false;
+      }
+      limit_->in_use_ = others + bytes;
+      bytes_ = bytes;
+      return true;
+    }
+
+   private:
+    std::shared_ptr<shared_limit> limit_;
+    std::size_t bytes_ = 0;
+  };
+
+  // `bytes`: of all calls together. `allowance`: bytes that each call may use in any case.
+  shared_limit(std::size_t bytes, std::size_t allowance) : bytes_(bytes), allowance_(allowance) {}
+
+  std::size_t InUse() const { return in_use_; }  // bytes
+
+ private:
+  std::size_t bytes_;
+  std::size_t allowance_;
+  std::size_t in_use_ = 0;
+};
+
+}  // namespace persimmon
--- a/src/direct/direct_call.cpp
+++ b/src/direct/direct_call.cpp
@@ -143,7 +143,7 @@
   return call_outcome::kCallerDisconnected;
 }
 
-task<result<std::string>> ReadBufferedBody(http_call& upstream, time_point deadline) {
+task<result<std::string>> ReadBufferedBody(http_call& upstream, time_point deadline, shared_limit::share memory) {
   std::string body;
   while (true) {
     auto piece = co_await upstream.Read(deadline);
@@ -154,6 +154,9 @@
     if (body.size() > kMaxBufferedBytes) {
       co_return error{error_code::kProtocol, fmt::format("a body to buffer exceeds {} bytes", kMaxBufferedBytes)};
     }
+    if (!memory.Resize(body.size())) {
+      co_return error{error_code::kProtocol, kNoAnswerMemory};
+    }
   }
 }
 
--- a/src/direct/direct_call.h
+++ b/src/direct/direct_call.h
@@ -12,6 +12,7 @@
 #include "persimmon/accounts.h"
 #include "persimmon/kv_placement.h"
 #include "persimmon/routes.h"
+#include "persimmon/shared_limit.h"
 #include "platform/requests.h"
 
 namespace persimmon {
@@ -136,11 +137,13 @@
 
 using direct_call_ptr = std::shared_ptr<direct_call>;
 
+inline constexpr const char* kNoAnswerMemory = "the memory for incomplete answers is used up";
+
 // A longer response of an endpoint is not buffered.
 inline constexpr std::size_t kMaxBufferedBytes = 256U << 10U;
 
 // Reads the rest of a body that is buffered. Errors: those of http_call::Read; kProtocol if it exceeds
-// kMaxBufferedBytes.
-task<result<std::string>> ReadBufferedBody(http_call& upstream, time_point deadline);
+// kMaxBufferedBytes, or the memory that all answers share.
+task<result<std::string>> ReadBufferedBody(http_call& upstream, time_point deadline, shared_limit::share memory);
 
 }  // namespace persimmon
--- a/src/direct/direct_router.cpp
+++ b/src/direct/direct_router.cpp
@@ -2,6 +2,7 @@
 
 #include "core/telemetry.h"
 #include "direct/account_tracker.h"
+#include "direct/answer_memory.h"
 #include "direct/caller_auth.h"
 #include "direct/ingress.h"
 #include "direct/origin_tracker.h"
@@ -11,9 +12,9 @@
 namespace persimmon {
 namespace {
 
-// Of the answers of engines and peers to control calls. The largest is the state of a peer: a desired state and the
-// entries of all endpoints, some 300 bytes each.
-constexpr std::size_t kMaxControlBodyBytes = 4U << 20U;
+// Of the answers of peers. The largest is their state: a desired state and the entries of all endpoints, some 300 bytes
+// each.
+constexpr std::size_t kMaxPeerBodyBytes = 4U << 20U;
 
 // Of the descriptors, for idle connections to endpoints. 18 engines with 12 each take 216 of 3,900.
 constexpr double kIdleConnectionShare = 0.2;
@@ -26,7 +27,7 @@
   limits.connect_timeout = settings->connect_timeout;
   limits.idle_connections = static_cast<std::size_t>(settings->idle_connections);
   limits.reuse_limit = settings->reuse_limit;
-  limits.body_bytes = kMaxControlBodyBytes;
+  limits.body_bytes = kMaxPeerBodyBytes;
   if (const auto descriptors = settings->deployment.descriptors) {
     limits.total_idle_connections = static_cast<std::size_t>(kIdleConnectionShare * static_cast<double>(*descriptors));
   }
@@ -36,6 +37,7 @@
   services.Register<telemetry>("telemetry", services, settings->deployment.name, std::string());
   auto& group = services.Register<router_group>("group", services, *settings);
   auto& directory = services.Register<deployment_directory>("directory", services, *settings, table);
+  services.Register<answer_memory>("answers", *settings);
   services.Register<limit_tracker>("limits", services);
   services.Register<account_tracker>("accounts", services);
   services.Register<caller_auth>("auth", services, *settings, *client);
--- a/src/direct/endpoint_tracker.cpp
+++ b/src/direct/endpoint_tracker.cpp
@@ -118,12 +118,12 @@
 
 task<result<http_response>> endpoint_tracker::FetchControl(http_client& client, chosen_endpoint endpoint,
                                                            http_request request, milliseconds timeout,
-                                                           http_client::response_filter fits) {
+                                                           http_client::response_filter fits, std::size_t body_bytes) {
   const std::string target = request.target;
   http_client::response_filter matches = [fits = std::move(fits)](const http_response& response) {
     return platform::CanAnswerControlRequest(response.headers) && (!fits || fits(response));
   };
-  auto response = co_await client.Fetch(endpoint.address, std::move(request), timeout, std::move(matches));
+  auto response = co_await client.Fetch(endpoint.address, std::move(request), timeout, std::move(matches), body_bytes);
   if (!response && response.error().code == error_code::kProtocol) {
     metrics_
         ->AddCounter("persimmon_unexpected_responses_total",
@@ -150,7 +150,8 @@
     return candidate.status != kOk || platform::ParseReport(candidate.body).has_value();
   };
   auto request = platform::MakeReportRequest(engine.name);
-  auto response = co_await FetchControl(client, engine, std::move(request), timeout, std::move(is_report));
+  auto response =
+      co_await FetchControl(client, engine, std::move(request), timeout, std::move(is_report), kMaxReportBytes);
   if (!response) {
     co_return response.error();
   }
--- a/src/direct/endpoint_tracker.h
+++ b/src/direct/endpoint_tracker.h
@@ -31,6 +31,10 @@
 
 class endpoint_tracker {
  public:
+  // Of the answers of endpoints to requests of the router itself.
+  static constexpr std::size_t kMaxControlBytes = 64U << 10U;
+  static constexpr std::size_t kMaxReportBytes = 256U << 10U;  // lists models with their adapters
+
   endpoint_tracker(kernel& services, const direct_settings& settings);
 
   void Start();
@@ -56,7 +60,8 @@
   // that `fits` rejects, is taken for the response to another request. Null: every body fits. Errors: those of Fetch;
   // kProtocol for a response to another request, where this one may have taken effect.
   task<result<http_response>> FetchControl(http_client& client, chosen_endpoint endpoint, http_request request,
-                                           milliseconds timeout, http_client::response_filter fits = nullptr);
+                                           milliseconds timeout, http_client::response_filter fits = nullptr,
+                                           std::size_t body_bytes = kMaxControlBytes);
 
   // Reads the report of an engine and records its response. Errors: those of FetchControl; kUnavailable for a refusal.
   task<result<platform::engine_report>> FetchReport(http_client& client, chosen_endpoint engine, milliseconds timeout);
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -128,6 +128,7 @@
   part_tracker_ = &kernel_.Find<part_tracker>("parts");
   origins_ = &kernel_.Find<origin_tracker>("origins");
   prompts_ = &kernel_.Find<prompt_tracker>("prompts");
+  answers_ = &kernel_.Find<answer_memory>("answers");
   sender_.Start();
   origins_->on_usable = [this] { DispatchAll(); };
 }
@@ -722,7 +723,7 @@
       prompts_->RecordWorkTime(call->Service().name, engine, reply.value().metadata.work_time_percent);
     }
     if (!failure) {
-      auto read = co_await ReadBufferedBody(upstream, end);
+      auto read = co_await ReadBufferedBody(upstream, end, answers_->NewShare());
       if (read) {
         body = std::move(read.value());
       } else {
@@ -886,7 +887,7 @@
     } else if (metadata.has_seal && !stream.started && head.status >= 400) {
       // An error response of the engine itself is forwarded unchanged.
       detail = fmt::format("status {}", head.status);
-      auto body = co_await ReadBufferedBody(upstream, end);
+      auto body = co_await ReadBufferedBody(upstream, end, answers_->NewShare());
       if (body) {
         http_response failed{head.status, platform::ForwardedHeaders(head.headers), std::move(body.value())};
         stream.started = true;
@@ -1005,7 +1006,8 @@
   const std::string continued_after =
       stream.events.LastId().empty() ? call->Metadata().resume_after : stream.events.LastId();
   std::size_t incomplete_bytes = 0;  // of an event whose end has not arrived
-  bool has_first_event = false;      // of this run
+  shared_limit::share memory = answers_->NewShare();
+  bool has_first_event = false;  // of this run
   decode_result outcome = decode_result::kBroken;
   while (true) {
     const bool may_resume = resumable && call->sends < call->Route().max_attempts && stream.events.IsContinuable();
@@ -1022,6 +1024,8 @@
       failure = DescribeFault(stream.events);
     } else if (stream.events.IsOversized()) {
       failure = "an event exceeds the maximum length";
+    } else if (!memory.Resize(incomplete_bytes)) {
+      failure = kNoAnswerMemory;
     } else if (is_end) {
       failure = co_await CheckStreamEnd(*call, upstream, assignment.engine, stream.events);
     }
--- a/src/direct/generation_calls.h
+++ b/src/direct/generation_calls.h
@@ -13,6 +13,7 @@
 
 #include "core/mailbox.h"
 #include "core/metrics.h"
+#include "direct/answer_memory.h"
 #include "direct/call_sender.h"
 #include "direct/caller_auth.h"
 #include "direct/direct_call.h"
@@ -170,6 +171,7 @@
   suspect_tracker* suspect_tracker_ = nullptr;
   part_tracker* part_tracker_ = nullptr;
   origin_tracker* origins_ = nullptr;
+  answer_memory* answers_ = nullptr;
   prompt_tracker* prompts_ = nullptr;
   std::map<std::string, std::unique_ptr<service_queue>> queues_;
   granted_reservations granted_{kMaxGrants};
--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -182,6 +182,8 @@
         .Set(static_cast<double>(kernel_.Find<suspect_tracker>("crashes").RunningCount()));
     metrics_->AddGauge("persimmon_body_memory_bytes", "Memory of the bodies of requests in progress.")
         .Set(static_cast<double>(caller_server_->BodyMemoryInUse()));
+    metrics_->AddGauge("persimmon_answer_memory_bytes", "Memory of incomplete answers of endpoints.")
+        .Set(static_cast<double>(kernel_.Find<answer_memory>("answers").InUse()));
     metrics_->AddGauge("persimmon_waiting_bodies", "Requests whose body waits for memory.")
         .Set(static_cast<double>(caller_server_->WaitingBodies()));
     metrics_->AddGauge("persimmon_dropped_log_lines", "Log lines dropped because of the limits.")
--- a/src/direct/plain_attempts.cpp
+++ b/src/direct/plain_attempts.cpp
@@ -32,6 +32,7 @@
   gate_.Start();
   sender_.Start();
   suspect_tracker_ = &kernel_.Find<suspect_tracker>("crashes");
+  answers_ = &kernel_.Find<answer_memory>("answers");
   metrics_ = &kernel_.Find<telemetry>("telemetry").Metrics();
   cleanup_timer_ = kernel_.Timers().SubscribeEvery(kCleanupPeriod, 0.1, [this] {
     for (auto& [service, estimates] : estimates_) {
@@ -133,6 +134,7 @@
 
 task<attempt_outcome> plain_attempts::Send(plain_attempt_ptr attempt) {
   attempt_outcome outcome;
+  outcome.memory = answers_->NewShare();
   RecordStart(*attempt);
   const direct_call_ptr call = attempt->call;
   auto request = platform::MakeCallRequest(call->Forwarded(), attempt->endpoint.name, call->TimeLeft(attempt->begin));
@@ -233,10 +235,15 @@
       outcome.broken = error{code, broken != nullptr ? broken : "an event exceeds the maximum length"};
       break;
     }
-    const bool is_long = outcome.response.body.size() + bytes.size() > kMaxBufferedBytes;
+    const std::size_t body_bytes = outcome.response.body.size() + bytes.size();
+    const bool has_memory = outcome.memory.Resize(body_bytes + events.Incomplete().size());
+    if (!has_memory && (outcome.is_streamed || !events.Incomplete().empty())) {
+      outcome.broken = error{error_code::kProtocol, kNoAnswerMemory};
+      break;
+    }
+    const bool is_long = body_bytes > kMaxBufferedBytes || !has_memory;
     if (is_long && !outcome.is_streamed && !is_forwardable) {
-      outcome.broken =
-          error{error_code::kProtocol, fmt::format("a body that is not passed on exceeds {} bytes", kMaxBufferedBytes)};
+      outcome.broken = error{error_code::kProtocol, "a body that is not passed on is too long to be buffered"};
       break;
     }
     if (is_long && !outcome.is_streamed && attempt->may_stream && !attempt->may_stream(outcome.response.status)) {
--- a/src/direct/plain_attempts.h
+++ b/src/direct/plain_attempts.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "core/metrics.h"
+#include "direct/answer_memory.h"
 #include "direct/call_gate.h"
 #include "direct/call_sender.h"
 #include "direct/caller_auth.h"
@@ -48,9 +49,10 @@
 // Outcome of one attempt to send the call to an endpoint.
 struct attempt_outcome {
   attempt_result result = attempt_result::kNotSent;
-  http_response response;    // complete with kAnswered
-  bool is_streamed = false;  // the response exceeded kMaxBufferedBytes and was streamed to the caller
-  bool is_dropped = false;   // the response exceeded kMaxBufferedBytes and may_stream was false
+  http_response response;      // complete with kAnswered
+  shared_limit::share memory;  // of its body
+  bool is_streamed = false;    // the response was too long to be buffered and was streamed to the caller
+  bool is_dropped = false;     // the response was too long to be buffered and may_stream was false
   call_outcome call_result = call_outcome::kFailed;
   std::optional<error> broken;  // why there is no complete response
   std::string failure;          // the same in short, for the log
@@ -149,6 +151,7 @@
   call_sender sender_;
   caller_auth* auth_ = nullptr;
   endpoint_tracker* endpoint_tracker_ = nullptr;
+  answer_memory* answers_ = nullptr;
   suspect_tracker* suspect_tracker_ = nullptr;
   metrics_registry* metrics_ = nullptr;
   std::map<std::string, call_estimates> estimates_;  // by service
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds kCrashLogTime(250);     // for the log lines of a crash; longer than the flush period of the log
 constexpr milliseconds kStallBytePeriod(100);  // between two bytes of a stream that has stalled
 constexpr int kCrashExitCode = 70;
+constexpr std::size_t kStalledPartBytes = 4U << 10U;   // of one write of a body that stalls
 constexpr std::size_t kEndlessPartBytes = 64U << 10U;  // of one write of a body or an event without end
 
 std::string Header(const http_request& request, const char* name) {
@@ -253,6 +254,14 @@
   if (is_control) {
     LogArrival(request, "control");
   }
+  if (is_control && faults_.endless_control) {
+    auto sent = co_await exchange->StartStream(200, {}, body_framing::kChunks);
+    while (sent) {
+      std::string filler(kEndlessPartBytes, 'x');
+      sent = co_await exchange->WriteChunk(std::move(filler));
+    }
+    co_return;
+  }
   if (!expected.empty() && expected != options_.name) {
     response = NotExecuted(421);
   } else if (request.target == "/report") {
@@ -474,11 +483,14 @@
 
 // Sends the response of a plain call that has run.
 task<> fake_replica::Answer(std::shared_ptr<http_exchange> exchange, http_response answer) {
-  if (!faults_.unframed && !faults_.endless_body) {
+  if (!faults_.unframed && !faults_.endless_body && faults_.stall_after_bytes == 0) {
     (void)co_await exchange->Respond(std::move(answer));
     co_return;
   }
   auto sent = co_await exchange->StartStream(answer.status, std::move(answer.headers), Framing());
+  if (sent && faults_.stall_after_bytes > 0) {
+    co_return co_await SendWithoutEnd(exchange, faults_.stall_after_bytes);
+  }
   if (faults_.cut_after_bytes) {
     std::string part = answer.body.substr(0, *faults_.cut_after_bytes);
     (void)co_await exchange->WriteChunk(std::move(part));
@@ -497,6 +509,18 @@
   }
 }
 
+// Sends so many bytes of a body, and then nothing until the caller leaves.
+task<> fake_replica::SendWithoutEnd(std::shared_ptr<http_exchange> exchange, std::size_t bytes) {
+  result<void> written = outcome::success();
+  for (std::size_t sent = 0; written && sent < bytes; sent += kStalledPartBytes) {
+    std::string part(std::min(kStalledPartBytes, bytes - sent), 'x');
+    written = co_await exchange->WriteChunk(std::move(part));
+  }
+  while (!exchange->IsDisconnected()) {
+    co_await timers_.Sleep(kDisconnectPollInterval);
+  }
+}
+
 // True if the request has the part that crashes the endpoint; writes a line then.
 bool fake_replica::CrashesOn(const http_request& request) const {
   if (faults_.crash_on_part.empty() || !HasPart(request, faults_.crash_on_part)) {
@@ -568,6 +592,9 @@
     co_await BreakOff(exchange);
     co_return;
   }
+  if (sent && faults_.stall_after_bytes > 0) {
+    co_return co_await SendWithoutEnd(exchange, faults_.stall_after_bytes);
+  }
   while (sent && faults_.endless_event && !exchange->IsDisconnected()) {
     std::string filler(kEndlessPartBytes, 'x');
     sent = co_await exchange->WriteChunk(std::move(filler));
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -51,6 +51,7 @@
   bool drops_responses = false;  // runs requests and closes the connection without a response
   bool endless_event = false;    // the first event of a stream never ends
   bool endless_body = false;     // bodies of plain calls, prefills and failures never end
+  bool endless_control = false;  // bodies of answers to reservations, reports and health checks never end
   bool encoded = false;          // states a content encoding, so the bytes are not the endpoint's own
   bool unframed = false;         // bodies have neither a length nor chunks and end with the connection
   bool breaks_in_order = false;  // streams that break off end like whole ones: last chunk, or orderly close
@@ -67,6 +68,8 @@
   milliseconds reserve_delay{0};         // before a reservation is granted or refused
   std::uint32_t stall_after_events = 0;  // streams stop after this many events, with a byte now and then; 0: never
   std::uint32_t break_after_events = 0;  // streams break off after this many events; 0: never
+  // The first event of a stream, or the body of a plain call, stops after this many bytes without an end; 0: never.
+  std::size_t stall_after_bytes = 0;
   std::optional<std::size_t> cut_after_bytes = {};  // streams break off after this many bytes of their body
 
   milliseconds cut_delay{0};  // between these bytes and the break
@@ -133,6 +136,7 @@
   task<> DelayAnswer(std::shared_ptr<http_exchange> exchange);
   bool CrashesOn(const http_request& request) const;
   task<> Crash();
+  task<> SendWithoutEnd(std::shared_ptr<http_exchange> exchange, std::size_t bytes);
   task<> BreakOff(std::shared_ptr<http_exchange> exchange);
   http_response Reserve(const http_request& request);
   task<> ServePrefill(std::shared_ptr<http_exchange> exchange);
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -38,6 +38,8 @@
 constexpr std::size_t kReadBufferBytes = 16'384;
 constexpr std::size_t kMaxPipelinedBytes = 65'536;  // of pipelined requests, buffered while a response is prepared
 constexpr std::size_t kMaxUnparsedBytes = 65'536;   // of a chunk header or a trailer, buffered until its end arrives
+// The same of a response. Each connection to an endpoint keeps a buffer of this size once much has arrived on it.
+constexpr std::size_t kClientBufferBytes = 16'384;
 // Longer bodies have their own part of the memory for bodies, so that short requests do not wait for uploads.
 constexpr std::size_t kLongBodyBytes = 65'536;
 constexpr double kLongBodyShare = 0.75;
@@ -791,7 +793,7 @@
 namespace {
 
 struct client_connection {
-  explicit client_connection(asio::io_context& context) : stream(context), buffer(kMaxUnparsedBytes) {}
+  explicit client_connection(asio::io_context& context) : stream(context), buffer(kClientBufferBytes) {}
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   connection_number number = 0;
@@ -1081,6 +1083,12 @@
 
 task<result<http_response>> http_client::Fetch(host_port address, http_request request, milliseconds response_timeout,
                                                response_filter matches) {
+  const std::size_t body_bytes = state_->limits.body_bytes;
+  co_return co_await Fetch(std::move(address), std::move(request), response_timeout, std::move(matches), body_bytes);
+}
+
+task<result<http_response>> http_client::Fetch(host_port address, http_request request, milliseconds response_timeout,
+                                               response_filter matches, std::size_t body_bytes) {
   const auto state = state_;
   const bool head_request = request.method == "HEAD";
   auto connected = co_await state->Connect(address);
@@ -1095,7 +1103,7 @@
   }
   std::optional<http::response_parser<http::string_body>> parser;
   sys_error failure = co_await ReadFinalHead(*connection, parser, [&](auto& created) {
-    created.body_limit(state->limits.body_bytes);
+    created.body_limit(body_bytes);
     created.skip(head_request);
   });
   if (!failure) {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -244,6 +244,9 @@
   // because it may be one response behind. Null: every response matches.
   task<result<http_response>> Fetch(host_port address, http_request request, milliseconds response_timeout,
                                     response_filter matches);
+  // The same with another limit of the body, in bytes.
+  task<result<http_response>> Fetch(host_port address, http_request request, milliseconds response_timeout,
+                                    response_filter matches, std::size_t body_bytes);
 
   // Closes the pooled connections to the address.
   void CloseIdleConnections(const host_port& address);
