Answer the calls that are left at the end of a planned stop

Cause here: at the end of the grace time the process ended with whatever was in progress. Plain calls were taken at any time of the stop. A request that was still being read did not keep the process.

Ruled out: a longer reserve, which only moves the cut.

Change: at the end of the grace time each call without a response is answered, 503 not_run if nothing has been sent to an endpoint, else 502 may_have_run; nothing is sent afterwards, so the statement stays true. A plain call whose target latency is longer than the time left is refused at once. The process waits for requests that are being read. A response that has begun is cut as before, so that it looks incomplete.

Evidence: planned_stop_test.CallThatRunsBeyondTheGrace_*, CallThatWaits_*, late_upload_test.RequestReadAtTheEndOfTheGrace_* and RequestReadEarly_* failed on the code before (no answer at all) and pass.

--- a/src/direct/caller_auth.cpp
+++ b/src/direct/caller_auth.cpp
@@ -222,7 +222,7 @@
 http_call::send_check caller_auth::MakeSendCheck(direct_call_ptr call, http_call::send_check check) {
   call->is_send_refused = false;
   return [this, call = std::move(call), check = std::move(check)] {
-    if (!check()) {
+    if (call->IsCallerDisconnected() || !check()) {
       return false;
     }
     call->is_send_refused = !IsAccountCurrent(*call);
--- a/src/direct/direct_call.cpp
+++ b/src/direct/direct_call.cpp
@@ -11,6 +11,10 @@
 namespace {
 
 constexpr int kUnauthorized = 401;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr const char* kStopReason = "stopping";
+constexpr milliseconds kStopRetryAfter(20);  // another router can take the request at once
 
 }  // namespace
 
@@ -100,8 +104,8 @@
   return std::find(used_connections_.begin(), used_connections_.end(), connection) != used_connections_.end();
 }
 
-task<void> direct_call::RespondWithError(int status, const std::string& code, std::optional<milliseconds> retry_after,
-                                         bool not_run) {
+http_response direct_call::MakeErrorResponse(int status, const std::string& code,
+                                             std::optional<milliseconds> retry_after, bool not_run) const {
   const nlohmann::json body = {
       {"error",
        {{"code", code}, {"outcome", not_run ? "not_run" : "may_have_run"}, {"request_id", metadata_.attempt}}}};
@@ -110,6 +114,12 @@
   if (status == kUnauthorized) {
     response.headers.push_back({"WWW-Authenticate", "Bearer"});  // required by RFC 9110, section 15.5.2
   }
+  return response;
+}
+
+task<void> direct_call::RespondWithError(int status, const std::string& code, std::optional<milliseconds> retry_after,
+                                         bool not_run) {
+  http_response response = MakeErrorResponse(status, code, retry_after, not_run);
   // A failed write means that the caller has disconnected; the exchange reports that through OnDisconnect.
   (void)co_await exchange_->Respond(std::move(response));
 }
@@ -139,8 +149,24 @@
 }
 
 call_outcome direct_call::EndAsCallerDisconnected() {
-  reason = "caller_gone";
-  return call_outcome::kCallerDisconnected;
+  reason = stop_outcome_ ? kStopReason : "caller_gone";
+  return stop_outcome_.value_or(call_outcome::kCallerDisconnected);
+}
+
+task<> direct_call::EndForStop() {
+  const auto self = shared_from_this();
+  if (caller_disconnected_ || exchange_->IsStarted()) {
+    co_return;
+  }
+  // Nothing is sent to an endpoint from here on, so what is stated stays true.
+  caller_disconnected_ = true;
+  if (auto cancel = std::exchange(cancel_upstream_, nullptr)) {
+    cancel();
+  }
+  stop_outcome_ = was_sent ? call_outcome::kFailed : call_outcome::kRefused;
+  http_response response = was_sent ? MakeErrorResponse(kBadGateway, kStopReason, std::nullopt, false)
+                                    : MakeErrorResponse(kUnavailable, kStopReason, kStopRetryAfter, true);
+  (void)co_await exchange_->RespondInstead(std::move(response));
 }
 
 task<result<std::string>> ReadBufferedBody(http_call& upstream, time_point deadline, shared_limit::share memory) {
--- a/src/direct/direct_call.h
+++ b/src/direct/direct_call.h
@@ -85,6 +85,10 @@
 
   call_outcome EndAsCallerDisconnected();
 
+  // Answers the call because the process ends: "not_run" if nothing has been sent to an endpoint, else "may_have_run".
+  // What is in progress for it ends as if the caller had disconnected. Does nothing once the response has been started.
+  task<> EndForStop();
+
   // For caller_auth. HasKeyHeaders: the forwarded request still has the headers of the caller that concern accounts.
   bool HasKeyHeaders() const { return has_key_headers_; }
   void RemoveKeyHeaders();
@@ -115,6 +119,8 @@
   milliseconds first_event{0};                 // time from arrival to the first forwarded event; 0: none yet
 
  private:
+  http_response MakeErrorResponse(int status, const std::string& code, std::optional<milliseconds> retry_after,
+                                  bool not_run) const;
   task<void> RespondWithError(int status, const std::string& code, std::optional<milliseconds> retry_after,
                               bool not_run);
 
@@ -131,6 +137,7 @@
   time_point arrival_;
   time_point deadline_;
   bool caller_disconnected_ = false;
+  std::optional<call_outcome> stop_outcome_;  // set by EndForStop
   std::function<void()> cancel_upstream_;
   std::vector<connection_number> used_connections_;  // one per send
 };
--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -19,6 +19,8 @@
 
 constexpr const char* kComponent = "router.entry";
 constexpr milliseconds kDrainPollPeriod(20);
+constexpr milliseconds kLastAnswersTime(
+    200);  // to write the answers of the calls that a stop ends; part of stop_reserve
 constexpr milliseconds kPeerStatePollPeriod(400);  // between checks for a newer state on other routers
 constexpr milliseconds kPeerStateTimeout(1'000);   // for the response of another router
 constexpr milliseconds kNotReadyRetryAfter(500);   // Retry-After while no desired state is active
@@ -270,6 +272,7 @@
                                             *service, arrival);
   routes.reset();
   call->WatchCaller();
+  calls_[call.get()] = call;
   auto refused = auth_->Authenticate(*call);
   call_outcome outcome = call_outcome::kRefused;
   if (refused) {
@@ -277,6 +280,7 @@
   } else {
     outcome = co_await ServeLimited(call);
   }
+  calls_.erase(call.get());
   auth_->CountResult(*call);
   LogCompletion(*call, outcome);
 }
@@ -321,14 +325,15 @@
   co_return co_await plain_calls_->Serve(std::move(call));
 }
 
-// True if this router is stopping and the stream would probably outlast it.
-bool ingress::IsStoppingFor(const direct_call& call) const {
-  return IsGeneration(call) && stopping_ && !EndsBeforeDeadline(call);
-}
+// True if this router is stopping and the call would probably outlast it.
+bool ingress::IsStoppingFor(const direct_call& call) const { return stopping_ && !EndsBeforeDeadline(call); }
 
-// True if the stream is expected to end before the drain deadline. Such a stream is served rather than refused, because
-// a refusal uses up one of the caller's limited retries.
+// True if the call is expected to end before the drain deadline. Such a call is served rather than refused, because a
+// refusal uses up one of the caller's limited retries.
 bool ingress::EndsBeforeDeadline(const direct_call& call) const {
+  if (!IsGeneration(call)) {
+    return timer_service::Now() + call.Route().target_latency < drain_deadline_;
+  }
   const auto& metadata = call.Metadata();
   const std::uint32_t output = EstimateOutput(metadata.expected_output_tokens, metadata.max_output_tokens, {});
   const auto duration = output * generation_calls_->TokenInterval() * kStreamMargin;
@@ -375,11 +380,32 @@
 task<> ingress::DrainRequests(std::function<void()> finished) {
   co_await kernel_.Timers().Sleep(settings_.stop_announce);
   caller_server_->Drain();
-  while (caller_server_->RequestsInProgress() > 0 && timer_service::Now() < drain_deadline_) {
+  while (caller_server_->IsBusy() && timer_service::Now() < drain_deadline_) {
     co_await kernel_.Timers().Sleep(kDrainPollPeriod);
   }
-  Events().Line(kComponent, "drained").Add("given_up", caller_server_->RequestsInProgress());
+  const std::size_t given_up = caller_server_->RequestsInProgress();
+  co_await EndCalls();
+  Events().Line(kComponent, "drained").Add("given_up", given_up).Add("cut", caller_server_->RequestsInProgress());
   finished();
 }
 
+task<> ingress::EndCalls() {
+  const auto unwritten = std::make_shared<std::size_t>(0);
+  const auto end_call = [](direct_call_ptr call, std::shared_ptr<std::size_t> counted) -> task<> {
+    co_await call->EndForStop();
+    --*counted;
+  };
+  const auto calls = calls_;  // ending them changes calls_
+  for (const auto& [key, weak] : calls) {
+    if (const auto call = weak.lock()) {
+      ++*unwritten;
+      asio::co_spawn(kernel_.Context(), end_call(call, unwritten), asio::detached);
+    }
+  }
+  const time_point end = timer_service::Now() + kLastAnswersTime;
+  while (*unwritten > 0 && timer_service::Now() < end) {
+    co_await kernel_.Timers().Sleep(kDrainPollPeriod);
+  }
+}
+
 }  // namespace persimmon
--- a/src/direct/ingress.h
+++ b/src/direct/ingress.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 
 #include "core/kernel.h"
@@ -27,7 +28,7 @@
   void Stop();
 
   // Graceful shutdown: reports not ready immediately, accepts new requests for the time stop_announce, then waits until
-  // the requests in progress have ended or the grace period is over, and calls `finished`.
+  // the requests in progress have ended or the grace period is over, answers those that are left, and calls `finished`.
   void Drain(std::function<void()> finished);
 
  private:
@@ -39,6 +40,8 @@
   task<> HandleControl(std::shared_ptr<http_exchange> exchange);
   task<> HandleReadiness(std::shared_ptr<http_exchange> exchange);
   task<> DrainRequests(std::function<void()> finished);
+  // Answers the calls whose responses have not been started, and waits for the answers to be written.
+  task<> EndCalls();
   task<> FetchStateFromPeers();
   http_limits BaseLimits() const;
   void ApplyLimits();
@@ -63,7 +66,8 @@
   asio::signal_set reload_signals_;
   bool was_ready_ = false;
   bool stopping_ = false;
-  time_point drain_deadline_;  // of a graceful shutdown; requests in progress are abandoned then
+  time_point drain_deadline_;  // of a graceful shutdown; requests in progress are ended then
+  std::map<const direct_call*, std::weak_ptr<direct_call>> calls_;  // in progress
   bool stopped_ = false;
 };
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -36,6 +36,7 @@
 using sys_error = boost::system::error_code;
 
 constexpr std::size_t kReadBufferBytes = 16'384;
+constexpr milliseconds kWritePollPeriod(1);
 constexpr std::size_t kMaxPipelinedBytes = 65'536;  // of pipelined requests, buffered while a response is prepared
 constexpr std::size_t kMaxUnparsedBytes = 65'536;   // of a chunk header or a trailer, buffered until its end arrives
 // The same of a response. Each connection to an endpoint keeps a buffer of this size once much has arrived on it.
@@ -251,6 +252,7 @@
     }
     http::response_serializer<http::string_body> serializer(message);
     sys_error failure;
+    is_writing_ = true;
     stream_.expires_after(server_->limits.write_timeout);
     if (head_request_) {
       co_await http::async_write_header(stream_, serializer, RedirectError(failure));
@@ -258,6 +260,7 @@
       co_await http::async_write(stream_, serializer, RedirectError(failure));
     }
     stream_.expires_never();
+    is_writing_ = false;
     co_return Finish(failure);
   }
 
@@ -542,6 +545,9 @@
       Log().Error("The handler of a request from {} failed: {}.", remote_, failure.what());
       complete_ = false;
     }
+    while (is_writing_ && !closed_) {
+      co_await server_->timers.Sleep(kWritePollPeriod);  // a response that replaces the handler's
+    }
     if (!complete_ && !closed_) {
       // The handler returned without a complete response. Closing tells the caller that none will follow.
       Close();
@@ -609,6 +615,7 @@
   bool in_unframed_body_ = false;  // a body without chunks has been started and is incomplete
   bool head_request_ = false;
   bool reading_ = false;
+  bool is_writing_ = false;  // a complete response
   bool serving_ = false;
   bool complete_ = false;
   bool disconnected_ = false;
@@ -620,14 +627,34 @@
 http_exchange::http_exchange(std::shared_ptr<detail::http_connection> connection, http_request request)
     : connection_(std::move(connection)), request_(std::move(request)) {}
 
+namespace {
+
+error ReplacedError() { return error{error_code::kCancelled, "another response has been sent instead"}; }
+
+}  // namespace
+
 task<result<void>> http_exchange::Respond(http_response response) {
+  if (is_replaced_) {
+    co_return ReplacedError();
+  }
   if (std::exchange(started_, true)) {
     AbortProgram("A second response was started on an HTTP exchange.");
   }
   co_return co_await connection_->Write(std::move(response));
 }
 
+task<result<void>> http_exchange::RespondInstead(http_response response) {
+  if (std::exchange(started_, true)) {
+    AbortProgram("A second response was started on an HTTP exchange.");
+  }
+  is_replaced_ = true;
+  co_return co_await connection_->Write(std::move(response));
+}
+
 task<result<void>> http_exchange::StartStream(int status, header_list headers, body_framing framing) {
+  if (is_replaced_) {
+    co_return ReplacedError();
+  }
   if (std::exchange(started_, true)) {
     AbortProgram("A second response was started on an HTTP exchange.");
   }
@@ -635,15 +662,27 @@
 }
 
 task<result<void>> http_exchange::WriteChunk(std::string data) {
+  if (is_replaced_) {
+    co_return ReplacedError();
+  }
   if (data.empty()) {
     co_return outcome::success();
   }
   co_return co_await connection_->WriteChunk(std::move(data), false);
 }
 
-task<result<void>> http_exchange::FinishStream() { co_return co_await connection_->WriteChunk({}, true); }
+task<result<void>> http_exchange::FinishStream() {
+  if (is_replaced_) {
+    co_return ReplacedError();
+  }
+  co_return co_await connection_->WriteChunk({}, true);
+}
 
-void http_exchange::AbortStream() { connection_->Close(); }
+void http_exchange::AbortStream() {
+  if (!is_replaced_) {
+    connection_->Close();
+  }
+}
 
 task<result<void>> http_exchange::WriteRaw(std::string bytes) {
   co_return co_await connection_->WriteRaw(std::move(bytes));
@@ -773,6 +812,11 @@
 
 std::size_t http_server::RequestsInProgress() const { return state_->requests; }
 
+bool http_server::IsBusy() const {
+  return std::any_of(state_->connections.begin(), state_->connections.end(),
+                     [](const auto& connection) { return !connection->IsIdle(); });
+}
+
 std::size_t http_server::BodyMemoryInUse() const {
   return state_->long_bodies->InUse() + state_->short_bodies->InUse();
 }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -124,9 +124,14 @@
 
   const http_request& Request() const { return request_; }
 
-  // Sends a complete response. Errors: kClosed if the caller has disconnected; kTimeout.
+  // Sends a complete response. Errors: kClosed if the caller has disconnected; kTimeout; kCancelled after
+  // RespondInstead.
   task<result<void>> Respond(http_response response);
 
+  // Sends a complete response in place of the one that the handler is preparing, whose parts are dropped from now on:
+  // all other functions that send fail with kCancelled. Only before a response has been started. Errors: as of Respond.
+  task<result<void>> RespondInstead(http_response response);
+
   // Sends the status line and headers of a response whose body follows in parts. kLength: the headers state its length.
   // kConnectionEnd: the body is sent without chunks and ends with the connection, as always for callers that speak
   // HTTP/1.0.
@@ -151,6 +156,7 @@
   std::shared_ptr<detail::http_connection> connection_;
   http_request request_;
   bool started_ = false;
+  bool is_replaced_ = false;  // by RespondInstead
 };
 
 using http_handler = std::function<task<>(std::shared_ptr<http_exchange>)>;
@@ -186,6 +192,9 @@
   void Stop();
 
   std::size_t RequestsInProgress() const;
+
+  // True if a request is being read or served, or waits to be read, on some connection.
+  bool IsBusy() const;
   std::size_t BodyMemoryInUse() const;  // bytes
   std::size_t WaitingBodies() const;    // requests whose body is not read yet because the memory is used up
   std::uint16_t Port() const;           // the bound port; differs from the configured one if that is 0
