Let the soak lose routers with one version, after drills and as a release begins

Scenario versions_router_lost: the store comes back from an older copy, routers are killed once all are in touch again and stay away for 1 to 2 s; then routers freeze, engines of the next version join, and the frozen routers are killed. Callers take streams up at a router that nothing has disturbed.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -706,12 +706,13 @@
             self.deployment.start_replica("decode")
             await asyncio.sleep(self.random.uniform(0, 0.2))
 
-    async def kill_routers(self, indexes):
-        """Routers lose power at the same moment and start again at once."""
+    async def kill_routers(self, indexes, down=0):
+        """Routers lose power at the same moment and start again after `down` seconds."""
         self.note(f"routers {', '.join(map(str, indexes))} killed")
         for index in indexes:
-            self.deployment.disturb(index, 1.5)
+            self.deployment.disturb(index, 1.5 + down)
             self.deployment.routers[index].send(signal.SIGKILL)
+        await asyncio.sleep(down)
         for index in indexes:
             await asyncio.to_thread(self.deployment.routers[index].child.wait)
             self.deployment.start_router(index)
@@ -755,6 +756,31 @@
                 self.deployment.leaving.add(name)
                 self.deployment.replicas[name].send(signal.SIGTERM)
 
+    async def versions_router_lost(self, seconds):
+        """With one version, the store comes back from an older copy, and routers are killed once all are in touch again.
+        Then engines of the next version join while routers are frozen, which are killed before they go on. Callers take
+        their streams up at a router that nothing has disturbed."""
+        end = time.time() + seconds
+        self.deployment.resumes_at = self.pick_router()
+        others = [index for index in self.deployment.routers if index != self.deployment.resumes_at]
+        await asyncio.sleep(self.random.uniform(1, 2))
+        await self.restore_store(self.random.uniform(1, 3))
+        await asyncio.sleep(self.random.uniform(4, 6))
+        for _ in range(2):
+            await self.kill_routers(self.random.sample(others, self.random.choice([1, 2])),
+                                    self.random.uniform(1, 2))
+            await asyncio.sleep(self.random.uniform(1, 2))
+        frozen = self.random.sample(others, 2)
+        self.note(f"routers {', '.join(map(str, frozen))} frozen")
+        for index in frozen:
+            self.deployment.disturb(index, 4)
+            self.deployment.routers[index].send(signal.SIGSTOP)
+        await asyncio.sleep(self.random.uniform(0.2, 1))
+        await self.join_version(2)
+        await asyncio.sleep(self.random.uniform(1, 2))
+        await self.kill_routers(frozen)
+        await asyncio.sleep(max(3, end - time.time()))
+
     def make_reply_faults(self, stage):
         """All ways in which an endpoint of the stage answers wrongly, in random order."""
         early = [{"early_refusal": kind, "early_status": status} for kind in REFUSALS for status in (503, 429, 421)]
@@ -941,7 +967,7 @@
 SCENARIOS = ["mixed", "rejected_decodes", "rejected_prefills", "restarts_while_rejecting", "unannounced_leaves",
              "silent_store", "leaves_by_own_word",
              "closed_endpoints", "restored_store", "broken_streams", "endless_bytes",
-             "version_roll", "versions_all_killed", "versions_unheard", "faulty_replies", "deadly_parts",
+             "version_roll", "versions_all_killed", "versions_unheard", "versions_router_lost", "faulty_replies", "deadly_parts",
              "limited_endpoints", "accounts"]
 
 
@@ -1343,6 +1369,8 @@
         deployment.event_interval_ms = 100  # long enough for streams to be cut by routers that end
     if arguments.scenario == "versions_all_killed":
         deployment.budget_ms, deployment.resume_delay = 12000, 5.0
+    if arguments.scenario == "versions_router_lost":
+        deployment.budget_ms = 12000  # callers take streams up seconds after they began
     try:
         deployment.start()
         for index in deployment.routers:
