Tell a record of versions that predates a restore of the store

Cause: a router that starts has seen no earlier era of the store and took the restored record for complete, and its list of engines lacked the new version until the engines reported themselves again.

Ruled out: doubt for as long as callers resume streams after each start in a later era, which refuses everybody for 30 s. Engines that live are back within about 2 s; after 2.5 s the list is complete.

Change: records state the era in which they were complete; one router writes a record anew once it is no longer doubtful. A router that starts with a record of an earlier era neither trusts it nor asks the others for 2.5 s.

--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -41,23 +41,35 @@
 constexpr milliseconds kLogPeriodPerRouter(20);   // the same, by the number of routers: 50 writes per second in all
 constexpr std::size_t kMaxCopiesPerMessage = 60;  // 20 bytes each; fits a datagram
 constexpr milliseconds kMinResumeTime(30'000);    // lower limit of ResumeTime
+// Engines that live report themselves within about 2 s to a store that has come back.
+constexpr milliseconds kEntriesBackTime(2'500);
+constexpr std::uint64_t kFirstEra = 1;            // of a store that has never come back from a copy
 constexpr std::size_t kMaxRecordedVersions = 64;  // of one service, against records of other writers
 
-version_set ParseRecord(const std::string& text) {
-  const json value = platform::ParseJson(text);
+struct version_record {
   version_set versions;
+  std::uint64_t complete_era = kFirstEra;  // the latest era of the store in which it was complete
+};
+
+version_record ParseRecord(const std::string& text) {
+  const json value = platform::ParseJson(text);
+  version_record record;
   if (value.is_object() && value.contains("versions") && value["versions"].is_array()) {
     for (const json& version : value["versions"]) {
-      if (version.is_string() && versions.size() < kMaxRecordedVersions) {
-        versions.insert(version.get<std::string>());
+      if (version.is_string() && record.versions.size() < kMaxRecordedVersions) {
+        record.versions.insert(version.get<std::string>());
       }
     }
   }
-  return versions;
+  if (value.is_object() && value.contains("era") && value["era"].is_number_unsigned()) {
+    record.complete_era = value["era"].get<std::uint64_t>();
+  }
+  return record;
 }
 
-std::string MakeRecord(const version_set& versions) {
-  return json{{"schema", 1}, {"versions", versions}}.dump(-1, ' ', false, json::error_handler_t::replace);
+std::string MakeRecord(const version_record& record) {
+  return json{{"schema", 1}, {"versions", record.versions}, {"era", record.complete_era}}.dump(
+      -1, ' ', false, json::error_handler_t::replace);
 }
 
 std::string JoinVersions(const version_set& versions) {
@@ -255,7 +267,7 @@
 
 task<> origin_tracker::RunCheck(std::string service) {
   const time_point began = timer_service::Now();
-  const bool is_record_doubtful = confirmations_.IsDoubtful(began, ResumeTime());
+  const bool is_record_doubtful = IsRecordDoubtful(began);
   std::optional<bool> is_recorded;
   if (directory_->IsStoreReachable() && !is_record_doubtful) {
     // The read goes on when the time is up, because the store may still answer it.
@@ -264,7 +276,8 @@
     is_recorded = co_await done->Receive(kStoreTime);
   }
   bool is_confirmed = is_recorded.value_or(false);
-  if (!is_confirmed) {
+  // The other routers may have started after the restore too.
+  if (!is_confirmed && began >= entries_back_at_) {
     is_confirmed = co_await AskRouters(service);
   }
   service_state& state = services_[service];
@@ -594,7 +607,7 @@
     const version_set& serving = state.versions.Serving();
     std::erase_if(state.usable, [&](const std::string& version) { return !candidates.contains(version); });
     const bool is_unconfirmed = !candidates.empty() && state.confirmed_era < confirmations_.Era();
-    const bool is_outdated = candidates != state.recorded || is_unconfirmed;
+    const bool is_outdated = candidates != state.recorded || is_unconfirmed || IsStampOutdated(state, now);
     state.outdated_since = is_outdated ? state.outdated_since.value_or(now) : std::optional<time_point>();
     const bool is_usable =
         std::any_of(serving.begin(), serving.end(),
@@ -627,6 +640,14 @@
   return era;
 }
 
+bool origin_tracker::IsRecordDoubtful(time_point now) const {
+  return now < entries_back_at_ || confirmations_.IsDoubtful(now, ResumeTime());
+}
+
+bool origin_tracker::IsStampOutdated(const service_state& state, time_point now) const {
+  return !state.recorded.empty() && state.complete_era < table_.Era() && !IsRecordDoubtful(now);
+}
+
 void origin_tracker::AskForConfirmations(time_point now) {
   if (!confirmations_.IsDoubtful(now, ResumeTime()) || now - asked_for_confirmations_ < kRecordPeriod) {
     return;
@@ -665,7 +686,9 @@
 
 void origin_tracker::ApplyRecord(const std::string& service, const table_row& row) {
   service_state& state = services_[service];
-  const version_set versions = ParseRecord(row.value);
+  const version_record record = ParseRecord(row.value);
+  const version_set& versions = record.versions;
+  state.complete_era = record.complete_era;
   const std::pair version(row.era, row.version);
   if (std::exchange(state.record_version, version) != version) {
     state.versions.AddRecorded(versions, timer_service::Now());
@@ -706,6 +729,16 @@
   }
   std::function<task<>()> start = [this] { return ReadLog(); };
   has_records_ = co_await AwaitCheck(log_read_, 2 * settings_.store_timeout, std::move(start));
+  const std::uint64_t era = snapshot.value().era;
+  const bool predates_restore = snapshot.value().rows.empty()
+                                    ? era > kFirstEra
+                                    : std::any_of(services_.begin(), services_.end(), [era](const auto& item) {
+                                        return !item.second.recorded.empty() && item.second.complete_era < era;
+                                      });
+  if (has_records_ && predates_restore) {
+    entries_back_at_ = timer_service::Now() + kEntriesBackTime;
+    Events().Line(kComponent, "records_predate_restore").Add("era", era);
+  }
 }
 
 void origin_tracker::ScheduleLog() {
@@ -747,18 +780,21 @@
     co_return;
   }
   service_state& state = services_[service];
-  const version_set known = row.value() ? ParseRecord(row.value()->value) : version_set();
+  const version_set known = row.value() ? ParseRecord(row.value()->value).versions : version_set();
+  state.complete_era = 0;
   if (row.value()) {
     ApplyRecord(service, *row.value());
   }
+  const time_point now = timer_service::Now();
   const version_set versions = Candidates(service);
-  if (versions == known) {
+  if (versions == known && !IsStampOutdated(state, now)) {
     co_return;
   }
+  const std::uint64_t complete_era = IsRecordDoubtful(now) ? state.complete_era : table_.Era();
   std::vector<table_write> writes(1);
   writes[0].table = kVersionTable;
   writes[0].key = service;
-  writes[0].value = MakeRecord(versions);
+  writes[0].value = MakeRecord({versions, complete_era});
   writes[0].condition = row.value() ? row_condition::kVersion : row_condition::kAbsent;
   writes[0].version = row.value() ? row.value()->version : 0;
   auto written = co_await table_.Commit(std::move(writes));
@@ -766,6 +802,7 @@
   if (is_written) {
     state.record_version = {written.value().era, written.value().version};
     state.confirmed_era = written.value().era;
+    state.complete_era = complete_era;
     AddUsable(service, versions);
     group_->SendAll(group_->OtherRouters(), message(MakeVersions(service)));
   } else if (written) {
--- a/src/direct/origin_tracker.h
+++ b/src/direct/origin_tracker.h
@@ -68,6 +68,7 @@
   struct service_state {
     service_versions versions;
     version_set recorded;                                    // in the store, as read or written last
+    std::uint64_t complete_era = 0;                          // stated by the record: the era in which it was complete
     std::pair<std::uint64_t, std::uint64_t> record_version;  // era and version of its row
     version_set usable;                                      // have been recorded, also in an earlier era of the store
     std::uint64_t confirmed_era = 0;                         // the latest in which the record held all candidates
@@ -130,6 +131,10 @@
   // The latest era of the store in which the records of all services held all versions that this router knows.
   std::uint64_t ConfirmedEra() const;
   void AskForConfirmations(time_point now);
+  // True while the record may lack versions because the store has come back from an older copy.
+  bool IsRecordDoubtful(time_point now) const;
+  // True if the record of the service states an era before the present one, although it is known to be complete.
+  bool IsStampOutdated(const service_state& state, time_point now) const;
   void ReceiveConfirmation(const host_port& sender, const records_confirmed& confirmed);
   task<> ReadRecords();
   task<> WriteRecord(std::string service);
@@ -150,6 +155,8 @@
   bool is_addition_due_ = false;        // a version that serves is not usable yet
   record_confirmations confirmations_;  // since the store has come back from an older copy, which may lack records
   time_point asked_for_confirmations_;
+  // Until then, engines may not have reported themselves again to a store that was restored before this router started.
+  time_point entries_back_at_;
   mailbox<bool> record_wakeup_;  // the versions of a service have changed
   std::map<std::string, service_state> services_;
   std::map<std::uint64_t, std::string> service_of_version_;  // by version key, of all versions seen
--- a/tests/direct_router_test.cpp
+++ b/tests/direct_router_test.cpp
@@ -1522,6 +1522,8 @@
 class version_record_test : public testing::Test {
  protected:
   static constexpr const char* kTable = "persimmon_versions";
+  // After which engines that live have reported themselves to a store that has come back.
+  static constexpr milliseconds kEnginesBack{3'000};
 
   version_record_test() : harness_([](direct_settings& settings) { settings.deployment.first_start = false; }) {
     replica_options options = Engine("pre-1", "prefill");
@@ -1561,6 +1563,22 @@
   EXPECT_EQ(engine_->TotalRuns(), 0);
 }
 
+// Guards against trust in a record that the store has brought back from before a release: until the engines have
+// reported themselves again, neither the record nor the list names the newer version.
+TEST_F(version_record_test, ResumedStream_AfterARestartWithARecordFromBeforeADrill_IsRefusedUntilEnginesAreBack) {
+  auto& tables = harness_.Platform().Tables();
+  tables.Commit({{{kTable, "llm"}, R"({"schema":1,"versions":["new"],"era":1})", false, std::nullopt}});
+  tables.SaveCopy();
+  tables.Restore();
+  ASSERT_TRUE(harness_.Start());
+  EXPECT_EQ(StatusOfResumed(), 503);
+  EXPECT_EQ(engine_->TotalRuns(), 0);
+  harness_.RunFor(kEnginesBack);
+  EXPECT_EQ(StatusOfResumed(), 200);
+  EXPECT_TRUE(harness_.RunUntil([this] { return json::parse(RecordRow()->value).value("era", 0U) == 2U; }))
+      << "routers that start later must know that the record is complete";
+}
+
 // Guards against refusing streams after each restart: with one version for long, any engine can continue them.
 TEST_F(version_record_test, ResumedStream_AfterARestartWithOneVersion_GoesOn) {
   harness_.Platform().Tables().Commit({{{kTable, "llm"}, R"({"schema":1,"versions":["new"]})", false, std::nullopt}});
