End suspended coroutines before the services that they refer to

Cause: the kernel destroyed its services before its io_context, in which the suspended coroutines live; destructors in their frames use services.

Ruled out: mending provisional_send alone; any coroutine may hold such an object.

Change: the kernel drops the handlers of its io_context first.

Evidence: stop_in_progress_test.Router_WithWorkOfAllKinds_EndsCleanly under AddressSanitizer: heap-use-after-free in send_budget::EndProvisional before, none after (three tests, leak detection off; leaks of requests in progress remain at the end of the process, as before this change is not known).

--- a/src/core/kernel.h
+++ b/src/core/kernel.h
@@ -23,12 +23,29 @@
   {value.Stop()};
 };
 
+namespace detail {
+
+// An io_context that can drop its handlers, and with them suspended coroutines, before it is destroyed itself.
+class droppable_context : public asio::io_context {
+ public:
+  using asio::io_context::io_context;
+
+  // Nothing runs afterwards. Sockets and timers may still be destroyed.
+  void DropHandlers() { shutdown(); }
+};
+
+}  // namespace detail
+
 class kernel {
  public:
   kernel() : timers_(context_) {}
   kernel(const kernel&) = delete;
   kernel& operator=(const kernel&) = delete;
-  ~kernel() { Stop(); }
+  // Suspended coroutines refer to services, so they end before these are destroyed.
+  ~kernel() {
+    Stop();
+    context_.DropHandlers();
+  }
 
   asio::io_context& Context() { return context_; }
   timer_service& Timers() { return timers_; }
@@ -96,7 +113,7 @@
     return nullptr;
   }
 
-  asio::io_context context_{1};
+  detail::droppable_context context_{1};
   timer_service timers_;
   std::vector<entry> entries_;
   bool started_ = false;
