Let account_exchange_test use the routers of router_fleet

The test had the same second, third and further routers, and the same loop that runs them, as the fixture that moved to support/router_fleet.h. Its limits are set after the start of a router in place of before it; no handler runs in between. Assertions unchanged.

--- a/tests/account_exchange_test.cpp
+++ b/tests/account_exchange_test.cpp
@@ -3,40 +3,24 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <thread>
 
 #include "core/telemetry.h"
 #include "direct/account_tracker.h"
 #include "direct/router_group.h"
-#include "support/router_harness.h"
+#include "support/router_fleet.h"
 
 namespace persimmon {
 namespace {
 
-using support::router_harness;
-
-// The harness runs the first of the routers.
-class account_exchange_test : public testing::Test {
+class account_exchange_test : public testing::Test, protected support::router_fleet {
  protected:
-  struct other_router {
-    kernel services;
-    direct_settings settings;
-    detail::stop_function stop;
-  };
-
-  ~account_exchange_test() override {
-    for (const auto& router : others_) {
-      router->services.Stop();
-    }
-  }
-
   // Starts three routers and waits until each of them can be a home router.
   void StartRouters() {
     harness_.WriteDesiredState();
     SetLimits(harness_.Kernel());
     harness_.StartWithoutWaiting();
     while (others_.size() < 2) {
-      AddRouter();
+      SetLimits(AddRouter().services);
     }
     ASSERT_TRUE(RunUntil([this] {
       return std::all_of(others_.begin(), others_.end(), [](const auto& router) {
@@ -58,23 +42,6 @@
     };
   }
 
-  void AddRouter() {
-    auto added = std::make_unique<other_router>();
-    added->settings = harness_.Settings();
-    auto& deployment = added->settings.deployment;
-    const std::string host = "127.0.0." + std::to_string(others_.size() + 2);
-    const auto free_address = [&host] { return host_port{host, static_cast<std::uint16_t>(support::FreePort())}; };
-    deployment.name = "router-" + std::to_string(others_.size() + 2);
-    deployment.callers = free_address();
-    deployment.readiness = free_address();
-    deployment.control = free_address();
-    deployment.seeds = {{"127.0.0.1", 1}};
-    added->stop = RegisterDirectRouter(added->services, added->settings);
-    SetLimits(added->services);
-    added->services.Start();
-    others_.push_back(std::move(added));
-  }
-
   kernel& Router(std::size_t index) { return index == 0 ? harness_.Kernel() : others_[index - 1]->services; }
   static account_name Account(std::size_t index) { return {"account-" + std::to_string(index)}; }
 
@@ -137,29 +104,6 @@
         .Value();
   }
 
-  bool RunUntil(const std::function<bool()>& condition, milliseconds limit = milliseconds(10'000)) {
-    const time_point end = timer_service::Now() + limit;
-    while (!condition()) {
-      if (timer_service::Now() > end) {
-        return false;
-      }
-      std::size_t handled = 0;
-      for (std::size_t i = 0; i < others_.size() + 1; ++i) {
-        Router(i).Context().restart();
-        handled += Router(i).Context().poll();
-      }
-      if (handled == 0) {
-        std::this_thread::sleep_for(microseconds(200));
-      }
-    }
-    return true;
-  }
-
-  void RunFor(milliseconds duration) {
-    const time_point end = timer_service::Now() + duration;
-    RunUntil([end] { return timer_service::Now() >= end; }, duration + milliseconds(1'000));
-  }
-
   std::map<account_name, account_limit> limits_ = {{Account(0), {230'000, 230'000}},
                                                    {Account(1), {230'000, 230'000}},
                                                    {Account(2), {230'000, 230'000}},
@@ -167,8 +111,6 @@
                                                    {Account(4), {230'000, 230'000}},
                                                    {Account(5), {47'000, 47'000}},
                                                    {Account(6), {0, 0}}};
-  router_harness harness_;
-  std::vector<std::unique_ptr<other_router>> others_;
 };
 
 // Guards against routers that each grant the whole limit.
@@ -215,8 +157,7 @@
   }
   ASSERT_TRUE(account);
   EXPECT_TRUE(TakeUntilGranted(0, *account));
-  others_.back()->services.Stop();
-  others_.pop_back();
+  KillLastRouter();
   EXPECT_TRUE(TakeUntilGranted(0, *account));
   EXPECT_TRUE(TakeUntilGranted(1, *account));
   EXPECT_TRUE(RunUntil([&] { return HomeIndex(*account) != 2 && HomeOf(0, *account) == HomeOf(1, *account); }));
