Free a cancelled timer at once

What callers saw: a router that gets requests faster than usual grows without a bound that the number of connections explains, until it is out of memory.

Cause: SubscribeOnce left its timer and callback pending until they would have expired; a cancelled subscription only set a flag. The server starts such a timer for each request that it reads, with the header timeout (10 s; 30 s in the tests), so the timers of all requests of that time were kept. Requests that are answered without an endpoint, at the readiness path or without a route, come as fast as a client sends them.

Change: a subscription refers to its timer and cancels it, which completes the wait and frees the callback. The timer is owned by its pending wait, so that a subscription may outlive the io_context.

--- a/src/core/timers.cpp
+++ b/src/core/timers.cpp
@@ -11,33 +11,48 @@
 
 milliseconds simulated_suspension(0);
 
-struct periodic_timer : std::enable_shared_from_this<periodic_timer> {
-  periodic_timer(asio::io_context& context, milliseconds period, double jitter, std::function<void()> callback,
-                 std::shared_ptr<bool> active)
-      : timer(context), period(period), jitter(jitter), callback(std::move(callback)), active(std::move(active)) {}
-
-  void Schedule() {
-    const double factor = 1.0 + jitter * (RandomUnit() - 0.5);
-    timer.expires_after(std::chrono::duration_cast<microseconds>(period * factor));
-    timer.async_wait([self = shared_from_this()](boost::system::error_code failure) {
-      if (failure || !*self->active) {
+}  // namespace
+
+namespace detail {
+
+struct subscribed_timer : std::enable_shared_from_this<subscribed_timer> {
+  subscribed_timer(asio::io_context& context, std::function<void()> callback)
+      : timer(context), callback(std::move(callback)) {}
+
+  // Returns the time until the callback is called again.
+  using next_delay = std::function<microseconds()>;
+
+  void Schedule(microseconds delay, next_delay next = nullptr) {
+    timer.expires_after(delay);
+    timer.async_wait([self = shared_from_this(), next = std::move(next)](boost::system::error_code failure) {
+      if (failure || !self->active) {
         return;
       }
       self->callback();
-      if (*self->active) {
-        self->Schedule();
+      if (next && self->active) {
+        self->Schedule(next(), next);
       }
     });
   }
 
+  void Cancel() {
+    active = false;
+    timer.cancel();
+  }
+
   asio::steady_timer timer;
-  milliseconds period;
-  double jitter;
   std::function<void()> callback;
-  std::shared_ptr<bool> active;
+  bool active = true;
 };
 
-}  // namespace
+}  // namespace detail
+
+void timer_subscription::Cancel() {
+  if (const auto timer = timer_.lock()) {
+    timer->Cancel();
+  }
+  timer_.reset();
+}
 
 time_point timer_service::NowWithSuspension() {
   timespec now{};
@@ -48,20 +63,18 @@
 void timer_service::SimulateSuspension(milliseconds duration) { simulated_suspension += duration; }
 
 timer_subscription timer_service::SubscribeEvery(milliseconds period, double jitter, std::function<void()> callback) {
-  auto active = std::make_shared<bool>(true);
-  std::make_shared<periodic_timer>(context_, period, jitter, std::move(callback), active)->Schedule();
-  return timer_subscription(active);
+  const auto timer = std::make_shared<detail::subscribed_timer>(context_, std::move(callback));
+  const auto delay = [period, jitter] {
+    return std::chrono::duration_cast<microseconds>(period * (1.0 + jitter * (RandomUnit() - 0.5)));
+  };
+  timer->Schedule(delay(), delay);
+  return timer_subscription(timer);
 }
 
 timer_subscription timer_service::SubscribeOnce(microseconds delay, std::function<void()> callback) {
-  auto active = std::make_shared<bool>(true);
-  auto timer = std::make_shared<asio::steady_timer>(context_, delay);
-  timer->async_wait([timer, active, callback = std::move(callback)](boost::system::error_code failure) {
-    if (!failure && *active) {
-      callback();
-    }
-  });
-  return timer_subscription(active);
+  const auto timer = std::make_shared<detail::subscribed_timer>(context_, std::move(callback));
+  timer->Schedule(delay);
+  return timer_subscription(timer);
 }
 
 task<> timer_service::Sleep(microseconds delay) {
--- a/src/core/timers.h
+++ b/src/core/timers.h
@@ -18,28 +18,28 @@
 template <class value = void>
 using task = asio::awaitable<value>;
 
-// Handle of a timer callback; the destructor cancels the callback.
+namespace detail {
+struct subscribed_timer;
+}
+
+// Handle of a timer callback. Cancel and the destructor cancel the callback and free the timer immediately, not only
+// when it would have expired.
 class timer_subscription {
  public:
   timer_subscription() = default;
-  explicit timer_subscription(std::shared_ptr<bool> active) : active_(std::move(active)) {}
+  explicit timer_subscription(std::weak_ptr<detail::subscribed_timer> timer) : timer_(std::move(timer)) {}
   timer_subscription(timer_subscription&&) = default;
   timer_subscription& operator=(timer_subscription&& other) noexcept {
     Cancel();
-    active_ = std::move(other.active_);
+    timer_ = std::move(other.timer_);
     return *this;
   }
   ~timer_subscription() { Cancel(); }
 
-  void Cancel() {
-    if (active_) {
-      *active_ = false;
-    }
-    active_.reset();
-  }
+  void Cancel();
 
  private:
-  std::shared_ptr<bool> active_;
+  std::weak_ptr<detail::subscribed_timer> timer_;  // owned by its pending wait
 };
 
 // Time between two points in whole milliseconds, for logs.
