Bound the input of all connections together

What callers saw: clients that send requests ahead without reading the answers, or heads of many short fields, brought a router over its memory, and all requests in progress ended with the process.

Cause: what a connection may buffer was limited (64 KB ahead, in a buffer that grows to 128 KB and was never freed; a head of 8 or 16 KB), but not the sum over connections, and a parsed head takes up to 60 times its length: each field of four bytes becomes a node of the parser and two strings, and again when it is forwarded. An idle connection kept a read buffer of 16 KB for its whole life, and the parsed fields of a rejected request lived until its caller had read the rejection.

Change: one limit for the buffers and heads of all connections of a server (http_limits::input_memory_bytes, 10% of the memory of the process without agents), with an allowance of 12 KiB for each connection, several times an ordinary head. What does not fit is read later (requests sent ahead) or refused with 503 and a Retry-After before it reaches a handler (heads), which is true: it has not run. At most half of the memory is used for reading ahead. A head that is alone is always accepted. Idle connections have no buffer.

Why no ordinary client meets it: an ordinary head of ten fields and 400 bytes counts 3.4 KB of its 12 KiB, whatever the others do.

--- a/include/persimmon/shared_limit.h
+++ b/include/persimmon/shared_limit.h
@@ -1,8 +1,9 @@
-// Bounds the memory that the incomplete answers of all calls of a process use together.
+// Bounds the memory that many holders use together: the incomplete answers of all calls, or the input of all
+// connections.
 //
-// The load that this answers: endpoints that send bytes without end on many connections at the same time. A limit per
-// answer does not bound their sum. An answer is never kept waiting for memory: one that needs more than the rest fails.
-// A small allowance per answer, above the size of a sound event, does not depend on what the others use.
+// The load that this answers: peers that send bytes without end on many connections at the same time. A limit per
+// holder does not bound their sum. Nobody is kept waiting for memory: a holder that needs more than the rest fails. A
+// small allowance per holder, above what a sound peer needs, does not depend on what the others use.
 #pragma once
 
 #include <cstddef>
@@ -13,7 +14,7 @@
 
 class shared_limit {
  public:
-  // What one call uses. It is returned when the share is destroyed.
+  // What one holder uses. It is returned when the share is destroyed.
   class share {
    public:
     share() = default;  // without a limit
@@ -28,8 +29,8 @@
     share& operator=(const share&) = delete;
     ~share() { (void)Resize(0); }
 
-    // Sets the bytes that the call uses. Returns false, and changes nothing, if they exceed the allowance and all calls
-    // together would use more than the limit.
+    // Sets the bytes that the holder uses. Returns false, and changes nothing, if they exceed the allowance and all
+    // holders together would use more than the limit.
     bool Resize(std::size_t bytes) {
       if (!limit_) {
         return true;
@@ -49,9 +50,13 @@
     std::size_t bytes_ = 0;
   };
 
-  // `bytes`: of all calls together. `allowance`: bytes that each call may use in any case.
+  // `bytes`: of all holders together. `allowance`: bytes that each holder may use in any case.
   shared_limit(std::size_t bytes, std::size_t allowance) : bytes_(bytes), allowance_(allowance) {}
 
+  // Replaces the bytes of all holders together. What they use stays theirs.
+  void SetLimit(std::size_t bytes) { bytes_ = bytes; }
+
+  std::size_t Limit() const { return bytes_; }   // bytes
   std::size_t InUse() const { return in_use_; }  // bytes
 
  private:
--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -32,6 +32,8 @@
 // Of the memory of the process, for the bodies of requests. The rest holds the state of the deployment, responses and
 // what the allocator cannot reuse.
 constexpr double kBodyMemoryShare = 0.3;
+// The same for the heads of requests and what callers send ahead.
+constexpr double kInputMemoryShare = 0.1;
 // From callers.
 constexpr std::size_t kMaxConnections = 3'000;
 // The same as a share of the descriptors; the rest is for endpoints, the store and other routers.
@@ -138,7 +140,9 @@
                                   static_cast<std::size_t>(kCallerConnectionShare * static_cast<double>(*descriptors)));
   }
   if (const auto memory = settings_.deployment.memory_bytes) {
-    limits.body_memory_bytes = static_cast<std::size_t>(kBodyMemoryShare * static_cast<double>(*memory));
+    const auto bytes = static_cast<double>(*memory);
+    limits.body_memory_bytes = static_cast<std::size_t>(kBodyMemoryShare * bytes);
+    limits.input_memory_bytes = static_cast<std::size_t>(kInputMemoryShare * bytes);
   }
   return limits;
 }
@@ -182,6 +186,9 @@
     opened.Increment(client_.OpenedConnections() - opened.Value());
     metrics_->AddGauge("persimmon_watched_requests", "Requests that run at endpoints, for the case that one crashes.")
         .Set(static_cast<double>(kernel_.Find<suspect_tracker>("crashes").RunningCount()));
+    metrics_
+        ->AddGauge("persimmon_input_memory_bytes", "Memory of the heads of requests and of what callers send ahead.")
+        .Set(static_cast<double>(caller_server_->InputMemoryInUse()));
     metrics_->AddGauge("persimmon_body_memory_bytes", "Memory of the bodies of requests in progress.")
         .Set(static_cast<double>(caller_server_->BodyMemoryInUse()));
     metrics_->AddGauge("persimmon_answer_memory_bytes", "Memory of incomplete answers of endpoints.")
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -26,6 +26,7 @@
 #include "core/log.h"
 #include "core/mailbox.h"
 #include "net/acceptor.h"
+#include "persimmon/shared_limit.h"
 
 namespace persimmon {
 namespace {
@@ -35,7 +36,15 @@
 using tcp = asio::ip::tcp;
 using sys_error = boost::system::error_code;
 
-constexpr std::size_t kReadBufferBytes = 16'384;
+constexpr std::size_t kHeadReadBytes = 4'096;   // read at once of the head of a request
+constexpr std::size_t kBodyReadBytes = 16'384;  // the same of a body
+// Memory that each connection may use for its input, whatever the others use.
+constexpr std::size_t kInputAllowance = 12U << 10U;
+// Of the memory for input. The rest is for the heads of requests.
+constexpr double kReadAheadShare = 0.5;
+// A parsed head exists twice, as it arrived and as it is forwarded; each field takes this much besides its text.
+constexpr std::size_t kHeadCopies = 2;
+constexpr std::size_t kFieldBytes = 128;
 constexpr milliseconds kWritePollPeriod(1);
 constexpr std::size_t kMaxPipelinedBytes = 65'536;  // of pipelined requests, buffered while a response is prepared
 constexpr std::size_t kMaxUnparsedBytes = 65'536;   // of a chunk header or a trailer, buffered until its end arrives
@@ -44,8 +53,8 @@
 // Longer bodies have their own part of the memory for bodies, so that short requests do not wait for uploads.
 constexpr std::size_t kLongBodyBytes = 65'536;
 constexpr double kLongBodyShare = 0.75;
-constexpr milliseconds kBodyRetryAfter(1'000);  // Retry-After of a request whose body gets no memory
-constexpr milliseconds kLingerTimeout(1'000);   // time for which the input of a rejected caller is still read
+constexpr milliseconds kMemoryRetryAfter(1'000);  // Retry-After of a request that gets no memory
+constexpr milliseconds kLingerTimeout(1'000);     // time for which the input of a rejected caller is still read
 constexpr std::size_t kMaxLingerBytes = 64U << 20U;
 constexpr milliseconds kIdleCheckPeriod(1'000);  // between two checks of idle connections
 constexpr std::size_t kMaxIdleChecks = 64;       // connections in one check, which takes a system call for each
@@ -156,7 +165,7 @@
         limits(limits),
         handler(std::move(handler)),
         acceptor(context) {
-    SetBodyMemory();
+    SetMemory();
   }
 
   asio::io_context& context;
@@ -172,9 +181,10 @@
   std::function<std::size_t()> free_descriptors;
   const std::shared_ptr<buffer_budget> long_bodies = std::make_shared<buffer_budget>(0);
   const std::shared_ptr<buffer_budget> short_bodies = std::make_shared<buffer_budget>(0);
+  const std::shared_ptr<shared_limit> input = std::make_shared<shared_limit>(0, kInputAllowance);
 
-  // Divides the memory for bodies.
-  void SetBodyMemory() {
+  void SetMemory() {
+    input->SetLimit(limits.input_memory_bytes);
     const auto for_long = static_cast<std::size_t>(kLongBodyShare * static_cast<double>(limits.body_memory_bytes));
     long_bodies->SetLimit(for_long);
     short_bodies->SetLimit(limits.body_memory_bytes - for_long);
@@ -191,7 +201,7 @@
 class http_connection : public std::enable_shared_from_this<http_connection> {
  public:
   http_connection(tcp::socket socket, std::shared_ptr<http_server::state> server)
-      : stream_(std::move(socket)), server_(std::move(server)) {
+      : stream_(std::move(socket)), server_(std::move(server)), input_memory_(server_->input) {
     sys_error failure;
     const auto remote = stream_.socket().remote_endpoint(failure);
     if (!failure) {
@@ -321,54 +331,117 @@
   }
 
  private:
+  using request_parser = http::request_parser<http::string_body>;
+
   task<result<http_request>> ReadRequest() {
     sys_error failure;
     const http_limits& limits = server_->limits;
+    ReleaseInput();
     if (buffer_.size() == 0) {
       idle_since_ = timer_service::Now();
-      stream_.expires_after(limits.idle_timeout);
-      co_await ReadSome(failure);
-      stream_.expires_never();
+      co_await AwaitInput(failure);
+      if (!failure) {
+        co_await ReadSome(kHeadReadBytes, failure);
+      }
       if (failure || closed_) {
         co_return error{error_code::kClosed, "connection closed"};
       }
     }
     reading_ = true;
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(static_cast<std::uint32_t>(
+    std::optional<request_parser> parser(std::in_place);
+    parser->header_limit(static_cast<std::uint32_t>(
         std::min<std::size_t>(limits.header_bytes, std::numeric_limits<std::uint32_t>::max())));
-    parser.body_limit(limits.body_bytes);
+    parser->body_limit(limits.body_bytes);
     buffer_budget::lease body_memory;
-    co_await ReadMessage(parser, body_memory, failure);
+    co_await ReadMessage(*parser, body_memory, failure);
     if (failure) {
+      parser.reset();  // the caller may be slow to read the rejection
+      { const buffer_budget::lease unused = std::move(body_memory); }
       co_await RejectInput(failure);
       reading_ = false;
       co_return MakeError(failure, "reading a request");
     }
     reading_ = false;
-    keep_alive_ = parser.get().keep_alive();
-    chunked_ = parser.get().version() > kHttp10;
-    head_request_ = parser.get().method() == http::verb::head;
+    auto message = parser->release();
+    keep_alive_ = message.keep_alive();
+    chunked_ = message.version() > kHttp10;
+    head_request_ = message.method() == http::verb::head;
     http_request request;
-    request.method = std::string(parser.get().method_string());
-    request.target = std::string(parser.get().target());
-    request.headers = CopyHeaders(parser.get());
-    body_memory.Shrink(parser.get().body().size());
-    request.body = shared_body(std::move(parser.get().body()), std::move(body_memory));
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    request.headers = CopyHeaders(message);
+    body_memory.Shrink(message.body().size());
+    request.body = shared_body(std::move(message.body()), std::move(body_memory));
     request.remote = remote_;
     co_return request;
   }
 
-  task<> ReadSome(sys_error& failure) {
-    const auto space = buffer_.prepare(kReadBufferBytes);
+  // Waits up to the idle timeout. A connection without a request has no buffer meanwhile.
+  task<> AwaitInput(sys_error& failure) {
+    bool timed_out = false;
+    const auto timeout = server_->timers.SubscribeOnce(server_->limits.idle_timeout, [this, &timed_out] {
+      timed_out = true;
+      sys_error ignored;
+      stream_.socket().cancel(ignored);
+    });
+    co_await stream_.socket().async_wait(tcp::socket::wait_read, RedirectError(failure));
+    if (timed_out) {
+      failure = beast::error::timeout;
+    }
+  }
+
+  // Fails with no_memory if the buffer would need more than is available.
+  task<> ReadSome(std::size_t bytes, sys_error& failure) {
+    if (!ReserveInput(bytes) && !ReserveInput(kHeadReadBytes)) {
+      failure = asio::error::no_memory;
+      co_return;
+    }
+    const auto space = buffer_.prepare(std::min(bytes, buffer_.capacity() - buffer_.size()));
     const std::size_t count = co_await stream_.async_read_some(space, RedirectError(failure));
     buffer_.commit(count);
   }
 
+  // Makes room for so many more bytes of input. Returns false if there is no memory.
+  bool ReserveInput(std::size_t bytes) {
+    const std::size_t needed = buffer_.size() + bytes;
+    if (needed <= buffer_.capacity()) {
+      return true;
+    }
+    const std::size_t capacity = std::max(2 * buffer_.size(), needed);  // as the buffer grows
+    if (!input_memory_.Resize(capacity + head_bytes_)) {
+      return false;
+    }
+    buffer_.reserve(needed);
+    return true;
+  }
+
+  // Frees a buffer that is empty or much larger than its content.
+  void ReleaseInput() {
+    if (buffer_.size() <= buffer_.capacity() / 4) {
+      buffer_.shrink_to_fit();
+    }
+    (void)input_memory_.Resize(buffer_.capacity() + head_bytes_);  // not more than before
+  }
+
+  // Takes the memory that the head will use until the request has been answered. Returns false if there is none.
+  template <class message>
+  bool ReserveHead(const message& request) {
+    std::size_t bytes = request.target().size();
+    for (const auto& field : request) {
+      bytes += kFieldBytes + field.name_string().size() + field.value().size();
+    }
+    // At most half of the memory, so that a long head that is alone is always accepted.
+    head_bytes_ = std::min(kHeadCopies * bytes, std::max(server_->input->Limit() / 2, kInputAllowance));
+    if (input_memory_.Resize(buffer_.capacity() + head_bytes_)) {
+      return true;
+    }
+    head_bytes_ = 0;
+    return false;
+  }
+
   // Reads a complete message within the read timeout. The time in which the body waits for memory does not count.
   // Beast's own timeout closes the socket, so no 408 could be sent; this one only cancels the read.
-  task<> ReadMessage(http::request_parser<http::string_body>& parser, buffer_budget::lease& body_memory,
-                     sys_error& failure) {
+  task<> ReadMessage(request_parser& parser, buffer_budget::lease& body_memory, sys_error& failure) {
     bool timed_out = false;
     const auto start_timeout = [this, &timed_out] {
       return server_->timers.SubscribeOnce(server_->limits.read_timeout, [this, &timed_out] {
@@ -378,6 +451,7 @@
       });
     };
     auto timeout = start_timeout();
+    bool has_head = false;
     bool body_started = false;
     while (!parser.is_done()) {
       const std::size_t used = buffer_.size() == 0 ? 0 : parser.put(buffer_.data(), failure);
@@ -392,6 +466,11 @@
       if (!failure && parser.is_header_done() && HasOtherCoding(parser.get())) {
         failure = http::error::bad_transfer_encoding;
       }
+      const bool has_new_fields = parser.is_header_done() && (!has_head || (parser.is_done() && parser.chunked()));
+      if (!failure && has_new_fields && !ReserveHead(parser.get())) {
+        failure = asio::error::no_memory;
+      }
+      has_head = parser.is_header_done();
       if (failure || parser.is_done()) {
         co_return;
       }
@@ -416,7 +495,7 @@
         continue;
       }
       if (!failure && (needs_more || buffer_.size() == 0)) {
-        co_await ReadSome(failure);
+        co_await ReadSome(body_started ? kBodyReadBytes : kHeadReadBytes, failure);
       }
       if (timed_out) {
         failure = beast::error::timeout;
@@ -440,7 +519,7 @@
 
   // Memory that the body needs before more of it is read; 0 if it has enough. The length of a chunked body is unknown:
   // it starts as a short one and takes the maximum length when it turns out to be longer.
-  std::size_t MissingBodyMemory(const http::request_parser<http::string_body>& parser, std::size_t taken) const {
+  std::size_t MissingBodyMemory(const request_parser& parser, std::size_t taken) const {
     if (!parser.is_header_done()) {
       return 0;
     }
@@ -492,7 +571,7 @@
       status = 431;
     } else if (failure == beast::error::timeout) {
       status = 408;
-    } else if (failure == asio::error::no_buffer_space) {
+    } else if (failure == asio::error::no_buffer_space || failure == asio::error::no_memory) {
       status = 503;
     } else if (failure.category() == http::make_error_code(http::error::bad_method).category() &&
                failure != http::error::end_of_stream && failure != http::error::partial_message) {
@@ -503,12 +582,21 @@
     }
     Log().Info("Rejected a request from {}: {}.", remote_, failure.message());
     keep_alive_ = false;
-    const char* code = status == 413 ? "body_too_large" : status == 503 ? "body_memory" : "bad_request";
+    head_bytes_ = 0;
+    buffer_.clear();
+    ReleaseInput();
+    const char* code = "bad_request";
+    if (status == 413) {
+      code = "body_too_large";
+    } else if (status == 503) {
+      code = failure == asio::error::no_memory ? "head_memory" : "body_memory";
+    }
     auto body = fmt::format(
         R"({{"error":{{"code":"{}","outcome":"not_run","message":"The request could not be read."}}}})", code);
     auto response = JsonResponse(status, std::move(body));
     if (status == 503) {
-      response.headers.push_back({"Retry-After", std::to_string(ceil<std::chrono::seconds>(kBodyRetryAfter).count())});
+      response.headers.push_back(
+          {"Retry-After", std::to_string(ceil<std::chrono::seconds>(kMemoryRetryAfter).count())});
     }
     auto sent = co_await Write(std::move(response));
     if (sent) {
@@ -521,11 +609,10 @@
   task<> Linger() {
     sys_error failure;
     stream_.socket().shutdown(tcp::socket::shutdown_send, failure);
-    buffer_.consume(buffer_.size());
     stream_.expires_after(kLingerTimeout);
     std::size_t dropped = 0;
     while (!failure && !closed_ && dropped < kMaxLingerBytes) {
-      co_await ReadSome(failure);
+      co_await ReadSome(kHeadReadBytes, failure);
       dropped += buffer_.size();
       buffer_.consume(buffer_.size());
     }
@@ -535,6 +622,7 @@
   task<> Serve(http_request request) {
     serving_ = true;
     complete_ = false;
+    ReleaseInput();
     ++server_->requests;
     auto exchange = std::make_shared<http_exchange>(shared_from_this(), std::move(request));
     ++watch_generation_;
@@ -554,11 +642,12 @@
     }
     on_disconnect_ = nullptr;
     serving_ = false;
+    head_bytes_ = 0;
     --server_->requests;
   }
 
   // Detects that the caller disconnects while a response is prepared. Pipelined input is buffered for the next request,
-  // because the end of the stream can be read only after all input before it.
+  // because the end of the stream can be read only after all input before it; while memory is short, only a little.
   void WatchForDisconnect() {
     stream_.socket().async_wait(
         tcp::socket::wait_read, [self = shared_from_this(), generation = watch_generation_](sys_error failure) {
@@ -570,9 +659,14 @@
   }
 
   void ReadPipelinedInput() {
+    const auto available = static_cast<std::size_t>(kReadAheadShare * static_cast<double>(server_->input->Limit()));
+    const bool is_within_allowance = buffer_.size() + kHeadReadBytes + head_bytes_ <= kInputAllowance;
+    if ((!is_within_allowance && server_->input->InUse() >= available) || !ReserveInput(kHeadReadBytes)) {
+      return;
+    }
     sys_error failure;
     stream_.socket().non_blocking(true, failure);
-    const auto space = buffer_.prepare(kReadBufferBytes);
+    const auto space = buffer_.prepare(kHeadReadBytes);
     const std::size_t count = stream_.socket().read_some(space, failure);
     buffer_.commit(count);
     if (failure && failure != asio::error::would_block) {
@@ -606,6 +700,8 @@
   beast::tcp_stream stream_;
   std::shared_ptr<http_server::state> server_;
   beast::flat_buffer buffer_;
+  std::size_t head_bytes_ = 0;        // memory of the head of the request in progress
+  shared_limit::share input_memory_;  // of the buffer and the head
   std::string remote_;
   std::function<void()> on_disconnect_;
   std::uint64_t watch_generation_ = 0;
@@ -778,7 +874,7 @@
 
 void http_server::SetLimits(const http_limits& limits) {
   state_->limits = limits;
-  state_->SetBodyMemory();
+  state_->SetMemory();
 }
 
 void http_server::SetDescriptorSource(std::function<std::size_t()> free_descriptors) {
@@ -817,6 +913,8 @@
                      [](const auto& connection) { return !connection->IsIdle(); });
 }
 
+std::size_t http_server::InputMemoryInUse() const { return state_->input->InUse(); }
+
 std::size_t http_server::BodyMemoryInUse() const {
   return state_->long_bodies->InUse() + state_->short_bodies->InUse();
 }
@@ -1341,7 +1439,7 @@
 
   // Returns the next part of the body, or an empty string at its end.
   task<result<std::string>> ReadBodyPart() {
-    std::string part(kReadBufferBytes, '\0');
+    std::string part(kBodyReadBytes, '\0');
     while (!parser->is_done()) {
       parser->get().body().data = part.data();
       parser->get().body().size = part.size();
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -109,6 +109,10 @@
   // For the request bodies of all connections together. While it is used up, further bodies are not read. A body that
   // gets no memory within the read timeout is rejected with 503.
   std::size_t body_memory_bytes = 256U << 20U;
+  // For what callers have sent and no handler has got yet, and for the heads of the requests in progress, of all
+  // connections together. 12 KiB per connection, several times an ordinary head, are available in any case. A request
+  // whose head gets no memory is rejected with 503.
+  std::size_t input_memory_bytes = 16U << 20U;
 
   bool operator==(const http_limits&) const = default;
 };
@@ -195,9 +199,10 @@
 
   // True if a request is being read or served, or waits to be read, on some connection.
   bool IsBusy() const;
-  std::size_t BodyMemoryInUse() const;  // bytes
-  std::size_t WaitingBodies() const;    // requests whose body is not read yet because the memory is used up
-  std::uint16_t Port() const;           // the bound port; differs from the configured one if that is 0
+  std::size_t InputMemoryInUse() const;  // bytes
+  std::size_t BodyMemoryInUse() const;   // bytes
+  std::size_t WaitingBodies() const;     // requests whose body is not read yet because the memory is used up
+  std::uint16_t Port() const;            // the bound port; differs from the configured one if that is 0
 
  private:
   std::shared_ptr<state> state_;
--- a/tests/request_memory_test.cpp
+++ b/tests/request_memory_test.cpp
@@ -222,6 +222,90 @@
   EXPECT_EQ(SendAll({kMegabyte}, false), 1U);
 }
 
+// A head of many short fields takes many times its length.
+std::string RequestOfShortFields(std::size_t fields) {
+  std::string text = "GET / HTTP/1.1\r\nHost: h\r\n";
+  for (std::size_t i = 0; i < fields; ++i) {
+    text += "a:\r\n";
+  }
+  return text + "\r\n";
+}
+
+// Guards against memory for heads that is bounded for each connection only. What is refused has not run.
+TEST_F(request_memory_test, LongHeads_BeyondTheMemory_AreRefusedWithATimeToComeBack) {
+  limits_.input_memory_bytes = kMegabyte;
+  work_ = milliseconds(300);
+  StartServer();
+  std::vector<std::unique_ptr<raw_connection>> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.push_back(Connect());
+    callers.back()->Send(RequestOfShortFields(2'000));
+  }
+  std::size_t refused = 0;
+  std::size_t answered = 0;
+  ASSERT_TRUE(loop_.RunUntil([&] {
+    refused = answered = 0;
+    for (const auto& caller : callers) {
+      caller->Poll();
+      const std::string& text = caller->Received();
+      const bool is_refusal = text.starts_with("HTTP/1.1 503") && text.find("Retry-After: 1") != std::string::npos &&
+                              text.find("not_run") != std::string::npos;
+      refused += is_refusal ? 1 : 0;
+      answered += text.starts_with("HTTP/1.1 200") ? 1 : 0;
+    }
+    return refused + answered == callers.size();
+  }));
+  EXPECT_GT(refused, 0U);
+  EXPECT_GT(answered, 0U);
+  EXPECT_EQ(static_cast<std::size_t>(runs_), answered);
+}
+
+// Guards against ordinary callers that are refused because others use the memory, and against memory that stays taken.
+TEST_F(request_memory_test, OrdinaryRequest_WhileLongHeadsUseTheMemory_IsAnswered) {
+  limits_.input_memory_bytes = kMegabyte;
+  work_ = milliseconds(300);
+  StartServer();
+  std::vector<std::unique_ptr<raw_connection>> callers;
+  for (int i = 0; i < 8; ++i) {
+    callers.push_back(Connect());
+    callers.back()->Send(RequestOfShortFields(2'000));
+  }
+  const auto ordinary = Connect();
+  ordinary->Send(Request(600));
+  EXPECT_TRUE(ordinary->AwaitText("read 600"));
+  callers.clear();
+  const auto long_head = Connect();
+  EXPECT_TRUE(loop_.RunUntil([&] { return server_->RequestsInProgress() == 0; }));
+  long_head->Send(RequestOfShortFields(2'000));
+  EXPECT_TRUE(long_head->AwaitText("HTTP/1.1 200"));
+}
+
+// The longest head that the limits allow may need more than all of the memory.
+TEST_F(request_memory_test, LongestHead_WhenAlone_IsAnswered) {
+  limits_.input_memory_bytes = kMegabyte;
+  limits_.header_bytes = 64U << 10U;
+  StartServer();
+  const auto caller = Connect();
+  caller->Send(RequestOfShortFields(16'000));
+  EXPECT_TRUE(caller->AwaitText("HTTP/1.1 200"));
+}
+
+// Guards against a limit of what is sent ahead that loses requests.
+TEST_F(request_memory_test, RequestsSentAhead_BeyondTheMemory_AreAllAnswered) {
+  limits_.input_memory_bytes = 16U << 10U;
+  work_ = milliseconds(1);
+  StartServer();
+  const auto caller = Connect();
+  constexpr int kRequests = 200;
+  for (int i = 0; i < kRequests; ++i) {
+    caller->Send(Request(600));
+  }
+  EXPECT_TRUE(loop_.RunUntil([&] {
+    caller->Poll();
+    return runs_ == kRequests && server_->RequestsInProgress() == 0;
+  }));
+}
+
 // Guards against a copy of the body for each send of a call.
 TEST(shared_body_test, Request_ForwardedToAnEndpoint_SharesTheBytesOfTheBody) {
   const http_request request{"POST", "/upload", {}, std::string(kMegabyte, 'x'), {}};
