Let a new connection displace one that nobody waits for

What callers saw: beside a crowd that holds all connections a router accepts, with answers that it does not read, with single bytes or with nothing at all, an ordinary caller's connection was closed without an answer, until the crowd left.

Cause: at the limit of connections the server closed the new one, whatever the others did. Only a lack of descriptors closed an idle one, at the cost of a system call for each connection.

Change: at the limit, as without descriptors, the connection with the least to lose is closed: one whose caller has not read for a second, else the one that has been idle for longest, else one whose request has been incomplete for a second. Requests in progress and requests that have arrived are never displaced; with all connections in use the new one is closed as before. Input is asked for only of candidates.

Found on the way: while a read completes, the input is neither in the socket nor in the buffer, and the connection counted as idle. Drain could close it with its request. It counts as reading from the end of the wait on. (http_server_test.Accept_WhenLimitIsReached_KeepsAConnectionWhoseRequestHasArrived failed without this.)

Replaced: Accept_WhenLimitIsReached_ClosesFurtherConnections asserted that a third caller is closed beside two idle connections, which is this fault. Its replacement asserts it with both in use, and four tests state which connection goes in the other cases; the limit holds in all of them.

--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -184,6 +184,9 @@
     counter& opened = metrics_->AddCounter("persimmon_upstream_connections_total",
                                            "Connections that were opened to endpoints and routers.");
     opened.Increment(client_.OpenedConnections() - opened.Value());
+    counter& displaced = metrics_->AddCounter("persimmon_displaced_connections_total",
+                                              "Connections of callers that were closed at the limit for new ones.");
+    displaced.Increment(caller_server_->DisplacedConnections() - displaced.Value());
     metrics_->AddGauge("persimmon_watched_requests", "Requests that run at endpoints, for the case that one crashes.")
         .Set(static_cast<double>(kernel_.Find<suspect_tracker>("crashes").RunningCount()));
     metrics_
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -59,6 +59,7 @@
 constexpr milliseconds kIdleCheckPeriod(1'000);  // between two checks of idle connections
 constexpr std::size_t kMaxIdleChecks = 64;       // connections in one check, which takes a system call for each
 constexpr milliseconds kAcceptRetryDelay(100);   // after a failed accept, for example if no file descriptor is free
+constexpr milliseconds kStalledTime(1'000);      // without progress, until a connection may be closed for a new one
 constexpr unsigned kFirstFinalStatus = 200;      // lower ones belong to interim responses
 constexpr std::size_t kMaxInterimResponses = 8;  // before a final response; a server may send them without end
 constexpr milliseconds kLateReadLimit(100);      // time for which data is still read after a deadline
@@ -174,7 +175,9 @@
   http_limits limits;
   http_handler handler;
   tcp::acceptor acceptor;
-  std::set<std::shared_ptr<detail::http_connection>> connections;
+  std::set<std::shared_ptr<detail::http_connection>> connections;  // closed ones too, until their request has ended
+  std::size_t open_connections = 0;
+  std::uint64_t displaced_connections = 0;
   std::size_t requests = 0;
   bool draining = false;
   bool disable_keep_alive = false;  // each response closes its connection
@@ -193,6 +196,7 @@
   task<> Accept();
   void AddConnection(tcp::socket socket);
   bool FreeDescriptors();
+  bool DisplaceConnection();
   void AcceptEstablished();
 };
 
@@ -208,6 +212,8 @@
       remote_ = fmt::format("{}:{}", remote.address().to_string(), remote.port());
     }
     stream_.socket().set_option(tcp::no_delay(true), failure);
+    ++server_->open_connections;
+    state_since_ = timer_service::Now();
   }
 
   task<> Run() {
@@ -227,7 +233,9 @@
   }
 
   void Close() {
-    closed_ = true;
+    if (!std::exchange(closed_, true)) {
+      --server_->open_connections;
+    }
     sys_error ignored;
     if (in_unframed_body_) {
       // An orderly close would mark the end of the body. A reset shows that it is incomplete.
@@ -238,7 +246,33 @@
     stream_.socket().close(ignored);
   }
 
-  time_point IdleSince() const { return idle_since_; }
+  // What can be lost by closing the connection for a new one, from the least to the most.
+  enum class value : std::uint8_t {
+    kUnreadAnswer,       // the caller has not read for kStalledTime
+    kIdle,               // no request is being read or processed; one may have arrived
+    kIncompleteRequest,  // for kStalledTime
+    kInUse,
+  };
+
+  value Value(time_point now) {
+    const bool is_stalled = now - state_since_ >= kStalledTime;
+    if (is_sending_) {
+      return is_stalled ? value::kUnreadAnswer : value::kInUse;
+    }
+    if (reading_) {
+      return is_stalled ? value::kIncompleteRequest : value::kInUse;
+    }
+    return serving_ ? value::kInUse : value::kIdle;
+  }
+
+  time_point StateSince() const { return state_since_; }  // since when it sends, reads or is idle
+  bool IsClosed() const { return closed_; }
+
+  // True if input is buffered or waits in the socket.
+  bool HasInput() {
+    sys_error failure;
+    return !closed_ && (buffer_.size() > 0 || (stream_.socket().available(failure) > 0 && !failure));
+  }
 
   // True if no request is being read or processed.
   bool IsIdle() { return !serving_ && !reading_ && !HasInput(); }
@@ -263,13 +297,13 @@
     http::response_serializer<http::string_body> serializer(message);
     sys_error failure;
     is_writing_ = true;
-    stream_.expires_after(server_->limits.write_timeout);
+    BeginSending();
     if (head_request_) {
       co_await http::async_write_header(stream_, serializer, RedirectError(failure));
     } else {
       co_await http::async_write(stream_, serializer, RedirectError(failure));
     }
-    stream_.expires_never();
+    EndSending();
     is_writing_ = false;
     co_return Finish(failure);
   }
@@ -290,9 +324,9 @@
     http::response_serializer<http::empty_body> serializer(message);
     sys_error failure;
     in_unframed_body_ = !chunked_;
-    stream_.expires_after(server_->limits.write_timeout);
+    BeginSending();
     co_await http::async_write_header(stream_, serializer, RedirectError(failure));
-    stream_.expires_never();
+    EndSending();
     if (failure) {
       co_return Finish(failure);
     }
@@ -301,9 +335,9 @@
 
   task<result<void>> WriteRaw(std::string bytes) {
     sys_error failure;
-    stream_.expires_after(server_->limits.write_timeout);
+    BeginSending();
     co_await asio::async_write(stream_, asio::buffer(bytes), RedirectError(failure));
-    stream_.expires_never();
+    EndSending();
     if (failure) {
       co_return Finish(failure);
     }
@@ -321,9 +355,9 @@
       frame += "0\r\n\r\n";
     }
     sys_error failure;
-    stream_.expires_after(server_->limits.write_timeout);
+    BeginSending();
     co_await asio::async_write(stream_, asio::buffer(frame), RedirectError(failure));
-    stream_.expires_never();
+    EndSending();
     if (failure || last) {
       co_return Finish(failure);
     }
@@ -333,21 +367,36 @@
  private:
   using request_parser = http::request_parser<http::string_body>;
 
+  void BeginSending() {
+    is_sending_ = true;
+    state_since_ = timer_service::Now();
+    stream_.expires_after(server_->limits.write_timeout);
+  }
+
+  void EndSending() {
+    stream_.expires_never();
+    is_sending_ = false;
+  }
+
   task<result<http_request>> ReadRequest() {
     sys_error failure;
     const http_limits& limits = server_->limits;
     ReleaseInput();
     if (buffer_.size() == 0) {
-      idle_since_ = timer_service::Now();
+      state_since_ = timer_service::Now();
       co_await AwaitInput(failure);
+      // From here on, the input may be neither in the socket nor in the buffer while a read completes.
+      reading_ = true;
       if (!failure) {
         co_await ReadSome(kHeadReadBytes, failure);
       }
       if (failure || closed_) {
+        reading_ = false;
         co_return error{error_code::kClosed, "connection closed"};
       }
     }
     reading_ = true;
+    state_since_ = timer_service::Now();
     std::optional<request_parser> parser(std::in_place);
     parser->header_limit(static_cast<std::uint32_t>(
         std::min<std::size_t>(limits.header_bytes, std::numeric_limits<std::uint32_t>::max())));
@@ -556,12 +605,6 @@
     return beast::iequals(request[http::field::expect], "100-continue");
   }
 
-  // True if input is buffered or waits in the socket.
-  bool HasInput() {
-    sys_error failure;
-    return !closed_ && (buffer_.size() > 0 || (stream_.socket().available(failure) > 0 && !failure));
-  }
-
   // Responds to invalid input with an error status. A closed or idle connection gets no response.
   task<> RejectInput(sys_error failure) {
     int status = 0;
@@ -705,12 +748,13 @@
   std::string remote_;
   std::function<void()> on_disconnect_;
   std::uint64_t watch_generation_ = 0;
-  time_point idle_since_;
+  time_point state_since_;
   bool keep_alive_ = true;
   bool chunked_ = true;            // false: the end of the connection ends the body of a stream
   bool in_unframed_body_ = false;  // a body without chunks has been started and is incomplete
   bool head_request_ = false;
   bool reading_ = false;
+  bool is_sending_ = false;  // a response or a part of one
   bool is_writing_ = false;  // a complete response
   bool serving_ = false;
   bool complete_ = false;
@@ -820,24 +864,39 @@
 
 // Closes connections that nobody uses now, so that a new caller is accepted. Returns false if there are none.
 bool http_server::state::FreeDescriptors() {
-  if (free_descriptors && free_descriptors() > 0) {
-    return true;
-  }
-  detail::http_connection* oldest = nullptr;
+  return (free_descriptors && free_descriptors() > 0) || DisplaceConnection();
+}
+
+// Closes the connection with the least to lose, of several the one that has been so for the longest time, so that a new
+// caller is accepted. Returns false if all are in use.
+bool http_server::state::DisplaceConnection() {
+  using value = detail::http_connection::value;
+  const time_point now = timer_service::Now();
+  detail::http_connection* least = nullptr;
+  value least_value = value::kInUse;
   for (const auto& connection : connections) {
-    if (connection->IsIdle() && (oldest == nullptr || connection->IdleSince() < oldest->IdleSince())) {
-      oldest = connection.get();
+    if (connection->IsClosed()) {
+      continue;
+    }
+    const value candidate = connection->Value(now);
+    const bool is_longer = least != nullptr && connection->StateSince() < least->StateSince();
+    const bool is_less = candidate < least_value || (candidate == least_value && is_longer);
+    // The input is checked last, because that takes a system call.
+    if (is_less && !(candidate == value::kIdle && connection->HasInput())) {
+      least = connection.get();
+      least_value = candidate;
     }
   }
-  if (oldest == nullptr) {
+  if (least == nullptr) {
     return false;
   }
-  oldest->Close();
+  ++displaced_connections;
+  least->Close();
   return true;
 }
 
 void http_server::state::AddConnection(tcp::socket socket) {
-  if (connections.size() >= limits.connections) {
+  if (open_connections >= limits.connections && !DisplaceConnection()) {
     Log().Warning("Closed a connection: the limit of {} connections is reached.", limits.connections);
     return;
   }
@@ -913,6 +972,8 @@
                      [](const auto& connection) { return !connection->IsIdle(); });
 }
 
+std::uint64_t http_server::DisplacedConnections() const { return state_->displaced_connections; }
+
 std::size_t http_server::InputMemoryInUse() const { return state_->input->InUse(); }
 
 std::size_t http_server::BodyMemoryInUse() const {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -105,7 +105,10 @@
   milliseconds read_timeout = milliseconds(10'000);   // for a complete request, from its first byte
   milliseconds idle_timeout = milliseconds(60'000);   // between requests on one connection
   milliseconds write_timeout = milliseconds(10'000);  // for one response or one chunk
-  std::size_t connections = 4096;                     // maximum of open connections; more are closed immediately
+  // Maximum of open connections. A new one beyond it displaces the one with the least to lose: an answer that its
+  // caller has not read for a second, else the connection that has been idle for the longest time, else a request that
+  // has been incomplete for a second. If all are in use, the new one is closed.
+  std::size_t connections = 4096;
   // For the request bodies of all connections together. While it is used up, further bodies are not read. A body that
   // gets no memory within the read timeout is rejected with 503.
   std::size_t body_memory_bytes = 256U << 20U;
@@ -181,7 +184,7 @@
   void SetLimits(const http_limits& limits);
 
   // Sets a function that frees descriptors when none is left for a new connection, and returns how many. If it frees
-  // none, the server closes the connection that has been idle for the longest time.
+  // none, the new connection displaces one, as at the limit of connections.
   void SetDescriptorSource(std::function<std::size_t()> free_descriptors);
 
   // Disables keep-alive: each further response closes its connection, so that callers reconnect to other servers before
@@ -199,10 +202,11 @@
 
   // True if a request is being read or served, or waits to be read, on some connection.
   bool IsBusy() const;
-  std::size_t InputMemoryInUse() const;  // bytes
-  std::size_t BodyMemoryInUse() const;   // bytes
-  std::size_t WaitingBodies() const;     // requests whose body is not read yet because the memory is used up
-  std::uint16_t Port() const;            // the bound port; differs from the configured one if that is 0
+  std::uint64_t DisplacedConnections() const;  // closed for new ones at the limit of connections or descriptors
+  std::size_t InputMemoryInUse() const;        // bytes
+  std::size_t BodyMemoryInUse() const;         // bytes
+  std::size_t WaitingBodies() const;           // requests whose body is not read yet because the memory is used up
+  std::uint16_t Port() const;                  // the bound port; differs from the configured one if that is 0
 
  private:
   std::shared_ptr<state> state_;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -411,16 +411,75 @@
   EXPECT_TRUE(loop_.RunUntil([&] { return server_->RequestsInProgress() == 0; }));
 }
 
-TEST_F(http_server_test, Accept_WhenLimitIsReached_ClosesFurtherConnections) {
+TEST_F(http_server_test, Accept_WhenAllConnectionsAreInUse_ClosesFurtherOnes) {
   limits_.connections = 2;
   StartServer();
   auto first = Connect();
   auto second = Connect();
-  loop_.RunFor(milliseconds(20));
+  first->Send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+  second->Send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return server_->RequestsInProgress() == 2; }));
   auto third = Connect();
   ASSERT_TRUE(third->AwaitEnd());
-  second->Send("GET /second HTTP/1.1\r\nHost: h\r\n\r\n");
-  EXPECT_TRUE(second->AwaitText("/second "));
+  EXPECT_EQ(server_->DisplacedConnections(), 0U);
+  EXPECT_EQ(server_->RequestsInProgress(), 2U);
+}
+
+// Guards against callers that keep connections without using them and so keep all others out.
+TEST_F(http_server_test, Accept_WhenLimitIsReached_ClosesTheConnectionThatHasBeenIdleForLongest) {
+  limits_.connections = 2;
+  StartServer();
+  auto first = Connect();
+  loop_.RunFor(milliseconds(5));
+  auto second = Connect();
+  loop_.RunFor(milliseconds(20));
+  auto third = Connect();
+  ASSERT_TRUE(first->AwaitEnd());
+  for (auto* caller : {second.get(), third.get()}) {
+    caller->Send("GET /served HTTP/1.1\r\nHost: h\r\n\r\n");
+    EXPECT_TRUE(caller->AwaitText("/served "));
+    EXPECT_FALSE(caller->IsClosed());
+  }
+  EXPECT_EQ(server_->DisplacedConnections(), 1U);
+}
+
+// A request that has arrived is not lost, although nothing has read it yet.
+TEST_F(http_server_test, Accept_WhenLimitIsReached_KeepsAConnectionWhoseRequestHasArrived) {
+  limits_.connections = 2;
+  StartServer();
+  auto first = Connect();
+  auto second = Connect();
+  loop_.RunFor(milliseconds(20));
+  first->Send("GET /served HTTP/1.1\r\nHost: h\r\n\r\n");
+  auto third = Connect();
+  EXPECT_TRUE(first->AwaitText("/served "));
+  EXPECT_TRUE(second->AwaitEnd());
+}
+
+TEST_F(http_server_test, Accept_WhenLimitIsReached_ClosesTheConnectionWhoseCallerDoesNotRead) {
+  limits_.connections = 2;
+  StartServer();
+  auto idle = Connect();
+  auto unread = Connect();
+  unread->Send("GET /stream/long HTTP/1.1\r\nHost: h\r\n\r\n");
+  loop_.RunFor(milliseconds(1'500));
+  auto third = Connect();
+  third->Send("GET /served HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_TRUE(third->AwaitText("/served "));
+  EXPECT_TRUE(loop_.RunUntil([&] { return failed_writes_ == 1; }));
+  EXPECT_FALSE(idle->IsClosed());
+}
+
+TEST_F(http_server_test, Accept_WhenOnlyIncompleteRequestsAreOpen_ClosesOne) {
+  limits_.connections = 1;
+  StartServer();
+  auto slow = Connect();
+  slow->Send("GET /slow HTTP/1.1\r\n");
+  loop_.RunFor(milliseconds(1'500));
+  auto other = Connect();
+  other->Send("GET /served HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_TRUE(other->AwaitText("/served "));
+  EXPECT_TRUE(slow->AwaitEnd());
 }
 
 TEST_F(http_server_test, Drain_WhenRequestIsInProgress_AnswersItThenCloses) {
