Let new connections displace callers that send many requests ahead

What callers saw: beside a crowd that holds all connections and whose requests are answered as fast as they come, because no route has their paths, no other caller got a connection: all connections were in use, none was stalled.

Cause: kernel buffers hold thousands of short requests of a client, so its connection has a request in progress all the time, for seconds, until its unread answers block it.

Change: a connection whose last 32 requests had arrived before their predecessors were answered has less to lose than an idle one. A caller that waits for its answers never gets there, and each request that it waited for halves the count. It matters only at the limit of connections.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -60,6 +60,7 @@
 constexpr std::size_t kMaxIdleChecks = 64;       // connections in one check, which takes a system call for each
 constexpr milliseconds kAcceptRetryDelay(100);   // after a failed accept, for example if no file descriptor is free
 constexpr milliseconds kStalledTime(1'000);      // without progress, until a connection may be closed for a new one
+constexpr std::size_t kManyRequestsAhead = 32;   // no caller that waits for answers sends so many
 constexpr unsigned kFirstFinalStatus = 200;      // lower ones belong to interim responses
 constexpr std::size_t kMaxInterimResponses = 8;  // before a final response; a server may send them without end
 constexpr milliseconds kLateReadLimit(100);      // time for which data is still read after a deadline
@@ -249,6 +250,7 @@
   // What can be lost by closing the connection for a new one, from the least to the most.
   enum class value : std::uint8_t {
     kUnreadAnswer,       // the caller has not read for kStalledTime
+    kSendsAhead,         // the caller sends requests without end, whatever it reads
     kIdle,               // no request is being read or processed; one may have arrived
     kIncompleteRequest,  // for kStalledTime
     kInUse,
@@ -256,8 +258,14 @@
 
   value Value(time_point now) {
     const bool is_stalled = now - state_since_ >= kStalledTime;
+    if (is_sending_ && is_stalled) {
+      return value::kUnreadAnswer;
+    }
+    if (requests_ahead_ >= kManyRequestsAhead) {
+      return value::kSendsAhead;
+    }
     if (is_sending_) {
-      return is_stalled ? value::kUnreadAnswer : value::kInUse;
+      return value::kInUse;
     }
     if (reading_) {
       return is_stalled ? value::kIncompleteRequest : value::kInUse;
@@ -382,6 +390,7 @@
     sys_error failure;
     const http_limits& limits = server_->limits;
     ReleaseInput();
+    requests_ahead_ = buffer_.size() > 0 ? requests_ahead_ + 1 : requests_ahead_ / 2;
     if (buffer_.size() == 0) {
       state_since_ = timer_service::Now();
       co_await AwaitInput(failure);
@@ -743,6 +752,7 @@
   beast::tcp_stream stream_;
   std::shared_ptr<http_server::state> server_;
   beast::flat_buffer buffer_;
+  std::size_t requests_ahead_ = 0;    // that had arrived before their predecessors were answered; halved by each other
   std::size_t head_bytes_ = 0;        // memory of the head of the request in progress
   shared_limit::share input_memory_;  // of the buffer and the head
   std::string remote_;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -470,6 +470,25 @@
   EXPECT_FALSE(idle->IsClosed());
 }
 
+// Guards against callers whose requests are refused as fast as they send them, so that they are always in use.
+TEST_F(http_server_test, Accept_WhenLimitIsReached_ClosesTheConnectionWhoseCallerSendsManyRequestsAhead) {
+  limits_.connections = 2;
+  StartServer();
+  auto idle = Connect();
+  auto eager = Connect();
+  std::string ahead;
+  for (int i = 0; i < 100; ++i) {
+    ahead += "GET /served HTTP/1.1\r\nHost: h\r\n\r\n";
+  }
+  eager->Send(ahead + "GET /wait HTTP/1.1\r\nHost: h\r\n\r\n");
+  ASSERT_TRUE(loop_.RunUntil([&] { return requests_ == 101; }));
+  auto third = Connect();
+  third->Send("GET /served HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_TRUE(third->AwaitText("/served "));
+  EXPECT_TRUE(eager->AwaitEnd());
+  EXPECT_FALSE(idle->IsClosed());
+}
+
 TEST_F(http_server_test, Accept_WhenOnlyIncompleteRequestsAreOpen_ClosesOne) {
   limits_.connections = 1;
   StartServer();
