Give each interface of a process its share of memory and descriptors

What callers saw: connections, bodies or heads sent to the readiness and the control address of a router, together with those of callers, brought it over its memory and its descriptors, although each interface kept its limits. Beside 700 silent connections at each of the three, no caller was answered. Requests sent ahead to an endpoint took more descriptors than the process may open.

Cause: the limits of a server were shares of the whole process: each of three servers took 70% of the descriptors and 30% of the memory for bodies. None was left for the connections to endpoints of the requests in progress, one for each caller at least. The limit of connections did not depend on the memory.

Change: CallerServerLimits and InternalServerLimits (net/server_limits) divide what the process has. Callers get 37% of the descriptors, so that as many are left for their requests' connections to endpoints beside the idle ones (20%), and 24 KiB for each connection within 25% of the memory: 961 connections at 88 MB, 1,201 at 110 MB. The readiness and the control address, which get short requests without a body, have 2% of the descriptors each (8 to 128 connections) and fixed small amounts of memory. At a limit, connections displace each other as before.

Why no ordinary client meets it: limits of a single request are those of the desired state; of the connections only ones that nobody waits for give way. The readiness check is a short request without a body once a second.

--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -29,15 +29,6 @@
 constexpr milliseconds kFirstEventTime(700);  // 90th percentile of the time to the first event outside bursts
 constexpr int kTooManyRequests = 429;
 constexpr double kStreamMargin = 1.25;  // multiplier for the expected duration, for responses longer than estimated
-// Of the memory of the process, for the bodies of requests. The rest holds the state of the deployment, responses and
-// what the allocator cannot reuse.
-constexpr double kBodyMemoryShare = 0.3;
-// The same for the heads of requests and what callers send ahead.
-constexpr double kInputMemoryShare = 0.1;
-// From callers.
-constexpr std::size_t kMaxConnections = 3'000;
-// The same as a share of the descriptors; the rest is for endpoints, the store and other routers.
-constexpr double kCallerConnectionShare = 0.7;
 constexpr std::size_t kFreedConnections = 16;  // idle ones to endpoints, closed when no descriptor is left
 
 bool IsGeneration(const direct_call& call) {
@@ -59,8 +50,7 @@
   auto& group = kernel_.Find<router_group>("group");
   group.on_change = [this] { generation_calls_->DispatchAll(); };
   const auto& deployment = settings_.deployment;
-  const auto start_server = [this](const host_port& address, auto handler) {
-    http_limits limits = BaseLimits();
+  const auto start_server = [this](const host_port& address, const http_limits& limits, auto handler) {
     auto server = std::make_unique<http_server>(kernel_.Context(), address, limits, handler);
     server->SetDescriptorSource([this] { return client_.CloseOldestIdleConnections(kFreedConnections); });
     if (auto started = server->Start(); !started) {
@@ -68,13 +58,15 @@
     }
     return server;
   };
-  caller_server_ = start_server(
-      deployment.callers, [this](std::shared_ptr<http_exchange> exchange) { return Handle(std::move(exchange)); });
-  readiness_server_ = start_server(deployment.readiness, [this](std::shared_ptr<http_exchange> exchange) {
+  const http_limits internal = InternalServerLimits(ProcessLimits());
+  caller_server_ =
+      start_server(deployment.callers, CallerServerLimits(ProcessLimits()),
+                   [this](std::shared_ptr<http_exchange> exchange) { return Handle(std::move(exchange)); });
+  readiness_server_ = start_server(deployment.readiness, internal, [this](std::shared_ptr<http_exchange> exchange) {
     return HandleReadiness(std::move(exchange));
   });
   if (deployment.control.port != 0) {
-    control_server_ = start_server(deployment.control, [this](std::shared_ptr<http_exchange> exchange) {
+    control_server_ = start_server(deployment.control, internal, [this](std::shared_ptr<http_exchange> exchange) {
       return HandleControl(std::move(exchange));
     });
   }
@@ -131,25 +123,13 @@
   });
 }
 
-// Limits that the settings of the process decide.
-http_limits ingress::BaseLimits() const {
-  http_limits limits;
-  limits.connections = kMaxConnections;
-  if (const auto descriptors = settings_.deployment.descriptors) {
-    limits.connections = std::min(limits.connections,
-                                  static_cast<std::size_t>(kCallerConnectionShare * static_cast<double>(*descriptors)));
-  }
-  if (const auto memory = settings_.deployment.memory_bytes) {
-    const auto bytes = static_cast<double>(*memory);
-    limits.body_memory_bytes = static_cast<std::size_t>(kBodyMemoryShare * bytes);
-    limits.input_memory_bytes = static_cast<std::size_t>(kInputMemoryShare * bytes);
-  }
-  return limits;
+process_limits ingress::ProcessLimits() const {
+  return {settings_.deployment.memory_bytes, settings_.deployment.descriptors};
 }
 
 void ingress::ApplyLimits() {
   const caller_limits& configured = directory_->Routes()->Limits();
-  http_limits limits = BaseLimits();
+  http_limits limits = CallerServerLimits(ProcessLimits());
   limits.header_bytes = configured.header_bytes;
   limits.body_bytes = configured.body_bytes;
   limits.read_timeout = configured.header_timeout;
--- a/src/direct/ingress.h
+++ b/src/direct/ingress.h
@@ -17,6 +17,7 @@
 #include "direct/plain_calls.h"
 #include "direct/router_group.h"
 #include "direct/stage_orders.h"
+#include "net/server_limits.h"
 
 namespace persimmon {
 
@@ -43,7 +44,7 @@
   // Answers the calls whose responses have not been started, and waits for the answers to be written.
   task<> EndCalls();
   task<> FetchStateFromPeers();
-  http_limits BaseLimits() const;
+  process_limits ProcessLimits() const;
   void ApplyLimits();
   void AwaitReload();
   bool IsReady() const;
