Bound the responses that callers have not read, over all connections

What callers saw: nothing yet; found by asking where else a limit holds for one connection only (docs/guarantees.md listed it as open). A caller who asks and does not read keeps a response of up to 256 KB in the router without agents, and a whole answer of a service in the one with agents, for the write timeout of 10 s. The sum over connections had no bound. The router with agents also had 256 MB for bodies and 4,096 connections, whatever its VM has.

Change: http_limits::output_memory_bytes (4% of the memory) for what is being sent, with 8 KiB per connection in any case. Beyond it the responses that have been sent for the longest time are cut; their callers see that they are incomplete. [limits] memory_mb (default 256) states the memory of the router with agents, so that it has the same shares as the one without. The internal interfaces get 1% of the memory for connections and for responses.

--- a/include/persimmon/shared_limit.h
+++ b/include/persimmon/shared_limit.h
@@ -45,6 +45,8 @@
       return true;
     }
 
+    std::size_t Bytes() const { return bytes_; }
+
    private:
     std::shared_ptr<shared_limit> limit_;
     std::size_t bytes_ = 0;
--- a/src/direct/ingress.cpp
+++ b/src/direct/ingress.cpp
@@ -167,6 +167,9 @@
     counter& displaced = metrics_->AddCounter("persimmon_displaced_connections_total",
                                               "Connections of callers that were closed at the limit for new ones.");
     displaced.Increment(caller_server_->DisplacedConnections() - displaced.Value());
+    counter& unread = metrics_->AddCounter("persimmon_unread_responses_total",
+                                           "Responses that were cut because callers did not read them.");
+    unread.Increment(caller_server_->UnreadResponses() - unread.Value());
     metrics_->AddGauge("persimmon_watched_requests", "Requests that run at endpoints, for the case that one crashes.")
         .Set(static_cast<double>(kernel_.Find<suspect_tracker>("crashes").RunningCount()));
     metrics_
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -40,6 +40,8 @@
 constexpr std::size_t kBodyReadBytes = 16'384;  // the same of a body
 // Memory that each connection may use for its input, whatever the others use.
 constexpr std::size_t kInputAllowance = 12U << 10U;
+// The same for responses that its caller has not read yet.
+constexpr std::size_t kOutputAllowance = 8U << 10U;
 // Of the memory for input. The rest is for the heads of requests.
 constexpr double kReadAheadShare = 0.5;
 // A parsed head exists twice, as it arrived and as it is forwarded; each field takes this much besides its text.
@@ -187,8 +189,12 @@
   const std::shared_ptr<buffer_budget> short_bodies = std::make_shared<buffer_budget>(0);
   const std::shared_ptr<shared_limit> input = std::make_shared<shared_limit>(0, kInputAllowance);
 
+  const std::shared_ptr<shared_limit> output = std::make_shared<shared_limit>(0, kOutputAllowance);
+  std::uint64_t unread_responses = 0;  // cut for lack of memory
+
   void SetMemory() {
     input->SetLimit(limits.input_memory_bytes);
+    output->SetLimit(limits.output_memory_bytes);
     const auto for_long = static_cast<std::size_t>(kLongBodyShare * static_cast<double>(limits.body_memory_bytes));
     long_bodies->SetLimit(for_long);
     short_bodies->SetLimit(limits.body_memory_bytes - for_long);
@@ -198,6 +204,7 @@
   void AddConnection(tcp::socket socket);
   bool FreeDescriptors();
   bool DisplaceConnection();
+  void ReserveOutput(shared_limit::share& memory, std::size_t bytes);
   void AcceptEstablished();
 };
 
@@ -206,7 +213,10 @@
 class http_connection : public std::enable_shared_from_this<http_connection> {
  public:
   http_connection(tcp::socket socket, std::shared_ptr<http_server::state> server)
-      : stream_(std::move(socket)), server_(std::move(server)), input_memory_(server_->input) {
+      : stream_(std::move(socket)),
+        server_(std::move(server)),
+        input_memory_(server_->input),
+        output_memory_(server_->output) {
     sys_error failure;
     const auto remote = stream_.socket().remote_endpoint(failure);
     if (!failure) {
@@ -237,6 +247,7 @@
     if (!std::exchange(closed_, true)) {
       --server_->open_connections;
     }
+    (void)output_memory_.Resize(0);  // what is being sent is dropped
     sys_error ignored;
     if (in_unframed_body_) {
       // An orderly close would mark the end of the body. A reset shows that it is incomplete.
@@ -273,6 +284,8 @@
     return serving_ ? value::kInUse : value::kIdle;
   }
 
+  bool IsSending() const { return is_sending_ && !closed_; }
+  std::size_t UnsentBytes() const { return output_memory_.Bytes(); }
   time_point StateSince() const { return state_since_; }  // since when it sends, reads or is idle
   bool IsClosed() const { return closed_; }
 
@@ -305,7 +318,7 @@
     http::response_serializer<http::string_body> serializer(message);
     sys_error failure;
     is_writing_ = true;
-    BeginSending();
+    BeginSending(message.body().size());
     if (head_request_) {
       co_await http::async_write_header(stream_, serializer, RedirectError(failure));
     } else {
@@ -332,7 +345,7 @@
     http::response_serializer<http::empty_body> serializer(message);
     sys_error failure;
     in_unframed_body_ = !chunked_;
-    BeginSending();
+    BeginSending(0);
     co_await http::async_write_header(stream_, serializer, RedirectError(failure));
     EndSending();
     if (failure) {
@@ -343,7 +356,7 @@
 
   task<result<void>> WriteRaw(std::string bytes) {
     sys_error failure;
-    BeginSending();
+    BeginSending(bytes.size());
     co_await asio::async_write(stream_, asio::buffer(bytes), RedirectError(failure));
     EndSending();
     if (failure) {
@@ -363,7 +376,7 @@
       frame += "0\r\n\r\n";
     }
     sys_error failure;
-    BeginSending();
+    BeginSending(data.size() + frame.size());
     co_await asio::async_write(stream_, asio::buffer(frame), RedirectError(failure));
     EndSending();
     if (failure || last) {
@@ -375,7 +388,9 @@
  private:
   using request_parser = http::request_parser<http::string_body>;
 
-  void BeginSending() {
+  // `bytes`: memory of what is sent, until it has been sent.
+  void BeginSending(std::size_t bytes) {
+    server_->ReserveOutput(output_memory_, bytes);
     is_sending_ = true;
     state_since_ = timer_service::Now();
     stream_.expires_after(server_->limits.write_timeout);
@@ -384,6 +399,7 @@
   void EndSending() {
     stream_.expires_never();
     is_sending_ = false;
+    (void)output_memory_.Resize(0);
   }
 
   task<result<http_request>> ReadRequest() {
@@ -752,9 +768,10 @@
   beast::tcp_stream stream_;
   std::shared_ptr<http_server::state> server_;
   beast::flat_buffer buffer_;
-  std::size_t requests_ahead_ = 0;    // that had arrived before their predecessors were answered; halved by each other
-  std::size_t head_bytes_ = 0;        // memory of the head of the request in progress
-  shared_limit::share input_memory_;  // of the buffer and the head
+  std::size_t requests_ahead_ = 0;     // that had arrived before their predecessors were answered; halved by each other
+  std::size_t head_bytes_ = 0;         // memory of the head of the request in progress
+  shared_limit::share input_memory_;   // of the buffer and the head
+  shared_limit::share output_memory_;  // of what is being sent
   std::string remote_;
   std::function<void()> on_disconnect_;
   std::uint64_t watch_generation_ = 0;
@@ -905,6 +922,25 @@
   return true;
 }
 
+// Takes the memory for a response. If there is none, closes the connections that have been sending for the longest
+// time: a caller that reads its response does not need so long.
+void http_server::state::ReserveOutput(shared_limit::share& memory, std::size_t bytes) {
+  while (!memory.Resize(bytes)) {
+    detail::http_connection* longest = nullptr;
+    for (const auto& connection : connections) {
+      const bool is_longer = longest == nullptr || connection->StateSince() < longest->StateSince();
+      if (connection->IsSending() && connection->UnsentBytes() > kOutputAllowance && is_longer) {
+        longest = connection.get();
+      }
+    }
+    if (longest == nullptr) {
+      return;  // nothing else is being sent, so a response above the limit is alone
+    }
+    ++unread_responses;
+    longest->Close();
+  }
+}
+
 void http_server::state::AddConnection(tcp::socket socket) {
   if (open_connections >= limits.connections && !DisplaceConnection()) {
     Log().Warning("Closed a connection: the limit of {} connections is reached.", limits.connections);
@@ -984,6 +1020,8 @@
 
 std::uint64_t http_server::DisplacedConnections() const { return state_->displaced_connections; }
 
+std::uint64_t http_server::UnreadResponses() const { return state_->unread_responses; }
+
 std::size_t http_server::InputMemoryInUse() const { return state_->input->InUse(); }
 
 std::size_t http_server::BodyMemoryInUse() const {
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -116,6 +116,10 @@
   // connections together. 12 KiB per connection, several times an ordinary head, are available in any case. A request
   // whose head gets no memory is rejected with 503.
   std::size_t input_memory_bytes = 16U << 20U;
+  // For what has been sent and callers have not read, of all connections together: responses, or parts of them, that do
+  // not fit into the buffers of the system. 8 KiB per connection are available in any case. Beyond it, the connections
+  // that have been sending for the longest time are closed within their responses.
+  std::size_t output_memory_bytes = 16U << 20U;
 
   bool operator==(const http_limits&) const = default;
 };
@@ -203,6 +207,7 @@
   // True if a request is being read or served, or waits to be read, on some connection.
   bool IsBusy() const;
   std::uint64_t DisplacedConnections() const;  // closed for new ones at the limit of connections or descriptors
+  std::uint64_t UnreadResponses() const;       // cut because callers have not read them and others need the memory
   std::size_t InputMemoryInUse() const;        // bytes
   std::size_t BodyMemoryInUse() const;         // bytes
   std::size_t WaitingBodies() const;           // requests whose body is not read yet because the memory is used up
--- a/src/net/server_limits.cpp
+++ b/src/net/server_limits.cpp
@@ -8,8 +8,10 @@
 // Shares of the memory of the process. The rest holds the state of the deployment, answers and what the allocator
 // cannot reuse.
 constexpr double kBodyMemoryShare = 0.3;
-constexpr double kInputMemoryShare = 0.1;  // heads of requests and what callers send ahead
+constexpr double kInputMemoryShare = 0.1;    // heads of requests and what callers send ahead
+constexpr double kOutputMemoryShare = 0.04;  // what callers have not read yet
 constexpr double kConnectionMemoryShare = 0.25;
+constexpr double kInternalMemoryShare = 0.01;  // for the connections of one internal server, and for its output
 // Of an open connection of a caller: the server's allowance for its input, the connection and its request in progress.
 constexpr std::size_t kConnectionBytes = 24U << 10U;
 
@@ -43,6 +45,7 @@
         std::min(limits.connections, Share(kConnectionMemoryShare, *process.memory_bytes) / kConnectionBytes);
     limits.body_memory_bytes = Share(kBodyMemoryShare, *process.memory_bytes);
     limits.input_memory_bytes = Share(kInputMemoryShare, *process.memory_bytes);
+    limits.output_memory_bytes = Share(kOutputMemoryShare, *process.memory_bytes);
   }
   limits.connections = std::max(limits.connections, kMinConnections);
   return limits;
@@ -56,9 +59,14 @@
   limits.input_memory_bytes = kInternalInputMemoryBytes;
   limits.connections = kMaxInternalConnections;
   if (process.descriptors) {
-    limits.connections =
-        std::clamp(Share(kInternalDescriptorShare, *process.descriptors), kMinConnections, kMaxInternalConnections);
+    limits.connections = std::min(limits.connections, Share(kInternalDescriptorShare, *process.descriptors));
+  }
+  if (process.memory_bytes) {
+    const std::size_t memory = Share(kInternalMemoryShare, *process.memory_bytes);
+    limits.connections = std::min(limits.connections, memory / kConnectionBytes);
+    limits.output_memory_bytes = std::min(limits.output_memory_bytes, memory);
   }
+  limits.connections = std::max(limits.connections, kMinConnections);
   return limits;
 }
 
--- a/src/router/front_end.cpp
+++ b/src/router/front_end.cpp
@@ -9,6 +9,7 @@
 #include "core/log.h"
 #include "core/random.h"
 #include "core/telemetry.h"
+#include "net/server_limits.h"
 #include "router/dispatcher.h"
 
 namespace persimmon {
@@ -48,10 +49,11 @@
   services_ = &kernel_.Find<service_calls>("services");
   metrics_ = &kernel_.Find<telemetry>("telemetry").Metrics();
   tracer_ = &kernel_.Find<telemetry>("telemetry").Tracer();
-  http_limits limits;
+  const process_limits process{static_cast<std::size_t>(settings_.memory_mb) << 20U, std::nullopt};
+  http_limits limits = CallerServerLimits(process);
   limits.header_bytes = static_cast<std::size_t>(settings_.header_bytes);
   limits.body_bytes = static_cast<std::size_t>(settings_.body_bytes);
-  limits.connections = static_cast<std::size_t>(settings_.connections);
+  limits.connections = std::min(limits.connections, static_cast<std::size_t>(settings_.connections));
   limits.read_timeout = settings_.read_timeout;
   server_ = std::make_unique<http_server>(
       kernel_.Context(), settings_.http, limits,
--- a/src/router/router_settings.cpp
+++ b/src/router/router_settings.cpp
@@ -25,6 +25,7 @@
   bind.Number("limits", "header_bytes", settings.header_bytes, 1'024, 1 << 20);
   bind.Number("limits", "body_bytes", settings.body_bytes, 1'024, 8 << 20);
   bind.Number("limits", "connections", settings.connections, 1, 100'000);
+  bind.Number("limits", "memory_mb", settings.memory_mb, 32, 1 << 20);
   bind.Duration("limits", "read_timeout_ms", settings.read_timeout, milliseconds(100), 10 * kMinute);
 
   bind.Choice("policy", "mode", settings.mode, {"full", "round_robin", "least_load"});
--- a/src/router/router_settings.h
+++ b/src/router/router_settings.h
@@ -44,6 +44,7 @@
   std::int64_t header_bytes = 16'384;                // header_bytes: maximum header size of a request
   std::int64_t body_bytes = 4 << 20;                 // body_bytes: maximum body size of a request
   std::int64_t connections = 4'096;                  // connections: maximum number of connections of all callers
+  std::int64_t memory_mb = 256;                      // memory_mb: memory of this process, MiB; bounds what callers use
   milliseconds read_timeout = milliseconds(10'000);  // read_timeout_ms: time to read one complete request
 
   // [policy]
--- a/tests/misbehaving_clients_test.cpp
+++ b/tests/misbehaving_clients_test.cpp
@@ -372,7 +372,8 @@
  protected:
   void SetUp() override {
     deployment_.AddEndpoint("app-1", "service");
-    deployment_.AddRouter("router-1", fmt::format("[limits]\nconnections = {}\n", kProcessFiles - 100));
+    deployment_.AddRouter("router-1",
+                          fmt::format("[limits]\nconnections = {}\nmemory_mb = {}\n", kProcessFiles - 100, kProcessMb));
     deployment_.WriteRecords();
     ASSERT_TRUE(WaitUntil([this] { return OrdinaryStatus() == 200; }));
   }
--- a/tests/request_memory_test.cpp
+++ b/tests/request_memory_test.cpp
@@ -306,6 +306,82 @@
   }));
 }
 
+// A server whose responses are longer than the buffers of the system.
+class response_memory_test : public request_memory_test {
+ protected:
+  static constexpr std::size_t kResponseBytes = 8 * kMegabyte;
+
+  void StartServer(bool is_streamed) {
+    server_ = std::make_unique<http_server>(loop_.Context(), host_port{"127.0.0.1", 0}, limits_,
+                                            [this, is_streamed](std::shared_ptr<http_exchange> exchange) {
+                                              return Send(std::move(exchange), is_streamed);
+                                            });
+    ASSERT_TRUE(server_->Start());
+  }
+
+  task<> Send(std::shared_ptr<http_exchange> exchange, bool is_streamed) {
+    unsent_ += kResponseBytes;
+    peak_ = std::max(peak_, unsent_);
+    if (is_streamed) {
+      (void)co_await exchange->StartStream(200, {});
+      (void)co_await exchange->WriteChunk(std::string(kResponseBytes, 'x'));
+      (void)co_await exchange->FinishStream();
+    } else {
+      http_response response{200, {}, std::string(kResponseBytes, 'x')};
+      (void)co_await exchange->Respond(std::move(response));
+    }
+    unsent_ -= kResponseBytes;
+  }
+
+  // Lets callers that do not read ask one after the other. Returns how many responses were cut meanwhile.
+  std::uint64_t SendUnreadRequests(int count) {
+    for (int i = 0; i < count; ++i) {
+      unread_callers_.push_back(Connect());
+      unread_callers_.back()->Send(Request(1));
+      (void)loop_.RunUntil([&] { return server_->RequestsInProgress() > 0; });
+      loop_.RunFor(milliseconds(20));
+    }
+    return server_->UnreadResponses();
+  }
+
+  std::vector<std::unique_ptr<raw_connection>> unread_callers_;
+  std::size_t unsent_ = 0;
+};
+
+// Guards against responses that are bounded for each connection only: callers who do not read them use up the memory.
+TEST_F(response_memory_test, UnreadResponses_BeyondTheMemory_AreCutFromTheOldestOn) {
+  limits_.output_memory_bytes = 4 * kResponseBytes;
+  StartServer(false);
+  EXPECT_EQ(SendUnreadRequests(12), 8U);
+  EXPECT_LE(peak_, 5 * kResponseBytes);
+  const auto reader = Connect();
+  reader->Send(Request(1));
+  EXPECT_TRUE(loop_.RunUntil([&] {
+    reader->Poll();
+    return reader->Received().size() > kResponseBytes;
+  }));
+}
+
+TEST_F(response_memory_test, UnreadChunks_BeyondTheMemory_AreCutFromTheOldestOn) {
+  limits_.output_memory_bytes = 4 * kResponseBytes + kMegabyte;  // a chunk is copied once, and framed
+  StartServer(true);
+  EXPECT_EQ(SendUnreadRequests(6), 4U);
+  EXPECT_LE(peak_, 3 * kResponseBytes);
+}
+
+// A response above the limit is sent when nothing else is.
+TEST_F(response_memory_test, LongResponse_WhenAlone_IsSentWhole) {
+  limits_.output_memory_bytes = kMegabyte;
+  StartServer(false);
+  const auto reader = Connect();
+  reader->Send(Request(1));
+  EXPECT_TRUE(loop_.RunUntil([&] {
+    reader->Poll();
+    return reader->Received().size() > kResponseBytes;
+  }));
+  EXPECT_EQ(server_->UnreadResponses(), 0U);
+}
+
 // Guards against a copy of the body for each send of a call.
 TEST(shared_body_test, Request_ForwardedToAnEndpoint_SharesTheBytesOfTheBody) {
   const http_request request{"POST", "/upload", {}, std::string(kMegabyte, 'x'), {}};
