Cut long texts in log lines

What operators saw: a client that asks for paths of 8 or 16 KB wrote lines as long, 300 of them a second and 3,000 at once, some 5 MB/s, and kept other lines out of the buffer of 256 KiB.

Cause: the number of lines was limited, not their length. The path, the host and the attempt id of a refused request are the caller's.

Change: a text is cut after 1,024 bytes, with its length. Ids, paths and details of ordinary requests are far shorter.

Evidence: event_log_test.Line_WithALongText_HoldsItsBeginningAndItsLength: the line has less than 2,500 bytes; without the change it has 101 KB (its two texts are written as they are).

--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -13,6 +13,9 @@
 // PIPE_BUF on Linux: a pipe that polls as writable accepts a write of this size without blocking.
 constexpr std::size_t kAtomicWriteBytes = 4'096;
 
+// Of a text in a line. Some texts are chosen by callers and endpoints.
+constexpr std::size_t kMaxTextBytes = 1'024;
+
 bool IsWritable(int descriptor) {
   pollfd poll_entry{descriptor, POLLOUT, 0};
   return poll(&poll_entry, 1, 0) == 1 && (poll_entry.revents & POLLOUT) != 0;
@@ -45,7 +48,11 @@
 
 event_line& event_line::Add(std::string_view name, std::string_view value) {
   if (log_ != nullptr) {
-    const std::string quoted = nlohmann::json(value).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    nlohmann::json text(value.substr(0, kMaxTextBytes));
+    if (value.size() > kMaxTextBytes) {
+      text.get_ref<std::string&>() += fmt::format("... ({} bytes)", value.size());
+    }
+    const std::string quoted = text.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
     fmt::format_to(std::back_inserter(text_), R"(,"{}":{})", name, quoted);
   }
   return *this;
--- a/tests/event_log_test.cpp
+++ b/tests/event_log_test.cpp
@@ -46,6 +46,19 @@
   EXPECT_EQ(line["ready"], true);
 }
 
+// Callers choose paths and ids as long as a head may be.
+TEST_F(event_log_test, Line_WithALongText_HoldsItsBeginningAndItsLength) {
+  event_log log({}, pipe_[1]);
+  log.Line("router.test", "refused").Request(std::string(100'000, 'a')).Add("target", std::string(1'024, 'b'));
+  log.Flush();
+  const std::string text = ReadAll();
+  EXPECT_LT(text.size(), 2'500U);
+  const auto line = nlohmann::json::parse(text, nullptr, false);
+  ASSERT_TRUE(line.is_object());
+  EXPECT_EQ(line["request"], std::string(1'024, 'a') + "... (100000 bytes)");
+  EXPECT_EQ(line["target"], std::string(1'024, 'b'));
+}
+
 // A burst of events must not exhaust the CPU time or memory of the process.
 TEST_F(event_log_test, Flood_BeyondTheRate_IsDroppedAndCounted) {
   event_log log({.lines_per_second = 1, .burst_lines = 100}, pipe_[1]);
