Count the headers of unread responses

What callers saw: nothing yet; found beside the limit for unread responses. A refusal repeats the attempt id of its request, which may be as long as a head (8 or 16 KB), so that responses without a body took memory that was not counted.

Change: what is being sent counts with its headers.

Evidence: response_memory_test.UnreadHeads_BeyondTheMemory_AreCutFromTheOldestOn, 6 responses with headers of 8 MB and room for 4: none is cut without the change, 2 with it.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -90,6 +90,14 @@
          beast::iequals(name, "transfer-encoding") || beast::iequals(name, "content-length");
 }
 
+std::size_t TextBytes(const header_list& headers) {
+  std::size_t bytes = 0;
+  for (const header_field& field : headers) {
+    bytes += field.name.size() + field.value.size();
+  }
+  return bytes;
+}
+
 template <class target>
 void SetHeaders(target& message, const header_list& headers) {
   for (const header_field& field : headers) {
@@ -318,7 +326,7 @@
     http::response_serializer<http::string_body> serializer(message);
     sys_error failure;
     is_writing_ = true;
-    BeginSending(message.body().size());
+    BeginSending(TextBytes(response.headers) + message.body().size());
     if (head_request_) {
       co_await http::async_write_header(stream_, serializer, RedirectError(failure));
     } else {
@@ -345,7 +353,7 @@
     http::response_serializer<http::empty_body> serializer(message);
     sys_error failure;
     in_unframed_body_ = !chunked_;
-    BeginSending(0);
+    BeginSending(TextBytes(headers));
     co_await http::async_write_header(stream_, serializer, RedirectError(failure));
     EndSending();
     if (failure) {
--- a/tests/request_memory_test.cpp
+++ b/tests/request_memory_test.cpp
@@ -311,23 +311,33 @@
  protected:
   static constexpr std::size_t kResponseBytes = 8 * kMegabyte;
 
-  void StartServer(bool is_streamed) {
-    server_ = std::make_unique<http_server>(loop_.Context(), host_port{"127.0.0.1", 0}, limits_,
-                                            [this, is_streamed](std::shared_ptr<http_exchange> exchange) {
-                                              return Send(std::move(exchange), is_streamed);
-                                            });
+  enum class long_part : std::uint8_t { kBody, kChunk, kHeader };
+
+  void StartServer(long_part part) {
+    server_ = std::make_unique<http_server>(
+        loop_.Context(), host_port{"127.0.0.1", 0}, limits_,
+        [this, part](std::shared_ptr<http_exchange> exchange) { return Send(std::move(exchange), part); });
     ASSERT_TRUE(server_->Start());
   }
 
-  task<> Send(std::shared_ptr<http_exchange> exchange, bool is_streamed) {
+  task<> Send(std::shared_ptr<http_exchange> exchange, long_part part) {
     unsent_ += kResponseBytes;
     peak_ = std::max(peak_, unsent_);
-    if (is_streamed) {
+    const std::string text(kResponseBytes, 'x');
+    if (part == long_part::kChunk) {
       (void)co_await exchange->StartStream(200, {});
-      (void)co_await exchange->WriteChunk(std::string(kResponseBytes, 'x'));
+      (void)co_await exchange->WriteChunk(text);
       (void)co_await exchange->FinishStream();
     } else {
-      http_response response{200, {}, std::string(kResponseBytes, 'x')};
+      http_response response;
+      if (part == long_part::kBody) {
+        response.body = text;
+      } else {
+        constexpr std::size_t kValueBytes = 32'768;
+        for (std::size_t bytes = 0; bytes < kResponseBytes; bytes += kValueBytes) {
+          response.headers.push_back({"a", text.substr(0, kValueBytes)});
+        }
+      }
       (void)co_await exchange->Respond(std::move(response));
     }
     unsent_ -= kResponseBytes;
@@ -351,7 +361,7 @@
 // Guards against responses that are bounded for each connection only: callers who do not read them use up the memory.
 TEST_F(response_memory_test, UnreadResponses_BeyondTheMemory_AreCutFromTheOldestOn) {
   limits_.output_memory_bytes = 4 * kResponseBytes;
-  StartServer(false);
+  StartServer(long_part::kBody);
   EXPECT_EQ(SendUnreadRequests(12), 8U);
   EXPECT_LE(peak_, 5 * kResponseBytes);
   const auto reader = Connect();
@@ -364,15 +374,22 @@
 
 TEST_F(response_memory_test, UnreadChunks_BeyondTheMemory_AreCutFromTheOldestOn) {
   limits_.output_memory_bytes = 4 * kResponseBytes + kMegabyte;  // a chunk is copied once, and framed
-  StartServer(true);
+  StartServer(long_part::kChunk);
   EXPECT_EQ(SendUnreadRequests(6), 4U);
   EXPECT_LE(peak_, 3 * kResponseBytes);
 }
 
+// Responses repeat some headers of their requests.
+TEST_F(response_memory_test, UnreadHeads_BeyondTheMemory_AreCutFromTheOldestOn) {
+  limits_.output_memory_bytes = 4 * kResponseBytes + kMegabyte;
+  StartServer(long_part::kHeader);
+  EXPECT_EQ(SendUnreadRequests(6), 2U);
+}
+
 // A response above the limit is sent when nothing else is.
 TEST_F(response_memory_test, LongResponse_WhenAlone_IsSentWhole) {
   limits_.output_memory_bytes = kMegabyte;
-  StartServer(false);
+  StartServer(long_part::kBody);
   const auto reader = Connect();
   reader->Send(Request(1));
   EXPECT_TRUE(loop_.RunUntil([&] {
