Limit the handshakes in progress of a channel listener

What operators saw: nothing yet; found by asking which other path keeps descriptors for a peer that only connects. Whoever connects to the channel port of an agent or a router without sending the secret keeps a descriptor for a second, and nothing limited their number: with 1,400 silent connections an agent had 1,419 descriptors and a router 1,423.

Change: beyond 512 handshakes in progress the oldest one is closed. 370 routers may connect to an agent at the same moment; an open channel is never closed.

--- a/src/net/channel.cpp
+++ b/src/net/channel.cpp
@@ -16,6 +16,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <deque>
 #include <set>
 
 #include "core/log.h"
@@ -117,6 +118,7 @@
 channel::~channel() = default;
 
 bool channel::IsOpen() const { return state_->open && !state_->closed; }
+bool channel::IsClosed() const { return state_->closed; }
 const hello& channel::Peer() const { return state_->peer; }
 std::string channel::RemoteHost() const { return state_->remote_host; }
 std::string channel::RemoteAddress() const { return fmt::format("{}:{}", state_->remote_host, state_->remote_port); }
@@ -249,6 +251,19 @@
   channel_handlers handlers;
   tcp::acceptor acceptor;
   std::set<channel_ptr> channels;
+  std::deque<std::weak_ptr<channel>> handshakes;  // in progress, and some that have ended
+
+  // Makes room for a new handshake.
+  void LimitHandshakes() {
+    std::erase_if(handshakes, [](const std::weak_ptr<channel>& item) {
+      const channel_ptr accepted = item.lock();
+      return !accepted || accepted->IsOpen() || accepted->IsClosed();
+    });
+    if (handshakes.size() >= settings.handshakes) {
+      handshakes.front().lock()->Close({error_code::kUnavailable, "too many handshakes are in progress"});
+      handshakes.pop_front();
+    }
+  }
 
   bool IsAllowed(const std::string& host) const {
     return settings.allowed_hosts.empty() || std::find(settings.allowed_hosts.begin(), settings.allowed_hosts.end(),
@@ -275,6 +290,8 @@
         Log().Warning("Rejected a channel from {}: the address is not in allowed_hosts.", accepted->RemoteAddress());
         continue;
       }
+      LimitHandshakes();
+      handshakes.push_back(accepted);
       asio::co_spawn(context, Serve(accepted), asio::detached);
     }
   }
--- a/src/net/channel.h
+++ b/src/net/channel.h
@@ -31,7 +31,10 @@
   milliseconds min_reconnect_delay = milliseconds(50);  // reconnect delay; doubles with each failed attempt
   milliseconds max_reconnect_delay = milliseconds(1'000);
   std::size_t send_queue_bytes = 64U << 20U;  // limit of unsent bytes; a channel over it is closed
-  std::vector<std::string> allowed_hosts;     // IP addresses that may connect; empty: any
+  // Accepted connections that have not sent the secret; beyond it, the oldest one is closed. All routers of a
+  // deployment may connect at once.
+  std::size_t handshakes = 512;
+  std::vector<std::string> allowed_hosts;  // IP addresses that may connect; empty: any
 
   bool operator==(const channel_settings&) const = default;
 };
@@ -65,7 +68,8 @@
 
   void Close(const error& reason);
 
-  bool IsOpen() const;
+  bool IsOpen() const;  // the handshake is complete, and the channel is not closed
+  bool IsClosed() const;
   const hello& Peer() const;          // the peer's hello, without the secret
   std::string RemoteAddress() const;  // IP:PORT
   std::string RemoteHost() const;     // IP address
--- a/tests/misbehaving_clients_test.cpp
+++ b/tests/misbehaving_clients_test.cpp
@@ -383,15 +383,19 @@
   int Port() const { return deployment_.routers.front()->http_port; }
 
   void PlayAndCheck(int clients, std::string_view input) {
-    child_process& router = *deployment_.routers.front()->process;
+    PlayAndCheck(*deployment_.routers.front()->process, Port(), clients, input);
+  }
+
+  // `process`: the one that listens on the port.
+  void PlayAndCheck(child_process& process, int port, int clients, std::string_view input) {
     {
       std::vector<std::unique_ptr<crowd>> crowds;
-      crowds.push_back(std::make_unique<crowd>(Port(), clients, input));
-      Play(router, crowds);
+      crowds.push_back(std::make_unique<crowd>(port, clients, input));
+      Play(process, crowds);
       EXPECT_EQ(OrdinaryStatus(), 200) << "beside the crowd";
     }
     EXPECT_EQ(OrdinaryStatus(), 200) << "after the crowd";
-    ExpectWithinLimits(router);
+    ExpectWithinLimits(process);
   }
 
   deployment deployment_;
@@ -426,5 +430,16 @@
   PlayAndCheck(static_cast<int>(kProcessFiles), "G");
 }
 
+// Two for each descriptor, none of which sends the secret.
+TEST_F(agent_router_clients_test, SilentChannels_AtAnAgent_StayWithinTheLimits) {
+  const test_endpoint& endpoint = deployment_.Endpoint("app-1");
+  PlayAndCheck(*endpoint.agent, endpoint.agent_port, static_cast<int>(2 * kProcessFiles), "G");
+}
+
+TEST_F(agent_router_clients_test, SilentChannels_AtARouter_StayWithinTheLimits) {
+  const router_process& router = *deployment_.routers.front();
+  PlayAndCheck(*router.process, router.channel_port, static_cast<int>(2 * kProcessFiles), "G");
+}
+
 }  // namespace
 }  // namespace persimmon::support
