Blame no endpoint for a lack of descriptors

What callers saw: nothing yet; found by asking what a router concludes when a crowd has taken its last descriptor. A connection to an endpoint that cannot be opened for lack of a descriptor counted as an unreachable endpoint: it was avoided for up to 4 s, a refused health check took it for crashed, and the request in progress was suspected of having crashed it, also at other routers.

Cause: all failures to connect had one error code, and a connection to an endpoint did not take the descriptor of an idle one, as one of a caller does.

Change: without a descriptor, the connection that has been idle for the longest time is closed and the connection opened again. If there is none, the error is kNoResources, which states that nothing was sent, as kUnavailable does (HadNoEffect), and about which no conclusion on the endpoint is drawn.

Evidence: connection_pool_test.Fetch_WithoutAFreeDescriptor_TakesThatOfAnIdle Connection and Fetch_WithoutAnyDescriptor_BlamesNoPeer; both state what the previous code did not do, which had neither the retry nor the code.

--- a/include/persimmon/error.h
+++ b/include/persimmon/error.h
@@ -28,11 +28,17 @@
   kConflict,     // the condition of a write failed
   kTimeout,      // no reply in time; the operation may have taken effect
   kUnavailable,  // the peer refused or was unreachable; the operation had no effect
+  kNoResources,  // this process lacks a descriptor, which says nothing of the peer; the operation had no effect
   kProtocol,     // received data violates the protocol
   kClosed,       // the connection was closed; the operation may have taken effect
   kCancelled,    // the operation was cancelled by this process
 };
 
+// True if an operation that failed with this code has not reached the peer.
+constexpr bool HadNoEffect(error_code code) {
+  return code == error_code::kUnavailable || code == error_code::kNoResources;
+}
+
 // Returns the stable lower-case name of an error code, for logs and JSON.
 const char* ErrorName(error_code code);
 
--- a/src/agent/agent_calls.cpp
+++ b/src/agent/agent_calls.cpp
@@ -129,14 +129,14 @@
     answer.body = std::move(reply.value().body);
   } else {
     const error_code code = reply.error().code;
-    const bool not_sent = code == error_code::kUnavailable;
+    const bool not_sent = HadNoEffect(code);
     answer.outcome = not_sent ? outcome_kind::kNotRun : outcome_kind::kMayHaveRun;
     answer.reason = !is_permitted                  ? kReasonEndpointLimit
                     : code == error_code::kTimeout ? "timeout"
                     : not_sent                     ? "service_unreachable"
                                                    : kReasonEngineLost;
     log.ForRequest(call.request.value).Warning("Service call failed: {}.", reply.error().message);
-    if (not_sent && is_permitted) {
+    if (code == error_code::kUnavailable && is_permitted) {
       service_retry_at = timer_service::Now() + kServiceRetryPause;
       SendLoadReports();
     }
--- a/src/agent/agent_work.cpp
+++ b/src/agent/agent_work.cpp
@@ -75,6 +75,7 @@
     case error_code::kTimeout:
       return "engine_silent";
     case error_code::kUnavailable:
+    case error_code::kNoResources:
       return kReasonEngineUnreachable;
     default:
       return "engine_answer_invalid";
--- a/src/decisions/error.cpp
+++ b/src/decisions/error.cpp
@@ -14,6 +14,8 @@
       return "timeout";
     case error_code::kUnavailable:
       return "unavailable";
+    case error_code::kNoResources:
+      return "no_resources";
     case error_code::kProtocol:
       return "protocol";
     case error_code::kClosed:
--- a/src/direct/endpoint_tracker.cpp
+++ b/src/direct/endpoint_tracker.cpp
@@ -218,7 +218,11 @@
       .first->second.RecordFailure(endpoint.name, timer_service::Now());
 }
 
-void endpoint_tracker::RecordUnreachable(const chosen_endpoint& endpoint) { PauseEndpoint(endpoint, "unreachable"); }
+void endpoint_tracker::RecordUnreachable(const chosen_endpoint& endpoint, const error& failure) {
+  if (failure.code != error_code::kNoResources) {
+    PauseEndpoint(endpoint, "unreachable");
+  }
+}
 
 void endpoint_tracker::RecordRequestRejected(const chosen_endpoint& endpoint) { PauseEndpoint(endpoint, "rejected"); }
 
--- a/src/direct/endpoint_tracker.h
+++ b/src/direct/endpoint_tracker.h
@@ -67,8 +67,9 @@
   task<result<platform::engine_report>> FetchReport(http_client& client, chosen_endpoint engine, milliseconds timeout);
 
   void RecordAnswer(const chosen_endpoint& endpoint);
-  void RecordFailure(const chosen_endpoint& endpoint);          // no complete response, or a timeout
-  void RecordUnreachable(const chosen_endpoint& endpoint);      // the request could not be sent
+  void RecordFailure(const chosen_endpoint& endpoint);  // no complete response, or a timeout
+  // The request could not be sent. A lack of descriptors in this process says nothing of the endpoint.
+  void RecordUnreachable(const chosen_endpoint& endpoint, const error& failure);
   void RecordRequestRejected(const chosen_endpoint& endpoint);  // it refused work for which it should have capacity
 
   // Records that the engine has accepted an order to switch its stage, so that it gets no work while it switches and
--- a/src/direct/generation_calls.cpp
+++ b/src/direct/generation_calls.cpp
@@ -484,7 +484,7 @@
   }
   ReleaseAssignment(assignment);
   if (!response && response.error().code != error_code::kProtocol) {
-    endpoint_tracker_->RecordUnreachable(assignment.engine);
+    endpoint_tracker_->RecordUnreachable(assignment.engine, response.error());
   } else {
     endpoint_tracker_->RecordReservationRefused(assignment.engine.name, tokens);
   }
@@ -738,7 +738,7 @@
     if (!failure && reply.value().head.status == 200 && reply.value().verdict == reply_verdict::kResponse) {
       handle = platform::ParsePrefillHandle(body);
     }
-    const bool was_sent = !failure || failure->code != error_code::kUnavailable;
+    const bool was_sent = !failure || !HadNoEffect(failure->code);
     // After the first completed prefill, a further one has been counted before it was sent.
     if (!was_sent && call->prefills > 0) {
       budgets_->ReturnExtraSends(*call, 1);
@@ -782,7 +782,7 @@
     }
     if (!was_sent) {
       if (taken.permit && !call->is_send_refused && endpoint_tracker_->IsPermitValid(engine, *taken.permit)) {
-        endpoint_tracker_->RecordUnreachable(engine);
+        endpoint_tracker_->RecordUnreachable(engine, *failure);
       }
     } else if (failure || IsUnprovenRefusal(reply.value().verdict)) {
       endpoint_tracker_->RecordFailure(engine);
@@ -852,9 +852,9 @@
   std::string detail;
   if (!reply) {
     detail = FormatError(reply.error());
-    if (reply.error().code == error_code::kUnavailable) {
+    if (HadNoEffect(reply.error().code)) {
       if (!call->is_send_refused && endpoint_tracker_->IsPermitValid(assignment.engine, permit)) {
-        endpoint_tracker_->RecordUnreachable(assignment.engine);
+        endpoint_tracker_->RecordUnreachable(assignment.engine, reply.error());
       }
       --call->sends;
       outcome = decode_result::kNotRun;
--- a/src/direct/plain_attempts.cpp
+++ b/src/direct/plain_attempts.cpp
@@ -150,8 +150,7 @@
     co_await ReadResponse(attempt, reply.value(), outcome);
   } else {
     outcome.broken = reply.error();
-    outcome.result =
-        reply.error().code == error_code::kUnavailable ? attempt_result::kNotSent : attempt_result::kMayHaveRun;
+    outcome.result = HadNoEffect(reply.error().code) ? attempt_result::kNotSent : attempt_result::kMayHaveRun;
   }
   RecordEnd(*attempt, outcome);
   if (outcome.is_streamed) {
@@ -318,7 +317,7 @@
   } else if (outcome.result == attempt_result::kNotSent) {
     if (!attempt.is_cancelled && !attempt.is_send_refused &&
         endpoint_tracker_->IsPermitValid(attempt.endpoint, attempt.permit)) {
-      endpoint_tracker_->RecordUnreachable(attempt.endpoint);
+      endpoint_tracker_->RecordUnreachable(attempt.endpoint, *outcome.broken);
     }
   } else if (outcome.result == attempt_result::kMayHaveRun && is_cut && (attempt.is_cancelled || outcome.is_dropped)) {
     outcome.result = attempt_result::kCancelled;  // not a failure of the endpoint
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -1170,20 +1170,34 @@
       co_return std::move(pooled);
     }
     auto connection = std::make_shared<client_connection>(context);
-    sys_error failure;
-    const auto ip = asio::ip::make_address(address.host, failure);
-    if (!failure) {
-      connection->stream.expires_after(limits.connect_timeout);
-      co_await connection->stream.async_connect(tcp::endpoint(ip, address.port), RedirectError(failure));
-    }
+    connection->stream.expires_after(limits.connect_timeout);
+    const sys_error failure = co_await Open(*connection, address);
     if (failure) {
-      co_return error{error_code::kUnavailable,
-                      fmt::format("cannot connect to {}: {}", address.Text(), failure.message())};
+      co_return MakeConnectError(address, failure);
     }
     SetUp(*connection);
     co_return std::move(connection);
   }
 
+  // If no descriptor is left, takes that of the connection that has been idle for the longest time.
+  task<sys_error> Open(client_connection& connection, host_port address) {
+    sys_error failure;
+    const auto ip = asio::ip::make_address(address.host, failure);
+    if (!failure) {
+      const tcp::endpoint endpoint(ip, address.port);
+      co_await connection.stream.async_connect(endpoint, RedirectError(failure));
+      if (failure == asio::error::no_descriptors && CloseOldest()) {
+        co_await connection.stream.async_connect(endpoint, RedirectError(failure));
+      }
+    }
+    co_return failure;
+  }
+
+  static error MakeConnectError(const host_port& address, const sys_error& failure) {
+    const auto code = failure == asio::error::no_descriptors ? error_code::kNoResources : error_code::kUnavailable;
+    return {code, fmt::format("cannot connect to {}: {}", address.Text(), failure.message())};
+  }
+
   // For a connection that has been established.
   void SetUp(client_connection& connection) {
     sys_error ignored;
@@ -1612,14 +1626,12 @@
   state->reused = state->connection != nullptr;
   if (!state->reused) {
     state->connection = std::make_shared<client_connection>(client->context);
-    const auto ip = asio::ip::make_address(address.host, failure);
-    if (!failure) {
-      state->connection->stream.expires_at(std::min(deadline, timer_service::Now() + client->limits.connect_timeout));
-      co_await state->connection->stream.async_connect(tcp::endpoint(ip, address.port), RedirectError(failure));
-    }
+    state->connection->stream.expires_at(std::min(deadline, timer_service::Now() + client->limits.connect_timeout));
+    failure = co_await client->Open(*state->connection, address);
     if (failure || state->cancelled) {
-      co_return error{state->cancelled ? error_code::kCancelled : error_code::kUnavailable,
-                      fmt::format("cannot connect to {}: {}", address.Text(), failure.message())};
+      error described = http_client::state::MakeConnectError(address, failure);
+      described.code = state->cancelled ? error_code::kCancelled : described.code;
+      co_return described;
     }
     client->SetUp(*state->connection);
   }
--- a/src/net/http.h
+++ b/src/net/http.h
@@ -256,7 +256,8 @@
   http_client& operator=(const http_client&) = delete;
 
   // Sends a request and reads the complete response. The request is never retried.
-  // Errors: kUnavailable if nothing was sent; kTimeout and kClosed if the request may have taken effect.
+  // Errors: kUnavailable and kNoResources if nothing was sent; kTimeout and kClosed if the request may have taken
+  // effect.
   task<result<http_response>> Fetch(host_port address, http_request request);
   task<result<http_response>> Fetch(host_port address, http_request request, milliseconds response_timeout);
 
@@ -327,8 +328,9 @@
   using reuse_check = std::function<bool(connection_number)>;
 
   // Sends the request and returns the status and headers of its response, which may arrive before the request body has
-  // been sent. A null `may_reuse` allows any pooled connection. Errors: kUnavailable if nothing was sent; kTimeout and
-  // kClosed if the request may have taken effect; kProtocol for a response that is not valid HTTP; kCancelled.
+  // been sent. A null `may_reuse` allows any pooled connection. Errors: kUnavailable and kNoResources if nothing was
+  // sent; kTimeout and kClosed if the request may have taken effect; kProtocol for a response that is not valid HTTP;
+  // kCancelled.
   task<result<http_response_head>> Send(host_port address, http_request request, time_point deadline,
                                         head_filter matches, send_check may_send = nullptr,
                                         reuse_check may_reuse = nullptr);
--- a/tests/connection_pool_test.cpp
+++ b/tests/connection_pool_test.cpp
@@ -141,6 +141,30 @@
   EXPECT_TRUE(caller.AwaitText("answer"));
 }
 
+// The same for a new connection to an endpoint.
+TEST_F(connection_pool_test, Fetch_WithoutAFreeDescriptor_TakesThatOfAnIdleConnection) {
+  http_server& first = AddServer();
+  http_server& second = AddServer();
+  Fetch(first);
+  ASSERT_EQ(client_->IdleConnections(), 1U);
+  const descriptor_limit limit(0);
+  Fetch(second);
+}
+
+// Guards against endpoints that are avoided or taken for crashed because this process has no descriptor left.
+TEST_F(connection_pool_test, Fetch_WithoutAnyDescriptor_BlamesNoPeer) {
+  http_server& server = AddServer();
+  const descriptor_limit limit(0);
+  result<http_response> response(error{error_code::kInvalid, ""});
+  bool done = false;
+  http_request request{"GET", "/", {}, {}, {}};
+  loop_.Start(client_->Fetch({"127.0.0.1", server.Port()}, std::move(request)), response, done);
+  ASSERT_TRUE(loop_.RunUntil([&] { return done; }));
+  ASSERT_FALSE(response);
+  EXPECT_EQ(response.error().code, error_code::kNoResources);
+  EXPECT_TRUE(HadNoEffect(response.error().code));
+}
+
 // The same with idle connections of callers.
 TEST_F(connection_pool_test, NewConnection_WithoutAFreeDescriptor_TakesThatOfAnIdleCaller) {
   http_server& server = AddServer();
