End the request of a displaced connection

What endpoints saw: nothing yet; found in the reading of this change. Closing the connection of a caller that sends many requests ahead did not tell the handler of its request in progress: the wait that detects a disconnect ends with the socket, so that an endpoint went on working for nobody.

Change: a displaced connection counts as one whose caller has disconnected.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -196,7 +196,6 @@
   const std::shared_ptr<buffer_budget> long_bodies = std::make_shared<buffer_budget>(0);
   const std::shared_ptr<buffer_budget> short_bodies = std::make_shared<buffer_budget>(0);
   const std::shared_ptr<shared_limit> input = std::make_shared<shared_limit>(0, kInputAllowance);
-
   const std::shared_ptr<shared_limit> output = std::make_shared<shared_limit>(0, kOutputAllowance);
   std::uint64_t unread_responses = 0;  // cut for lack of memory
 
@@ -266,6 +265,14 @@
     stream_.socket().close(ignored);
   }
 
+  // Closes the connection for the sake of another one. A request in progress ends as if its caller had disconnected.
+  void Displace() {
+    Close();
+    if (serving_) {
+      HandleDisconnect();
+    }
+  }
+
   // What can be lost by closing the connection for a new one, from the least to the most.
   enum class value : std::uint8_t {
     kUnreadAnswer,       // the caller has not read for kStalledTime
@@ -926,7 +933,7 @@
     return false;
   }
   ++displaced_connections;
-  least->Close();
+  least->Displace();
   return true;
 }
 
@@ -945,7 +952,7 @@
       return;  // nothing else is being sent, so a response above the limit is alone
     }
     ++unread_responses;
-    longest->Close();
+    longest->Displace();
   }
 }
 
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -486,6 +486,7 @@
   third->Send("GET /served HTTP/1.1\r\nHost: h\r\n\r\n");
   EXPECT_TRUE(third->AwaitText("/served "));
   EXPECT_TRUE(eager->AwaitEnd());
+  EXPECT_EQ(disconnects_, 1) << "the request in progress goes on";
   EXPECT_FALSE(idle->IsClosed());
 }
 
