--- a/tests/request_memory_test.cpp
+++ b/tests/request_memory_test.cpp
@@ -74,6 +74,15 @@
 
 constexpr std::size_t kMegabyte = 1U << 20U;
 
+// A head of many short fields takes many times its length.
+std::string RequestOfShortFields(std::size_t fields) {
+  std::string text = "GET / HTTP/1.1\r\nHost: h\r\n";
+  for (std::size_t i = 0; i < fields; ++i) {
+    text += "a:\r\n";
+  }
+  return text + "\r\n";
+}
+
 // A server whose handler keeps each request for `work_`, as one that waits for an endpoint does.
 class request_memory_test : public testing::Test {
  protected:
@@ -116,6 +125,15 @@
                    : fmt::format("{}Content-Length: {}\r\n\r\n{}", head, bytes, body);
   }
 
+  std::vector<std::unique_ptr<raw_connection>> SendLongHeads(int count) {
+    std::vector<std::unique_ptr<raw_connection>> callers;
+    for (int i = 0; i < count; ++i) {
+      callers.push_back(Connect());
+      callers.back()->Send(RequestOfShortFields(2'000));
+    }
+    return callers;
+  }
+
   // Sends bodies of these sizes at the same time. Returns how many are answered with status 200.
   std::size_t SendAll(const std::vector<std::size_t>& sizes, bool chunked) {
     std::vector<std::unique_ptr<raw_connection>> callers;
@@ -222,25 +240,12 @@
   EXPECT_EQ(SendAll({kMegabyte}, false), 1U);
 }
 
-// A head of many short fields takes many times its length.
-std::string RequestOfShortFields(std::size_t fields) {
-  std::string text = "GET / HTTP/1.1\r\nHost: h\r\n";
-  for (std::size_t i = 0; i < fields; ++i) {
-    text += "a:\r\n";
-  }
-  return text + "\r\n";
-}
-
 // Guards against memory for heads that is bounded for each connection only. What is refused has not run.
 TEST_F(request_memory_test, LongHeads_BeyondTheMemory_AreRefusedWithATimeToComeBack) {
   limits_.input_memory_bytes = kMegabyte;
   work_ = milliseconds(300);
   StartServer();
-  std::vector<std::unique_ptr<raw_connection>> callers;
-  for (int i = 0; i < 8; ++i) {
-    callers.push_back(Connect());
-    callers.back()->Send(RequestOfShortFields(2'000));
-  }
+  auto callers = SendLongHeads(8);
   std::size_t refused = 0;
   std::size_t answered = 0;
   ASSERT_TRUE(loop_.RunUntil([&] {
@@ -265,11 +270,7 @@
   limits_.input_memory_bytes = kMegabyte;
   work_ = milliseconds(300);
   StartServer();
-  std::vector<std::unique_ptr<raw_connection>> callers;
-  for (int i = 0; i < 8; ++i) {
-    callers.push_back(Connect());
-    callers.back()->Send(RequestOfShortFields(2'000));
-  }
+  auto callers = SendLongHeads(8);
   const auto ordinary = Connect();
   ordinary->Send(Request(600));
   EXPECT_TRUE(ordinary->AwaitText("read 600"));
