Do not read a chunk after it was moved

Change: the copied bytes are counted where the copy is made. Without framing the string is moved and counted once, as before.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -382,16 +382,18 @@
 
   task<result<void>> WriteChunk(std::string data, bool last) {
     std::string frame;
+    std::size_t copied_bytes = 0;
     if (!chunked_) {
       frame = std::move(data);
     } else if (!data.empty()) {
       frame = fmt::format("{:x}\r\n", data.size()) + data + "\r\n";
+      copied_bytes = data.size();
     }
     if (last && chunked_) {
       frame += "0\r\n\r\n";
     }
     sys_error failure;
-    BeginSending(data.size() + frame.size());
+    BeginSending(frame.size() + copied_bytes);
     co_await asio::async_write(stream_, asio::buffer(frame), RedirectError(failure));
     EndSending();
     if (failure || last) {
