Find a reset that the write of a request has taken

What callers saw: a 200 with a part of the replica's answer, framed as whole. The replica had answered a long upload at once, with neither a length nor chunks, and reset the connection while the upload was still being written.

Cause: a socket reports its error once, to the operation that comes first. The rest of a long body is written in the background while the answer is read, and the reactor performs a pending write before a pending read. So the write got ECONNRESET, which ended only the write, and the read found the end of the stream, which ends a body without framing.

Ruled out: Fetch and FetchLines write the whole request before they read; the same test passed for them before. Answers with a length or in chunks failed before too ("partial message").

Change: at the end of a body that ends with its connection, http_call asks whether the write of its request has failed. A broken pipe does not count: the server had then closed its side in order before the reset, so that all of its bytes have arrived. A completion of the write that is still queued runs first.

Evidence: untrusted_response_test.Body_ResetWhileTheRequestIsBeingSent_* and Body_ResetAtAnyPointOfTheRequest_* as well as answer_cut_test.*Upload_* (a router and replicas on plain sockets) failed on the previous code, with a 200 at each of the four cuts, and pass now.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -1068,6 +1069,7 @@
   time_point idle_since;
   microseconds reuse_limit{0};  // maximum idle time before reuse
   bool sending = false;         // a request body is being written
+  sys_error write_failure;      // of a request body
 };
 
 // A request as it is written. The message refers to the bytes of the body.
@@ -1504,6 +1506,7 @@
   connection->sending = true;
   http::async_write(connection->stream, message->message, [connection, message](sys_error failure, std::size_t) {
     connection->sending = static_cast<bool>(failure);  // a partly sent body leaves the connection unusable
+    connection->write_failure = failure;
   });
 }
 
@@ -1602,9 +1605,27 @@
         co_return part;
       }
     }
+    if (framing == body_framing::kConnectionEnd) {
+      const sys_error failure = co_await FindReset();
+      if (failure || cancelled) {
+        co_return MakeCallError(failure, "write to");
+      }
+    }
     co_return std::string();
   }
 
+  // Returns the error with which the server has reset the connection instead of ending the body. If a request is still
+  // being written, the write takes the error of the socket, and the read after it finds only the end of the stream.
+  task<sys_error> FindReset() {
+    if (connection->sending && !connection->write_failure) {
+      // The completion of the failed write may still be queued.
+      co_await asio::post(client->context, asio::use_awaitable);
+    }
+    // A broken pipe means that the server had closed its side in order before it reset the connection.
+    const sys_error failure = connection->write_failure;
+    co_return failure == asio::error::broken_pipe ? sys_error() : failure;
+  }
+
   void Finish() {
     finished = true;
     const bool reusable = parser->get().keep_alive() && !unmatched && !cancelled;
--- a/tests/answer_cut_test.cpp
+++ b/tests/answer_cut_test.cpp
@@ -1,6 +1,7 @@
 // link: persimmon_direct persimmon_fake_parts
-// Answers of replicas that stop at any byte of their head or of a short body. Guards against a cut answer that is
-// passed on as whole, and against telling callers that a request has not run although it has.
+// Answers of replicas that stop at any byte of their head or of a short body, also before the replica has read the
+// request. Guards against a cut answer that is passed on as whole, and against telling callers that a request has not
+// run although it has.
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
@@ -10,6 +11,7 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
@@ -29,6 +31,9 @@
 using support::WholeStream;
 
 constexpr std::uint32_t kEvents = 2;  // per stream
+// Longer than the socket buffers of both sides, so that a replica that does not read stops the request.
+constexpr std::size_t kUploadBytes = 16U << 20U;
+constexpr milliseconds kStallTime(20);  // in which such a request fills the socket buffers
 
 // How an answer marks its end, and how the connection of a cut answer ends.
 struct answer_form {
@@ -94,6 +99,7 @@
   std::map<std::string, std::size_t> cuts;   // bytes of the first answer to an attempt; further answers are whole
   std::map<std::string, int> runs;           // by attempt; prefills do not count
   std::map<std::string, int> cut_answers{};  // by attempt
+  bool reads_requests = true;                // false: an answer begins after the head of the request
 };
 
 // A replica on a plain socket, so that its answers can stop at any byte.
@@ -144,7 +150,7 @@
       const std::string stated_length = Field(head, "Content-Length");
       std::size_t length = 0;
       std::from_chars(stated_length.data(), stated_length.data() + stated_length.size(), length);
-      if (input.size() < head_size + length) {
+      if (self->plan_->reads_requests && input.size() < head_size + length) {
         const std::size_t missing = head_size + length - input.size();
         co_await asio::async_read(socket, asio::dynamic_buffer(input), asio::transfer_exactly(missing),
                                   asio::redirect_error(asio::use_awaitable, failure));
@@ -154,9 +160,15 @@
       const raw_answer answer = self->MakeAnswerTo(head, cut);
       const std::string bytes = (answer.head + answer.body).substr(0, cut.value_or(answer.Size()));
       co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, failure));
+      if (cut && !self->plan_->reads_requests) {
+        asio::steady_timer stalled(socket.get_executor(), kStallTime);
+        co_await stalled.async_wait(asio::use_awaitable);
+      }
       if (failure || cut || answer.head.find("Connection: close") != std::string::npos) {
         if (cut && self->plan_->form.resets) {
           socket.set_option(asio::socket_base::linger(true, 0), failure);
+        } else if (!self->plan_->reads_requests) {
+          co_await CloseInOrder(socket);
         }
         socket.close(failure);
         co_return;
@@ -164,6 +176,16 @@
     }
   }
 
+  // Reads what is left of the request, because closing a socket with unread input resets the connection.
+  static task<> CloseInOrder(tcp::socket& socket) {
+    boost::system::error_code failure;
+    socket.shutdown(tcp::socket::shutdown_send, failure);
+    std::string rest(64U << 10U, '\0');
+    while (!failure) {
+      co_await socket.async_read_some(asio::buffer(rest), asio::redirect_error(asio::use_awaitable, failure));
+    }
+  }
+
   raw_answer MakeAnswerTo(const std::string& head, std::optional<std::size_t>& cut) {
     const std::string attempt = Field(head, "Persimmonchute-Attempt-Id");
     if (head.starts_with("POST /hold-take ")) {
@@ -224,7 +246,7 @@
       replicas_.back()->Start();
       replicas_.back()->Register(harness_.Platform().Tables());
     }
-    harness_.WriteDesiredState({.timeout_ms = 14'000, .memory_tokens = 1'000'000});
+    harness_.WriteDesiredState({.timeout_ms = 14'000, .memory_tokens = 1'000'000, .max_body_bytes = kUploadBytes});
   }
   ~answer_cut_test() override {
     for (const auto& replica : replicas_) {
@@ -266,6 +288,27 @@
     }
   }
 
+  // Sends an upload for each cut of a plain answer that is reset while the upload is being sent, and checks what the
+  // caller got.
+  void ResetDuringUpload(const answer_form& form, const sender& send, const checker& check) {
+    const raw_answer answer = PlainAnswer(form.framing, "a00000");
+    plan_->form = form;
+    plan_->stage.clear();
+    plan_->reads_requests = false;
+    std::vector<std::size_t> cuts = {answer.head.size(), answer.head.size() + 5, answer.Size() - 1};
+    if (form.framing == body_framing::kConnectionEnd) {
+      cuts.push_back(answer.Size());  // not whole without the end of the connection
+    }
+    for (const std::size_t cut : cuts) {
+      SCOPED_TRACE(fmt::format("{}, cut after {} of {} bytes", form.name, cut, answer.Size()));
+      const cut_call call = Start(send, cut);
+      ASSERT_TRUE(harness_.Finish(call.exchange));
+      EXPECT_EQ(plan_->cut_answers[call.attempt], 1);
+      CheckRefusal(*call.exchange, call.attempt);
+      check(*call.exchange, call.attempt, cut);
+    }
+  }
+
   cut_call Start(const sender& send, std::size_t cut) {
     const std::string attempt = fmt::format("a{:05}", ++next_attempt_);
     plan_->cuts[attempt] = cut;
@@ -321,6 +364,37 @@
   }
 }
 
+// Guards against passing on the part that has arrived as the whole answer.
+TEST_F(answer_cut_test, NonIdempotentUpload_ResetBeforeItIsSent_IsNoSuccessAndRunsOnce) {
+  const std::string upload(kUploadBytes, 'x');
+  for (const answer_form& form : kForms) {
+    if (form.resets) {
+      ResetDuringUpload(
+          form, [&](const std::string& id) { return harness_.Send("POST", "/submit/1", id, {}, upload); },
+          [&](const auto& call, const std::string& attempt, std::size_t) {
+            EXPECT_EQ(plan_->runs[attempt], 1);
+            EXPECT_FALSE(IsSuccess(call)) << call.body;
+          });
+    }
+  }
+}
+
+// The second endpoint answers early too, but ends its answer in order. Guards against taking such an end for a reset.
+TEST_F(answer_cut_test, IdempotentUpload_ResetBeforeItIsSent_GetsTheWholeAnswerOfAnotherEndpoint) {
+  const std::string upload(kUploadBytes, 'x');
+  for (const answer_form& form : kForms) {
+    if (form.resets) {
+      ResetDuringUpload(
+          form, [&](const std::string& id) { return harness_.Send("PUT", "/pages/1", id, {}, upload); },
+          [&](const auto& call, const std::string& attempt, std::size_t) {
+            EXPECT_TRUE(IsSuccess(call)) << call.Status() << " " << call.body;
+            EXPECT_EQ(call.body, PlainBody(attempt));
+            EXPECT_EQ(plan_->runs[attempt], 2);
+          });
+    }
+  }
+}
+
 // Guards against using a handle from a cut answer, and against an unserved request whose prefill alone was cut.
 TEST_F(answer_cut_test, Prefill_CutAtAnyByte_IsRepeatedElsewhere) {
   for (const answer_form& form : kForms) {
--- a/tests/support/router_harness.h
+++ b/tests/support/router_harness.h
@@ -49,6 +49,7 @@
   int chat_attempts = 1;  // of the streams that must not be repeated
   std::uint32_t memory_tokens = 10'000;
   int hold_ms = 2'000;
+  std::size_t max_body_bytes = 100'000;
   json tenants = nullptr;  // client accounts; null: none. With accounts there is an anonymous route /open/.
   // Adds a route "/urgent/" to the model service, with priority 0; the others have priority 1.
   bool has_urgent_route = false;
@@ -86,7 +87,7 @@
                   {{"name", "llm"}, {"health_path", "/health"}, {"max_conns", 100}, {"engine", engine}}}},
                 {"limits",
                  {{"max_header_bytes", 8'192},
-                  {"max_body_bytes", 100'000},
+                  {"max_body_bytes", options.max_body_bytes},
                   {"header_timeout_ms", 3'000},
                   {"idle_timeout_ms", 15'000}}}};
   if (!options.tenants.is_null()) {
--- a/tests/untrusted_response_test.cpp
+++ b/tests/untrusted_response_test.cpp
@@ -1,6 +1,7 @@
 // link: persimmon_net
 // Responses that a server in trouble may send to each kind of client call: heads, bodies and interim responses without
-// end, interim responses before the final one, bodies that end with their connection.
+// end, interim responses before the final one, bodies that end with their connection, also while the request is still
+// being sent.
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
@@ -35,14 +36,16 @@
   // A call must have ended this long after its limit, although bytes arrive without a pause.
   static constexpr milliseconds kGrace{1'000};
   static constexpr std::size_t kBodyBytes = 1U << 20U;
+  // Longer than the socket buffers of both sides, so that a server that does not read stops the request.
+  static constexpr std::size_t kUploadBytes = 32U << 20U;
   // Bytes that a server can send before a call gives up. The socket buffers of both sides take several megabytes.
   static constexpr std::size_t kMaxSentBytes = 24U << 20U;
 
-  // Starts a call; the returned connection is the server's side, which has read the request.
-  std::unique_ptr<raw_connection> Start(client_kind kind) {
+  // Starts a call; the returned connection is the server's side, which has read the head of the request.
+  std::unique_ptr<raw_connection> Start(client_kind kind, bool is_upload = false) {
     observed_ = {};
     lines_.clear();
-    Begin(kind);
+    Begin(kind, is_upload ? upload_ : shared_body());
     auto server = listener_.Accept();
     EXPECT_TRUE(server && server->AwaitText("\r\n\r\n"));
     return server;
@@ -76,6 +79,11 @@
     EXPECT_TRUE(observed_.done) << KindName(kind) << " has not ended after " << sent << " bytes";
     EXPECT_TRUE(observed_.failure) << KindName(kind);
     EXPECT_LT(sent, kMaxSentBytes) << KindName(kind);
+    EndCall();
+  }
+
+  // Ends the call and closes the connections of the client.
+  void EndCall() {
     call_.reset();
     client_ = std::make_unique<http_client>(loop_.Context(), Limits());
     loop_.RunFor(milliseconds(5));
@@ -93,10 +101,11 @@
   std::unique_ptr<http_call> call_;
   observed_response observed_;
   std::vector<std::string> lines_;
+  const shared_body upload_ = std::string(kUploadBytes, 'x');
 
  private:
-  void Begin(client_kind kind) {
-    http_request request{"GET", "/", {}, {}, {}};
+  void Begin(client_kind kind, shared_body body) {
+    http_request request{body.Text().empty() ? "GET" : "POST", "/", {}, std::move(body), {}};
     const host_port address{"127.0.0.1", listener_.Port()};
     if (kind == client_kind::kCall) {
       call_ = std::make_unique<http_call>(*client_);
@@ -144,6 +153,7 @@
           break;
         }
         more = !piece.value().empty();
+        observed->body += piece.value();
       }
     }
     observed->done = true;
@@ -251,5 +261,69 @@
   }
 }
 
+// A write that fails takes the error of the socket, and the next read finds the end of the stream. Guards against
+// taking that end for the end of the body.
+TEST_F(untrusted_response_test, Body_ResetWhileTheRequestIsBeingSent_IsNotComplete) {
+  for (const client_kind kind : kAllKinds) {
+    for (const bool is_read_first : {false, true}) {
+      SCOPED_TRACE(fmt::format("{}, reset {}", KindName(kind), is_read_first ? "later" : "at once"));
+      auto server = Start(kind, true);
+      server->Send("HTTP/1.1 200 OK\r\n\r\none\n");
+      EXPECT_FALSE(server->HasUnsent());
+      if (is_read_first) {
+        loop_.RunFor(milliseconds(5));
+      }
+      server->Reset();
+      ASSERT_TRUE(AwaitDone());
+      EXPECT_TRUE(observed_.failure) << observed_.body;
+      EndCall();
+    }
+  }
+}
+
+// As above, at varying points of a request that is being received. Guards against a result that depends on the order in
+// which the completions of the write and of the read run.
+TEST_F(untrusted_response_test, Body_ResetAtAnyPointOfTheRequest_IsNotComplete) {
+  constexpr int kPoints = 60;
+  for (int point = 0; point < kPoints; ++point) {
+    SCOPED_TRACE(point);
+    auto server = Start(client_kind::kCall, true);
+    server->Send("HTTP/1.1 200 OK\r\n\r\none\n");
+    for (int step = 0; step < point; ++step) {
+      loop_.Context().restart();
+      loop_.Context().poll_one();
+      if (step % 3 == 0) {
+        server->Poll();
+      }
+    }
+    server->Reset();
+    ASSERT_TRUE(AwaitDone());
+    EXPECT_TRUE(observed_.failure) << observed_.body;
+    EndCall();
+  }
+}
+
+// A server may answer before it has read the request and close its side of the connection, which ends the body.
+TEST_F(untrusted_response_test, Body_EndedInOrderWhileTheRequestIsBeingSent_IsComplete) {
+  for (const bool is_read_first : {false, true}) {
+    for (const bool resets_afterwards : {false, true}) {
+      SCOPED_TRACE(fmt::format("read first: {}, reset afterwards: {}", is_read_first, resets_afterwards));
+      auto server = Start(client_kind::kCall, true);
+      server->Send("HTTP/1.1 200 OK\r\n\r\none\n");
+      if (is_read_first) {
+        loop_.RunFor(milliseconds(5));
+      }
+      server->ShutdownSend();
+      if (resets_afterwards) {
+        server->Reset();
+      }
+      ASSERT_TRUE(AwaitDone());
+      EXPECT_FALSE(observed_.failure) << observed_.failure->message;
+      EXPECT_EQ(observed_.body, "one\n");
+      EndCall();
+    }
+  }
+}
+
 }  // namespace
 }  // namespace persimmon
