Reject responses whose status is invalid

What callers saw: nothing yet in this system; a user saw on others that an answer with the status 000 reached the client. Here such a response was taken for an interim one, because its status is below 200. Its body was then read as the next response: a body that holds a response became the answer of the replica, any other one made the call wait until its deadline. A status from 600 to 999 was passed on.

Cause: Beast accepts each status of three digits, and ReadFinalHead concluded "interim" from "not final".

Change: a status outside 100 to 599 (RFC 9110, section 15) is a protocol error in all client calls, which share ReadFinalHead. The connection is closed; a call that may be repeated is sent to another endpoint, others get 502.

Evidence: untrusted_response_test.Status_OutsideTheValidRange_FailsTheCall (all three client calls) and answer_cut_test.*_WithAnInvalidHead_* (a router and replicas on plain sockets) failed before: the caller got 200 with the body that stood in the body of the 000, and 999. They pass now.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -64,6 +64,8 @@
 constexpr milliseconds kAcceptRetryDelay(100);   // after a failed accept, for example if no file descriptor is free
 constexpr milliseconds kStalledTime(1'000);      // without progress, until a connection may be closed for a new one
 constexpr std::size_t kManyRequestsAhead = 32;   // no caller that waits for answers sends so many
+constexpr unsigned kFirstStatus = 100;           // of the valid range (RFC 9110, section 15)
+constexpr unsigned kLastStatus = 599;            // of the same
 constexpr unsigned kFirstFinalStatus = 200;      // lower ones belong to interim responses
 constexpr std::size_t kMaxInterimResponses = 8;  // before a final response; a server may send them without end
 constexpr milliseconds kLateReadLimit(100);      // time for which data is still read after a deadline
@@ -1106,6 +1108,15 @@
   return std::chrono::seconds(seconds);
 }
 
+// Finds a fault of a head that Beast's parser accepts.
+template <class message>
+sys_error FindHeadFault(const message& response) {
+  if (response.result_int() < kFirstStatus || response.result_int() > kLastStatus) {
+    return http::error::bad_status;
+  }
+  return {};
+}
+
 // Reads the status and headers of the next final response; interim responses (1xx) before it are skipped. `prepare`
 // sets the limits of a new parser.
 template <class parser_type, class prepare_function>
@@ -1116,6 +1127,9 @@
     prepare(*parser);
     sys_error failure;
     co_await http::async_read_header(connection.stream, connection.buffer, *parser, RedirectError(failure));
+    if (!failure) {
+      failure = FindHeadFault(parser->get());
+    }
     if (failure || parser->get().result_int() >= kFirstFinalStatus) {
       co_return failure;
     }
--- a/tests/answer_cut_test.cpp
+++ b/tests/answer_cut_test.cpp
@@ -1,7 +1,7 @@
 // link: persimmon_direct persimmon_fake_parts
 // Answers of replicas that stop at any byte of their head or of a short body, also before the replica has read the
-// request. Guards against a cut answer that is passed on as whole, and against telling callers that a request has not
-// run although it has.
+// request, and answers with an invalid head. Guards against passing on such an answer, and against telling callers that
+// a request has not run although it has.
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
@@ -72,6 +72,22 @@
   return answer;
 }
 
+struct head_fault {
+  const char* name;
+  void (*spoil)(raw_answer& answer);
+};
+
+// Makes the status 000, and the response as it was the body.
+void SpoilStatus(raw_answer& answer) {
+  answer.body = answer.head + answer.body;
+  answer.head = fmt::format("HTTP/1.1 000 Trouble\r\nContent-Length: {}\r\n\r\n", answer.body.size());
+}
+
+constexpr head_fault kHeadFaults[] = {
+    {"status 000", SpoilStatus},
+    {"status 999", [](raw_answer& answer) { answer.head.replace(9, 3, "999"); }},
+};
+
 std::string PlainBody(const std::string& attempt) { return "body of " + attempt; }
 
 std::string OwnFields(const std::string& attempt) {
@@ -95,11 +111,12 @@
 // What the replicas of a test share: the answer to cut, and what reached them.
 struct cut_plan {
   answer_form form = kForms[0];
-  std::string stage;                         // whose answers are cut: "", "prefill" or "decode"
-  std::map<std::string, std::size_t> cuts;   // bytes of the first answer to an attempt; further answers are whole
-  std::map<std::string, int> runs;           // by attempt; prefills do not count
-  std::map<std::string, int> cut_answers{};  // by attempt
-  bool reads_requests = true;                // false: an answer begins after the head of the request
+  std::string stage;                            // whose answers are cut: "", "prefill" or "decode"
+  std::map<std::string, std::size_t> cuts;      // bytes of the first answer to an attempt; further answers are whole
+  std::function<void(raw_answer&)> spoil;       // if set, changes these answers instead of cutting them
+  std::map<std::string, int> runs;              // by attempt; prefills do not count
+  std::map<std::string, int> faulty_answers{};  // by attempt
+  bool reads_requests = true;                   // false: an answer begins after the head of the request
 };
 
 // A replica on a plain socket, so that its answers can stop at any byte.
@@ -196,18 +213,21 @@
     }
     const bool is_prefill = Field(head, "Persimmonchute-Stage") == "prefill";
     plan_->runs[attempt] += is_prefill ? 0 : 1;
-    body_framing framing = body_framing::kLength;
-    if (plan_->stage == stage_) {
-      framing = plan_->form.framing;
-      const auto planned = plan_->cuts.extract(attempt);
-      if (!planned.empty()) {
+    const bool is_planned_stage = plan_->stage == stage_;
+    const body_framing framing = is_planned_stage ? plan_->form.framing : body_framing::kLength;
+    raw_answer answer = is_prefill       ? PrefillAnswer(framing, attempt)
+                        : stage_.empty() ? PlainAnswer(framing, attempt)
+                                         : StreamAnswer(framing, attempt);
+    const auto planned = is_planned_stage ? plan_->cuts.extract(attempt) : decltype(plan_->cuts)::node_type();
+    if (!planned.empty()) {
+      ++plan_->faulty_answers[attempt];
+      if (plan_->spoil) {
+        plan_->spoil(answer);
+      } else {
         cut = planned.mapped();
-        ++plan_->cut_answers[attempt];
       }
     }
-    return is_prefill       ? PrefillAnswer(framing, attempt)
-           : stage_.empty() ? PlainAnswer(framing, attempt)
-                            : StreamAnswer(framing, attempt);
+    return answer;
   }
 
   tcp::acceptor acceptor_;
@@ -276,7 +296,7 @@
         SCOPED_TRACE(fmt::format("{}, cut after {} of {} bytes", form.name, call.cut, end));
         ASSERT_TRUE(harness_.Finish(call.exchange));
         // A request may have been refused, or served without the replica in question, because many were cut at once.
-        while (plan_->cut_answers[call.attempt] == 0) {
+        while (plan_->faulty_answers[call.attempt] == 0) {
           CheckRefusal(*call.exchange, call.attempt);
           harness_.RunFor(milliseconds(20));
           call = Start(send, call.cut);
@@ -303,12 +323,28 @@
       SCOPED_TRACE(fmt::format("{}, cut after {} of {} bytes", form.name, cut, answer.Size()));
       const cut_call call = Start(send, cut);
       ASSERT_TRUE(harness_.Finish(call.exchange));
-      EXPECT_EQ(plan_->cut_answers[call.attempt], 1);
+      EXPECT_EQ(plan_->faulty_answers[call.attempt], 1);
       CheckRefusal(*call.exchange, call.attempt);
       check(*call.exchange, call.attempt, cut);
     }
   }
 
+  // Sends a request for each fault of the head of a plain answer and checks what the caller got.
+  void SpoilHeads(const sender& send,
+                  const std::function<void(const support::caller_exchange&, const std::string&)>& check) {
+    plan_->form = kForms[0];
+    plan_->stage.clear();
+    for (const head_fault& fault : kHeadFaults) {
+      SCOPED_TRACE(fault.name);
+      plan_->spoil = fault.spoil;
+      const cut_call call = Start(send, 0);
+      ASSERT_TRUE(harness_.Finish(call.exchange));
+      EXPECT_EQ(plan_->faulty_answers[call.attempt], 1);
+      CheckRefusal(*call.exchange, call.attempt);
+      check(*call.exchange, call.attempt);
+    }
+  }
+
   cut_call Start(const sender& send, std::size_t cut) {
     const std::string attempt = fmt::format("a{:05}", ++next_attempt_);
     plan_->cuts[attempt] = cut;
@@ -395,6 +431,24 @@
   }
 }
 
+TEST_F(answer_cut_test, NonIdempotentCall_WithAnInvalidHead_FailsAndRunsOnce) {
+  SpoilHeads([&](const std::string& id) { return harness_.Send("POST", "/submit/1", id, {}, "x"); },
+             [&](const support::caller_exchange& call, const std::string& attempt) {
+               EXPECT_EQ(plan_->runs[attempt], 1);
+               EXPECT_EQ(call.Status(), 502) << call.body;
+               EXPECT_FALSE(call.failure);
+             });
+}
+
+TEST_F(answer_cut_test, IdempotentCall_WithAnInvalidHead_GetsTheWholeAnswerOfAnotherEndpoint) {
+  SpoilHeads([&](const std::string& id) { return harness_.Send("GET", "/pages/1", id); },
+             [&](const support::caller_exchange& call, const std::string& attempt) {
+               EXPECT_TRUE(IsSuccess(call)) << call.Status();
+               EXPECT_EQ(call.body, PlainBody(attempt));
+               EXPECT_EQ(plan_->runs[attempt], 2);
+             });
+}
+
 // Guards against using a handle from a cut answer, and against an unserved request whose prefill alone was cut.
 TEST_F(answer_cut_test, Prefill_CutAtAnyByte_IsRepeatedElsewhere) {
   for (const answer_form& form : kForms) {
--- a/tests/untrusted_response_test.cpp
+++ b/tests/untrusted_response_test.cpp
@@ -1,7 +1,7 @@
 // link: persimmon_net
 // Responses that a server in trouble may send to each kind of client call: heads, bodies and interim responses without
-// end, interim responses before the final one, bodies that end with their connection, also while the request is still
-// being sent.
+// end, interim responses before the final one, invalid heads, bodies that end with their connection, also while the
+// request is still being sent.
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
@@ -82,6 +82,18 @@
     EndCall();
   }
 
+  // Expects that each kind of call fails while the connection is still open.
+  void ExpectInvalid(std::string_view response) {
+    for (const client_kind kind : kAllKinds) {
+      auto server = Start(kind);
+      server->Send(response);
+      ASSERT_TRUE(AwaitDone());
+      ASSERT_TRUE(observed_.failure) << KindName(kind) << " " << observed_.status << " " << observed_.body;
+      EXPECT_NE(observed_.failure->code, error_code::kTimeout) << KindName(kind);
+      EndCall();
+    }
+  }
+
   // Ends the call and closes the connections of the client.
   void EndCall() {
     call_.reset();
@@ -237,6 +249,19 @@
   }
 }
 
+// Guards against passing on such a status, and against taking the response for an interim one, whose body would then be
+// read as the final response.
+TEST_F(untrusted_response_test, Status_OutsideTheValidRange_FailsTheCall) {
+  constexpr std::string_view kResponse = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes";
+  for (const char* status : {"000", "001", "099", "600", "999"}) {
+    SCOPED_TRACE(status);
+    ExpectInvalid(fmt::format("HTTP/1.1 {} Trouble\r\nContent-Length: 3\r\n\r\nyes", status));
+    ExpectInvalid(fmt::format("HTTP/1.1 {} Trouble\r\nContent-Length: 0\r\n\r\n{}", status, kResponse));
+    ExpectInvalid(fmt::format("HTTP/1.1 {} Trouble\r\n\r\n{}", status, kResponse));
+    ExpectInvalid(fmt::format("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 {} Trouble\r\n\r\n{}", status, kResponse));
+  }
+}
+
 // A body that ends with its connection may have been cut anywhere; without its line end, the last line may be a part.
 TEST_F(untrusted_response_test, LastLine_CutByTheEndOfTheConnection_IsNotPassedOn) {
   auto server = Start(client_kind::kFetchLines);
