Test responses whose field names hold a blank or a control byte

A user saw on other systems that such a response reached the client, with the line passed on or with a body that was not the replica's. They play the response to each client call, whole and byte by byte, also with a length or a coding that would go unnoticed, and to a router.

--- a/tests/answer_cut_test.cpp
+++ b/tests/answer_cut_test.cpp
@@ -83,9 +83,17 @@
   answer.head = fmt::format("HTTP/1.1 000 Trouble\r\nContent-Length: {}\r\n\r\n", answer.body.size());
 }
 
+// Inserts a line after the status line.
+void AddLine(raw_answer& answer, const std::string& line) {
+  answer.head.insert(answer.head.find("\r\n") + 2, line + "\r\n");
+}
+
 constexpr head_fault kHeadFaults[] = {
     {"status 000", SpoilStatus},
     {"status 999", [](raw_answer& answer) { answer.head.replace(9, 3, "999"); }},
+    {"a blank in a name", [](raw_answer& answer) { AddLine(answer, "Bad Name: x"); }},
+    {"a blank after a name", [](raw_answer& answer) { AddLine(answer, "Bad-Name : x"); }},
+    {"a control byte in a name", [](raw_answer& answer) { AddLine(answer, "Bad\x01Name: x"); }},
 };
 
 std::string PlainBody(const std::string& attempt) { return "body of " + attempt; }
--- a/tests/net_support.h
+++ b/tests/net_support.h
@@ -43,6 +43,12 @@
     context_.run_for(duration);
   }
 
+  // Runs what is ready.
+  void Poll() {
+    context_.restart();
+    context_.poll();
+  }
+
   // Starts a coroutine and stores its result in target. Target and flag must outlive the coroutine.
   template <class value>
   void Start(task<value> work, value& target, bool& done) {
--- a/tests/untrusted_response_test.cpp
+++ b/tests/untrusted_response_test.cpp
@@ -82,15 +82,21 @@
     EndCall();
   }
 
-  // Expects that each kind of call fails while the connection is still open.
+  // Expects that each kind of call fails while the connection is still open, also if each byte arrives by itself.
   void ExpectInvalid(std::string_view response) {
     for (const client_kind kind : kAllKinds) {
-      auto server = Start(kind);
-      server->Send(response);
-      ASSERT_TRUE(AwaitDone());
-      ASSERT_TRUE(observed_.failure) << KindName(kind) << " " << observed_.status << " " << observed_.body;
-      EXPECT_NE(observed_.failure->code, error_code::kTimeout) << KindName(kind);
-      EndCall();
+      for (const bool is_split : {false, true}) {
+        auto server = Start(kind);
+        const std::size_t step = is_split ? 1 : response.size();
+        for (std::size_t sent = 0; sent < response.size(); sent += step) {
+          server->Send(response.substr(sent, step));
+          loop_.Poll();
+        }
+        ASSERT_TRUE(AwaitDone());
+        ASSERT_TRUE(observed_.failure) << KindName(kind) << " " << observed_.status << " " << observed_.body;
+        EXPECT_NE(observed_.failure->code, error_code::kTimeout) << KindName(kind);
+        EndCall();
+      }
     }
   }
 
@@ -262,6 +268,23 @@
   }
 }
 
+// Guards against passing on such a line, and against a length or a coding that goes unnoticed.
+TEST_F(untrusted_response_test, FieldName_WithABlankOrControlByte_FailsTheCall) {
+  using std::string_view_literals::operator""sv;
+  for (const std::string_view name :
+       {"Bad Name"sv, "Bad-Name "sv, "Bad-Name\t"sv, "Bad\x01Name"sv, "\x01"sv, "Bad\nName"sv, "Bad\rName"sv,
+        "Bad\x7fName"sv, "Bad\x80Name"sv, "Bad\0Name"sv, "\0"sv, ""sv}) {
+    SCOPED_TRACE(name);
+    ExpectInvalid(fmt::format("HTTP/1.1 200 OK\r\n{}: x\r\nContent-Length: 3\r\n\r\nyes", name));
+    ExpectInvalid(fmt::format("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n{}: x\r\n\r\nyes", name));
+  }
+  for (const char* field :
+       {"Content-Length : 3", "Content Length: 3", "Content-Length\x0b: 3", "Transfer-Encoding : chunked"}) {
+    SCOPED_TRACE(field);
+    ExpectInvalid(fmt::format("HTTP/1.1 200 OK\r\n{}\r\n\r\n3\r\nyes\r\n0\r\n\r\n", field));
+  }
+}
+
 // A body that ends with its connection may have been cut anywhere; without its line end, the last line may be a part.
 TEST_F(untrusted_response_test, LastLine_CutByTheEndOfTheConnection_IsNotPassedOn) {
   auto server = Start(client_kind::kFetchLines);
