Reject responses with a line that begins with a blank

What callers saw: nothing yet in this system; found by a stand-in that plays what a user saw on others. A replica sent the line " Bad-Name: x". It was joined to the value of the field before it and reached the client as a part of that value, also of a seal. " Content-Length: 3" went unnoticed in the same way, so that the body ended with the connection.

Cause: such a line continues a value (RFC 9112, section 5.2, obsolete), and Beast's parser joins it without saying so. The RFC allows a proxy to join such lines or to discard the response. Nobody can tell here which was meant.

Change: the head is read with the same parser, but its input is checked before each step (ReadNextHead in place of http::async_read_header). The parser consumes a field only when the byte after its line end has arrived, so that each continuation is still in the buffer. Interim responses are checked too.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -1108,6 +1108,47 @@
   return std::chrono::seconds(seconds);
 }
 
+// True if a line of a head begins with a blank and continues the value before it (RFC 9112, section 5.2). Beast's
+// parser joins such lines. `input` begins with a line of the head and may end inside it or after it.
+bool HasContinuationLine(std::string_view input) {
+  if (input.starts_with("\r\n")) {
+    return false;  // the end of the head
+  }
+  const std::string_view head = input.substr(0, input.find("\r\n\r\n"));
+  return head.find("\r\n ") != std::string_view::npos || head.find("\r\n\t") != std::string_view::npos;
+}
+
+// Like http::async_read_header, but fails if a line continues the one before it. The parser consumes whole fields, and
+// only when the byte after them has arrived.
+template <class parser_type>
+task<sys_error> ReadNextHead(client_connection& connection, parser_type& parser) {
+  beast::flat_buffer& buffer = connection.buffer;
+  while (true) {
+    sys_error failure;
+    if (buffer.size() > 0) {
+      if (HasContinuationLine({static_cast<const char*>(buffer.data().data()), buffer.size()})) {
+        co_return http::error::bad_field;
+      }
+      buffer.consume(parser.put(buffer.data(), failure));
+      if (failure != http::error::need_more) {
+        co_return failure;
+      }
+    }
+    const std::size_t space = beast::read_size(buffer, kClientBufferBytes);
+    if (space == 0) {
+      co_return http::error::buffer_overflow;
+    }
+    const std::size_t count = co_await connection.stream.async_read_some(buffer.prepare(space), RedirectError(failure));
+    buffer.commit(count);
+    if (failure == asio::error::eof) {
+      failure = parser.got_some() ? http::error::partial_message : http::error::end_of_stream;
+    }
+    if (failure) {
+      co_return failure;
+    }
+  }
+}
+
 // Finds a fault of a head that Beast's parser accepts.
 template <class message>
 sys_error FindHeadFault(const message& response) {
@@ -1125,8 +1166,7 @@
   for (std::size_t interim_responses = 0; interim_responses <= kMaxInterimResponses; ++interim_responses) {
     parser.emplace();
     prepare(*parser);
-    sys_error failure;
-    co_await http::async_read_header(connection.stream, connection.buffer, *parser, RedirectError(failure));
+    sys_error failure = co_await ReadNextHead(connection, *parser);
     if (!failure) {
       failure = FindHeadFault(parser->get());
     }
--- a/tests/untrusted_response_test.cpp
+++ b/tests/untrusted_response_test.cpp
@@ -285,6 +285,39 @@
   }
 }
 
+// A line that begins with a blank continues the value before it, whatever it looks like. Guards against passing on a
+// value that was joined, which may be a seal, and against a length that goes unnoticed.
+TEST_F(untrusted_response_test, HeadLine_ThatBeginsWithABlank_FailsTheCall) {
+  for (const char* line : {" A: x", "\tA: x", "  x", " "}) {
+    SCOPED_TRACE(line);
+    ExpectInvalid(fmt::format("HTTP/1.1 200 OK\r\n{}\r\nContent-Length: 3\r\n\r\nyes", line));
+    ExpectInvalid(fmt::format("HTTP/1.1 200 OK\r\nB: y\r\n{}\r\nContent-Length: 3\r\n\r\nyes", line));
+    ExpectInvalid(fmt::format("HTTP/1.1 200 OK\r\nB:\r\n{}\r\nContent-Length: 3\r\n\r\nyes", line));
+    ExpectInvalid(fmt::format("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n{}\r\n\r\nyes", line));
+    ExpectInvalid(fmt::format("HTTP/1.1 103 Early Hints\r\nB: y\r\n{}\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", line));
+  }
+  ExpectInvalid("HTTP/1.1 200 OK\r\nB: y\r\n Content-Length: 3\r\n\r\nyes");
+}
+
+// Guards against taking a line of the body for one of the head.
+TEST_F(untrusted_response_test, BodyLine_ThatBeginsWithABlank_IsPassedOn) {
+  const std::string body = "\r\n x\r\n\r\n\ty\r\n";
+  const std::string response = fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+  for (const client_kind kind : {client_kind::kFetch, client_kind::kCall}) {
+    for (std::size_t split = 0; split < response.size(); ++split) {
+      SCOPED_TRACE(fmt::format("{}, split after {} bytes", KindName(kind), split));
+      auto server = Start(kind);
+      server->Send(response.substr(0, split));
+      loop_.Poll();
+      server->Send(response.substr(split));
+      ASSERT_TRUE(AwaitDone());
+      EXPECT_FALSE(observed_.failure) << observed_.failure->message;
+      EXPECT_EQ(observed_.body, body);
+      EndCall();
+    }
+  }
+}
+
 // A body that ends with its connection may have been cut anywhere; without its line end, the last line may be a part.
 TEST_F(untrusted_response_test, LastLine_CutByTheEndOfTheConnection_IsNotPassedOn) {
   auto server = Start(client_kind::kFetchLines);
