Reject responses with a transfer coding besides chunks

What callers saw: nothing yet; found by looking for other heads that are read in a different way than they were meant. A body with "Transfer-Encoding: gzip" was passed on without that field, as it concerns one connection only, and so as a body that is not the replica's. With "chunked, gzip" the frames of the chunks were passed on as body, and with "gzip" beside a Content-Length the length decided, which such a message must not have.

Cause: the same as of an invalid status. What the parser accepted was taken for a response that can be read. Requests have been checked for other codings since they were first parsed here; responses were not.

Change: the check of requests (HasOtherCoding) serves both.

Evidence: untrusted_response_test.TransferCoding_OtherThanChunked_FailsTheCall and answer_cut_test.*_WithAnInvalidHead_* failed before (200 with the coded body) and pass now. The routers send no TE, so a replica has no reason to use a coding besides chunks. One that sends "identity", which RFC 7230 removed, is refused too.

--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -93,6 +93,15 @@
          beast::iequals(name, "transfer-encoding") || beast::iequals(name, "content-length");
 }
 
+// True if the body has a transfer coding besides chunks. Its length may be unknown then (RFC 9112, section 6.3), so
+// that what follows a request would be taken for further requests. The coding itself is not passed on.
+template <class message_type>
+bool HasOtherCoding(const message_type& message) {
+  const auto codings = message.equal_range(http::field::transfer_encoding);
+  return std::any_of(codings.first, codings.second,
+                     [](const auto& field) { return !beast::iequals(field.value(), "chunked"); });
+}
+
 std::size_t TextBytes(const header_list& headers) {
   std::size_t bytes = 0;
   for (const header_field& field : headers) {
@@ -602,15 +611,6 @@
     }
   }
 
-  // True if the length of the body cannot be known (RFC 9112, section 6.3): what follows would be taken for further
-  // requests.
-  template <class message>
-  static bool HasOtherCoding(const message& request) {
-    const auto codings = request.equal_range(http::field::transfer_encoding);
-    return std::any_of(codings.first, codings.second,
-                       [](const auto& field) { return !beast::iequals(field.value(), "chunked"); });
-  }
-
   // Memory that the body needs before more of it is read; 0 if it has enough. The length of a chunked body is unknown:
   // it starts as a short one and takes the maximum length when it turns out to be longer.
   std::size_t MissingBodyMemory(const request_parser& parser, std::size_t taken) const {
@@ -1155,6 +1155,9 @@
   if (response.result_int() < kFirstStatus || response.result_int() > kLastStatus) {
     return http::error::bad_status;
   }
+  if (HasOtherCoding(response)) {
+    return http::error::bad_transfer_encoding;
+  }
   return {};
 }
 
--- a/tests/answer_cut_test.cpp
+++ b/tests/answer_cut_test.cpp
@@ -95,6 +95,7 @@
     {"a blank after a name", [](raw_answer& answer) { AddLine(answer, "Bad-Name : x"); }},
     {"a control byte in a name", [](raw_answer& answer) { AddLine(answer, "Bad\x01Name: x"); }},
     {"a blank before a name", [](raw_answer& answer) { AddLine(answer, "Note: y\r\n Bad-Name: x"); }},
+    {"another transfer coding", [](raw_answer& answer) { AddLine(answer, "Transfer-Encoding: gzip"); }},
 };
 
 std::string PlainBody(const std::string& attempt) { return "body of " + attempt; }
--- a/tests/untrusted_response_test.cpp
+++ b/tests/untrusted_response_test.cpp
@@ -318,6 +318,18 @@
   }
 }
 
+// The coding is removed with the connection, so the body would be passed on as if it had none, or end elsewhere. Guards
+// against a body that is not the one that the server has encoded.
+TEST_F(untrusted_response_test, TransferCoding_OtherThanChunked_FailsTheCall) {
+  for (const char* coding : {"gzip", "gzip, chunked", "chunked, gzip", "identity", "x-chunked", ""}) {
+    SCOPED_TRACE(coding);
+    const std::string head = fmt::format("HTTP/1.1 200 OK\r\nTransfer-Encoding: {}\r\n", coding);
+    ExpectInvalid(head + "\r\n3\r\nyes\r\n0\r\n\r\n");
+    ExpectInvalid(head + "Content-Length: 3\r\n\r\nyes");
+    ExpectInvalid(head + "Transfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n");
+  }
+}
+
 // A body that ends with its connection may have been cut anywhere; without its line end, the last line may be a part.
 TEST_F(untrusted_response_test, LastLine_CutByTheEndOfTheConnection_IsNotPassedOn) {
   auto server = Start(client_kind::kFetchLines);
