--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -64,7 +64,7 @@
 constexpr milliseconds kAcceptRetryDelay(100);   // after a failed accept, for example if no file descriptor is free
 constexpr milliseconds kStalledTime(1'000);      // without progress, until a connection may be closed for a new one
 constexpr std::size_t kManyRequestsAhead = 32;   // no caller that waits for answers sends so many
-constexpr unsigned kFirstStatus = 100;           // of the valid range (RFC 9110, section 15)
+constexpr unsigned kFirstStatus = 100;           // of the valid ones (RFC 9110, section 15)
 constexpr unsigned kLastStatus = 599;            // of the same
 constexpr unsigned kFirstFinalStatus = 200;      // lower ones belong to interim responses
 constexpr std::size_t kMaxInterimResponses = 8;  // before a final response; a server may send them without end
--- a/tests/untrusted_response_test.cpp
+++ b/tests/untrusted_response_test.cpp
@@ -45,7 +45,7 @@
   std::unique_ptr<raw_connection> Start(client_kind kind, bool is_upload = false) {
     observed_ = {};
     lines_.clear();
-    Begin(kind, is_upload ? upload_ : shared_body());
+    Begin(kind, is_upload ? Upload() : shared_body());
     auto server = listener_.Accept();
     EXPECT_TRUE(server && server->AwaitText("\r\n\r\n"));
     return server;
@@ -111,6 +111,11 @@
     return loop_.RunUntil([this] { return observed_.done; });
   }
 
+  static const shared_body& Upload() {
+    static const shared_body body = std::string(kUploadBytes, 'x');
+    return body;
+  }
+
   static http_client_limits Limits() { return {.response_timeout = kLimit, .body_bytes = kBodyBytes}; }
 
   test_loop loop_;
@@ -119,7 +124,6 @@
   std::unique_ptr<http_call> call_;
   observed_response observed_;
   std::vector<std::string> lines_;
-  const shared_body upload_ = std::string(kUploadBytes, 'x');
 
  private:
   void Begin(client_kind kind, shared_body body) {
@@ -374,8 +378,7 @@
   }
 }
 
-// As above, at varying points of a request that is being received. Guards against a result that depends on the order in
-// which the completions of the write and of the read run.
+// As above, while the server reads. Guards against a result that depends on how much of the request has been written.
 TEST_F(untrusted_response_test, Body_ResetAtAnyPointOfTheRequest_IsNotComplete) {
   constexpr int kPoints = 60;
   for (int point = 0; point < kPoints; ++point) {
