Log how the origin of a stream that is taken up was looked for

A refused stream left `known: false` and the number of routers in the log. That does not tell apart that no holder was asked, that a holder did not answer, that it answered without knowing the origin, and that the store was not read.

`stream_resumed` states now where the origin was found, each holder that was asked with its answer and the time since it was last heard, how long the search took, the age of the last read of the log of origins, and whether the records and the store could be read.

--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -4,6 +4,8 @@
 //   3. records of versions in the store
 #include "direct/origin_tracker.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -260,12 +262,15 @@
     co_await kernel_.Timers().Sleep(kCopyDelay);
   }
   const origin_key resumed = OriginKey(metadata.resumed_attempt);
+  const time_point asked = timer_service::Now();
+  origin_search search;
   std::optional<std::uint64_t> origin;
   std::optional<std::uint64_t> answer;  // of the holders of copies
   if (!metadata.resumed_attempt.empty()) {
-    origin = origins_->Find(resumed, timer_service::Now());
+    origin = origins_->Find(resumed, asked);
+    search.found_in = origin ? "this_router" : "";
     if (!origin) {
-      answer = co_await AskHolders(resumed);
+      answer = co_await AskHolders(resumed, search);
       origin = answer && *answer != 0 ? answer : std::nullopt;
     }
   }
@@ -278,7 +283,7 @@
     co_return *source;
   }
   if (!origin && !metadata.resumed_attempt.empty()) {
-    origin = co_await FindOrigin(resumed, answer);
+    origin = co_await FindOrigin(resumed, answer, search);
   }
   if (origin) {
     source = FindSourceOf(route, *origin);
@@ -293,6 +298,12 @@
       .Add("service", source ? source->service : "")
       .Add("version", source ? source->version : "")
       .Add("known", origin.has_value())
+      .Add("found_in", search.found_in)
+      .Add("asked", search.asked)
+      .Add("took_ms", ElapsedMs(asked, timer_service::Now()))
+      .Add("log_age_ms", log_read_.began ? ElapsedMs(*log_read_.began, timer_service::Now()) : -1)
+      .Add("records_read", has_records_)
+      .Add("store_reachable", directory_->IsStoreReachable())
       .Add("other_service", other != service_of_version_.end() ? other->second : "")
       .Add("candidates", JoinNames(CandidateServices(route)))
       .Add("routers", group_->LiveMembers().size());
@@ -457,17 +468,21 @@
   }
 }
 
-task<std::optional<std::uint64_t>> origin_tracker::FindOrigin(origin_key attempt, std::optional<std::uint64_t> answer) {
+task<std::optional<std::uint64_t>> origin_tracker::FindOrigin(origin_key attempt, std::optional<std::uint64_t> answer,
+                                                              origin_search& search) {
   if (const auto known = origins_->Find(attempt, timer_service::Now())) {
-    co_return known;  // a copy has arrived meanwhile
+    search.found_in = "this_router";  // a copy has arrived meanwhile
+    co_return known;
   }
   for (int round = 1; round < kQueryRounds && !answer; ++round) {
-    answer = co_await AskHolders(attempt);
+    answer = co_await AskHolders(attempt, search);
   }
   if (answer && *answer != 0) {
     co_return answer;
   }
-  co_return co_await FindLogged(attempt);
+  const auto logged = co_await FindLogged(attempt);
+  search.found_in = logged ? "store" : "";
+  co_return logged;
 }
 
 // Looks for the origin in the store. All calls that wait share one read.
@@ -494,7 +509,7 @@
 
 // Returns the version key that the first holder with one answers, 0 if all answer that they know none, and nothing if
 // some do not answer in time.
-task<std::optional<std::uint64_t>> origin_tracker::AskHolders(origin_key attempt) {
+task<std::optional<std::uint64_t>> origin_tracker::AskHolders(origin_key attempt, origin_search& search) {
   UpdateHolders();
   const auto holders = origins_->HoldersOf(attempt);
   if (holders.empty()) {
@@ -518,9 +533,26 @@
   if (others.empty()) {
     queries_.erase(attempt);
   }
+  RecordAnswers(holders, *waiting, search);
   co_return answer;
 }
 
+void origin_tracker::RecordAnswers(const std::vector<origin_holder>& holders, const query& asked,
+                                   origin_search& search) const {
+  for (const origin_holder& holder : holders) {
+    const auto address = ParseHostPort(holder.address);
+    const auto answer = address ? asked.answers.find(address.value()) : asked.answers.end();
+    const bool is_known = answer != asked.answers.end() && answer->second != 0;
+    search.found_in = is_known ? "holder" : search.found_in;
+    const auto silence = address ? group_->SilenceOf(address.value(), timer_service::Now()) : std::nullopt;
+    search.asked += fmt::format("{}{} {} (heard {} ms ago)", search.asked.empty() ? "" : ", ", holder.address,
+                                is_known                        ? "knows it"
+                                : answer != asked.answers.end() ? "does not know it"
+                                                                : "does not answer",
+                                silence ? silence->count() : -1);
+  }
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 2. copies at other routers
 // ---------------------------------------------------------------------------------------------------------------------
@@ -606,7 +638,9 @@
       return;
     }
     for (const auto& asked : waiting->second) {
-      asked->unanswered.erase(sender);
+      if (asked->unanswered.erase(sender) > 0) {
+        asked->answers[sender] = found->version;
+      }
       if (found->version != 0 || asked->unanswered.empty()) {
         asked->result_mailbox.Push(found->version);
       }
--- a/src/direct/origin_tracker.h
+++ b/src/direct/origin_tracker.h
@@ -20,6 +20,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/kernel.h"
@@ -80,8 +81,15 @@
 
   struct query {
     explicit query(asio::io_context& context) : result_mailbox(context) {}
-    std::set<host_port> unanswered;         // holders whose answer is awaited
-    mailbox<std::uint64_t> result_mailbox;  // a version key; 0: known nowhere
+    std::set<host_port> unanswered;              // holders whose answer is awaited
+    std::map<host_port, std::uint64_t> answers;  // version keys; 0: not known to the holder
+    mailbox<std::uint64_t> result_mailbox;       // a version key; 0: known nowhere
+  };
+
+  // How the origin of a stream was looked for, for the log.
+  struct origin_search {
+    std::string_view found_in;  // empty: nowhere
+    std::string asked;          // the holders, with their answers and the times since they were last heard
   };
 
   struct version_query {
@@ -122,12 +130,14 @@
   void RecordOrigin(const direct_call& call, const std::string& attempt, const stream_source& source);
   // Asks the holders of copies again, up to kQueryRounds times in all, and then the store. `answer`: of the first
   // round.
-  task<std::optional<std::uint64_t>> FindOrigin(origin_key attempt, std::optional<std::uint64_t> answer);
+  task<std::optional<std::uint64_t>> FindOrigin(origin_key attempt, std::optional<std::uint64_t> answer,
+                                                origin_search& search);
   task<std::optional<std::uint64_t>> FindLogged(origin_key attempt);
   task<> ReadLog();
   void ScheduleLog();
   task<> WriteLog();
-  task<std::optional<std::uint64_t>> AskHolders(origin_key attempt);
+  task<std::optional<std::uint64_t>> AskHolders(origin_key attempt, origin_search& search);
+  void RecordAnswers(const std::vector<origin_holder>& holders, const query& asked, origin_search& search) const;
   void UpdateRoutes();
   void UpdateVersions();
   void UpdateHolders();
--- a/src/direct/router_group.cpp
+++ b/src/direct/router_group.cpp
@@ -404,6 +404,13 @@
   return addresses;
 }
 
+std::optional<milliseconds> router_group::SilenceOf(const host_port& router, time_point now) const {
+  const auto found = peers_.find(router);
+  return found == peers_.end()
+             ? std::nullopt
+             : std::optional(std::chrono::duration_cast<milliseconds>(now - found->second.last_heard));
+}
+
 bool router_group::HearsAllRouters(time_point since) const {
   const time_point now = timer_service::Now();
   const bool has_ended =
--- a/src/direct/router_group.h
+++ b/src/direct/router_group.h
@@ -15,6 +15,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -98,6 +99,9 @@
   // Addresses of the other routers that have been heard and may still be running, also of those that are leaving.
   std::vector<host_port> OtherRouters() const;
 
+  // Time since another router was last heard; nothing if it has not been, or has been forgotten.
+  std::optional<milliseconds> SilenceOf(const host_port& router, time_point now) const;
+
   // True if all other routers that may still be running have been heard lately, and none has ended since `since`. False
   // if there are other routers and none has been heard yet.
   bool HearsAllRouters(time_point since) const;
