Let streams go on at another service of their route that continues them

What callers saw: after the operator had moved a route, or had taken a service from its split, each stream that was broken and taken up got 503 `stream_service_gone`; the caller's one retry was used up and the stream was lost, although engines of its software version served. All new streams began.

Cause: `FindSource` took a stream to belong to a service. So a stream whose service the route does not name, or whose service has no decode engine of its version left, goes on at another service of the route that new requests are sent to, that has engines of the version, and that serves the request's model with the same weights. Otherwise it is refused as before. The models come from the entries of the engines; a router remembers those of a service whose engines are all gone.

--- a/include/persimmon/endpoint_registry.h
+++ b/include/persimmon/endpoint_registry.h
@@ -10,9 +10,11 @@
 // seen draining, in its entry or by its own word, never receives new work again, whatever a later entry says.
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +27,14 @@
 // 1. entries
 // ---------------------------------------------------------------------------------------------------------------------
 
+// A model that an engine serves.
+struct served_model {
+  std::string name;
+  std::uint64_t weights_version = 0;
+
+  auto operator<=>(const served_model&) const = default;
+};
+
 struct endpoint_entry {
   endpoint_name name;
   std::uint64_t started_ms = 0;  // start time, Unix milliseconds; 0: not stated
@@ -35,6 +45,7 @@
   bool draining = false;  // accepts no new work
   std::uint32_t slots = 0;
   std::optional<endpoint_role> role;  // model engines: prefill or decode
+  std::vector<served_model> models;   // model engines
 
   bool operator==(const endpoint_entry&) const = default;
 };
@@ -98,6 +109,12 @@
   // Returns the endpoints of a service that can receive new work, ordered by name.
   std::vector<const endpoint_entry*> ListReady(const std::string& service) const;
 
+  // True if a decode engine of the service with this software version can receive new work.
+  bool HasDecodeEngine(const std::string& service, const std::string& version) const;
+
+  // Returns the models at the engines of the service with this software version, draining ones included.
+  std::set<served_model> ModelsOf(const std::string& service, const std::string& version) const;
+
   std::size_t Size() const { return entries_.size(); }
 
  private:
--- a/src/decisions/endpoint_registry.cpp
+++ b/src/decisions/endpoint_registry.cpp
@@ -1,5 +1,6 @@
 #include "persimmon/endpoint_registry.h"
 
+#include <algorithm>
 #include <set>
 
 namespace persimmon {
@@ -123,4 +124,22 @@
   return ready;
 }
 
+bool endpoint_registry::HasDecodeEngine(const std::string& service, const std::string& version) const {
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
+    const endpoint_entry& entry = item.second.entry;
+    return entry.service == service && entry.version == version && entry.role == endpoint_role::kDecode &&
+           item.second.ReceivesWork();
+  });
+}
+
+std::set<served_model> endpoint_registry::ModelsOf(const std::string& service, const std::string& version) const {
+  std::set<served_model> models;
+  for (const auto& [name, stored] : entries_) {
+    if (stored.entry.service == service && stored.entry.version == version) {
+      models.insert(stored.entry.models.begin(), stored.entry.models.end());
+    }
+  }
+  return models;
+}
+
 }  // namespace persimmon
--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -82,6 +82,18 @@
   return text;
 }
 
+// The version of the model's weights; nothing if it is not served, or with several versions.
+std::optional<std::uint64_t> WeightsOf(const std::string& model, const std::set<served_model>& models) {
+  std::optional<std::uint64_t> weights;
+  for (const served_model& served : models) {
+    if (served.name == model && weights) {
+      return std::nullopt;
+    }
+    weights = served.name == model ? served.weights_version : weights;
+  }
+  return weights;
+}
+
 bool Contains(const std::vector<std::uint64_t>& keys, std::uint64_t key) {
   return std::find(keys.begin(), keys.end(), key) != keys.end();
 }
@@ -160,18 +172,31 @@
   return services.size() == 1 && is_newest ? std::optional(*services.begin()) : std::nullopt;
 }
 
-std::optional<stream_source> origin_tracker::FindSourceOf(const route_record& route, std::uint64_t version) const {
-  for (const weighted_service& target : route.services) {
-    if (VersionKey(target.service, {}) == version) {
-      return stream_source{target.service, {}};
-    }
-    for (const std::string& candidate : Candidates(target.service)) {
-      if (VersionKey(target.service, candidate) == version) {
-        return stream_source{target.service, candidate};
-      }
-    }
+bool origin_tracker::Continues(const std::string& service, const known_source& origin, const std::string& model) const {
+  const endpoint_registry& endpoints = directory_->Endpoints();
+  const std::string& version = origin.source.version;
+  const auto weights = WeightsOf(model, endpoints.ModelsOf(service, version));
+  return endpoints.HasDecodeEngine(service, version) && weights && weights == WeightsOf(model, origin.models);
+}
+
+std::optional<stream_source> origin_tracker::FindContinuation(const direct_call& call,
+                                                              const known_source& origin) const {
+  const stream_source& source = origin.source;
+  const route_record& route = call.Route();
+  const bool is_named = route.Names(source.service);
+  if (is_named && (origin.is_plain || directory_->Endpoints().HasDecodeEngine(source.service, source.version))) {
+    return source;
+  }
+  const name_set drawn = ServicesOf(route);
+  route_record others = route;
+  std::erase_if(others.services, [&](const weighted_service& target) {
+    return origin.is_plain || target.service == source.service || !drawn.contains(target.service) ||
+           !Continues(target.service, origin, call.Metadata().model);
+  });
+  if (!others.services.empty()) {
+    return stream_source{PickService(others, RandomUnit()), source.version};
   }
-  return std::nullopt;
+  return is_named ? std::optional(source) : std::nullopt;
 }
 
 void origin_tracker::UpdateRoutes() {
@@ -195,17 +220,25 @@
   std::erase_if(routes_, [&](const auto& item) { return item.second.Candidates(now, ResumeTime()).empty(); });
 }
 
+void origin_tracker::AddSource(const std::string& service, const std::string& version, bool is_plain) {
+  const std::uint64_t key = VersionKey(service, version);
+  if (!sources_.contains(key)) {
+    sources_.emplace(key, known_source{{service, version}, is_plain, {}});
+  }
+}
+
 void origin_tracker::UpdateVersions() {
   UpdateRoutes();
   const time_point now = timer_service::Now();
   for (const auto& [name, service] : directory_->Routes()->Services()) {
     if (!service.engine) {
+      AddSource(name, {}, true);
       continue;
     }
     name_set serving;
     for (const endpoint_entry* entry : directory_->Endpoints().ListReady(name)) {
       serving.insert(entry->version);
-      service_of_version_.try_emplace(VersionKey(name, entry->version), name);
+      AddSource(name, entry->version, false);
     }
     recent_names& versions = services_[name].versions;
     if (serving == versions.Current()) {
@@ -285,11 +318,10 @@
   if (!origin && !metadata.resumed_attempt.empty()) {
     origin = co_await FindOrigin(resumed, answer, search);
   }
-  if (origin) {
-    source = FindSourceOf(route, *origin);
+  const auto began = origin ? sources_.find(*origin) : sources_.end();
+  if (began != sources_.end()) {
+    source = FindContinuation(*call, began->second);
   }
-  // The service of a version that is known here, and that the route does not name.
-  const auto other = origin && !source ? service_of_version_.find(*origin) : service_of_version_.end();
   Events()
       .Line(kComponent, "stream_resumed")
       .Request(metadata.attempt)
@@ -304,16 +336,17 @@
       .Add("log_age_ms", log_read_.began ? ElapsedMs(*log_read_.began, timer_service::Now()) : -1)
       .Add("records_read", has_records_)
       .Add("store_reachable", directory_->IsStoreReachable())
-      .Add("other_service", other != service_of_version_.end() ? other->second : "")
+      .Add("began_at", began != sources_.end() ? began->second.source.service : "")
+      .Add("began_version", began != sources_.end() ? began->second.source.version : "")
       .Add("candidates", JoinNames(CandidateServices(route)))
       .Add("routers", group_->LiveMembers().size());
-  if (other != service_of_version_.end() && !route.Names(other->second)) {
-    co_return error{error_code::kNotFound, "the route does not name the service that began the stream"};
+  if (source) {
+    co_return *source;
   }
-  if (!source) {
-    co_return error{error_code::kUnavailable, "it is unknown where the stream began"};
+  if (began != sources_.end()) {
+    co_return error{error_code::kNotFound, "no service of the route continues what the stream's service has begun"};
   }
-  co_return *source;
+  co_return error{error_code::kUnavailable, "it is unknown where the stream began"};
 }
 
 task<std::optional<stream_source>> origin_tracker::ConfirmSoleSource(direct_call_ptr call) {
@@ -712,6 +745,7 @@
   }
   records_era_ = table_.Era();
   is_addition_due_ = false;
+  UpdateModels();
   for (auto& [name, state] : services_) {
     if (is_restored) {
       state.recorded.clear();  // the record may be an older one
@@ -732,6 +766,16 @@
   }
 }
 
+// Remembers the models of the services whose engines are all gone.
+void origin_tracker::UpdateModels() {
+  for (auto& [key, known] : sources_) {
+    auto models = directory_->Endpoints().ModelsOf(known.source.service, known.source.version);
+    if (!models.empty()) {
+      known.models = std::move(models);
+    }
+  }
+}
+
 // A router that cannot read the store, for example because it has started in an outage, learns from the others which
 // versions are recorded.
 void origin_tracker::AskForRecorded() {
@@ -820,7 +864,7 @@
   bool is_changed = false;
   for (const std::string& version : versions) {
     is_changed = state.usable.insert(version).second || is_changed;
-    service_of_version_.try_emplace(VersionKey(service, version), service);
+    AddSource(service, version, false);
   }
   if (is_changed && on_usable) {
     on_usable();
@@ -862,8 +906,8 @@
   const name_set shared = SharedServices();
   if (!shared.empty()) {
     const auto needs_log = [&](std::uint64_t version) {
-      const auto service = service_of_version_.find(version);
-      return service == service_of_version_.end() || shared.contains(service->second);
+      const auto source = sources_.find(version);
+      return source == sources_.end() || shared.contains(source->second.source.service);
     };
     for (const stream_origin& origin : origins_->TakeUnlogged(needs_log, now)) {
       log_->Add(origin);
--- a/src/direct/origin_tracker.h
+++ b/src/direct/origin_tracker.h
@@ -49,8 +49,9 @@
   // True if streams may begin at the version: it is recorded, so that every router can know of it.
   bool MayBegin(const std::string& service, const std::string& version) const;
 
-  // Returns where the stream that the call takes up must go on.
-  // Errors: kUnavailable if that is unknown, kNotFound if the route does not name that service any more.
+  // Returns where the stream that the call takes up must go on: at the service that began it, or, if the route does not
+  // name that one or it has no engine left, at another service of the route with the same software and weights.
+  // Errors: kUnavailable if it is unknown where the stream began, kNotFound if no service of the route continues it.
   task<result<stream_source>> FindSource(direct_call_ptr call);
 
  private:
@@ -86,6 +87,12 @@
     mailbox<std::uint64_t> result_mailbox;       // a version key; 0: known nowhere
   };
 
+  struct known_source {
+    stream_source source;
+    bool is_plain = false;
+    std::set<served_model> models;  // of its engines when they were registered last
+  };
+
   // How the origin of a stream was looked for, for the log.
   struct origin_search {
     std::string_view found_in;  // empty: nowhere
@@ -112,8 +119,11 @@
   std::optional<std::string> SoleService(const route_record& route) const;
   // Returns the source of the call's stream if the route had only one when the call began.
   task<std::optional<stream_source>> ConfirmSoleSource(direct_call_ptr call);
-  // The source with this version key, of those at which the route's streams may run.
-  std::optional<stream_source> FindSourceOf(const route_record& route, std::uint64_t version) const;
+  // Returns where a stream goes on that began at `origin`; nothing if the route does not allow it anywhere.
+  std::optional<stream_source> FindContinuation(const direct_call& call, const known_source& origin) const;
+  // True if engines of the service continue what those of `origin` have begun: they have the same software version, and
+  // the same weights of the model.
+  bool Continues(const std::string& service, const known_source& origin, const std::string& model) const;
   // Waits for a check that begins after the call, and starts it unless one is running. Returns its result, or false if
   // it does not end in time.
   task<bool> AwaitCheck(shared_check& check, milliseconds limit, std::function<task<>()> start);
@@ -139,6 +149,8 @@
   task<std::optional<std::uint64_t>> AskHolders(origin_key attempt, origin_search& search);
   void RecordAnswers(const std::vector<origin_holder>& holders, const query& asked, origin_search& search) const;
   void UpdateRoutes();
+  void AddSource(const std::string& service, const std::string& version, bool is_plain);
+  void UpdateModels();
   void UpdateVersions();
   void UpdateHolders();
   void ScheduleCopies();
@@ -180,9 +192,9 @@
   time_point entries_back_at_;
   mailbox<bool> record_wakeup_;  // the versions of a service have changed
   std::map<std::string, service_state> services_;
-  std::map<std::string, recent_names> routes_;               // services of each resumable route, by its name
-  revision_number routes_revision_ = 0;                      // of the desired state that routes_ holds
-  std::map<std::uint64_t, std::string> service_of_version_;  // by version key, of all versions seen
+  std::map<std::string, recent_names> routes_;     // services of each resumable route, by its name
+  revision_number routes_revision_ = 0;            // of the desired state that routes_ holds
+  std::map<std::uint64_t, known_source> sources_;  // by version key, all that have been seen
   std::map<origin_key, std::vector<std::shared_ptr<query>>> queries_;
   std::uint64_t records_era_ = 0;  // of the store when the records were read or written last
   bool has_records_ = false;       // the records have been read
--- a/src/fakes/fake_replica.cpp
+++ b/src/fakes/fake_replica.cpp
@@ -89,6 +89,7 @@
                 {"seq", reports}};
   if (!options_.stage.empty()) {
     entry["stage"] = options_.stage;
+    entry["models"] = json::array({json{{"name", "m"}, {"version", options_.weights_version}}});
   }
   if (!options_.version.empty()) {
     entry["version"] = options_.version;
--- a/src/fakes/fake_replica.h
+++ b/src/fakes/fake_replica.h
@@ -26,6 +26,7 @@
   std::string zone = "zone-a";
   std::string stage;                              // role of an engine: "prefill" or "decode"; empty: a plain service
   std::string version;                            // of its software; empty: the entry states none
+  std::uint64_t weights_version = 1;              // of the model "m" that an engine serves
   std::uint64_t started_ms = 1;                   // start time of its incarnation
   std::uint32_t memory_tokens = 0;                // KV cache capacity of a decode engine
   std::uint32_t events = 5;                       // events per stream
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -329,6 +329,27 @@
   EXPECT_FALSE(entry.value().draining);
 }
 
+// Guards against an entry of another writer whose list of models is wrong or long.
+TEST(endpoint_entry_test, Models_ThatCannotBeRead_AreSkipped) {
+  json entry = MakeEntry();
+  entry["models"] = {{{"name", "m"}, {"version", 3}},
+                     {{"name", "m"}, {"version", "3"}},
+                     {{"name", 3}, {"version", 3}},
+                     {{"version", 3}},
+                     {{"name", "m"}, {"version", -3}},
+                     "m",
+                     {{"name", std::string(1'000, 'm')}, {"version", 3}}};
+  EXPECT_EQ(ParseEndpointEntry("i-1", entry.dump()).value().models, (std::vector<served_model>{{"m", 3}}));
+  for (int i = 0; i < 1'000; ++i) {
+    entry["models"].push_back({{"name", std::to_string(i)}, {"version", 1}});
+  }
+  EXPECT_EQ(ParseEndpointEntry("i-1", entry.dump()).value().models.size(), 64U);
+  for (const json& models : {json("m"), json(3), json::object(), json()}) {
+    entry["models"] = models;
+    EXPECT_TRUE(ParseEndpointEntry("i-1", entry.dump()).value().models.empty());
+  }
+}
+
 TEST(endpoint_entry_test, MalformedEntry_IsRejected) {
   for (const auto& [field, value] : std::vector<std::pair<std::string, json>>{{"state", "resting"},
                                                                               {"state", 3},
