Copy the origin of a stream before its first event is forwarded

What callers saw: a stream whose router ended within 20 ms of its first event was refused as `stream_version_unknown`.

Cause: the copies waited for 20 ms, to send several in one datagram. With three holders for each stream hardly any datagram held a second one.

Copies go out at once now, before the event is written to the caller, so that a caller that has an event can take its stream up elsewhere.

--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -23,11 +23,11 @@
 
 constexpr const char* kComponent = "router.origins";
 constexpr const char* kVersionTable = "persimmon_versions";
-constexpr milliseconds kCopyDelay(20);      // from the first event to the copies, to send several in one datagram
-constexpr milliseconds kWatchPeriod(100);   // checks for changed routers and copies that are not acknowledged
-constexpr milliseconds kAnswerTime(60);     // for the answer of a holder, before it is asked again
-constexpr int kQueryRounds = 3;             // a datagram may be lost
-constexpr milliseconds kRecordsWait(400);   // for the records after a start, while a resumed stream waits
+constexpr milliseconds kWatchPeriod(100);  // checks for changed routers and copies that are not acknowledged
+constexpr milliseconds kAnswerTime(60);    // for the answer of a holder, before it is asked again
+constexpr int kQueryRounds = 3;            // a datagram may be lost
+constexpr milliseconds kRecordsWait(400);  // for the records after a start, while a resumed stream waits
+constexpr milliseconds kRecordsPoll(20);
 constexpr milliseconds kRecordPeriod(500);  // between checks of the records
 constexpr milliseconds kRankDelay(1'500);   // later start of each further router that keeps a record
 constexpr std::size_t kRecordKeepers = 3;   // routers that remove versions from the record, by rank
@@ -121,7 +121,6 @@
 
 void origin_tracker::Stop() {
   stopped_ = true;
-  copy_timer_.Cancel();
   watch_timer_.Cancel();
 }
 
@@ -278,7 +277,7 @@
   const std::uint64_t key = VersionKey(source.service, source.version);
   const milliseconds budget = std::max(metadata.time_budget.value_or(call.Route().timeout), call.Route().timeout);
   origins_->Record({OriginKey(attempt), key, call.Arrival() + budget});
-  ScheduleCopies();
+  SendCopies();
 }
 
 task<result<stream_source>> origin_tracker::FindSource(direct_call_ptr call) {
@@ -292,7 +291,7 @@
   }
   const time_point wait_end = timer_service::Now() + kRecordsWait;
   while (!has_records_ && timer_service::Now() < wait_end && !call->IsCallerDisconnected()) {
-    co_await kernel_.Timers().Sleep(kCopyDelay);
+    co_await kernel_.Timers().Sleep(kRecordsPoll);
   }
   const origin_key resumed = OriginKey(metadata.resumed_attempt);
   const time_point asked = timer_service::Now();
@@ -598,17 +597,6 @@
   origins_->SetHolders(std::move(holders));
 }
 
-void origin_tracker::ScheduleCopies() {
-  if (is_copy_scheduled_) {
-    return;
-  }
-  is_copy_scheduled_ = true;
-  copy_timer_ = kernel_.Timers().SubscribeOnce(kCopyDelay, [this] {
-    is_copy_scheduled_ = false;
-    SendCopies();
-  });
-}
-
 void origin_tracker::SendCopies() {
   if (origins_->Size() == 0) {
     return;
--- a/src/direct/origin_tracker.h
+++ b/src/direct/origin_tracker.h
@@ -40,7 +40,8 @@
   void Start();
   void Stop();
 
-  // Records the version that has sent the first event of the call's stream; empty for a plain service.
+  // Records the version that has sent the first event of the call's stream; empty for a plain service. Sends copies, so
+  // it is called before the event is forwarded: the stream can go on once its caller has an event.
   void RecordFirstEvent(const direct_call& call, const std::string& version);
 
   // Called after a version has become usable.
@@ -153,7 +154,6 @@
   void UpdateModels();
   void UpdateVersions();
   void UpdateHolders();
-  void ScheduleCopies();
   void SendCopies();
   void Receive(const host_port& sender, const message& received);
   void ReceiveCopies(const host_port& sender, const hold_stream_origins& copies);
@@ -198,9 +198,7 @@
   std::map<origin_key, std::vector<std::shared_ptr<query>>> queries_;
   std::uint64_t records_era_ = 0;  // of the store when the records were read or written last
   bool has_records_ = false;       // the records have been read
-  bool is_copy_scheduled_ = false;
   bool stopped_ = false;
-  timer_subscription copy_timer_;
   timer_subscription watch_timer_;
 };
 
--- a/tests/lost_router_streams_test.cpp
+++ b/tests/lost_router_streams_test.cpp
@@ -169,6 +169,24 @@
   ExpectAllGoOn();
 }
 
+// Guards against the loss of streams whose router ends right after their first events: their origins had not been copied
+// yet.
+TEST_F(lost_router_test, StreamsOfARouterKilledRightAfterTheirFirstEvents_GoOn) {
+  AddEngine("new-1", "decode", "new");
+  RunFor(kReadmission);
+  const auto calls = SendStreams();
+  ASSERT_TRUE(RunUntil([&calls] {
+    return std::all_of(calls.begin(), calls.end(), [](const auto& call) { return !call->body.empty(); });
+  }));
+  KillLastRouter();
+  for (int i = 0; i < streams_; ++i) {
+    const std::string again = "again-" + std::to_string(i);
+    const std::string first = "first-" + std::to_string(i);
+    EXPECT_EQ(Resume(again, first), 200) << again;
+    EXPECT_EQ(RunsOf(again, "new"), RunsOf(first, "new")) << again;
+  }
+}
+
 // Guards against distrust of the record for as long as callers take up streams, although all routers have found it
 // complete: a router that is gone can no longer be asked.
 TEST_F(lost_router_test, UnknownStream_AfterADrillThatAllRoutersHaveConfirmed_GoesOn) {
