Test streams that are taken up under drawn desired states and losses of routers

split_route_test has fixed moves. changing_route_test draws the software versions and weights of three services, the services and weights of the route (also 0), and changes of the desired state and losses of a router between the first event of the streams and their second attempts. A stream must go on exactly if the route in force allows it, at an engine of its version.

ROUTE_SEEDS sets the number of seeds for runs by hand.

--- a/tests/lost_router_streams_test.cpp
+++ b/tests/lost_router_streams_test.cpp
@@ -4,10 +4,14 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <iterator>
+#include <optional>
+#include <random>
 #include <set>
 #include <span>
 
+#include "persimmon/stream_origins.h"
 #include "support/router_fleet.h"
 
 namespace persimmon {
@@ -169,8 +173,8 @@
   ExpectAllGoOn();
 }
 
-// Guards against the loss of streams whose router ends right after their first events: their origins had not been copied
-// yet.
+// Guards against the loss of streams whose router ends right after their first events: their origins had not been
+// copied yet.
 TEST_F(lost_router_test, StreamsOfARouterKilledRightAfterTheirFirstEvents_GoOn) {
   AddEngine("new-1", "decode", "new");
   RunFor(kReadmission);
@@ -450,5 +454,162 @@
   EXPECT_EQ(ServiceOf("again"), "");
 }
 
+// Desired states, versions, weights and losses of routers that are drawn from a seed.
+class changing_route_test : public router_streams_test, public testing::WithParamInterface<unsigned> {
+ protected:
+  static constexpr int kRounds = 4;
+  static constexpr const char* kServices[] = {"llm-a", "llm-b", "llm-c"};
+
+  struct engine_kind {
+    std::string service;
+    std::string version;
+    std::uint64_t weights_version = 0;
+
+    std::string Prefix() const { return service + "-" + version + "-"; }
+    bool operator==(const engine_kind&) const = default;
+  };
+
+  void SetUp() override {
+    for (const std::string service : kServices) {
+      AddKind({service, "v1", Draw(3) == 0 ? 2U : 1U});
+      if (Draw(2) == 0) {
+        AddKind({service, "v2", Draw(3) == 0 ? 2U : 1U});
+      }
+    }
+    WriteRoute();
+    ASSERT_TRUE(StartRouters(kRouters));
+    RunFor(kReadmission);
+  }
+
+  unsigned Draw(unsigned count) { return static_cast<unsigned>(random_() % count); }
+
+  void AddKind(const engine_kind& kind) {
+    kinds_.push_back(kind);
+    for (const std::string stage : {"prefill", "decode", "decode"}) {
+      AddEngine(kind.Prefix() + std::to_string(engines_.size()), stage, kind.version, kind.service,
+                kind.weights_version);
+    }
+  }
+
+  // Draws the services of the streaming route and their weights, of which one at least is not 0.
+  void WriteRoute() {
+    named_.clear();
+    drawn_.clear();
+    std::vector<int> weights;
+    for (const std::string service : kServices) {
+      if (Draw(3) > 0) {
+        named_.push_back(service);
+        weights.push_back(static_cast<int>(Draw(3)));
+      }
+    }
+    if (named_.empty() || std::all_of(weights.begin(), weights.end(), [](int weight) { return weight == 0; })) {
+      named_ = {kServices[Draw(3)]};
+      weights = {1};
+    }
+    for (std::size_t i = 0; i < named_.size(); ++i) {
+      if (weights[i] > 0) {
+        drawn_.insert(named_[i]);
+      }
+    }
+    harness_.WriteDesiredState({.version = ++revision_,
+                                .timeout_ms = 14'000,
+                                .memory_tokens = 100'000,
+                                .split_services = named_,
+                                .split_weights = weights,
+                                .unrouted_services = {std::begin(kServices), std::end(kServices)}});
+  }
+
+  // The kind of the engines that have run the attempt; the test fails if there are several.
+  std::optional<engine_kind> KindOf(const std::string& attempt) const {
+    std::optional<engine_kind> ran;
+    for (const engine_kind& kind : kinds_) {
+      if (RunsOf(attempt, kind.Prefix()) > 0) {
+        EXPECT_FALSE(ran) << attempt << " was run by engines of two kinds";
+        ran = kind;
+      }
+    }
+    return ran;
+  }
+
+  // Where a stream that began at engines of the kind may go on.
+  std::vector<engine_kind> ContinuationsOf(const engine_kind& began) const {
+    if (std::find(named_.begin(), named_.end(), began.service) != named_.end()) {
+      return {began};
+    }
+    std::vector<engine_kind> continuations;
+    std::copy_if(kinds_.begin(), kinds_.end(), std::back_inserter(continuations), [&](const engine_kind& kind) {
+      return drawn_.contains(kind.service) && kind.version == began.version &&
+             kind.weights_version == began.weights_version;
+    });
+    return continuations;
+  }
+
+  void LoseLastRouter() {
+    switch (Draw(3)) {
+      case 0:
+        RestartLastRouter();
+        break;
+      case 1:
+        KillLastRouter();
+        AddRouter();
+        break;
+      default:  // its callers have only lost their connections
+        break;
+    }
+  }
+
+  std::mt19937 random_{GetParam()};
+  std::vector<engine_kind> kinds_;
+  std::vector<std::string> named_;  // services of the route
+  name_set drawn_;                  // those with a weight
+  std::uint64_t revision_ = 0;
+};
+
+// Guards against streams that are lost, or joined to what other software, other weights or a service outside the route
+// write, when routers are lost and desired states change in any order.
+TEST_P(changing_route_test, StreamsThatAreTakenUp_GoOnWhereTheRouteAllowsIt) {
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string suffix = "-" + std::to_string(round) + "-";
+    std::vector<caller_exchange_ptr> calls;
+    for (int i = 0; i < streams_; ++i) {
+      calls.push_back(SendStream(others_.back()->settings.deployment.callers, "first" + suffix + std::to_string(i)));
+    }
+    ASSERT_TRUE(RunUntil([&calls] {
+      return std::all_of(calls.begin(), calls.end(), [](const auto& call) { return !call->body.empty(); });
+    }));
+    if (Draw(2) == 0) {
+      WriteRoute();
+    }
+    LoseLastRouter();
+    for (const caller_exchange_ptr& call : calls) {
+      call->call->Cancel();
+    }
+    if (Draw(2) == 0) {
+      WriteRoute();
+    }
+    RunFor(2 * kReadmission);
+    for (int i = 0; i < streams_; ++i) {
+      const std::string again = "again" + suffix + std::to_string(i);
+      const auto began = KindOf("first" + suffix + std::to_string(i));
+      ASSERT_TRUE(began);
+      const auto allowed = ContinuationsOf(*began);
+      const host_port router = Draw(2) == 0 ? harness_.Settings().deployment.callers
+                                            : others_[Draw(kRouters - 1)]->settings.deployment.callers;
+      EXPECT_EQ(Resume(again, "first" + suffix + std::to_string(i), router), allowed.empty() ? 503 : 200) << again;
+      const auto ran = KindOf(again);
+      EXPECT_EQ(ran.has_value(), !allowed.empty()) << again;
+      EXPECT_TRUE(!ran || std::find(allowed.begin(), allowed.end(), *ran) != allowed.end())
+          << again << " began at " << began->Prefix() << " and went on at " << ran->Prefix();
+    }
+  }
+}
+
+unsigned SeedCount() {
+  const char* text = std::getenv("ROUTE_SEEDS");  // NOLINT(concurrency-mt-unsafe): read before any thread starts
+  return text == nullptr ? 4U : static_cast<unsigned>(std::strtoul(text, nullptr, 10));
+}
+
+INSTANTIATE_TEST_SUITE_P(seeds, changing_route_test, testing::Range(1U, 1U + SeedCount()));
+
 }  // namespace
 }  // namespace persimmon
