Forget the names of versions and services that no stream can come from

recent_names and the list of sources kept every version that an entry had ever named, also those of other writers, until the router ended.

Test: recent_names_test.NamesOfThePast_AfterTheRetention_AreForgotten; 100 versions in turn left 100 names before (by construction: nothing removed them).

--- a/include/persimmon/stream_origins.h
+++ b/include/persimmon/stream_origins.h
@@ -48,7 +48,11 @@
   // Names in use now or within the retention: the longest time for which callers resume a stream.
   name_set Candidates(time_point now, milliseconds retention) const;
 
+  // Forgets the names that are no candidates any more.
+  void RemoveExpired(time_point now, milliseconds retention);
+
   const name_set& Current() const { return current_; }
+  std::size_t Size() const { return current_.size() + last_seen_.size(); }
 
  private:
   name_set current_;
--- a/src/decisions/stream_origins.cpp
+++ b/src/decisions/stream_origins.cpp
@@ -37,6 +37,10 @@
   return candidates;
 }
 
+void recent_names::RemoveExpired(time_point now, milliseconds retention) {
+  std::erase_if(last_seen_, [&](const auto& item) { return now - item.second >= retention; });
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // 2. origins of streams
 // ---------------------------------------------------------------------------------------------------------------------
--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -733,6 +733,7 @@
   }
   records_era_ = table_.Era();
   is_addition_due_ = false;
+  RemoveOldSources(now);
   UpdateModels();
   for (auto& [name, state] : services_) {
     if (is_restored) {
@@ -754,6 +755,24 @@
   }
 }
 
+// Versions come from entries of endpoints, so their number has no bound over the life of a router.
+void origin_tracker::RemoveOldSources(time_point now) {
+  name_set routed;
+  for (auto& [route, services] : routes_) {
+    services.RemoveExpired(now, ResumeTime());
+    routed.merge(services.Candidates(now, ResumeTime()));
+  }
+  std::map<std::string, name_set> versions;
+  for (auto& [name, state] : services_) {
+    state.versions.RemoveExpired(now, ResumeTime());
+    versions[name] = Candidates(name);
+  }
+  std::erase_if(sources_, [&](const auto& item) {
+    const auto& [source, is_plain, models] = item.second;
+    return is_plain ? !routed.contains(source.service) : !versions[source.service].contains(source.version);
+  });
+}
+
 // Remembers the models of the services whose engines are all gone.
 void origin_tracker::UpdateModels() {
   for (auto& [key, known] : sources_) {
--- a/src/direct/origin_tracker.h
+++ b/src/direct/origin_tracker.h
@@ -151,6 +151,7 @@
   void RecordAnswers(const std::vector<origin_holder>& holders, const query& asked, origin_search& search) const;
   void UpdateRoutes();
   void AddSource(const std::string& service, const std::string& version, bool is_plain);
+  void RemoveOldSources(time_point now);
   void UpdateModels();
   void UpdateVersions();
   void UpdateHolders();
@@ -194,7 +195,7 @@
   std::map<std::string, service_state> services_;
   std::map<std::string, recent_names> routes_;     // services of each resumable route, by its name
   revision_number routes_revision_ = 0;            // of the desired state that routes_ holds
-  std::map<std::uint64_t, known_source> sources_;  // by version key, all that have been seen
+  std::map<std::uint64_t, known_source> sources_;  // by version key, those that may have begun a stream
   std::map<origin_key, std::vector<std::shared_ptr<query>>> queries_;
   std::uint64_t records_era_ = 0;  // of the store when the records were read or written last
   bool has_records_ = false;       // the records have been read
--- a/tests/stream_origins_test.cpp
+++ b/tests/stream_origins_test.cpp
@@ -31,6 +31,22 @@
   EXPECT_EQ(versions.Candidates(kStart + kRetention * 3, kRetention), (name_set{"v1", "v2"}));
 }
 
+// Guards against names of endpoints' versions that are kept for the life of the router.
+TEST(recent_names_test, NamesOfThePast_AfterTheRetention_AreForgotten) {
+  recent_names versions;
+  time_point now = kStart;
+  for (int i = 0; i < 100; ++i) {
+    now += kRetention / 10;
+    versions.Set({std::to_string(i)}, now);
+    versions.RemoveExpired(now, kRetention);
+  }
+  EXPECT_EQ(versions.Size(), 11U);  // the one in use, and those of the last ten periods
+  EXPECT_EQ(versions.Candidates(now, kRetention).size(), 11U);
+  versions.RemoveExpired(now + kRetention, kRetention);
+  EXPECT_EQ(versions.Size(), 1U);
+  EXPECT_EQ(versions.Current(), name_set{"99"});
+}
+
 // Guards against a restarted router that takes the only version it sees for the only one there was.
 TEST(recent_names_test, Candidates_OfARestartedRouter_IncludeRecordedVersions) {
   recent_names versions;
