--- a/include/persimmon/endpoint_registry.h
+++ b/include/persimmon/endpoint_registry.h
@@ -45,7 +45,7 @@
   bool draining = false;  // accepts no new work
   std::uint32_t slots = 0;
   std::optional<endpoint_role> role;  // model engines: prefill or decode
-  std::vector<served_model> models;   // model engines
+  std::vector<served_model> models;   // of a model engine
 
   bool operator==(const endpoint_entry&) const = default;
 };
--- a/src/direct/origin_tracker.cpp
+++ b/src/direct/origin_tracker.cpp
@@ -23,11 +23,11 @@
 
 constexpr const char* kComponent = "router.origins";
 constexpr const char* kVersionTable = "persimmon_versions";
-constexpr milliseconds kWatchPeriod(100);  // checks for changed routers and copies that are not acknowledged
-constexpr milliseconds kAnswerTime(60);    // for the answer of a holder, before it is asked again
-constexpr int kQueryRounds = 3;            // a datagram may be lost
-constexpr milliseconds kRecordsWait(400);  // for the records after a start, while a resumed stream waits
-constexpr milliseconds kRecordsPoll(20);
+constexpr milliseconds kWatchPeriod(100);   // checks for changed routers and copies that are not acknowledged
+constexpr milliseconds kAnswerTime(60);     // for the answer of a holder, before it is asked again
+constexpr int kQueryRounds = 3;             // a datagram may be lost
+constexpr milliseconds kRecordsWait(400);   // for the records after a start, while a resumed stream waits
+constexpr milliseconds kRecordsPoll(20);    // between checks of that wait
 constexpr milliseconds kRecordPeriod(500);  // between checks of the records
 constexpr milliseconds kRankDelay(1'500);   // later start of each further router that keeps a record
 constexpr std::size_t kRecordKeepers = 3;   // routers that remove versions from the record, by rank
@@ -86,10 +86,13 @@
 std::optional<std::uint64_t> WeightsOf(const std::string& model, const std::set<served_model>& models) {
   std::optional<std::uint64_t> weights;
   for (const served_model& served : models) {
-    if (served.name == model && weights) {
+    if (served.name != model) {
+      continue;
+    }
+    if (weights) {
       return std::nullopt;
     }
-    weights = served.name == model ? served.weights_version : weights;
+    weights = served.weights_version;
   }
   return weights;
 }
@@ -294,12 +297,12 @@
     co_await kernel_.Timers().Sleep(kRecordsPoll);
   }
   const origin_key resumed = OriginKey(metadata.resumed_attempt);
-  const time_point asked = timer_service::Now();
+  const time_point search_start = timer_service::Now();
   origin_search search;
   std::optional<std::uint64_t> origin;
   std::optional<std::uint64_t> answer;  // of the holders of copies
   if (!metadata.resumed_attempt.empty()) {
-    origin = origins_->Find(resumed, asked);
+    origin = origins_->Find(resumed, search_start);
     search.found_in = origin ? "this_router" : "";
     if (!origin) {
       answer = co_await AskHolders(resumed, search);
@@ -331,7 +334,7 @@
       .Add("known", origin.has_value())
       .Add("found_in", search.found_in)
       .Add("asked", search.asked)
-      .Add("took_ms", ElapsedMs(asked, timer_service::Now()))
+      .Add("took_ms", ElapsedMs(search_start, timer_service::Now()))
       .Add("log_age_ms", log_read_.began ? ElapsedMs(*log_read_.began, timer_service::Now()) : -1)
       .Add("records_read", has_records_)
       .Add("store_reachable", directory_->IsStoreReachable())
